--- /dev/null
+++ b/src/core/error.hpp
@@ -0,0 +1,144 @@
+/// @file
+/// @brief The closed list of error kinds and the table from kind to answer.
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+#include <boost/outcome/try.hpp>
+
+namespace bamboochute {
+
+/// @brief Every reason for which the system refuses or fails something.
+enum class ErrorKind {
+    // The caller's request is wrong.
+    MalformedRequest,
+    MalformedJson,
+    JsonTooDeep,
+    InvalidField,
+    BodyTooLarge,
+    HeaderTooLarge,
+    SlowSender,
+    UnknownPath,
+    MethodNotAllowed,
+    UnknownModel,
+    UnknownAdapter,
+    InvalidDeadline,
+    Unauthenticated,
+    Forbidden,
+    // The request is right, and was not run.
+    QueueFull,
+    DeadlineUnreachable,
+    DeadlineExceededInQueue,
+    NoCapacity,
+    ColdStartUnavailable,
+    UpstreamUnavailable,
+    RetryBudgetExhausted,
+    Draining,
+    NotReady,
+    // The request was sent, and its outcome is bad or not known.
+    UpstreamFailed,
+    UpstreamTimedOut,
+    UpstreamMalformed,
+    UpstreamOversized,
+    StreamBroken,
+    SlowReader,
+    CallerGone,
+    // Operations that run at most once.
+    OperationKeyInvalid,
+    OperationKeyReused,
+    OperationInProgress,
+    OperationOutcomeUnknown,
+    ClaimUnavailable,
+    // The platform and other instances.
+    KeyValueUnavailable,
+    KeyValueOutcomeUnknown,
+    KeyValueConflict,
+    PeerUnreachable,
+    PeerUnauthenticated,
+    NotOwner,
+    // Orders to upstreams.
+    OrderStaleFence,
+    OrderRefused,
+    OrderUnconfirmed,
+    ReportDistrusted,
+    // Configuration and settings.
+    ConfigurationInvalid,
+    ConfigurationTooLarge,
+    RevisionConflict,
+    SettingInvalid,
+    // A defect of this program.
+    Internal,
+};
+
+/// @brief What is known of whether the request was run.
+enum class RunState {
+    NotRun,
+    MayHaveRun,
+    Run,
+};
+
+/// @brief One row of the table from error kind to answer.
+struct ErrorRow
+{
+    ErrorKind kind;
+    /// Stable identifier, such as "BC1001"; never given to another kind.
+    std::string_view id;
+    /// Stable code in the answer's body, such as "queue_full".
+    std::string_view code;
+    /// The "type" member of the OpenAI-shaped error body.
+    std::string_view type;
+    int httpStatus;
+    RunState runState;
+    /// Whether the caller may send the same request again.
+    bool isRetryable;
+    /// Value of Retry-After, if the answer carries one.
+    std::optional<std::chrono::seconds> retryAfter;
+};
+
+/// @brief The whole table, in the order of the enumeration.
+std::span<const ErrorRow> errorTable() noexcept;
+
+/// @brief The row of one kind.
+const ErrorRow &errorRow(ErrorKind kind) noexcept;
+
+/// @brief One error: its kind and where it was found.
+class Error
+{
+public:
+    /// @param kind row of the table that applies
+    /// @param message what is wrong and where, for a person
+    /// @param field member, header, flag or path that is wrong; may be empty
+    explicit Error(ErrorKind kind, std::string message = {}, std::string field = {});
+
+    ErrorKind kind() const noexcept { return this->errorKind; }
+    const std::string &message() const noexcept { return this->text; }
+    const std::string &field() const noexcept { return this->fieldName; }
+    const ErrorRow &row() const noexcept { return errorRow(this->errorKind); }
+
+    /// @brief When to come back; the table's value unless one was given.
+    std::optional<std::chrono::seconds> retryAfter() const noexcept;
+
+    /// @brief The same error with another Retry-After.
+    Error withRetryAfter(std::chrono::seconds delay) const;
+
+    bool operator==(const Error &) const = default;
+
+private:
+    ErrorKind errorKind;
+    std::string text;
+    std::string fieldName;
+    std::optional<std::chrono::seconds> givenRetryAfter;
+};
+
+/// @brief A value or an error, by Boost.Outcome; reading the wrong one ends the process.
+template<typename T>
+using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+
+} // namespace bamboochute
