Make Error default constructible, as Boost.Outcome requires

Cause: basic_result refuses an error type without a default constructor; the key-value package did not build.

--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -112,6 +112,9 @@
 class Error
 {
 public:
+    /// @brief An internal error without a message; needed by Boost.Outcome.
+    Error() = default;
+
     /// @param kind row of the table that applies
     /// @param message what is wrong and where, for a person
     /// @param field member, header, flag or path that is wrong; may be empty
@@ -131,7 +134,7 @@
     bool operator==(const Error &) const = default;
 
 private:
-    ErrorKind errorKind;
+    ErrorKind errorKind = ErrorKind::Internal;
     std::string text;
     std::string fieldName;
     std::optional<std::chrono::seconds> givenRetryAfter;
--- a/src/platform/key_value_state.cpp
+++ b/src/platform/key_value_state.cpp
@@ -1,5 +1,7 @@
 #include "platform/key_value_state.hpp"
 
+#include "core/overloaded.hpp"
+
 #include <algorithm>
 
 #include <fmt/format.h>
@@ -8,15 +10,6 @@
 
 namespace {
 
-template<typename... Handlers>
-struct Overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-
-template<typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 /// Iterators to the entries that a key or a prefix names.
 template<typename Map>
 auto rangeOf(Map &map, const std::string &key, bool isPrefix)
