--- /dev/null
+++ b/src/platform/key_value_client.cpp
@@ -0,0 +1,89 @@
+#include "platform/key_value_client.hpp"
+
+#include "platform/etcd_codec.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace bamboochute::platform {
+
+namespace {
+
+constexpr int httpOk = 200;
+
+bool hasWrites(const Transaction &transaction)
+{
+    const auto isWrite = [](const Operation &each) { return !std::holds_alternative<Get>(each); };
+    return std::any_of(transaction.success.begin(), transaction.success.end(), isWrite)
+           || std::any_of(transaction.failure.begin(), transaction.failure.end(), isWrite);
+}
+
+/// Reads an answer; one that is not understood leaves the outcome of a write open.
+template<typename T, typename Parser>
+Result<T> readAnswer(Result<HttpAnswer> answer, bool isWrite, Parser parse)
+{
+    const ErrorKind doubt
+            = isWrite ? ErrorKind::KeyValueOutcomeUnknown : ErrorKind::KeyValueUnavailable;
+    if (!answer) {
+        const bool isUnsent = answer.error().kind() == ErrorKind::KeyValueUnavailable;
+        return isUnsent ? answer.error() : Error(doubt, answer.error().message());
+    }
+    if (answer.value().status != httpOk)
+        return Error(doubt, fmt::format("key-value service answered with status {}",
+                                        answer.value().status));
+    Result<T> parsed = parse(answer.value().body);
+    if (!parsed)
+        return Error(doubt, parsed.error().message());
+    return parsed;
+}
+
+std::string purposeLabel(Purpose purpose)
+{
+    return fmt::format("purpose=\"{}\"", purposeName(purpose));
+}
+
+} // namespace
+
+KeyValueClient::KeyValueClient(boost::asio::io_context &context, std::vector<Endpoint> endpoints,
+                               Metrics &metrics)
+    : caller(context, std::move(endpoints))
+    , metrics(metrics)
+{}
+
+template<typename T>
+void KeyValueClient::finish(const std::function<void(Result<T>)> &done, Result<T> result)
+{
+    this->available = result.has_value();
+    if (!result)
+        this->metrics.errors(result.error().kind()).add();
+    done(std::move(result));
+}
+
+void KeyValueClient::submit(Purpose purpose, Transaction transaction, TransactionDone done)
+{
+    const bool isWrite = hasWrites(transaction);
+    const char *name
+            = isWrite ? "bamboochute_key_value_writes_total" : "bamboochute_key_value_reads_total";
+    this->metrics.counter(name, purposeLabel(purpose)).add();
+    HttpRequest request{"POST", std::string(etcdTransactionPath), printTransaction(transaction),
+                        std::string(purposeName(purpose))};
+    this->caller.call(std::move(request), [this, isWrite, done](Result<HttpAnswer> answer) {
+        this->finish<TransactionResponse>(
+                done, readAnswer<TransactionResponse>(std::move(answer), isWrite,
+                                                      parseTransactionResponse));
+    });
+}
+
+void KeyValueClient::grantLease(Purpose purpose, std::chrono::seconds timeToLive, LeaseDone done)
+{
+    this->metrics.counter("bamboochute_key_value_writes_total", purposeLabel(purpose)).add();
+    HttpRequest request{"POST", std::string(etcdLeaseGrantPath), printLeaseGrant(timeToLive),
+                        std::string(purposeName(purpose))};
+    this->caller.call(std::move(request), [this, done](Result<HttpAnswer> answer) {
+        this->finish<LeaseId>(done,
+                              readAnswer<LeaseId>(std::move(answer), true, parseLeaseGranted));
+    });
+}
+
+} // namespace bamboochute::platform
