Add queue, router, ejector, retry policy and operation claims

Cause: traffic threads need pure decisions on waiting, routing, ejection, retries and at-most-once operations before the HTTP steps can be built. Change: RequestQueue (weighted classes, earliest latest start first, bounds in number and bytes, early refusal by the measured drain rate), Router (shares of slots, prefix affinity with a bound), Ejector, RetryPolicy, OperationRecord, ClaimBatcher, OperationClaims, claimWriters. Conclusion: the interfaces can be built against.

--- /dev/null
+++ b/src/admission/operation_claims.cpp
@@ -0,0 +1,492 @@
+#include "admission/operation_claims.hpp"
+
+#include "core/invariant.hpp"
+#include "core/overloaded.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace bamboochute::admission {
+
+namespace {
+
+/// Time after which an unanswered lease request is made again.
+constexpr Duration leaseRequestTimeout = std::chrono::seconds(5);
+
+std::size_t headerBytes(const OperationOutcome &outcome)
+{
+    std::size_t bytes = 0;
+    for (const OutcomeHeader &header : outcome.headers)
+        bytes += header.name.size() + header.value.size();
+    return bytes;
+}
+
+/// The state to record for a settlement: answers that are too large are not kept.
+OperationState stateOf(const Settlement &settlement)
+{
+    return std::visit(Overloaded{
+                              [](const OperationOutcome &outcome) -> OperationState {
+                                  const bool isSmall
+                                          = outcome.body.size() <= maxRecordedBodyBytes
+                                            && headerBytes(outcome) <= maxRecordedHeaderBytes;
+                                  if (isSmall)
+                                      return outcome;
+                                  return OutcomeTooLarge{outcome.status};
+                              },
+                              [](const auto &other) -> OperationState { return other; },
+                      },
+                      settlement);
+}
+
+std::size_t bytesOf(const OperationState &state)
+{
+    const auto *outcome = std::get_if<OperationOutcome>(&state);
+    return outcome == nullptr ? 0 : outcome->body.size() + headerBytes(*outcome);
+}
+
+ClaimDecision inProgress()
+{
+    return Error(ErrorKind::OperationInProgress, "the operation is in progress");
+}
+
+ClaimDecision outcomeUnknown()
+{
+    return Error(ErrorKind::OperationOutcomeUnknown,
+                 "the operation was dispatched before; whether it ran is not known");
+}
+
+/// Answer to a repeat of an operation in a final state.
+ClaimDecision decisionOf(const OperationState &state)
+{
+    return std::visit(
+            Overloaded{
+                    [](const OperationOutcome &outcome) -> ClaimDecision {
+                        return Replay{outcome};
+                    },
+                    [](const OutcomeTooLarge &large) -> ClaimDecision {
+                        return Error(ErrorKind::OperationOutcomeUnknown,
+                                     fmt::format("the operation ran with status {}; its answer was "
+                                                 "too large to be kept",
+                                                 large.status));
+                    },
+                    [](const Released &) -> ClaimDecision {
+                        return Error(ErrorKind::ClaimUnavailable,
+                                     "an earlier claim of the operation is being withdrawn");
+                    },
+                    [](const Claimed &) -> ClaimDecision { return inProgress(); },
+                    [](const OutcomeUnknown &) -> ClaimDecision { return outcomeUnknown(); },
+            },
+            state);
+}
+
+std::string_view decisionName(const ClaimDecision &decision)
+{
+    return std::visit(Overloaded{
+                              [](const Dispatch &) -> std::string_view { return "dispatch"; },
+                              [](const Replay &) -> std::string_view { return "replay"; },
+                              [](const Error &error) { return error.row().code; },
+                      },
+                      decision);
+}
+
+void count(Metrics &metrics, const ClaimDecision &decision)
+{
+    const std::string label = fmt::format("decision=\"{}\"", decisionName(decision));
+    metrics.counter("bamboochute_claims_total", label).add();
+}
+
+bool isReleased(const std::string &value)
+{
+    const Result<OperationRecord> record = decodeOperationRecord(value);
+    return record && std::holds_alternative<Released>(record.value().state);
+}
+
+} // namespace
+
+OperationClaims::OperationClaims(Claimant self, KnownGone knownGone, Metrics &metrics,
+                                 double transactionsPerSecond, ClaimLimits limits)
+    : self(std::move(self))
+    , knownGone(std::move(knownGone))
+    , metrics(metrics)
+    , limits(limits)
+    , batcher(transactionsPerSecond)
+    , lastNumber(this->self.number)
+{}
+
+void OperationClaims::setBudget(double transactionsPerSecond)
+{
+    this->batcher.setBudget(transactionsPerSecond);
+}
+
+ClaimActions OperationClaims::claim(Ticket ticket, const ClaimRequest &request, TimePoint now)
+{
+    ClaimActions actions;
+    std::optional<ClaimDecision> known = this->decideLocally(request);
+    if (known) {
+        count(this->metrics, *known);
+        actions.emplace_back(Decide{ticket, *std::move(known)});
+        return actions;
+    }
+    this->lastNumber = this->lastNumber.next();
+    Claim claim;
+    claim.ticket = ticket;
+    claim.request = request;
+    claim.number = this->lastNumber;
+    claim.giveUpAt = std::min(request.deadline, now + this->limits.patience);
+    this->byTicket[ticket] = claim.number;
+    this->byKey[request.key] = claim.number;
+    Claim &stored = this->claims.emplace(claim.number, std::move(claim)).first->second;
+    this->tickClaim(stored, now, actions);
+    this->poll(now, actions);
+    return actions;
+}
+
+ClaimActions OperationClaims::abandon(Ticket ticket, TimePoint now)
+{
+    ClaimActions actions;
+    const auto found = this->byTicket.find(ticket);
+    if (found == this->byTicket.end())
+        return actions;
+    Claim &claim = this->claims.at(found->second);
+    if (claim.phase == Phase::NeedsLease || claim.phase == Phase::Claiming)
+        this->release(claim);
+    this->poll(now, actions);
+    return actions;
+}
+
+bool OperationClaims::mayDispatch(Ticket ticket, TimePoint now) const
+{
+    const auto found = this->byTicket.find(ticket);
+    if (found == this->byTicket.end())
+        return false;
+    const Claim &claim = this->claims.at(found->second);
+    const TimePoint end = std::min(claim.request.deadline, claim.leaseEnd);
+    return claim.phase == Phase::Dispatched && now < end;
+}
+
+ClaimActions OperationClaims::settle(Ticket ticket, const Settlement &settlement, TimePoint now)
+{
+    ClaimActions actions;
+    const auto found = this->byTicket.find(ticket);
+    BC_INVARIANT(found != this->byTicket.end(), "an operation that is settled is open");
+    Claim &claim = this->claims.at(found->second);
+    BC_INVARIANT(claim.phase == Phase::Dispatched, "an operation that is settled was dispatched");
+    this->byTicket.erase(found);
+    claim.phase = Phase::Settling;
+    claim.wanted = stateOf(settlement);
+    this->unwrittenBytes += bytesOf(claim.wanted);
+    this->send(claim, true);
+    this->poll(now, actions);
+    return actions;
+}
+
+ClaimActions OperationClaims::answered(TransactionTag tag,
+                                       const Result<platform::TransactionResponse> &answer,
+                                       TimePoint now)
+{
+    ClaimActions actions;
+    for (const FinishedWrite &write : this->batcher.answered(tag, answer))
+        this->finished(write, now, actions);
+    this->poll(now, actions);
+    return actions;
+}
+
+ClaimActions OperationClaims::leaseGranted(std::chrono::seconds timeToLive,
+                                           const Result<platform::LeaseId> &lease, TimePoint now)
+{
+    for (auto &[retention, pool] : this->leases) {
+        if (this->timeToLive(retention) != timeToLive || !pool.isRequested)
+            continue;
+        pool.isRequested = false;
+        if (!lease)
+            continue;
+        pool.id = lease.value();
+        pool.end = pool.requestedAt + timeToLive;
+    }
+    return this->tick(now);
+}
+
+ClaimActions OperationClaims::tick(TimePoint now)
+{
+    ClaimActions actions;
+    for (auto entry = this->claims.begin(); entry != this->claims.end();) {
+        Claim &claim = entry->second;
+        ++entry; // the claim may be forgotten
+        this->tickClaim(claim, now, actions);
+    }
+    this->poll(now, actions);
+    return actions;
+}
+
+std::optional<TimePoint> OperationClaims::nextTick(TimePoint now) const
+{
+    std::optional<TimePoint> next = this->batcher.nextPoll(now);
+    const auto consider = [&](TimePoint time) { next = next ? std::min(*next, time) : time; };
+    for (const auto &[number, claim] : this->claims) {
+        if (claim.phase == Phase::NeedsLease)
+            consider(now + this->limits.retryDelay);
+        if (claim.phase == Phase::NeedsLease || claim.phase == Phase::Claiming)
+            consider(claim.giveUpAt);
+        if (claim.retryAt != TimePoint())
+            consider(claim.retryAt);
+    }
+    return next;
+}
+
+std::optional<ClaimDecision> OperationClaims::decideLocally(const ClaimRequest &request) const
+{
+    const auto found = this->byKey.find(request.key);
+    if (found != this->byKey.end()) {
+        const Claim &claim = this->claims.at(found->second);
+        if (claim.request.fingerprint != request.fingerprint)
+            return Error(ErrorKind::OperationKeyReused,
+                         "operation key is in use by a request with another method, path or body");
+        return claim.phase == Phase::Settling ? decisionOf(claim.wanted) : inProgress();
+    }
+    if (this->claims.size() >= this->limits.maxOpen)
+        return Error(ErrorKind::ClaimUnavailable,
+                     fmt::format("{} operations are open; at most {} are allowed",
+                                 this->claims.size(), this->limits.maxOpen));
+    if (this->unwrittenBytes >= this->limits.maxUnwrittenBytes)
+        return Error(ErrorKind::ClaimUnavailable,
+                     fmt::format("outcomes of {} bytes wait to be recorded; at most {} are allowed",
+                                 this->unwrittenBytes, this->limits.maxUnwrittenBytes));
+    return std::nullopt;
+}
+
+ClaimDecision OperationClaims::decideByRecord(const std::string &value,
+                                              const ClaimRequest &request) const
+{
+    const Result<OperationRecord> decoded = decodeOperationRecord(value);
+    if (!decoded)
+        return outcomeUnknown();
+    const OperationRecord &record = decoded.value();
+    if (record.fingerprint != request.fingerprint)
+        return Error(ErrorKind::OperationKeyReused,
+                     "operation key was used by a request with another method, path or body");
+    const bool isOpen = std::holds_alternative<Claimed>(record.state);
+    if (isOpen && this->isGone(record.claimant))
+        return outcomeUnknown();
+    return decisionOf(record.state);
+}
+
+bool OperationClaims::isGone(const Claimant &claimant) const
+{
+    if (claimant.instance != this->self.instance)
+        return this->knownGone(claimant.instance, claimant.incarnation);
+    const bool isForgotten = !this->claims.contains(claimant.number);
+    return claimant.incarnation < this->self.incarnation || isForgotten;
+}
+
+bool OperationClaims::takeLease(Claim &claim, TimePoint now, ClaimActions &actions)
+{
+    const std::chrono::seconds retention = claim.request.retention;
+    Lease &pool = this->leases[retention];
+    const TimePoint needed = now + retention + this->limits.leaseMargin;
+    const bool isUsable = pool.id != platform::LeaseId() && needed <= pool.end;
+    const bool isEnding = needed + this->limits.leaseWindow / 8 > pool.end;
+    const Duration wait = pool.isRequested ? leaseRequestTimeout : this->limits.retryDelay;
+    const bool isDue = pool.requestedAt == TimePoint() || now - pool.requestedAt >= wait;
+    if ((!isUsable || isEnding) && isDue) {
+        pool.isRequested = true;
+        pool.requestedAt = now;
+        actions.emplace_back(RequestLease{this->timeToLive(retention)});
+    }
+    if (!isUsable)
+        return false;
+    claim.lease = pool.id;
+    claim.leaseEnd = pool.end;
+    return true;
+}
+
+std::chrono::seconds OperationClaims::timeToLive(std::chrono::seconds retention) const
+{
+    return retention + this->limits.leaseMargin + this->limits.leaseWindow;
+}
+
+void OperationClaims::send(Claim &claim, bool isExpectedToHold)
+{
+    const std::string &key = claim.request.key;
+    platform::Compare condition = platform::CompareModRevision{key, {}};
+    if (claim.believed)
+        condition = platform::CompareValue{key, *claim.believed};
+    claim.isClaimWrite = claim.phase == Phase::Claiming;
+    const OperationState state = claim.isClaimWrite ? OperationState(Claimed{}) : claim.wanted;
+    platform::Put put{key, this->valueOf(claim, state), claim.lease};
+    claim.write = this->batcher.add({std::move(condition), std::move(put)}, isExpectedToHold);
+    claim.retryAt = TimePoint();
+    this->byWrite[claim.write] = claim.number;
+}
+
+void OperationClaims::sendLater(Claim &claim, TimePoint now)
+{
+    claim.retryAt = now + this->limits.retryDelay;
+}
+
+void OperationClaims::finished(const FinishedWrite &write, TimePoint now, ClaimActions &actions)
+{
+    const auto found = this->byWrite.find(write.number);
+    BC_INVARIANT(found != this->byWrite.end(), "a write that ends belongs to a claim");
+    Claim &claim = this->claims.at(found->second);
+    this->byWrite.erase(found);
+    claim.write = WriteNumber();
+    if (claim.phase == Phase::Claiming)
+        this->claimFinished(claim, write.result, now, actions);
+    else
+        this->settleFinished(claim, write.result, now);
+}
+
+void OperationClaims::claimFinished(Claim &claim, const WriteResult &result, TimePoint now,
+                                    ClaimActions &actions)
+{
+    std::visit(Overloaded{
+                       [&](const Written &) { this->confirm(claim, now, actions); },
+                       [&](const ConditionFailed &conflict) {
+                           this->claimConflict(claim, conflict.found, now, actions);
+                       },
+                       [&](const WriteUnavailable &unavailable) {
+                           claim.mayBeRecorded |= unavailable.mayHaveEffect;
+                           this->sendLater(claim, now);
+                       },
+               },
+               result);
+}
+
+void OperationClaims::claimConflict(Claim &claim, const std::optional<platform::KeyValue> &found,
+                                    TimePoint now, ClaimActions &actions)
+{
+    if (found && found->value == this->valueOf(claim, Claimed{})) {
+        this->confirm(claim, now, actions);
+        return;
+    }
+    if (!found || isReleased(found->value)) {
+        claim.believed = found ? std::optional(found->value) : std::nullopt;
+        this->send(claim, true);
+        return;
+    }
+    this->decide(claim, this->decideByRecord(found->value, claim.request), actions);
+    this->forget(claim.number);
+}
+
+void OperationClaims::confirm(Claim &claim, TimePoint now, ClaimActions &actions)
+{
+    claim.mayBeRecorded = true;
+    claim.believed = this->valueOf(claim, Claimed{});
+    if (now >= claim.giveUpAt || now + claim.request.retention > claim.leaseEnd) {
+        this->refuse(claim, "the claim was confirmed too late", actions);
+        return;
+    }
+    claim.phase = Phase::Dispatched;
+    this->decide(claim, Dispatch{claim.leaseEnd}, actions);
+}
+
+void OperationClaims::settleFinished(Claim &claim, const WriteResult &result, TimePoint now)
+{
+    BC_INVARIANT(claim.phase == Phase::Settling, "only claims and settlements are written");
+    if (std::holds_alternative<Written>(result) && !claim.isClaimWrite) {
+        this->forget(claim.number);
+    } else if (std::holds_alternative<Written>(result)) {
+        claim.believed = this->valueOf(claim, Claimed{});
+        this->send(claim, true);
+    } else if (const auto *conflict = std::get_if<ConditionFailed>(&result)) {
+        this->settleConflict(claim, conflict->found);
+    } else {
+        claim.mayBeRecorded |= std::get<WriteUnavailable>(result).mayHaveEffect;
+        if (claim.mayBeRecorded)
+            this->sendLater(claim, now);
+        else
+            this->forget(claim.number);
+    }
+}
+
+void OperationClaims::settleConflict(Claim &claim, const std::optional<platform::KeyValue> &found)
+{
+    const bool isOwnClaim = found && found->value == this->valueOf(claim, Claimed{});
+    if (isOwnClaim || !found || isReleased(found->value)) {
+        const bool isDone = found && found->value == this->valueOf(claim, claim.wanted);
+        if (isDone) {
+            this->forget(claim.number);
+            return;
+        }
+        claim.believed = found ? std::optional(found->value) : std::nullopt;
+        this->send(claim, true);
+        return;
+    }
+    this->forget(claim.number);
+}
+
+void OperationClaims::decide(const Claim &claim, ClaimDecision decision, ClaimActions &actions)
+{
+    count(this->metrics, decision);
+    actions.emplace_back(Decide{claim.ticket, std::move(decision)});
+}
+
+void OperationClaims::refuse(Claim &claim, std::string message, ClaimActions &actions)
+{
+    this->decide(claim, Error(ErrorKind::ClaimUnavailable, std::move(message)), actions);
+    this->release(claim);
+}
+
+void OperationClaims::release(Claim &claim)
+{
+    BC_INVARIANT(claim.phase != Phase::Dispatched, "an operation that may run is not released");
+    this->byTicket.erase(claim.ticket);
+    claim.phase = Phase::Settling;
+    claim.wanted = Released{};
+    if (claim.write != WriteNumber() && this->batcher.cancel(claim.write)) {
+        this->byWrite.erase(claim.write);
+        claim.write = WriteNumber();
+    }
+    if (claim.write != WriteNumber())
+        return;
+    if (claim.mayBeRecorded)
+        this->send(claim, true);
+    else
+        this->forget(claim.number);
+}
+
+void OperationClaims::forget(ClaimNumber number)
+{
+    const auto found = this->claims.find(number);
+    const Claim &claim = found->second;
+    BC_INVARIANT(claim.write == WriteNumber(), "a claim with a write under way is not forgotten");
+    this->unwrittenBytes -= bytesOf(claim.wanted);
+    this->byTicket.erase(claim.ticket);
+    this->byKey.erase(claim.request.key);
+    this->claims.erase(found);
+}
+
+void OperationClaims::tickClaim(Claim &claim, TimePoint now, ClaimActions &actions)
+{
+    const bool isWaiting = claim.phase == Phase::NeedsLease || claim.phase == Phase::Claiming;
+    if (isWaiting && now >= claim.giveUpAt) {
+        this->refuse(claim, "the operation could not be recorded in time", actions);
+        return;
+    }
+    if (claim.phase == Phase::NeedsLease && this->takeLease(claim, now, actions)) {
+        claim.phase = Phase::Claiming;
+        this->send(claim, false);
+    }
+    if (claim.retryAt == TimePoint() || now < claim.retryAt)
+        return;
+    const bool isLeaseOver = claim.phase == Phase::Settling && now >= claim.leaseEnd;
+    if (isLeaseOver)
+        this->forget(claim.number);
+    else
+        this->send(claim, true);
+}
+
+void OperationClaims::poll(TimePoint now, ClaimActions &actions)
+{
+    for (SubmitTransaction &submission : this->batcher.poll(now))
+        actions.emplace_back(std::move(submission));
+}
+
+std::string OperationClaims::valueOf(const Claim &claim, const OperationState &state) const
+{
+    const Claimant claimant{this->self.instance, this->self.incarnation, claim.number};
+    return encode(OperationRecord{claimant, claim.request.fingerprint, state});
+}
+
+} // namespace bamboochute::admission
--- /dev/null
+++ b/src/admission/request_queue.cpp
@@ -0,0 +1,310 @@
+#include "admission/request_queue.hpp"
+
+#include "core/invariant.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include <fmt/format.h>
+
+namespace bamboochute::admission {
+
+namespace {
+
+/// Targets whose drain rate is remembered.
+constexpr std::size_t maxTrackedTargets = 4096;
+constexpr std::chrono::seconds minRetryAfter{1};
+constexpr std::chrono::seconds maxRetryAfter{60};
+/// Least cost of a dispatch, so that requests without a known service time count as well.
+constexpr double leastCostSeconds = 0.001;
+
+std::chrono::seconds retryAfterOf(Duration wait)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait);
+    return std::clamp(seconds, minRetryAfter, maxRetryAfter);
+}
+
+Duration secondsToDuration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+RequestQueue::RequestQueue(std::vector<CallerClass> classes, QueueLimits limits)
+    : limits(limits)
+{
+    BC_INVARIANT(limits.ageingInterval > 1, "the ageing interval leaves room for weights");
+    this->configure(std::move(classes));
+}
+
+void RequestQueue::configure(std::vector<CallerClass> classes)
+{
+    for (auto entry = this->classQueues.begin(); entry != this->classQueues.end();) {
+        const bool isKept = std::any_of(classes.begin(), classes.end(),
+                                        [&](const auto &each) { return each.id == entry->first; });
+        const bool isIdle = entry->second.count == 0;
+        if (!isKept)
+            entry->second.settings.maxQueued = 0;
+        entry = !isKept && isIdle ? this->classQueues.erase(entry) : std::next(entry);
+    }
+    for (CallerClass &callerClass : classes) {
+        ClassQueue &classQueue = this->classQueues[callerClass.id];
+        classQueue.settings = std::move(callerClass);
+        classQueue.settings.weight = std::max(1U, classQueue.settings.weight);
+    }
+}
+
+Result<Ticket> RequestQueue::offer(WaitingRequest request, TimePoint now)
+{
+    if (std::optional<Error> error = this->refusal(request, now))
+        return *std::move(error);
+    this->lastTicket = this->lastTicket.next();
+    this->insert(QueuedRequest{this->lastTicket, now, std::move(request)});
+    return this->lastTicket;
+}
+
+std::vector<ExpiredRequest> RequestQueue::expire(TimePoint now)
+{
+    std::vector<ExpiredRequest> all;
+    while (!this->byLatestStart.empty() && this->byLatestStart.begin()->latestStart <= now) {
+        const Ticket ticket = this->byLatestStart.begin()->ticket;
+        const Duration waited = now - this->byTicket.at(ticket).arrival;
+        all.push_back(this->expired(ticket, ErrorKind::DeadlineExceededInQueue,
+                                    fmt::format("request waited {:.3f} s for an upstream and can't "
+                                                "meet its deadline any more",
+                                                toSeconds(waited)),
+                                    waited));
+    }
+    BC_INVARIANT(this->byLatestStart.size() == this->byTicket.size(),
+                 "every waiting request is known to the timer");
+    return all;
+}
+
+std::optional<QueuedRequest> RequestQueue::remove(Ticket ticket)
+{
+    if (this->byTicket.find(ticket) == this->byTicket.end())
+        return std::nullopt;
+    return this->take(ticket);
+}
+
+std::optional<TimePoint> RequestQueue::nextExpiry() const
+{
+    if (this->byLatestStart.empty())
+        return std::nullopt;
+    return this->byLatestStart.begin()->latestStart;
+}
+
+std::vector<ExpiredRequest> RequestQueue::targetDelayed(const Target &target, TimePoint ready,
+                                                        TimePoint now)
+{
+    std::vector<Ticket> hopeless;
+    for (const auto &[id, classQueue] : this->classQueues) {
+        const auto found = classQueue.waiting.find(target);
+        if (found == classQueue.waiting.end())
+            continue;
+        for (const Place &place : found->second) {
+            if (place.latestStart >= ready)
+                break;
+            hopeless.push_back(place.ticket);
+        }
+    }
+    std::vector<ExpiredRequest> all;
+    const std::string message
+            = fmt::format("model \"{}\" is expected to be loaded in {:.1f} s, after the deadline",
+                          target.model.value(), toSeconds(ready - now));
+    for (const Ticket ticket : hopeless)
+        all.push_back(this->expired(ticket, ErrorKind::DeadlineUnreachable, message, ready - now));
+    return all;
+}
+
+std::vector<Target> RequestQueue::targets() const
+{
+    std::set<Target> all;
+    for (const auto &[id, classQueue] : this->classQueues) {
+        for (const auto &[target, places] : classQueue.waiting)
+            all.insert(target);
+    }
+    return {all.begin(), all.end()};
+}
+
+std::size_t RequestQueue::waitingFor(const Target &target) const
+{
+    std::size_t count = 0;
+    for (const auto &[id, classQueue] : this->classQueues) {
+        const auto found = classQueue.waiting.find(target);
+        count += found == classQueue.waiting.end() ? 0 : found->second.size();
+    }
+    return count;
+}
+
+std::optional<QueuedRequest> RequestQueue::takeBest(const std::vector<Candidate> &candidates,
+                                                    TimePoint now)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    ++this->dispatches;
+    const bool isAgeingTurn = this->dispatches % this->limits.ageingInterval == 0;
+    const Candidate &best
+            = isAgeingTurn ? this->longestUnserved(candidates) : this->fairest(candidates);
+    QueuedRequest queued = this->take(best.place.ticket);
+    BC_INVARIANT(queued.request.latestStart() >= now,
+                 "a request is dispatched only while its deadline can be met");
+    this->recordDispatch(queued, now);
+    return queued;
+}
+
+const RequestQueue::Candidate &
+RequestQueue::longestUnserved(const std::vector<Candidate> &candidates) const
+{
+    const auto order = [this](const Candidate &candidate) {
+        const ClassQueue &classQueue = this->classQueues.at(*candidate.callerClass);
+        return std::pair(classQueue.lastDispatch, candidate.place);
+    };
+    return *std::min_element(
+            candidates.begin(), candidates.end(),
+            [&](const auto &left, const auto &right) { return order(left) < order(right); });
+}
+
+const RequestQueue::Candidate &RequestQueue::fairest(const std::vector<Candidate> &candidates) const
+{
+    const auto order = [this](const Candidate &candidate) {
+        const ClassQueue &classQueue = this->classQueues.at(*candidate.callerClass);
+        return std::pair(classQueue.served, candidate.place);
+    };
+    return *std::min_element(
+            candidates.begin(), candidates.end(),
+            [&](const auto &left, const auto &right) { return order(left) < order(right); });
+}
+
+void RequestQueue::insert(const QueuedRequest &queued)
+{
+    ClassQueue &classQueue = this->classQueues.at(queued.request.callerClass);
+    if (classQueue.count == 0)
+        classQueue.served = std::max(classQueue.served, this->virtualTime);
+    ++classQueue.count;
+    const Place place{queued.request.latestStart(), queued.ticket};
+    classQueue.waiting[queued.request.target].insert(place);
+    this->byLatestStart.insert(place);
+    this->heldBytes += queued.request.bytes;
+    this->byTicket.emplace(queued.ticket, queued);
+}
+
+QueuedRequest RequestQueue::take(Ticket ticket)
+{
+    const auto found = this->byTicket.find(ticket);
+    BC_INVARIANT(found != this->byTicket.end(), "a ticket that is taken is waiting");
+    QueuedRequest queued = std::move(found->second);
+    this->byTicket.erase(found);
+    const Place place{queued.request.latestStart(), ticket};
+    this->byLatestStart.erase(place);
+    ClassQueue &classQueue = this->classQueues.at(queued.request.callerClass);
+    --classQueue.count;
+    const auto places = classQueue.waiting.find(queued.request.target);
+    places->second.erase(place);
+    if (places->second.empty())
+        classQueue.waiting.erase(places);
+    this->heldBytes -= queued.request.bytes;
+    return queued;
+}
+
+void RequestQueue::recordDispatch(const QueuedRequest &queued, TimePoint now)
+{
+    ClassQueue &classQueue = this->classQueues.at(queued.request.callerClass);
+    classQueue.lastDispatch = this->dispatches;
+    this->virtualTime = std::max(this->virtualTime, classQueue.served);
+    const double cost = std::max(leastCostSeconds, toSeconds(queued.request.expectedService));
+    classQueue.served += cost / classQueue.settings.weight;
+    this->totalDrain.record(now, this->byTicket.size());
+    this->drainRates[queued.request.target].record(now, this->waitingFor(queued.request.target));
+    this->forgetIdleTargets();
+}
+
+std::optional<Error> RequestQueue::refusal(const WaitingRequest &request, TimePoint now) const
+{
+    const std::string &className = request.callerClass.value();
+    const auto found = this->classQueues.find(request.callerClass);
+    if (found == this->classQueues.end())
+        return Error(ErrorKind::InvalidField,
+                     fmt::format("caller class \"{}\" does not exist", className), "callerClass");
+    const ClassQueue &classQueue = found->second;
+    if (classQueue.count >= classQueue.settings.maxQueued)
+        return this->full(fmt::format("queue of class \"{}\" holds {} requests; at most {} may "
+                                      "wait",
+                                      className, classQueue.count, classQueue.settings.maxQueued),
+                          classQueue, now);
+    if (this->heldBytes + request.bytes > this->limits.maxBytes)
+        return this->full(fmt::format("waiting requests hold {} bytes; at most {} are allowed",
+                                      this->heldBytes, this->limits.maxBytes),
+                          classQueue, now);
+    const Duration slack = request.latestStart() - now;
+    const Duration wait = this->waitOf(request, now).value_or(Duration::zero());
+    if (slack < Duration::zero() || wait > slack)
+        return Error(ErrorKind::DeadlineUnreachable,
+                     fmt::format("request would wait {:.3f} s and take {:.3f} s; its deadline is "
+                                 "in {:.3f} s",
+                                 toSeconds(wait), toSeconds(request.expectedService),
+                                 toSeconds(request.deadline - now)),
+                     "deadline")
+                .withRetryAfter(retryAfterOf(wait - std::max(slack, Duration::zero())));
+    return std::nullopt;
+}
+
+Error RequestQueue::full(std::string message, const ClassQueue &classQueue, TimePoint now) const
+{
+    const double rate = this->totalDrain.perSecond(now).value_or(classQueue.count + 1.0);
+    const double seconds = static_cast<double>(this->byTicket.size()) / rate;
+    return Error(ErrorKind::QueueFull, std::move(message))
+            .withRetryAfter(retryAfterOf(secondsToDuration(seconds)));
+}
+
+std::optional<Duration> RequestQueue::waitOf(const WaitingRequest &request, TimePoint now) const
+{
+    const Duration untilReady = std::max(Duration::zero(), request.targetReady - now);
+    const auto drain = this->drainRates.find(request.target);
+    const std::optional<double> rate
+            = drain == this->drainRates.end() ? std::nullopt : drain->second.perSecond(now);
+    if (!rate)
+        return untilReady > Duration::zero() ? std::optional(untilReady) : std::nullopt;
+    double ahead = 0;
+    double total = 0;
+    double ownWeight = 0;
+    double otherWeight = 0;
+    for (const auto &[id, classQueue] : this->classQueues) {
+        const auto places = classQueue.waiting.find(request.target);
+        const bool isOwn = id == request.callerClass;
+        if (isOwn)
+            ownWeight = classQueue.settings.weight;
+        if (places == classQueue.waiting.end())
+            continue;
+        total += static_cast<double>(places->second.size());
+        if (!isOwn) {
+            otherWeight += classQueue.settings.weight;
+            continue;
+        }
+        const auto behind = places->second.lower_bound(Place{request.latestStart(), Ticket()});
+        ahead = static_cast<double>(std::distance(places->second.begin(), behind));
+    }
+    const double ownShare = ownWeight / (ownWeight + otherWeight);
+    const double seconds = std::min(ahead / (*rate * ownShare), total / *rate);
+    return std::max(untilReady, secondsToDuration(seconds));
+}
+
+ExpiredRequest RequestQueue::expired(Ticket ticket, ErrorKind kind, std::string message,
+                                     Duration retryAfter)
+{
+    return {this->take(ticket),
+            Error(kind, std::move(message)).withRetryAfter(retryAfterOf(retryAfter))};
+}
+
+void RequestQueue::forgetIdleTargets()
+{
+    if (this->drainRates.size() <= maxTrackedTargets)
+        return;
+    for (auto entry = this->drainRates.begin(); entry != this->drainRates.end();) {
+        const bool isIdle = this->waitingFor(entry->first) == 0;
+        entry = isIdle ? this->drainRates.erase(entry) : std::next(entry);
+    }
+}
+
+} // namespace bamboochute::admission
--- /dev/null
+++ b/tests/admission/unit-router.cpp
@@ -0,0 +1,177 @@
+#include "admission/router.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboochute;
+using namespace bamboochute::admission;
+using namespace std::chrono_literals;
+
+namespace {
+
+const DataCentreId quitoNorte("quito-norte");
+const DataCentreId ambato("ambato");
+const Target chat{ModelId("chat@3"), {}};
+
+UpstreamState worker(const std::string &name, const DataCentreId &dataCentre,
+                     std::uint32_t concurrent)
+{
+    UpstreamState state;
+    state.spec.id = UpstreamId(name);
+    state.spec.pool = PoolId("assistant");
+    state.spec.dataCentre = dataCentre;
+    state.spec.maxConcurrent = concurrent;
+    return state;
+}
+
+RoutingTable fourWorkers(std::uint32_t concurrent)
+{
+    RoutingTable table;
+    for (const char *name : {"w1", "w2", "w3", "w4"}) {
+        table.upstreams[UpstreamId(name)] = worker(name, quitoNorte, concurrent);
+        table.replicas[chat].push_back(UpstreamId(name));
+    }
+    return table;
+}
+
+RouterLimits leastOfAll()
+{
+    RouterLimits limits;
+    limits.choices = 64;
+    return limits;
+}
+
+} // namespace
+
+TEST_CASE("a router picks among the replicas of a target")
+{
+    Metrics metrics;
+    const Ejector ejector(metrics);
+    const TimePoint now{};
+    Router router(quitoNorte, 7, leastOfAll());
+    RoutingTable table = fourWorkers(4);
+    const auto use = [&] { router.update(std::make_shared<RoutingTable>(table)); };
+    use();
+    const auto pick = [&] { return router.pick({router.replicas(chat), 0, 0, {}}, ejector, now); };
+
+    SUBCASE("requests in flight spread evenly, up to the bound of each upstream")
+    {
+        for (int i = 0; i < 16; ++i)
+            router.started(pick().value());
+        CHECK(router.inFlight(UpstreamId("w3")) == 4);
+        CHECK_FALSE(pick());
+
+        SUBCASE("and a finished request makes room")
+        {
+            router.finished(UpstreamId("w2"));
+            CHECK(pick() == UpstreamId("w2"));
+        }
+    }
+
+    SUBCASE("a leaving upstream gets no new work")
+    {
+        for (const char *name : {"w1", "w2", "w3"})
+            table.upstreams[UpstreamId(name)].isLeaving = true;
+        use();
+        for (int i = 0; i < 4; ++i) {
+            CHECK(pick() == UpstreamId("w4"));
+            router.started(UpstreamId("w4"));
+        }
+        CHECK_FALSE(pick());
+    }
+
+    SUBCASE("an upstream that was tried, or is ejected, is passed over")
+    {
+        Ejector judged(metrics);
+        for (int i = 0; i < 5; ++i)
+            judged.failed(UpstreamId("w1"), now + 1s);
+        const RouteQuery query{router.replicas(chat), 0, 0, {UpstreamId("w2"), UpstreamId("w3")}};
+        CHECK(router.pick(query, judged, now + 1s) == UpstreamId("w4"));
+    }
+
+    SUBCASE("another data centre's worker waits until ours are busier")
+    {
+        table.upstreams[UpstreamId("w4")] = worker("w4", ambato, 4);
+        use();
+        for (int i = 0; i < 3; ++i) {
+            const UpstreamId chosen = pick().value();
+            CHECK(chosen != UpstreamId("w4"));
+            router.started(chosen);
+        }
+        for (int i = 0; i < 3; ++i)
+            router.started(pick().value());
+        CHECK(router.inFlight(UpstreamId("w4")) == 1);
+    }
+
+    SUBCASE("an upstream that others keep busy is avoided")
+    {
+        table.upstreams[UpstreamId("w1")].reportedLoad = 4;
+        use();
+        CHECK(pick() != UpstreamId("w1"));
+    }
+}
+
+TEST_CASE("instances divide the slots of busy upstreams without talking to each other")
+{
+    constexpr std::uint32_t instances = 12;
+    RoutingTable table = fourWorkers(64);
+    for (auto &[id, state] : table.upstreams)
+        state.reportedLoad = 64;
+    const auto shared = std::make_shared<const RoutingTable>(table);
+    Metrics metrics;
+    const Ejector ejector(metrics);
+    std::map<UpstreamId, std::uint32_t> total;
+    for (std::uint32_t i = 0; i < instances; ++i) {
+        Router router(quitoNorte, i);
+        router.update(shared);
+        router.setShare(i, instances);
+        while (const auto chosen = router.pick({router.replicas(chat), 0, 0, {}}, ejector, {})) {
+            router.started(*chosen);
+            ++total[*chosen];
+        }
+    }
+    for (const auto &[id, count] : total)
+        CHECK(count == 64);
+
+    SUBCASE("less important classes leave room for the important ones")
+    {
+        const std::vector<CallerClass> classes{{CallerClassId("officer"), 4, 5, 8, {}},
+                                               {CallerClassId("guest"), 1, 0, 8, {}}};
+        CHECK(headroomFor(classes[0], classes, 64) == 0);
+        CHECK(headroomFor(classes[1], classes, 64) == 2);
+        Router router(quitoNorte, 1);
+        router.update(shared);
+        router.setShare(0, instances);
+        const auto candidates = router.replicas(chat);
+        const std::uint32_t slots = router.slots(candidates);
+        for (std::uint32_t i = 0; i + 2 < slots; ++i)
+            router.started(router.pick({candidates, 0, 2, {}}, ejector, {}).value());
+        CHECK_FALSE(router.canPick({candidates, 0, 2, {}}, ejector, {}));
+        CHECK(router.canPick({candidates, 0, 0, {}}, ejector, {}));
+    }
+}
+
+TEST_CASE("prompts with one beginning meet at one worker, as long as it has room")
+{
+    Metrics metrics;
+    const Ejector ejector(metrics);
+    const auto table = std::make_shared<const RoutingTable>(fourWorkers(64));
+    Router ours(quitoNorte, 1);
+    Router theirs(quitoNorte, 2);
+    ours.update(table);
+    theirs.update(table);
+    const std::string book(2 * prefixBytes, 'b');
+    const std::uint64_t prefix = prefixHash(book + "one wording");
+    CHECK(prefix == prefixHash(book + "another wording"));
+    CHECK(prefixHash("short") == 0);
+    const RouteQuery query{ours.replicas(chat), prefix, 0, {}};
+    const UpstreamId home = ours.pick(query, ejector, {}).value();
+    CHECK(theirs.pick(query, ejector, {}) == home);
+
+    SUBCASE("affinity never loads a worker beyond its bound")
+    {
+        for (int i = 0; i < 100; ++i)
+            ours.started(ours.pick(query, ejector, {}).value());
+        for (const UpstreamId &id : query.candidates)
+            CHECK(ours.inFlight(id) <= 30);
+    }
+}
