--- /dev/null
+++ b/tests/admission/unit-operation_record.cpp
@@ -0,0 +1,50 @@
+#include "admission/operation_record.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboochute;
+using namespace bamboochute::admission;
+
+TEST_CASE("a record is read as it was written")
+{
+    const Claimant claimant{InstanceId("i-7"), Incarnation(3), ClaimNumber(99)};
+    std::string binary("\0\xff\x80 body", 8);
+    const std::vector<OperationState> states{
+            Claimed{},
+            Released{},
+            OutcomeUnknown{},
+            OutcomeTooLarge{201},
+            OperationOutcome{200, {{"Content-Type", "application/json"}}, binary},
+    };
+    for (const OperationState &state : states) {
+        const OperationRecord record{claimant, "fingerprint", state};
+        const auto decoded = decodeOperationRecord(encode(record));
+        REQUIRE(decoded);
+        CHECK(decoded.value() == record);
+    }
+
+    SUBCASE("anything else is an error")
+    {
+        for (const char *text : {"", "claimed", "\xa1\x61\x61\x01"})
+            CHECK(decodeOperationRecord(text).error().kind() == ErrorKind::Internal);
+    }
+}
+
+TEST_CASE("operation keys are checked")
+{
+    CHECK(parseOperationKey("deposit-17").value().value() == "deposit-17");
+    CHECK(parseOperationKey(std::string(maxOperationKeyBytes, 'k')));
+    const std::string tooLong(maxOperationKeyBytes + 1, 'k');
+    const std::string nul("a\0b", 3);
+    for (const std::string &wrong : {std::string(), tooLong, std::string("a b"), nul,
+                                     std::string("caf\xc3\xa9"), std::string("a\r\nb")})
+        CHECK(parseOperationKey(wrong).error().kind() == ErrorKind::OperationKeyInvalid);
+}
+
+TEST_CASE("keys and fingerprints keep their parts apart")
+{
+    CHECK(claimKey("ab", OperationKey("c")) != claimKey("a", OperationKey("bc")));
+    CHECK(requestFingerprint("POST", "/a", "b") != requestFingerprint("POST", "/ab", ""));
+    CHECK(requestFingerprint("POST", "/a", "b") != requestFingerprint("PUT", "/a", "b"));
+    CHECK(claimKey("ab", OperationKey("c")).starts_with("claims/"));
+}
