Add the decision core: ownership, ledger, loading, unloading and store pacing

Cause: the pools need one place that decides what is loaded where. Change: decision::PoolController takes events and gives actions, without I/O and with time as a parameter. Its parts are Ownership (compare-and-swap on the owner's record), Ledger (both bounds in one book), LedgerWriter (grouped writes under the owner's record), DemandTable, KeepAlivePredictor, placement and store::Pacer.

--- /dev/null
+++ b/src/decision/keep_alive.cpp
@@ -0,0 +1,197 @@
+#include "decision/keep_alive.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include <boost/histogram.hpp>
+
+namespace bamboochute::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace histogram = boost::histogram;
+
+constexpr double shortestGap = 1.0;
+constexpr double longestGap = 7 * 86400.0;
+constexpr int binCount = 56;
+/// Gaps of all targets that a target's own gaps are blended with.
+constexpr double priorWeight = 3.0;
+/// A gap's weight halves after this many further gaps of the target.
+constexpr double decay = 0.98;
+constexpr Duration followWindow = 60s;
+constexpr double followShare = 0.5;
+constexpr std::uint32_t leastFollows = 4;
+constexpr std::size_t maxFollowers = 8;
+
+using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
+using Gaps = decltype(histogram::make_histogram_with(std::vector<float>(),
+                                                     Axis(1, shortestGap, longestGap)));
+
+Gaps makeGaps()
+{
+    return histogram::make_histogram_with(std::vector<float>(),
+                                          Axis(binCount, shortestGap, longestGap));
+}
+
+/// Gaps as probabilities by bin; index 0 is below the first edge, the last is "never again".
+struct Distribution
+{
+    std::array<double, binCount + 2> share{};
+    std::array<double, binCount + 2> upperEdge{};
+};
+
+struct TargetGaps
+{
+    Gaps gaps = makeGaps();
+    double weight = 0.0;
+    TimePoint lastUsed;
+    std::map<Target, std::uint32_t> followers;
+    std::uint32_t uses = 0;
+};
+
+} // namespace
+
+struct KeepAlivePredictor::Data
+{
+    Gaps all = makeGaps();
+    double allWeight = 0.0;
+    std::map<Target, TargetGaps> targets;
+    std::map<Target, TimePoint> recent;
+
+    Distribution distributionOf(const Target &target) const
+    {
+        Distribution result;
+        const auto found = this->targets.find(target);
+        const auto &axis = this->all.axis(0);
+        double total = 0.0;
+        for (int bin = -1; bin <= binCount; ++bin) {
+            const auto index = static_cast<std::size_t>(bin + 1);
+            const double prior = this->allWeight > 0.0
+                                         ? priorWeight * this->all.at(bin) / this->allWeight
+                                         : priorWeight / (binCount + 2);
+            const double own = found == this->targets.end() ? 0.0 : found->second.gaps.at(bin);
+            result.share[index] = prior + own;
+            result.upperEdge[index] = bin < binCount ? axis.value(bin + 1) : longestGap * 2;
+            total += result.share[index];
+        }
+        for (double &share : result.share)
+            share /= total;
+        return result;
+    }
+};
+
+KeepAlivePredictor::KeepAlivePredictor()
+    : data(std::make_unique<Data>())
+{}
+
+KeepAlivePredictor::~KeepAlivePredictor() = default;
+KeepAlivePredictor::KeepAlivePredictor(KeepAlivePredictor &&) noexcept = default;
+KeepAlivePredictor &KeepAlivePredictor::operator=(KeepAlivePredictor &&) noexcept = default;
+
+void KeepAlivePredictor::used(const Target &target, TimePoint at)
+{
+    TargetGaps &own = this->data->targets[target];
+    if (own.uses == 0) {
+        own.uses = 1;
+        own.lastUsed = at;
+        return;
+    }
+    const double gap = toSeconds(at - own.lastUsed);
+    if (gap < shortestGap) {
+        own.lastUsed = std::max(own.lastUsed, at);
+        return;
+    }
+    own.gaps *= static_cast<float>(decay);
+    own.gaps(gap);
+    own.weight = own.weight * decay + 1.0;
+    this->data->all(gap);
+    this->data->allWeight += 1.0;
+    own.lastUsed = at;
+    ++own.uses;
+    for (auto each = this->data->recent.begin(); each != this->data->recent.end();) {
+        if (at - each->second > followWindow) {
+            each = this->data->recent.erase(each);
+            continue;
+        }
+        auto &followers = this->data->targets[each->first].followers;
+        const bool hasRoom = followers.size() < maxFollowers || followers.contains(target);
+        if (each->first != target && hasRoom)
+            ++followers[target];
+        ++each;
+    }
+    this->data->recent[target] = at;
+}
+
+Duration KeepAlivePredictor::keepFor(const Target &target, double idleCostPerSecond,
+                                     double coldStartCost) const
+{
+    const Distribution gaps = this->data->distributionOf(target);
+    double best = 0.0;
+    double bestCost = coldStartCost;
+    double idleOfShorter = 0.0;
+    double longer = 1.0;
+    double lowerEdge = 0.0;
+    for (std::size_t bin = 0; bin + 1 < gaps.share.size(); ++bin) {
+        const double edge = gaps.upperEdge[bin];
+        idleOfShorter += gaps.share[bin] * (lowerEdge + edge) / 2;
+        longer -= gaps.share[bin];
+        const double idle = idleOfShorter + longer * edge;
+        const double cost = idleCostPerSecond * idle + coldStartCost * longer;
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = edge;
+        }
+        lowerEdge = edge;
+    }
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(best));
+}
+
+double KeepAlivePredictor::usedWithin(const Target &target, Duration idle, Duration window) const
+{
+    const Distribution gaps = this->data->distributionOf(target);
+    const double from = toSeconds(idle);
+    const double to = from + toSeconds(window);
+    double still = 0.0;
+    double inside = 0.0;
+    double lowerEdge = 0.0;
+    for (std::size_t bin = 0; bin < gaps.share.size(); ++bin) {
+        const double width = gaps.upperEdge[bin] - lowerEdge;
+        const double afterFrom = std::clamp((gaps.upperEdge[bin] - from) / width, 0.0, 1.0);
+        const double afterTo = std::clamp((gaps.upperEdge[bin] - to) / width, 0.0, 1.0);
+        still += gaps.share[bin] * afterFrom;
+        inside += gaps.share[bin] * (afterFrom - afterTo);
+        lowerEdge = gaps.upperEdge[bin];
+    }
+    return still <= 0.0 ? 0.0 : inside / still;
+}
+
+std::optional<TimePoint> KeepAlivePredictor::lastUsed(const Target &target) const
+{
+    const auto found = this->data->targets.find(target);
+    if (found == this->data->targets.end() || found->second.uses == 0)
+        return std::nullopt;
+    return found->second.lastUsed;
+}
+
+std::optional<Target> KeepAlivePredictor::follower(const Target &target) const
+{
+    const auto found = this->data->targets.find(target);
+    if (found == this->data->targets.end())
+        return std::nullopt;
+    const TargetGaps &own = found->second;
+    for (const auto &[next, count] : own.followers) {
+        if (count >= leastFollows && count >= followShare * own.uses)
+            return next;
+    }
+    return std::nullopt;
+}
+
+void KeepAlivePredictor::forget(const Target &target)
+{
+    this->data->targets.erase(target);
+    this->data->recent.erase(target);
+}
+
+} // namespace bamboochute::decision
--- /dev/null
+++ b/src/decision/ownership.hpp
@@ -0,0 +1,121 @@
+/// @file
+/// @brief Taking, keeping and losing the owner's record of a pool.
+#pragma once
+
+#include "core/clock.hpp"
+#include "decision/values.hpp"
+#include "platform/key_value.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace bamboochute::decision {
+
+/// @brief What the end of a transaction meant for the ownership.
+enum class OwnershipChange {
+    None,
+    /// This process holds the pool; the records are in Ownership::takenRecords().
+    Won,
+    /// Another process holds it.
+    Lost,
+    /// The record says that the pool was given back.
+    Released,
+};
+
+/// @brief State machine over the owner's record. At most one transaction of it is in flight.
+///
+/// Ownership does not expire. The record is changed by compare-and-swap only; the holder's name,
+/// incarnation and attempt make each value unique, so that after a lost answer reading it back
+/// tells an attempt that took effect from one that lost.
+class Ownership
+{
+public:
+    /// @param retryPause pause before a failed transaction is tried again
+    Ownership(PoolId pool, Sender self, Duration retryPause);
+
+    void setCandidate(bool isCandidate);
+    void suspect(const InstanceId &instance);
+    void trust(const InstanceId &instance);
+    void knownGone(const Sender &sender);
+    void gaveUp(const Sender &sender, Fence fence);
+
+    /// @brief The next transaction to submit, unless one is in flight or nothing is to be done.
+    std::optional<platform::Transaction> next(TimePoint now);
+
+    /// @brief Takes the end of the transaction that next() gave.
+    OwnershipChange finished(const Result<platform::TransactionResponse> &result, TimePoint now);
+
+    /// @brief Reads the record again, to see whether this process still holds the pool.
+    void verify() { this->isReadWanted = true; }
+
+    /// @brief Another process's record was seen in place of this one's.
+    /// @param record what was seen; empty when the key is gone
+    void lose(const std::optional<OwnerRecord> &record, TimePoint now);
+
+    /// @brief Wants the record marked as handed over; nothing is decided from then on.
+    void release() { this->isReleaseWanted = true; }
+
+    bool isOwner() const noexcept { return this->isHolder; }
+    Fence fence() const noexcept { return this->own.fence; }
+
+    /// @brief Text of the record that this process wrote when it took the pool.
+    const std::string &ownValue() const noexcept { return this->ownText; }
+
+    /// @brief Whether the former holder handed over, so that the ledger shows all that it did.
+    bool wasHandedOver() const noexcept { return this->isHandedOver; }
+
+    /// @brief Entries under the upstreams' prefix, as read with the transaction that won.
+    const std::vector<platform::KeyValue> &takenRecords() const noexcept { return this->records; }
+
+    const std::optional<OwnerRecord> &known() const noexcept { return this->seen; }
+
+    /// @brief Outcomes that had to be read back.
+    std::uint64_t readBacks() const noexcept { return this->readBackCount; }
+
+private:
+    enum class InFlight { None, Read, Take, Release };
+
+    platform::Transaction readTransaction() const;
+    platform::Transaction takeTransaction();
+    platform::Transaction releaseTransaction() const;
+    bool mayTake() const;
+    bool isMine(const OwnerRecord &record) const;
+    void see(const std::vector<platform::KeyValue> &found);
+    OwnershipChange finishedRead(const platform::TransactionResponse &response, TimePoint now);
+    OwnershipChange finishedTake(const platform::TransactionResponse &response, TimePoint now);
+    OwnershipChange finishedRelease(const platform::TransactionResponse &response, TimePoint now);
+    OwnershipChange win(const OwnerRecord &record, std::vector<platform::KeyValue> entries,
+                        bool handedOver);
+
+    PoolId pool;
+    Sender self;
+    Duration retryPause;
+    InFlight inFlight = InFlight::None;
+    bool isCandidateNow = false;
+    bool isReadWanted = false;
+    bool isTakeWanted = false;
+    bool isReleaseWanted = false;
+    bool isHolder = false;
+    bool isHandedOver = false;
+    /// Revision compared by an attempt whose end is not known.
+    std::optional<platform::StoreRevision> unresolved;
+    bool unresolvedHandover = false;
+    std::optional<OwnerRecord> seen;
+    platform::StoreRevision seenRevision;
+    OwnerRecord own;
+    std::string ownText;
+    Fence highestFence;
+    Fence gaveUpFence;
+    std::uint64_t attempts = 0;
+    std::uint32_t losses = 0;
+    TimePoint notBefore;
+    TimePoint nextRead;
+    std::vector<platform::KeyValue> records;
+    std::set<InstanceId> suspected;
+    std::map<InstanceId, Incarnation> gone;
+    std::map<Sender, Fence> givenUp;
+    std::uint64_t readBackCount = 0;
+};
+
+} // namespace bamboochute::decision
--- /dev/null
+++ b/src/decision/placement.cpp
@@ -0,0 +1,143 @@
+#include "decision/placement.hpp"
+
+#include <algorithm>
+
+namespace bamboochute::decision {
+
+namespace {
+
+/// Seconds of load time that each advantage is worth.
+constexpr double prefixHintSeconds = 0.5;
+constexpr double spreadSeconds = 0.3;
+constexpr double loadSeconds = 1.0;
+constexpr double fullnessSeconds = 0.2;
+constexpr double victimSeconds = 1.0;
+
+bool isAllowedIn(const TargetSpec &spec, const DataCentreId &dataCentre)
+{
+    return spec.dataCentres.empty()
+           || std::find(spec.dataCentres.begin(), spec.dataCentres.end(), dataCentre)
+                      != spec.dataCentres.end();
+}
+
+bool hasReplicaIn(const Ledger &ledger, const Target &target, const DataCentreId &dataCentre)
+{
+    for (const auto &[id, upstream] : ledger.view()->upstreams) {
+        if (upstream.dataCentre == dataCentre && ledger.find(id, target) != nullptr)
+            return true;
+    }
+    return false;
+}
+
+bool isBaseThere(const Ledger &ledger, const UpstreamId &upstream, const Target &target)
+{
+    if (target.adapter.isEmpty())
+        return true;
+    const Placement *base = ledger.find(upstream, Target{target.model, {}});
+    return base != nullptr && base->state == PlacementState::Loaded;
+}
+
+/// Victims at one upstream that free the memory wanted, cheapest first; nothing when they can't.
+std::optional<std::vector<Victim>> victimsFor(const UpstreamId &upstream, const Target &target,
+                                              Bytes wanted, Bytes free,
+                                              const std::vector<Victim> &victims)
+{
+    std::vector<Victim> chosen;
+    for (const Victim &victim : victims) {
+        if (free >= wanted)
+            break;
+        const bool isOwnBase
+                = !target.adapter.isEmpty() && victim.target == Target{target.model, {}};
+        if (victim.upstream != upstream || isOwnBase)
+            continue;
+        Bytes memory = victim.memory;
+        bool isCovered = false;
+        for (const Victim &other : chosen) {
+            const bool isSameModel = other.target.model == victim.target.model;
+            isCovered = isCovered || (isSameModel && other.target.adapter.isEmpty());
+            // A base's memory includes that of its adapters.
+            if (isSameModel && victim.target.adapter.isEmpty())
+                memory = Bytes{memory.count - other.memory.count};
+        }
+        if (isCovered)
+            continue;
+        chosen.push_back(victim);
+        free = free + memory;
+    }
+    if (free < wanted)
+        return std::nullopt;
+    return chosen;
+}
+
+} // namespace
+
+Duration LoadTimes::of(CheckpointPlace place) const
+{
+    switch (place) {
+    case CheckpointPlace::Memory:
+        return this->memory;
+    case CheckpointPlace::Disk:
+        return this->disk;
+    case CheckpointPlace::Remote:
+        return this->remote;
+    }
+    return this->remote;
+}
+
+CheckpointPlace placeOf(const UpstreamCondition &condition, const Target &target)
+{
+    const auto found = condition.cached.find(target);
+    return found == condition.cached.end() ? CheckpointPlace::Remote : found->second;
+}
+
+std::optional<PlacementChoice>
+choosePlacement(const PlacementQuestion &question, const Ledger &ledger,
+                const std::map<UpstreamId, UpstreamCondition> &conditions,
+                const std::vector<Victim> &victims)
+{
+    const PoolView &view = *ledger.view();
+    const auto spec = view.targets.find(question.target);
+    if (spec == view.targets.end() || ledger.replicas(question.target) >= spec->second.maxReplicas)
+        return std::nullopt;
+    std::optional<PlacementChoice> best;
+    double bestCost = 0.0;
+    for (const auto &[id, upstream] : view.upstreams) {
+        const auto condition = conditions.find(id);
+        const bool isOpen = condition != conditions.end() && !condition->second.isClosed;
+        const bool isFenced = upstream.fencing == Fencing::Refuses;
+        if (!isOpen || ledger.record(id).isUnaccounted || ledger.isDistrusted(id)
+            || !isAllowedIn(spec->second, upstream.dataCentre)
+            || (question.isFencingRequired && !isFenced)
+            || ledger.find(id, question.target) != nullptr
+            || !isBaseThere(ledger, id, question.target))
+            continue;
+        const Bytes all = ledger.free(id);
+        const Bytes reserved = condition->second.reserved;
+        const Bytes free{all > reserved ? all.count - reserved.count : 0};
+        auto chosen = victimsFor(id, question.target, spec->second.memory, free, victims);
+        if (!chosen)
+            continue;
+        const CheckpointPlace place = placeOf(condition->second, question.target);
+        const Duration expected = question.times.of(place);
+        double cost = toSeconds(expected);
+        const auto &hints = question.prefixHints;
+        if (std::find(hints.begin(), hints.end(), id) != hints.end())
+            cost -= prefixHintSeconds;
+        if (hasReplicaIn(ledger, question.target, upstream.dataCentre))
+            cost += spreadSeconds;
+        cost += loadSeconds * condition->second.load;
+        const double fullness = 1.0
+                                - static_cast<double>(free.count)
+                                          / static_cast<double>(upstream.memory.count + 1);
+        cost += fullnessSeconds * fullness;
+        for (const Victim &victim : *chosen)
+            cost += victimSeconds + victim.value;
+        if (!best || cost < bestCost) {
+            bestCost = cost;
+            best = PlacementChoice{id, place, expected, std::move(*chosen)};
+        }
+    }
+    return best;
+}
+
+} // namespace bamboochute::decision
--- /dev/null
+++ b/src/decision/pool_controller.cpp
@@ -0,0 +1,294 @@
+#include "decision/pool_controller.hpp"
+
+#include "core/log.hpp"
+#include "core/overloaded.hpp"
+#include "decision/pool_state.hpp"
+
+#include <algorithm>
+
+namespace bamboochute::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Longest list that is taken from one report.
+constexpr std::size_t maxReportEntries = 4096;
+
+} // namespace
+
+PoolController::State::State(PoolControllerSettings given)
+    : settings(std::move(given))
+    , ownership(this->settings.pool, this->settings.self, this->settings.policy.retryPause)
+    , writer(this->settings.pool, this->settings.self, this->settings.policy)
+{}
+
+PoolController::PoolController(PoolControllerSettings settings)
+    : state(std::make_unique<State>(std::move(settings)))
+{}
+
+PoolController::~PoolController() = default;
+PoolController::PoolController(PoolController &&) noexcept = default;
+PoolController &PoolController::operator=(PoolController &&) noexcept = default;
+
+Actions PoolController::handle(const Event &event, TimePoint now)
+{
+    this->state->now = now;
+    this->state->take(event);
+    this->state->pump();
+    return std::exchange(this->state->actions, {});
+}
+
+bool PoolController::isOwner() const noexcept
+{
+    return this->state->ownership.isOwner();
+}
+
+std::optional<OwnerRecord> PoolController::knownOwner() const
+{
+    return this->state->ownership.known();
+}
+
+const Ledger &PoolController::ledger() const noexcept
+{
+    return this->state->ledger;
+}
+
+const std::map<std::string, std::uint64_t> &PoolController::counters() const noexcept
+{
+    return this->state->counters;
+}
+
+void PoolController::State::take(const Event &event)
+{
+    std::visit(Overloaded{
+                       [this](const ConfigurationChanged &e) { this->configure(e.configuration); },
+                       [this](const CandidateChanged &e) {
+                           this->ownership.setCandidate(e.isCandidate);
+                       },
+                       [this](const InstanceSuspected &e) { this->ownership.suspect(e.instance); },
+                       [this](const InstanceAlive &e) { this->ownership.trust(e.instance); },
+                       [this](const InstanceKnownGone &e) { this->instanceGone(e.sender); },
+                       [this](const InstanceGaveUp &e) { this->instanceGaveUp(e); },
+                       [this](const TransactionFinished &e) { this->takeTransaction(e); },
+                       [this](const OrderFinished &e) { this->orderFinished(e); },
+                       [this](const ReportReceived &e) { this->takeReport(e); },
+                       [this](const DemandReported &e) {
+                           this->demand.report(e, this->now);
+                           this->decideLoads();
+                       },
+                       [this](const UsageReported &e) { this->takeUsage(e); },
+                       [this](const ReplicaFailed &e) {
+                           this->count("replicas_failed");
+                           if (this->ledger.find(e.upstream, e.target) != nullptr)
+                               this->startDrain(e.upstream, e.target, true);
+                       },
+                       [this](const UpstreamLeaving &e) { this->upstreamLeaving(e.upstream); },
+                       [this](const UpstreamGone &e) { this->upstreamGone(e.upstream); },
+                       [this](const UpstreamReturned &e) { this->upstreamReturned(e.upstream); },
+                       [this](const Tick &) {
+                           this->demand.expire(this->now - this->settings.policy.demandExpiry);
+                           this->askInventories();
+                           this->repair();
+                           this->decideUnloads();
+                           this->loadMinimum();
+                           this->decideLoads();
+                       },
+                       [this](const HandOver &) { this->handOver(); },
+               },
+               event);
+}
+
+void PoolController::State::configure(const ConfigurationPointer &configuration)
+{
+    auto view = std::make_shared<const PoolView>(poolViewOf(*configuration, this->settings.pool));
+    if (view->revision < this->ledger.view()->revision) {
+        this->count("configurations_old");
+        return;
+    }
+    this->ledger.configure(view);
+    this->pacer.configure(view->store);
+    for (const auto &[id, upstream] : view->upstreams) {
+        UpstreamRuntime &runtime = this->runtimeOf(id);
+        runtime.isPublishDue = true;
+        if (runtime.wireFence < this->ownership.fence())
+            runtime.wireFence = this->ownership.fence();
+    }
+    for (const auto &[target, since] : std::map(this->retiredAt)) {
+        if (view->targets.contains(target))
+            this->retiredAt.erase(target);
+    }
+    this->decideLoads();
+}
+
+void PoolController::State::takeTransaction(const TransactionFinished &event)
+{
+    if (event.tag == this->ownershipTag) {
+        this->ownershipTag = 0;
+        switch (this->ownership.finished(event.result, this->now)) {
+        case OwnershipChange::Won:
+            this->won();
+            break;
+        case OwnershipChange::Lost:
+        case OwnershipChange::Released:
+            this->lost();
+            break;
+        case OwnershipChange::None:
+            break;
+        }
+        return;
+    }
+    if (event.tag != this->writerTag) {
+        this->count("transactions_outdated");
+        return;
+    }
+    this->writerTag = 0;
+    if (this->writer.finished(event.result, this->now) == WriterChange::OwnerReplaced) {
+        this->ownership.lose(this->writer.replacedBy(), this->now);
+        this->lost();
+    }
+}
+
+void PoolController::State::takeReport(const ReportReceived &event)
+{
+    if (!this->ledger.view()->upstreams.contains(event.upstream)) {
+        this->count("reports_unknown_upstream");
+        return;
+    }
+    if (event.inventory.size() > maxReportEntries || event.cached.size() > maxReportEntries) {
+        this->count("reports_oversized");
+        return;
+    }
+    const UpstreamSpec &spec = this->ledger.view()->upstreams.at(event.upstream);
+    UpstreamRuntime &runtime = this->runtimeOf(event.upstream);
+    runtime.condition.load = static_cast<double>(event.running + event.waiting)
+                             / static_cast<double>(std::max(1U, spec.maxConcurrent));
+    runtime.condition.cached.clear();
+    for (const CachedCheckpoint &checkpoint : event.cached) {
+        if (this->ledger.view()->targets.contains(checkpoint.target))
+            runtime.condition.cached[checkpoint.target] = checkpoint.place;
+        else
+            this->count("reports_unknown_checkpoint");
+    }
+    if (this->isDeciding())
+        this->checkReport(event, runtime);
+}
+
+void PoolController::State::checkReport(const ReportReceived &event, UpstreamRuntime &runtime)
+{
+    const bool isSettled
+            = event.madeAt > runtime.changedAt + this->settings.policy.reportLag && !runtime.isGone;
+    bool isContradicted = false;
+    std::set<Target> shown;
+    const Bytes capacity = this->ledger.view()->upstreams.at(event.upstream).memory;
+    for (const InventoryEntry &entry : event.inventory) {
+        shown.insert(entry.target);
+        const bool isRecorded = this->ledger.find(event.upstream, entry.target) != nullptr;
+        if (!this->ledger.view()->targets.contains(entry.target) && !isRecorded)
+            this->count("reports_unknown_target");
+        if (entry.memory > capacity)
+            this->count("reports_absurd_memory");
+        isContradicted = isContradicted || !isRecorded;
+    }
+    for (const Placement &placement : this->ledger.record(event.upstream).placements) {
+        const bool isMissing
+                = placement.state == PlacementState::Loaded && !shown.contains(placement.target);
+        isContradicted = isContradicted || isMissing;
+    }
+    if (!isContradicted || !isSettled)
+        return;
+    this->count("reports_contradicting");
+    if (runtime.inquiry == Inquiry::None && this->now >= runtime.inquiryNotBefore)
+        this->wantInventory(event.upstream, Duration{});
+}
+
+void PoolController::State::takeUsage(const UsageReported &event)
+{
+    if (!this->ledger.view()->targets.contains(event.target)) {
+        this->count("usage_unknown_target");
+        return;
+    }
+    if (event.started > 0)
+        this->predictor.used(event.target, event.lastUsed);
+    if (this->ledger.find(event.upstream, event.target) == nullptr)
+        return;
+    ReplicaState &replica = this->runtimeOf(event.upstream).replicas[event.target];
+    replica.lastUsed = std::max(replica.lastUsed, event.lastUsed);
+    if (event.running == 0)
+        replica.running.erase(event.instance);
+    else
+        replica.running[event.instance] = event.running;
+    if (event.started > 0 && this->isDeciding())
+        this->loadAhead(event.target);
+}
+
+void PoolController::State::pump()
+{
+    this->continueHandOver();
+    if (this->ownership.isOwner()) {
+        this->publish();
+        this->sendReady();
+        if (this->writerTag == 0) {
+            if (auto transaction = this->writer.next(this->ledger, this->now)) {
+                this->writerTag = ++this->tagCount;
+                this->actions.push_back(SubmitTransaction{
+                        platform::Purpose::Ledger, std::move(*transaction), this->writerTag});
+            }
+        }
+    }
+    if (this->ownershipTag != 0)
+        return;
+    if (auto transaction = this->ownership.next(this->now)) {
+        this->ownershipTag = ++this->tagCount;
+        this->actions.push_back(SubmitTransaction{platform::Purpose::Ownership,
+                                                  std::move(*transaction), this->ownershipTag});
+    }
+}
+
+void PoolController::State::publish()
+{
+    for (auto &[id, runtime] : this->runtime) {
+        if (!runtime.isPublishDue)
+            continue;
+        runtime.isPublishDue = false;
+        std::vector<Target> served = this->servedAt(id);
+        if (runtime.isPublished && served == runtime.published)
+            continue;
+        runtime.isPublished = true;
+        runtime.published = served;
+        this->actions.push_back(PublishPlacements{this->settings.pool, this->ownership.fence(),
+                                                  ++this->publishCount, id, std::move(served)});
+    }
+}
+
+std::vector<Target> PoolController::State::servedAt(const UpstreamId &upstream) const
+{
+    std::vector<Target> served;
+    const auto found = this->runtime.find(upstream);
+    if (found == this->runtime.end() || found->second.isLeaving || found->second.isGone)
+        return served;
+    const auto isServing = [&](const Target &target) {
+        const Placement *placement = this->ledger.find(upstream, target);
+        const auto replica = found->second.replicas.find(target);
+        const bool isDraining
+                = replica != found->second.replicas.end() && replica->second.drainingSince;
+        return placement != nullptr && placement->state == PlacementState::Loaded && !isDraining;
+    };
+    for (const Placement &placement : this->ledger.record(upstream).placements) {
+        const Target base{placement.target.model, {}};
+        if (isServing(placement.target) && isServing(base))
+            served.push_back(placement.target);
+    }
+    std::sort(served.begin(), served.end());
+    return served;
+}
+
+std::uint64_t PoolController::State::touch(const UpstreamId &upstream, bool isUrgent)
+{
+    UpstreamRuntime &runtime = this->runtimeOf(upstream);
+    runtime.changedAt = this->now;
+    runtime.isPublishDue = true;
+    return this->writer.changed(upstream, isUrgent, this->now);
+}
+
+} // namespace bamboochute::decision
--- /dev/null
+++ b/src/decision/pool_unloading.cpp
@@ -0,0 +1,233 @@
+#include "decision/pool_state.hpp"
+
+#include <algorithm>
+
+namespace bamboochute::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration unloadScanInterval = 1s;
+/// Window in which a use makes a victim regretted.
+constexpr Duration regretWindow = 300s;
+/// A retired version waits this long for its successor.
+constexpr Duration successorPatience = 120s;
+
+} // namespace
+
+void PoolController::State::decideUnloads()
+{
+    if (!this->isDeciding())
+        return;
+    for (const auto &[id, record] : this->ledger.records())
+        this->finishDrains(id);
+    if (this->now < this->nextUnloadScan)
+        return;
+    this->nextUnloadScan = this->now + unloadScanInterval;
+    for (const auto &[id, record] : this->ledger.records()) {
+        const std::vector<Placement> placements = record.placements;
+        for (const Placement &placement : placements) {
+            if (placement.state == PlacementState::Loaded)
+                this->considerKeepAlive(id, placement);
+        }
+    }
+}
+
+void PoolController::State::considerKeepAlive(const UpstreamId &upstream,
+                                              const Placement &placement)
+{
+    const Target &target = placement.target;
+    UpstreamRuntime &runtime = this->runtimeOf(upstream);
+    ReplicaState &replica = runtime.replicas[target];
+    if (replica.drainingSince || runtime.isGone)
+        return;
+    if (runtime.isLeaving) {
+        this->startDrain(upstream, target, true);
+        return;
+    }
+    if (this->isRetired(target)) {
+        if (!this->awaitsSuccessor(placement))
+            this->startDrain(upstream, target, true);
+        return;
+    }
+    const TargetSpec &spec = this->ledger.view()->targets.at(target);
+    const std::uint32_t replicas = this->ledger.replicas(target);
+    if (replicas > spec.maxReplicas) {
+        this->startDrain(upstream, target, true);
+        return;
+    }
+    const auto ahead = this->aheadUntil.find(target);
+    const bool isAhead = ahead != this->aheadUntil.end() && this->now < ahead->second;
+    const bool isKept = replicas <= spec.minReplicas || isAhead
+                        || this->settings.policy.keepAlive == KeepAlive::Never;
+    if (isKept || !this->mayGo(upstream, placement))
+        return;
+    const Duration idle = this->now - std::max(replica.lastUsed, replica.loadedAt);
+    Duration keep = this->settings.policy.fixedKeepAlive;
+    if (this->settings.policy.keepAlive == KeepAlive::Predicted) {
+        const LoadTimes times = this->loadTimesOf(target);
+        const auto place = placeOf(runtime.condition, target);
+        const double coldStart = toSeconds(times.of(place));
+        keep = this->predictor.keepFor(
+                target, this->accelerators(upstream, placement.memory),
+                coldStart * this->ledger.view()->idleSecondsPerColdStartSecond);
+    }
+    if (idle < keep)
+        return;
+    this->count("keep_alive_ended");
+    this->startDrain(upstream, target, false);
+}
+
+bool PoolController::State::mayGo(const UpstreamId &upstream, const Placement &placement) const
+{
+    const Target &target = placement.target;
+    if (placement.state != PlacementState::Loaded || this->running(upstream, target) > 0
+        || this->demand.of(target).waiting > 0 || this->isActive(upstream, target)
+        || this->ledger.isOutstanding(upstream, target))
+        return false;
+    if (!target.adapter.isEmpty())
+        return true;
+    for (const Placement &other : this->ledger.record(upstream).placements) {
+        const bool isOnIt = other.target.model == target.model && !other.target.adapter.isEmpty();
+        if (isOnIt && !this->mayGo(upstream, other))
+            return false;
+    }
+    return true;
+}
+
+bool PoolController::State::isRetired(const Target &target) const
+{
+    return !this->ledger.view()->targets.contains(target);
+}
+
+bool PoolController::State::awaitsSuccessor(const Placement &placement)
+{
+    const ModelId &model = placement.target.model;
+    const auto [since, isNew] = this->retiredAt.try_emplace(placement.target, this->now);
+    if (this->now - since->second > successorPatience)
+        return false;
+    for (const auto &[target, spec] : this->ledger.view()->targets) {
+        const bool isSuccessor = target.adapter.isEmpty()
+                                 && unversionedName(target.model) == unversionedName(model);
+        if (!isSuccessor)
+            continue;
+        for (const auto &[id, runtime] : this->runtime) {
+            const auto served = this->servedAt(id);
+            if (std::binary_search(served.begin(), served.end(), target))
+                return false;
+        }
+        if (this->ledger.replicas(target) == 0)
+            this->place(WaitingDemand{target, 0, TimePoint::max(), 1, this->now, {}}, true);
+        return true;
+    }
+    return false;
+}
+
+void PoolController::State::startDrain(const UpstreamId &upstream, const Target &target,
+                                       bool isEvicted)
+{
+    UpstreamRuntime &runtime = this->runtimeOf(upstream);
+    const Placement *placement = this->ledger.find(upstream, target);
+    if (placement == nullptr || placement->state != PlacementState::Loaded)
+        return;
+    ReplicaState &replica = runtime.replicas[target];
+    replica.isEvicted = replica.isEvicted || isEvicted;
+    if (!replica.drainingSince)
+        replica.drainingSince = this->now;
+    runtime.isPublishDue = true;
+    if (!target.adapter.isEmpty())
+        return;
+    for (const Placement &other : this->ledger.record(upstream).placements) {
+        if (other.target.model == target.model && !other.target.adapter.isEmpty())
+            this->startDrain(upstream, other.target, isEvicted);
+    }
+}
+
+void PoolController::State::finishDrains(const UpstreamId &upstream)
+{
+    UpstreamRuntime &runtime = this->runtimeOf(upstream);
+    if (runtime.isGone || runtime.inquiry != Inquiry::None)
+        return;
+    const std::vector<Placement> placements = this->ledger.record(upstream).placements;
+    for (const Placement &placement : placements) {
+        const Target &target = placement.target;
+        ReplicaState &replica = runtime.replicas[target];
+        const bool isDue = placement.state == PlacementState::Loaded && replica.drainingSince
+                           && this->now - *replica.drainingSince >= this->settings.policy.drainDelay
+                           && this->running(upstream, target) == 0
+                           && !this->isActive(upstream, target);
+        const bool hasAdapters
+                = target.adapter.isEmpty()
+                  && std::any_of(placements.begin(), placements.end(), [&](const Placement &each) {
+                         return each.target.model == target.model && !each.target.adapter.isEmpty()
+                                && this->ledger.find(upstream, each.target) != nullptr;
+                     });
+        if (isDue && !hasAdapters)
+            this->orderUnload(upstream, target);
+    }
+}
+
+std::vector<Victim> PoolController::State::victims() const
+{
+    std::vector<Victim> all;
+    for (const auto &[id, record] : this->ledger.records()) {
+        const auto runtime = this->runtime.find(id);
+        if (runtime == this->runtime.end())
+            continue;
+        for (const Placement &placement : record.placements) {
+            const auto replica = runtime->second.replicas.find(placement.target);
+            if (replica == runtime->second.replicas.end() || replica->second.drainingSince
+                || !this->mayGo(id, placement))
+                continue;
+            const TimePoint used = std::max(replica->second.lastUsed, replica->second.loadedAt);
+            const auto spec = this->ledger.view()->targets.find(placement.target);
+            const bool isNeeded
+                    = spec != this->ledger.view()->targets.end()
+                      && this->ledger.replicas(placement.target) <= spec->second.minReplicas;
+            const Duration since = this->now - replica->second.loadedAt;
+            if (isNeeded || since < this->settings.policy.minResidency)
+                continue;
+            Victim victim{id, placement.target, placement.memory, 0.0};
+            for (const Placement &other : record.placements) {
+                const bool isOnIt = placement.target.adapter.isEmpty()
+                                    && other.target.model == placement.target.model
+                                    && !other.target.adapter.isEmpty();
+                if (isOnIt)
+                    victim.memory = victim.memory + other.memory;
+            }
+            victim.value
+                    = this->predictor.usedWithin(placement.target, this->now - used, regretWindow);
+            all.push_back(std::move(victim));
+        }
+    }
+    std::stable_sort(all.begin(), all.end(), [](const Victim &left, const Victim &right) {
+        return left.value < right.value;
+    });
+    return all;
+}
+
+double PoolController::State::accelerators(const UpstreamId &upstream, Bytes memory) const
+{
+    const auto found = this->ledger.view()->upstreams.find(upstream);
+    if (found == this->ledger.view()->upstreams.end() || found->second.memory.count == 0)
+        return 0.0;
+    return static_cast<double>(found->second.accelerators) * static_cast<double>(memory.count)
+           / static_cast<double>(found->second.memory.count);
+}
+
+std::uint32_t PoolController::State::running(const UpstreamId &upstream, const Target &target) const
+{
+    const auto runtime = this->runtime.find(upstream);
+    if (runtime == this->runtime.end())
+        return 0;
+    const auto replica = runtime->second.replicas.find(target);
+    if (replica == runtime->second.replicas.end())
+        return 0;
+    std::uint32_t sum = 0;
+    for (const auto &[instance, count] : replica->second.running)
+        sum += count;
+    return sum;
+}
+
+} // namespace bamboochute::decision
