Make HTTP calls to upstreams whose answers are whole or recognisably failed

Cause: the request path needs connections with time limits, notice of a peer that leaves, and bodies that are passed on without copies.

--- /dev/null
+++ b/src/upstream/connection_pool.cpp
@@ -0,0 +1,97 @@
+#include "upstream/connection_pool.hpp"
+
+#include <algorithm>
+
+namespace bamboochute::upstream {
+
+ConnectionPool::ConnectionPool(asio::io_context &context, DeadlineWatch &watch, PoolLimits limits)
+    : context(context)
+    , watch(watch)
+    , limits(limits)
+{}
+
+ConnectionPool::~ConnectionPool()
+{
+    this->shutdown();
+}
+
+HttpStreamPointer ConnectionPool::takeIdle(const Endpoint &endpoint)
+{
+    const auto found = this->idle.find(endpoint);
+    if (found == this->idle.end())
+        return nullptr;
+    while (!found->second.empty()) {
+        HttpStreamPointer stream = std::move(found->second.back());
+        found->second.pop_back();
+        stream->onPeerClosed(nullptr);
+        // Bytes that nobody asked for belong to no request; such a connection is not used again.
+        if (stream->isOpen() && !stream->isPeerClosed() && stream->unread().empty())
+            return stream;
+        stream->close();
+    }
+    return nullptr;
+}
+
+HttpStreamPointer ConnectionPool::makeStream()
+{
+    return std::make_shared<HttpStream>(Socket(this->context), this->watch,
+                                        this->limits.maxBufferBytes);
+}
+
+Awaitable<StreamStatus> ConnectionPool::connect(HttpStream &stream, const Endpoint &endpoint,
+                                                TimePoint deadline)
+{
+    error_code error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    if (error)
+        co_return StreamStatus::Closed;
+    const TimePoint latest = SteadyClock().now() + this->limits.connectTimeout;
+    stream.expireAt(std::min(deadline, latest));
+    const StreamStatus status
+            = co_await stream.connect(asio::ip::tcp::endpoint(address, endpoint.port));
+    stream.neverExpire();
+    co_return status;
+}
+
+void ConnectionPool::giveBack(const Endpoint &endpoint, HttpStreamPointer stream)
+{
+    std::vector<HttpStreamPointer> &kept = this->idle[endpoint];
+    const bool isFull = kept.size() >= this->limits.maxIdlePerUpstream;
+    if (this->isShutDown || isFull || !stream->isOpen() || stream->isPeerClosed()
+        || !stream->unread().empty()) {
+        stream->close();
+        return;
+    }
+    stream->neverExpire();
+    stream->onPeerClosed([this, endpoint, kept = stream.get()] { this->drop(endpoint, kept); });
+    stream->readAhead();
+    kept.push_back(std::move(stream));
+}
+
+void ConnectionPool::drop(const Endpoint &endpoint, const HttpStream *stream)
+{
+    const auto found = this->idle.find(endpoint);
+    if (found == this->idle.end())
+        return;
+    const auto isStream
+            = [stream](const HttpStreamPointer &kept) { return kept.get() == stream; };
+    const auto place = std::find_if(found->second.begin(), found->second.end(), isStream);
+    if (place == found->second.end())
+        return;
+    (*place)->close();
+    found->second.erase(place);
+}
+
+void ConnectionPool::shutdown()
+{
+    this->isShutDown = true;
+    for (auto &[endpoint, streams] : this->idle) {
+        for (const HttpStreamPointer &stream : streams) {
+            stream->onPeerClosed(nullptr);
+            stream->close();
+        }
+    }
+    this->idle.clear();
+}
+
+} // namespace bamboochute::upstream
--- /dev/null
+++ b/src/upstream/header_list.cpp
@@ -0,0 +1,86 @@
+#include "upstream/header_list.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace bamboochute::upstream {
+
+namespace {
+
+char lower(char character) noexcept
+{
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character + ('a' - 'A'))
+                                                : character;
+}
+
+} // namespace
+
+void HeaderList::add(std::string_view name, std::string_view value)
+{
+    Place place{};
+    place.nameBegin = static_cast<std::uint32_t>(this->text.size());
+    this->text += name;
+    place.valueBegin = static_cast<std::uint32_t>(this->text.size());
+    this->text += value;
+    place.valueEnd = static_cast<std::uint32_t>(this->text.size());
+    this->places.push_back(place);
+}
+
+void HeaderList::clear()
+{
+    this->text.clear();
+    this->places.clear();
+}
+
+std::string_view HeaderList::find(std::string_view name) const
+{
+    for (std::size_t i = 0; i < this->places.size(); ++i) {
+        const Header header = (*this)[i];
+        if (sameHeaderName(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+std::size_t HeaderList::count(std::string_view name) const
+{
+    std::size_t found = 0;
+    for (std::size_t i = 0; i < this->places.size(); ++i)
+        found += sameHeaderName((*this)[i].name, name) ? 1 : 0;
+    return found;
+}
+
+Header HeaderList::operator[](std::size_t index) const
+{
+    const Place &place = this->places[index];
+    const std::string_view all = this->text;
+    return {all.substr(place.nameBegin, place.valueBegin - place.nameBegin),
+            all.substr(place.valueBegin, place.valueEnd - place.valueBegin)};
+}
+
+bool sameHeaderName(std::string_view left, std::string_view right) noexcept
+{
+    return left.size() == right.size()
+           && std::equal(left.begin(), left.end(), right.begin(),
+                         [](char a, char b) { return lower(a) == lower(b); });
+}
+
+bool isHopByHop(std::string_view name) noexcept
+{
+    constexpr std::array<std::string_view, 9> names{
+            "connection", "keep-alive",        "proxy-authenticate", "proxy-authorization", "te",
+            "trailer",    "transfer-encoding", "upgrade",            "proxy-connection",
+    };
+    return std::any_of(names.begin(), names.end(),
+                       [name](std::string_view other) { return sameHeaderName(name, other); });
+}
+
+void appendHeader(std::string &text, std::string_view name, std::string_view value)
+{
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+}
+
+} // namespace bamboochute::upstream
--- /dev/null
+++ b/src/upstream/http_stream.cpp
@@ -0,0 +1,191 @@
+#include "upstream/http_stream.hpp"
+
+#include "core/invariant.hpp"
+
+#include <algorithm>
+#include <cstring>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+
+namespace bamboochute::upstream {
+
+namespace {
+
+constexpr std::size_t firstBufferBytes = 4 << 10;
+/// Reads of fewer bytes aren't worth a system call.
+constexpr std::size_t minReadBytes = 512;
+/// Buffers that one system call takes.
+constexpr std::size_t maxBuffersPerWrite = 64;
+
+std::size_t totalBytes(std::span<const asio::const_buffer> buffers)
+{
+    std::size_t total = 0;
+    for (const asio::const_buffer &buffer : buffers)
+        total += buffer.size();
+    return total;
+}
+
+} // namespace
+
+HttpStream::HttpStream(Socket socket, DeadlineWatch &watch, std::size_t maxBufferBytes)
+    : socket(std::move(socket))
+    , watch(watch)
+    , maxBufferBytes(maxBufferBytes)
+{
+    error_code ignored;
+    if (this->socket.is_open()) {
+        this->socket.non_blocking(true, ignored);
+        this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+}
+
+HttpStream::~HttpStream()
+{
+    this->neverExpire();
+}
+
+Awaitable<StreamStatus> HttpStream::connect(const asio::ip::tcp::endpoint &peer)
+{
+    error_code error;
+    co_await this->socket.async_connect(peer, asio::redirect_error(UseAwaitable(), error));
+    if (error)
+        co_return this->failure();
+    this->socket.non_blocking(true, error);
+    this->socket.set_option(asio::ip::tcp::no_delay(true), error);
+    co_return StreamStatus::Ok;
+}
+
+Awaitable<StreamStatus> HttpStream::readMore()
+{
+    if (this->isReadClosed || !this->socket.is_open())
+        co_return this->failure();
+    if (!this->isReading && !this->makeRoom())
+        co_return StreamStatus::BufferFull;
+    this->readAhead();
+    BC_INVARIANT(!this->waiter, "two readers wait for one connection");
+    UseAwaitable token;
+    const bool isOk = co_await asio::async_initiate<UseAwaitable, void(bool)>(
+            [this](Resumption<bool> &&resumption) { this->waiter.emplace(std::move(resumption)); },
+            token);
+    co_return isOk ? StreamStatus::Ok : this->failure();
+}
+
+void HttpStream::readAhead()
+{
+    if (this->isReading || this->isReadClosed || !this->makeRoom())
+        return;
+    this->isReading = true;
+    this->socket.async_read_some(
+            asio::buffer(this->buffer.data() + this->end, this->buffer.size() - this->end),
+            [self = this->shared_from_this()](const error_code &error, std::size_t count) {
+                self->readDone(error, count);
+            });
+}
+
+void HttpStream::readDone(const error_code &error, std::size_t count)
+{
+    this->isReading = false;
+    this->end += count;
+    if (error)
+        this->isReadClosed = true;
+    if (this->waiter) {
+        Resumption<bool> resumption = std::move(*this->waiter);
+        this->waiter.reset();
+        resumption(!error);
+    } else if (error && this->peerClosed) {
+        const auto handler = std::move(this->peerClosed);
+        this->peerClosed = nullptr;
+        handler();
+    }
+}
+
+bool HttpStream::makeRoom()
+{
+    if (this->begin == this->end) {
+        this->begin = 0;
+        this->end = 0;
+    }
+    if (this->buffer.size() - this->end >= minReadBytes)
+        return true;
+    if (this->begin > 0) {
+        std::memmove(this->buffer.data(), this->buffer.data() + this->begin,
+                     this->end - this->begin);
+        this->end -= this->begin;
+        this->begin = 0;
+    }
+    if (this->buffer.size() - this->end < minReadBytes
+        && this->buffer.size() < this->maxBufferBytes) {
+        const std::size_t wanted = std::max(firstBufferBytes, 2 * this->buffer.size());
+        this->buffer.resize(std::min(this->maxBufferBytes, wanted));
+    }
+    return this->buffer.size() > this->end;
+}
+
+std::string_view HttpStream::unread() const
+{
+    return {this->buffer.data() + this->begin, this->end - this->begin};
+}
+
+void HttpStream::consume(std::size_t count)
+{
+    BC_INVARIANT(count <= this->end - this->begin, "more consumed than was read");
+    this->begin += count;
+}
+
+Awaitable<StreamStatus> HttpStream::write(std::span<const asio::const_buffer> buffers)
+{
+    error_code error;
+    const std::span<const asio::const_buffer> first
+            = buffers.first(std::min(buffers.size(), maxBuffersPerWrite));
+    const std::size_t sent = this->socket.write_some(first, error);
+    this->written += sent;
+    if (error && error != asio::error::would_block)
+        co_return this->failure();
+    if (sent == totalBytes(buffers))
+        co_return StreamStatus::Ok;
+    co_return co_await this->writeRest(buffers, sent);
+}
+
+Awaitable<StreamStatus> HttpStream::writeRest(std::span<const asio::const_buffer> buffers,
+                                              std::size_t done)
+{
+    std::vector<asio::const_buffer> rest(buffers.begin(), buffers.end());
+    for (asio::const_buffer &buffer : rest) {
+        const std::size_t skipped = std::min(done, buffer.size());
+        buffer += skipped;
+        done -= skipped;
+    }
+    error_code error;
+    this->written += co_await asio::async_write(this->socket, rest,
+                                                asio::redirect_error(UseAwaitable(), error));
+    co_return error ? this->failure() : StreamStatus::Ok;
+}
+
+void HttpStream::expireAt(TimePoint time)
+{
+    this->expiry = time;
+    if (this->watchIndex == notWatched && !this->hasExpired)
+        this->watch.add(*this);
+}
+
+void HttpStream::neverExpire()
+{
+    if (this->watchIndex != notWatched)
+        this->watch.remove(*this);
+}
+
+void HttpStream::expire()
+{
+    this->hasExpired = true;
+    this->neverExpire();
+    this->close();
+}
+
+void HttpStream::close()
+{
+    error_code ignored;
+    this->socket.close(ignored);
+}
+
+} // namespace bamboochute::upstream
--- /dev/null
+++ b/src/upstream/message_parser.cpp
@@ -0,0 +1,73 @@
+#include "upstream/message_parser.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace bamboochute::upstream {
+
+void ParsedMessage::clear()
+{
+    this->method.clear();
+    this->target.clear();
+    this->status = 0;
+    this->version = 11;
+    this->headers.clear();
+    this->pieces.clear();
+}
+
+template<bool isRequest>
+std::size_t MessageParser<isRequest>::feed(std::string_view input,
+                                           boost::system::error_code &error)
+{
+    this->message.pieces.clear();
+    error = {};
+    if (input.empty())
+        return 0;
+    const std::size_t used = this->put(boost::asio::buffer(input.data(), input.size()), error);
+    if (error == http::error::need_more)
+        error = {};
+    return used;
+}
+
+template<bool isRequest>
+void MessageParser<isRequest>::on_request_impl(http::verb, Text method, Text target, int version,
+                                               Code &)
+{
+    this->message.method.assign(method.data(), method.size());
+    this->message.target.assign(target.data(), target.size());
+    this->message.version = version;
+}
+
+template<bool isRequest>
+void MessageParser<isRequest>::on_response_impl(int status, Text, int version, Code &)
+{
+    this->message.status = status;
+    this->message.version = version;
+}
+
+template<bool isRequest>
+void MessageParser<isRequest>::on_field_impl(http::field, Text name, Text value, Code &)
+{
+    this->message.headers.add({name.data(), name.size()}, {value.data(), value.size()});
+}
+
+template<bool isRequest>
+std::size_t MessageParser<isRequest>::on_body_impl(Text body, Code &)
+{
+    if (!body.empty())
+        this->message.pieces.emplace_back(body.data(), body.size());
+    return body.size();
+}
+
+template<bool isRequest>
+std::size_t MessageParser<isRequest>::on_chunk_body_impl(std::uint64_t, Text body, Code &)
+{
+    if (!body.empty())
+        this->message.pieces.emplace_back(body.data(), body.size());
+    return body.size();
+}
+
+template class MessageParser<true>;
+template class MessageParser<false>;
+
+} // namespace bamboochute::upstream
