Read and write the configuration; declare store, in force and administration API

The operators' configuration needs a format that refuses bad input before anything changes, and the other packages need the interfaces to build against.

One description of the fields serves reader, writer and checker. The store, the spread and the collection of old parts are state machines over typed key-value calls, without I/O.

--- /dev/null
+++ b/src/admin/configuration_parts.cpp
@@ -0,0 +1,359 @@
+#include "admin/configuration_parts.hpp"
+
+#include "admin/configuration_format.hpp"
+#include "admin/digest.hpp"
+#include "admin/field_reader.hpp"
+#include "admin/field_writer.hpp"
+#include "admin/json_text.hpp"
+#include "core/invariant.hpp"
+#include "core/random.hpp"
+
+#include <algorithm>
+#include <map>
+#include <span>
+
+#include <fmt/format.h>
+
+namespace bamboochute::admin {
+
+namespace {
+
+constexpr std::size_t partHashLength = 32;
+constexpr std::size_t childrenOfPart = 16;
+constexpr int bitsOfChild = 4;
+constexpr int bitsOfPlace = 64;
+constexpr JsonLimits partLimits{maxPartBytes, 8};
+
+/// One named thing of a configuration, as it stands in a leaf.
+struct Item
+{
+    /// Decides the leaf; from the hash of kind, deployment and name.
+    std::uint64_t place = 0;
+    std::string json;
+    auto operator<=>(const Item &) const = default;
+};
+
+template<typename Spec>
+struct ItemKind;
+template<>
+struct ItemKind<OperatorCredential>
+{
+    static constexpr const char *name = "operator";
+    static const std::string &key(const OperatorCredential &spec) { return spec.name; }
+};
+template<>
+struct ItemKind<CallerClass>
+{
+    static constexpr const char *name = "callerClass";
+    static const std::string &key(const CallerClass &spec) { return spec.id.value(); }
+};
+template<>
+struct ItemKind<ModelSpec>
+{
+    static constexpr const char *name = "model";
+    static const std::string &key(const ModelSpec &spec) { return spec.id.value(); }
+};
+template<>
+struct ItemKind<AdapterSpec>
+{
+    static constexpr const char *name = "adapter";
+    static const std::string &key(const AdapterSpec &spec) { return spec.id.value(); }
+};
+template<>
+struct ItemKind<UpstreamSpec>
+{
+    static constexpr const char *name = "upstream";
+    static const std::string &key(const UpstreamSpec &spec) { return spec.id.value(); }
+};
+template<>
+struct ItemKind<ServiceRoute>
+{
+    static constexpr const char *name = "route";
+    static const std::string &key(const ServiceRoute &spec) { return spec.pathPrefix; }
+};
+constexpr const char *settingsKind = "deployment";
+
+Item makeItem(const char *kind, const std::string &deployment, const std::string &key,
+              nlohmann::ordered_json value)
+{
+    nlohmann::ordered_json json;
+    json["kind"] = kind;
+    json["deployment"] = deployment;
+    json["value"] = std::move(value);
+    return {stableHash(fmt::format("{}/{}/{}", kind, deployment, key)), json.dump()};
+}
+
+template<typename Spec>
+void addItems(std::vector<Item> &items, const std::string &deployment,
+              const std::vector<Spec> &specs)
+{
+    for (const Spec &spec : specs)
+        items.push_back(makeItem(ItemKind<Spec>::name, deployment, ItemKind<Spec>::key(spec),
+                                 toJson(spec)));
+}
+
+std::vector<Item> itemsOf(const Configuration &configuration)
+{
+    std::vector<Item> items;
+    addItems(items, "", configuration.operators);
+    for (const Deployment &deployment : configuration.deployments) {
+        const std::string &id = deployment.id.value();
+        FieldWriter settings;
+        visitSettings(settings, deployment);
+        items.push_back(makeItem(settingsKind, id, "", settings.take()));
+        addItems(items, id, deployment.callerClasses);
+        addItems(items, id, deployment.models);
+        addItems(items, id, deployment.adapters);
+        addItems(items, id, deployment.upstreams);
+        addItems(items, id, deployment.routes);
+    }
+    std::sort(items.begin(), items.end());
+    return items;
+}
+
+std::size_t childIndex(const Item &item, std::size_t depth)
+{
+    const int shift = bitsOfPlace - bitsOfChild * static_cast<int>(depth + 1);
+    return (item.place >> shift) % childrenOfPart;
+}
+
+/// Builds the tree from the bottom up.
+class Splitter
+{
+public:
+    PartHash build(std::span<const Item> items, std::size_t depth)
+    {
+        std::size_t bytes = 0;
+        for (const Item &item : items)
+            bytes += item.json.size() + 1;
+        if (bytes <= maxLeafBytes || items.size() <= 1 || depth >= maxTreeDepth)
+            return this->keep(leafText(items));
+        std::vector<std::string> children(childrenOfPart);
+        for (auto first = items.begin(); first != items.end();) {
+            const std::size_t child = childIndex(*first, depth);
+            const auto last = std::find_if(first, items.end(), [&](const Item &item) {
+                return childIndex(item, depth) != child;
+            });
+            children[child] = this->build({first, last}, depth + 1).value();
+            first = last;
+        }
+        nlohmann::ordered_json inner;
+        inner["children"] = children;
+        return this->keep(inner.dump());
+    }
+
+    Parts take() { return std::move(this->parts); }
+
+private:
+    static std::string leafText(std::span<const Item> items)
+    {
+        std::string text = R"({"items":[)";
+        for (const Item &item : items) {
+            text += text.back() == '[' ? "" : ",";
+            text += item.json;
+        }
+        return text + "]}";
+    }
+
+    PartHash keep(std::string text)
+    {
+        const PartHash hash = hashOf(text);
+        this->parts.emplace(hash, std::move(text));
+        return hash;
+    }
+
+    Parts parts;
+};
+
+Error invalidPart(const std::string &message)
+{
+    return Error(ErrorKind::ConfigurationInvalid,
+                 fmt::format("a part of the configuration {}", message), "parts");
+}
+
+/// Adds the items of leaves to a configuration.
+class Joiner
+{
+public:
+    Result<void> addLeaf(const std::string &text)
+    {
+        BOOST_OUTCOME_TRY(json, parseJson(text, partLimits));
+        if (!json.is_object())
+            return invalidPart("is not an object");
+        const auto items = json.find("items");
+        if (items == json.end())
+            return boost::outcome_v2::success();
+        if (!items->is_array())
+            return invalidPart("has no list of items");
+        for (const nlohmann::json &item : *items) {
+            BOOST_OUTCOME_TRYV(this->addItem(item));
+        }
+        return boost::outcome_v2::success();
+    }
+
+    Result<Configuration> take()
+    {
+        for (auto &[id, deployment] : this->deployments)
+            this->configuration.deployments.push_back(std::move(deployment));
+        return sorted(std::move(this->configuration));
+    }
+
+private:
+    Result<void> addItem(const nlohmann::json &item)
+    {
+        const bool isItem = item.is_object() && item.contains("kind") && item["kind"].is_string()
+                            && item.contains("deployment") && item["deployment"].is_string()
+                            && item.contains("value");
+        if (!isItem)
+            return invalidPart("holds something that is not an item");
+        const std::string &kind = item["kind"].get_ref<const std::string &>();
+        const nlohmann::json &value = item["value"];
+        if (kind == ItemKind<OperatorCredential>::name)
+            return readItem(value, this->configuration.operators);
+        Deployment &deployment = this->deploymentOf(item["deployment"].get<std::string>());
+        if (kind == settingsKind)
+            return readSettings(value, deployment);
+        if (kind == ItemKind<CallerClass>::name)
+            return readItem(value, deployment.callerClasses);
+        if (kind == ItemKind<ModelSpec>::name)
+            return readItem(value, deployment.models);
+        if (kind == ItemKind<AdapterSpec>::name)
+            return readItem(value, deployment.adapters);
+        if (kind == ItemKind<UpstreamSpec>::name)
+            return readItem(value, deployment.upstreams);
+        if (kind == ItemKind<ServiceRoute>::name)
+            return readItem(value, deployment.routes);
+        return invalidPart(fmt::format("holds an item of unknown kind \"{}\"", kind));
+    }
+
+    Deployment &deploymentOf(const std::string &id)
+    {
+        Deployment &deployment = this->deployments[DeploymentId(id)];
+        deployment.id = DeploymentId(id);
+        return deployment;
+    }
+
+    template<typename Spec>
+    static Result<void> readItem(const nlohmann::json &value, std::vector<Spec> &specs)
+    {
+        std::optional<Error> error;
+        FieldReader reader(value, ItemKind<Spec>::name, error);
+        Spec spec;
+        if (!error)
+            visitFields(reader, spec);
+        reader.finish();
+        if (error)
+            return *error;
+        specs.push_back(std::move(spec));
+        return boost::outcome_v2::success();
+    }
+
+    static Result<void> readSettings(const nlohmann::json &value, Deployment &deployment)
+    {
+        std::optional<Error> error;
+        FieldReader reader(value, settingsKind, error);
+        if (!error)
+            visitSettings(reader, deployment);
+        reader.finish();
+        if (error)
+            return *error;
+        return boost::outcome_v2::success();
+    }
+
+    Configuration configuration;
+    std::map<DeploymentId, Deployment> deployments;
+};
+
+} // namespace
+
+PartHash hashOf(std::string_view text)
+{
+    return PartHash(sha256Hex(text).substr(0, partHashLength));
+}
+
+PartSet split(const Configuration &configuration)
+{
+    const std::vector<Item> items = itemsOf(sorted(configuration));
+    Splitter splitter;
+    PartSet set;
+    set.top = splitter.build(items, 0);
+    set.parts = splitter.take();
+    return set;
+}
+
+Result<std::vector<PartHash>> childrenOf(std::string_view text)
+{
+    std::vector<PartHash> hashes;
+    if (text.starts_with(R"({"items":)"))
+        return hashes;
+    BOOST_OUTCOME_TRY(json, parseJson(text, partLimits));
+    const bool isInner = json.is_object() && json.contains("children")
+                         && json["children"].is_array()
+                         && json["children"].size() == childrenOfPart;
+    if (!isInner)
+        return invalidPart("has neither items nor sixteen children");
+    for (const nlohmann::json &child : json["children"]) {
+        if (!child.is_string())
+            return invalidPart("has a child that is not a hash");
+        const std::string &hash = child.get_ref<const std::string &>();
+        if (!hash.empty() && hash.size() != partHashLength)
+            return invalidPart("has a child that is not a hash");
+        if (!hash.empty())
+            hashes.emplace_back(hash);
+    }
+    return hashes;
+}
+
+TreeWalk::TreeWalk(const PartHash &top, const PartLookup &lookup)
+{
+    if (!top.isEmpty())
+        this->visit(top, lookup, 0);
+}
+
+bool TreeWalk::add(const std::string &text, const PartLookup &lookup)
+{
+    const PartHash hash = hashOf(text);
+    if (text.size() > maxPartBytes || !this->missingParts.contains(hash))
+        return false;
+    if (!childrenOf(text))
+        return false;
+    this->missingParts.erase(hash);
+    this->reachedParts.insert(hash);
+    return this->expand(text, lookup, 0);
+}
+
+void TreeWalk::visit(const PartHash &hash, const PartLookup &lookup, std::size_t depth)
+{
+    if (this->reachedParts.contains(hash))
+        return;
+    const std::string *text = lookup(hash);
+    if (text == nullptr || depth > maxTreeDepth + 1) {
+        this->missingParts.insert(hash);
+        return;
+    }
+    this->reachedParts.insert(hash);
+    this->expand(*text, lookup, depth);
+}
+
+bool TreeWalk::expand(const std::string &text, const PartLookup &lookup, std::size_t depth)
+{
+    const auto children = childrenOf(text);
+    if (!children)
+        return false;
+    for (const PartHash &child : children.value())
+        this->visit(child, lookup, depth + 1);
+    return true;
+}
+
+Result<Configuration> join(const std::unordered_set<PartHash> &parts, const PartLookup &lookup)
+{
+    Joiner joiner;
+    for (const PartHash &hash : parts) {
+        const std::string *text = lookup(hash);
+        BC_INVARIANT(text != nullptr, "every part of a complete tree is known");
+        BOOST_OUTCOME_TRYV(joiner.addLeaf(*text));
+    }
+    return joiner.take();
+}
+
+} // namespace bamboochute::admin
--- /dev/null
+++ b/src/admin/replica_bounds.hpp
@@ -0,0 +1,20 @@
+/// @file
+/// @brief Checks that models, adapters and their replicas fit the engines of a deployment.
+#pragma once
+
+#include "core/configuration.hpp"
+#include "core/error.hpp"
+
+#include <string>
+
+namespace bamboochute::admin {
+
+/// @brief Checks replica bounds, memory, data centres, base models and successors.
+///
+/// Bounds are per pool and an engine holds at most one replica of a target. maxReplicas must fit
+/// at least one pool; minReplicas must fit every pool in which the model may run, together with
+/// the minReplicas of the other models.
+/// @param path path of the deployment, such as "deployments[0]"
+Result<void> checkReplicaBounds(const Deployment &deployment, const std::string &path);
+
+} // namespace bamboochute::admin
--- /dev/null
+++ b/src/admin/submission.cpp
@@ -0,0 +1,310 @@
+#include "admin/submission.hpp"
+
+#include "admin/store_reads.hpp"
+#include "core/invariant.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace bamboochute::admin {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Failed calls after which a submission gives up.
+constexpr std::size_t maxFailedCalls = 5;
+/// Times that a submission starts over because parts were deleted under it.
+constexpr std::size_t maxRestarts = 8;
+constexpr Duration firstRetryDelay = 50ms;
+/// Parts written in one transaction, beside three other keys.
+constexpr std::size_t maxPartsInTransaction = 96;
+
+std::uint64_t modRevisionOf(const std::vector<platform::KeyValue> &found)
+{
+    return found.empty() ? 0 : found.front().modRevision.value();
+}
+
+bool hasSameContent(const ConfigurationRoot &recorded, const SubmitRequest &request,
+                    const PartHash &top)
+{
+    const auto *rollback = std::get_if<RollBackTo>(&request.content);
+    return rollback != nullptr ? recorded.rolledBackTo == rollback->revision
+                               : recorded.top == top && recorded.rolledBackTo == Revision();
+}
+
+} // namespace
+
+Submission::Submission(SubmitRequest request, PartLookup known)
+    : request(std::move(request))
+    , known(std::move(known))
+{
+    if (const auto *configuration = std::get_if<Configuration>(&this->request.content)) {
+        PartSet set = split(*configuration);
+        this->top = set.top;
+        this->parts = std::move(set.parts);
+    }
+}
+
+SubmissionStep Submission::start()
+{
+    return this->readRootStep();
+}
+
+SubmissionStep Submission::onAnswer(const Result<platform::TransactionResponse> &answer)
+{
+    if (!answer)
+        return this->onFailure(answer.error());
+    switch (this->state) {
+    case State::ReadingRoot:
+        return this->onRootAnswer(answer.value());
+    case State::ReadingTrees:
+        return this->onTreeAnswer(answer.value());
+    case State::WritingParts:
+        return this->writeStep();
+    case State::Recording:
+        break;
+    }
+    return this->onRecordAnswer(answer.value());
+}
+
+SubmissionStep Submission::onTimer()
+{
+    return this->readRootStep();
+}
+
+SubmissionStep Submission::readRootStep()
+{
+    this->state = State::ReadingRoot;
+    platform::Transaction transaction;
+    transaction.success = {
+            platform::Get{std::string(rootKey), false},
+            platform::Get{std::string(collectionKey), false},
+            platform::Get{submissionKey(this->request.submissionId), false},
+    };
+    if (const auto *rollback = std::get_if<RollBackTo>(&this->request.content))
+        transaction.success.emplace_back(platform::Get{historyKey(rollback->revision), false});
+    return CallKeyValue{std::move(transaction)};
+}
+
+SubmissionStep Submission::onRootAnswer(const platform::TransactionResponse &response)
+{
+    constexpr std::size_t submissionIndex = 2;
+    const auto &records = response.found.at(submissionIndex);
+    if (!records.empty())
+        return this->end(this->recordedBefore(records.front().value));
+    auto root = rootFrom(response);
+    if (!root)
+        return this->end(root.error());
+    this->current = root.value().value_or(ConfigurationRoot());
+    this->rootRevision = platform::StoreRevision(modRevisionOf(response.found.at(0)));
+    if (this->unansweredAt != this->rootRevision)
+        this->unansweredAt.reset();
+    const platform::StoreRevision collection(modRevisionOf(response.found.at(1)));
+    if (collection != this->collectionRevision)
+        this->writtenParts = 0;
+    this->collectionRevision = collection;
+    const Result<void> content = this->takeContent(response);
+    if (!content)
+        return this->end(content.error());
+    this->currentWalk = TreeWalk(this->current->top, this->lookup());
+    this->contentWalk = TreeWalk(this->top, this->lookup());
+    return this->treeStep();
+}
+
+Result<void> Submission::takeContent(const platform::TransactionResponse &response)
+{
+    const auto *rollback = std::get_if<RollBackTo>(&this->request.content);
+    if (rollback == nullptr)
+        return boost::outcome_v2::success();
+    const auto &entries = response.found.back();
+    if (entries.empty())
+        return Error(ErrorKind::InvalidField,
+                     fmt::format("revision {} is not in the history", rollback->revision.value()),
+                     "revision");
+    BOOST_OUTCOME_TRY(root, readRoot(entries.front().value));
+    this->top = root.top;
+    return boost::outcome_v2::success();
+}
+
+SubmissionStep Submission::treeStep()
+{
+    PartsWanted wanted;
+    for (const TreeWalk *walk : {&this->currentWalk, &this->contentWalk}) {
+        for (const PartHash &hash : walk->missing()) {
+            if (wanted.hashes.size() < maxPartsInMessage)
+                wanted.hashes.push_back(hash);
+        }
+    }
+    if (wanted.hashes.empty())
+        return this->decide();
+    this->state = State::ReadingTrees;
+    return CallKeyValue{partsRead(wanted)};
+}
+
+SubmissionStep Submission::onTreeAnswer(const platform::TransactionResponse &response)
+{
+    const PartsGiven given = partsFrom(response);
+    bool isProgress = false;
+    for (const std::string &text : given.parts) {
+        this->parts.emplace(hashOf(text), text);
+        isProgress |= this->currentWalk.add(text, this->lookup());
+        isProgress |= this->contentWalk.add(text, this->lookup());
+    }
+    if (isProgress)
+        return this->treeStep();
+    if (++this->restarts > maxRestarts)
+        return this->end(Error(ErrorKind::Internal, "a part of the configuration does not exist"));
+    return this->readRootStep();
+}
+
+SubmissionStep Submission::decide()
+{
+    auto lines = this->difference();
+    if (!lines)
+        return this->end(lines.error());
+    if (this->request.expectedRevision != this->current->revision)
+        return this->end(
+                SubmitOutcome(SubmissionConflict{*this->current, std::move(lines.value())}));
+    this->collectNewParts();
+    if (this->request.isDryRun)
+        return this->end(SubmitOutcome(
+                SubmissionAccepted{this->nextRoot(), std::move(lines.value()), false, true, {}}));
+    return this->writeStep();
+}
+
+void Submission::collectNewParts()
+{
+    this->newParts.clear();
+    std::copy_if(this->contentWalk.reached().begin(), this->contentWalk.reached().end(),
+                 std::back_inserter(this->newParts), [this](const PartHash &hash) {
+                     return !this->currentWalk.reached().contains(hash);
+                 });
+    std::sort(this->newParts.begin(), this->newParts.end());
+}
+
+SubmissionStep Submission::writeStep()
+{
+    if (this->newParts.size() - this->writtenParts <= maxPartsInTransaction)
+        return this->recordStep();
+    this->state = State::WritingParts;
+    platform::Transaction transaction;
+    for (std::size_t i = 0; i < maxPartsInTransaction; ++i) {
+        const PartHash &hash = this->newParts[this->writtenParts++];
+        transaction.success.emplace_back(platform::Put{partKey(hash), *this->lookup()(hash), {}});
+    }
+    return CallKeyValue{std::move(transaction)};
+}
+
+SubmissionStep Submission::recordStep()
+{
+    this->state = State::Recording;
+    const ConfigurationRoot next = this->nextRoot();
+    BC_INVARIANT(next.revision == this->current->revision.next(),
+                 "a submission raises the revision by one");
+    const std::string text = writeRoot(next);
+    platform::Transaction transaction;
+    transaction.conditions = {
+            platform::CompareModRevision{std::string(rootKey), this->rootRevision},
+            platform::CompareModRevision{std::string(collectionKey), this->collectionRevision},
+            platform::CompareModRevision{submissionKey(next.submissionId), {}},
+    };
+    for (std::size_t i = this->writtenParts; i < this->newParts.size(); ++i) {
+        const PartHash &hash = this->newParts[i];
+        transaction.success.emplace_back(platform::Put{partKey(hash), *this->lookup()(hash), {}});
+    }
+    transaction.success.emplace_back(platform::Put{std::string(rootKey), text, {}});
+    transaction.success.emplace_back(platform::Put{historyKey(next.revision), text, {}});
+    transaction.success.emplace_back(platform::Put{submissionKey(next.submissionId), text, {}});
+    return CallKeyValue{std::move(transaction)};
+}
+
+SubmissionStep Submission::onRecordAnswer(const platform::TransactionResponse &response)
+{
+    if (!response.succeeded) {
+        if (++this->restarts > maxRestarts)
+            return this->end(Error(ErrorKind::KeyValueConflict,
+                                   "other writers came between again and again"));
+        return this->readRootStep();
+    }
+    auto lines = this->difference();
+    if (!lines)
+        return this->end(lines.error());
+    SubmissionAccepted accepted{this->nextRoot(), std::move(lines.value()), false, false, {}};
+    for (const PartHash &hash : this->newParts)
+        accepted.newParts.push_back(*this->lookup()(hash));
+    return this->end(SubmitOutcome(std::move(accepted)));
+}
+
+SubmissionStep Submission::onFailure(const Error &error)
+{
+    const bool isOutage = error.kind() == ErrorKind::KeyValueUnavailable
+                          || error.kind() == ErrorKind::KeyValueOutcomeUnknown;
+    if (!isOutage)
+        return this->end(error);
+    if (this->state == State::Recording && error.kind() == ErrorKind::KeyValueOutcomeUnknown)
+        this->unansweredAt = this->rootRevision;
+    if (this->state == State::WritingParts)
+        this->writtenParts = 0;
+    if (++this->failedCalls <= maxFailedCalls)
+        return RetryLater{firstRetryDelay * (1 << this->failedCalls)};
+    if (this->unansweredAt)
+        return this->end(Error(ErrorKind::KeyValueOutcomeUnknown,
+                               fmt::format("the answer about submission \"{}\" was lost; send it "
+                                           "again with the same submission id",
+                                           this->request.submissionId.value()),
+                               "submissionId"));
+    return this->end(Error(ErrorKind::KeyValueUnavailable,
+                           fmt::format("the key-value service does not answer; submission \"{}\" "
+                                       "was not recorded",
+                                       this->request.submissionId.value())));
+}
+
+Result<SubmitOutcome> Submission::recordedBefore(const std::string &record) const
+{
+    BOOST_OUTCOME_TRY(root, readRoot(record));
+    if (!hasSameContent(root, this->request, this->top))
+        return Error(ErrorKind::OperationKeyReused,
+                     fmt::format("submission id \"{}\" was used for revision {} with another "
+                                 "content",
+                                 this->request.submissionId.value(), root.revision.value()),
+                     "submissionId");
+    return SubmitOutcome(SubmissionAccepted{std::move(root), {}, true, false, {}});
+}
+
+Result<std::vector<DifferenceLine>> Submission::difference() const
+{
+    BOOST_OUTCOME_TRY(before, join(this->currentWalk.reached(), this->lookup()));
+    if (const auto *configuration = std::get_if<Configuration>(&this->request.content))
+        return compareConfigurations(before, *configuration);
+    BOOST_OUTCOME_TRY(after, join(this->contentWalk.reached(), this->lookup()));
+    return compareConfigurations(before, after);
+}
+
+ConfigurationRoot Submission::nextRoot() const
+{
+    const auto *rollback = std::get_if<RollBackTo>(&this->request.content);
+    return {this->current->revision.next(),
+            this->request.submissionId,
+            this->request.author,
+            this->request.time,
+            this->top,
+            rollback == nullptr ? Revision() : rollback->revision};
+}
+
+SubmissionStep Submission::end(Result<SubmitOutcome> outcome)
+{
+    return SubmissionEnded{std::move(outcome)};
+}
+
+PartLookup Submission::lookup() const
+{
+    return [this](const PartHash &hash) -> const std::string * {
+        const auto found = this->parts.find(hash);
+        return found != this->parts.end() ? &found->second : this->known(hash);
+    };
+}
+
+} // namespace bamboochute::admin
