Run claims at random with kills, pauses, outages and lost answers

Cause: single failures were tested, failures together were not. Change: ClaimsRun drives several instances in virtual time against the key-value service in memory; it checks that no operation runs twice, no refusal that says "not run" is false, every unknown outcome has a fault behind it, and nothing is in progress for ever. Six broken variants of the claims show that the checks see what they are for.

--- /dev/null
+++ b/tests/admission/unit-claims_run.cpp
@@ -0,0 +1,153 @@
+#include "../../bench/claims_run.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace bamboochute;
+using namespace bamboochute::admission;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Answer = Result<platform::TransactionResponse>;
+
+/// Takes a transaction whose answer was lost for one that took effect.
+struct TrustsLostAnswers : OperationClaims
+{
+    using OperationClaims::OperationClaims;
+
+    ClaimActions answered(TransactionTag tag, const Answer &answer, TimePoint now)
+    {
+        const bool isLost = !answer && answer.error().kind() == ErrorKind::KeyValueOutcomeUnknown;
+        const platform::TransactionResponse success{true, {}, {}};
+        return OperationClaims::answered(tag, isLost ? Answer(success) : answer, now);
+    }
+};
+
+/// Takes another's record for its own.
+struct TakesOthersForItsOwn : OperationClaims
+{
+    using OperationClaims::OperationClaims;
+
+    ClaimActions answered(TransactionTag tag, const Answer &answer, TimePoint now)
+    {
+        const platform::TransactionResponse success{true, {}, {}};
+        return OperationClaims::answered(tag, answer ? Answer(success) : answer, now);
+    }
+};
+
+/// Writes without conditions.
+struct WritesBlindly : OperationClaims
+{
+    using OperationClaims::OperationClaims;
+
+    ClaimActions claim(Ticket ticket, const ClaimRequest &request, TimePoint now)
+    {
+        return withoutConditions(OperationClaims::claim(ticket, request, now));
+    }
+
+    ClaimActions tick(TimePoint now) { return withoutConditions(OperationClaims::tick(now)); }
+
+    static ClaimActions withoutConditions(ClaimActions actions)
+    {
+        for (ClaimAction &action : actions) {
+            if (auto *submission = std::get_if<SubmitTransaction>(&action))
+                submission->transaction.conditions.clear();
+        }
+        return actions;
+    }
+};
+
+/// Calls an operation whose answer was lost one that was not run.
+struct ReleasesUnknownOutcomes : OperationClaims
+{
+    using OperationClaims::OperationClaims;
+
+    ClaimActions settle(Ticket ticket, const Settlement &settlement, TimePoint now)
+    {
+        const bool isUnknown = std::holds_alternative<OutcomeUnknown>(settlement);
+        return OperationClaims::settle(ticket, isUnknown ? Settlement(Released{}) : settlement,
+                                       now);
+    }
+};
+
+/// Tells a caller that its operation was not run when the answer was lost.
+struct RefusesAfterDispatch : OperationClaims
+{
+    using OperationClaims::OperationClaims;
+
+    ClaimActions settle(Ticket ticket, const Settlement &settlement, TimePoint now)
+    {
+        ClaimActions actions = OperationClaims::settle(ticket, settlement, now);
+        const ClaimDecision notRun = Error(ErrorKind::ClaimUnavailable);
+        if (std::holds_alternative<OutcomeUnknown>(settlement))
+            actions.emplace_back(Decide{ticket, notRun});
+        return actions;
+    }
+};
+
+/// Believes that every other claimant has ended.
+struct BelievesOthersGone : OperationClaims
+{
+    BelievesOthersGone(const Claimant &self, const KnownGone &, Metrics &metrics, double budget)
+        : OperationClaims(
+                self, [](const InstanceId &, Incarnation) { return true; }, metrics, budget)
+    {}
+};
+
+bench::ClaimsRunSettings settings(std::uint64_t seed)
+{
+    bench::ClaimsRunSettings settings;
+    settings.seed = seed;
+    return settings;
+}
+
+} // namespace
+
+TEST_CASE("operations run at most once through instances that fail")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        const auto result = bench::ClaimsRun<OperationClaims>(settings(seed)).run();
+        CHECK(result.runTwice == 0);
+        CHECK(result.falseNotRun == 0);
+        CHECK(result.unexplainedUnknown == 0);
+        CHECK(result.otherWrong == 0);
+        CHECK(result.kills > 0);
+        CHECK(result.replays > 0);
+        CHECK(result.unknown > 0);
+        CHECK(result.conflicts > 0);
+    }
+}
+
+TEST_CASE("the checks of the run catch broken claims")
+{
+    SUBCASE("a lost answer is taken for a success")
+    {
+        CHECK(bench::ClaimsRun<TrustsLostAnswers>(settings(1)).run().runTwice > 0);
+    }
+
+    SUBCASE("another's record is taken for its own")
+    {
+        CHECK(bench::ClaimsRun<TakesOthersForItsOwn>(settings(1)).run().runTwice > 0);
+    }
+
+    SUBCASE("writes have no conditions")
+    {
+        CHECK(bench::ClaimsRun<WritesBlindly>(settings(1)).run().runTwice > 0);
+    }
+
+    SUBCASE("an unknown outcome is released")
+    {
+        CHECK(bench::ClaimsRun<ReleasesUnknownOutcomes>(settings(1)).run().runTwice > 0);
+    }
+
+    SUBCASE("a caller is told that its operation was not run when that is not known")
+    {
+        CHECK(bench::ClaimsRun<RefusesAfterDispatch>(settings(1)).run().falseNotRun > 0);
+    }
+
+    SUBCASE("claimants that are alive are believed to be gone")
+    {
+        CHECK(bench::ClaimsRun<BelievesOthersGone>(settings(1)).run().unexplainedUnknown > 0);
+    }
+}
