--- /dev/null
+++ b/src/peer/call_client.cpp
@@ -0,0 +1,297 @@
+#include "peer/call_client.hpp"
+
+#include "peer/call_payload.hpp"
+#include "peer/framed_connection.hpp"
+#include "peer/json_rpc.hpp"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+namespace bamboochute::peer {
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Steady = std::chrono::steady_clock;
+
+std::string describe(const Endpoint &endpoint)
+{
+    return fmt::format("{}:{}", endpoint.address, endpoint.port);
+}
+
+/// A call whose answer is awaited.
+struct Pending
+{
+    explicit Pending(boost::asio::io_context &context)
+        : timer(context)
+    {}
+
+    std::function<void(Result<std::string>)> done;
+    boost::asio::steady_timer timer;
+    /// Text of the request while it waits for the connection; empty once it was sent.
+    std::string unsent;
+    bool isSent = false;
+};
+
+/// Connection to one endpoint, while it is set up and after.
+struct Link
+{
+    explicit Link(boost::asio::io_context &context)
+        : socket(context)
+    {}
+
+    Endpoint to;
+    Tcp::socket socket;
+    std::shared_ptr<FramedConnection> connection;
+    std::map<std::uint64_t, std::unique_ptr<Pending>> pending;
+    bool isReady = false;
+    bool isEnded = false;
+    Steady::time_point lastUsed{};
+};
+
+using LinkPointer = std::shared_ptr<Link>;
+
+} // namespace
+
+struct CallClient::State : std::enable_shared_from_this<CallClient::State>
+{
+    State(boost::asio::io_context &context, KeyRing keys, Caller self)
+        : context(context)
+        , keys(std::move(keys))
+        , self(std::move(self))
+    {}
+
+    void call(const Endpoint &to, const char *method, const std::string &params, Duration timeout,
+              TextDone done)
+    {
+        ++this->totals.calls;
+        this->closeIdle();
+        const LinkPointer link = this->linkTo(to);
+        if (!link || link->pending.size() >= maxCallsInFlight) {
+            ++this->totals.tooMany;
+            boost::asio::post(this->context, [done = std::move(done), to] {
+                done(Error(ErrorKind::QueueFull,
+                           fmt::format("too many calls to {} are in flight", describe(to)),
+                           "not_sent"));
+            });
+            return;
+        }
+        link->lastUsed = Steady::now();
+        const std::uint64_t number = this->nextNumber++;
+        auto pending = std::make_unique<Pending>(this->context);
+        pending->done = std::move(done);
+        pending->unsent = this->protocol.request(method, params);
+        pending->timer.expires_after(timeout);
+        pending->timer.async_wait(
+                [state = this->shared_from_this(), link, number](const ErrorCode &code) {
+                    if (!code)
+                        state->timeOut(link, number);
+                });
+        link->pending.emplace(number, std::move(pending));
+        if (link->isReady)
+            this->sendUnsent(link);
+    }
+
+    LinkPointer linkTo(const Endpoint &to)
+    {
+        const auto known = this->links.find(to);
+        if (known != this->links.end())
+            return known->second;
+        if (this->links.size() >= maxClientConnections)
+            return nullptr;
+        auto link = std::make_shared<Link>(this->context);
+        link->to = to;
+        this->links.emplace(to, link);
+        this->connect(link);
+        return link;
+    }
+
+    void connect(const LinkPointer &link)
+    {
+        ErrorCode code;
+        const auto address = boost::asio::ip::make_address(link->to.address, code);
+        if (code) {
+            boost::asio::post(this->context, [state = this->shared_from_this(), link] {
+                state->endLink(link, ConnectionEnd::Closed);
+            });
+            return;
+        }
+        link->socket.async_connect(
+                Tcp::endpoint(address, link->to.port),
+                [state = this->shared_from_this(), link](const ErrorCode &failure) {
+                    if (link->isEnded)
+                        return;
+                    if (failure)
+                        return state->endLink(link, ConnectionEnd::Closed);
+                    state->shakeHands(link);
+                });
+    }
+
+    void shakeHands(const LinkPointer &link)
+    {
+        ++this->totals.connections;
+        link->connection = std::make_shared<FramedConnection>(std::move(link->socket), this->keys,
+                                                              ConnectionSide::Client);
+        link->connection->start([] {},
+                                [state = this->shared_from_this(), link](std::string_view payload) {
+                                    state->takeFrame(link, payload);
+                                },
+                                [state = this->shared_from_this(), link](ConnectionEnd reason) {
+                                    state->endLink(link, reason);
+                                });
+    }
+
+    void takeFrame(const LinkPointer &link, std::string_view payload)
+    {
+        if (!link->isReady) {
+            // The server's first frame proves its key.
+            link->isReady = true;
+            link->connection->send(
+                    encodeMessage(Pong{this->self.instance, this->self.incarnation}));
+            this->sendUnsent(link);
+            return;
+        }
+        const std::optional<CallPayload> answer = readCallPayload(payload);
+        if (!answer)
+            return this->endLink(link, ConnectionEnd::Malformed);
+        const auto pending = link->pending.find(answer->number);
+        // An answer that comes after its time-out has no place any more.
+        if (pending == link->pending.end())
+            return;
+        const TextDone done = std::move(pending->second->done);
+        link->pending.erase(pending);
+        std::string result;
+        std::string error;
+        if (this->protocol.result(std::string(answer->text), result, error))
+            done(std::move(result));
+        else
+            done(Error(ErrorKind::MalformedRequest,
+                       fmt::format("{} refused the call: {}", describe(link->to), error)));
+    }
+
+    void sendUnsent(const LinkPointer &link)
+    {
+        for (auto &[number, pending] : link->pending) {
+            if (pending->isSent || link->isEnded)
+                continue;
+            pending->isSent = true;
+            link->connection->send(writeCallPayload(number, pending->unsent));
+            pending->unsent.clear();
+        }
+    }
+
+    void timeOut(const LinkPointer &link, std::uint64_t number)
+    {
+        const auto pending = link->pending.find(number);
+        if (pending == link->pending.end())
+            return;
+        ++this->totals.timedOut;
+        const bool wasSent = pending->second->isSent;
+        const TextDone done = std::move(pending->second->done);
+        link->pending.erase(pending);
+        // A host that does not answer at all leaves the connection half open.
+        if (!wasSent && link->pending.empty())
+            this->endLink(link, ConnectionEnd::Closed);
+        done(Error(ErrorKind::PeerUnreachable,
+                   fmt::format("{} did not answer in time", describe(link->to)),
+                   wasSent ? "sent" : "not_sent"));
+    }
+
+    void endLink(const LinkPointer &link, ConnectionEnd reason)
+    {
+        if (link->isEnded)
+            return;
+        link->isEnded = true;
+        ErrorCode ignored;
+        link->socket.close(ignored);
+        if (link->connection)
+            link->connection->close();
+        const auto known = this->links.find(link->to);
+        if (known != this->links.end() && known->second == link)
+            this->links.erase(known);
+        const auto pending = std::move(link->pending);
+        link->pending.clear();
+        const bool isUnauthenticated = reason == ConnectionEnd::Unauthenticated;
+        this->totals.unauthenticated += isUnauthenticated ? 1 : 0;
+        for (const auto &[number, call] : pending) {
+            call->timer.cancel();
+            ++(call->isSent ? this->totals.broken : this->totals.notSent);
+            const ErrorKind kind = isUnauthenticated ? ErrorKind::PeerUnauthenticated
+                                                     : ErrorKind::PeerUnreachable;
+            const char *what
+                    = isUnauthenticated ? "does not know the shared key" : "closed the connection";
+            call->done(Error(kind, fmt::format("{} {}", describe(link->to), what),
+                             call->isSent ? "sent" : "not_sent"));
+        }
+    }
+
+    void closeIdle()
+    {
+        const Steady::time_point now = Steady::now();
+        if (now < this->nextSweep)
+            return;
+        this->nextSweep = now + idleConnectionTimeout / 2;
+        std::vector<LinkPointer> idle;
+        for (const auto &[endpoint, link] : this->links) {
+            if (link->pending.empty() && now - link->lastUsed >= idleConnectionTimeout)
+                idle.push_back(link);
+        }
+        for (const LinkPointer &link : idle)
+            this->endLink(link, ConnectionEnd::Closed);
+    }
+
+    void close()
+    {
+        const std::map<Endpoint, LinkPointer> all = this->links;
+        for (const auto &[endpoint, link] : all)
+            this->endLink(link, ConnectionEnd::Closed);
+    }
+
+    boost::asio::io_context &context;
+    KeyRing keys;
+    Caller self;
+    JsonRpcClient protocol;
+    std::map<Endpoint, LinkPointer> links;
+    std::uint64_t nextNumber = 1;
+    Steady::time_point nextSweep{};
+    CallClientCounts totals;
+};
+
+CallClient::CallClient(boost::asio::io_context &context, KeyRing keys, Caller self)
+    : state(std::make_shared<State>(context, std::move(keys), std::move(self)))
+{}
+
+CallClient::~CallClient()
+{
+    this->close();
+}
+
+void CallClient::callText(const Endpoint &to, const char *method, std::string params,
+                          Duration timeout, TextDone done)
+{
+    this->state->call(to, method, params, timeout, std::move(done));
+}
+
+void CallClient::close()
+{
+    this->state->close();
+}
+
+void CallClient::replaceKeys(KeyRing keys)
+{
+    this->state->keys = std::move(keys);
+}
+
+CallClientCounts CallClient::counts() const
+{
+    return this->state->totals;
+}
+
+} // namespace bamboochute::peer
--- /dev/null
+++ b/src/peer/call_messages.cpp
@@ -0,0 +1,531 @@
+#include "peer/call_messages.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace bamboochute::peer {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Thrown by the readers on a member that is missing or wrong; never leaves decodeMessage.
+struct FieldFailure
+{
+    std::string field;
+    std::string expected;
+};
+
+const Json &member(const Json &object, const char *name)
+{
+    const auto found = object.is_object() ? object.find(name) : object.end();
+    if (!object.is_object() || found == object.end())
+        throw FieldFailure{name, "is missing"};
+    return *found;
+}
+
+std::uint64_t readNumber(const Json &object, const char *name, std::uint64_t most)
+{
+    const Json &value = member(object, name);
+    if (!value.is_number_unsigned()
+        && !(value.is_number_integer() && value.get<std::int64_t>() >= 0))
+        throw FieldFailure{name, "must be a whole number from 0"};
+    const auto number = value.get<std::uint64_t>();
+    if (number > most)
+        throw FieldFailure{name, fmt::format("must be at most {}", most)};
+    return number;
+}
+
+// One read and one write for each type that a message has as a member.
+
+void read(const Json &object, const char *name, std::string &value)
+{
+    const Json &found = member(object, name);
+    if (!found.is_string())
+        throw FieldFailure{name, "must be a text"};
+    value = found.get<std::string>();
+}
+
+void read(const Json &object, const char *name, bool &value)
+{
+    const Json &found = member(object, name);
+    if (!found.is_boolean())
+        throw FieldFailure{name, "must be true or false"};
+    value = found.get<bool>();
+}
+
+void read(const Json &object, const char *name, std::uint64_t &value)
+{
+    value = readNumber(object, name, ~std::uint64_t{0});
+}
+
+void read(const Json &object, const char *name, std::uint32_t &value)
+{
+    value = static_cast<std::uint32_t>(readNumber(object, name, ~std::uint32_t{0}));
+}
+
+template<typename Tag>
+void read(const Json &object, const char *name, Id<Tag> &value)
+{
+    std::string text;
+    read(object, name, text);
+    value = Id<Tag>(std::move(text));
+}
+
+template<typename Tag>
+void read(const Json &object, const char *name, Number<Tag> &value)
+{
+    value = Number<Tag>(readNumber(object, name, ~std::uint64_t{0}));
+}
+
+template<typename Period>
+void read(const Json &object, const char *name, std::chrono::duration<std::int64_t, Period> &value)
+{
+    constexpr std::uint64_t most = std::uint64_t{1} << 53;
+    value = std::chrono::duration<std::int64_t, Period>(readNumber(object, name, most));
+}
+
+void read(const Json &object, const char *name, ReportOutcome &value)
+{
+    const auto last = static_cast<std::uint64_t>(ReportOutcome::Refused);
+    value = static_cast<ReportOutcome>(readNumber(object, name, last));
+}
+
+void read(const Json &object, const char *name, ClaimState &value)
+{
+    const auto last = static_cast<std::uint64_t>(ClaimState::Unavailable);
+    value = static_cast<ClaimState>(readNumber(object, name, last));
+}
+
+void read(const Json &object, const char *name, ErrorKind &value)
+{
+    std::string id;
+    read(object, name, id);
+    const auto rows = errorTable();
+    const auto row = std::find_if(rows.begin(), rows.end(),
+                                  [&](const ErrorRow &each) { return each.id == id; });
+    if (row == rows.end())
+        throw FieldFailure{name, "must be an identifier of the error table"};
+    value = row->kind;
+}
+
+void read(const Json &object, const char *name, Target &value)
+{
+    const Json &found = member(object, name);
+    read(found, "model", value.model);
+    read(found, "adapter", value.adapter);
+}
+
+template<typename Value>
+void read(const Json &object, const char *name, std::vector<Value> &values);
+
+Json write(const std::string &value)
+{
+    return value;
+}
+
+Json write(bool value)
+{
+    return value;
+}
+
+Json write(std::uint64_t value)
+{
+    return value;
+}
+
+Json write(std::uint32_t value)
+{
+    return value;
+}
+
+template<typename Tag>
+Json write(const Id<Tag> &value)
+{
+    return value.value();
+}
+
+template<typename Tag>
+Json write(Number<Tag> value)
+{
+    return value.value();
+}
+
+template<typename Period>
+Json write(std::chrono::duration<std::int64_t, Period> value)
+{
+    return std::max<std::int64_t>(value.count(), 0);
+}
+
+Json write(ReportOutcome value)
+{
+    return static_cast<std::uint64_t>(value);
+}
+
+Json write(ClaimState value)
+{
+    return static_cast<std::uint64_t>(value);
+}
+
+Json write(ErrorKind value)
+{
+    return std::string(errorRow(value).id);
+}
+
+Json write(const Target &value)
+{
+    return Json{{"model", value.model.value()}, {"adapter", value.adapter.value()}};
+}
+
+template<typename Value>
+Json write(const std::vector<Value> &values);
+
+std::string toBase64(const std::string &bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                     reinterpret_cast<const unsigned char *>(bytes.data()),
+                                     static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+std::string fromBase64(const char *name, const std::string &text)
+{
+    std::string bytes(text.size() / 4 * 3 + 3, '\0');
+    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                                     reinterpret_cast<const unsigned char *>(text.data()),
+                                     static_cast<int>(text.size()));
+    if (size < 0 || text.size() % 4 != 0)
+        throw FieldFailure{name, "must be base64"};
+    const std::size_t end = text.find_last_not_of('=');
+    const std::size_t padding
+            = text.empty() || end == std::string::npos ? 0 : text.size() - end - 1;
+    bytes.resize(static_cast<std::size_t>(size) - padding);
+    return bytes;
+}
+
+/// Bytes of a chunk, which JSON can't hold as they are.
+struct Base64
+{
+    std::string &bytes;
+};
+
+void read(const Json &object, const char *name, Base64 value)
+{
+    std::string text;
+    read(object, name, text);
+    value.bytes = fromBase64(name, text);
+}
+
+Json write(Base64 value)
+{
+    return toBase64(value.bytes);
+}
+
+// The members of each message, told to a visitor that reads or writes them.
+
+template<typename Visitor>
+void visit(TargetDemand &message, Visitor &&each)
+{
+    each("target", message.target);
+    each("waiting", message.waiting);
+    each("earliestDeadlineMs", message.earliestDeadline);
+    each("classWeight", message.classWeight);
+}
+
+template<typename Visitor>
+void visit(DemandRefusal &message, Visitor &&each)
+{
+    each("target", message.target);
+    each("kind", message.kind);
+    each("message", message.message);
+    each("retryAfterS", message.retryAfter);
+}
+
+template<typename Visitor>
+void visit(DemandAnswer &message, Visitor &&each)
+{
+    each("outcome", message.outcome);
+    each("ownerHint", message.ownerHint);
+    each("fence", message.fence);
+    each("refusals", message.refusals);
+}
+
+template<typename Visitor>
+void visit(DemandReport &message, Visitor &&each)
+{
+    each("pool", message.pool);
+    each("demands", message.demands);
+}
+
+template<typename Visitor>
+void visit(TargetUsage &message, Visitor &&each)
+{
+    each("target", message.target);
+    each("requests", message.requests);
+    each("active", message.active);
+    each("sinceLastUseMs", message.sinceLastUse);
+}
+
+template<typename Visitor>
+void visit(UsageAnswer &message, Visitor &&each)
+{
+    each("outcome", message.outcome);
+    each("ownerHint", message.ownerHint);
+}
+
+template<typename Visitor>
+void visit(UsageReport &message, Visitor &&each)
+{
+    each("pool", message.pool);
+    each("usages", message.usages);
+}
+
+template<typename Visitor>
+void visit(GaveUpAnswer &message, Visitor &&each)
+{
+    each("isRecorded", message.isRecorded);
+}
+
+template<typename Visitor>
+void visit(GaveUp &message, Visitor &&each)
+{
+    each("pool", message.pool);
+    each("fence", message.fence);
+    each("instance", message.instance);
+    each("incarnation", message.incarnation);
+}
+
+template<typename Visitor>
+void visit(PartPosition &message, Visitor &&each)
+{
+    each("hash", message.hash);
+    each("offset", message.offset);
+}
+
+template<typename Visitor>
+void visit(PartChunk &message, Visitor &&each)
+{
+    each("hash", message.hash);
+    each("offset", message.offset);
+    each("totalBytes", message.totalBytes);
+    each("bytes", Base64{message.bytes});
+}
+
+template<typename Visitor>
+void visit(ConfigurationPartsAnswer &message, Visitor &&each)
+{
+    each("chunks", message.chunks);
+}
+
+template<typename Visitor>
+void visit(ConfigurationPartsRequest &message, Visitor &&each)
+{
+    each("parts", message.parts);
+}
+
+template<typename Visitor>
+void visit(ClaimForwardAnswer &message, Visitor &&each)
+{
+    each("state", message.state);
+    each("outcome", message.outcome);
+}
+
+template<typename Visitor>
+void visit(ClaimForwardRequest &message, Visitor &&each)
+{
+    each("operationKey", message.operationKey);
+    each("bodyHash", message.bodyHash);
+    each("request", message.request);
+    each("retentionS", message.retention);
+}
+
+template<typename Visitor>
+void visit(HandOverAnswer &message, Visitor &&each)
+{
+    each("isAccepted", message.isAccepted);
+    each("reason", message.reason);
+}
+
+template<typename Visitor>
+void visit(HandOver &message, Visitor &&each)
+{
+    each("pool", message.pool);
+    each("fence", message.fence);
+    each("from", message.from);
+    each("to", message.to);
+}
+
+template<typename Visitor>
+void visit(Pong &message, Visitor &&each)
+{
+    each("instance", message.instance);
+    each("incarnation", message.incarnation);
+}
+
+template<typename Visitor>
+void visit(Ping &, Visitor &&)
+{}
+
+template<typename Message>
+void readMessage(const Json &object, Message &message)
+{
+    if (!object.is_object())
+        throw FieldFailure{"message", "must be an object"};
+    visit(message, [&](const char *name, auto &&value) { read(object, name, value); });
+}
+
+template<typename Message>
+Json writeMessage(const Message &message)
+{
+    Json object = Json::object();
+    // The visitor takes its members by reference to change them; here it only reads a copy.
+    Message copy = message;
+    visit(copy, [&](const char *name, auto &&value) { object[name] = write(value); });
+    return object;
+}
+
+template<typename Value>
+void read(const Json &object, const char *name, std::vector<Value> &values)
+{
+    const Json &found = member(object, name);
+    if (!found.is_array() || found.size() > maxMessageEntries)
+        throw FieldFailure{name, fmt::format("must be a list of at most {}", maxMessageEntries)};
+    values.reserve(found.size());
+    for (const Json &value : found)
+        readMessage(value, values.emplace_back());
+}
+
+template<typename Value>
+Json write(const std::vector<Value> &values)
+{
+    Json array = Json::array();
+    for (const Value &value : values)
+        array.push_back(writeMessage(value));
+    return array;
+}
+
+Error invalidField(const FieldFailure &failure)
+{
+    return Error(ErrorKind::InvalidField,
+                 fmt::format("member \"{}\" of a message between instances {}", failure.field,
+                             failure.expected),
+                 failure.field);
+}
+
+Json writeError(const Error &error)
+{
+    const auto delay = error.retryAfter().value_or(std::chrono::seconds(0));
+    return Json{{"kind", write(error.kind())},
+                {"message", error.message()},
+                {"field", error.field()},
+                {"retryAfterS", delay.count()}};
+}
+
+Error readError(const Json &object)
+{
+    ErrorKind kind = ErrorKind::Internal;
+    std::string message;
+    std::string field;
+    std::chrono::seconds delay{0};
+    read(object, "kind", kind);
+    read(object, "message", message);
+    read(object, "field", field);
+    read(object, "retryAfterS", delay);
+    const Error error(kind, std::move(message), std::move(field));
+    return delay.count() > 0 ? error.withRetryAfter(delay) : error;
+}
+
+std::string dump(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace
+
+template<typename Message>
+std::string encodeMessage(const Message &message)
+{
+    return dump(writeMessage(message));
+}
+
+template<typename Message>
+Result<Message> decodeMessage(std::string_view text)
+{
+    const Json json = Json::parse(text.begin(), text.end(), nullptr, false);
+    if (json.is_discarded())
+        return Error(ErrorKind::MalformedJson, "a message between instances is not JSON");
+    try {
+        Message message;
+        readMessage(json, message);
+        return message;
+    } catch (const FieldFailure &failure) {
+        return invalidField(failure);
+    }
+}
+
+template<typename Message>
+std::string encodeResult(const Result<Message> &result)
+{
+    Json object = Json::object();
+    if (result)
+        object["value"] = writeMessage(result.value());
+    else
+        object["error"] = writeError(result.error());
+    return dump(object);
+}
+
+template<typename Message>
+Result<Message> decodeResult(std::string_view text)
+{
+    const Json json = Json::parse(text.begin(), text.end(), nullptr, false);
+    if (json.is_discarded())
+        return Error(ErrorKind::MalformedJson, "an answer between instances is not JSON");
+    try {
+        if (json.is_object() && json.contains("error"))
+            return readError(json["error"]);
+        Message message;
+        readMessage(member(json, "value"), message);
+        return message;
+    } catch (const FieldFailure &failure) {
+        return invalidField(failure);
+    }
+}
+
+// The messages that calls carry.
+template std::string encodeMessage(const DemandReport &);
+template Result<DemandReport> decodeMessage(std::string_view);
+template std::string encodeResult(const Result<DemandAnswer> &);
+template Result<DemandAnswer> decodeResult(std::string_view);
+template std::string encodeMessage(const UsageReport &);
+template Result<UsageReport> decodeMessage(std::string_view);
+template std::string encodeResult(const Result<UsageAnswer> &);
+template Result<UsageAnswer> decodeResult(std::string_view);
+template std::string encodeMessage(const GaveUp &);
+template Result<GaveUp> decodeMessage(std::string_view);
+template std::string encodeResult(const Result<GaveUpAnswer> &);
+template Result<GaveUpAnswer> decodeResult(std::string_view);
+template std::string encodeMessage(const ConfigurationPartsRequest &);
+template Result<ConfigurationPartsRequest> decodeMessage(std::string_view);
+template std::string encodeResult(const Result<ConfigurationPartsAnswer> &);
+template Result<ConfigurationPartsAnswer> decodeResult(std::string_view);
+template std::string encodeMessage(const ClaimForwardRequest &);
+template Result<ClaimForwardRequest> decodeMessage(std::string_view);
+template std::string encodeResult(const Result<ClaimForwardAnswer> &);
+template Result<ClaimForwardAnswer> decodeResult(std::string_view);
+template std::string encodeMessage(const HandOver &);
+template Result<HandOver> decodeMessage(std::string_view);
+template std::string encodeResult(const Result<HandOverAnswer> &);
+template Result<HandOverAnswer> decodeResult(std::string_view);
+template std::string encodeMessage(const Ping &);
+template Result<Ping> decodeMessage(std::string_view);
+template std::string encodeMessage(const Pong &);
+template Result<Pong> decodeMessage(std::string_view);
+template std::string encodeResult(const Result<Pong> &);
+template Result<Pong> decodeResult(std::string_view);
+
+} // namespace bamboochute::peer
--- /dev/null
+++ b/src/peer/call_server.cpp
@@ -0,0 +1,283 @@
+#include "peer/call_server.hpp"
+
+#include "core/log.hpp"
+#include "peer/call_payload.hpp"
+#include "peer/framed_connection.hpp"
+#include "peer/json_rpc.hpp"
+
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+namespace bamboochute::peer {
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+/// Stands in the library's answer for the result, which may come later.
+constexpr std::string_view resultToken = "@result@";
+constexpr std::string_view quotedToken = "\"@result@\"";
+/// Time until accepting goes on after it has failed, such as for want of file descriptors.
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(100);
+
+Error listenError(const Endpoint &listen, const ErrorCode &code)
+{
+    return Error(ErrorKind::SettingInvalid,
+                 fmt::format("cannot listen on {}:{} (TCP): {}", listen.address, listen.port,
+                             code.message()),
+                 "peer-listen");
+}
+
+/// One connection of a caller.
+struct Session
+{
+    explicit Session(boost::asio::io_context &context)
+        : handshakeTimer(context)
+    {}
+
+    std::shared_ptr<FramedConnection> connection;
+    boost::asio::steady_timer handshakeTimer;
+    Caller caller;
+    bool isIdentified = false;
+    std::size_t inFlight = 0;
+};
+
+using SessionPointer = std::shared_ptr<Session>;
+
+} // namespace
+
+struct CallServer::State : std::enable_shared_from_this<CallServer::State>
+{
+    State(boost::asio::io_context &context, KeyRing keys)
+        : context(context)
+        , acceptor(context)
+        , retryTimer(context)
+        , keys(std::move(keys))
+    {}
+
+    void accept()
+    {
+        this->acceptor.async_accept(
+                [self = this->shared_from_this()](const ErrorCode &code, Tcp::socket socket) {
+                    if (!self->acceptor.is_open())
+                        return;
+                    if (code)
+                        return self->acceptLater();
+                    self->open(std::move(socket));
+                    self->accept();
+                });
+    }
+
+    void acceptLater()
+    {
+        this->retryTimer.expires_after(acceptRetryDelay);
+        this->retryTimer.async_wait([self = this->shared_from_this()](const ErrorCode &code) {
+            if (!code && self->acceptor.is_open())
+                self->accept();
+        });
+    }
+
+    void open(Tcp::socket socket)
+    {
+        if (this->sessions.size() >= maxServerConnections) {
+            ++this->totals.tooMany;
+            return;
+        }
+        ++this->totals.connections;
+        auto session = std::make_shared<Session>(this->context);
+        session->connection = std::make_shared<FramedConnection>(std::move(socket), this->keys,
+                                                                 ConnectionSide::Server);
+        this->sessions.insert(session);
+        session->handshakeTimer.expires_after(handshakeTimeout);
+        session->handshakeTimer.async_wait(
+                [self = this->shared_from_this(), session](const ErrorCode &code) {
+                    if (!code && !session->isIdentified)
+                        self->endSession(session, ConnectionEnd::Unauthenticated);
+                });
+        session->connection->start(
+                // The empty frame proves to the client that this server knows the key.
+                [session] { session->connection->send({}); },
+                [self = this->shared_from_this(), session](std::string_view payload) {
+                    self->takeFrame(session, payload);
+                },
+                [self = this->shared_from_this(), session](ConnectionEnd reason) {
+                    self->endSession(session, reason);
+                });
+    }
+
+    void endSession(const SessionPointer &session, ConnectionEnd reason)
+    {
+        if (reason == ConnectionEnd::Unauthenticated)
+            ++this->totals.unauthenticated;
+        else if (reason == ConnectionEnd::Malformed)
+            ++this->totals.malformed;
+        else if (reason == ConnectionEnd::Oversized)
+            ++this->totals.oversized;
+        session->handshakeTimer.cancel();
+        session->connection->close();
+        this->sessions.erase(session);
+    }
+
+    void takeFrame(const SessionPointer &session, std::string_view payload)
+    {
+        if (!session->isIdentified) {
+            const Result<Pong> identity = decodeMessage<Pong>(payload);
+            if (!identity)
+                return this->endSession(session, ConnectionEnd::Malformed);
+            session->caller = Caller{identity.value().instance, identity.value().incarnation};
+            session->isIdentified = true;
+            session->handshakeTimer.cancel();
+            return;
+        }
+        const std::optional<CallPayload> call = readCallPayload(payload);
+        if (!call)
+            return this->endSession(session, ConnectionEnd::Malformed);
+        this->answer(session, *call);
+    }
+
+    void answer(const SessionPointer &session, const CallPayload &call)
+    {
+        ++this->totals.calls;
+        this->invokedMethod.clear();
+        std::string envelope = this->protocol->handle(std::string(call.text));
+        const std::size_t token = envelope.rfind(quotedToken);
+        const auto handler = this->handlers.find(this->invokedMethod);
+        if (handler == this->handlers.end() || token == std::string::npos) {
+            session->connection->send(writeCallPayload(call.number, envelope));
+            return;
+        }
+        const TextReply reply = this->replyTo(session, call.number, std::move(envelope), token);
+        if (session->inFlight >= maxCallsInFlight) {
+            ++this->totals.tooMany;
+            reply(encodeResult<Pong>(Error(ErrorKind::QueueFull, "too many calls in flight")));
+            return;
+        }
+        ++session->inFlight;
+        handler->second(session->caller, this->invokedParams,
+                        [session, reply, isDone = false](std::string result) mutable {
+                            if (isDone)
+                                return;
+                            isDone = true;
+                            --session->inFlight;
+                            reply(std::move(result));
+                        });
+    }
+
+    TextReply replyTo(const SessionPointer &session, std::uint64_t number, std::string envelope,
+                      std::size_t token) const
+    {
+        return [session, number, envelope = std::move(envelope), token](std::string result) {
+            std::string text = envelope;
+            text.replace(token, quotedToken.size(), result);
+            if (text.size() + callNumberBytes + 1 + tagBytes > maxFrameBytes) {
+                const Error tooLarge(ErrorKind::UpstreamOversized,
+                                     fmt::format("the answer to a call has {} bytes; {} are "
+                                                 "allowed",
+                                                 text.size(), maxFrameBytes));
+                text = envelope;
+                text.replace(token, quotedToken.size(), encodeResult<Pong>(tooLarge));
+            }
+            session->connection->send(writeCallPayload(number, text));
+        };
+    }
+
+    boost::asio::io_context &context;
+    Tcp::acceptor acceptor;
+    boost::asio::steady_timer retryTimer;
+    KeyRing keys;
+    std::map<std::string, TextHandler> handlers;
+    std::unique_ptr<JsonRpcServer> protocol;
+    std::set<SessionPointer> sessions;
+    /// What the protocol's library has found in the request that it reads.
+    std::string invokedMethod;
+    std::string invokedParams;
+    CallServerCounts totals;
+};
+
+CallServer::CallServer(std::shared_ptr<State> state)
+    : state(std::move(state))
+{}
+
+CallServer::~CallServer()
+{
+    this->close();
+}
+
+Result<std::unique_ptr<CallServer>> CallServer::open(boost::asio::io_context &context,
+                                                     const Endpoint &listen, KeyRing keys)
+{
+    ErrorCode code;
+    const auto address = boost::asio::ip::make_address(listen.address, code);
+    if (code)
+        return listenError(listen, code);
+    const Tcp::endpoint endpoint(address, listen.port);
+    auto state = std::make_shared<State>(context, std::move(keys));
+    Tcp::acceptor &acceptor = state->acceptor;
+    if (acceptor.open(endpoint.protocol(), code); code)
+        return listenError(listen, code);
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true), code);
+    if (acceptor.bind(endpoint, code); code)
+        return listenError(listen, code);
+    if (acceptor.listen(boost::asio::socket_base::max_listen_connections, code); code)
+        return listenError(listen, code);
+    return std::unique_ptr<CallServer>(new CallServer(std::move(state)));
+}
+
+void CallServer::handleText(const char *method, TextHandler handler)
+{
+    this->state->handlers[method] = std::move(handler);
+}
+
+void CallServer::start()
+{
+    std::vector<std::string> methods;
+    for (const auto &[method, handler] : this->state->handlers)
+        methods.push_back(method);
+    State *state = this->state.get();
+    state->protocol = std::make_unique<JsonRpcServer>(
+            methods, [state](const std::string &method, const std::string &params) {
+                state->invokedMethod = method;
+                state->invokedParams = params;
+                return std::string(resultToken);
+            });
+    state->accept();
+}
+
+void CallServer::close()
+{
+    ErrorCode ignored;
+    this->state->acceptor.close(ignored);
+    this->state->retryTimer.cancel();
+    const std::set<SessionPointer> sessions = std::move(this->state->sessions);
+    this->state->sessions.clear();
+    for (const SessionPointer &session : sessions) {
+        session->handshakeTimer.cancel();
+        session->connection->close();
+    }
+}
+
+void CallServer::replaceKeys(KeyRing keys)
+{
+    this->state->keys = std::move(keys);
+}
+
+Endpoint CallServer::localEndpoint() const
+{
+    ErrorCode ignored;
+    const Tcp::endpoint endpoint = this->state->acceptor.local_endpoint(ignored);
+    return Endpoint{endpoint.address().to_string(), endpoint.port()};
+}
+
+CallServerCounts CallServer::counts() const
+{
+    return this->state->totals;
+}
+
+} // namespace bamboochute::peer
--- a/src/peer/call_server.hpp
+++ b/src/peer/call_server.hpp
@@ -75,8 +75,8 @@
     {
         using Response = typename Request::Response;
         this->handleText(Request::method, [handler = std::move(handler)](const Caller &caller,
-                                                                        std::string_view text,
-                                                                        const TextReply &reply) {
+                                                                         std::string_view text,
+                                                                         const TextReply &reply) {
             Result<Request> request = decodeMessage<Request>(text);
             if (!request) {
                 reply(encodeResult<Response>(request.error()));
--- a/src/peer/datagram.hpp
+++ b/src/peer/datagram.hpp
@@ -7,6 +7,7 @@
 #include "peer/member.hpp"
 #include "peer/state_version.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -19,6 +20,12 @@
 /// Most bytes of a datagram, so that it is not fragmented.
 constexpr std::size_t maxDatagramBytes = 1400;
 
+/// Buckets by which two tables of members are compared.
+constexpr std::size_t tableBuckets = 16;
+
+/// @brief Hash of each bucket of a table of members.
+using TableDigest = std::array<std::uint16_t, tableBuckets>;
+
 enum class DatagramKind : std::uint8_t {
     /// Asks the receiver to answer.
     Ping,
@@ -46,7 +53,12 @@
     std::uint64_t probe = 0;
     /// Member that is asked about; only in PingRequest and IndirectAck.
     InstanceId subject;
+    /// News, which the receiver passes on.
     std::vector<MemberUpdate> members;
+    /// Records of the sender's table, which repair the receiver's and are not passed on.
+    std::vector<MemberUpdate> records;
+    /// Sender's table, for comparison; only in Ping.
+    std::optional<TableDigest> tableDigest;
     std::vector<StateDelta> deltas;
     std::vector<StreamDigest> digests;
     std::vector<StatePull> pulls;
@@ -54,6 +66,14 @@
     auto operator<=>(const Datagram &) const = default;
 };
 
+/// @brief Upper bound of the encoded bytes of one element.
+std::size_t estimateBytes(const MemberUpdate &update);
+std::size_t estimateBytes(const StateDelta &delta);
+std::size_t estimateBytes(const StreamDigest &digest);
+
+/// @brief Upper bound of the encoded bytes of a datagram.
+std::size_t estimateBytes(const Datagram &datagram);
+
 /// @brief Why a datagram was dropped.
 enum class DatagramRefusal : std::uint8_t {
     Oversized,
--- /dev/null
+++ b/src/peer/datagram_fields.cpp
@@ -0,0 +1,305 @@
+#include "peer/datagram_fields.hpp"
+
+#include "peer/dissemination.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace bamboochute::peer {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Most elements of one array.
+constexpr std::size_t maxElements = 256;
+/// Most bytes of an instance's or data centre's name.
+constexpr std::size_t maxNameBytes = 128;
+
+/// Fields of news of a member without its endpoints.
+constexpr std::size_t shortUpdateFields = 6;
+
+/// Thrown by the readers below on a wrong type or bound; never leaves readFields.
+struct FieldFailure
+{};
+
+void require(bool condition)
+{
+    if (!condition)
+        throw FieldFailure{};
+}
+
+// Writers: each value is an array of its fields in a fixed order.
+
+Json toJson(const MemberUpdate &update)
+{
+    const MemberIdentity &identity = update.identity;
+    Json fields = Json::array({identity.instance.value(), identity.incarnation.value(),
+                               static_cast<std::uint8_t>(update.state), update.refutation.value(),
+                               static_cast<std::uint8_t>(update.isLeaving),
+                               static_cast<std::uint8_t>(update.evidence)});
+    if (!identity.datagramEndpoint.address.empty()) {
+        fields.push_back(identity.dataCentre.value());
+        fields.push_back(identity.datagramEndpoint.address);
+        fields.push_back(identity.datagramEndpoint.port);
+        // An empty address stands for the one before.
+        const bool isSame = identity.callEndpoint.address == identity.datagramEndpoint.address;
+        fields.push_back(isSame ? std::string() : identity.callEndpoint.address);
+        fields.push_back(identity.callEndpoint.port);
+    }
+    return fields;
+}
+
+Json toJson(const StreamKey &key)
+{
+    return Json::array({static_cast<std::uint8_t>(key.topic), key.scope});
+}
+
+Json binary(const std::string &bytes)
+{
+    return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+Json toJson(const StateDelta &delta)
+{
+    return Json::array({static_cast<std::uint8_t>(delta.key.stream.topic), delta.key.stream.scope,
+                        delta.key.item, delta.version.fence.value(), delta.version.sequence.value(),
+                        binary(delta.payload), static_cast<std::uint8_t>(delta.isErased)});
+}
+
+Json toJson(const StreamDigest &digest)
+{
+    return Json::array({static_cast<std::uint8_t>(digest.stream.topic), digest.stream.scope,
+                        digest.fence.value(), digest.complete.value()});
+}
+
+Json toJson(const StatePull &pull)
+{
+    return toJson(pull.after);
+}
+
+Json toJson(const StateRange &range)
+{
+    Json deltas = Json::array();
+    for (const StateDelta &delta : range.deltas) {
+        deltas.push_back(Json::array({delta.key.item, delta.version.fence.value(),
+                                      delta.version.sequence.value(), binary(delta.payload),
+                                      static_cast<std::uint8_t>(delta.isErased)}));
+    }
+    return Json::array({toJson(range.stream), range.fence.value(), range.after.value(),
+                        range.upTo.value(), range.snapshot.value(), std::move(deltas)});
+}
+
+Json toJson(const std::optional<TableDigest> &digest)
+{
+    if (!digest)
+        return {};
+    std::vector<std::uint8_t> bytes;
+    bytes.reserve(digest->size() * sizeof(std::uint16_t));
+    for (const std::uint16_t bucket : *digest) {
+        bytes.push_back(static_cast<std::uint8_t>(bucket >> 8));
+        bytes.push_back(static_cast<std::uint8_t>(bucket & 0xff));
+    }
+    return Json::binary(std::move(bytes));
+}
+
+template<typename Value>
+Json toJson(const std::vector<Value> &values)
+{
+    Json array = Json::array();
+    for (const Value &value : values)
+        array.push_back(toJson(value));
+    return array;
+}
+
+// Readers.
+
+const Json &element(const Json &array, std::size_t index)
+{
+    require(array.is_array() && index < array.size());
+    return array[index];
+}
+
+std::uint64_t number(const Json &array, std::size_t index, std::uint64_t most = ~std::uint64_t{0})
+{
+    const Json &value = element(array, index);
+    require(value.is_number_unsigned());
+    const auto read = value.get<std::uint64_t>();
+    require(read <= most);
+    return read;
+}
+
+std::string text(const Json &array, std::size_t index, std::size_t most)
+{
+    const Json &value = element(array, index);
+    require(value.is_string());
+    const auto &read = value.get_ref<const std::string &>();
+    require(read.size() <= most);
+    return read;
+}
+
+std::string bytes(const Json &array, std::size_t index)
+{
+    const Json &value = element(array, index);
+    require(value.is_binary());
+    const Json::binary_t &read = value.get_binary();
+    require(read.size() <= maxPayloadBytes);
+    return {read.begin(), read.end()};
+}
+
+template<typename Enumeration>
+Enumeration enumeration(const Json &array, std::size_t index, Enumeration last)
+{
+    return static_cast<Enumeration>(number(array, index, static_cast<std::uint64_t>(last)));
+}
+
+bool flag(const Json &array, std::size_t index)
+{
+    return number(array, index, 1) == 1;
+}
+
+std::uint16_t port(const Json &array, std::size_t index)
+{
+    return static_cast<std::uint16_t>(number(array, index, 0xffff));
+}
+
+void read(const Json &fields, MemberUpdate &update)
+{
+    MemberIdentity &identity = update.identity;
+    identity.instance = InstanceId(text(fields, 0, maxNameBytes));
+    require(!identity.instance.isEmpty());
+    identity.incarnation = Incarnation(number(fields, 1));
+    update.state = enumeration(fields, 2, MemberState::Gone);
+    update.refutation = Refutation(number(fields, 3));
+    update.isLeaving = flag(fields, 4);
+    update.evidence = enumeration(fields, 5, GoneEvidence::LaterIncarnation);
+    if (fields.size() == shortUpdateFields)
+        return;
+    identity.dataCentre = DataCentreId(text(fields, 6, maxNameBytes));
+    identity.datagramEndpoint = Endpoint{text(fields, 7, maxNameBytes), port(fields, 8)};
+    identity.callEndpoint = Endpoint{text(fields, 9, maxNameBytes), port(fields, 10)};
+    if (identity.callEndpoint.address.empty())
+        identity.callEndpoint.address = identity.datagramEndpoint.address;
+}
+
+StreamKey readStream(const Json &fields)
+{
+    return StreamKey{enumeration(fields, 0, Topic::LoadSummary), text(fields, 1, maxKeyBytes)};
+}
+
+void read(const Json &fields, StateDelta &delta)
+{
+    delta.key.stream = readStream(fields);
+    delta.key.item = text(fields, 2, maxKeyBytes);
+    delta.version = StateVersion{Fence(number(fields, 3)), Sequence(number(fields, 4))};
+    require(delta.version.sequence > Sequence());
+    delta.payload = bytes(fields, 5);
+    delta.isErased = flag(fields, 6);
+}
+
+void read(const Json &fields, StreamDigest &digest)
+{
+    digest.stream = readStream(fields);
+    digest.fence = Fence(number(fields, 2));
+    digest.complete = Sequence(number(fields, 3));
+}
+
+void read(const Json &fields, StatePull &pull)
+{
+    read(fields, pull.after);
+}
+
+void read(const Json &fields, StateRange &range)
+{
+    range.stream = readStream(element(fields, 0));
+    range.fence = Fence(number(fields, 1));
+    range.after = Sequence(number(fields, 2));
+    range.upTo = Sequence(number(fields, 3));
+    range.snapshot = Sequence(number(fields, 4));
+    require(range.after <= range.upTo);
+    const Json &deltas = element(fields, 5);
+    require(deltas.is_array() && deltas.size() <= maxElements);
+    for (const Json &entry : deltas) {
+        StateDelta delta;
+        delta.key = StateKey{range.stream, text(entry, 0, maxKeyBytes)};
+        delta.version = StateVersion{Fence(number(entry, 1)), Sequence(number(entry, 2))};
+        require(delta.version.sequence > Sequence());
+        delta.payload = bytes(entry, 3);
+        delta.isErased = flag(entry, 4);
+        range.deltas.push_back(std::move(delta));
+    }
+}
+
+template<typename Value>
+void readList(const Json &fields, std::size_t index, std::size_t most, std::vector<Value> &values)
+{
+    const Json &array = element(fields, index);
+    require(array.is_array() && array.size() <= most);
+    values.reserve(array.size());
+    for (const Json &value : array)
+        read(value, values.emplace_back());
+}
+
+void readTableDigest(const Json &fields, std::size_t index, std::optional<TableDigest> &digest)
+{
+    const Json &value = element(fields, index);
+    if (value.is_null())
+        return;
+    require(value.is_binary());
+    const Json::binary_t &read = value.get_binary();
+    digest.emplace();
+    require(read.size() == digest->size() * sizeof(std::uint16_t));
+    for (std::size_t bucket = 0; bucket < digest->size(); ++bucket) {
+        const unsigned int high = read[2 * bucket];
+        digest->at(bucket) = static_cast<std::uint16_t>((high << 8) | read[2 * bucket + 1]);
+    }
+}
+
+Datagram readDatagram(const Json &fields)
+{
+    constexpr std::size_t fieldCount = 13;
+    require(fields.is_array() && fields.size() == fieldCount);
+    Datagram datagram;
+    datagram.kind = enumeration(fields, 0, DatagramKind::Join);
+    datagram.sender = InstanceId(text(fields, 1, maxNameBytes));
+    require(!datagram.sender.isEmpty());
+    datagram.incarnation = Incarnation(number(fields, 2));
+    datagram.sequence = number(fields, 3);
+    datagram.probe = number(fields, 4);
+    datagram.subject = InstanceId(text(fields, 5, maxNameBytes));
+    readList(fields, 6, maxElements, datagram.members);
+    readList(fields, 7, maxElements, datagram.records);
+    readTableDigest(fields, 8, datagram.tableDigest);
+    readList(fields, 9, maxElements, datagram.deltas);
+    readList(fields, 10, maxElements, datagram.digests);
+    readList(fields, 11, maxElements, datagram.pulls);
+    readList(fields, 12, maxElements, datagram.ranges);
+    return datagram;
+}
+
+} // namespace
+
+void appendFields(std::string &bytes, const Datagram &datagram)
+{
+    const Json fields = Json::array(
+            {static_cast<std::uint8_t>(datagram.kind), datagram.sender.value(),
+             datagram.incarnation.value(), datagram.sequence, datagram.probe,
+             datagram.subject.value(), toJson(datagram.members), toJson(datagram.records),
+             toJson(datagram.tableDigest), toJson(datagram.deltas), toJson(datagram.digests),
+             toJson(datagram.pulls), toJson(datagram.ranges)});
+    Json::to_msgpack(fields, nlohmann::detail::output_adapter<char>(bytes));
+}
+
+std::optional<Datagram> readFields(std::string_view bytes)
+{
+    // The depth is bounded by the size of a datagram, which is checked before.
+    const Json fields = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+    if (fields.is_discarded())
+        return std::nullopt;
+    try {
+        return readDatagram(fields);
+    } catch (const FieldFailure &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace bamboochute::peer
--- a/src/peer/dissemination.hpp
+++ b/src/peer/dissemination.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "core/clock.hpp"
-#include "core/random.hpp"
 #include "peer/datagram.hpp"
 #include "peer/state_version.hpp"
 
@@ -30,6 +29,8 @@
 constexpr std::size_t maxAboveGap = 1024;
 /// Most deltas that wait to be sent.
 constexpr std::size_t maxQueuedDeltas = 8192;
+/// Most streams whose digest goes before the others.
+constexpr std::size_t maxHotDigests = 64;
 /// Most answers to pulls that wait to be sent.
 constexpr std::size_t maxQueuedPulls = 64;
 
@@ -42,6 +43,10 @@
     std::uint32_t lossyTransmissions = 1;
     /// Digests on one datagram.
     std::uint32_t digestsPerDatagram = 8;
+    /// Times that the digest of a stream rides on a datagram after an urgent change.
+    std::uint32_t hotDigestTransmissions = 6;
+    /// Time that a missing change may still arrive by itself.
+    Duration pullDelay = std::chrono::milliseconds(300);
     /// Time until the same gap is asked for again.
     Duration pullRetry = std::chrono::milliseconds(600);
     auto operator<=>(const DisseminationSettings &) const = default;
@@ -81,8 +86,7 @@
 {
 public:
     /// @param settings bounds
-    /// @param seed of the random choices
-    Dissemination(DisseminationSettings settings, std::uint64_t seed);
+    explicit Dissemination(DisseminationSettings settings);
 
     /// @brief Publishes the newest value of an entry of a stream that this instance writes.
     /// @param key entry
@@ -110,14 +114,19 @@
     /// @brief Fills a datagram up to a number of encoded bytes, urgent topics first.
     /// @param datagram gets deltas, ranges, pulls and digests
     /// @param receiver member that it goes to; what it asked for is sent to it
-    /// @param maxBytes bound of what may be added
-    /// @return bytes added, as estimated
-    std::size_t fill(TimePoint now, Datagram &datagram, const InstanceId &receiver,
-                     std::size_t maxBytes);
+    /// @param maxBytes bound of what may be added, as estimated
+    void fill(TimePoint now, Datagram &datagram, const InstanceId &receiver, std::size_t maxBytes);
+
+    /// @brief Takes the changes of urgent topics that were not sent yet, to be sent at once.
+    /// @param maxBytes bound of their encoded bytes, as estimated
+    std::vector<StateDelta> takeUrgent(std::size_t maxBytes);
 
     /// @brief Whether changes of an urgent topic wait that were not sent yet.
     bool hasUrgent() const;
 
+    /// @brief Whether any change waits to be sent.
+    bool hasQueued() const;
+
     /// @brief Whether something waits for this member that it asked for.
     bool owesTo(const InstanceId &receiver) const;
 
@@ -155,15 +164,19 @@
         Fence fence;
         /// Every change up to this one is held or overridden.
         Sequence complete;
-        Sequence highest;
+        /// Furthest change that is heard of.
+        Sequence known;
         /// Last change of the snapshot with which the fence began.
         Sequence snapshot;
-        bool isPruned = true;
+        /// Whether entries of a former fence may still be held.
+        bool hasFormer = false;
         std::set<std::uint64_t> aboveGap;
         std::map<std::string, Entry> entries;
         std::map<std::uint64_t, std::string> bySequence;
+        TimePoint behindSince{};
         TimePoint pulledAt{};
-        bool isPullWanted = false;
+        bool isBehind = false;
+        bool wasPulled = false;
     };
 
     struct QueuedDelta
@@ -179,35 +192,48 @@
         StreamDigest after;
     };
 
-    using StreamMap = std::map<StreamKey, Stream>;
+    struct HotDigest
+    {
+        StreamKey stream;
+        std::uint32_t transmissions = 0;
+    };
+
+    void countUp(DisseminationCount which);
 
-    void countUp(DisseminationCount which, std::uint64_t by = 1);
+    // What this instance publishes, and what it takes from others.
     Result<StateVersion> write(const StateKey &key, Fence fence, std::string payload,
                                bool isErased);
     Stream *openStream(const StreamKey &key, Fence fence);
     void raiseFence(Stream &stream, Fence fence) const;
-    bool accept(const StateDelta &delta, std::vector<StateChanged> &changes);
-    void store(Stream &stream, const StateDelta &delta);
+    void store(Stream &stream, const StateDelta &delta) const;
     void noteSequence(Stream &stream, Sequence sequence) const;
-    void prune(const StreamKey &key, Stream &stream, std::vector<StateChanged> &changes);
-    void acceptRange(const StateRange &range, std::vector<StateChanged> &changes);
-    void compare(TimePoint now, const StreamDigest &digest);
+    void absorb(Stream &stream) const;
+    bool accept(TimePoint now, const StateDelta &delta, std::vector<StateChanged> &changes);
+    void acceptRange(TimePoint now, const StateRange &range, std::vector<StateChanged> &changes);
+    void prune(const StreamKey &key, Stream &stream, std::vector<StateChanged> &changes) const;
+    void compare(TimePoint now, const StreamDigest &theirs);
+    void noteProgress(TimePoint now, const StreamKey &key, Stream &stream);
+    void owe(const InstanceId &asker, const StatePull &pull);
+
+    // What it sends.
     void enqueue(const StateKey &key, StateVersion version);
-    void dropQueued(const StateKey &key, StateVersion version);
-    std::size_t fillRanges(Datagram &datagram, const InstanceId &receiver, std::size_t room);
-    std::size_t fillDeltas(Datagram &datagram, Topic topic, std::size_t room);
-    std::size_t fillPulls(TimePoint now, Datagram &datagram, std::size_t room);
-    std::size_t fillDigests(Datagram &datagram, std::size_t room);
-    StateRange rangeAfter(const StreamKey &key, const Stream &stream, Sequence after,
-                          std::size_t room) const;
+    void heat(const StreamKey &stream);
+    void fillDeltas(Datagram &datagram, Topic topic, std::size_t &room);
+    void fillRanges(Datagram &datagram, const InstanceId &receiver, std::size_t &room);
+    void fillPulls(TimePoint now, Datagram &datagram, std::size_t &room);
+    void fillDigests(Datagram &datagram, std::size_t &room);
+    std::optional<StateRange> rangeAfter(const StreamDigest &after, std::size_t room) const;
+    std::optional<StateDelta> queuedValue(const QueuedDelta &queued) const;
 
     DisseminationSettings settings;
-    Random random;
-    StreamMap streams;
+    std::map<StreamKey, Stream> streams;
+    /// Highest fence of each stream that was forgotten.
+    std::map<StreamKey, Fence> forgotten;
     std::array<std::deque<QueuedDelta>, topicCount> queues;
     std::deque<QueuedPull> owed;
-    /// Streams of which an answering member is ahead.
-    std::set<StreamKey> wantedPulls;
+    std::deque<HotDigest> hot;
+    /// Streams of which more is known to exist than is held.
+    std::set<StreamKey> behind;
     StreamKey digestCursor;
     std::array<std::uint64_t, disseminationCountCount> counts{};
 };
--- /dev/null
+++ b/src/peer/gossip.cpp
@@ -0,0 +1,283 @@
+#include "peer/gossip.hpp"
+
+#include "core/invariant.hpp"
+#include "core/overloaded.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace bamboochute::peer {
+
+namespace {
+
+/// Bytes of the headers of UDP and IPv4.
+constexpr std::size_t headerBytes = 28;
+/// Datagrams that answer one pull at once; the rest follows on later ones.
+constexpr std::size_t maxAnswersAtOnce = 4;
+/// Most bytes of urgent changes that are sent at once.
+constexpr std::size_t maxUrgentBytes = 1000;
+/// Urgent changes go on to this many members of the own data centre.
+constexpr std::size_t urgentFanOutInside = 2;
+/// Urgent changes go on to this many members anywhere.
+constexpr std::size_t urgentFanOutAnywhere = 1;
+
+} // namespace
+
+Gossip::Gossip(GossipSettings settings, KeyRing keys, MemberIdentity self,
+               std::vector<Endpoint> seeds, std::uint64_t seed)
+    : settings(settings)
+    , keys(std::move(keys))
+    , members(settings.membership, std::move(self), std::move(seeds), seed)
+    , state(settings.dissemination)
+    , budget(settings.bytesPerSecond, settings.burstBytes)
+    , random(seed ^ 0x5bd1e995U)
+{}
+
+GossipActions Gossip::onBytes(TimePoint now, std::string_view bytes, const Endpoint &source)
+{
+    GossipActions actions;
+    this->totals.receivedBytes += bytes.size() + headerBytes;
+    ++this->totals.receivedDatagrams;
+    const DecodedDatagram decoded
+            = decodeDatagram(bytes, this->keys, this->members.self().datagramEndpoint);
+    if (!decoded.datagram) {
+        ++this->totals.refused.at(static_cast<std::size_t>(decoded.refusal));
+        return actions;
+    }
+    const Datagram &datagram = *decoded.datagram;
+    if (!this->replays.accept(datagram.sender, datagram.incarnation, datagram.sequence)) {
+        ++this->totals.refused.at(static_cast<std::size_t>(DatagramRefusal::Replayed));
+        return actions;
+    }
+    for (StateChanged &change : this->state.receive(now, datagram))
+        actions.emplace_back(std::move(change));
+    this->take(now, this->members.onDatagram(now, datagram, source), actions);
+    this->sendOwed(now, datagram.sender, actions);
+    this->sendUrgent(now, false, actions);
+    return actions;
+}
+
+GossipActions Gossip::onPlatformList(TimePoint now, const std::vector<ListedInstance> &list)
+{
+    GossipActions actions;
+    this->take(now, this->members.onPlatformList(now, list), actions);
+    return actions;
+}
+
+GossipActions Gossip::onRefused(TimePoint now, const Endpoint &endpoint)
+{
+    GossipActions actions;
+    this->take(now, this->members.onProbeRefused(now, endpoint), actions);
+    return actions;
+}
+
+GossipActions Gossip::onTick(TimePoint now)
+{
+    GossipActions actions;
+    this->take(now, this->members.onTick(now), actions);
+    this->sendUrgent(now, false, actions);
+    return actions;
+}
+
+Result<GossipActions> Gossip::publish(TimePoint now, const StateKey &key, Fence fence,
+                                      std::string payload)
+{
+    BOOST_OUTCOME_TRY(this->state.publish(key, fence, std::move(payload)));
+    GossipActions actions;
+    this->sendUrgent(now, true, actions);
+    return actions;
+}
+
+Result<GossipActions> Gossip::erase(TimePoint now, const StateKey &key, Fence fence)
+{
+    BOOST_OUTCOME_TRY(this->state.erase(key, fence));
+    GossipActions actions;
+    this->sendUrgent(now, true, actions);
+    return actions;
+}
+
+Result<GossipActions> Gossip::takeOver(TimePoint now, const StreamKey &stream, Fence fence)
+{
+    BOOST_OUTCOME_TRY(this->state.takeOver(stream, fence));
+    GossipActions actions;
+    this->sendUrgent(now, true, actions);
+    return actions;
+}
+
+GossipActions Gossip::announceLeaving(TimePoint now)
+{
+    GossipActions actions;
+    this->take(now, this->members.announceLeaving(), actions);
+    return actions;
+}
+
+GossipActions Gossip::leave(TimePoint now)
+{
+    GossipActions actions;
+    this->take(now, this->members.leave(), actions);
+    return actions;
+}
+
+void Gossip::replaceKeys(KeyRing keys)
+{
+    this->keys = std::move(keys);
+}
+
+void Gossip::take(TimePoint now, MembershipActions from, GossipActions &actions)
+{
+    for (MembershipAction &action : from) {
+        std::visit(Overloaded{
+                           [&](SendDatagram &message) {
+                               this->send(now, std::move(message), actions);
+                           },
+                           [&](MemberChanged &change) {
+                               this->forgetStateOf(change.member);
+                               actions.emplace_back(std::move(change));
+                           },
+                           [&](SelfDeclaredGone &gone) { actions.emplace_back(gone); },
+                   },
+                   action);
+    }
+}
+
+void Gossip::forgetStateOf(const Member &member)
+{
+    if (member.state != MemberState::Gone)
+        return;
+    const StreamKey inForce{Topic::InForceRevision, member.identity.instance.value()};
+    // The state of a later process under the name stays.
+    const bool isOfThisProcess
+            = this->state.digest(inForce).fence.value() <= member.identity.incarnation.value();
+    if (isOfThisProcess)
+        this->state.forget(inForce);
+}
+
+void Gossip::send(TimePoint now, SendDatagram message, GossipActions &actions)
+{
+    Datagram &datagram = message.datagram;
+    const std::size_t fixedBytes = estimateBytes(datagram);
+    const std::size_t room = maxDatagramBytes - std::min(maxDatagramBytes, fixedBytes);
+    const std::size_t affordable = this->budget.available(now);
+    const std::size_t left = affordable - std::min(affordable, fixedBytes + headerBytes);
+    if (left < room && this->state.hasQueued())
+        ++this->totals.deferred;
+    this->state.fill(now, datagram, message.receiver, std::min(room, left));
+    this->sendFilled(now, std::move(message), actions);
+}
+
+void Gossip::sendFilled(TimePoint now, SendDatagram message, GossipActions &actions)
+{
+    message.datagram.sequence = this->nextSequence++;
+    std::string bytes = encodeDatagram(message.datagram, this->keys, message.to);
+    BC_INVARIANT(bytes.size() <= maxDatagramBytes, "a datagram is not fragmented");
+    this->budget.spend(now, bytes.size() + headerBytes);
+    this->totals.sentBytes += bytes.size() + headerBytes;
+    ++this->totals.sentDatagrams;
+    actions.emplace_back(SendBytes{std::move(message.to), std::move(bytes)});
+}
+
+SendDatagram Gossip::newsFor(const Member &receiver) const
+{
+    SendDatagram message;
+    message.to = receiver.identity.datagramEndpoint;
+    message.receiver = receiver.identity.instance;
+    message.datagram.kind = DatagramKind::News;
+    message.datagram.sender = this->members.self().instance;
+    message.datagram.incarnation = this->members.self().incarnation;
+    return message;
+}
+
+void Gossip::sendUrgent(TimePoint now, bool isOrigin, GossipActions &actions)
+{
+    if (!this->state.hasUrgent())
+        return;
+    if (this->budget.available(now) < maxDatagramBytes) {
+        ++this->totals.deferred;
+        return;
+    }
+    const std::vector<Member> receivers = this->urgentReceivers(isOrigin);
+    if (receivers.empty())
+        return;
+    const std::vector<StateDelta> urgent = this->state.takeUrgent(maxUrgentBytes);
+    if (urgent.empty())
+        return;
+    for (const Member &receiver : receivers) {
+        SendDatagram message = this->newsFor(receiver);
+        message.datagram.deltas = urgent;
+        this->sendFilled(now, std::move(message), actions);
+    }
+}
+
+void Gossip::sendOwed(TimePoint now, const InstanceId &receiver, GossipActions &actions)
+{
+    const std::optional<Member> member = this->members.find(receiver);
+    for (std::size_t i = 0; i < maxAnswersAtOnce && member; ++i) {
+        const bool isAffordable = this->budget.available(now) >= maxDatagramBytes;
+        if (!this->state.owesTo(receiver) || !isAffordable)
+            return;
+        this->send(now, this->newsFor(*member), actions);
+    }
+}
+
+std::vector<Member> Gossip::urgentReceivers(bool isOrigin)
+{
+    std::vector<Member> reachable;
+    for (Member &member : this->members.members()) {
+        if (isReachable(member.state))
+            reachable.push_back(std::move(member));
+    }
+    for (std::size_t i = reachable.size(); i > 1; --i)
+        std::swap(reachable[i - 1], reachable[this->random.below(i)]);
+    std::vector<Member> chosen;
+    std::map<DataCentreId, std::size_t> perDataCentre;
+    const DataCentreId &own = this->members.self().dataCentre;
+    std::size_t anywhere = 0;
+    for (const Member &member : reachable) {
+        std::size_t &taken = perDataCentre[member.identity.dataCentre];
+        const std::size_t wanted
+                = member.identity.dataCentre == own ? urgentFanOutInside : (isOrigin ? 1 : 0);
+        if (taken < wanted) {
+            ++taken;
+            chosen.push_back(member);
+        } else if (anywhere < urgentFanOutAnywhere) {
+            ++anywhere;
+            chosen.push_back(member);
+        }
+    }
+    return chosen;
+}
+
+void Gossip::exportMetrics(Metrics &metrics) const
+{
+    const auto set = [&](std::string_view name, const std::string &labels, std::uint64_t value) {
+        Counter &counter = metrics.counter(name, labels);
+        counter.add(value - std::min(value, counter.value()));
+    };
+    set("bamboochute_peer_bytes_total", "direction=\"sent\"", this->totals.sentBytes);
+    set("bamboochute_peer_bytes_total", "direction=\"received\"", this->totals.receivedBytes);
+    set("bamboochute_peer_datagrams_total", "direction=\"sent\"", this->totals.sentDatagrams);
+    set("bamboochute_peer_datagrams_total", "direction=\"received\"",
+        this->totals.receivedDatagrams);
+    set("bamboochute_peer_deferred_total", "", this->totals.deferred);
+    for (std::size_t i = 0; i < datagramRefusalCount; ++i) {
+        const auto refusal = static_cast<DatagramRefusal>(i);
+        set("bamboochute_peer_refused_total",
+            fmt::format("reason=\"{}\"", datagramRefusalName(refusal)), this->totals.refused.at(i));
+    }
+    for (std::size_t i = 0; i < membershipCountCount; ++i) {
+        const auto which = static_cast<MembershipCount>(i);
+        set("bamboochute_membership_total", fmt::format("event=\"{}\"", membershipCountName(which)),
+            this->members.count(which));
+    }
+    for (std::size_t i = 0; i < disseminationCountCount; ++i) {
+        const auto which = static_cast<DisseminationCount>(i);
+        set("bamboochute_dissemination_total",
+            fmt::format("event=\"{}\"", disseminationCountName(which)), this->state.count(which));
+    }
+    const auto reachable = static_cast<std::int64_t>(this->members.reachableCount());
+    metrics.gauge("bamboochute_members_reachable").set(reachable);
+}
+
+} // namespace bamboochute::peer
--- a/src/peer/gossip.hpp
+++ b/src/peer/gossip.hpp
@@ -107,6 +107,9 @@
 private:
     void take(TimePoint now, MembershipActions from, GossipActions &actions);
     void send(TimePoint now, SendDatagram message, GossipActions &actions);
+    void sendFilled(TimePoint now, SendDatagram message, GossipActions &actions);
+    SendDatagram newsFor(const Member &receiver) const;
+    void forgetStateOf(const Member &member);
     void sendUrgent(TimePoint now, bool isOrigin, GossipActions &actions);
     void sendOwed(TimePoint now, const InstanceId &receiver, GossipActions &actions);
     std::vector<Member> urgentReceivers(bool isOrigin);
--- /dev/null
+++ b/src/peer/json_rpc.cpp
@@ -0,0 +1,154 @@
+#include "peer/json_rpc.hpp"
+
+#include <utility>
+
+#include <jsoncpp/json/json.h>
+#include <jsonrpccpp/client.h>
+#include <jsonrpccpp/server.h>
+
+namespace bamboochute {
+namespace peer {
+
+namespace {
+
+std::string toText(const Json::Value &value)
+{
+    static const Json::StreamWriterBuilder builder = [] {
+        Json::StreamWriterBuilder made;
+        made["indentation"] = "";
+        return made;
+    }();
+    return Json::writeString(builder, value);
+}
+
+bool fromText(const std::string &text, Json::Value &value)
+{
+    static const Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    return reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
+}
+
+/// Hands texts to the library and keeps its answer.
+class TextServerConnector : public jsonrpc::AbstractServerConnector
+{
+public:
+    bool StartListening() override { return true; }
+    bool StopListening() override { return true; }
+    bool SendResponse(const std::string &response, void *) override
+    {
+        this->answer = response;
+        return true;
+    }
+
+    std::string answer;
+};
+
+/// Keeps the request that the library composes, and gives it the answer that was received.
+class TextClientConnector : public jsonrpc::IClientConnector
+{
+public:
+    // NOLINTNEXTLINE(modernize-use-noexcept): the library's signature
+    void SendRPCMessage(const std::string &message,
+                        std::string &result) throw(jsonrpc::JsonRpcException) override
+    {
+        this->request = message;
+        result = this->answer;
+    }
+
+    std::string request;
+    std::string answer;
+};
+
+} // namespace
+
+/// The library's server; it calls the handler instead of methods of its own.
+class JsonRpcServer::State : public jsonrpc::AbstractServer<JsonRpcServer::State>
+{
+public:
+    State(std::unique_ptr<TextServerConnector> connector, const std::vector<std::string> &methods,
+          Handler handler)
+        : jsonrpc::AbstractServer<State>(*connector)
+        , connector(std::move(connector))
+        , handler(std::move(handler))
+    {
+        for (const std::string &method : methods) {
+            const jsonrpc::Procedure procedure(method, jsonrpc::PARAMS_BY_NAME,
+                                               jsonrpc::JSON_STRING, nullptr);
+            this->bindAndAddMethod(procedure, nullptr);
+        }
+    }
+
+    void HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &input,
+                          Json::Value &output) override
+    {
+        output = this->handler(procedure.GetProcedureName(), toText(input));
+    }
+
+    std::string handle(const std::string &request)
+    {
+        this->connector->answer.clear();
+        this->connector->OnRequest(request);
+        return std::move(this->connector->answer);
+    }
+
+private:
+    std::unique_ptr<TextServerConnector> connector;
+    Handler handler;
+};
+
+JsonRpcServer::JsonRpcServer(const std::vector<std::string> &methods, Handler handler)
+    : state(new State(std::unique_ptr<TextServerConnector>(new TextServerConnector), methods,
+                      std::move(handler)))
+{}
+
+JsonRpcServer::~JsonRpcServer() = default;
+
+std::string JsonRpcServer::handle(const std::string &request)
+{
+    return this->state->handle(request);
+}
+
+class JsonRpcClient::State
+{
+public:
+    State()
+        : client(this->connector)
+    {}
+
+    TextClientConnector connector;
+    jsonrpc::Client client;
+};
+
+JsonRpcClient::JsonRpcClient()
+    : state(new State())
+{}
+
+JsonRpcClient::~JsonRpcClient() = default;
+
+std::string JsonRpcClient::request(const std::string &method, const std::string &params)
+{
+    Json::Value value;
+    fromText(params, value);
+    // The library waits for the answer within the call, so it gets an empty one.
+    this->state->connector.answer = R"({"jsonrpc":"2.0","id":1,"result":null})";
+    Json::Value ignored;
+    this->state->client.CallMethod(method, value, ignored);
+    return std::move(this->state->connector.request);
+}
+
+bool JsonRpcClient::result(const std::string &answer, std::string &result, std::string &error)
+{
+    this->state->connector.answer = answer;
+    try {
+        Json::Value value;
+        this->state->client.CallMethod(std::string(), Json::Value(), value);
+        result = toText(value);
+        return true;
+    } catch (const jsonrpc::JsonRpcException &failure) {
+        error = failure.what();
+        return false;
+    }
+}
+
+} // namespace peer
+} // namespace bamboochute
--- a/src/peer/member.hpp
+++ b/src/peer/member.hpp
@@ -77,7 +77,7 @@
 /// @brief News about a member, as carried by datagrams.
 struct MemberUpdate
 {
-    /// Endpoints and data centre are empty unless the state is Alive.
+    /// Endpoints and data centre may be empty unless the state is Alive.
     MemberIdentity identity;
     MemberState state = MemberState::Alive;
     Refutation refutation;
--- a/src/peer/member_table.hpp
+++ b/src/peer/member_table.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "peer/datagram.hpp"
 #include "peer/member.hpp"
 
 #include <cstdint>
@@ -48,6 +49,10 @@
     std::uint64_t launch = 0;
     /// What the platform's list says of its end; counts once it does not answer.
     GoneEvidence listed = GoneEvidence::None;
+    /// It answered while the list said that it had ended.
+    bool isListDoubted = false;
+    /// When its port last refused.
+    TimePoint refusedAt{};
 };
 
 /// @brief The members that an instance knows, with the news that it passes on.
@@ -63,14 +68,16 @@
     static bool overrides(const MemberUpdate &update, const Member &known);
 
     /// @brief Takes news if it overrides what is known.
-    TableChanges merge(TimePoint now, const MemberUpdate &update);
+    /// @param isPassedOn whether it is news that goes on to others
+    TableChanges merge(TimePoint now, const MemberUpdate &update, bool isPassedOn);
 
     /// @brief Notes that a datagram of a member came in.
     void heard(TimePoint now, const InstanceId &instance);
 
     /// @brief Sets the state of a member as this instance has found it.
+    /// @param isPassedOn whether it is news that goes on to others
     TableChanges setState(TimePoint now, const InstanceId &instance, MemberState state,
-                          GoneEvidence evidence);
+                          GoneEvidence evidence, bool isPassedOn);
 
     /// @brief Takes out up to a number of news to pass on, the least passed on first.
     std::vector<MemberUpdate> takeNews(std::size_t most);
@@ -78,13 +85,21 @@
     /// @brief Whether there is news that was not passed on yet.
     bool hasFreshNews() const;
 
-    /// @brief Lets news of a member be passed on again.
-    void repeatNews(const InstanceId &instance);
+    /// @brief Hashes of who is reachable, unreachable and leaving; gone members don't count.
+    const TableDigest &digest() const noexcept { return this->buckets; }
 
-    /// @brief The next members in turn, for the slow repair of tables.
-    std::vector<MemberUpdate> takeInTurn(std::size_t most);
+    /// @brief The digest that a peer with the same knowledge has: without itself, with this
+    /// process.
+    TableDigest digestSeenBy(const Member &peer, const Member &self) const;
 
-    /// @brief Forgets members that are gone for long; news of them is refused by incarnation.
+    /// @brief Records of one bucket in which another table differs.
+    /// @param theirs digest of the other table
+    /// @param offset chooses among the buckets and records, when not all fit
+    /// @param most number of records
+    std::vector<MemberUpdate> recordsWhereDifferent(const TableDigest &theirs, std::uint64_t offset,
+                                                    std::size_t most) const;
+
+    /// @brief Forgets members that are gone for long.
     void cleanUp(TimePoint now);
 
     MemberEntry *find(const InstanceId &instance);
@@ -112,6 +127,10 @@
     void enqueueNews(const InstanceId &instance);
     TableChange change(TimePoint now, MemberEntry &entry, const Member &to);
     std::optional<TableChange> insert(TimePoint now, const MemberUpdate &update);
+    void replaceProcess(TimePoint now, MemberEntry &entry, const MemberUpdate &update,
+                        TableChanges &changes);
+    bool makeRoom();
+    void toggleInDigest(const Member &member);
 
     InstanceId self;
     std::uint32_t newsTransmissions;
@@ -119,12 +138,15 @@
     std::map<InstanceId, MemberEntry> entries;
     std::map<Endpoint, InstanceId> byEndpoint;
     std::deque<News> news;
-    InstanceId cursor;
+    TableDigest buckets{};
     std::uint64_t changeCount = 0;
     std::uint64_t refusedCount = 0;
 };
 
-/// @brief News that tells all that is known of a member.
-MemberUpdate updateOf(const Member &member);
+/// @brief News of a member; with its endpoints when it is alive or when asked for.
+MemberUpdate updateOf(const Member &member, bool withEndpoints = false);
+
+/// @brief Whether a member is treated as alive.
+bool isReachable(MemberState state) noexcept;
 
 } // namespace bamboochute::peer
--- a/src/peer/membership.hpp
+++ b/src/peer/membership.hpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -126,10 +127,10 @@
     MembershipActions onTick(TimePoint now);
 
     /// @brief Says that this process stops: it takes no new work and still answers.
-    MembershipActions announceLeaving(TimePoint now);
+    MembershipActions announceLeaving();
 
     /// @brief Says, as the last thing, that this process has ended and carries out nothing more.
-    MembershipActions leave(TimePoint now);
+    MembershipActions leave();
 
     /// @brief All members but this process, by name; gone ones are among them for a while.
     std::vector<Member> members() const;
@@ -166,30 +167,56 @@
         TimePoint sentAt{};
     };
 
-    void countUp(MembershipCount which, std::uint64_t by = 1);
-    void apply(TimePoint now, TableChanges changes, MembershipActions &actions);
-    void handleAck(TimePoint now, const Datagram &datagram, MembershipActions &actions);
-    void handlePing(TimePoint now, const Datagram &datagram, MembershipActions &actions);
-    void handlePingRequest(TimePoint now, const Datagram &datagram, MembershipActions &actions);
+    // News and datagrams (membership.cpp).
+    void takeNews(TimePoint now, const Datagram &datagram, MembershipActions &actions);
+    bool doubtsHearsay(TimePoint now, const MemberUpdate &update) const;
+    void noteHeard(TimePoint now, const Datagram &datagram, MembershipActions &actions);
+    void clearSuspicion(TimePoint now, const InstanceId &instance, MembershipActions &actions);
+    Endpoint replyEndpoint(const Datagram &datagram, const Endpoint &source) const;
+    void handleNewsOfSelf(const MemberUpdate &update, MembershipActions &actions);
+    void handlePing(const Datagram &datagram, const Endpoint &source, MembershipActions &actions);
     void handleJoin(const Datagram &datagram, const Endpoint &source, MembershipActions &actions);
-    void handleNewsOfSelf(TimePoint now, const MemberUpdate &update, MembershipActions &actions);
-    void handleUnknownSender(TimePoint now, const Datagram &datagram, const Endpoint &source,
-                             MembershipActions &actions);
-    bool noticePause(TimePoint now);
+    void tellFormerProcess(const MemberEntry &known, const Endpoint &source,
+                           MembershipActions &actions);
+    void apply(const TableChanges &changes, bool isPassedOn, MembershipActions &actions);
+    void sendEagerNews(MembershipActions &actions);
+    void attachNews(Datagram &datagram);
+    void boundNews(std::vector<MemberUpdate> &updates) const;
+    void boundRecords(std::vector<MemberUpdate> &records) const;
+    void send(Datagram datagram, const Endpoint &to, const InstanceId &receiver,
+              MembershipActions &actions) const;
+    void sendTo(const InstanceId &receiver, Datagram datagram, MembershipActions &actions) const;
+    MemberUpdate selfUpdate() const;
+    std::vector<InstanceId> pickReachable(std::size_t wanted);
+    void countUp(MembershipCount which);
+
+    // Probes and what follows from them (membership_probing.cpp).
+    void noticePause(TimePoint now);
+    void startProbe(TimePoint now, const InstanceId &target, MembershipActions &actions);
+    void sendPing(const MemberEntry &entry, std::uint64_t number, MembershipActions &actions);
+    TableDigest digestForPeer(const Member &peer) const;
+    void handleAck(const Datagram &datagram, MembershipActions &actions);
+    void handleIndirectAck(TimePoint now, const Datagram &datagram, MembershipActions &actions);
+    void handlePingRequest(TimePoint now, const Datagram &datagram, MembershipActions &actions);
+    void askOthersToProbe(const Probe &probe, std::uint64_t number, MembershipActions &actions);
+    void expireProbes(TimePoint now, MembershipActions &actions);
+    void noteFailedProbe(TimePoint now, const Probe &probe, MembershipActions &actions);
+    void suspect(TimePoint now, const InstanceId &target, MembershipActions &actions);
+    void judgeSuspects(TimePoint now, MembershipActions &actions);
     void probeNext(TimePoint now, MembershipActions &actions);
     void probeSuspects(TimePoint now, MembershipActions &actions);
     void probeUnreachable(TimePoint now, MembershipActions &actions);
     void contactSeeds(TimePoint now, MembershipActions &actions);
-    void expireProbes(TimePoint now, MembershipActions &actions);
-    void askOthersToProbe(const Probe &probe, std::uint64_t number, MembershipActions &actions);
-    void startProbe(TimePoint now, const InstanceId &target, MembershipActions &actions);
-    void sendEagerNews(MembershipActions &actions);
-    void attachNews(Datagram &datagram);
-    void send(Datagram datagram, const Endpoint &to, const InstanceId &receiver,
-              MembershipActions &actions);
+    void declareGone(TimePoint now, const InstanceId &instance, GoneEvidence evidence,
+                     MembershipActions &actions);
     Duration suspicionTime() const;
-    MemberUpdate selfUpdate() const;
-    std::vector<InstanceId> pickReachable(std::size_t wanted, const InstanceId &except);
+
+    // The platform's list (membership_list.cpp).
+    void takeListed(TimePoint now, const ListedInstance &listed, MembershipActions &actions);
+    bool trustsListOf(TimePoint now, const MemberEntry &entry) const;
+    void noteAbsences(TimePoint now, const std::set<InstanceId> &present);
+    bool isAbsenceProof(TimePoint now, const MemberEntry &entry) const;
+    void judgeListed(TimePoint now, MembershipActions &actions);
 
     MembershipSettings settings;
     MemberIdentity selfIdentity;
@@ -204,11 +231,14 @@
     bool isSelfLeaving = false;
     bool hasLeft = false;
     bool hasUrgentNews = false;
+    /// Times that this process still puts its own news on datagrams.
+    std::uint32_t selfNewsLeft = 0;
+    bool hasTicked = false;
+    TimePoint lastHeardAny{};
     std::uint32_t localHealth = 0;
     std::uint64_t nextProbe = 1;
     TimePoint lastTick{};
     TimePoint nextProbeAt{};
-    TimePoint nextSuspectProbeAt{};
     TimePoint nextUnreachableProbeAt{};
     TimePoint nextSeedAt{};
     std::array<std::uint64_t, membershipCountCount> counts{};
--- /dev/null
+++ b/src/peer/membership_probing.cpp
@@ -0,0 +1,323 @@
+#include "peer/membership.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboochute::peer {
+
+namespace {
+
+/// Most suspected members that are probed in one round.
+constexpr std::size_t maxSuspectsProbed = 8;
+/// Most probes done for others at a time.
+constexpr std::size_t maxRelayedProbes = 256;
+/// Upper end of the scale on which an instance judges its own health.
+constexpr std::uint32_t worstLocalHealth = 4;
+/// Seeds that are contacted at once while no member is known.
+constexpr std::uint32_t seedsWhenAlone = 3;
+/// Time between two contacts with seeds while no member is known.
+constexpr Duration seedPeriodWhenAlone = std::chrono::milliseconds(500);
+/// Least time between two refusals of a port that count as two.
+constexpr Duration refusalSpacing = std::chrono::milliseconds(150);
+/// Refusals in a row that prove that the process has ended.
+constexpr std::uint32_t refusalsForGone = 2;
+
+} // namespace
+
+MembershipActions Membership::onTick(TimePoint now)
+{
+    MembershipActions actions;
+    if (this->hasLeft)
+        return actions;
+    this->noticePause(now);
+    this->expireProbes(now, actions);
+    this->judgeSuspects(now, actions);
+    this->judgeListed(now, actions);
+    if (now >= this->nextProbeAt) {
+        this->nextProbeAt = std::max(this->nextProbeAt + this->settings.probePeriod, now);
+        this->probeNext(now, actions);
+        this->probeSuspects(now, actions);
+        this->table.cleanUp(now);
+    }
+    if (now >= this->nextUnreachableProbeAt) {
+        this->nextUnreachableProbeAt = now + this->settings.unreachableProbePeriod;
+        this->probeUnreachable(now, actions);
+    }
+    this->contactSeeds(now, actions);
+    this->sendEagerNews(actions);
+    return actions;
+}
+
+void Membership::noticePause(TimePoint now)
+{
+    const bool wasPaused = this->hasTicked && now - this->lastTick > this->settings.pauseThreshold;
+    const Duration gap = now - this->lastTick;
+    this->hasTicked = true;
+    this->lastTick = now;
+    if (!wasPaused)
+        return;
+    this->countUp(MembershipCount::SelfPaused);
+    this->probes.clear();
+    this->relayedProbes.clear();
+    for (auto &[instance, entry] : this->table.all()) {
+        if (entry.member.state == MemberState::Suspected)
+            entry.stateSince += gap;
+    }
+}
+
+void Membership::startProbe(TimePoint now, const InstanceId &target, MembershipActions &actions)
+{
+    const MemberEntry *entry = this->table.find(target);
+    if (entry == nullptr)
+        return;
+    const std::uint64_t number = this->nextProbe++;
+    this->probes[number] = Probe{target, now, false};
+    this->sendPing(*entry, number, actions);
+    this->countUp(MembershipCount::ProbeSent);
+}
+
+void Membership::sendPing(const MemberEntry &entry, std::uint64_t number,
+                          MembershipActions &actions)
+{
+    Datagram ping;
+    ping.kind = DatagramKind::Ping;
+    ping.probe = number;
+    ping.members.push_back(this->selfUpdate());
+    if (!isReachable(entry.member.state))
+        ping.members.push_back(updateOf(entry.member));
+    this->attachNews(ping);
+    ping.tableDigest = this->digestForPeer(entry.member);
+    const MemberIdentity &identity = entry.member.identity;
+    this->send(std::move(ping), identity.datagramEndpoint, identity.instance, actions);
+}
+
+TableDigest Membership::digestForPeer(const Member &peer) const
+{
+    // The receiver's table holds this process instead of the receiver.
+    return this->table.digestSeenBy(peer, Member{this->selfIdentity, MemberState::Alive,
+                                                 this->selfRefutation, this->isSelfLeaving,
+                                                 GoneEvidence::None});
+}
+
+void Membership::handleAck(const Datagram &datagram, MembershipActions &actions)
+{
+    const auto own = this->probes.find(datagram.probe);
+    if (own != this->probes.end() && own->second.target == datagram.sender) {
+        this->probes.erase(own);
+        this->localHealth -= this->localHealth > 0 ? 1 : 0;
+        return;
+    }
+    const auto relayed = this->relayedProbes.find(datagram.probe);
+    if (relayed == this->relayedProbes.end() || relayed->second.subject != datagram.sender)
+        return;
+    Datagram answer;
+    answer.kind = DatagramKind::IndirectAck;
+    answer.probe = relayed->second.askersProbe;
+    answer.subject = datagram.sender;
+    if (const MemberEntry *subject = this->table.find(datagram.sender))
+        answer.members.push_back(updateOf(subject->member));
+    this->sendTo(relayed->second.asker, std::move(answer), actions);
+    this->relayedProbes.erase(relayed);
+}
+
+void Membership::handleIndirectAck(TimePoint now, const Datagram &datagram,
+                                   MembershipActions &actions)
+{
+    const auto own = this->probes.find(datagram.probe);
+    if (own == this->probes.end() || own->second.target != datagram.subject)
+        return;
+    this->probes.erase(own);
+    this->clearSuspicion(now, datagram.subject, actions);
+}
+
+void Membership::handlePingRequest(TimePoint now, const Datagram &datagram,
+                                   MembershipActions &actions)
+{
+    const MemberEntry *subject = this->table.find(datagram.subject);
+    if (subject == nullptr || this->relayedProbes.size() >= maxRelayedProbes)
+        return;
+    const std::uint64_t number = this->nextProbe++;
+    this->relayedProbes[number]
+            = RelayedProbe{datagram.sender, datagram.subject, datagram.probe, now};
+    this->sendPing(*subject, number, actions);
+}
+
+void Membership::askOthersToProbe(const Probe &probe, std::uint64_t number,
+                                  MembershipActions &actions)
+{
+    const MemberEntry *target = this->table.find(probe.target);
+    if (target == nullptr)
+        return;
+    for (const InstanceId &helper : this->pickReachable(this->settings.indirectProbes)) {
+        if (helper == probe.target)
+            continue;
+        Datagram request;
+        request.kind = DatagramKind::PingRequest;
+        request.probe = number;
+        request.subject = probe.target;
+        this->sendTo(helper, std::move(request), actions);
+        this->countUp(MembershipCount::IndirectProbeSent);
+    }
+}
+
+void Membership::expireProbes(TimePoint now, MembershipActions &actions)
+{
+    for (auto each = this->probes.begin(); each != this->probes.end();) {
+        Probe &probe = each->second;
+        const Duration age = now - probe.sentAt;
+        if (age >= this->settings.probeTimeout) {
+            const Probe failed = probe;
+            each = this->probes.erase(each);
+            this->noteFailedProbe(now, failed, actions);
+            continue;
+        }
+        const MemberEntry *target = this->table.find(probe.target);
+        const bool isWorthAsking = target != nullptr && isReachable(target->member.state);
+        if (!probe.isIndirect && isWorthAsking && age >= this->settings.directTimeout) {
+            probe.isIndirect = true;
+            this->askOthersToProbe(probe, each->first, actions);
+        }
+        ++each;
+    }
+    std::erase_if(this->relayedProbes, [&](const auto &each) {
+        return now - each.second.sentAt >= this->settings.probeTimeout;
+    });
+}
+
+void Membership::noteFailedProbe(TimePoint now, const Probe &probe, MembershipActions &actions)
+{
+    MemberEntry *entry = this->table.find(probe.target);
+    const bool wasHeardSince
+            = entry != nullptr && entry->wasHeard && entry->lastHeard >= probe.sentAt;
+    if (entry == nullptr || wasHeardSince)
+        return;
+    ++entry->failedProbes;
+    this->countUp(MembershipCount::ProbeTimedOut);
+    if (entry->member.state == MemberState::Alive) {
+        this->localHealth = std::min(this->localHealth + 1, worstLocalHealth);
+        this->suspect(now, probe.target, actions);
+    }
+}
+
+void Membership::suspect(TimePoint now, const InstanceId &target, MembershipActions &actions)
+{
+    this->countUp(MembershipCount::Suspected);
+    this->apply(
+            this->table.setState(now, target, MemberState::Suspected, GoneEvidence::None, false),
+            false, actions);
+}
+
+void Membership::judgeSuspects(TimePoint now, MembershipActions &actions)
+{
+    std::vector<InstanceId> silent;
+    for (const auto &[instance, entry] : this->table.all()) {
+        const bool isSuspected = entry.member.state == MemberState::Suspected;
+        if (isSuspected && now - entry.stateSince >= this->suspicionTime())
+            silent.push_back(instance);
+    }
+    for (const InstanceId &instance : silent) {
+        const MemberEntry &entry = *this->table.find(instance);
+        // An instance that hears nobody judges for itself only.
+        const bool hearsOthers = this->lastHeardAny > entry.stateSince;
+        this->countUp(MembershipCount::DeclaredUnreachable);
+        this->apply(this->table.setState(now, instance, MemberState::Unreachable,
+                                         GoneEvidence::None, hearsOthers),
+                    hearsOthers, actions);
+    }
+}
+
+void Membership::probeNext(TimePoint now, MembershipActions &actions)
+{
+    if (const std::optional<InstanceId> target = this->schedule.next(this->table, this->random))
+        this->startProbe(now, *target, actions);
+}
+
+void Membership::probeSuspects(TimePoint now, MembershipActions &actions)
+{
+    std::vector<InstanceId> suspects;
+    for (const auto &[instance, entry] : this->table.all()) {
+        if (entry.member.state == MemberState::Suspected)
+            suspects.push_back(instance);
+    }
+    const std::size_t offset = suspects.empty() ? 0 : this->random.below(suspects.size());
+    for (std::size_t i = 0; i < std::min(suspects.size(), maxSuspectsProbed); ++i)
+        this->startProbe(now, suspects[(offset + i) % suspects.size()], actions);
+}
+
+void Membership::probeUnreachable(TimePoint now, MembershipActions &actions)
+{
+    std::vector<InstanceId> unreachable;
+    for (const auto &[instance, entry] : this->table.all()) {
+        if (entry.member.state == MemberState::Unreachable)
+            unreachable.push_back(instance);
+    }
+    if (!unreachable.empty())
+        this->startProbe(now, unreachable[this->random.below(unreachable.size())], actions);
+}
+
+void Membership::contactSeeds(TimePoint now, MembershipActions &actions)
+{
+    if (now < this->nextSeedAt)
+        return;
+    const bool isAlone = this->schedule.reachable(this->table).empty();
+    this->nextSeedAt = now + (isAlone ? seedPeriodWhenAlone : this->settings.seedPeriod);
+    std::vector<Endpoint> unknown;
+    const auto collect = [&](const std::vector<Endpoint> &from) {
+        for (const Endpoint &endpoint : from) {
+            const bool isSelf = endpoint == this->selfIdentity.datagramEndpoint;
+            const MemberEntry *entry = this->table.findByEndpoint(endpoint);
+            const bool isMember = entry != nullptr && entry->member.state != MemberState::Gone;
+            if (!isSelf && !isMember)
+                unknown.push_back(endpoint);
+        }
+    };
+    collect(this->seeds);
+    collect(this->listedEndpoints);
+    for (std::uint32_t i = 0; i < (isAlone ? seedsWhenAlone : 1) && !unknown.empty(); ++i) {
+        const std::size_t chosen = this->random.below(unknown.size());
+        Datagram join;
+        join.kind = DatagramKind::Join;
+        join.members.push_back(this->selfUpdate());
+        this->send(std::move(join), unknown[chosen], InstanceId(), actions);
+        unknown.erase(unknown.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+}
+
+MembershipActions Membership::onProbeRefused(TimePoint now, const Endpoint &endpoint)
+{
+    MembershipActions actions;
+    MemberEntry *entry = this->table.findByEndpoint(endpoint);
+    if (this->hasLeft || entry == nullptr || entry->member.state == MemberState::Gone)
+        return actions;
+    if (entry->refusals > 0 && now - entry->refusedAt < refusalSpacing)
+        return actions;
+    const InstanceId instance = entry->member.identity.instance;
+    entry->refusedAt = now;
+    ++entry->refusals;
+    if (entry->refusals >= refusalsForGone) {
+        this->declareGone(now, instance, GoneEvidence::PortRefused, actions);
+        this->sendEagerNews(actions);
+        return actions;
+    }
+    if (entry->member.state == MemberState::Alive)
+        this->suspect(now, instance, actions);
+    return actions;
+}
+
+void Membership::declareGone(TimePoint now, const InstanceId &instance, GoneEvidence evidence,
+                             MembershipActions &actions)
+{
+    this->countUp(MembershipCount::DeclaredGone);
+    this->apply(this->table.setState(now, instance, MemberState::Gone, evidence, true), true,
+                actions);
+    this->hasUrgentNews = true;
+}
+
+Duration Membership::suspicionTime() const
+{
+    // A health of one is what a single failure brings; only more of them slow the judgement.
+    const std::uint32_t excess = this->localHealth > 1 ? this->localHealth - 1 : 0;
+    return this->settings.suspicionTimeout * (4 + excess) / 4;
+}
+
+} // namespace bamboochute::peer
--- a/src/peer/probe_schedule.hpp
+++ b/src/peer/probe_schedule.hpp
@@ -25,6 +25,9 @@
     /// @brief The member to probe next, unless there is none to probe.
     std::optional<InstanceId> next(const MemberTable &table, Random &random);
 
+    /// @brief Members that are alive or suspected, by name.
+    const std::vector<InstanceId> &reachable(const MemberTable &table);
+
 private:
     struct Place
     {
@@ -33,12 +36,12 @@
         auto operator<=>(const Place &) const = default;
     };
 
-    void rebuild(const MemberTable &table);
+    void refresh(const MemberTable &table);
 
     Place selfPlace;
     std::uint32_t successorCount;
     std::vector<InstanceId> successors;
-    std::vector<InstanceId> others;
+    std::vector<InstanceId> present;
     std::uint64_t builtFor = ~std::uint64_t{0};
     std::uint32_t turn = 0;
 };
--- /dev/null
+++ b/tests/peer/unit-calls.cpp
@@ -0,0 +1,332 @@
+#include "peer/call_client.hpp"
+#include "peer/call_server.hpp"
+#include "peer/datagram_socket.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace bamboochute;
+using namespace bamboochute::peer;
+
+namespace {
+
+const Endpoint anyPort{"127.0.0.1", 0};
+constexpr Duration longTimeout = std::chrono::seconds(30);
+
+KeyRing ring(const char *text = "1:00112233445566778899aabbccddeeff")
+{
+    return KeyRing::parse(text).value();
+}
+
+/// Runs the context until the condition holds; a hang is caught by the test's own time limit.
+void runUntil(boost::asio::io_context &context, const std::function<bool()> &condition)
+{
+    context.restart();
+    while (!condition())
+        REQUIRE(context.run_one() > 0);
+}
+
+struct Node
+{
+    Node(boost::asio::io_context &context, std::string name, const KeyRing &keys)
+        : server(CallServer::open(context, anyPort, keys).value())
+        , client(context, keys, Caller{InstanceId(name), Incarnation(7)})
+    {
+        this->server->handle<Ping>([name](const Caller &, Ping, const auto &reply) {
+            reply(Pong{InstanceId(name), Incarnation(7)});
+        });
+        this->server->handle<DemandReport>(
+                [this](const Caller &caller, DemandReport report, auto reply) {
+                    this->callers.push_back(caller);
+                    this->reports.push_back(std::move(report));
+                    this->replies.push_back(std::move(reply));
+                });
+        this->server->handle<ConfigurationPartsRequest>(
+                [](const Caller &, const ConfigurationPartsRequest &request, const auto &reply) {
+                    ConfigurationPartsAnswer answer;
+                    for (const PartPosition &part : request.parts)
+                        answer.chunks.push_back(PartChunk{part.hash, part.offset, maxChunkBytes,
+                                                          std::string(maxChunkBytes, '\xfe')});
+                    reply(std::move(answer));
+                });
+        this->server->start();
+    }
+
+    std::unique_ptr<CallServer> server;
+    CallClient client;
+    std::vector<Caller> callers;
+    std::vector<DemandReport> reports;
+    std::vector<CallServer::Reply<DemandAnswer>> replies;
+};
+
+DemandReport report()
+{
+    DemandReport made;
+    made.pool = PoolId("quito");
+    made.demands.push_back(TargetDemand{Target{ModelId("lease@3"), AdapterId("es")}, 4,
+                                        std::chrono::milliseconds(1500), 12});
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("Calls between three instances")
+{
+    boost::asio::io_context context;
+    Node first(context, "first", ring());
+    Node second(context, "second", ring());
+    Node third(context, "third", ring());
+
+    SUBCASE("each one can call each other one")
+    {
+        std::vector<std::string> answers;
+        for (Node *from : {&first, &second, &third}) {
+            for (Node *to : {&first, &second, &third}) {
+                from->client.call(to->server->localEndpoint(), Ping{}, longTimeout,
+                                  [&](const Result<Pong> &pong) {
+                                      answers.push_back(pong.value().instance.value());
+                                  });
+            }
+        }
+        runUntil(context, [&] { return answers.size() == 9; });
+        CHECK(std::count(answers.begin(), answers.end(), "second") == 3);
+    }
+
+    SUBCASE("a typed request arrives whole, with its authenticated caller")
+    {
+        std::optional<Result<DemandAnswer>> answer;
+        first.client.call(second.server->localEndpoint(), report(), longTimeout,
+                          [&](Result<DemandAnswer> given) { answer = std::move(given); });
+        runUntil(context, [&] { return !second.replies.empty(); });
+        CHECK(second.reports.front() == report());
+        CHECK(second.callers.front() == Caller{InstanceId("first"), Incarnation(7)});
+
+        SUBCASE("and its answer may come later")
+        {
+            DemandAnswer expected;
+            expected.outcome = ReportOutcome::NotOwner;
+            expected.ownerHint = InstanceId("third");
+            expected.fence = Fence(9);
+            expected.refusals.push_back(DemandRefusal{Target{ModelId("lease@3"), AdapterId("es")},
+                                                      ErrorKind::NoCapacity, "full \xc3\xa9",
+                                                      std::chrono::seconds(4)});
+            second.replies.front()(expected);
+            runUntil(context, [&] { return answer.has_value(); });
+            CHECK(answer->value() == expected);
+        }
+        SUBCASE("and an error keeps its kind, message, field and delay")
+        {
+            const Error expected = Error(ErrorKind::Draining, "stops", "pool")
+                                           .withRetryAfter(std::chrono::seconds(3));
+            second.replies.front()(expected);
+            runUntil(context, [&] { return answer.has_value(); });
+            CHECK(answer->error() == expected);
+        }
+        SUBCASE("and a server that closes ends the call with an error that says it was sent")
+        {
+            second.server->close();
+            runUntil(context, [&] { return answer.has_value(); });
+            CHECK(answer->error().kind() == ErrorKind::PeerUnreachable);
+            CHECK(answer->error().field() == "sent");
+        }
+    }
+
+    SUBCASE("answers that cross reach their own requests")
+    {
+        std::vector<std::string> hints(2);
+        for (std::size_t i = 0; i < hints.size(); ++i) {
+            first.client.call(second.server->localEndpoint(), report(), longTimeout,
+                              [&, i](const Result<DemandAnswer> &given) {
+                                  hints[i] = given.value().ownerHint.value();
+                              });
+        }
+        runUntil(context, [&] { return second.replies.size() == 2; });
+        DemandAnswer answer;
+        answer.ownerHint = InstanceId("of the later");
+        second.replies[1](answer);
+        answer.ownerHint = InstanceId("of the earlier");
+        second.replies[0](answer);
+        second.replies[0](answer);
+        runUntil(context, [&] { return !hints[0].empty() && !hints[1].empty(); });
+        CHECK(hints[0] == "of the earlier");
+        CHECK(hints[1] == "of the later");
+    }
+
+    SUBCASE("a call that is not answered ends at its time-out, and a late answer is dropped")
+    {
+        std::optional<Result<DemandAnswer>> answer;
+        first.client.call(second.server->localEndpoint(), report(), std::chrono::milliseconds(200),
+                          [&](Result<DemandAnswer> given) { answer = std::move(given); });
+        runUntil(context, [&] { return answer.has_value(); });
+        CHECK(answer->error().kind() == ErrorKind::PeerUnreachable);
+        CHECK(first.client.counts().timedOut == 1);
+        for (const auto &reply : second.replies)
+            reply(DemandAnswer{});
+        std::optional<Result<Pong>> pong;
+        first.client.call(second.server->localEndpoint(), Ping{}, longTimeout,
+                          [&](Result<Pong> given) { pong = std::move(given); });
+        runUntil(context, [&] { return pong.has_value(); });
+        CHECK(pong->value().instance == InstanceId("second"));
+    }
+
+    SUBCASE("where nothing listens, the call was not sent; later the connection is made anew")
+    {
+        const Endpoint endpoint = third.server->localEndpoint();
+        third.server->close();
+        std::optional<Result<Pong>> pong;
+        first.client.call(endpoint, Ping{}, longTimeout,
+                          [&](Result<Pong> given) { pong = std::move(given); });
+        CHECK_FALSE(pong.has_value());
+        runUntil(context, [&] { return pong.has_value(); });
+        CHECK(pong->error().field() == "not_sent");
+        const auto again = CallServer::open(context, endpoint, ring()).value();
+        again->handle<Ping>([](const Caller &, Ping, const auto &reply) {
+            reply(Pong{InstanceId("again"), Incarnation(8)});
+        });
+        again->start();
+        pong.reset();
+        first.client.call(endpoint, Ping{}, longTimeout,
+                          [&](Result<Pong> given) { pong = std::move(given); });
+        runUntil(context, [&] { return pong.has_value(); });
+        CHECK(pong->value().instance == InstanceId("again"));
+    }
+
+    SUBCASE("a large answer comes through, one above the bound is refused")
+    {
+        ConfigurationPartsRequest request;
+        request.parts.push_back(PartPosition{"abc", 5});
+        std::optional<Result<ConfigurationPartsAnswer>> answer;
+        const auto keep
+                = [&](Result<ConfigurationPartsAnswer> given) { answer = std::move(given); };
+        first.client.call(second.server->localEndpoint(), request, longTimeout, keep);
+        runUntil(context, [&] { return answer.has_value(); });
+        CHECK(answer->value().chunks.front().bytes == std::string(maxChunkBytes, '\xfe'));
+        answer.reset();
+        request.parts.push_back(PartPosition{"def", 0});
+        first.client.call(second.server->localEndpoint(), request, longTimeout, keep);
+        runUntil(context, [&] { return answer.has_value(); });
+        CHECK(answer->error().kind() == ErrorKind::UpstreamOversized);
+    }
+
+    SUBCASE("a method that the server does not have is refused by the protocol")
+    {
+        std::optional<Result<GaveUpAnswer>> answer;
+        first.client.call(second.server->localEndpoint(), GaveUp{}, longTimeout,
+                          [&](Result<GaveUpAnswer> given) { answer = std::move(given); });
+        runUntil(context, [&] { return answer.has_value(); });
+        CHECK(answer->error().kind() == ErrorKind::MalformedRequest);
+    }
+}
+
+TEST_CASE("Calls are authenticated")
+{
+    boost::asio::io_context context;
+    Node server(context, "server", ring("1:00112233445566778899aabbccddeeff"));
+    std::optional<Result<Pong>> pong;
+    const auto keep = [&](Result<Pong> given) { pong = std::move(given); };
+    const auto callWith = [&](const char *keys) {
+        CallClient client(context, ring(keys), Caller{InstanceId("client"), Incarnation(1)});
+        client.call(server.server->localEndpoint(), Ping{}, longTimeout, keep);
+        runUntil(context, [&] { return pong.has_value(); });
+    };
+
+    SUBCASE("another secret under the same identifier is refused before the call is sent")
+    {
+        callWith("1:ffffffffffffffffffffffffffffffff");
+        CHECK(pong->error().kind() == ErrorKind::PeerUnauthenticated);
+        CHECK(pong->error().field() == "not_sent");
+        CHECK(server.server->counts().calls == 0);
+    }
+    SUBCASE("during a rotation either key of the two is accepted")
+    {
+        server.server->replaceKeys(
+                ring("2:22222222222222222222222222222222,1:00112233445566778899aabbccddeeff"));
+        callWith("1:00112233445566778899aabbccddeeff,2:22222222222222222222222222222222");
+        CHECK(pong->has_value());
+    }
+    SUBCASE("a stranger's bytes end the connection and are counted; the server goes on")
+    {
+        using Tcp = boost::asio::ip::tcp;
+        const Endpoint to = server.server->localEndpoint();
+        for (const std::string &bytes :
+             {std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+              std::string("BCC1") + std::string(16, 'n') + std::string("\xff\xff\xff\xff", 4),
+              std::string("BCC1") + std::string(16, 'n') + std::string("\0\0\0\x01x", 5),
+              std::string("BCC1") + std::string(16, 'n') + std::string("\0\0\0\x20", 4)
+                      + std::string(32, '\x01')}) {
+            Tcp::socket socket(context);
+            socket.connect(Tcp::endpoint(boost::asio::ip::make_address(to.address), to.port));
+            boost::asio::write(socket, boost::asio::buffer(bytes));
+            const CallServerCounts before = server.server->counts();
+            runUntil(context, [&] {
+                const CallServerCounts now = server.server->counts();
+                return now.malformed + now.oversized + now.unauthenticated
+                       > before.malformed + before.oversized + before.unauthenticated;
+            });
+        }
+        CHECK(server.server->counts().malformed == 2);
+        CHECK(server.server->counts().oversized == 1);
+        CHECK(server.server->counts().unauthenticated == 1);
+        callWith("1:00112233445566778899aabbccddeeff");
+        CHECK(pong->has_value());
+    }
+}
+
+TEST_CASE("The datagram socket")
+{
+    boost::asio::io_context context;
+    const auto first = DatagramSocket::open(context, anyPort).value();
+    const auto second = DatagramSocket::open(context, anyPort).value();
+    std::vector<std::string> received;
+    std::vector<Endpoint> sources;
+    std::vector<Endpoint> refused;
+    first->start([](std::string_view, const Endpoint &) {},
+                 [&](const Endpoint &endpoint) { refused.push_back(endpoint); });
+    second->start(
+            [&](std::string_view bytes, const Endpoint &source) {
+                received.emplace_back(bytes);
+                sources.push_back(source);
+            },
+            [](const Endpoint &) {});
+
+    SUBCASE("carries datagrams and tells their source")
+    {
+        first->send(second->localEndpoint(), "hello");
+        runUntil(context, [&] { return !received.empty(); });
+        CHECK(received.front() == "hello");
+        CHECK(sources.front() == first->localEndpoint());
+    }
+    SUBCASE("names the endpoint at which no process listens, and goes on")
+    {
+        const auto closed = DatagramSocket::open(context, anyPort).value();
+        const Endpoint endpoint = closed->localEndpoint();
+        closed->close();
+        first->send(endpoint, "to nobody");
+        runUntil(context, [&] { return !refused.empty(); });
+        CHECK(refused.front() == endpoint);
+        first->send(endpoint, "to nobody again");
+        first->send(second->localEndpoint(), "to somebody");
+        runUntil(context, [&] { return refused.size() == 2 && !received.empty(); });
+        CHECK(received.front() == "to somebody");
+    }
+    SUBCASE("cuts what is larger than allowed, so that it is recognised")
+    {
+        first->send(second->localEndpoint(), std::string(5000, 'x'));
+        runUntil(context, [&] { return !received.empty(); });
+        CHECK(received.front().size() > 1400);
+    }
+    SUBCASE("refuses an address that is none")
+    {
+        const auto failed = DatagramSocket::open(context, Endpoint{"nowhere", 1});
+        REQUIRE_FALSE(failed.has_value());
+        CHECK(failed.error().kind() == ErrorKind::SettingInvalid);
+    }
+}
