Measure queues, routing, prefixes, retries and claims in virtual time

Cause: the numbers stated for traffic and faults had no run behind them. Change: experiments "traffic" and "faults" with the real classes and small fakes: upstreams as servers with slots, a priority queue and a prefix cache, reports 2 s late.

--- /dev/null
+++ b/bench/experiment-faults.cpp
@@ -0,0 +1,88 @@
+#include "claim_grouping.hpp"
+#include "claims_run.hpp"
+#include "experiment.hpp"
+#include "failing_upstream.hpp"
+
+#include <fmt/format.h>
+
+namespace bamboochute::bench {
+
+namespace {
+
+constexpr std::uint64_t defaultOperations = 100000;
+/// Transactions a second that the edges of the measured time may add.
+constexpr double groupingTolerance = 1.0;
+
+void reportClaims(Report &report, const ClaimsRunResult &result)
+{
+    report.figure("claims.operations", static_cast<double>(result.operations), "operations");
+    report.figure("claims.run_twice", static_cast<double>(result.runTwice), "operations");
+    report.figure("claims.false_not_run", static_cast<double>(result.falseNotRun), "answers");
+    report.figure("claims.unexplained_unknown", static_cast<double>(result.unexplainedUnknown),
+                  "answers");
+    report.figure("claims.other_wrong", static_cast<double>(result.otherWrong), "answers");
+    report.atMost("claims.run_twice", 0);
+    report.atMost("claims.false_not_run", 0);
+    report.atMost("claims.unexplained_unknown", 0);
+    report.atMost("claims.other_wrong", 0);
+    report.table += fmt::format(
+            "At most once: {} operations, {} attempts; {} ran, {} replays, {} not run, "
+            "{} in progress, {} unknown, {} conflicts;\n"
+            "{} kills, {} pauses, {} outages, {} lost answers, {} transactions\n",
+            result.operations, result.attempts, result.ran, result.replays, result.notRun,
+            result.inProgress, result.unknown, result.conflicts, result.kills, result.pauses,
+            result.outages, result.lostAnswers, result.transactions);
+}
+
+void reportFailing(Report &report, const ExperimentArguments &arguments)
+{
+    const FailingUpstreamResult result = runFailingUpstream(arguments.seed);
+    report.figure("failing.caller_errors", result.callerErrorShare(), "share");
+    report.figure("failing.attempts_per_request", result.attemptsPerRequest(), "attempts");
+    report.atMost("failing.caller_errors", 0.005);
+    report.atMost("failing.attempts_per_request", 1.1);
+    report.table += fmt::format("One of 12 upstreams fails 50% of its calls: {} requests, {} "
+                                "attempts, {} errors seen by callers, {} retries refused\n",
+                                result.requests, result.attempts, result.callerErrors,
+                                result.retriesRefused);
+}
+
+void reportGrouping(Report &report, const ExperimentArguments &arguments)
+{
+    report.table += "Claims by grouping (claim and outcome are one write each):\n";
+    report.table
+            += "instances writers  claims/s transactions/s  writes/transaction  p50 ms  p99 ms\n";
+    for (const std::uint32_t instances : {12U, 340U}) {
+        for (const double rate : {10.0, 100.0, 300.0, 1000.0, 3000.0}) {
+            const GroupingResult result = runGrouping(arguments.seed, instances, rate);
+            report.table += fmt::format(
+                    "{:>9} {:>7} {:>9.0f} {:>14.1f} {:>19.2f} {:>7.1f} {:>7.1f}\n", instances,
+                    result.writers, rate, result.transactionsPerSecond, result.writesPerTransaction,
+                    result.p50.count() / 1e3, result.p99.count() / 1e3);
+            const std::string name
+                    = fmt::format("grouping.{}x{:.0f}.transactions", instances, rate);
+            report.figure(name, result.transactionsPerSecond, "1/s");
+            report.atMost(name, claimTransactionsPerSecond + groupingTolerance);
+        }
+    }
+}
+
+Report run(const ExperimentArguments &arguments)
+{
+    ClaimsRunSettings settings;
+    settings.seed = arguments.seed;
+    settings.operations = arguments.steps == 0 ? defaultOperations : arguments.steps;
+    settings.instances = 12;
+    Report report;
+    reportClaims(report, ClaimsRun<admission::OperationClaims>(settings).run());
+    reportFailing(report, arguments);
+    reportGrouping(report, arguments);
+    return report;
+}
+
+const RegisterExperiment registration("faults", "at most once, failing upstreams, grouped claims",
+                                      run);
+
+} // namespace
+
+} // namespace bamboochute::bench
--- /dev/null
+++ b/bench/experiment-traffic.cpp
@@ -0,0 +1,157 @@
+#include "experiment.hpp"
+#include "traffic_world.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace bamboochute::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const CallerClassId exportHouse("export-house");
+const CallerClassId localShop("local-shop");
+const CallerClassId walkIn("walk-in");
+
+std::vector<TrafficClass> threeClasses()
+{
+    return {
+            {{exportHouse, 16, 10, 256, {}}, 0.05, 10s},
+            {{localShop, 4, 5, 256, {}}, 0.35, 10s},
+            {{walkIn, 1, 0, 256, {}}, 0.60, 10s},
+    };
+}
+
+std::vector<TrafficClass> oneClass()
+{
+    return {{{localShop, 1, 0, 1000, {}}, 1.0, 60s}};
+}
+
+TrafficSettings baseSettings(const ExperimentArguments &arguments)
+{
+    TrafficSettings settings;
+    settings.seed = arguments.seed;
+    return settings;
+}
+
+double milliseconds(Duration duration)
+{
+    return toSeconds(duration) * 1e3;
+}
+
+void overload(Report &report, const ExperimentArguments &arguments)
+{
+    TrafficSettings settings = baseSettings(arguments);
+    settings.classes = threeClasses();
+    settings.load = 0.5;
+    const TrafficResult half = runTraffic(settings);
+    settings.load = 2.0;
+    const TrafficResult twice = runTraffic(settings);
+    report.table += "Overload, 12 instances, 12 upstreams of 64 slots:\n";
+    report.table
+            += fmt::format("{:<14} {:>5} {:>8} {:>8} {:>7} {:>7} {:>7} {:>5} {:>9} {:>9} {:>9}\n",
+                           "class", "load", "offered", "in time", "full", "early", "expired", "cut",
+                           "p99 q ms", "mean q ms", "late ms");
+    for (const auto &[load, result] : {std::pair(0.5, &half), std::pair(2.0, &twice)}) {
+        for (const auto &[id, each] : result->classes) {
+            double sum = 0;
+            for (const Duration wait : each.queueing)
+                sum += milliseconds(wait);
+            const double mean
+                    = sum / static_cast<double>(std::max<std::size_t>(1, each.queueing.size()));
+            report.table += fmt::format(
+                    "{:<14} {:>5.1f} {:>8} {:>8} {:>7} {:>7} {:>7} {:>5} {:>9.2f} {:>9.3f} "
+                    "{:>9.2f}\n",
+                    id.value(), load, each.offered, each.inTime, each.refusedFull,
+                    each.refusedEarly, each.expired, each.cutAtDeadline,
+                    milliseconds(quantile(each.queueing, 0.99)), mean, milliseconds(each.latest));
+        }
+    }
+    const double halfWait = milliseconds(quantile(half.classes.at(exportHouse).queueing, 0.99));
+    const double twiceWait = milliseconds(quantile(twice.classes.at(exportHouse).queueing, 0.99));
+    report.figure("overload.goodput", twice.goodput, "of capacity");
+    report.atLeast("overload.goodput", 0.95);
+    report.figure("overload.top_p99_at_half_load", halfWait, "ms");
+    report.figure("overload.top_p99_at_double_load", twiceWait, "ms");
+    report.atMost("overload.top_p99_at_double_load", 1.2 * halfWait);
+    const Duration latest = twice.classes.at(walkIn).latest;
+    report.figure("overload.lowest_latest_answer", milliseconds(latest), "ms");
+    report.atMost("overload.lowest_latest_answer", 50);
+    const ClassResult &lowest = twice.classes.at(walkIn);
+    const std::uint64_t answered = lowest.inTime + lowest.refusedFull + lowest.refusedEarly
+                                   + lowest.expired + lowest.cutAtDeadline;
+    report.figure("overload.lowest_unanswered", static_cast<double>(lowest.offered - answered),
+                  "requests");
+    report.atMost("overload.lowest_unanswered", 0);
+}
+
+void routing(Report &report, const ExperimentArguments &arguments)
+{
+    TrafficSettings settings = baseSettings(arguments);
+    settings.classes = oneClass();
+    settings.slots = 8;
+    settings.load = 0.8;
+    report.table += "Routing at 80% load, reports 2 s late, upstreams of 8 slots:\n";
+    const auto measure = [&](const std::string &name, RoutingPolicy policy) {
+        settings.policy = policy;
+        const TrafficResult result = runTraffic(settings);
+        const ClassResult &each = result.classes.at(localShop);
+        const double p99 = milliseconds(quantile(each.latency, 0.99));
+        report.table += fmt::format(
+                "{:<22} p50 {:>8.1f} ms  p99 {:>8.1f} ms  p99 queueing {:>8.1f} ms\n", name,
+                milliseconds(quantile(each.latency, 0.5)), p99,
+                milliseconds(quantile(each.queueing, 0.99)));
+        return p99;
+    };
+    const double ours = measure("router", RoutingPolicy::Router);
+    const double roundRobin = measure("round robin", RoutingPolicy::RoundRobin);
+    const double least = measure("least reported load", RoutingPolicy::LeastReportedLoad);
+    const double two = measure("two reported loads", RoutingPolicy::TwoReportedLoads);
+    report.figure("routing.p99", ours, "ms");
+    report.figure("routing.p99_round_robin", roundRobin, "ms");
+    report.figure("routing.p99_least_reported", least, "ms");
+    report.figure("routing.p99_two_reported", two, "ms");
+    report.figure("routing.p99_over_least_reported", ours / least, "ratio");
+    report.atMost("routing.p99_over_least_reported", 0.7);
+    report.figure("routing.p99_over_round_robin", ours / roundRobin, "ratio");
+}
+
+void prefixes(Report &report, const ExperimentArguments &arguments)
+{
+    TrafficSettings settings = baseSettings(arguments);
+    settings.classes = oneClass();
+    settings.slots = 32;
+    settings.load = 0.8;
+    settings.books = 60;
+    const TrafficResult result = runTraffic(settings);
+    const double hitShare
+            = static_cast<double>(result.hits) / static_cast<double>(result.possibleHits);
+    report.table
+            += fmt::format("Prefixes: 60 style books, 16 kept by an upstream: {} of {} possible "
+                           "hits\n",
+                           result.hits, result.possibleHits);
+    report.figure("prefix.hits", hitShare, "of possible");
+    report.atLeast("prefix.hits", 0.9);
+    report.figure("prefix.requests_max_over_mean", result.loadRatio, "ratio");
+    report.figure("prefix.busy_max_over_mean", result.busyRatio, "ratio");
+    report.atMost("prefix.requests_max_over_mean", 1.25);
+    report.atMost("prefix.busy_max_over_mean", 1.25);
+}
+
+Report run(const ExperimentArguments &arguments)
+{
+    Report report;
+    overload(report, arguments);
+    routing(report, arguments);
+    prefixes(report, arguments);
+    return report;
+}
+
+const RegisterExperiment registration("traffic", "queues under overload, routing, prefix affinity",
+                                      run);
+
+} // namespace
+
+} // namespace bamboochute::bench
--- /dev/null
+++ b/bench/failing_upstream.cpp
@@ -0,0 +1,181 @@
+#include "failing_upstream.hpp"
+
+#include "admission/retry_policy.hpp"
+#include "admission/router.hpp"
+#include "virtual_time.hpp"
+
+#include <memory>
+#include <string>
+
+namespace bamboochute::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t instanceCount = 12;
+constexpr std::uint32_t upstreamCount = 12;
+constexpr std::uint32_t slots = 64;
+constexpr double failureChance = 0.5;
+constexpr Duration runTime = 120s;
+constexpr Duration deadline = 30s;
+constexpr double requestsPerSecond = 400.0;
+constexpr double meanServiceSeconds = 0.5;
+const CallerClassId guest("guest");
+
+struct Instance
+{
+    explicit Instance(std::uint64_t seed)
+        : ejector(metrics)
+        , router(DataCentreId("quito-norte"), seed)
+        , retries(metrics, seed)
+    {}
+
+    Metrics metrics;
+    admission::Ejector ejector;
+    admission::Router router;
+    admission::RetryPolicy retries;
+};
+
+struct Call
+{
+    Instance *instance;
+    TimePoint deadline;
+    std::uint32_t attempts = 0;
+    std::vector<UpstreamId> tried;
+};
+
+class FailingUpstream
+{
+public:
+    explicit FailingUpstream(std::uint64_t seed)
+        : random(seed)
+    {
+        RoutingTable table;
+        for (std::uint32_t i = 0; i < upstreamCount; ++i) {
+            const UpstreamId id("w" + std::to_string(i));
+            UpstreamState &state = table.upstreams[id];
+            state.spec.id = id;
+            state.spec.dataCentre = DataCentreId("quito-norte");
+            state.spec.maxConcurrent = slots;
+            this->candidates.push_back(id);
+        }
+        const auto shared = std::make_shared<const RoutingTable>(table);
+        for (std::uint32_t i = 0; i < instanceCount; ++i) {
+            this->instances.push_back(std::make_unique<Instance>(seed * instanceCount + i));
+            this->instances.back()->router.update(shared);
+            this->instances.back()->router.setShare(i, instanceCount);
+            this->instances.back()->ejector.update(table);
+        }
+    }
+
+    FailingUpstreamResult run()
+    {
+        this->end = this->time.now() + runTime;
+        this->arrive();
+        this->time.runUntil(this->end + deadline);
+        return this->result;
+    }
+
+private:
+    Duration randomTime(double meanSeconds)
+    {
+        const std::chrono::duration<double> seconds(this->random.exponential(meanSeconds));
+        return std::chrono::duration_cast<Duration>(seconds);
+    }
+
+    void arrive()
+    {
+        this->time.after(this->randomTime(1.0 / requestsPerSecond), [this] {
+            if (this->time.now() >= this->end)
+                return;
+            ++this->result.requests;
+            Instance &instance = *this->instances[this->random.below(instanceCount)];
+            this->dispatch(
+                    std::make_shared<Call>(Call{&instance, this->time.now() + deadline, 0, {}}));
+            this->arrive();
+        });
+    }
+
+    void dispatch(const std::shared_ptr<Call> &call)
+    {
+        Instance &instance = *call->instance;
+        const admission::RouteQuery query{this->candidates, 0, 0, call->tried};
+        const auto upstream = instance.router.pick(query, instance.ejector, this->time.now());
+        if (!upstream) {
+            ++this->result.callerErrors;
+            return;
+        }
+        if (call->attempts == 0)
+            instance.retries.firstAttempt(guest, *upstream);
+        this->send(call, *upstream);
+    }
+
+    void send(const std::shared_ptr<Call> &call, const UpstreamId &upstream)
+    {
+        Instance &instance = *call->instance;
+        ++call->attempts;
+        ++this->result.attempts;
+        call->tried.push_back(upstream);
+        instance.router.started(upstream);
+        instance.ejector.started(upstream, this->time.now());
+        const bool fails = upstream == this->candidates[0] && this->random.chance(failureChance);
+        const Duration latency = this->randomTime(meanServiceSeconds);
+        this->time.after(latency, [=, this] { this->finish(call, upstream, latency, fails); });
+    }
+
+    void finish(const std::shared_ptr<Call> &call, const UpstreamId &upstream, Duration latency,
+                bool fails)
+    {
+        Instance &instance = *call->instance;
+        instance.router.finished(upstream);
+        if (!fails) {
+            instance.ejector.succeeded(upstream, latency, this->time.now());
+            return;
+        }
+        instance.ejector.failed(upstream, this->time.now());
+        this->retry(call);
+    }
+
+    void retry(const std::shared_ptr<Call> &call)
+    {
+        Instance &instance = *call->instance;
+        const admission::RouteQuery query{this->candidates, 0, 0, call->tried};
+        const auto next = instance.router.pick(query, instance.ejector, this->time.now());
+        if (!next) {
+            ++this->result.callerErrors;
+            return;
+        }
+        const admission::FailedAttempt failed{admission::RetryReason::ServerError,
+                                              guest,
+                                              *next,
+                                              true,
+                                              false,
+                                              call->attempts,
+                                              call->deadline,
+                                              500ms};
+        const auto decision = instance.retries.decide(failed, this->time.now());
+        if (const auto *retry = std::get_if<admission::RetryAfterDelay>(&decision)) {
+            this->time.after(retry->delay, [=, this] { this->send(call, *next); });
+            return;
+        }
+        ++this->result.retriesRefused;
+        ++this->result.callerErrors;
+    }
+
+    Random random;
+    VirtualTime time;
+    TimePoint end{};
+    std::vector<UpstreamId> candidates;
+    std::vector<std::unique_ptr<Instance>> instances;
+    FailingUpstreamResult result;
+};
+
+} // namespace
+
+FailingUpstreamResult runFailingUpstream(std::uint64_t seed)
+{
+    return FailingUpstream(seed).run();
+}
+
+} // namespace bamboochute::bench
--- /dev/null
+++ b/bench/traffic_world.cpp
@@ -0,0 +1,387 @@
+#include "traffic_world.hpp"
+
+#include "traffic_upstream.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace bamboochute::bench {
+
+namespace {
+
+const DataCentreId dataCentre("quito-norte");
+const Target target{ModelId("drafting@1"), {}};
+
+/// Style books by popularity: the n-th is asked for in proportion to 1/n.
+class Popularity
+{
+public:
+    explicit Popularity(std::uint32_t books)
+    {
+        double total = 0;
+        for (std::uint32_t i = 1; i <= books; ++i)
+            this->sums.push_back(total += 1.0 / i);
+    }
+
+    std::uint32_t draw(Random &random) const
+    {
+        if (this->sums.empty())
+            return 0;
+        const double at = random.unit() * this->sums.back();
+        const auto found = std::lower_bound(this->sums.begin(), this->sums.end(), at);
+        return static_cast<std::uint32_t>(found - this->sums.begin()) + 1;
+    }
+
+private:
+    std::vector<double> sums;
+};
+
+class World
+{
+public:
+    explicit World(const TrafficSettings &settings)
+        : settings(settings)
+        , random(settings.seed)
+        , popularity(settings.books)
+    {
+        for (const TrafficClass &each : settings.classes)
+            this->callerClasses.push_back(each.callerClass);
+        for (std::uint32_t i = 0; i < settings.upstreams; ++i) {
+            const UpstreamId id("w" + std::to_string(i));
+            this->ids.push_back(id);
+            this->upstreams.push_back(std::make_unique<TrafficUpstream>(
+                    this->time, settings.slots, settings.cachedBooks, settings.prefixSeconds));
+            this->indexOf[id] = i;
+        }
+        for (std::uint32_t i = 0; i < settings.instances; ++i)
+            this->instances.push_back(std::make_unique<Instance>(*this, i));
+    }
+
+    TrafficResult run()
+    {
+        this->report();
+        this->arrive();
+        this->measuredFrom = this->time.now() + this->settings.warmUp;
+        this->end = this->measuredFrom + this->settings.runTime;
+        this->time.runUntil(this->measuredFrom);
+        std::vector<double> busyBefore;
+        std::vector<std::uint64_t> requestsBefore;
+        for (const auto &upstream : this->upstreams) {
+            busyBefore.push_back(upstream->busySeconds());
+            requestsBefore.push_back(upstream->requests());
+            this->hitsBefore += upstream->hits();
+        }
+        this->time.runUntil(this->end);
+        this->measureLoads(busyBefore, requestsBefore);
+        this->time.runUntil(this->end + std::chrono::minutes(1));
+        return this->result;
+    }
+
+private:
+    struct Request
+    {
+        CallerClassId callerClass;
+        std::int32_t priority = 0;
+        TimePoint arrival;
+        TimePoint deadline;
+        std::uint32_t book = 0;
+        bool isMeasured = false;
+        bool isDone = false;
+    };
+    using RequestPointer = std::shared_ptr<Request>;
+
+    struct Instance
+    {
+        Instance(World &world, std::uint32_t index)
+            : ejector(metrics)
+            , router(dataCentre, world.settings.seed * 1000 + index, world.settings.routerLimits)
+            , queue(world.callerClasses)
+        {
+            this->router.setShare(index, world.settings.instances);
+        }
+
+        Metrics metrics;
+        admission::Ejector ejector;
+        admission::Router router;
+        admission::RequestQueue queue;
+        std::map<admission::Ticket, RequestPointer> waiting;
+        TimePoint expiryAt{};
+        std::uint32_t turn = 0;
+    };
+
+    Duration randomTime(double meanSeconds)
+    {
+        const std::chrono::duration<double> seconds(this->random.exponential(meanSeconds));
+        return std::chrono::duration_cast<Duration>(seconds);
+    }
+
+    double capacity() const
+    {
+        return this->settings.upstreams * this->settings.slots / this->settings.meanServiceSeconds;
+    }
+
+    /// Every instance learns of the loads as they were one lag ago.
+    void report()
+    {
+        auto table = std::make_shared<RoutingTable>();
+        for (std::uint32_t i = 0; i < this->ids.size(); ++i) {
+            UpstreamState &state = table->upstreams[this->ids[i]];
+            state.spec.id = this->ids[i];
+            state.spec.dataCentre = dataCentre;
+            state.spec.maxConcurrent = this->settings.slots;
+            state.reportedLoad = this->upstreams[i]->load();
+            table->replicas[target].push_back(this->ids[i]);
+        }
+        const bool isFirst = this->reported == nullptr;
+        const Duration lag = isFirst ? Duration::zero() : this->settings.reportLag;
+        this->time.after(lag, [this, table] {
+            this->reported = table;
+            for (const auto &instance : this->instances) {
+                instance->router.update(table);
+                this->pump(*instance);
+            }
+        });
+        if (isFirst)
+            this->reported = table;
+        this->time.after(this->settings.reportInterval, [this] { this->report(); });
+    }
+
+    void arrive()
+    {
+        const double rate = this->settings.load * this->capacity();
+        this->time.after(this->randomTime(1.0 / rate), [this] {
+            if (this->time.now() >= this->end)
+                return;
+            this->receive(*this->instances[this->random.below(this->instances.size())]);
+            this->arrive();
+        });
+    }
+
+    void receive(Instance &instance)
+    {
+        const TrafficClass &drawn = this->drawClass();
+        const auto request = std::make_shared<Request>();
+        request->callerClass = drawn.callerClass.id;
+        request->priority = drawn.callerClass.enginePriority;
+        request->arrival = this->time.now();
+        request->deadline = this->time.now() + drawn.deadline;
+        request->book = this->popularity.draw(this->random);
+        request->isMeasured = this->time.now() >= this->measuredFrom;
+        ClassResult &result = this->resultOf(*request);
+        ++result.offered;
+        this->countPossibleHit(*request);
+        if (this->settings.policy != RoutingPolicy::Router) {
+            this->send(instance, request, this->pickByReport(instance));
+            return;
+        }
+        const std::chrono::duration<double> service(this->settings.meanServiceSeconds);
+        const auto ticket = instance.queue.offer({request->callerClass,
+                                                  target,
+                                                  request->deadline,
+                                                  std::chrono::duration_cast<Duration>(service),
+                                                  1000,
+                                                  {}},
+                                                 this->time.now());
+        if (!ticket) {
+            const bool isFull = ticket.error().kind() == ErrorKind::QueueFull;
+            ++(isFull ? result.refusedFull : result.refusedEarly);
+            return;
+        }
+        instance.waiting[ticket.value()] = request;
+        this->pump(instance);
+    }
+
+    const TrafficClass &drawClass()
+    {
+        double at = this->random.unit();
+        for (const TrafficClass &each : this->settings.classes) {
+            at -= each.share;
+            if (at < 0)
+                return each;
+        }
+        return this->settings.classes.back();
+    }
+
+    /// A hit is possible once any request for the book has started.
+    void countPossibleHit(const Request &request)
+    {
+        const bool isFirst = request.book != 0 && this->seenBooks.insert(request.book).second;
+        if (request.isMeasured && request.book != 0 && !isFirst)
+            ++this->result.possibleHits;
+    }
+
+    ClassResult &resultOf(const Request &request)
+    {
+        return request.isMeasured ? this->result.classes[request.callerClass] : this->ignored;
+    }
+
+    void pump(Instance &instance)
+    {
+        const auto candidates = instance.router.replicas(target);
+        const std::uint32_t slots = instance.router.slots(candidates);
+        const auto queryFor = [&](const CallerClassId &id) {
+            const auto found = std::find_if(this->callerClasses.begin(), this->callerClasses.end(),
+                                            [&](const CallerClass &each) { return each.id == id; });
+            return admission::RouteQuery{
+                    candidates, 0, admission::headroomFor(*found, this->callerClasses, slots), {}};
+        };
+        const auto canDispatch = [&](const Target &, const CallerClassId &id) {
+            return instance.router.canPick(queryFor(id), instance.ejector, this->time.now());
+        };
+        while (const auto next = instance.queue.next(this->time.now(), canDispatch)) {
+            const auto entry = instance.waiting.extract(next->ticket);
+            const RequestPointer &request = entry.mapped();
+            admission::RouteQuery query = queryFor(request->callerClass);
+            query.prefix = request->book;
+            const auto upstream = instance.router.pick(query, instance.ejector, this->time.now());
+            this->send(instance, request, this->indexOf.at(upstream.value()));
+        }
+        this->scheduleExpiry(instance);
+    }
+
+    void scheduleExpiry(Instance &instance)
+    {
+        const auto next = instance.queue.nextExpiry();
+        const bool isScheduled = instance.expiryAt > this->time.now();
+        if (!next || (isScheduled && instance.expiryAt <= *next))
+            return;
+        instance.expiryAt = *next;
+        this->time.at(*next, [this, &instance] {
+            for (const auto &expired : instance.queue.expire(this->time.now())) {
+                const auto entry = instance.waiting.extract(expired.request.ticket);
+                ++this->resultOf(*entry.mapped()).expired;
+                this->noteAnswer(*entry.mapped());
+            }
+            this->scheduleExpiry(instance);
+        });
+    }
+
+    std::uint32_t pickByReport(Instance &instance)
+    {
+        const auto count = static_cast<std::uint32_t>(this->ids.size());
+        const auto loadOf = [this](std::uint32_t index) {
+            return this->reported->upstreams.at(this->ids[index]).reportedLoad;
+        };
+        if (this->settings.policy == RoutingPolicy::RoundRobin)
+            return instance.turn++ % count;
+        if (this->settings.policy == RoutingPolicy::TwoReportedLoads) {
+            const auto one = static_cast<std::uint32_t>(this->random.below(count));
+            const auto two = static_cast<std::uint32_t>(this->random.below(count));
+            return loadOf(one) <= loadOf(two) ? one : two;
+        }
+        const auto start = static_cast<std::uint32_t>(this->random.below(count));
+        std::uint32_t best = start;
+        for (std::uint32_t i = 0; i < count; ++i) {
+            const std::uint32_t index = (start + i) % count;
+            best = loadOf(index) < loadOf(best) ? index : best;
+        }
+        return best;
+    }
+
+    void send(Instance &instance, const RequestPointer &request, std::uint32_t index)
+    {
+        TrafficUpstream &upstream = *this->upstreams[index];
+        instance.router.started(this->ids[index]);
+        const auto job = std::make_shared<Job>();
+        job->priority = request->priority;
+        job->book = request->book;
+        const double fixed = request->book == 0 ? 0.0 : this->settings.prefixSeconds;
+        job->serviceSeconds
+                = fixed + this->random.exponential(this->settings.meanServiceSeconds - fixed);
+        job->onStart = [this, request] {
+            this->resultOf(*request).queueing.push_back(this->time.now() - request->arrival);
+        };
+        const auto done = [this, &instance, request, index] {
+            request->isDone = true;
+            instance.router.finished(this->ids[index]);
+            this->noteAnswer(*request);
+            this->pump(instance);
+        };
+        job->onEnd = [this, request, done] {
+            ClassResult &result = this->resultOf(*request);
+            ++result.inTime;
+            const bool isCounted
+                    = this->time.now() >= this->measuredFrom && this->time.now() < this->end;
+            this->goodAnswers += isCounted ? 1 : 0;
+            result.latency.push_back(this->time.now() - request->arrival);
+            done();
+        };
+        upstream.add(job);
+        this->time.at(request->deadline, [this, request, &upstream, job, done] {
+            if (request->isDone)
+                return;
+            ++this->resultOf(*request).cutAtDeadline;
+            upstream.cancel(job);
+            done();
+        });
+    }
+
+    void noteAnswer(const Request &request)
+    {
+        ClassResult &result = this->resultOf(request);
+        result.latest = std::max(result.latest, this->time.now() - request.deadline);
+    }
+
+    void measureLoads(const std::vector<double> &busyBefore,
+                      const std::vector<std::uint64_t> &requestsBefore)
+    {
+        double mostBusy = 0;
+        double totalBusy = 0;
+        double mostRequests = 0;
+        double totalRequests = 0;
+        for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
+            const double busy = this->upstreams[i]->busySeconds() - busyBefore[i];
+            const auto requests
+                    = static_cast<double>(this->upstreams[i]->requests() - requestsBefore[i]);
+            mostBusy = std::max(mostBusy, busy);
+            totalBusy += busy;
+            mostRequests = std::max(mostRequests, requests);
+            totalRequests += requests;
+            this->result.hits += this->upstreams[i]->hits();
+        }
+        this->result.hits -= this->hitsBefore;
+        const auto count = static_cast<double>(this->upstreams.size());
+        this->result.busyRatio = mostBusy * count / totalBusy;
+        this->result.loadRatio = mostRequests * count / totalRequests;
+        this->result.goodput = static_cast<double>(this->goodAnswers)
+                               / toSeconds(this->settings.runTime) / this->capacity();
+    }
+
+    TrafficSettings settings;
+    Random random;
+    Popularity popularity;
+    VirtualTime time;
+    TimePoint measuredFrom{};
+    TimePoint end = TimePoint::max();
+    std::vector<CallerClass> callerClasses;
+    std::vector<UpstreamId> ids;
+    std::map<UpstreamId, std::uint32_t> indexOf;
+    std::vector<std::unique_ptr<TrafficUpstream>> upstreams;
+    std::vector<std::unique_ptr<Instance>> instances;
+    RoutingTablePointer reported;
+    std::set<std::uint32_t> seenBooks;
+    std::uint64_t goodAnswers = 0;
+    std::uint64_t hitsBefore = 0;
+    TrafficResult result;
+    ClassResult ignored;
+};
+
+} // namespace
+
+Duration quantile(std::vector<Duration> values, double share)
+{
+    if (values.empty())
+        return Duration::zero();
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(index);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+TrafficResult runTraffic(const TrafficSettings &settings)
+{
+    return World(settings).run();
+}
+
+} // namespace bamboochute::bench
