--- a/bench/failing_upstream.cpp
+++ b/bench/failing_upstream.cpp
@@ -117,7 +117,7 @@
         ++call->attempts;
         ++this->result.attempts;
         call->tried.push_back(upstream);
-        instance.router.started(upstream);
+        instance.router.started(upstream, this->time.now());
         instance.ejector.started(upstream, this->time.now());
         const bool fails = upstream == this->candidates[0] && this->random.chance(failureChance);
         const Duration latency = this->randomTime(meanServiceSeconds);
--- a/bench/traffic_world.cpp
+++ b/bench/traffic_world.cpp
@@ -282,7 +282,7 @@
     void send(Instance &instance, const RequestPointer &request, std::uint32_t index)
     {
         TrafficUpstream &upstream = *this->upstreams[index];
-        instance.router.started(this->ids[index]);
+        instance.router.started(this->ids[index], this->time.now());
         const auto job = std::make_shared<Job>();
         job->priority = request->priority;
         job->book = request->book;
--- a/src/admission/router.cpp
+++ b/src/admission/router.cpp
@@ -40,6 +40,7 @@
     , limits(limits)
     , random(seed)
     , table(std::make_shared<RoutingTable>())
+    , recentRequests(limits.recentTime)
 {}
 
 void Router::update(RoutingTablePointer table)
@@ -49,6 +50,8 @@
     std::erase_if(this->ownInFlight, [this](const auto &entry) {
         return entry.second == 0 && !this->table->upstreams.contains(entry.first);
     });
+    this->recentRequests.forgetIf(
+            [this](const UpstreamId &id) { return !this->table->upstreams.contains(id); });
 }
 
 void Router::setShare(std::uint32_t index, std::uint32_t instances)
@@ -98,7 +101,7 @@
     const std::vector<Option> options = this->options(query, ejector, now);
     if (options.empty())
         return std::nullopt;
-    const Option *chosen = query.prefix == 0 ? nullptr : this->byPrefix(options, query.prefix);
+    const Option *chosen = query.prefix == 0 ? nullptr : this->byPrefix(options, query.prefix, now);
     if (chosen == nullptr)
         chosen = this->byLoad(options);
     BC_INVARIANT(!chosen->state->isLeaving, "a leaving upstream gets no new work");
@@ -111,9 +114,10 @@
     return !this->options(query, ejector, now).empty();
 }
 
-void Router::started(const UpstreamId &upstream)
+void Router::started(const UpstreamId &upstream, TimePoint now)
 {
     ++this->ownInFlight[upstream];
+    this->recentRequests.add(upstream, now);
 }
 
 void Router::finished(const UpstreamId &upstream)
@@ -180,19 +184,21 @@
     return own + this->limits.reportWeight * reported + distance;
 }
 
-const Router::Option *Router::byPrefix(const std::vector<Option> &options,
-                                       std::uint64_t prefix) const
+const Router::Option *Router::byPrefix(const std::vector<Option> &options, std::uint64_t prefix,
+                                       TimePoint now) const
 {
-    double total = 1;
+    double total = this->recentRequests.one(now);
     for (const Option &option : options)
-        total += option.own;
+        total += this->recentRequests.of(option.state->spec.id);
     const double mean = total / static_cast<double>(options.size());
-    const double limit = std::ceil(this->limits.affinityLoadBound * mean);
+    const double limit
+            = std::max(this->recentRequests.one(now), this->limits.affinityLoadBound * mean);
     const Option *best = nullptr;
     std::uint64_t bestRank = 0;
     for (const Option &option : options) {
-        const std::uint64_t rank = stableHash(option.state->spec.id.value(), prefix);
-        const bool isWithin = option.own + 1 <= limit;
+        const UpstreamId &id = option.state->spec.id;
+        const std::uint64_t rank = stableHash(id.value(), prefix);
+        const bool isWithin = this->recentRequests.of(id) <= limit;
         if (isWithin && (best == nullptr || rank > bestRank)) {
             best = &option;
             bestRank = rank;
--- a/src/admission/router.hpp
+++ b/src/admission/router.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "admission/ejector.hpp"
+#include "admission/recent_counts.hpp"
 #include "core/random.hpp"
 #include "core/routing_table.hpp"
 
@@ -33,8 +34,10 @@
     /// An upstream of another data centre is chosen once ours are busier by this share of their
     /// slots.
     double otherDataCentreCost = 0.25;
-    /// Affinity applies while an upstream has at most this many times the mean load.
+    /// Affinity applies while an upstream got at most this many times the mean of recent requests.
     double affinityLoadBound = 1.15;
+    /// Time over which recent requests are forgotten.
+    Duration recentTime = std::chrono::seconds(10);
     /// An upstream that reports less than this share of its slots may get more than our share.
     double borrowBelow = 0.85;
     /// Reported load counts this much beside an instance's own requests.
@@ -92,7 +95,7 @@
     bool canPick(const RouteQuery &query, const Ejector &ejector, TimePoint now) const;
 
     /// @brief Counts a request that is sent to an upstream.
-    void started(const UpstreamId &upstream);
+    void started(const UpstreamId &upstream, TimePoint now);
 
     /// @brief Counts the end of a request, whatever it was.
     void finished(const UpstreamId &upstream);
@@ -113,7 +116,8 @@
     std::uint32_t bound(const UpstreamState &state) const;
     std::uint32_t share(const UpstreamState &state) const;
     double cost(const Option &option) const;
-    const Option *byPrefix(const std::vector<Option> &options, std::uint64_t prefix) const;
+    const Option *byPrefix(const std::vector<Option> &options, std::uint64_t prefix,
+                           TimePoint now) const;
     const Option *byLoad(const std::vector<Option> &options);
 
     DataCentreId dataCentre;
@@ -123,6 +127,7 @@
     std::uint32_t instanceIndex = 0;
     std::uint32_t instanceCount = 1;
     std::map<UpstreamId, std::uint32_t> ownInFlight;
+    RecentCounts recentRequests;
 };
 
 } // namespace bamboochute::admission
--- a/tests/admission/unit-router.cpp
+++ b/tests/admission/unit-router.cpp
@@ -56,7 +56,7 @@
     SUBCASE("requests in flight spread evenly, up to the bound of each upstream")
     {
         for (int i = 0; i < 16; ++i)
-            router.started(pick().value());
+            router.started(pick().value(), now);
         CHECK(router.inFlight(UpstreamId("w3")) == 4);
         CHECK_FALSE(pick());
 
@@ -74,7 +74,7 @@
         use();
         for (int i = 0; i < 4; ++i) {
             CHECK(pick() == UpstreamId("w4"));
-            router.started(UpstreamId("w4"));
+            router.started(UpstreamId("w4"), now);
         }
         CHECK_FALSE(pick());
     }
@@ -95,10 +95,10 @@
         for (int i = 0; i < 3; ++i) {
             const UpstreamId chosen = pick().value();
             CHECK(chosen != UpstreamId("w4"));
-            router.started(chosen);
+            router.started(chosen, now);
         }
         for (int i = 0; i < 3; ++i)
-            router.started(pick().value());
+            router.started(pick().value(), now);
         CHECK(router.inFlight(UpstreamId("w4")) == 1);
     }
 
@@ -125,7 +125,7 @@
         router.update(shared);
         router.setShare(i, instances);
         while (const auto chosen = router.pick({router.replicas(chat), 0, 0, {}}, ejector, {})) {
-            router.started(*chosen);
+            router.started(*chosen, TimePoint());
             ++total[*chosen];
         }
     }
@@ -144,7 +144,7 @@
         const auto candidates = router.replicas(chat);
         const std::uint32_t slots = router.slots(candidates);
         for (std::uint32_t i = 0; i + 2 < slots; ++i)
-            router.started(router.pick({candidates, 0, 2, {}}, ejector, {}).value());
+            router.started(router.pick({candidates, 0, 2, {}}, ejector, {}).value(), TimePoint());
         CHECK_FALSE(router.canPick({candidates, 0, 2, {}}, ejector, {}));
         CHECK(router.canPick({candidates, 0, 0, {}}, ejector, {}));
     }
@@ -170,7 +170,7 @@
     SUBCASE("affinity never loads a worker beyond its bound")
     {
         for (int i = 0; i < 100; ++i)
-            ours.started(ours.pick(query, ejector, {}).value());
+            ours.started(ours.pick(query, ejector, {}).value(), TimePoint());
         for (const UpstreamId &id : query.candidates)
             CHECK(ours.inFlight(id) <= 30);
     }
