Let the most important class go beyond an instance's share

Cause: at double load a request of the top class found its instance's share full in more than 1 of 100 cases, since the free slots that the other classes leave are at other instances. Change: RouteQuery::overflow and overflowFor(): the class may use one slot more of each upstream than its instance's share; some of the headroom of all instances is most likely free there.

--- a/bench/failing_upstream.cpp
+++ b/bench/failing_upstream.cpp
@@ -100,7 +100,7 @@
     void dispatch(const std::shared_ptr<Call> &call)
     {
         Instance &instance = *call->instance;
-        const admission::RouteQuery query{this->candidates, 0, 0, call->tried};
+        const admission::RouteQuery query{this->candidates, 0, 0, 0, call->tried};
         const auto upstream = instance.router.pick(query, instance.ejector, this->time.now());
         if (!upstream) {
             ++this->result.callerErrors;
@@ -140,7 +140,7 @@
     void retry(const std::shared_ptr<Call> &call)
     {
         Instance &instance = *call->instance;
-        const admission::RouteQuery query{this->candidates, 0, 0, call->tried};
+        const admission::RouteQuery query{this->candidates, 0, 0, 0, call->tried};
         const auto next = instance.router.pick(query, instance.ejector, this->time.now());
         if (!next) {
             ++this->result.callerErrors;
--- a/bench/traffic_world.cpp
+++ b/bench/traffic_world.cpp
@@ -223,8 +223,11 @@
         const auto queryFor = [&](const CallerClassId &id) {
             const auto found = std::find_if(this->callerClasses.begin(), this->callerClasses.end(),
                                             [&](const CallerClass &each) { return each.id == id; });
-            return admission::RouteQuery{
-                    candidates, 0, admission::headroomFor(*found, this->callerClasses, slots), {}};
+            return admission::RouteQuery{candidates,
+                                         0,
+                                         admission::headroomFor(*found, this->callerClasses, slots),
+                                         admission::overflowFor(*found, this->callerClasses),
+                                         {}};
         };
         const auto canDispatch = [&](const Target &, const CallerClassId &id) {
             return instance.router.canPick(queryFor(id), instance.ejector, this->time.now());
--- a/src/admission/router.cpp
+++ b/src/admission/router.cpp
@@ -11,12 +11,21 @@
 
 /// Share of the slots that less important classes leave free.
 constexpr double headroomShare = 0.03;
+/// Slots of each upstream that the most important class may use beyond the instance's share.
+constexpr std::uint32_t overflowSlots = 1;
 
 bool contains(const std::vector<UpstreamId> &list, const UpstreamId &id)
 {
     return std::find(list.begin(), list.end(), id) != list.end();
 }
 
+bool isMostImportant(const CallerClass &callerClass, const std::vector<CallerClass> &classes)
+{
+    return std::none_of(classes.begin(), classes.end(), [&](const auto &other) {
+        return other.enginePriority > callerClass.enginePriority;
+    });
+}
+
 } // namespace
 
 std::uint64_t prefixHash(std::string_view prompt)
@@ -29,10 +38,17 @@
 std::uint32_t headroomFor(const CallerClass &callerClass, const std::vector<CallerClass> &classes,
                           std::uint32_t slots)
 {
-    const bool isTop = std::none_of(classes.begin(), classes.end(), [&](const auto &other) {
-        return other.enginePriority > callerClass.enginePriority;
+    if (isMostImportant(callerClass, classes))
+        return 0;
+    return static_cast<std::uint32_t>(std::lround(headroomShare * slots));
+}
+
+std::uint32_t overflowFor(const CallerClass &callerClass, const std::vector<CallerClass> &classes)
+{
+    const bool isOnly = std::all_of(classes.begin(), classes.end(), [&](const auto &other) {
+        return other.enginePriority == callerClass.enginePriority;
     });
-    return isTop ? 0 : static_cast<std::uint32_t>(std::lround(headroomShare * slots));
+    return !isOnly && isMostImportant(callerClass, classes) ? overflowSlots : 0;
 }
 
 Router::Router(DataCentreId dataCentre, std::uint64_t seed, RouterLimits limits)
@@ -137,16 +153,27 @@
 
 std::vector<Router::Option> Router::options(const RouteQuery &query, const Ejector &ejector,
                                             TimePoint now) const
+{
+    const std::vector<UpstreamId> usable = ejector.usable(query.candidates, now);
+    std::vector<Option> free = this->optionsWithin(query, usable, 0);
+    if (free.empty() && query.overflow > 0)
+        free = this->optionsWithin(query, usable, query.overflow);
+    return free;
+}
+
+std::vector<Router::Option> Router::optionsWithin(const RouteQuery &query,
+                                                  const std::vector<UpstreamId> &usable,
+                                                  std::uint32_t overflow) const
 {
     std::vector<Option> free;
     std::uint32_t freeSlots = 0;
-    for (const UpstreamId &id : ejector.usable(query.candidates, now)) {
+    for (const UpstreamId &id : usable) {
         const auto found = this->table->upstreams.find(id);
         const bool isKnown = found != this->table->upstreams.end();
         if (!isKnown || found->second.isLeaving || contains(query.excluded, id))
             continue;
         const std::uint32_t own = this->inFlight(id);
-        const std::uint32_t bound = this->bound(found->second);
+        const std::uint32_t bound = this->bound(found->second, overflow);
         if (own >= bound)
             continue;
         free.push_back({&found->second, own, bound});
@@ -166,12 +193,12 @@
     return static_cast<std::uint32_t>(std::max<std::uint64_t>(1, share));
 }
 
-std::uint32_t Router::bound(const UpstreamState &state) const
+std::uint32_t Router::bound(const UpstreamState &state, std::uint32_t overflow) const
 {
     const std::uint32_t slots = state.spec.maxConcurrent;
     const auto busy = static_cast<std::uint32_t>(this->limits.borrowBelow * slots);
     const std::uint32_t spare = busy > state.reportedLoad ? busy - state.reportedLoad : 0;
-    return std::min(std::max(1U, slots), this->share(state) + spare);
+    return std::min(std::max(1U, slots), this->share(state) + spare + overflow);
 }
 
 double Router::cost(const Option &option) const
--- a/src/admission/router.hpp
+++ b/src/admission/router.hpp
@@ -23,6 +23,8 @@
     std::uint64_t prefix = 0;
     /// Slots over all candidates that must stay free for more important callers.
     std::uint32_t headroom = 0;
+    /// Slots beyond our share of each upstream that the request may use when our share is full.
+    std::uint32_t overflow = 0;
     /// Upstreams that have been tried before.
     std::vector<UpstreamId> excluded;
     auto operator<=>(const RouteQuery &) const = default;
@@ -61,6 +63,12 @@
 std::uint32_t headroomFor(const CallerClass &callerClass, const std::vector<CallerClass> &classes,
                           std::uint32_t slots);
 
+/// @brief Slots beyond an instance's share that requests of a class may use.
+///
+/// The most important class may: every instance leaves headroom, so some slot of the upstream is
+/// most likely free, and if not, the engine's own queue serves the class first.
+std::uint32_t overflowFor(const CallerClass &callerClass, const std::vector<CallerClass> &classes);
+
 /// @brief Chooses upstreams by own requests in flight, reported load, place and prompt prefix.
 /// @note Not safe for use by several threads at once; guarded by the mutex of the queue.
 class Router
@@ -113,7 +121,10 @@
 
     std::vector<Option> options(const RouteQuery &query, const Ejector &ejector,
                                 TimePoint now) const;
-    std::uint32_t bound(const UpstreamState &state) const;
+    std::vector<Option> optionsWithin(const RouteQuery &query,
+                                      const std::vector<UpstreamId> &usable,
+                                      std::uint32_t overflow) const;
+    std::uint32_t bound(const UpstreamState &state, std::uint32_t overflow) const;
     std::uint32_t share(const UpstreamState &state) const;
     double cost(const Option &option) const;
     const Option *byPrefix(const std::vector<Option> &options, std::uint64_t prefix,
--- a/tests/admission/unit-router.cpp
+++ b/tests/admission/unit-router.cpp
@@ -51,7 +51,9 @@
     RoutingTable table = fourWorkers(4);
     const auto use = [&] { router.update(std::make_shared<RoutingTable>(table)); };
     use();
-    const auto pick = [&] { return router.pick({router.replicas(chat), 0, 0, {}}, ejector, now); };
+    const auto pick = [&] {
+        return router.pick({router.replicas(chat), 0, 0, 0, {}}, ejector, now);
+    };
 
     SUBCASE("requests in flight spread evenly, up to the bound of each upstream")
     {
@@ -84,7 +86,8 @@
         Ejector judged(metrics);
         for (int i = 0; i < 5; ++i)
             judged.failed(UpstreamId("w1"), now + 1s);
-        const RouteQuery query{router.replicas(chat), 0, 0, {UpstreamId("w2"), UpstreamId("w3")}};
+        const RouteQuery query{
+                router.replicas(chat), 0, 0, 0, {UpstreamId("w2"), UpstreamId("w3")}};
         CHECK(router.pick(query, judged, now + 1s) == UpstreamId("w4"));
     }
 
@@ -124,7 +127,7 @@
         Router router(quitoNorte, i);
         router.update(shared);
         router.setShare(i, instances);
-        while (const auto chosen = router.pick({router.replicas(chat), 0, 0, {}}, ejector, {})) {
+        while (const auto chosen = router.pick({router.replicas(chat), 0, 0, 0, {}}, ejector, {})) {
             router.started(*chosen, TimePoint());
             ++total[*chosen];
         }
@@ -144,9 +147,22 @@
         const auto candidates = router.replicas(chat);
         const std::uint32_t slots = router.slots(candidates);
         for (std::uint32_t i = 0; i + 2 < slots; ++i)
-            router.started(router.pick({candidates, 0, 2, {}}, ejector, {}).value(), TimePoint());
-        CHECK_FALSE(router.canPick({candidates, 0, 2, {}}, ejector, {}));
-        CHECK(router.canPick({candidates, 0, 0, {}}, ejector, {}));
+            router.started(router.pick({candidates, 0, 2, 0, {}}, ejector, {}).value(),
+                           TimePoint());
+        CHECK_FALSE(router.canPick({candidates, 0, 2, 0, {}}, ejector, {}));
+        CHECK(router.canPick({candidates, 0, 0, 0, {}}, ejector, {}));
+
+        SUBCASE("and these may go beyond the share when it is full")
+        {
+            CHECK(overflowFor(classes[0], classes) == 1);
+            CHECK(overflowFor(classes[1], classes) == 0);
+            while (const auto chosen = router.pick({candidates, 0, 0, 0, {}}, ejector, {}))
+                router.started(*chosen, TimePoint());
+            for (std::uint32_t i = 0; i < 4; ++i)
+                router.started(router.pick({candidates, 0, 0, 1, {}}, ejector, {}).value(),
+                               TimePoint());
+            CHECK_FALSE(router.canPick({candidates, 0, 0, 1, {}}, ejector, {}));
+        }
     }
 }
 
@@ -163,7 +179,7 @@
     const std::uint64_t prefix = prefixHash(book + "one wording");
     CHECK(prefix == prefixHash(book + "another wording"));
     CHECK(prefixHash("short") == 0);
-    const RouteQuery query{ours.replicas(chat), prefix, 0, {}};
+    const RouteQuery query{ours.replicas(chat), prefix, 0, 0, {}};
     const UpstreamId home = ours.pick(query, ejector, {}).value();
     CHECK(theirs.pick(query, ejector, {}) == home);
 
