--- a/bench/failing_upstream.cpp
+++ b/bench/failing_upstream.cpp
@@ -100,7 +100,7 @@
     void dispatch(const std::shared_ptr<Call> &call)
     {
         Instance &instance = *call->instance;
-        const admission::RouteQuery query{this->candidates, 0, 0, call->tried};
+        const admission::RouteQuery query{this->candidates, 0, 0, 0, call->tried};
         const auto upstream = instance.router.pick(query, instance.ejector, this->time.now());
         if (!upstream) {
             ++this->result.callerErrors;
@@ -117,7 +117,7 @@
         ++call->attempts;
         ++this->result.attempts;
         call->tried.push_back(upstream);
-        instance.router.started(upstream);
+        instance.router.started(upstream, this->time.now());
         instance.ejector.started(upstream, this->time.now());
         const bool fails = upstream == this->candidates[0] && this->random.chance(failureChance);
         const Duration latency = this->randomTime(meanServiceSeconds);
@@ -140,7 +140,7 @@
     void retry(const std::shared_ptr<Call> &call)
     {
         Instance &instance = *call->instance;
-        const admission::RouteQuery query{this->candidates, 0, 0, call->tried};
+        const admission::RouteQuery query{this->candidates, 0, 0, 0, call->tried};
         const auto next = instance.router.pick(query, instance.ejector, this->time.now());
         if (!next) {
             ++this->result.callerErrors;
--- a/src/admission/router.cpp
+++ b/src/admission/router.cpp
@@ -11,12 +11,21 @@
 
 /// Share of the slots that less important classes leave free.
 constexpr double headroomShare = 0.03;
+/// Slots of each upstream that the most important class may use beyond the instance's share.
+constexpr std::uint32_t overflowSlots = 1;
 
 bool contains(const std::vector<UpstreamId> &list, const UpstreamId &id)
 {
     return std::find(list.begin(), list.end(), id) != list.end();
 }
 
+bool isMostImportant(const CallerClass &callerClass, const std::vector<CallerClass> &classes)
+{
+    return std::none_of(classes.begin(), classes.end(), [&](const auto &other) {
+        return other.enginePriority > callerClass.enginePriority;
+    });
+}
+
 } // namespace
 
 std::uint64_t prefixHash(std::string_view prompt)
@@ -29,10 +38,17 @@
 std::uint32_t headroomFor(const CallerClass &callerClass, const std::vector<CallerClass> &classes,
                           std::uint32_t slots)
 {
-    const bool isTop = std::none_of(classes.begin(), classes.end(), [&](const auto &other) {
-        return other.enginePriority > callerClass.enginePriority;
+    if (isMostImportant(callerClass, classes))
+        return 0;
+    return static_cast<std::uint32_t>(std::lround(headroomShare * slots));
+}
+
+std::uint32_t overflowFor(const CallerClass &callerClass, const std::vector<CallerClass> &classes)
+{
+    const bool isOnly = std::all_of(classes.begin(), classes.end(), [&](const auto &other) {
+        return other.enginePriority == callerClass.enginePriority;
     });
-    return isTop ? 0 : static_cast<std::uint32_t>(std::lround(headroomShare * slots));
+    return !isOnly && isMostImportant(callerClass, classes) ? overflowSlots : 0;
 }
 
 Router::Router(DataCentreId dataCentre, std::uint64_t seed, RouterLimits limits)
@@ -40,6 +56,7 @@
     , limits(limits)
     , random(seed)
     , table(std::make_shared<RoutingTable>())
+    , recentRequests(limits.recentTime)
 {}
 
 void Router::update(RoutingTablePointer table)
@@ -49,6 +66,8 @@
     std::erase_if(this->ownInFlight, [this](const auto &entry) {
         return entry.second == 0 && !this->table->upstreams.contains(entry.first);
     });
+    this->recentRequests.forgetIf(
+            [this](const UpstreamId &id) { return !this->table->upstreams.contains(id); });
 }
 
 void Router::setShare(std::uint32_t index, std::uint32_t instances)
@@ -98,7 +117,7 @@
     const std::vector<Option> options = this->options(query, ejector, now);
     if (options.empty())
         return std::nullopt;
-    const Option *chosen = query.prefix == 0 ? nullptr : this->byPrefix(options, query.prefix);
+    const Option *chosen = query.prefix == 0 ? nullptr : this->byPrefix(options, query.prefix, now);
     if (chosen == nullptr)
         chosen = this->byLoad(options);
     BC_INVARIANT(!chosen->state->isLeaving, "a leaving upstream gets no new work");
@@ -111,9 +130,10 @@
     return !this->options(query, ejector, now).empty();
 }
 
-void Router::started(const UpstreamId &upstream)
+void Router::started(const UpstreamId &upstream, TimePoint now)
 {
     ++this->ownInFlight[upstream];
+    this->recentRequests.add(upstream, now);
 }
 
 void Router::finished(const UpstreamId &upstream)
@@ -133,16 +153,27 @@
 
 std::vector<Router::Option> Router::options(const RouteQuery &query, const Ejector &ejector,
                                             TimePoint now) const
+{
+    const std::vector<UpstreamId> usable = ejector.usable(query.candidates, now);
+    std::vector<Option> free = this->optionsWithin(query, usable, 0);
+    if (free.empty() && query.overflow > 0)
+        free = this->optionsWithin(query, usable, query.overflow);
+    return free;
+}
+
+std::vector<Router::Option> Router::optionsWithin(const RouteQuery &query,
+                                                  const std::vector<UpstreamId> &usable,
+                                                  std::uint32_t overflow) const
 {
     std::vector<Option> free;
     std::uint32_t freeSlots = 0;
-    for (const UpstreamId &id : ejector.usable(query.candidates, now)) {
+    for (const UpstreamId &id : usable) {
         const auto found = this->table->upstreams.find(id);
         const bool isKnown = found != this->table->upstreams.end();
         if (!isKnown || found->second.isLeaving || contains(query.excluded, id))
             continue;
         const std::uint32_t own = this->inFlight(id);
-        const std::uint32_t bound = this->bound(found->second);
+        const std::uint32_t bound = this->bound(found->second, overflow);
         if (own >= bound)
             continue;
         free.push_back({&found->second, own, bound});
@@ -162,12 +193,12 @@
     return static_cast<std::uint32_t>(std::max<std::uint64_t>(1, share));
 }
 
-std::uint32_t Router::bound(const UpstreamState &state) const
+std::uint32_t Router::bound(const UpstreamState &state, std::uint32_t overflow) const
 {
     const std::uint32_t slots = state.spec.maxConcurrent;
     const auto busy = static_cast<std::uint32_t>(this->limits.borrowBelow * slots);
     const std::uint32_t spare = busy > state.reportedLoad ? busy - state.reportedLoad : 0;
-    return std::min(std::max(1U, slots), this->share(state) + spare);
+    return std::min(std::max(1U, slots), this->share(state) + spare + overflow);
 }
 
 double Router::cost(const Option &option) const
@@ -180,19 +211,21 @@
     return own + this->limits.reportWeight * reported + distance;
 }
 
-const Router::Option *Router::byPrefix(const std::vector<Option> &options,
-                                       std::uint64_t prefix) const
+const Router::Option *Router::byPrefix(const std::vector<Option> &options, std::uint64_t prefix,
+                                       TimePoint now) const
 {
-    double total = 1;
+    double total = this->recentRequests.one(now);
     for (const Option &option : options)
-        total += option.own;
+        total += this->recentRequests.of(option.state->spec.id);
     const double mean = total / static_cast<double>(options.size());
-    const double limit = std::ceil(this->limits.affinityLoadBound * mean);
+    const double limit
+            = std::max(this->recentRequests.one(now), this->limits.affinityLoadBound * mean);
     const Option *best = nullptr;
     std::uint64_t bestRank = 0;
     for (const Option &option : options) {
-        const std::uint64_t rank = stableHash(option.state->spec.id.value(), prefix);
-        const bool isWithin = option.own + 1 <= limit;
+        const UpstreamId &id = option.state->spec.id;
+        const std::uint64_t rank = stableHash(id.value(), prefix);
+        const bool isWithin = this->recentRequests.of(id) <= limit;
         if (isWithin && (best == nullptr || rank > bestRank)) {
             best = &option;
             bestRank = rank;
--- a/src/admission/router.hpp
+++ b/src/admission/router.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "admission/ejector.hpp"
+#include "admission/recent_counts.hpp"
 #include "core/random.hpp"
 #include "core/routing_table.hpp"
 
@@ -22,6 +23,8 @@
     std::uint64_t prefix = 0;
     /// Slots over all candidates that must stay free for more important callers.
     std::uint32_t headroom = 0;
+    /// Slots beyond our share of each upstream that the request may use when our share is full.
+    std::uint32_t overflow = 0;
     /// Upstreams that have been tried before.
     std::vector<UpstreamId> excluded;
     auto operator<=>(const RouteQuery &) const = default;
@@ -33,8 +36,10 @@
     /// An upstream of another data centre is chosen once ours are busier by this share of their
     /// slots.
     double otherDataCentreCost = 0.25;
-    /// Affinity applies while an upstream has at most this many times the mean load.
+    /// Affinity applies while an upstream got at most this many times the mean of recent requests.
     double affinityLoadBound = 1.15;
+    /// Time over which recent requests are forgotten.
+    Duration recentTime = std::chrono::seconds(10);
     /// An upstream that reports less than this share of its slots may get more than our share.
     double borrowBelow = 0.85;
     /// Reported load counts this much beside an instance's own requests.
@@ -58,6 +63,12 @@
 std::uint32_t headroomFor(const CallerClass &callerClass, const std::vector<CallerClass> &classes,
                           std::uint32_t slots);
 
+/// @brief Slots beyond an instance's share that requests of a class may use.
+///
+/// The most important class may: every instance leaves headroom, so some slot of the upstream is
+/// most likely free, and if not, the engine's own queue serves the class first.
+std::uint32_t overflowFor(const CallerClass &callerClass, const std::vector<CallerClass> &classes);
+
 /// @brief Chooses upstreams by own requests in flight, reported load, place and prompt prefix.
 /// @note Not safe for use by several threads at once; guarded by the mutex of the queue.
 class Router
@@ -92,7 +103,7 @@
     bool canPick(const RouteQuery &query, const Ejector &ejector, TimePoint now) const;
 
     /// @brief Counts a request that is sent to an upstream.
-    void started(const UpstreamId &upstream);
+    void started(const UpstreamId &upstream, TimePoint now);
 
     /// @brief Counts the end of a request, whatever it was.
     void finished(const UpstreamId &upstream);
@@ -110,10 +121,14 @@
 
     std::vector<Option> options(const RouteQuery &query, const Ejector &ejector,
                                 TimePoint now) const;
-    std::uint32_t bound(const UpstreamState &state) const;
+    std::vector<Option> optionsWithin(const RouteQuery &query,
+                                      const std::vector<UpstreamId> &usable,
+                                      std::uint32_t overflow) const;
+    std::uint32_t bound(const UpstreamState &state, std::uint32_t overflow) const;
     std::uint32_t share(const UpstreamState &state) const;
     double cost(const Option &option) const;
-    const Option *byPrefix(const std::vector<Option> &options, std::uint64_t prefix) const;
+    const Option *byPrefix(const std::vector<Option> &options, std::uint64_t prefix,
+                           TimePoint now) const;
     const Option *byLoad(const std::vector<Option> &options);
 
     DataCentreId dataCentre;
@@ -123,6 +138,7 @@
     std::uint32_t instanceIndex = 0;
     std::uint32_t instanceCount = 1;
     std::map<UpstreamId, std::uint32_t> ownInFlight;
+    RecentCounts recentRequests;
 };
 
 } // namespace bamboochute::admission
