Join the packages on the control thread: pools, demand, claims, configuration, routing

Cause: the decision core, admission, configuration and membership are state machines that nobody runs yet. Change: drivers that carry out their actions on the control thread; demand and usage reports to owners; placements and owners as spread state; the routing table built from it; owner's refusals carry the deadline up to which they hold, and a former owner names its unresolved orders.

--- a/include/bamboochute/bamboochute.hpp
+++ b/include/bamboochute/bamboochute.hpp
@@ -2,7 +2,9 @@
 /// @brief Public header of the runtime library: what a program needs to run an entry instance.
 #pragma once
 
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace bamboochute {
 
@@ -10,4 +12,14 @@
 /// @return text with static lifetime
 std::string_view version() noexcept;
 
+/// @brief Runs an entry instance until it is told to stop by SIGTERM or SIGINT.
+///
+/// Settings come from the arguments, then from environment variables BAMBOOCHUTE_…, then from
+/// defaults. When all addresses are bound, one JSON line with them is written to standard output.
+/// A second signal ends the graceful stop at once.
+/// @param arguments command line without the program's name
+/// @return 0 after a graceful stop, 1 when an address can't be bound, 2 when a setting is wrong
+/// @note Blocks; the calling thread becomes the control thread.
+int runInstance(const std::vector<std::string> &arguments);
+
 } // namespace bamboochute
--- /dev/null
+++ b/src/node/admin_ports.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// @brief What the administration API reads and does at this instance.
+#pragma once
+
+#include "admin/admin_api.hpp"
+#include "caller/server.hpp"
+#include "node/configuration_driver.hpp"
+#include "node/pools.hpp"
+#include "node/upstream_watch.hpp"
+
+#include <functional>
+
+namespace bamboochute::node {
+
+/// @brief Parts of the control thread that the ports read.
+struct AdminPortsParts
+{
+    ControlContext &context;
+    ConfigurationDriver &configuration;
+    GossipDriver &gossip;
+    Pools &pools;
+    UpstreamWatch &upstreams;
+    platform::KeyValueClient &keyValue;
+    caller::Server &server;
+    /// Begins the graceful stop of this instance.
+    std::function<void()> beginStop;
+};
+
+/// @brief Satisfies admin::AdminPorts.
+class AdminPorts
+{
+public:
+    explicit AdminPorts(AdminPortsParts parts);
+
+    void submit(admin::SubmitRequest request,
+                std::function<void(Result<admin::SubmitOutcome>)> done);
+    void history(std::function<void(Result<std::vector<admin::ConfigurationRoot>>)> done);
+    void status(std::function<void(Result<admin::FleetStatus>)> done);
+    void drainUpstream(const UpstreamId &upstream,
+                       std::function<void(Result<admin::DrainStatus>)> done);
+    void drainInstance(const InstanceId &instance,
+                       std::function<void(Result<admin::DrainStatus>)> done);
+    void explainRequest(const RequestId &request,
+                        std::function<void(Result<admin::Explanation>)> done);
+    void explainPlacement(const Target &target,
+                          std::function<void(Result<admin::Explanation>)> done);
+    const admin::ConfigurationInForce &inForce() const;
+    admin::Readiness readiness() const;
+    std::string metricsText() const;
+    admin::WallTime wallTime() const;
+
+private:
+    std::vector<admin::InstanceStatus> instances() const;
+    std::vector<admin::UpstreamStatus> upstreamStatus() const;
+    std::vector<admin::ReplicaStatus> replicas() const;
+    std::vector<admin::OwnerStatus> owners() const;
+
+    AdminPortsParts parts;
+};
+
+static_assert(admin::AdminPorts<AdminPorts>);
+
+} // namespace bamboochute::node
--- /dev/null
+++ b/src/node/claims.cpp
@@ -0,0 +1,151 @@
+#include "node/claims.hpp"
+
+#include "core/overloaded.hpp"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace bamboochute::node {
+
+namespace {
+
+/// Transactions a second that the fleet spends on claims.
+constexpr double fleetClaimTransactionsPerSecond = 120.0;
+constexpr Duration leastTimerDelay = std::chrono::milliseconds(1);
+
+} // namespace
+
+struct Claims::State : std::enable_shared_from_this<Claims::State>
+{
+    State(ControlContext &context, platform::KeyValueClient &keyValue,
+          admission::KnownGone knownGone)
+        : context(context)
+        , keyValue(keyValue)
+        , claims({context.settings.instance, context.incarnation, {}}, std::move(knownGone),
+                 context.metrics, fleetClaimTransactionsPerSecond)
+        , timer(context.loop)
+    {}
+
+    ControlContext &context;
+    platform::KeyValueClient &keyValue;
+    admission::OperationClaims claims;
+    std::unordered_map<caller::Ticket, caller::ClaimCallback> callbacks;
+    boost::asio::steady_timer timer;
+
+    TimePoint now() const { return this->context.clock.now(); }
+
+    void carryOut(const admission::ClaimActions &actions)
+    {
+        for (const admission::ClaimAction &action : actions) {
+            std::visit(Overloaded{
+                               [this](const admission::SubmitTransaction &each) {
+                                   this->submit(each);
+                               },
+                               [this](const admission::RequestLease &each) { this->lease(each); },
+                               [this](const admission::Decide &each) { this->decide(each); },
+                       },
+                       action);
+        }
+        this->scheduleTick();
+    }
+
+    void submit(const admission::SubmitTransaction &submit)
+    {
+        this->keyValue.submit(
+                platform::Purpose::Claim, submit.transaction,
+                [weak = this->weak_from_this(),
+                 tag = submit.tag](const Result<platform::TransactionResponse> &answer) {
+                    if (const auto self = weak.lock())
+                        self->carryOut(self->claims.answered(tag, answer, self->now()));
+                });
+    }
+
+    void lease(const admission::RequestLease &request)
+    {
+        this->keyValue.grantLease(
+                platform::Purpose::Claim, request.timeToLive,
+                [weak = this->weak_from_this(),
+                 timeToLive = request.timeToLive](const Result<platform::LeaseId> &lease) {
+                    if (const auto self = weak.lock())
+                        self->carryOut(self->claims.leaseGranted(timeToLive, lease, self->now()));
+                });
+    }
+
+    void decide(const admission::Decide &decide)
+    {
+        const auto found = this->callbacks.find(decide.ticket);
+        if (found == this->callbacks.end())
+            return;
+        const caller::ClaimCallback decided = std::move(found->second);
+        this->callbacks.erase(found);
+        decided(decide.decision);
+    }
+
+    void scheduleTick()
+    {
+        const auto due = this->claims.nextTick(this->now());
+        if (!due)
+            return;
+        this->timer.expires_after(std::max(leastTimerDelay, *due - this->now()));
+        this->timer.async_wait([weak = this->weak_from_this()](const auto &error) {
+            const auto self = weak.lock();
+            if (!error && self)
+                self->carryOut(self->claims.tick(self->now()));
+        });
+    }
+};
+
+Claims::Claims(ControlContext &context, platform::KeyValueClient &keyValue,
+               admission::KnownGone knownGone)
+    : state(std::make_shared<State>(context, keyValue, std::move(knownGone)))
+{}
+
+Claims::~Claims()
+{
+    this->state->timer.cancel();
+}
+
+void Claims::claim(caller::Ticket ticket, admission::ClaimRequest request,
+                   caller::ClaimCallback decided)
+{
+    boost::asio::post(this->state->context.loop,
+                      [state = this->state, ticket, request = std::move(request),
+                       decided = std::move(decided)] {
+                          state->callbacks.emplace(ticket, decided);
+                          state->carryOut(state->claims.claim(ticket, request, state->now()));
+                      });
+}
+
+void Claims::abandon(caller::Ticket ticket)
+{
+    boost::asio::post(this->state->context.loop, [state = this->state, ticket] {
+        state->callbacks.erase(ticket);
+        state->carryOut(state->claims.abandon(ticket, state->now()));
+    });
+}
+
+void Claims::settle(caller::Ticket ticket, admission::Settlement settlement)
+{
+    boost::asio::post(this->state->context.loop,
+                      [state = this->state, ticket, settlement = std::move(settlement)] {
+                          state->carryOut(state->claims.settle(ticket, settlement, state->now()));
+                      });
+}
+
+void Claims::setInstanceCount(std::size_t instances)
+{
+    const auto share = static_cast<double>(std::max<std::size_t>(1, instances));
+    this->state->claims.setBudget(fleetClaimTransactionsPerSecond / share);
+}
+
+std::size_t Claims::open() const
+{
+    return this->state->claims.open();
+}
+
+} // namespace bamboochute::node
--- /dev/null
+++ b/src/node/configuration_driver.cpp
@@ -0,0 +1,404 @@
+#include "node/configuration_driver.hpp"
+
+#include "admin/configuration_store.hpp"
+#include "core/log.hpp"
+#include "core/random.hpp"
+#include "node/members.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace bamboochute::node {
+
+namespace {
+
+/// Instances that read the root often; the others rely on them and on the gossip.
+constexpr std::size_t rootReaders = 2;
+constexpr Duration readerPeriod = std::chrono::seconds(2);
+/// A reader reads each time, another instance each time out of so many.
+constexpr std::uint32_t quietReadFactor = 30;
+constexpr Duration partsRetryPeriod = std::chrono::milliseconds(250);
+constexpr Duration partsCallTimeout = std::chrono::milliseconds(600);
+/// Instances that hold a new revision before its submission is answered.
+constexpr std::size_t copiesBeforeAnswer = 2;
+constexpr Duration longestWaitForCopies = std::chrono::milliseconds(1500);
+constexpr Duration copiesPollPeriod = std::chrono::milliseconds(10);
+constexpr Duration collectionPeriod = std::chrono::minutes(10);
+/// Every so manieth request for parts goes to the key-value service in place of a peer.
+constexpr std::uint32_t keyValueEvery = 3;
+
+const peer::StateKey rootStateKey{{peer::Topic::ConfigurationRoot, ""}, ""};
+
+peer::StateKey revisionStateKey(const InstanceId &instance)
+{
+    return {{peer::Topic::InForceRevision, instance.value()}, ""};
+}
+
+/// Payload of the topic ConfigurationRoot: the root and the instance that has its parts.
+std::string printRootNews(const admin::ConfigurationRoot &root, const InstanceId &holder)
+{
+    const auto object = nlohmann::json::array({admin::writeRoot(root), holder.value()});
+    const auto bytes = nlohmann::json::to_cbor(object);
+    return std::string(bytes.begin(), bytes.end());
+}
+
+struct RootNews
+{
+    admin::ConfigurationRoot root;
+    InstanceId holder;
+};
+
+std::optional<RootNews> parseRootNews(std::string_view payload)
+{
+    const auto object = nlohmann::json::from_cbor(payload, true, false);
+    if (!object.is_array() || object.size() != 2 || !object[0].is_string()
+        || !object[1].is_string())
+        return std::nullopt;
+    const auto root = admin::readRoot(object[0].get_ref<const std::string &>());
+    if (!root)
+        return std::nullopt;
+    return RootNews{root.value(), InstanceId(object[1].get<std::string>())};
+}
+
+std::optional<Revision> parseRevision(std::string_view payload)
+{
+    std::uint64_t number = 0;
+    const auto parsed = std::from_chars(payload.data(), payload.data() + payload.size(), number);
+    const bool isWhole = parsed.ec == std::errc() && parsed.ptr == payload.data() + payload.size();
+    return isWhole ? std::optional(Revision(number)) : std::nullopt;
+}
+
+} // namespace
+
+struct ConfigurationDriver::State : std::enable_shared_from_this<ConfigurationDriver::State>
+{
+    using Store = admin::ConfigurationStore<platform::KeyValueClient, Timers>;
+
+    State(ControlContext &context, Timers &timers, platform::KeyValueClient &keyValue,
+          GossipDriver &gossip, peer::CallClient &calls,
+          std::function<void(ConfigurationPointer)> onApplied)
+        : context(context)
+        , timers(timers)
+        , gossip(gossip)
+        , calls(calls)
+        , onApplied(std::move(onApplied))
+        , store(keyValue, timers,
+                [this](const admin::PartHash &hash) { return this->inForce.findPart(hash); })
+        , random(context.incarnation.value())
+    {}
+
+    ControlContext &context;
+    Timers &timers;
+    GossipDriver &gossip;
+    peer::CallClient &calls;
+    std::function<void(ConfigurationPointer)> onApplied;
+    admin::ConfigurationInForce inForce;
+    Store store;
+    Random random;
+    InstanceId holder;
+    bool isFetching = false;
+    std::uint32_t fetchAttempts = 0;
+    std::uint32_t readRounds = 0;
+
+    const peer::Membership &membership() const { return this->gossip.gossip().membership(); }
+
+    void take(const admin::InForceStep &step)
+    {
+        if (step.isNewRoot)
+            this->fetchAttempts = 0;
+        if (step.applied) {
+            this->announce();
+            this->onApplied(step.applied);
+        }
+        if (!step.wanted.hashes.empty())
+            this->fetch();
+    }
+
+    /// Tells the others what is in force here.
+    void announce()
+    {
+        const admin::ConfigurationRoot &root = this->inForce.newest();
+        const InstanceId &self = this->context.settings.instance;
+        logEvent(LogLevel::Info, "configuration in force",
+                 {{"revision", std::to_string(root.revision.value())}});
+        const auto known = this->gossip.gossip().dissemination().find(rootStateKey);
+        if (!known || known->version.fence < Fence(root.revision.value()))
+            this->gossip.publish(rootStateKey, Fence(root.revision.value()),
+                                 printRootNews(root, self));
+        this->publishRevision();
+    }
+
+    void publishRevision()
+    {
+        this->gossip.publish(revisionStateKey(this->context.settings.instance),
+                             Fence(this->context.incarnation.value()),
+                             std::to_string(this->inForce.newest().revision.value()));
+    }
+
+    void fetch()
+    {
+        if (this->isFetching)
+            return;
+        const admin::PartsWanted wanted = this->inForce.wanted();
+        if (wanted.hashes.empty())
+            return;
+        this->isFetching = true;
+        ++this->fetchAttempts;
+        const auto source
+                = this->fetchAttempts % keyValueEvery == 0 ? std::nullopt : this->pickHolder();
+        if (source)
+            this->fetchFromPeer(*source, wanted);
+        else
+            this->fetchFromKeyValue(wanted);
+    }
+
+    /// The instance that announced the root at first, then any.
+    std::optional<Endpoint> pickHolder()
+    {
+        if (this->fetchAttempts == 1) {
+            if (const auto endpoint = callEndpointOf(this->membership(), this->holder))
+                return endpoint;
+        }
+        const auto instances = usableInstances(this->membership(), true);
+        if (instances.empty())
+            return std::nullopt;
+        return callEndpointOf(this->membership(), instances[this->random.below(instances.size())]);
+    }
+
+    void fetchFromPeer(const Endpoint &source, const admin::PartsWanted &wanted)
+    {
+        peer::ConfigurationPartsRequest request;
+        for (const admin::PartHash &hash : wanted.hashes)
+            request.parts.push_back({hash.value(), 0});
+        this->calls.call(
+                source, request, partsCallTimeout,
+                [weak = this->weak_from_this()](Result<peer::ConfigurationPartsAnswer> answer) {
+                    const auto self = weak.lock();
+                    if (!self)
+                        return;
+                    admin::PartsGiven given;
+                    if (answer) {
+                        for (const peer::PartChunk &chunk : answer.value().chunks)
+                            given.parts.push_back(chunk.bytes);
+                    }
+                    self->fetched(given);
+                });
+    }
+
+    void fetchFromKeyValue(const admin::PartsWanted &wanted)
+    {
+        this->store.readParts(wanted,
+                              [weak = this->weak_from_this()](Result<admin::PartsGiven> given) {
+                                  if (const auto self = weak.lock())
+                                      self->fetched(given ? given.value() : admin::PartsGiven{});
+                              });
+    }
+
+    void fetched(const admin::PartsGiven &given)
+    {
+        this->isFetching = false;
+        if (!given.parts.empty()) {
+            this->take(this->inForce.onPartsGiven(given));
+            return;
+        }
+        this->timers.after(partsRetryPeriod, [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->fetch();
+        });
+    }
+
+    bool isReader() const
+    {
+        const auto instances = usableInstances(this->membership(), false);
+        for (std::size_t rank = 0; rank < rootReaders; ++rank) {
+            if (chosenInstance(instances, "configuration-root", rank)
+                == this->context.settings.instance)
+                return true;
+        }
+        return false;
+    }
+
+    void readRoot()
+    {
+        ++this->readRounds;
+        const bool isDue = this->readRounds % quietReadFactor == 0 || this->isReader();
+        if (this->inForce.readiness().isReady && !isDue)
+            return;
+        this->store.readNewestRoot([weak = this->weak_from_this()](auto root) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            if (root)
+                self->take(self->inForce.onRootRead(root.value()));
+            else
+                self->inForce.onKeyValueUnavailable();
+        });
+    }
+
+    void onRevisionNews(const InstanceId &instance, std::string_view payload)
+    {
+        const auto revision = parseRevision(payload);
+        if (!revision || instance == this->context.settings.instance)
+            return;
+        const admin::ConfigurationRoot &known = this->inForce.newest();
+        if (*revision == Revision())
+            this->take(this->inForce.onRootAnnounced(instance, {}));
+        else if (*revision == known.revision)
+            this->take(this->inForce.onRootAnnounced(instance, {known, {}}));
+    }
+
+    void onRootNews(std::string_view payload)
+    {
+        const auto news = parseRootNews(payload);
+        if (!news)
+            return;
+        this->holder = news->holder;
+        this->take(this->inForce.onRootAnnounced(news->holder, {news->root, {}}));
+    }
+
+    std::map<InstanceId, Revision> revisions() const
+    {
+        std::map<InstanceId, Revision> all;
+        const peer::Dissemination &spread = this->gossip.gossip().dissemination();
+        for (const std::string &scope : spread.scopes(peer::Topic::InForceRevision)) {
+            const auto entry = spread.find(revisionStateKey(InstanceId(scope)));
+            const auto revision = entry ? parseRevision(entry->payload) : std::nullopt;
+            if (revision)
+                all[InstanceId(scope)] = *revision;
+        }
+        return all;
+    }
+
+    bool hasCopies(Revision revision) const
+    {
+        const auto others = usableInstances(this->membership(), true);
+        const auto known = this->revisions();
+        const auto copies
+                = std::count_if(others.begin(), others.end(), [&](const InstanceId &each) {
+                      const auto found = known.find(each);
+                      return found != known.end() && found->second >= revision;
+                  });
+        return static_cast<std::size_t>(copies) >= std::min(copiesBeforeAnswer, others.size());
+    }
+
+    void answerWithCopies(const admin::SubmissionAccepted &accepted, TimePoint until,
+                          std::function<void(Result<admin::SubmitOutcome>)> done)
+    {
+        if (this->hasCopies(accepted.root.revision) || this->context.clock.now() >= until) {
+            done(admin::SubmitOutcome(accepted));
+            return;
+        }
+        this->timers.after(copiesPollPeriod,
+                           [weak = this->weak_from_this(), accepted, until, done] {
+                               if (const auto self = weak.lock())
+                                   self->answerWithCopies(accepted, until, done);
+                           });
+    }
+
+    void submitted(Result<admin::SubmitOutcome> outcome,
+                   std::function<void(Result<admin::SubmitOutcome>)> done)
+    {
+        const auto *accepted
+                = outcome ? std::get_if<admin::SubmissionAccepted>(&outcome.value()) : nullptr;
+        if (accepted == nullptr || accepted->isDryRun) {
+            done(std::move(outcome));
+            return;
+        }
+        this->take(this->inForce.onRootAnnounced(this->context.settings.instance,
+                                                 {accepted->root, accepted->newParts}));
+        this->answerWithCopies(*accepted, this->context.clock.now() + longestWaitForCopies,
+                               std::move(done));
+    }
+
+    void collect()
+    {
+        const auto instances = usableInstances(this->membership(), false);
+        if (chosenInstance(instances, "configuration-collection", 0)
+            != this->context.settings.instance)
+            return;
+        this->store.collect([](const Result<admin::CollectionReport> &) {});
+    }
+};
+
+ConfigurationDriver::ConfigurationDriver(ControlContext &context, Timers &timers,
+                                         platform::KeyValueClient &keyValue, GossipDriver &gossip,
+                                         peer::CallClient &calls,
+                                         std::function<void(ConfigurationPointer)> onApplied)
+    : state(std::make_shared<State>(context, timers, keyValue, gossip, calls, std::move(onApplied)))
+{}
+
+ConfigurationDriver::~ConfigurationDriver() = default;
+
+void ConfigurationDriver::start()
+{
+    this->state->publishRevision();
+    this->state->readRoot();
+    this->state->timers.every(readerPeriod, [weak = std::weak_ptr(this->state)] {
+        if (const auto self = weak.lock())
+            self->readRoot();
+    });
+    this->state->timers.every(collectionPeriod, [weak = std::weak_ptr(this->state)] {
+        if (const auto self = weak.lock())
+            self->collect();
+    });
+}
+
+void ConfigurationDriver::onStateChanged(const peer::StateDelta &delta)
+{
+    if (delta.key.stream.topic == peer::Topic::ConfigurationRoot)
+        this->state->onRootNews(delta.payload);
+    else if (delta.key.stream.topic == peer::Topic::InForceRevision)
+        this->state->onRevisionNews(InstanceId(delta.key.stream.scope), delta.payload);
+}
+
+void ConfigurationDriver::onMembersChanged()
+{
+    const auto others = usableInstances(this->state->membership(), true);
+    this->state->inForce.onPeers({others.begin(), others.end()});
+}
+
+peer::ConfigurationPartsAnswer
+ConfigurationDriver::onPartsRequest(const peer::ConfigurationPartsRequest &request)
+{
+    peer::ConfigurationPartsAnswer answer;
+    std::size_t bytes = 0;
+    for (const peer::PartPosition &position : request.parts) {
+        const std::string *part = this->state->inForce.findPart(admin::PartHash(position.hash));
+        if (part == nullptr || bytes + part->size() > peer::maxChunkBytes)
+            continue;
+        bytes += part->size();
+        answer.chunks.push_back({position.hash, 0, part->size(), *part});
+    }
+    return answer;
+}
+
+void ConfigurationDriver::submit(admin::SubmitRequest request,
+                                 std::function<void(Result<admin::SubmitOutcome>)> done)
+{
+    this->state->store.submit(std::move(request), [weak = std::weak_ptr(this->state),
+                                                   done = std::move(done)](auto outcome) {
+        if (const auto self = weak.lock())
+            self->submitted(std::move(outcome), done);
+    });
+}
+
+void ConfigurationDriver::history(
+        std::function<void(Result<std::vector<admin::ConfigurationRoot>>)> done)
+{
+    this->state->store.readHistory(std::move(done));
+}
+
+const admin::ConfigurationInForce &ConfigurationDriver::inForce() const
+{
+    return this->state->inForce;
+}
+
+std::map<InstanceId, Revision> ConfigurationDriver::revisions() const
+{
+    return this->state->revisions();
+}
+
+} // namespace bamboochute::node
--- /dev/null
+++ b/src/node/control.cpp
@@ -0,0 +1,345 @@
+#include "node/control.hpp"
+
+#include "admin/admin_server.hpp"
+#include "caller/server.hpp"
+#include "core/log.hpp"
+#include "node/admin_ports.hpp"
+#include "node/claims.hpp"
+#include "node/cold_starts.hpp"
+#include "node/configuration_driver.hpp"
+#include "node/control_context.hpp"
+#include "node/demand_desk.hpp"
+#include "node/gossip_driver.hpp"
+#include "node/members.hpp"
+#include "node/pool_choice.hpp"
+#include "node/pools.hpp"
+#include "node/snapshot_publisher.hpp"
+#include "node/timers.hpp"
+#include "node/upstream_orders.hpp"
+#include "node/upstream_watch.hpp"
+
+#include <map>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+namespace bamboochute::node {
+
+namespace {
+
+constexpr Duration poolTickPeriod = std::chrono::milliseconds(50);
+constexpr Duration usagePeriod = std::chrono::seconds(2);
+constexpr Duration stopPollPeriod = std::chrono::milliseconds(20);
+/// Longest wait for handing over pools and settling claims after the last request has ended.
+constexpr Duration handOverPatience = std::chrono::seconds(3);
+
+/// A number that is higher for each later process: microseconds since 1970.
+Incarnation newIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto count = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
+    return Incarnation(static_cast<std::uint64_t>(count));
+}
+
+Result<peer::KeyRing> keyRingOf(const Settings &settings)
+{
+    std::vector<peer::SharedKey> keys;
+    for (const PeerKey &key : settings.peerKeys)
+        keys.push_back({key.id, key.secret});
+    return peer::KeyRing::create(std::move(keys));
+}
+
+caller::ServerSettings serverSettings(const Settings &settings, Incarnation incarnation)
+{
+    caller::ServerSettings server;
+    server.listen = settings.listen;
+    server.trafficThreads = settings.trafficThreads;
+    server.dataCentre = settings.dataCentre;
+    server.orderCredential = settings.orderCredential;
+    server.seed = incarnation.value();
+    return server;
+}
+
+} // namespace
+
+struct Control::State : std::enable_shared_from_this<Control::State>
+{
+    State(boost::asio::io_context &loop, const Settings &settings, Metrics &metrics)
+        : context{loop, settings, metrics, newIncarnation(), {}}
+        , timers(loop)
+        , keyValue(loop, settings.keyValue, metrics)
+        , orders(context)
+        , coldStarts(context, [this](const Target &target) { this->onDemandChanged(target); })
+        , claims(context, keyValue,
+                 [this](const InstanceId &instance, Incarnation incarnation) {
+                     return this->gossip
+                            && this->gossip->gossip().membership().isKnownGone(instance,
+                                                                               incarnation);
+                 })
+        , server(serverSettings(settings, context.incarnation),
+                 caller::makePorts(coldStarts, claims), metrics)
+    {}
+
+    ControlContext context;
+    Timers timers;
+    platform::KeyValueClient keyValue;
+    UpstreamOrders orders;
+    ColdStarts coldStarts;
+    Claims claims;
+    caller::Server server;
+    std::unique_ptr<peer::CallServer> callServer;
+    std::unique_ptr<peer::CallClient> callClient;
+    std::unique_ptr<GossipDriver> gossip;
+    std::unique_ptr<Pools> pools;
+    std::unique_ptr<DemandDesk> desk;
+    std::unique_ptr<ConfigurationDriver> configuration;
+    std::unique_ptr<UpstreamWatch> upstreams;
+    std::unique_ptr<SnapshotPublisher> publisher;
+    std::unique_ptr<AdminPorts> ports;
+    std::unique_ptr<admin::AdminApi<AdminPorts>> api;
+    std::unique_ptr<admin::AdminServer> adminServer;
+    std::function<void()> stopped;
+    TimePoint drainedAt{};
+    bool isStopping = false;
+    bool isDrained = false;
+
+    Result<BoundEndpoints> start(std::function<void()> whenStopped)
+    {
+        this->stopped = std::move(whenStopped);
+        BOOST_OUTCOME_TRY(keys, keyRingOf(this->context.settings));
+        BOOST_OUTCOME_TRYV(this->openPeers(keys));
+        this->createParts();
+        BOOST_OUTCOME_TRY(callers, this->server.start());
+        BOOST_OUTCOME_TRY(admin, this->openAdmin());
+        this->startParts();
+        return BoundEndpoints{callers, admin, this->callServer->localEndpoint()};
+    }
+
+    Result<void> openPeers(const peer::KeyRing &keys)
+    {
+        const Settings &settings = this->context.settings;
+        BOOST_OUTCOME_TRY(opened,
+                          peer::CallServer::open(this->context.loop, settings.peerListen, keys));
+        this->callServer = std::move(opened);
+        this->callClient = std::make_unique<peer::CallClient>(
+                this->context.loop, keys,
+                peer::Caller{settings.instance, this->context.incarnation});
+        GossipCallbacks callbacks;
+        callbacks.onMemberChanged = [this](const auto &each) { this->onMemberChanged(each); };
+        callbacks.onStateChanged = [this](const auto &each) { this->onStateChanged(each.delta); };
+        callbacks.onSelfDeclaredGone = [this](const auto &each) { this->onSelfGone(each); };
+        BOOST_OUTCOME_TRY(driver,
+                          GossipDriver::open(this->context, keys, this->callServer->localEndpoint(),
+                                             std::move(callbacks)));
+        this->gossip = std::move(driver);
+        return boost::outcome_v2::success();
+    }
+
+    void createParts()
+    {
+        this->pools = std::make_unique<Pools>(
+                this->context, this->keyValue, *this->gossip, *this->callClient, this->orders,
+                [this](const auto &refusal) { this->desk->onRefuseDemand(refusal); });
+        this->desk = std::make_unique<DemandDesk>(this->context, this->coldStarts,
+                                                  *this->callClient, this->deskCallbacks());
+        this->configuration = std::make_unique<ConfigurationDriver>(
+                this->context, this->timers, this->keyValue, *this->gossip, *this->callClient,
+                [this](const ConfigurationPointer &applied) { this->onConfiguration(applied); });
+        this->upstreams = std::make_unique<UpstreamWatch>(this->context, this->timers,
+                                                          *this->gossip, *this->pools, this->orders,
+                                                          [this] { this->publisher->changed(); });
+        this->publisher = std::make_unique<SnapshotPublisher>(
+                this->context, *this->configuration, *this->gossip, *this->upstreams, this->server);
+        this->ports = std::make_unique<AdminPorts>(AdminPortsParts{
+                this->context, *this->configuration, *this->gossip, *this->pools, *this->upstreams,
+                this->keyValue, this->server, [this] { this->beginStop(); }});
+        this->api = std::make_unique<admin::AdminApi<AdminPorts>>(
+                *this->ports, this->context.settings.bootstrapCredentialHash);
+    }
+
+    DemandDeskCallbacks deskCallbacks()
+    {
+        DemandDeskCallbacks callbacks;
+        callbacks.poolOf = [this](const Target &target) { return this->poolOf(target); };
+        callbacks.driverOf = [this](const PoolId &pool) { return this->pools->find(pool); };
+        callbacks.ownerOf = [this](const PoolId &pool) { return this->pools->ownerOf(pool); };
+        return callbacks;
+    }
+
+    Result<Endpoint> openAdmin()
+    {
+        this->adminServer = std::make_unique<admin::AdminServer>(this->context.loop,
+                                                                 admin::handlerOf(*this->api));
+        return this->adminServer->listen(this->context.settings.adminListen);
+    }
+
+    void startParts()
+    {
+        this->registerCalls();
+        this->callServer->start();
+        this->gossip->start();
+        this->configuration->start();
+        this->upstreams->start();
+        this->desk->start();
+        this->timers.every(poolTickPeriod, [this] { this->pools->handleAll(decision::Tick{}); });
+        this->timers.every(usagePeriod, [this] { this->reportUsage(); });
+        this->publisher->changed();
+    }
+
+    void registerCalls()
+    {
+        this->callServer->handle<peer::DemandReport>(
+                [this](const peer::Caller &caller, const peer::DemandReport &report, auto reply) {
+                    reply(this->desk->onDemandReport(caller.instance, report));
+                });
+        this->callServer->handle<peer::UsageReport>(
+                [this](const peer::Caller &caller, const peer::UsageReport &report, auto reply) {
+                    reply(this->desk->onUsageReport(caller.instance, report));
+                });
+        this->callServer->handle<peer::GaveUp>(
+                [this](const peer::Caller &, const peer::GaveUp &gaveUp, auto reply) {
+                    this->pools->onGaveUp(gaveUp);
+                    reply(peer::GaveUpAnswer{true});
+                });
+        this->callServer->handle<peer::ConfigurationPartsRequest>(
+                [this](const peer::Caller &, const peer::ConfigurationPartsRequest &request,
+                       auto reply) { reply(this->configuration->onPartsRequest(request)); });
+    }
+
+    std::optional<PoolId> poolOf(const Target &target) const
+    {
+        const ConfigurationPointer &inForce = this->configuration->inForce().configuration();
+        if (!inForce)
+            return std::nullopt;
+        return poolOfTarget(*inForce, target, this->context.settings.dataCentre);
+    }
+
+    void onConfiguration(const ConfigurationPointer &applied)
+    {
+        this->coldStarts.setConfiguration(applied);
+        this->pools->setConfiguration(applied);
+        this->upstreams->setConfiguration(applied);
+        this->publisher->changed();
+    }
+
+    void onMemberChanged(const peer::MemberChanged &changed)
+    {
+        const peer::Membership &membership = this->gossip->gossip().membership();
+        logEvent(LogLevel::Info, "member changed",
+                 {{"member", changed.member.identity.instance.value()},
+                  {"state", std::string(peer::memberStateName(changed.member.state))}});
+        this->claims.setInstanceCount(membership.reachableCount() + 1);
+        this->configuration->onMembersChanged();
+        this->pools->onMemberChanged(changed);
+        this->publisher->changed();
+    }
+
+    void onStateChanged(const peer::StateDelta &delta)
+    {
+        this->configuration->onStateChanged(delta);
+        this->upstreams->onStateChanged(delta);
+        if (delta.key.stream.topic == peer::Topic::Placements)
+            this->publisher->changed();
+    }
+
+    void onSelfGone(const peer::SelfDeclaredGone &gone)
+    {
+        logEvent(LogLevel::Critical, "declared gone by other instances; stopping",
+                 {{"evidence", std::string(peer::goneEvidenceName(gone.evidence))}});
+        this->beginStop();
+    }
+
+    void onDemandChanged(const Target &target)
+    {
+        if (this->desk)
+            this->desk->onDemandChanged(target);
+    }
+
+    void reportUsage()
+    {
+        std::map<PoolId, std::vector<peer::TargetUsage>> byPool;
+        for (const caller::TargetUsage &usage : this->server.takeUsage()) {
+            const auto pool = this->poolOf(usage.target);
+            const bool isUsed = usage.arrived != 0 || usage.inFlight != 0;
+            if (pool && isUsed)
+                byPool[*pool].push_back({usage.target, usage.arrived, usage.inFlight,
+                                         std::chrono::milliseconds::zero()});
+        }
+        for (const auto &[pool, usages] : byPool)
+            this->desk->reportUsage(pool, usages);
+    }
+
+    void beginStop()
+    {
+        if (this->isStopping)
+            return;
+        this->isStopping = true;
+        logEvent(LogLevel::Info, "graceful stop begins");
+        this->server.beginDrain();
+        this->gossip->announceLeaving();
+        this->pools->handOver();
+        this->server.whenDrained([weak = this->weak_from_this()] {
+            const auto self = weak.lock();
+            if (self)
+                boost::asio::post(self->context.loop, [self] { self->onDrained(); });
+        });
+        const auto limit = this->context.settings.drainTimeout;
+        if (limit > std::chrono::seconds::zero())
+            this->timers.after(limit, [this] { this->stopNow(); });
+    }
+
+    void onDrained()
+    {
+        if (std::exchange(this->isDrained, true))
+            return;
+        this->drainedAt = this->context.clock.now();
+        this->finishWhenQuiet();
+    }
+
+    void finishWhenQuiet()
+    {
+        const bool isQuiet = !this->pools->ownsAny() && this->claims.open() == 0;
+        if (!isQuiet && this->context.clock.now() - this->drainedAt < handOverPatience) {
+            this->timers.after(stopPollPeriod, [this] { this->finishWhenQuiet(); });
+            return;
+        }
+        this->gossip->leave();
+        this->server.stop();
+        logEvent(LogLevel::Info, "graceful stop ended");
+        this->stopped();
+    }
+
+    void stopNow()
+    {
+        if (this->isDrained)
+            return;
+        logEvent(LogLevel::Warning, "graceful stop cut short",
+                 {{"open", std::to_string(this->server.open())}});
+        this->server.stop();
+        this->onDrained();
+    }
+};
+
+Control::Control(boost::asio::io_context &loop, const Settings &settings, Metrics &metrics)
+    : state(std::make_shared<State>(loop, settings, metrics))
+{}
+
+Control::~Control() = default;
+
+Result<BoundEndpoints> Control::start(std::function<void()> stopped)
+{
+    return this->state->start(std::move(stopped));
+}
+
+void Control::beginStop()
+{
+    this->state->beginStop();
+}
+
+void Control::stopNow()
+{
+    this->state->stopNow();
+}
+
+} // namespace bamboochute::node
--- /dev/null
+++ b/src/node/placement_stream.cpp
@@ -0,0 +1,64 @@
+#include "node/placement_stream.hpp"
+
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace bamboochute::node {
+
+namespace {
+
+/// Separates the parts of an item's name; no identifier holds it.
+constexpr char separator = '\n';
+
+} // namespace
+
+peer::StreamKey placementStream(const PoolId &pool)
+{
+    return {peer::Topic::Placements, pool.value()};
+}
+
+std::string printPlacementItem(const PlacementItem &item)
+{
+    return item.upstream.value() + separator + item.target.model.value() + separator
+           + item.target.adapter.value();
+}
+
+std::optional<PlacementItem> parsePlacementItem(std::string_view name)
+{
+    const std::size_t first = name.find(separator);
+    if (first == std::string_view::npos)
+        return std::nullopt;
+    const std::size_t second = name.find(separator, first + 1);
+    if (second == std::string_view::npos)
+        return std::nullopt;
+    return PlacementItem{
+            UpstreamId(std::string(name.substr(0, first))),
+            Target{
+                    ModelId(std::string(name.substr(first + 1, second - first - 1))),
+                    AdapterId(std::string(name.substr(second + 1))),
+            },
+    };
+}
+
+std::string printOwnerAnnouncement(const OwnerAnnouncement &owner)
+{
+    const auto object = nlohmann::json::array({owner.instance.value(), owner.incarnation.value()});
+    const auto bytes = nlohmann::json::to_cbor(object);
+    return std::string(bytes.begin(), bytes.end());
+}
+
+std::optional<OwnerAnnouncement> parseOwnerAnnouncement(std::string_view payload)
+{
+    const auto object = nlohmann::json::from_cbor(payload, true, false);
+    const bool isAnnouncement = object.is_array() && object.size() == 2 && object[0].is_string()
+                                && object[1].is_number_unsigned();
+    if (!isAnnouncement)
+        return std::nullopt;
+    return OwnerAnnouncement{
+            InstanceId(object[0].get<std::string>()),
+            Incarnation(object[1].get<std::uint64_t>()),
+    };
+}
+
+} // namespace bamboochute::node
--- /dev/null
+++ b/src/node/pool_driver.cpp
@@ -0,0 +1,60 @@
+#include "node/pool_driver.hpp"
+
+#include "core/overloaded.hpp"
+
+namespace bamboochute::node {
+
+PoolDriver::PoolDriver(ControlContext &context, const PoolId &pool,
+                       platform::KeyValueClient &keyValue, PoolCallbacks callbacks)
+    : context(context)
+    , keyValue(keyValue)
+    , callbacks(std::move(callbacks))
+    , decisions({pool, {context.settings.instance, context.incarnation}, {}})
+{}
+
+void PoolDriver::handle(const decision::Event &event)
+{
+    const decision::Actions actions = this->decisions.handle(event, this->context.clock.now());
+    for (const decision::Action &action : actions) {
+        std::visit(
+                Overloaded{
+                        [this](const decision::SubmitTransaction &each) { this->carryOut(each); },
+                        [this](const decision::SendOrder &each) { this->carryOut(each); },
+                        [this](const decision::PublishPlacements &each) {
+                            this->callbacks.publishPlacements(each);
+                        },
+                        [this](const decision::RefuseDemand &each) {
+                            this->callbacks.refuseDemand(each);
+                        },
+                        [this](const decision::AnnounceOwner &each) {
+                            this->callbacks.announceOwner(each);
+                        },
+                        [this](const decision::TellGaveUp &each) {
+                            this->callbacks.tellGaveUp(each);
+                        },
+                },
+                action);
+    }
+}
+
+void PoolDriver::carryOut(const decision::SubmitTransaction &submit)
+{
+    this->keyValue.submit(
+            submit.purpose, submit.transaction,
+            [weak = this->weak_from_this(),
+             tag = submit.tag](Result<platform::TransactionResponse> result) {
+                if (const auto self = weak.lock())
+                    self->handle(decision::TransactionFinished{tag, std::move(result)});
+            });
+}
+
+void PoolDriver::carryOut(const decision::SendOrder &send)
+{
+    this->callbacks.sendOrder(
+            send.order, [weak = this->weak_from_this()](const decision::OrderFinished &finished) {
+                if (const auto self = weak.lock())
+                    self->handle(finished);
+            });
+}
+
+} // namespace bamboochute::node
--- /dev/null
+++ b/src/node/upstream_watch.cpp
@@ -0,0 +1,300 @@
+#include "node/upstream_watch.hpp"
+
+#include "core/log.hpp"
+#include "node/members.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace bamboochute::node {
+
+namespace {
+
+constexpr Duration reportPeriod = std::chrono::milliseconds(500);
+/// Time between two readings of the platform's list by all instances together.
+constexpr Duration fleetListPeriod = std::chrono::milliseconds(100);
+constexpr Duration leastListPeriod = std::chrono::seconds(1);
+constexpr const char *drainScopeSuffix = "/drain";
+
+std::vector<peer::ListedInstance> toMembership(const std::vector<platform::ListedInstance> &rows)
+{
+    std::vector<peer::ListedInstance> listed;
+    for (const platform::ListedInstance &row : rows) {
+        listed.push_back({InstanceId(row.name), row.dataCentre, row.endpoint,
+                          static_cast<peer::ListedState>(row.state), row.generation});
+    }
+    return listed;
+}
+
+std::string printLoads(const std::map<UpstreamId, std::uint32_t> &loads)
+{
+    nlohmann::json object = nlohmann::json::object();
+    for (const auto &[upstream, load] : loads)
+        object[upstream.value()] = load;
+    const auto bytes = nlohmann::json::to_cbor(object);
+    return std::string(bytes.begin(), bytes.end());
+}
+
+std::map<UpstreamId, std::uint32_t> parseLoads(std::string_view payload)
+{
+    std::map<UpstreamId, std::uint32_t> loads;
+    const auto object = nlohmann::json::from_cbor(payload, true, false);
+    if (!object.is_object())
+        return loads;
+    for (const auto &[name, load] : object.items()) {
+        if (load.is_number_unsigned())
+            loads[UpstreamId(name)] = load.get<std::uint32_t>();
+    }
+    return loads;
+}
+
+} // namespace
+
+struct UpstreamWatch::State : std::enable_shared_from_this<UpstreamWatch::State>
+{
+    State(ControlContext &context, Timers &timers, GossipDriver &gossip, Pools &pools,
+          UpstreamOrders &orders, std::function<void()> onNews)
+        : context(context)
+        , timers(timers)
+        , gossip(gossip)
+        , pools(pools)
+        , orders(orders)
+        , onNews(std::move(onNews))
+    {
+        if (!context.settings.instanceList.empty())
+            this->listClient = std::make_unique<platform::InstanceListClient>(
+                    context.loop, context.settings.instanceList);
+    }
+
+    ControlContext &context;
+    Timers &timers;
+    GossipDriver &gossip;
+    Pools &pools;
+    UpstreamOrders &orders;
+    std::function<void()> onNews;
+    ConfigurationPointer configuration;
+    std::unique_ptr<platform::InstanceListClient> listClient;
+    std::set<UpstreamId> listedLeaving;
+    std::set<UpstreamId> gone;
+    std::set<UpstreamId> reading;
+    std::map<PoolId, std::map<UpstreamId, std::uint32_t>> ownLoads;
+    UpstreamNews merged;
+
+    const UpstreamSpec *find(const UpstreamId &upstream) const
+    {
+        if (!this->configuration)
+            return nullptr;
+        for (const Deployment &deployment : this->configuration->deployments) {
+            for (const UpstreamSpec &spec : deployment.upstreams) {
+                if (spec.id == upstream)
+                    return &spec;
+            }
+        }
+        return nullptr;
+    }
+
+    void readReports()
+    {
+        if (!this->configuration)
+            return;
+        for (const Deployment &deployment : this->configuration->deployments) {
+            for (const UpstreamSpec &spec : deployment.upstreams) {
+                PoolDriver *driver = this->pools.find(spec.pool);
+                const bool isOurs = spec.kind == UpstreamKind::Engine && driver != nullptr
+                                    && driver->controller().isOwner();
+                if (isOurs && this->reading.insert(spec.id).second)
+                    this->readReport(spec);
+            }
+        }
+        this->publishLoads();
+    }
+
+    void readReport(const UpstreamSpec &spec)
+    {
+        this->orders.readReport(spec, [weak = this->weak_from_this(), id = spec.id,
+                                       pool = spec.pool](Result<decision::ReportReceived> report) {
+            if (const auto self = weak.lock())
+                self->onReport(id, pool, std::move(report));
+        });
+    }
+
+    void onReport(const UpstreamId &upstream, const PoolId &pool,
+                  Result<decision::ReportReceived> report)
+    {
+        this->reading.erase(upstream);
+        if (!report) {
+            this->onReportFailed(upstream, pool, report.error());
+            return;
+        }
+        if (this->gone.erase(upstream) != 0) {
+            logEvent(LogLevel::Info, "upstream returned", {{"upstream", upstream.value()}});
+            this->pools.handle(pool, decision::UpstreamReturned{upstream});
+        }
+        this->ownLoads[pool][upstream] = report.value().running + report.value().waiting;
+        this->pools.handle(pool, report.value());
+    }
+
+    void onReportFailed(const UpstreamId &upstream, const PoolId &pool, const Error &error)
+    {
+        this->context.metrics.counter("bamboochute_reports_failed_total").add();
+        const bool isRefused = error.kind() == ErrorKind::UpstreamUnavailable;
+        if (isRefused && this->gone.insert(upstream).second) {
+            logEvent(LogLevel::Warning, "upstream gone",
+                     {{"upstream", upstream.value()}, {"detail", error.message()}});
+            this->pools.handle(pool, decision::UpstreamGone{upstream});
+        }
+    }
+
+    void publishLoads()
+    {
+        for (const auto &[pool, loads] : this->ownLoads) {
+            PoolDriver *driver = this->pools.find(pool);
+            const auto owner = driver ? driver->controller().knownOwner() : std::nullopt;
+            if (driver != nullptr && driver->controller().isOwner() && owner)
+                this->gossip.publish({{peer::Topic::LoadSummary, pool.value()}, ""}, owner->fence,
+                                     printLoads(loads));
+        }
+    }
+
+    void readList()
+    {
+        const auto instances = this->gossip.gossip().membership().reachableCount() + 1;
+        const Duration period
+                = std::max(leastListPeriod, fleetListPeriod * static_cast<std::int64_t>(instances));
+        this->timers.after(period, [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->readList();
+        });
+        if (!this->listClient)
+            return;
+        this->listClient->read(
+                [weak = this->weak_from_this()](Result<platform::InstanceList> list) {
+                    const auto self = weak.lock();
+                    if (self && list)
+                        self->onList(list.value());
+                });
+    }
+
+    void onList(const platform::InstanceList &list)
+    {
+        this->gossip.onPlatformList(toMembership(list.entryInstances));
+        for (const platform::ListedInstance &row : list.upstreams) {
+            const UpstreamId upstream(row.name);
+            const bool isLeaving = row.state != platform::ListedState::Live;
+            const bool wasLeaving = this->listedLeaving.contains(upstream);
+            if (isLeaving && !wasLeaving)
+                this->publishLeaving(upstream);
+            else if (!isLeaving && wasLeaving)
+                this->withdrawLeaving(upstream);
+        }
+    }
+
+    peer::StateKey leavingKey(const UpstreamId &upstream) const
+    {
+        return {{peer::Topic::LeavingUpstreams, this->context.settings.instance.value()},
+                upstream.value()};
+    }
+
+    void publishLeaving(const UpstreamId &upstream)
+    {
+        logEvent(LogLevel::Info, "upstream leaving", {{"upstream", upstream.value()}});
+        this->listedLeaving.insert(upstream);
+        this->gossip.publish(this->leavingKey(upstream), Fence(this->context.incarnation.value()),
+                             {});
+        this->mergeLeaving();
+    }
+
+    void withdrawLeaving(const UpstreamId &upstream)
+    {
+        this->listedLeaving.erase(upstream);
+        this->gossip.erase(this->leavingKey(upstream), Fence(this->context.incarnation.value()));
+        this->mergeLeaving();
+    }
+
+    /// Joins what all instances say of leaving upstreams, and tells the pools what changed.
+    void mergeLeaving()
+    {
+        std::set<UpstreamId> leaving = this->listedLeaving;
+        const peer::Dissemination &spread = this->gossip.gossip().dissemination();
+        for (const std::string &scope : spread.scopes(peer::Topic::LeavingUpstreams)) {
+            for (const peer::StateDelta &entry :
+                 spread.entries({peer::Topic::LeavingUpstreams, scope}))
+                leaving.insert(UpstreamId(entry.key.item));
+        }
+        const std::set<UpstreamId> before = std::exchange(this->merged.leaving, leaving);
+        for (const UpstreamId &upstream : leaving) {
+            if (!before.contains(upstream))
+                this->tellPool(upstream, decision::UpstreamLeaving{upstream});
+        }
+        for (const UpstreamId &upstream : before) {
+            if (!leaving.contains(upstream))
+                this->tellPool(upstream, decision::UpstreamReturned{upstream});
+        }
+        if (before != leaving)
+            this->onNews();
+    }
+
+    void tellPool(const UpstreamId &upstream, const decision::Event &event)
+    {
+        if (const UpstreamSpec *spec = this->find(upstream))
+            this->pools.handle(spec->pool, event);
+    }
+
+    void mergeLoads(const peer::StateDelta &delta)
+    {
+        for (const auto &[upstream, load] : parseLoads(delta.payload))
+            this->merged.reportedLoad[upstream] = load;
+        this->onNews();
+    }
+};
+
+UpstreamWatch::UpstreamWatch(ControlContext &context, Timers &timers, GossipDriver &gossip,
+                             Pools &pools, UpstreamOrders &orders, std::function<void()> onNews)
+    : state(std::make_shared<State>(context, timers, gossip, pools, orders, std::move(onNews)))
+{}
+
+UpstreamWatch::~UpstreamWatch() = default;
+
+void UpstreamWatch::start()
+{
+    this->state->readList();
+    this->state->timers.every(reportPeriod, [weak = std::weak_ptr(this->state)] {
+        if (const auto self = weak.lock())
+            self->readReports();
+    });
+}
+
+void UpstreamWatch::setConfiguration(ConfigurationPointer configuration)
+{
+    this->state->configuration = std::move(configuration);
+    this->state->mergeLeaving();
+    for (const UpstreamId &upstream : this->state->merged.leaving)
+        this->state->tellPool(upstream, decision::UpstreamLeaving{upstream});
+}
+
+void UpstreamWatch::onStateChanged(const peer::StateDelta &delta)
+{
+    if (delta.key.stream.topic == peer::Topic::LeavingUpstreams)
+        this->state->mergeLeaving();
+    else if (delta.key.stream.topic == peer::Topic::LoadSummary)
+        this->state->mergeLoads(delta);
+}
+
+bool UpstreamWatch::drain(const UpstreamId &upstream)
+{
+    if (this->state->find(upstream) == nullptr)
+        return false;
+    const std::string scope = this->state->context.settings.instance.value() + drainScopeSuffix;
+    this->state->gossip.publish({{peer::Topic::LeavingUpstreams, scope}, upstream.value()},
+                                Fence(this->state->context.incarnation.value()), {});
+    this->state->mergeLeaving();
+    return true;
+}
+
+const UpstreamNews &UpstreamWatch::news() const
+{
+    return this->state->merged;
+}
+
+} // namespace bamboochute::node
--- a/src/peer/call_messages.cpp
+++ b/src/peer/call_messages.cpp
@@ -119,6 +119,20 @@
     read(found, "adapter", value.adapter);
 }
 
+void read(const Json &object, const char *name, std::vector<std::uint64_t> &values)
+{
+    const Json &list = member(object, name);
+    if (!list.is_array() || list.size() > maxMessageEntries)
+        throw FieldFailure{name,
+                           fmt::format("must be a list of at most {} numbers", maxMessageEntries)};
+    values.clear();
+    for (const Json &value : list) {
+        if (!value.is_number_unsigned())
+            throw FieldFailure{name, "must hold whole numbers from 0"};
+        values.push_back(value.get<std::uint64_t>());
+    }
+}
+
 template<typename Value>
 void read(const Json &object, const char *name, std::vector<Value> &values);
 
@@ -180,6 +194,11 @@
     return Json{{"model", value.model.value()}, {"adapter", value.adapter.value()}};
 }
 
+Json write(const std::vector<std::uint64_t> &values)
+{
+    return values;
+}
+
 template<typename Value>
 Json write(const std::vector<Value> &values);
 
@@ -244,6 +263,7 @@
     each("kind", message.kind);
     each("message", message.message);
     each("retryAfterS", message.retryAfter);
+    each("deadlineWithinMs", message.deadlineWithin);
 }
 
 template<typename Visitor>
@@ -298,6 +318,7 @@
     each("fence", message.fence);
     each("instance", message.instance);
     each("incarnation", message.incarnation);
+    each("unresolvedOrders", message.unresolvedOrders);
 }
 
 template<typename Visitor>
--- a/src/peer/call_messages.hpp
+++ b/src/peer/call_messages.hpp
@@ -49,6 +49,8 @@
     std::string message;
     /// When the caller may come back; zero when not known.
     std::chrono::seconds retryAfter{0};
+    /// Holds for requests whose deadline is within this time.
+    std::chrono::milliseconds deadlineWithin{0};
     auto operator<=>(const DemandRefusal &) const = default;
 };
 
@@ -120,6 +122,8 @@
     Fence fence;
     InstanceId instance;
     Incarnation incarnation;
+    /// Numbers of the orders that may still be carried out.
+    std::vector<std::uint64_t> unresolvedOrders;
     auto operator<=>(const GaveUp &) const = default;
 };
 
--- a/src/platform/key_value_client.cpp
+++ b/src/platform/key_value_client.cpp
@@ -55,11 +55,19 @@
 void KeyValueClient::finish(const std::function<void(Result<T>)> &done, Result<T> result)
 {
     this->available = result.has_value();
-    if (!result)
+    if (result)
+        this->lastAnswer = this->clock.now();
+    else
         this->metrics.errors(result.error().kind()).add();
     done(std::move(result));
 }
 
+std::chrono::milliseconds KeyValueClient::sinceLastAnswer() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now()
+                                                                 - this->lastAnswer);
+}
+
 void KeyValueClient::submit(Purpose purpose, Transaction transaction, TransactionDone done)
 {
     const bool isWrite = hasWrites(transaction);
--- a/src/platform/key_value_client.hpp
+++ b/src/platform/key_value_client.hpp
@@ -31,6 +31,9 @@
     /// @brief Whether the newest call that ended had an answer.
     bool isAvailable() const noexcept { return this->available; }
 
+    /// @brief Time since the newest answer; since the start when none came.
+    std::chrono::milliseconds sinceLastAnswer() const;
+
 private:
     template<typename T>
     void finish(const std::function<void(Result<T>)> &done, Result<T> result);
@@ -38,6 +41,8 @@
     HttpCaller caller;
     Metrics &metrics;
     bool available = true;
+    SteadyClock clock;
+    TimePoint lastAnswer = SteadyClock().now();
 };
 
 static_assert(KeyValueService<KeyValueClient>);
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -39,9 +39,9 @@
             = co_await this->pool.connect(*this->stream, this->endpoint, deadline);
     if (status == StreamStatus::Ok)
         co_return boost::outcome_v2::success();
-    co_return this->error(this->isCancelled ? CallFailure::Cancelled : CallFailure::ConnectFailed,
-                          fmt::format("{}:{} can't be reached", this->endpoint.address,
-                                      this->endpoint.port));
+    co_return this->error(
+            this->isCancelled ? CallFailure::Cancelled : CallFailure::ConnectFailed,
+            fmt::format("{}:{} can't be reached", this->endpoint.address, this->endpoint.port));
 }
 
 Awaitable<CallResult<void>> UpstreamCall::send(std::string_view head, std::string_view body,
@@ -221,8 +221,8 @@
 }
 
 Awaitable<CallResult<WholeAnswer>> exchange(ConnectionPool &pool, Endpoint endpoint,
-                                            std::string head, std::string body,
-                                            TimePoint deadline, std::size_t maxAnswerBytes)
+                                            std::string head, std::string body, TimePoint deadline,
+                                            std::size_t maxAnswerBytes)
 {
     UpstreamCall call(pool, std::move(endpoint));
     const CallResult<void> sent = co_await call.send(head, body, deadline, ConnectionUse::Any);
