--- a/src/peer/call_client.cpp
+++ b/src/peer/call_client.cpp
@@ -273,7 +273,7 @@
     this->close();
 }
 
-void CallClient::callText(const Endpoint &to, const char *method, std::string params,
+void CallClient::callText(const Endpoint &to, const char *method, const std::string &params,
                           Duration timeout, TextDone done)
 {
     this->state->call(to, method, params, timeout, std::move(done));
--- a/src/peer/call_client.hpp
+++ b/src/peer/call_client.hpp
@@ -81,8 +81,8 @@
     struct State;
     using TextDone = std::function<void(Result<std::string>)>;
 
-    void callText(const Endpoint &to, const char *method, std::string params, Duration timeout,
-                  TextDone done);
+    void callText(const Endpoint &to, const char *method, const std::string &params,
+                  Duration timeout, TextDone done);
 
     std::shared_ptr<State> state;
 };
--- a/src/peer/call_messages.hpp
+++ b/src/peer/call_messages.hpp
@@ -19,7 +19,7 @@
 /// Most entries of a list in one message.
 constexpr std::size_t maxMessageEntries = 1024;
 /// Most bytes of configuration parts in one answer.
-constexpr std::size_t maxChunkBytes = 128 * 1024;
+constexpr std::size_t maxChunkBytes = std::size_t{128} * 1024;
 
 /// @brief What the receiver of a report did with it.
 enum class ReportOutcome : std::uint8_t {
--- a/src/peer/call_server.cpp
+++ b/src/peer/call_server.cpp
@@ -161,19 +161,19 @@
         }
         ++session->inFlight;
         handler->second(session->caller, this->invokedParams,
-                        [session, reply, isDone = false](std::string result) mutable {
+                        [session, reply, isDone = false](const std::string &result) mutable {
                             if (isDone)
                                 return;
                             isDone = true;
                             --session->inFlight;
-                            reply(std::move(result));
+                            reply(result);
                         });
     }
 
     TextReply replyTo(const SessionPointer &session, std::uint64_t number, std::string envelope,
                       std::size_t token) const
     {
-        return [session, number, envelope = std::move(envelope), token](std::string result) {
+        return [session, number, envelope = std::move(envelope), token](const std::string &result) {
             std::string text = envelope;
             text.replace(token, quotedToken.size(), result);
             if (text.size() + callNumberBytes + 1 + tagBytes > maxFrameBytes) {
--- a/src/peer/call_server.hpp
+++ b/src/peer/call_server.hpp
@@ -18,7 +18,7 @@
 namespace bamboochute::peer {
 
 /// Most bytes of one frame.
-constexpr std::size_t maxFrameBytes = 256 * 1024;
+constexpr std::size_t maxFrameBytes = std::size_t{256} * 1024;
 /// Most connections that a server holds; further ones are closed at once.
 constexpr std::size_t maxServerConnections = 1024;
 /// Most calls of one connection that wait for their answer.
@@ -103,7 +103,7 @@
     CallServerCounts counts() const;
 
 private:
-    using TextReply = std::function<void(std::string result)>;
+    using TextReply = std::function<void(const std::string &result)>;
     using TextHandler = std::function<void(const Caller &caller, std::string_view request,
                                            const TextReply &reply)>;
     struct State;
--- a/src/peer/framed_connection.hpp
+++ b/src/peer/framed_connection.hpp
@@ -19,7 +19,7 @@
 namespace bamboochute::peer {
 
 /// Most bytes that wait to be written to one connection.
-constexpr std::size_t maxQueuedWriteBytes = 4 * 1024 * 1024;
+constexpr std::size_t maxQueuedWriteBytes = std::size_t{4} * 1024 * 1024;
 
 /// @brief Why a connection ended.
 enum class ConnectionEnd : std::uint8_t {
