Serve the administration API over HTTP

Requests become typed calls, ports give typed results. The credential is checked before the body is read; size, time and number of connections are bounded, and each refusal says which bound.

--- /dev/null
+++ b/src/admin/admin_server.cpp
@@ -0,0 +1,366 @@
+#include "admin/admin_server.hpp"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+namespace bamboochute::admin {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+/// How long a connection with unread bytes stays open after its last answer.
+constexpr std::chrono::seconds lingerTimeout{2};
+constexpr std::size_t discardBytes = 64 << 10;
+
+Error readError(const beast::error_code &failure, const AdminServerLimits &limits)
+{
+    if (failure == http::error::header_limit)
+        return Error(ErrorKind::HeaderTooLarge,
+                     fmt::format("the header is longer than {} bytes", limits.maxHeaderBytes));
+    if (failure == http::error::body_limit)
+        return Error(ErrorKind::BodyTooLarge,
+                     fmt::format("the body is longer than {} bytes", limits.maxBodyBytes));
+    return Error(ErrorKind::MalformedRequest, "the request is not valid HTTP");
+}
+
+/// Whether the other side is gone, so that no answer can be sent.
+bool isConnectionLost(const beast::error_code &failure)
+{
+    return failure == http::error::end_of_stream || failure == http::error::partial_message
+           || failure == asio::error::connection_reset || failure == asio::error::operation_aborted
+           || failure == asio::error::eof;
+}
+
+} // namespace
+
+/// Accepts connections and knows those that are open.
+class AdminServer::Listener : public std::enable_shared_from_this<AdminServer::Listener>
+{
+public:
+    class Session;
+
+    Listener(asio::io_context &context, AdminHandler handler, AdminServerLimits limits)
+        : acceptor(context)
+        , handler(std::move(handler))
+        , limits(limits)
+    {}
+
+    Result<Endpoint> listen(const Endpoint &endpoint);
+    void close();
+    void remove(Session *session) { this->sessions.erase(session); }
+
+    tcp::acceptor acceptor;
+    AdminHandler handler;
+    AdminServerLimits limits;
+    bool isClosing = false;
+
+private:
+    void accept();
+    void start(tcp::socket socket);
+
+    std::set<Session *> sessions;
+};
+
+/// One connection: reads requests one after another and answers them.
+class AdminServer::Listener::Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(tcp::socket socket, std::shared_ptr<Listener> listener)
+        : stream(std::move(socket))
+        , readTimer(this->stream.get_executor())
+        , listener(std::move(listener))
+    {}
+
+    ~Session() { this->listener->remove(this); }
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
+
+    void readHeader()
+    {
+        this->isBusy = false;
+        this->parser.emplace();
+        this->parser->header_limit(static_cast<std::uint32_t>(this->limits().maxHeaderBytes));
+        this->parser->body_limit(this->limits().maxBodyBytes);
+        this->stream.expires_never();
+        this->startReadTimer(this->limits().headerTimeout, "header");
+        http::async_read_header(
+                this->stream, this->buffer, *this->parser,
+                [self = this->shared_from_this()](beast::error_code failure, std::size_t) {
+                    self->onHeader(failure);
+                });
+    }
+
+    void refuseConnection()
+    {
+        this->parser.emplace();
+        this->respond(errorResponse(Error(ErrorKind::QueueFull,
+                                          fmt::format("the administration port already has {} "
+                                                      "connections",
+                                                      this->limits().maxConnections))),
+                      false);
+    }
+
+    /// Closes the connection unless a request is under way.
+    void closeIfIdle()
+    {
+        if (!this->isBusy)
+            this->stream.cancel();
+    }
+
+private:
+    const AdminServerLimits &limits() const { return this->listener->limits; }
+
+    /// Beast's own timeout closes the connection; this one leaves room for an answer.
+    void startReadTimer(std::chrono::milliseconds timeout, const char *what)
+    {
+        this->isReading = true;
+        this->readTimer.expires_after(timeout);
+        this->readTimer.async_wait(
+                [self = this->shared_from_this(), timeout, what](beast::error_code failure) {
+                    if (!failure)
+                        self->onReadTimeout(timeout, what);
+                });
+    }
+
+    void onReadTimeout(std::chrono::milliseconds timeout, const char *what)
+    {
+        const bool isStale
+                = !this->isReading || this->readTimer.expiry() > std::chrono::steady_clock::now();
+        if (isStale)
+            return;
+        this->isTimedOut = true;
+        const bool isIdle = this->buffer.size() == 0 && !this->parser->got_some();
+        if (isIdle) {
+            this->stream.cancel();
+            return;
+        }
+        this->respond(errorResponse(Error(ErrorKind::SlowSender,
+                                          fmt::format("the {} did not arrive within {} ms", what,
+                                                      timeout.count()))),
+                      false);
+    }
+
+    /// Returns false when the time was up before and an answer is on its way or sent.
+    bool endRead()
+    {
+        this->isReading = false;
+        this->readTimer.cancel();
+        if (this->isTimedOut && this->isAnswered)
+            this->discardRest();
+        return !this->isTimedOut;
+    }
+
+    void onHeader(beast::error_code failure)
+    {
+        if (!this->endRead() || isConnectionLost(failure))
+            return;
+        if (failure) {
+            this->respond(errorResponse(readError(failure, this->limits())), false);
+            return;
+        }
+        this->isBusy = true;
+        const auto &header = this->parser->get();
+        const auto text = [](auto view) { return std::string(view.data(), view.size()); };
+        this->request = AdminRequest{text(header.method_string()), text(header.target()),
+                                     text(header[http::field::authorization]), ""};
+        const Result<void> admitted = this->listener->handler.admit(this->request);
+        if (!admitted) {
+            this->respond(errorResponse(admitted.error()), false);
+            return;
+        }
+        if (beast::iequals(header[http::field::expect], "100-continue"))
+            this->sendContinue();
+        else
+            this->readBody();
+    }
+
+    void sendContinue()
+    {
+        this->interim.emplace(http::status::continue_, 11);
+        http::async_write(
+                this->stream, *this->interim,
+                [self = this->shared_from_this()](beast::error_code failure, std::size_t) {
+                    if (!failure)
+                        self->readBody();
+                });
+    }
+
+    void readBody()
+    {
+        this->startReadTimer(this->limits().bodyTimeout, "body");
+        http::async_read(this->stream, this->buffer, *this->parser,
+                         [self = this->shared_from_this()](beast::error_code failure, std::size_t) {
+                             self->onBody(failure);
+                         });
+    }
+
+    void onBody(beast::error_code failure)
+    {
+        if (!this->endRead() || isConnectionLost(failure))
+            return;
+        if (failure) {
+            this->respond(errorResponse(readError(failure, this->limits())), false);
+            return;
+        }
+        this->request.body = std::move(this->parser->get().body());
+        const bool keepAlive = this->parser->keep_alive();
+        this->listener->handler.handle(this->request, [self = this->shared_from_this(),
+                                                       keepAlive](AdminResponse response) {
+            self->respond(std::move(response), keepAlive);
+        });
+    }
+
+    void respond(AdminResponse answer, bool keepAlive)
+    {
+        this->response = {};
+        this->response.version(11);
+        this->response.result(static_cast<unsigned>(answer.status));
+        this->response.set(http::field::content_type, answer.contentType);
+        this->response.set(http::field::cache_control, "no-store");
+        if (answer.retryAfter)
+            this->response.set(http::field::retry_after,
+                               std::to_string(answer.retryAfter->count()));
+        this->response.keep_alive(keepAlive && !this->listener->isClosing);
+        this->response.body() = std::move(answer.body);
+        this->response.prepare_payload();
+        this->stream.expires_after(this->limits().writeTimeout);
+        http::async_write(
+                this->stream, this->response,
+                [self = this->shared_from_this()](beast::error_code failure, std::size_t) {
+                    self->onWritten(failure);
+                });
+    }
+
+    void onWritten(beast::error_code failure)
+    {
+        if (!failure && this->response.keep_alive()) {
+            this->readHeader();
+            return;
+        }
+        beast::error_code ignored;
+        this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        this->stream.expires_after(lingerTimeout);
+        this->isAnswered = true;
+        if (this->isReading)
+            this->stream.cancel();
+        else
+            this->discardRest();
+    }
+
+    /// Reads on for a while: closing with unread bytes would take the answer from the other side.
+    void discardRest()
+    {
+        this->buffer.clear();
+        this->stream.async_read_some(
+                this->buffer.prepare(discardBytes),
+                [self = this->shared_from_this()](beast::error_code failure, std::size_t) {
+                    if (!failure)
+                        self->discardRest();
+                });
+    }
+
+    beast::tcp_stream stream;
+    asio::steady_timer readTimer;
+    std::shared_ptr<Listener> listener;
+    beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    std::optional<http::response<http::empty_body>> interim;
+    http::response<http::string_body> response;
+    AdminRequest request;
+    bool isBusy = false;
+    bool isReading = false;
+    bool isTimedOut = false;
+    bool isAnswered = false;
+};
+
+Result<Endpoint> AdminServer::Listener::listen(const Endpoint &endpoint)
+{
+    beast::error_code failure;
+    const auto refuse = [&](const char *what) {
+        return Error(ErrorKind::SettingInvalid,
+                     fmt::format("administration port {}:{}: {}: {}", endpoint.address,
+                                 endpoint.port, what, failure.message()));
+    };
+    const auto address = asio::ip::make_address(endpoint.address, failure);
+    if (failure)
+        return refuse("not an IP address");
+    const tcp::endpoint local(address, endpoint.port);
+    this->acceptor.open(local.protocol(), failure);
+    if (!failure)
+        this->acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+    if (!failure)
+        this->acceptor.bind(local, failure);
+    if (!failure)
+        this->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    if (failure)
+        return refuse("can't listen");
+    this->accept();
+    const tcp::endpoint bound = this->acceptor.local_endpoint();
+    return Endpoint{bound.address().to_string(), bound.port()};
+}
+
+void AdminServer::Listener::accept()
+{
+    this->acceptor.async_accept(
+            [self = this->shared_from_this()](beast::error_code failure, tcp::socket socket) {
+                if (self->isClosing || failure == asio::error::operation_aborted)
+                    return;
+                if (!failure)
+                    self->start(std::move(socket));
+                self->accept();
+            });
+}
+
+void AdminServer::Listener::start(tcp::socket socket)
+{
+    const auto session = std::make_shared<Session>(std::move(socket), this->shared_from_this());
+    const bool isFull = this->sessions.size() >= this->limits.maxConnections;
+    this->sessions.insert(session.get());
+    if (isFull)
+        session->refuseConnection();
+    else
+        session->readHeader();
+}
+
+void AdminServer::Listener::close()
+{
+    this->isClosing = true;
+    beast::error_code ignored;
+    this->acceptor.close(ignored);
+    for (Session *session : this->sessions)
+        session->closeIfIdle();
+}
+
+AdminServer::AdminServer(asio::io_context &context, AdminHandler handler, AdminServerLimits limits)
+    : listener(std::make_shared<Listener>(context, std::move(handler), limits))
+{}
+
+AdminServer::~AdminServer()
+{
+    this->close();
+}
+
+Result<Endpoint> AdminServer::listen(const Endpoint &endpoint)
+{
+    return this->listener->listen(endpoint);
+}
+
+void AdminServer::close()
+{
+    this->listener->close();
+}
+
+} // namespace bamboochute::admin
