--- a/cmake/Ci.cmake
+++ b/cmake/Ci.cmake
@@ -11,6 +11,8 @@
     ${PROJECT_SOURCE_DIR}/daemons/*.hpp
     ${PROJECT_SOURCE_DIR}/bench/*.hpp
     ${PROJECT_SOURCE_DIR}/bench/*.cpp
+    ${PROJECT_SOURCE_DIR}/fakes/*.hpp
+    ${PROJECT_SOURCE_DIR}/fakes/*.cpp
     ${PROJECT_SOURCE_DIR}/tests/*.hpp
     ${PROJECT_SOURCE_DIR}/tests/*.cpp
 )
--- /dev/null
+++ b/fakes/engine_state.cpp
@@ -0,0 +1,156 @@
+#include "fakes/engine_state.hpp"
+
+#include <algorithm>
+
+namespace bamboochute::fakes {
+
+namespace {
+
+using upstream::Order;
+using upstream::OrderDone;
+using upstream::OrderKind;
+using upstream::OrderOutcome;
+using upstream::OrderRefused;
+using upstream::OrderStale;
+using upstream::PlacementState;
+
+constexpr std::size_t maxPastReports = 4096;
+
+} // namespace
+
+EngineState::EngineState(EngineSettings settings)
+    : configured(std::move(settings))
+{}
+
+std::optional<OrderOutcome> EngineState::begin(const Order &order)
+{
+    const bool isOld = order.fence < this->fence;
+    if (isOld && this->configured.fencing == Fencing::Refuses) {
+        ++this->stats.staleOrders;
+        return OrderStale{this->fence};
+    }
+    this->fence = std::max(this->fence, order.fence);
+    switch (order.kind) {
+    case OrderKind::RaiseFence:
+        return this->done();
+    case OrderKind::ChangeRole:
+        this->role = order.role;
+        return this->done();
+    case OrderKind::LoadModel:
+    case OrderKind::LoadAdapter:
+        return this->beginLoad(order);
+    case OrderKind::Unload:
+        break;
+    }
+    const auto found = this->placements.find(order.target);
+    if (found == this->placements.end())
+        return OrderOutcome(OrderDone());
+    found->second.state = PlacementState::Unloading;
+    return std::nullopt;
+}
+
+std::optional<OrderOutcome> EngineState::beginLoad(const Order &order)
+{
+    if (this->placements.contains(order.target)) {
+        ++this->stats.duplicateLoads;
+        return OrderOutcome(OrderDone());
+    }
+    const Target base{order.target.model, AdapterId()};
+    const auto found = this->placements.find(base);
+    const bool hasBase
+            = found != this->placements.end() && found->second.state == PlacementState::Loaded;
+    if (order.kind == OrderKind::LoadAdapter && !hasBase)
+        return OrderOutcome(OrderRefused{"base model is not loaded"});
+    if (this->used().count + order.memory.count > this->configured.memory.count) {
+        ++this->stats.overcommitted;
+        return OrderOutcome(OrderRefused{"out of memory"});
+    }
+    this->placements[order.target] = {order.memory, PlacementState::Loading};
+    return std::nullopt;
+}
+
+OrderOutcome EngineState::finish(const Order &order)
+{
+    if (order.kind == OrderKind::Unload) {
+        ++this->stats.unloads;
+        this->placements.erase(order.target);
+        const auto isOnBase = [&order](const auto &entry) {
+            return order.target.adapter.isEmpty() && entry.first.model == order.target.model;
+        };
+        std::erase_if(this->placements, isOnBase);
+        return OrderDone();
+    }
+    const auto found = this->placements.find(order.target);
+    if (found == this->placements.end())
+        return OrderRefused{"unloaded meanwhile"};
+    found->second.state = PlacementState::Loaded;
+    ++this->stats.loads;
+    return OrderDone();
+}
+
+OrderOutcome EngineState::done() const
+{
+    return OrderDone{this->inventory()};
+}
+
+Bytes EngineState::used() const
+{
+    Bytes total;
+    for (const auto &[target, placement] : this->placements)
+        total = total + placement.memory;
+    return total;
+}
+
+std::vector<upstream::PlacementReport> EngineState::inventory() const
+{
+    std::vector<upstream::PlacementReport> all;
+    all.reserve(this->placements.size());
+    for (const auto &[target, placement] : this->placements)
+        all.push_back({target, placement.memory, placement.state});
+    return all;
+}
+
+upstream::EngineReport EngineState::current() const
+{
+    upstream::EngineReport report;
+    const std::uint32_t limit = this->configured.maxConcurrent;
+    report.running = std::min(this->running, limit);
+    report.waiting = this->running - report.running;
+    report.memoryTotal = this->configured.memory;
+    report.memoryUsed = this->used();
+    report.role = this->role;
+    report.fence = this->fence;
+    report.placements = this->inventory();
+    return report;
+}
+
+upstream::EngineReport EngineState::report(TimePoint now)
+{
+    this->past.push_back({now, this->current()});
+    while (this->past.size() > 1 && this->past[1].time + this->configured.reportLag <= now)
+        this->past.pop_front();
+    if (this->past.size() > maxPastReports)
+        this->past.pop_front();
+    return this->past.front().report;
+}
+
+bool EngineState::serves(const std::string &model) const
+{
+    return std::any_of(this->placements.begin(), this->placements.end(),
+                       [&model](const auto &entry) {
+                           const auto &[target, placement] = entry;
+                           if (placement.state != PlacementState::Loaded)
+                               return false;
+                           const std::string &adapter = target.adapter.value();
+                           if (adapter.empty())
+                               return target.model.value() == model;
+                           return adapter == model || target.model.value() + ":" + adapter == model;
+                       });
+}
+
+void EngineState::preload(const Target &target, Bytes memory)
+{
+    this->placements[target] = {memory, PlacementState::Loaded};
+}
+
+} // namespace bamboochute::fakes
--- /dev/null
+++ b/src/caller/admit.cpp
@@ -0,0 +1,71 @@
+#include "caller/admit.hpp"
+
+#include <fmt/format.h>
+
+namespace bamboochute::caller {
+
+namespace {
+
+using upstream::Awaitable;
+
+/// How late a waiting request may be answered.
+constexpr Duration maxLateness = std::chrono::milliseconds(50);
+
+using Admitted = Result<UpstreamPointer>;
+
+/// Gives back a slot that came after its request had gone.
+void dropSlot(AdmissionControl &admission, const AdmissionRequest &request,
+              const UpstreamPointer &upstream)
+{
+    admission.finished({request.deployment, request.target, upstream->spec.id, CallVerdict::Neutral,
+                        Duration::zero(), request.isStream});
+}
+
+Awaitable<Admitted> waitForSlot(Exchange &exchange, const AdmissionRequest &request)
+{
+    AdmissionControl &admission = *exchange.thread.server.admission;
+    const auto slot = std::make_shared<OneShot<Admitted>>(exchange.thread.context);
+    const Result<Ticket> ticket = admission.wait(
+            request, [slot](Result<UpstreamPointer> result) { slot->complete(std::move(result)); });
+    if (!ticket)
+        co_return ticket.error();
+    exchange.onCallerGone([&admission, slot, ticket = ticket.value()] {
+        if (admission.leave(ticket))
+            slot->complete(Error(ErrorKind::CallerGone, "the caller left while waiting"));
+    });
+    Admitted admitted = co_await slot->wait();
+    exchange.onCallerGone(nullptr);
+    co_return admitted;
+}
+
+} // namespace
+
+AdmissionRequest admissionRequest(const ClassifiedRequest &request, std::size_t bytes)
+{
+    return AdmissionRequest{request.deployment->id, *request.callerClass, request.target,
+                            request.deadline,       request.prefix(),     bytes,
+                            request.isStream()};
+}
+
+Awaitable<Admitted> admit(Exchange &exchange, const AdmissionRequest &request)
+{
+    AdmissionControl &admission = *exchange.thread.server.admission;
+    const TimePoint now = SteadyClock().now();
+    if (now >= request.deadline)
+        co_return Error(ErrorKind::DeadlineExceededInQueue, "the deadline has passed");
+    if (const std::optional<UpstreamPointer> picked = admission.admitNow(request))
+        co_return *picked;
+    Admitted admitted = co_await waitForSlot(exchange, request);
+    const TimePoint answered = SteadyClock().now();
+    if (admitted && (exchange.isCallerGone() || answered >= request.deadline)) {
+        dropSlot(admission, request, admitted.value());
+        co_return exchange.isCallerGone()
+                ? Error(ErrorKind::CallerGone, "the caller left while waiting")
+                : Error(ErrorKind::DeadlineExceededInQueue, "the deadline passed while waiting");
+    }
+    if (!admitted && answered > request.deadline + maxLateness)
+        exchange.thread.server.metrics.counter("bamboochute_late_refusals_total").add();
+    co_return admitted;
+}
+
+} // namespace bamboochute::caller
--- /dev/null
+++ b/src/caller/dispatch.cpp
@@ -0,0 +1,77 @@
+#include "caller/dispatch.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+namespace bamboochute::caller {
+
+namespace {
+
+using upstream::Awaitable;
+
+using Timer = upstream::asio::basic_waitable_timer<
+        std::chrono::steady_clock, upstream::asio::wait_traits<std::chrono::steady_clock>,
+        upstream::Executor>;
+
+Awaitable<void> pause(Exchange &exchange, Duration delay)
+{
+    Timer timer(*exchange.thread.context);
+    timer.expires_after(delay);
+    upstream::error_code ignored;
+    co_await timer.async_wait(upstream::asio::redirect_error(upstream::UseAwaitable(), ignored));
+}
+
+/// The answer when a failed attempt is not repeated.
+Error finalError(const Attempt &attempt, admission::RetryRefusal refusal)
+{
+    const bool isBudget = refusal == admission::RetryRefusal::ClassBudgetExhausted
+                          || refusal == admission::RetryRefusal::UpstreamBudgetExhausted;
+    if (isBudget && attempt.error.row().runState == RunState::NotRun)
+        return Error(ErrorKind::RetryBudgetExhausted, attempt.error.message());
+    return attempt.error;
+}
+
+/// A plain service's own error is its answer; the caller gets it as it is.
+bool isServiceAnswer(const ClassifiedRequest &request, const Attempt &attempt)
+{
+    return std::holds_alternative<ServiceCall>(request.call)
+           && attempt.failure == admission::RetryReason::ServerError;
+}
+
+} // namespace
+
+Awaitable<Result<Dispatched>> dispatch(Exchange &exchange, const ClassifiedRequest &request,
+                                       const AdmissionRequest &admission, UpstreamPointer first)
+{
+    AdmissionControl &control = *exchange.thread.server.admission;
+    control.firstAttempt(admission.callerClass.id, first->spec.id);
+    std::vector<UpstreamId> tried;
+    UpstreamPointer next = std::move(first);
+    while (true) {
+        tried.push_back(next->spec.id);
+        Attempt attempt = co_await attemptCall(exchange, request, admission, next, {});
+        if (!attempt.failure)
+            co_return std::move(attempt.result);
+        attempt.result.slot->giveBack();
+        if (exchange.isCallerGone() && request.isIdempotent())
+            co_return Error(ErrorKind::CallerGone, "the caller left before the answer");
+        admission::FailedAttempt failed;
+        failed.reason = *attempt.failure;
+        failed.callerClass = admission.callerClass.id;
+        failed.isIdempotent = request.isIdempotent();
+        failed.attempts = static_cast<std::uint32_t>(tried.size());
+        failed.deadline = request.deadline;
+        const RetryAnswer decision = control.retry(admission, failed, tried);
+        if (const auto *refusal = std::get_if<admission::RetryRefusal>(&decision)) {
+            if (isServiceAnswer(request, attempt))
+                co_return std::move(attempt.result);
+            co_return finalError(attempt, *refusal);
+        }
+        const auto &grant = std::get<RetryGrant>(decision);
+        co_await pause(exchange, grant.delay);
+        next = grant.upstream;
+    }
+}
+
+} // namespace bamboochute::caller
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -73,8 +73,7 @@
     const auto found = this->idle.find(endpoint);
     if (found == this->idle.end())
         return;
-    const auto isStream
-            = [stream](const HttpStreamPointer &kept) { return kept.get() == stream; };
+    const auto isStream = [stream](const HttpStreamPointer &kept) { return kept.get() == stream; };
     const auto place = std::find_if(found->second.begin(), found->second.end(), isStream);
     if (place == found->second.end())
         return;
--- a/src/upstream/header_list.cpp
+++ b/src/upstream/header_list.cpp
@@ -68,8 +68,9 @@
 bool isHopByHop(std::string_view name) noexcept
 {
     constexpr std::array<std::string_view, 9> names{
-            "connection", "keep-alive",        "proxy-authenticate", "proxy-authorization", "te",
-            "trailer",    "transfer-encoding", "upgrade",            "proxy-connection",
+            "connection",          "keep-alive", "proxy-authenticate",
+            "proxy-authorization", "te",         "trailer",
+            "transfer-encoding",   "upgrade",    "proxy-connection",
     };
     return std::any_of(names.begin(), names.end(),
                        [name](std::string_view other) { return sameHeaderName(name, other); });
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -58,7 +58,7 @@
 
 Awaitable<StreamStatus> HttpStream::readMore()
 {
-    if (this->isReadClosed || !this->socket.is_open())
+    if (this->hasExpired || this->isReadClosed || !this->socket.is_open())
         co_return this->failure();
     if (!this->isReading && !this->makeRoom())
         co_return StreamStatus::BufferFull;
@@ -87,7 +87,7 @@
 {
     this->isReading = false;
     this->end += count;
-    if (error)
+    if (error && !this->hasExpired)
         this->isReadClosed = true;
     if (this->waiter) {
         Resumption<bool> resumption = std::move(*this->waiter);
@@ -165,7 +165,8 @@
 void HttpStream::expireAt(TimePoint time)
 {
     this->expiry = time;
-    if (this->watchIndex == notWatched && !this->hasExpired)
+    this->hasExpired = false;
+    if (this->watchIndex == notWatched)
         this->watch.add(*this);
 }
 
@@ -179,7 +180,8 @@
 {
     this->hasExpired = true;
     this->neverExpire();
-    this->close();
+    error_code ignored;
+    this->socket.cancel(ignored);
 }
 
 void HttpStream::close()
--- a/src/upstream/http_stream.hpp
+++ b/src/upstream/http_stream.hpp
@@ -58,6 +58,9 @@
     Awaitable<StreamStatus> write(std::span<const asio::const_buffer> buffers);
 
     /// @brief Sets or removes the time limit of all operations.
+    ///
+    /// When it passes, the operations under way end with Expired; the connection stays open, so
+    /// that an error can be written under a new limit.
     void expireAt(TimePoint time);
     void neverExpire();
 
--- a/src/upstream/message_parser.cpp
+++ b/src/upstream/message_parser.cpp
@@ -16,8 +16,7 @@
 }
 
 template<bool isRequest>
-std::size_t MessageParser<isRequest>::feed(std::string_view input,
-                                           boost::system::error_code &error)
+std::size_t MessageParser<isRequest>::feed(std::string_view input, boost::system::error_code &error)
 {
     this->message.pieces.clear();
     error = {};
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -3,6 +3,7 @@
 #include "core/invariant.hpp"
 
 #include <array>
+#include <limits>
 
 #include <fmt/format.h>
 
@@ -10,6 +11,8 @@
 
 namespace {
 
+/// Bodies are bounded where they are read; boost::none would refuse every body with a length.
+constexpr std::uint64_t unlimitedBody = std::numeric_limits<std::uint64_t>::max();
 constexpr int statusContinue = 100;
 constexpr int statusSwitchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
@@ -39,9 +42,9 @@
             = co_await this->pool.connect(*this->stream, this->endpoint, deadline);
     if (status == StreamStatus::Ok)
         co_return boost::outcome_v2::success();
-    co_return this->error(this->isCancelled ? CallFailure::Cancelled : CallFailure::ConnectFailed,
-                          fmt::format("{}:{} can't be reached", this->endpoint.address,
-                                      this->endpoint.port));
+    co_return this->error(
+            this->isCancelled ? CallFailure::Cancelled : CallFailure::ConnectFailed,
+            fmt::format("{}:{} can't be reached", this->endpoint.address, this->endpoint.port));
 }
 
 Awaitable<CallResult<void>> UpstreamCall::send(std::string_view head, std::string_view body,
@@ -51,7 +54,7 @@
     if (!opened)
         co_return opened.error();
     this->parser.emplace(this->message);
-    this->parser->body_limit(boost::none);
+    this->parser->body_limit(unlimitedBody);
     this->stream->resetWrittenBytes();
     this->stream->expireAt(deadline);
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(head.data(), head.size()),
@@ -105,7 +108,7 @@
         this->stream->consume(this->used);
         this->used = 0;
         this->parser.emplace(this->message);
-        this->parser->body_limit(boost::none);
+        this->parser->body_limit(unlimitedBody);
         if (!this->stream->unread().empty()) {
             const CallResult<void> parsed = this->parse();
             if (!parsed)
@@ -221,8 +224,8 @@
 }
 
 Awaitable<CallResult<WholeAnswer>> exchange(ConnectionPool &pool, Endpoint endpoint,
-                                            std::string head, std::string body,
-                                            TimePoint deadline, std::size_t maxAnswerBytes)
+                                            std::string head, std::string body, TimePoint deadline,
+                                            std::size_t maxAnswerBytes)
 {
     UpstreamCall call(pool, std::move(endpoint));
     const CallResult<void> sent = co_await call.send(head, body, deadline, ConnectionUse::Any);
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -41,7 +41,8 @@
 };
 
 template<typename T>
-using CallResult = boost::outcome_v2::basic_result<T, CallError, boost::outcome_v2::policy::terminate>;
+using CallResult
+        = boost::outcome_v2::basic_result<T, CallError, boost::outcome_v2::policy::terminate>;
 
 /// @brief Which connections a call may use.
 enum class ConnectionUse {
@@ -125,7 +126,7 @@
 
 /// @brief Makes a call and reads its whole answer.
 Awaitable<CallResult<WholeAnswer>> exchange(ConnectionPool &pool, Endpoint endpoint,
-                                            std::string head, std::string body,
-                                            TimePoint deadline, std::size_t maxAnswerBytes);
+                                            std::string head, std::string body, TimePoint deadline,
+                                            std::size_t maxAnswerBytes);
 
 } // namespace bamboochute::upstream
