--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -3,6 +3,7 @@
 #include "core/invariant.hpp"
 
 #include <array>
+#include <limits>
 
 #include <fmt/format.h>
 
@@ -10,6 +11,8 @@
 
 namespace {
 
+/// Bodies are bounded where they are read; boost::none would refuse every body with a length.
+constexpr std::uint64_t unlimitedBody = std::numeric_limits<std::uint64_t>::max();
 constexpr int statusContinue = 100;
 constexpr int statusSwitchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
@@ -51,7 +54,7 @@
     if (!opened)
         co_return opened.error();
     this->parser.emplace(this->message);
-    this->parser->body_limit(boost::none);
+    this->parser->body_limit(unlimitedBody);
     this->stream->resetWrittenBytes();
     this->stream->expireAt(deadline);
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(head.data(), head.size()),
@@ -105,7 +108,7 @@
         this->stream->consume(this->used);
         this->used = 0;
         this->parser.emplace(this->message);
-        this->parser->body_limit(boost::none);
+        this->parser->body_limit(unlimitedBody);
         if (!this->stream->unread().empty()) {
             const CallResult<void> parsed = this->parse();
             if (!parsed)
