Assemble the entry instance and the platform's stand-ins

Cause: a whole path needs a process: control thread, servers, signals, graceful stop. Change: Control joins all parts; bamboochuted runs it; orders and reports go through the vendors' order client; stand-ins for the key-value service (with lost answers, delay, outage) and the list of instances.

--- a/daemons/bamboochuted.cpp
+++ b/daemons/bamboochuted.cpp
@@ -1,9 +1,6 @@
 #include "bamboochute/bamboochute.hpp"
 
-#include <iostream>
-
-int main()
+int main(int argumentCount, char **arguments)
 {
-    std::cout << "bamboochuted " << bamboochute::version() << '\n';
-    return 0;
+    return bamboochute::runInstance({arguments + 1, arguments + argumentCount});
 }
--- a/src/caller/admission_control.cpp
+++ b/src/caller/admission_control.cpp
@@ -98,7 +98,7 @@
     const std::optional<UpstreamId> picked = this->router.pick(query, this->ejector, now);
     if (!picked)
         return nullptr;
-    this->router.started(*picked);
+    this->router.started(*picked, now);
     this->ejector.started(*picked, now);
     const auto found = this->snapshot->routing->upstreams.find(*picked);
     BC_INVARIANT(found != this->snapshot->routing->upstreams.end(), "picked upstream is unknown");
@@ -195,7 +195,7 @@
     const admission::RetryDecision decision = this->retries.decide(attempt, now);
     if (const auto *refusal = std::get_if<admission::RetryRefusal>(&decision))
         return *refusal;
-    this->router.started(*next);
+    this->router.started(*next, now);
     this->ejector.started(*next, now);
     ++this->usageOf(request.deployment, request.target).inFlight;
     const auto found = this->snapshot->routing->upstreams.find(*next);
@@ -209,7 +209,7 @@
     const std::lock_guard lock(this->mutex);
     if (!this->snapshot->routing->upstreams.contains(upstream->spec.id))
         return false;
-    this->router.started(upstream->spec.id);
+    this->router.started(upstream->spec.id, timeNow());
     this->ejector.started(upstream->spec.id, timeNow());
     ++this->usageOf(request.deployment, request.target).inFlight;
     return true;
