--- a/fakes/completion.cpp
+++ b/fakes/completion.cpp
@@ -1,11 +1,10 @@
 #include "fakes/completion.hpp"
 
+#include "fakes/pause.hpp"
 #include "upstream/dialect.hpp"
 
 #include <charconv>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -54,15 +53,8 @@
 
 Awaitable<void> CompletionRunner::pause(double seconds)
 {
-    if (seconds <= 0)
-        co_return;
-    asio::basic_waitable_timer<std::chrono::steady_clock,
-                               asio::wait_traits<std::chrono::steady_clock>, upstream::Executor>
-            timer(this->context);
-    timer.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(
-            std::chrono::duration<double>(seconds)));
-    upstream::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(upstream::UseAwaitable(), ignored));
+    co_await pauseFor(this->context,
+                      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)));
 }
 
 Awaitable<void> CompletionRunner::run(FakeCall &call)
--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -1,6 +1,10 @@
 #include "fakes/engine.hpp"
 
 #include "fakes/completion.hpp"
+#include "fakes/engine_protocol.hpp"
+#include "fakes/pause.hpp"
+#include "upstream/connection_pool.hpp"
+#include "upstream/upstream_call.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -10,7 +14,12 @@
 
 using upstream::Awaitable;
 
+constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
+constexpr int statusBadRequest = 400;
+constexpr int statusUnauthorized = 401;
+constexpr std::size_t maxStoreAnswerBytes = 1 << 16;
+constexpr Duration storeTimeout = std::chrono::minutes(10);
 
 std::string statsBody(const EngineState &state)
 {
@@ -34,8 +43,11 @@
 struct FakeEngine::Parts
 {
     Parts(upstream::asio::io_context &context, EngineSettings settings)
-        : state(std::move(settings))
+        : context(context)
+        , state(std::move(settings))
         , completions(context, this->state)
+        , watch(context)
+        , pool(context, this->watch, upstream::PoolLimits())
         , server(context, [this](FakeCall &call) { return this->handle(call); })
     {}
 
@@ -45,13 +57,80 @@
         if (path == "/v1/chat/completions" || path == "/v1/completions")
             co_await this->completions.run(call);
         else if (path == "/fake/stats")
-            co_await call.writer.write(jsonAnswer(200, statsBody(this->state)));
+            co_await call.writer.write(jsonAnswer(statusOk, statsBody(this->state)));
         else
+            co_await this->control(call);
+    }
+
+    /// Reports, orders and cancels in the vendor's dialect.
+    Awaitable<void> control(FakeCall &call)
+    {
+        const Vendor vendor = this->state.settings().vendor;
+        const EngineRequest request = readEngineRequest(vendor, call.request);
+        switch (request.kind) {
+        case EngineRequestKind::Report:
+            co_await call.writer.write(
+                    writeReport(vendor, this->state.report(SteadyClock().now())));
+            break;
+        case EngineRequestKind::Order:
+            co_await this->order(call, request.order);
+            break;
+        case EngineRequestKind::Cancel:
+            this->completions.cancel(request.request);
+            co_await call.writer.write(jsonAnswer(statusOk, "{}"));
+            break;
+        case EngineRequestKind::Malformed:
+            co_await call.writer.write(jsonAnswer(statusBadRequest, R"({"error":"malformed"})"));
+            break;
+        case EngineRequestKind::Unknown:
             co_await call.writer.write(jsonAnswer(statusNotFound, R"({"error":"unknown path"})"));
+            break;
+        }
+    }
+
+    Awaitable<void> order(FakeCall &call, upstream::Order order)
+    {
+        const std::string &credential = this->state.settings().orderCredential;
+        const bool isAllowed
+                = credential.empty()
+                  || call.request.headers().find("authorization") == "Bearer " + credential;
+        if (!isAllowed) {
+            co_await call.writer.write(
+                    jsonAnswer(statusUnauthorized, R"({"error":"unknown sender"})"));
+            co_return;
+        }
+        std::optional<upstream::OrderOutcome> outcome = this->state.begin(order);
+        if (!outcome) {
+            co_await this->transfer(order);
+            outcome = this->state.finish(order);
+        }
+        co_await call.writer.write(writeOutcome(this->state.settings().vendor, *outcome));
+    }
+
+    /// The time that a load takes.
+    Awaitable<void> transfer(const upstream::Order &order)
+    {
+        const bool isModel = order.kind == upstream::OrderKind::LoadModel;
+        const bool isAdapter = order.kind == upstream::OrderKind::LoadAdapter;
+        if (!isModel && !isAdapter)
+            co_return;
+        const EngineSettings &settings = this->state.settings();
+        if (settings.store) {
+            const std::string head = std::string("GET /weights?kind=")
+                                     + (isModel ? "model" : "adapter")
+                                     + " HTTP/1.1\r\nHost: store\r\n\r\n";
+            const TimePoint deadline = SteadyClock().now() + storeTimeout;
+            co_await upstream::exchange(this->pool, *settings.store, head, {}, deadline,
+                                        maxStoreAnswerBytes, upstream::ConnectionUse::Any);
+        }
+        co_await pauseFor(this->context, isModel ? settings.loadTime : settings.adapterLoadTime);
     }
 
+    upstream::asio::io_context &context;
     EngineState state;
     CompletionRunner completions;
+    upstream::DeadlineWatch watch;
+    upstream::ConnectionPool pool;
     FakeHttpServer server;
 };
 
--- /dev/null
+++ b/fakes/pause.cpp
@@ -0,0 +1,22 @@
+#include "fakes/pause.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace bamboochute::fakes {
+
+namespace asio = upstream::asio;
+
+upstream::Awaitable<void> pauseFor(asio::io_context &context, Duration time)
+{
+    if (time <= Duration::zero())
+        co_return;
+    asio::basic_waitable_timer<std::chrono::steady_clock,
+                               asio::wait_traits<std::chrono::steady_clock>, upstream::Executor>
+            timer(context);
+    timer.expires_after(time);
+    upstream::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(upstream::UseAwaitable(), ignored));
+}
+
+} // namespace bamboochute::fakes
--- a/src/caller/upstream_request.cpp
+++ b/src/caller/upstream_request.cpp
@@ -90,6 +90,7 @@
     const std::string &credential = exchange.thread.server.settings.orderCredential;
     if (upstream.checksSender && !credential.empty())
         appendHeader(head, "Authorization", "Bearer " + credential);
+    head += call.headers;
     head += "\r\n";
     exchange.thread.server.requestMetrics.cancelledUpstream.add();
     const TimePoint deadline = SteadyClock().now() + cancelTimeout;
@@ -98,7 +99,7 @@
             [&pool = exchange.thread.pool, endpoint = upstream.endpoint, head, body = call.body,
              deadline]() -> upstream::Awaitable<void> {
                 co_await upstream::exchange(pool, endpoint, head, body, deadline,
-                                            maxCancelAnswerBytes);
+                                            maxCancelAnswerBytes, upstream::ConnectionUse::Any);
             },
             upstream::asio::detached);
 }
--- a/src/upstream/araucaria.hpp
+++ b/src/upstream/araucaria.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief The dialect of the vendor Araucaria.
+/// @brief The dialect of the vendor Araucaria: flat lists, bytes, outcomes by status and name.
 #pragma once
 
 #include "upstream/dialect.hpp"
@@ -12,12 +12,13 @@
     static constexpr std::string_view priorityHeader = "X-Araucaria-Priority";
     static constexpr bool canResume = false;
 
-    static DialectCall cancelCall(const RequestId &request)
-    {
-        return {"POST", "/araucaria/v1/cancel", R"({"request_id":")" + request.value() + R"("})"};
-    }
+    static DialectCall cancelCall(const RequestId &request);
+    static DialectCall reportCall();
+    static Result<EngineReport> parseReport(std::string_view body);
+    static DialectCall orderCall(const Order &order);
+    static OrderOutcome parseOrderAnswer(const Order &order, int status, std::string_view body);
 };
 
-static_assert(GenerationDialect<Araucaria>);
+static_assert(EngineDialect<Araucaria>);
 
 } // namespace bamboochute::upstream
--- a/src/upstream/cinchona.hpp
+++ b/src/upstream/cinchona.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief The dialect of the vendor Cinchona.
+/// @brief The dialect of the vendor Cinchona: nested residents, one order path, always status 200.
 #pragma once
 
 #include "upstream/dialect.hpp"
@@ -12,13 +12,13 @@
     static constexpr std::string_view priorityHeader = "X-Cinchona-Priority";
     static constexpr bool canResume = false;
 
-    static DialectCall cancelCall(const RequestId &request)
-    {
-        return {"POST", "/cinchona/orders",
-                R"({"order":"cancel","request":")" + request.value() + R"("})"};
-    }
+    static DialectCall cancelCall(const RequestId &request);
+    static DialectCall reportCall();
+    static Result<EngineReport> parseReport(std::string_view body);
+    static DialectCall orderCall(const Order &order);
+    static OrderOutcome parseOrderAnswer(const Order &order, int status, std::string_view body);
 };
 
-static_assert(GenerationDialect<Cinchona>);
+static_assert(EngineDialect<Cinchona>);
 
 } // namespace bamboochute::upstream
--- a/src/upstream/dialect.hpp
+++ b/src/upstream/dialect.hpp
@@ -3,7 +3,8 @@
 #pragma once
 
 #include "core/configuration.hpp"
-#include "core/invariant.hpp"
+#include "upstream/engine_report.hpp"
+#include "upstream/orders.hpp"
 
 #include <concepts>
 #include <string>
@@ -18,6 +19,8 @@
     std::string method;
     std::string target;
     std::string body;
+    /// Header lines, each with its end of line.
+    std::string headers;
     auto operator<=>(const DialectCall &) const = default;
 };
 
@@ -42,6 +45,28 @@
         } -> std::same_as<DialectCall>;
 };
 
+/// @brief What the program requires of a vendor's reports and orders.
+template<typename T>
+concept EngineDialect
+        = GenerationDialect<T> && requires(const Order &order, int status, std::string_view body)
+{
+    // Call that asks for load and inventory.
+    {
+        T::reportCall()
+        } -> std::same_as<DialectCall>;
+    // ReportDistrusted when the body can't be believed.
+    {
+        T::parseReport(body)
+        } -> std::same_as<Result<EngineReport>>;
+    {
+        T::orderCall(order)
+        } -> std::same_as<DialectCall>;
+    // OrderUnconfirmed when the answer can't be understood.
+    {
+        T::parseOrderAnswer(order, status, body)
+        } -> std::same_as<OrderOutcome>;
+};
+
 /// Header by which a broken stream is asked for again, where the vendor can resume.
 constexpr std::string_view resumeHeader = "Last-Event-ID";
 
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -225,10 +225,10 @@
 
 Awaitable<CallResult<WholeAnswer>> exchange(ConnectionPool &pool, Endpoint endpoint,
                                             std::string head, std::string body, TimePoint deadline,
-                                            std::size_t maxAnswerBytes)
+                                            std::size_t maxAnswerBytes, ConnectionUse use)
 {
     UpstreamCall call(pool, std::move(endpoint));
-    const CallResult<void> sent = co_await call.send(head, body, deadline, ConnectionUse::Any);
+    const CallResult<void> sent = co_await call.send(head, body, deadline, use);
     if (!sent)
         co_return sent.error();
     const CallResult<void> headRead = co_await call.readHead();
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -127,6 +127,6 @@
 /// @brief Makes a call and reads its whole answer.
 Awaitable<CallResult<WholeAnswer>> exchange(ConnectionPool &pool, Endpoint endpoint,
                                             std::string head, std::string body, TimePoint deadline,
-                                            std::size_t maxAnswerBytes);
+                                            std::size_t maxAnswerBytes, ConnectionUse use);
 
 } // namespace bamboochute::upstream
