Add bamboochutectl

All calls of the administration API with tables or JSON, stable exit codes, waiting with progress, several endpoints, every flag also as a variable.

--- /dev/null
+++ b/daemons/bamboochutectl.cpp
@@ -0,0 +1,507 @@
+#include "admin/admin_client.hpp"
+#include "admin/configuration_format.hpp"
+#include "admin/digest.hpp"
+#include "admin/text_table.hpp"
+#include "bamboochute/bamboochute.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace bamboochute {
+
+namespace {
+
+constexpr const char *usage = R"(Drives a running bamboochute through its administration API.
+
+Usage:
+  bamboochutectl submit FILE [options]
+  bamboochutectl check FILE [options]
+  bamboochutectl get [options]
+  bamboochutectl history [options]
+  bamboochutectl rollback REVISION [options]
+  bamboochutectl status [options]
+  bamboochutectl drain (upstream | instance) ID [options]
+  bamboochutectl explain request ID [options]
+  bamboochutectl explain placement MODEL [ADAPTER] [options]
+  bamboochutectl hash [options]
+  bamboochutectl (-h | --help)
+  bamboochutectl --version
+
+Commands:
+  submit    Submits the configuration in FILE ("-" reads standard input).
+  check     Checks FILE without asking a server.
+  get       Prints the configuration in force as it can be submitted; its revision goes to stderr.
+  history   Lists the revisions that can be brought back.
+  rollback  Brings back an earlier revision as a new one.
+  status    Shows instances, owners, upstreams, replicas, queues and budgets.
+  drain     Gives an upstream or instance no new work.
+  explain   Tells why a request or a placement went as it did.
+  hash      Prints the SHA-256 of the credential, as a configuration holds it.
+
+Options:
+  --endpoint=LIST          Administration ports IP:PORT, separated by commas, tried in order.
+                           [env BAMBOOCHUTE_ENDPOINT, default 127.0.0.1:9180]
+  --credential=TEXT        Operator's credential; better given by the variable or a file.
+                           [env BAMBOOCHUTE_CREDENTIAL]
+  --credential-file=PATH   File whose first line is the credential.
+                           [env BAMBOOCHUTE_CREDENTIAL_FILE]
+  --expected-revision=N    Revision that the change builds on; needed by submit and rollback.
+                           [env BAMBOOCHUTE_EXPECTED_REVISION]
+  --submission-id=ID       Recognises a submission that is sent again; random when not given.
+                           [env BAMBOOCHUTE_SUBMISSION_ID]
+  --dry-run                Shows the difference and records nothing. [env BAMBOOCHUTE_DRY_RUN]
+  --wait                   Waits until the revision is in force at every instance.
+                           [env BAMBOOCHUTE_WAIT]
+  --timeout-seconds=N      Limit of each call, and of --wait.
+                           [env BAMBOOCHUTE_TIMEOUT_SECONDS, default 30]
+  --json                   Prints the server's JSON. [env BAMBOOCHUTE_JSON]
+
+Exit codes:
+  0 done                          5 credential refused
+  1 refused for another reason    6 no endpoint answers, or the service is unavailable
+  2 wrong flag or argument        7 outcome unknown: send again with the same submission id
+  3 another revision came first   8 not in force everywhere within the time
+  4 configuration is invalid
+)";
+
+enum ExitCode {
+    Done = 0,
+    Refused = 1,
+    WrongArgument = 2,
+    Conflict = 3,
+    Invalid = 4,
+    Unauthorised = 5,
+    Unavailable = 6,
+    OutcomeUnknown = 7,
+    NotInForce = 8,
+};
+
+using Flags = std::map<std::string, docopt::value>;
+using Json = nlohmann::json;
+
+constexpr std::chrono::milliseconds pollInterval{200};
+constexpr std::uint64_t maxTimeoutSeconds = 3600;
+
+/// Ends the command with a code after a message was printed.
+struct Exit
+{
+    ExitCode code;
+};
+
+[[noreturn]] void failWith(ExitCode code, const std::string &message)
+{
+    std::cerr << message << '\n';
+    throw Exit{code};
+}
+
+/// A flag's value with where it came from, for messages.
+struct Setting
+{
+    std::string name;
+    std::string value;
+};
+
+/// The flag, or its environment variable when the flag is not given.
+std::optional<Setting> settingOf(const Flags &flags, const std::string &flag)
+{
+    const docopt::value &given = flags.at(flag);
+    if (given.isString())
+        return Setting{flag, given.asString()};
+    if (given.isBool() && given.asBool())
+        return Setting{flag, "true"};
+    std::string variable = "BAMBOOCHUTE_";
+    for (const char c : flag.substr(2))
+        variable += c == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+    const char *value = std::getenv(variable.c_str());
+    if (value == nullptr)
+        return std::nullopt;
+    return Setting{variable, value};
+}
+
+std::optional<std::uint64_t> parseNumber(const std::string &text)
+{
+    std::uint64_t number = 0;
+    const char *end = text.data() + text.size();
+    const auto [stop, failure] = std::from_chars(text.data(), end, number);
+    if (failure != std::errc() || stop != end || text.empty())
+        return std::nullopt;
+    return number;
+}
+
+std::uint64_t numberOf(const Setting &setting, std::uint64_t least, std::uint64_t greatest)
+{
+    const auto number = parseNumber(setting.value);
+    if (!number || *number < least || *number > greatest)
+        failWith(WrongArgument, fmt::format("{} is \"{}\"; it must be a whole number from {} to {}",
+                                            setting.name, setting.value, least, greatest));
+    return *number;
+}
+
+bool isSet(const Flags &flags, const std::string &flag)
+{
+    const auto setting = settingOf(flags, flag);
+    if (!setting || setting->value == "false")
+        return false;
+    if (setting->value != "true")
+        failWith(WrongArgument, fmt::format("{} is \"{}\"; it must be true or false", setting->name,
+                                            setting->value));
+    return true;
+}
+
+std::vector<Endpoint> endpointsOf(const Flags &flags)
+{
+    const Setting setting
+            = settingOf(flags, "--endpoint").value_or(Setting{"--endpoint", "127.0.0.1:9180"});
+    std::vector<Endpoint> endpoints;
+    std::istringstream list(setting.value);
+    for (std::string each; std::getline(list, each, ',');) {
+        const std::size_t colon = each.rfind(':');
+        const auto port
+                = colon == std::string::npos ? std::nullopt : parseNumber(each.substr(colon + 1));
+        if (!port || *port == 0 || *port > 65535)
+            failWith(WrongArgument,
+                     fmt::format("{} holds \"{}\"; each endpoint must be IP:PORT with a port from "
+                                 "1 to 65535",
+                                 setting.name, each));
+        endpoints.push_back({each.substr(0, colon), static_cast<std::uint16_t>(*port)});
+    }
+    if (endpoints.empty())
+        failWith(WrongArgument,
+                 fmt::format("{} is empty; it must hold at least one IP:PORT", setting.name));
+    return endpoints;
+}
+
+std::string readFile(const std::string &name, const std::string &path)
+{
+    if (path == "-")
+        return {std::istreambuf_iterator<char>(std::cin), {}};
+    std::ifstream file(path, std::ios::binary);
+    std::string text{std::istreambuf_iterator<char>(file), {}};
+    if (!file)
+        failWith(WrongArgument,
+                 fmt::format("{} is \"{}\"; it must be a file that can be read", name, path));
+    return text;
+}
+
+std::string credentialOf(const Flags &flags)
+{
+    if (const auto credential = settingOf(flags, "--credential"))
+        return credential->value;
+    const auto file = settingOf(flags, "--credential-file");
+    if (!file)
+        failWith(WrongArgument, "no credential is given; set BAMBOOCHUTE_CREDENTIAL or "
+                                "--credential-file");
+    const std::string text = readFile(file->name, file->value);
+    return text.substr(0, text.find_first_of("\r\n"));
+}
+
+/// Calls the first endpoint that answers.
+class Client
+{
+public:
+    explicit Client(const Flags &flags)
+        : endpoints(endpointsOf(flags))
+        , authorization("Bearer " + credentialOf(flags))
+    {
+        const Setting timeout = settingOf(flags, "--timeout-seconds")
+                                        .value_or(Setting{"--timeout-seconds", "30"});
+        this->timeout = std::chrono::seconds(numberOf(timeout, 1, maxTimeoutSeconds));
+    }
+
+    admin::AdminResponse call(const std::string &method, const std::string &target,
+                              const std::string &body = {}) const
+    {
+        std::string failures;
+        std::optional<admin::AdminResponse> refusal;
+        for (const Endpoint &endpoint : this->endpoints) {
+            const auto answer = admin::callAdmin(
+                    endpoint, {method, target, this->authorization, body}, this->timeout);
+            if (answer && answer.value().status != 503)
+                return answer.value();
+            if (answer)
+                refusal = answer.value();
+            else
+                failures += answer.error().message() + "\n";
+        }
+        if (refusal)
+            return *refusal;
+        failWith(Unavailable, failures
+                                      + "no endpoint answers; with the same --submission-id a "
+                                        "submission can be sent again safely");
+    }
+
+    std::chrono::seconds waitLimit() const { return this->timeout; }
+
+private:
+    std::vector<Endpoint> endpoints;
+    std::string authorization;
+    std::chrono::seconds timeout{};
+};
+
+ExitCode exitCodeOf(const admin::AdminResponse &response)
+{
+    if (response.status < 300)
+        return Done;
+    const Json json = Json::parse(response.body, nullptr, false);
+    const bool hasCode = json.is_object() && json.contains("error") && json["error"].is_object()
+                         && json["error"].contains("code") && json["error"]["code"].is_string();
+    const std::string code = hasCode ? json["error"]["code"].get<std::string>() : "";
+    if (code == "revision_conflict")
+        return Conflict;
+    if (code == "configuration_invalid" || code == "configuration_too_large"
+        || code == "malformed_json" || code == "json_too_deep")
+        return Invalid;
+    if (code == "key_value_outcome_unknown")
+        return OutcomeUnknown;
+    if (response.status == 401 || response.status == 403)
+        return Unauthorised;
+    return response.status == 503 || response.status == 429 ? Unavailable : Refused;
+}
+
+/// Prints an answer and ends the command when it is an error.
+void show(const Flags &flags, const admin::AdminResponse &response,
+          std::string (*render)(std::string_view))
+{
+    const ExitCode code = exitCodeOf(response);
+    if (isSet(flags, "--json"))
+        std::cout << response.body;
+    else if (code == Done)
+        std::cout << render(response.body);
+    else
+        std::cerr << admin::errorText(response.body);
+    if (code != Done)
+        throw Exit{code};
+}
+
+std::string randomSubmissionId()
+{
+    std::random_device device;
+    return fmt::format("ctl-{:08x}{:08x}{:08x}{:08x}", device(), device(), device(), device());
+}
+
+/// Parameters that submit and rollback share.
+std::string changeQuery(const Flags &flags)
+{
+    const auto expected = settingOf(flags, "--expected-revision");
+    if (!expected)
+        failWith(WrongArgument, "--expected-revision is missing; it must be the revision that the "
+                                "change builds on, 0 before the first");
+    constexpr auto greatest = std::uint64_t(1) << 62;
+    const std::uint64_t revision = numberOf(*expected, 0, greatest);
+    const auto submission = settingOf(flags, "--submission-id");
+    const std::string id = submission ? submission->value : randomSubmissionId();
+    std::cerr << "submission id " << id << '\n';
+    return fmt::format("expectedRevision={}&submissionId={}&dryRun={}", revision, id,
+                       isSet(flags, "--dry-run"));
+}
+
+/// Instances at a revision, of all.
+struct Progress
+{
+    std::size_t inForce = 0;
+    std::size_t all = 0;
+    auto operator<=>(const Progress &) const = default;
+};
+
+Progress progressOf(const std::string &status, std::uint64_t revision)
+{
+    Progress progress;
+    const Json json = Json::parse(status, nullptr, false);
+    if (!json.is_object() || !json.contains("instances"))
+        return progress;
+    for (const Json &instance : json["instances"]) {
+        ++progress.all;
+        progress.inForce += instance.value("revision", std::uint64_t(0)) >= revision ? 1 : 0;
+    }
+    return progress;
+}
+
+void waitUntilInForce(const Client &client, std::uint64_t revision)
+{
+    const auto end = std::chrono::steady_clock::now() + client.waitLimit();
+    Progress shown;
+    while (std::chrono::steady_clock::now() < end) {
+        const auto response = client.call("GET", "/admin/v1/status");
+        if (response.status != 200)
+            failWith(exitCodeOf(response), admin::errorText(response.body));
+        const Progress progress = progressOf(response.body, revision);
+        if (progress != shown)
+            std::cerr << fmt::format("revision {} in force at {} of {} instances\n", revision,
+                                     progress.inForce, progress.all);
+        shown = progress;
+        if (progress.all > 0 && progress.inForce == progress.all)
+            return;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    failWith(NotInForce,
+             fmt::format("revision {} is recorded, but in force at only {} of {} "
+                         "instances after {} s",
+                         revision, shown.inForce, shown.all, client.waitLimit().count()));
+}
+
+void change(const Flags &flags, const std::string &path, const std::string &query,
+            const std::string &body)
+{
+    const Client client(flags);
+    const auto response = client.call("POST", path + "?" + query + changeQuery(flags), body);
+    show(flags, response, admin::submissionText);
+    if (!isSet(flags, "--wait") || isSet(flags, "--dry-run"))
+        return;
+    const Json json = Json::parse(response.body);
+    waitUntilInForce(client, json["root"]["revision"].get<std::uint64_t>());
+}
+
+void submit(const Flags &flags)
+{
+    const std::string text = readFile("FILE", flags.at("FILE").asString());
+    change(flags, "/admin/v1/configuration", "", text);
+}
+
+void check(const Flags &flags)
+{
+    const auto configuration
+            = admin::readConfiguration(readFile("FILE", flags.at("FILE").asString()));
+    if (!configuration)
+        failWith(Invalid,
+                 fmt::format("{} {}: {}", configuration.error().row().id,
+                             configuration.error().row().code, configuration.error().message()));
+    std::cout << "the configuration is valid\n";
+}
+
+void rollback(const Flags &flags)
+{
+    const Setting revision{"REVISION", flags.at("REVISION").asString()};
+    constexpr auto greatest = std::uint64_t(1) << 62;
+    change(flags, "/admin/v1/configuration/rollback",
+           fmt::format("revision={}&", numberOf(revision, 1, greatest)), "");
+}
+
+/// The configuration of an answer as it can be submitted again.
+std::string submittable(std::string_view body)
+{
+    const auto json = nlohmann::ordered_json::parse(body);
+    std::cerr << "revision " << json["root"]["revision"].dump() << '\n';
+    return json["configuration"].dump(2) + "\n";
+}
+
+/// An argument in a path or query; refuses what an identifier can't hold.
+std::string identifierOf(const Flags &flags, const char *name)
+{
+    const std::string text = flags.at(name).asString();
+    const bool isIdentifier = !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0
+               || std::string_view("._@:-").find(c) != std::string_view::npos;
+    });
+    if (!isIdentifier)
+        failWith(WrongArgument,
+                 fmt::format("{} is \"{}\"; it must hold letters, digits or any of . _ @ : -", name,
+                             text));
+    return text;
+}
+
+void drain(const Flags &flags)
+{
+    const char *kind = flags.at("upstream").asBool() ? "upstreams" : "instances";
+    const std::string target
+            = fmt::format("/admin/v1/{}/{}/drain", kind, identifierOf(flags, "ID"));
+    show(flags, Client(flags).call("POST", target), admin::drainText);
+}
+
+void explain(const Flags &flags)
+{
+    std::string target = "/admin/v1/explain/";
+    if (flags.at("request").asBool()) {
+        target += "requests/" + identifierOf(flags, "ID");
+    } else {
+        target += "placements?model=" + identifierOf(flags, "MODEL");
+        if (flags.at("ADAPTER"))
+            target += "&adapter=" + identifierOf(flags, "ADAPTER");
+    }
+    show(flags, Client(flags).call("GET", target), admin::explanationText);
+}
+
+void get(const Flags &flags)
+{
+    show(flags, Client(flags).call("GET", "/admin/v1/configuration"), submittable);
+}
+
+void history(const Flags &flags)
+{
+    show(flags, Client(flags).call("GET", "/admin/v1/configuration/history"), admin::historyText);
+}
+
+void status(const Flags &flags)
+{
+    show(flags, Client(flags).call("GET", "/admin/v1/status"), admin::statusText);
+}
+
+void hash(const Flags &flags)
+{
+    std::cout << admin::sha256Hex(credentialOf(flags)) << '\n';
+}
+
+/// A command's name and what it does.
+struct Command
+{
+    const char *name;
+    void (*run)(const Flags &);
+};
+
+constexpr Command commands[] = {
+        {"submit", submit},   {"check", check},       {"get", get},
+        {"history", history}, {"rollback", rollback}, {"status", status},
+        {"drain", drain},     {"explain", explain},   {"hash", hash},
+};
+
+/// Parses the command line; a usage error ends with exit code 2, not docopt's.
+Flags parseFlags(const std::vector<std::string> &words)
+{
+    try {
+        return docopt::docopt_parse(usage, words, true, true);
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << usage;
+        throw Exit{Done};
+    } catch (const docopt::DocoptExitVersion &) {
+        std::cout << "bamboochutectl " << version() << '\n';
+        throw Exit{Done};
+    } catch (const docopt::DocoptArgumentError &failure) {
+        const std::string what = failure.what();
+        failWith(WrongArgument, fmt::format("wrong command line{}; see bamboochutectl --help",
+                                            what.empty() ? "" : ": " + what));
+    }
+}
+
+} // namespace
+
+} // namespace bamboochute
+
+int main(int argumentCount, char **arguments)
+{
+    using namespace bamboochute;
+    try {
+        const Flags flags = parseFlags({arguments + 1, arguments + argumentCount});
+        for (const Command &command : commands) {
+            if (flags.at(command.name).asBool())
+                command.run(flags);
+        }
+    } catch (const Exit &exit) {
+        return exit.code;
+    } catch (const nlohmann::json::exception &failure) {
+        std::cerr << "the server's answer can't be read: " << failure.what() << '\n';
+        return Refused;
+    }
+    return Done;
+}
--- a/src/admin/text_table.cpp
+++ b/src/admin/text_table.cpp
@@ -69,6 +69,8 @@
 
 std::string table(const char *name, const Json &list, const std::vector<Column> &columns)
 {
+    if (list.empty())
+        return fmt::format("{}: none\n\n", name);
     std::vector<std::string> heading;
     for (const Column &column : columns)
         heading.emplace_back(column.title);
