--- a/daemons/bamboochutectl.cpp
+++ b/daemons/bamboochutectl.cpp
@@ -1,5 +1,6 @@
 #include "admin/admin_client.hpp"
 #include "admin/configuration_format.hpp"
+#include "admin/configuration_schema.hpp"
 #include "admin/digest.hpp"
 #include "admin/text_table.hpp"
 #include "bamboochute/bamboochute.hpp"
@@ -37,6 +38,7 @@
   bamboochutectl explain request ID [options]
   bamboochutectl explain placement MODEL [ADAPTER] [options]
   bamboochutectl hash [options]
+  bamboochutectl schema
   bamboochutectl (-h | --help)
   bamboochutectl --version
 
@@ -50,6 +52,7 @@
   drain     Gives an upstream or instance no new work.
   explain   Tells why a request or a placement went as it did.
   hash      Prints the SHA-256 of the credential, as a configuration holds it.
+  schema    Prints the JSON schema of the configuration.
 
 Options:
   --endpoint=LIST          Administration ports IP:PORT, separated by commas, tried in order.
@@ -453,6 +456,11 @@
     std::cout << admin::sha256Hex(credentialOf(flags)) << '\n';
 }
 
+void schema(const Flags &)
+{
+    std::cout << admin::configurationSchema();
+}
+
 /// A command's name and what it does.
 struct Command
 {
@@ -461,9 +469,9 @@
 };
 
 constexpr Command commands[] = {
-        {"submit", submit},   {"check", check},       {"get", get},
-        {"history", history}, {"rollback", rollback}, {"status", status},
-        {"drain", drain},     {"explain", explain},   {"hash", hash},
+        {"submit", submit},     {"check", check},   {"get", get},     {"history", history},
+        {"rollback", rollback}, {"status", status}, {"drain", drain}, {"explain", explain},
+        {"hash", hash},         {"schema", schema},
 };
 
 /// Parses the command line; a usage error ends with exit code 2, not docopt's.
--- a/src/admin/configuration_fields.hpp
+++ b/src/admin/configuration_fields.hpp
@@ -54,6 +54,11 @@
         {EngineRole::Decode, "decode"},
 }};
 
+/// Methods that a route may name as not idempotent.
+constexpr std::array<std::string_view, 6> knownMethods{
+        "DELETE", "GET", "HEAD", "PATCH", "POST", "PUT",
+};
+
 template<typename Visitor, MaybeConst<OperatorCredential> Spec>
 void visitFields(Visitor &visitor, Spec &credential)
 {
--- a/src/admin/field_checker.cpp
+++ b/src/admin/field_checker.cpp
@@ -1,7 +1,6 @@
 #include "admin/field_checker.hpp"
 
 #include <algorithm>
-#include <array>
 #include <string_view>
 
 #include <arpa/inet.h>
@@ -13,9 +12,6 @@
 constexpr std::size_t credentialHashLength = 64;
 /// Longest piece of a wrong name that a message repeats.
 constexpr std::size_t maxShownNameLength = 64;
-constexpr std::array<std::string_view, 6> knownMethods{
-        "DELETE", "GET", "HEAD", "PATCH", "POST", "PUT",
-};
 
 bool isNameCharacter(char c)
 {
