--- a/src/decision/pool_orders.cpp
+++ b/src/decision/pool_orders.cpp
@@ -15,6 +15,8 @@
 constexpr Duration refusedLoadPause = 5s;
 /// Pause before an upstream is asked for its inventory again after it gave one.
 constexpr Duration inventoryPause = 30s;
+/// Pause before an upstream is asked whether a load ended that may not be ordered again.
+constexpr Duration beyondBoundPause = 2s;
 constexpr std::size_t maxUnresolvedOrders = 1024;
 
 } // namespace
@@ -369,11 +371,19 @@
     if (this->now < replica.retryNotBefore)
         return;
     replica.retryNotBefore = this->now + this->settings.policy.retryPause;
-    const bool isUnwanted = this->isRetired(target) || this->runtimeOf(upstream).isLeaving;
+    const bool isUnwanted
+            = this->runtimeOf(upstream).isLeaving || this->isSurplus(upstream, target);
     if (placement.state == PlacementState::Unloading || isUnwanted) {
         this->orderUnload(upstream, target);
         return;
     }
+    const bool isBeyondBound
+            = this->ledger.replicas(target) > this->ledger.view()->targets.at(target).maxReplicas;
+    if (isBeyondBound) {
+        // It may be loading already; another order could begin one load too many.
+        this->wantInventory(upstream, beyondBoundPause);
+        return;
+    }
     const Target base{target.model, {}};
     const Placement *basePlacement = this->ledger.find(upstream, base);
     const bool isBaseMissing
--- a/src/decision/pool_state.hpp
+++ b/src/decision/pool_state.hpp
@@ -156,6 +156,7 @@
     void considerKeepAlive(const UpstreamId &upstream, const Placement &placement);
     bool mayGo(const UpstreamId &upstream, const Placement &placement) const;
     bool isRetired(const Target &target) const;
+    bool isSurplus(const UpstreamId &upstream, const Target &target) const;
     bool awaitsSuccessor(const Placement &placement);
     void startDrain(const UpstreamId &upstream, const Target &target, bool isEvicted);
     void finishDrains(const UpstreamId &upstream);
--- a/src/decision/pool_unloading.cpp
+++ b/src/decision/pool_unloading.cpp
@@ -53,7 +53,7 @@
     }
     const TargetSpec &spec = this->ledger.view()->targets.at(target);
     const std::uint32_t replicas = this->ledger.replicas(target);
-    if (replicas > spec.maxReplicas) {
+    if (this->isSurplus(upstream, target)) {
         this->startDrain(upstream, target, true);
         return;
     }
@@ -101,6 +101,33 @@
     return !this->ledger.view()->targets.contains(target);
 }
 
+bool PoolController::State::isSurplus(const UpstreamId &upstream, const Target &target) const
+{
+    const auto spec = this->ledger.view()->targets.find(target);
+    if (spec == this->ledger.view()->targets.end())
+        return true;
+    // Loaded replicas are kept first, those that only an order of another promises last.
+    std::vector<std::pair<int, UpstreamId>> ranked;
+    for (const auto &[id, record] : this->ledger.records()) {
+        const Placement *placement = this->ledger.find(id, target);
+        if (placement == nullptr)
+            continue;
+        const bool isOrderedByOther
+                = std::any_of(record.orders.begin(), record.orders.end(), [&](const auto &each) {
+                      return each.target == target && each.id.sender != this->settings.self;
+                  });
+        const int rank = placement->state == PlacementState::Unloading ? 3
+                         : placement->state == PlacementState::Loaded  ? 0
+                         : isOrderedByOther                            ? 2
+                                                                       : 1;
+        ranked.emplace_back(rank, id);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    const auto found = std::find_if(ranked.begin(), ranked.end(),
+                                    [&](const auto &each) { return each.second == upstream; });
+    return found - ranked.begin() >= static_cast<std::ptrdiff_t>(spec->second.maxReplicas);
+}
+
 bool PoolController::State::awaitsSuccessor(const Placement &placement)
 {
     const ModelId &model = placement.target.model;
--- a/src/decision/values.hpp
+++ b/src/decision/values.hpp
@@ -79,7 +79,7 @@
     Done,
     /// Refused because the upstream knows a higher fencing number; not carried out.
     StaleFence,
-    /// Refused for another reason, or never written to the upstream; not carried out.
+    /// Refused for another reason, or never written to the upstream; nothing of it is left there.
     Refused,
     /// Not known; it may be carried out at any later time while its sender's process lives.
     Unconfirmed,
