--- a/daemons/bamboochute-fakes.cpp
+++ b/daemons/bamboochute-fakes.cpp
@@ -1,6 +1,8 @@
 #include "bamboochute/bamboochute.hpp"
 #include "fakes/booking_service.hpp"
 #include "fakes/engine.hpp"
+#include "fakes/instance_list_server.hpp"
+#include "fakes/key_value_server.hpp"
 #include "fakes/weight_store.hpp"
 
 #include <array>
@@ -24,6 +26,8 @@
   bamboochute-fakes engine [options]
   bamboochute-fakes service [options]
   bamboochute-fakes store [options]
+  bamboochute-fakes key-value [options]
+  bamboochute-fakes instances [options]
   bamboochute-fakes (-h | --help)
   bamboochute-fakes --version
 
@@ -58,6 +62,11 @@
   --loads-per-second=N   Loads a second at full speed [default: 2].
   --loads-at-once=N      Loads at once at full speed [default: 4].
   --adapters-at-once=N   Adapters in transit at full speed [default: 32].
+
+Instances options:
+  --lag-ms=N             Time until a new list is told [default: 500].
+
+The list of instances is replaced by PUT /fake/instances. The key-value stand-in takes faults by POST /fake/faults and counts calls at /fake/stats.
 )";
 
 using Flags = std::map<std::string, docopt::value>;
@@ -231,6 +240,20 @@
     return serve(context, store, flags);
 }
 
+int runKeyValue(const Flags &flags)
+{
+    upstream::asio::io_context context(1);
+    KeyValueServer server(context);
+    return serve(context, server, flags);
+}
+
+int runInstanceList(const Flags &flags)
+{
+    upstream::asio::io_context context(1);
+    InstanceListServer server(context, readMillis(flags, "--lag-ms"));
+    return serve(context, server, flags);
+}
+
 struct Subcommand
 {
     const char *name;
@@ -238,8 +261,11 @@
 };
 
 /// One row for each stand-in; the name is also a line of the usage.
-constexpr std::array<Subcommand, 3> subcommands{
-        {{"engine", &runEngine}, {"service", &runService}, {"store", &runStore}}};
+constexpr std::array<Subcommand, 5> subcommands{{{"engine", &runEngine},
+                                                 {"service", &runService},
+                                                 {"store", &runStore},
+                                                 {"key-value", &runKeyValue},
+                                                 {"instances", &runInstanceList}}};
 
 int run(const Flags &flags)
 {
--- a/fakes/key_value_server.cpp
+++ b/fakes/key_value_server.cpp
@@ -35,8 +35,7 @@
     if (this->faults.delay > std::chrono::milliseconds::zero()) {
         boost::asio::steady_timer timer(this->context, this->faults.delay);
         upstream::error_code ignored;
-        co_await timer.async_wait(
-                boost::asio::redirect_error(upstream::UseAwaitable(), ignored));
+        co_await timer.async_wait(boost::asio::redirect_error(upstream::UseAwaitable(), ignored));
     }
     if (outcome.isLost)
         call.stream.close();
@@ -74,8 +73,8 @@
         return {refusal(response.error())};
     const bool isWrite = this->state.revision() != before;
     const bool isLost = isWrite && this->random.chance(this->faults.lostAnswerShare);
-    return {jsonAnswer(statusOk, platform::printTransactionResponse(transaction.value(),
-                                                                    response.value())),
+    return {jsonAnswer(statusOk,
+                       platform::printTransactionResponse(transaction.value(), response.value())),
             isLost};
 }
 
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -34,6 +34,8 @@
 /// Longest wait for handing over pools and settling claims after the last request has ended.
 constexpr Duration handOverPatience = std::chrono::seconds(3);
 
+constexpr int freePortAttempts = 8;
+
 /// A number that is higher for each later process: microseconds since 1970.
 Incarnation newIncarnation()
 {
@@ -116,7 +118,18 @@
         return BoundEndpoints{callers, admin, this->callServer->localEndpoint()};
     }
 
+    /// Binds TCP and UDP at one port; a free port for TCP may be taken for UDP, then another is
+    /// tried.
     Result<void> openPeers(const peer::KeyRing &keys)
+    {
+        Result<void> opened = this->tryOpenPeers(keys);
+        const bool isFreePort = this->context.settings.peerListen.port == 0;
+        for (int attempt = 1; isFreePort && !opened && attempt < freePortAttempts; ++attempt)
+            opened = this->tryOpenPeers(keys);
+        return opened;
+    }
+
+    Result<void> tryOpenPeers(const peer::KeyRing &keys)
     {
         const Settings &settings = this->context.settings;
         BOOST_OUTCOME_TRY(opened,
@@ -140,7 +153,10 @@
     {
         this->pools = std::make_unique<Pools>(
                 this->context, this->keyValue, *this->gossip, *this->callClient, this->orders,
-                [this](const auto &refusal) { this->desk->onRefuseDemand(refusal); });
+                PoolsCallbacks{
+                        [this](const auto &refusal) { this->desk->onRefuseDemand(refusal); },
+                        [this] { this->publisher->changed(); },
+                });
         this->desk = std::make_unique<DemandDesk>(this->context, this->coldStarts,
                                                   *this->callClient, this->deskCallbacks());
         this->configuration = std::make_unique<ConfigurationDriver>(
--- a/src/node/gossip_driver.cpp
+++ b/src/node/gossip_driver.cpp
@@ -96,8 +96,7 @@
                                                          const Endpoint &callEndpoint,
                                                          GossipCallbacks callbacks)
 {
-    BOOST_OUTCOME_TRY(socket,
-                      peer::DatagramSocket::open(context.loop, context.settings.peerListen));
+    BOOST_OUTCOME_TRY(socket, peer::DatagramSocket::open(context.loop, callEndpoint));
     auto state = std::make_shared<State>(context, std::move(socket), std::move(keys), callEndpoint,
                                          std::move(callbacks));
     return std::unique_ptr<GossipDriver>(new GossipDriver(std::move(state)));
--- a/src/node/gossip_driver.hpp
+++ b/src/node/gossip_driver.hpp
@@ -23,10 +23,10 @@
 class GossipDriver
 {
 public:
-    /// @brief Binds the socket.
+    /// @brief Binds the socket at the endpoint at which this instance takes calls.
     /// @param context of the control thread
     /// @param keys shared keys
-    /// @param callEndpoint where this instance takes calls
+    /// @param callEndpoint bound address and port of the calls; datagrams use the same
     /// @param callbacks what to do with news
     /// @return the driver, or SettingInvalid when the address can't be bound
     static Result<std::unique_ptr<GossipDriver>> open(ControlContext &context, peer::KeyRing keys,
--- a/src/node/pools.cpp
+++ b/src/node/pools.cpp
@@ -22,14 +22,13 @@
 } // namespace
 
 Pools::Pools(ControlContext &context, platform::KeyValueClient &keyValue, GossipDriver &gossip,
-             peer::CallClient &calls, UpstreamOrders &orders,
-             std::function<void(const decision::RefuseDemand &)> onRefuse)
+             peer::CallClient &calls, UpstreamOrders &orders, PoolsCallbacks callbacks)
     : context(context)
     , keyValue(keyValue)
     , gossip(gossip)
     , calls(calls)
     , orders(orders)
-    , onRefuse(std::move(onRefuse))
+    , callbacks(std::move(callbacks))
 {}
 
 void Pools::setConfiguration(const ConfigurationPointer &changed)
@@ -142,15 +141,15 @@
 
 PoolCallbacks Pools::callbacksFor()
 {
-    PoolCallbacks callbacks;
-    callbacks.sendOrder = [this](const decision::Order &order, auto done) {
+    PoolCallbacks forDriver;
+    forDriver.sendOrder = [this](const decision::Order &order, auto done) {
         this->orders.send(order, std::move(done));
     };
-    callbacks.publishPlacements = [this](const auto &each) { this->publish(each); };
-    callbacks.refuseDemand = [this](const auto &each) { this->onRefuse(each); };
-    callbacks.announceOwner = [this](const auto &each) { this->announce(each); };
-    callbacks.tellGaveUp = [this](const auto &each) { this->tell(each); };
-    return callbacks;
+    forDriver.publishPlacements = [this](const auto &each) { this->publish(each); };
+    forDriver.refuseDemand = [this](const auto &each) { this->callbacks.onRefuse(each); };
+    forDriver.announceOwner = [this](const auto &each) { this->announce(each); };
+    forDriver.tellGaveUp = [this](const auto &each) { this->tell(each); };
+    return forDriver;
 }
 
 void Pools::publish(const decision::PublishPlacements &placements)
@@ -174,6 +173,7 @@
         if (!wanted.contains(item))
             this->gossip.erase(placementKey(placements.pool, item), placements.fence);
     }
+    this->callbacks.onPublished();
 }
 
 void Pools::announce(const decision::AnnounceOwner &owner)
--- a/src/node/pools.hpp
+++ b/src/node/pools.hpp
@@ -14,14 +14,21 @@
 
 namespace bamboochute::node {
 
+/// @brief What the pools tell the rest of the control thread.
+struct PoolsCallbacks
+{
+    /// An owner here refuses demand.
+    std::function<void(const decision::RefuseDemand &)> onRefuse;
+    /// An owner here has published placements.
+    std::function<void()> onPublished;
+};
+
 /// @brief Keeps a driver for each pool of the configuration and brings news to all of them.
 class Pools
 {
 public:
-    /// @param onRefuse called when an owner here refuses demand
     Pools(ControlContext &context, platform::KeyValueClient &keyValue, GossipDriver &gossip,
-          peer::CallClient &calls, UpstreamOrders &orders,
-          std::function<void(const decision::RefuseDemand &)> onRefuse);
+          peer::CallClient &calls, UpstreamOrders &orders, PoolsCallbacks callbacks);
 
     /// @brief Creates and removes drivers, and tells each one of the configuration.
     void setConfiguration(const ConfigurationPointer &configuration);
@@ -63,7 +70,7 @@
     GossipDriver &gossip;
     peer::CallClient &calls;
     UpstreamOrders &orders;
-    std::function<void(const decision::RefuseDemand &)> onRefuse;
+    PoolsCallbacks callbacks;
     ConfigurationPointer configuration;
     std::map<PoolId, std::shared_ptr<PoolDriver>> drivers;
     std::map<PoolId, bool> candidacy;
--- a/src/node/upstream_orders.cpp
+++ b/src/node/upstream_orders.cpp
@@ -73,7 +73,7 @@
                               [](const upstream::OrderDone &) { return std::string(); },
                               [](const upstream::OrderStale &stale) {
                                   return "engine knows fencing number "
-                                          + std::to_string(stale.current.value());
+                                         + std::to_string(stale.current.value());
                               },
                               [](const auto &other) { return other.reason; },
                       },
@@ -185,16 +185,16 @@
                                 std::function<void(Result<decision::ReportReceived>)> done)
 {
     const TimePoint askedAt = this->state->context.clock.now();
-    this->state->client.fetchReport(
-            upstream, [id = upstream.id, askedAt, done](Result<upstream::EngineReport> report) {
-                if (!report) {
-                    done(report.error());
-                    return;
-                }
-                const upstream::EngineReport &engine = report.value();
-                done(decision::ReportReceived{id, askedAt, inventoryOf(engine.placements), {},
-                                              engine.running, engine.waiting});
-            });
+    this->state->client.fetchReport(upstream, [id = upstream.id, askedAt,
+                                               done](Result<upstream::EngineReport> report) {
+        if (!report) {
+            done(report.error());
+            return;
+        }
+        const upstream::EngineReport &engine = report.value();
+        done(decision::ReportReceived{
+                id, askedAt, inventoryOf(engine.placements), {}, engine.running, engine.waiting});
+    });
 }
 
 } // namespace bamboochute::node
