Use reports only against upstreams that stay busier than the others

Change: reports are smoothed, and count only beyond half of the slots above the candidates' mean; the least loaded of four drawn upstreams is chosen. Conclusion: own requests in flight decide; reports only find lasting differences.

--- a/bench/experiment-traffic.cpp
+++ b/bench/experiment-traffic.cpp
@@ -94,8 +94,10 @@
     settings.slots = 8;
     settings.load = 0.8;
     report.table += "Routing at 80% load, reports 2 s late, upstreams of 8 slots:\n";
-    const auto measure = [&](const std::string &name, RoutingPolicy policy) {
+    const auto measure = [&](const std::string &name, RoutingPolicy policy,
+                             const admission::RouterLimits &limits = {}) {
         settings.policy = policy;
+        settings.routerLimits = limits;
         const TrafficResult result = runTraffic(settings);
         const ClassResult &each = result.classes.at(localShop);
         const double p99 = milliseconds(quantile(each.latency, 0.99));
@@ -109,6 +111,16 @@
     const double roundRobin = measure("round robin", RoutingPolicy::RoundRobin);
     const double least = measure("least reported load", RoutingPolicy::LeastReportedLoad);
     const double two = measure("two reported loads", RoutingPolicy::TwoReportedLoads);
+    admission::RouterLimits withoutReports;
+    withoutReports.reportTolerance = 1e9;
+    measure("router without reports", RoutingPolicy::Router, withoutReports);
+    settings.instances = 340;
+    settings.upstreams = 24;
+    settings.load = 0.7;
+    settings.slowFactor = 3.0;
+    report.table += "The same by 340 instances at 70% load, one of 24 upstreams 3 x slower:\n";
+    measure("router", RoutingPolicy::Router);
+    measure("router without reports", RoutingPolicy::Router, withoutReports);
     report.figure("routing.p99", ours, "ms");
     report.figure("routing.p99_round_robin", roundRobin, "ms");
     report.figure("routing.p99_least_reported", least, "ms");
--- a/bench/traffic_world.cpp
+++ b/bench/traffic_world.cpp
@@ -292,6 +292,8 @@
         const double fixed = request->book == 0 ? 0.0 : this->settings.prefixSeconds;
         job->serviceSeconds
                 = fixed + this->random.exponential(this->settings.meanServiceSeconds - fixed);
+        if (index == 0)
+            job->serviceSeconds *= this->settings.slowFactor;
         job->onStart = [this, request] {
             this->resultOf(*request).queueing.push_back(this->time.now() - request->arrival);
         };
--- a/bench/traffic_world.hpp
+++ b/bench/traffic_world.hpp
@@ -34,6 +34,8 @@
     std::uint32_t upstreams = 12;
     std::uint32_t slots = 64;
     double meanServiceSeconds = 0.5;
+    /// Times that one of the upstreams is slower than the others.
+    double slowFactor = 1.0;
     /// Offered load as a share of the capacity.
     double load = 0.8;
     Duration reportInterval = std::chrono::milliseconds(500);
--- a/src/admission/router.cpp
+++ b/src/admission/router.cpp
@@ -63,6 +63,7 @@
 {
     BC_INVARIANT(table != nullptr, "a routing table is never absent");
     this->table = std::move(table);
+    this->smoothLoads();
     std::erase_if(this->ownInFlight, [this](const auto &entry) {
         return entry.second == 0 && !this->table->upstreams.contains(entry.first);
     });
@@ -201,14 +202,36 @@
     return std::min(std::max(1U, slots), this->share(state) + spare + overflow);
 }
 
-double Router::cost(const Option &option) const
+void Router::smoothLoads()
+{
+    for (const auto &[id, state] : this->table->upstreams) {
+        const double slots = std::max(1U, state.spec.maxConcurrent);
+        const double reported = state.reportedLoad / slots;
+        double &smoothed = this->smoothedLoad.try_emplace(id, reported).first->second;
+        smoothed += this->limits.newReportWeight * (reported - smoothed);
+    }
+    std::erase_if(this->smoothedLoad, [this](const auto &entry) {
+        return !this->table->upstreams.contains(entry.first);
+    });
+}
+
+double Router::meanSmoothed(const std::vector<Option> &options) const
+{
+    double total = 0;
+    for (const Option &option : options)
+        total += this->smoothedLoad.at(option.state->spec.id);
+    return total / static_cast<double>(options.size());
+}
+
+double Router::cost(const Option &option, double meanSmoothed) const
 {
     const double slots = std::max(1U, option.state->spec.maxConcurrent);
     const double own = option.own * static_cast<double>(this->instanceCount) / slots;
-    const double reported = option.state->reportedLoad / slots;
+    const double smoothed = this->smoothedLoad.at(option.state->spec.id);
+    const double excess = std::max(0.0, smoothed - meanSmoothed - this->limits.reportTolerance);
     const bool isNear = option.state->spec.dataCentre == this->dataCentre;
     const double distance = isNear ? 0.0 : this->limits.otherDataCentreCost;
-    return own + this->limits.reportWeight * reported + distance;
+    return own + excess + distance;
 }
 
 const Router::Option *Router::byPrefix(const std::vector<Option> &options, std::uint64_t prefix,
@@ -238,9 +261,10 @@
 {
     const Option *best = nullptr;
     double bestCost = 0;
+    const double mean = this->meanSmoothed(options);
     for (std::uint32_t i = 0; i < std::max(1U, this->limits.choices); ++i) {
         const Option &drawn = options[this->random.below(options.size())];
-        const double cost = this->cost(drawn);
+        const double cost = this->cost(drawn, mean);
         if (best == nullptr || cost < bestCost) {
             best = &drawn;
             bestCost = cost;
--- a/src/admission/router.hpp
+++ b/src/admission/router.hpp
@@ -42,10 +42,13 @@
     Duration recentTime = std::chrono::seconds(10);
     /// An upstream that reports less than this share of its slots may get more than our share.
     double borrowBelow = 0.85;
-    /// Reported load counts this much beside an instance's own requests.
-    double reportWeight = 0.25;
+    /// Weight of a new report in the smoothed load of an upstream.
+    double newReportWeight = 0.03;
+    /// Smoothed load above the mean of all candidates that counts for nothing, in shares of the
+    /// slots: reports only tell of upstreams that stay busier than others.
+    double reportTolerance = 0.5;
     /// Upstreams drawn at random, of which the least loaded is chosen.
-    std::uint32_t choices = 2;
+    std::uint32_t choices = 4;
     auto operator<=>(const RouterLimits &) const = default;
 };
 
@@ -126,7 +129,9 @@
                                       std::uint32_t overflow) const;
     std::uint32_t bound(const UpstreamState &state, std::uint32_t overflow) const;
     std::uint32_t share(const UpstreamState &state) const;
-    double cost(const Option &option) const;
+    void smoothLoads();
+    double meanSmoothed(const std::vector<Option> &options) const;
+    double cost(const Option &option, double meanSmoothed) const;
     const Option *byPrefix(const std::vector<Option> &options, std::uint64_t prefix,
                            TimePoint now) const;
     const Option *byLoad(const std::vector<Option> &options);
@@ -139,6 +144,8 @@
     std::uint32_t instanceCount = 1;
     std::map<UpstreamId, std::uint32_t> ownInFlight;
     RecentCounts recentRequests;
+    /// Reported load in shares of the slots, smoothed over many reports.
+    std::map<UpstreamId, double> smoothedLoad;
 };
 
 } // namespace bamboochute::admission
