Refuse hopeless requests early by the drain rate of their own class

Cause: at double load the lowest class waited until its latest start and was then cut: of 18,000 dispatches 3,370 ended at the deadline, 2,000 expired in the queue, 90,000 found the queue full. The wait was estimated from the drain of all classes, which is not what a light class gets. Change: the drain rate is measured for each target and class; a request is refused when 1.5 times its estimated wait is longer than it can wait; a pause between dispatches lowers the rate only after eight mean intervals (before, one usual pause of four intervals refused 2% of the middle class).

--- a/src/admission/drain_rate.cpp
+++ b/src/admission/drain_rate.cpp
@@ -9,6 +9,8 @@
 constexpr double newSampleWeight = 0.05;
 constexpr int minSamples = 8;
 constexpr double leastIntervalSeconds = 1e-6;
+/// Mean intervals without a dispatch after which the rate is taken to have fallen.
+constexpr double usualSilence = 8.0;
 
 } // namespace
 
@@ -30,7 +32,7 @@
     if (this->samples < minSamples)
         return std::nullopt;
     const double silence = this->isBacklogged ? toSeconds(now - this->last) : 0.0;
-    return 1.0 / std::max({this->intervalSeconds, silence, leastIntervalSeconds});
+    return 1.0 / std::max({this->intervalSeconds, silence / usualSilence, leastIntervalSeconds});
 }
 
 } // namespace bamboochute::admission
--- a/src/admission/request_queue.cpp
+++ b/src/admission/request_queue.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Targets whose drain rate is remembered.
-constexpr std::size_t maxTrackedTargets = 4096;
+/// Pairs of target and class whose drain rate is remembered.
+constexpr std::size_t maxTrackedStreams = 4096;
 constexpr std::chrono::seconds minRetryAfter{1};
 constexpr std::chrono::seconds maxRetryAfter{60};
 /// Least cost of a dispatch, so that requests without a known service time count as well.
@@ -131,10 +131,8 @@
 std::size_t RequestQueue::waitingFor(const Target &target) const
 {
     std::size_t count = 0;
-    for (const auto &[id, classQueue] : this->classQueues) {
-        const auto found = classQueue.waiting.find(target);
-        count += found == classQueue.waiting.end() ? 0 : found->second.size();
-    }
+    for (const auto &[id, classQueue] : this->classQueues)
+        count += this->waitingIn(Stream{target, id});
     return count;
 }
 
@@ -216,8 +214,9 @@
     const double cost = std::max(leastCostSeconds, toSeconds(queued.request.expectedService));
     classQueue.served += cost / classQueue.settings.weight;
     this->totalDrain.record(now, this->byTicket.size());
-    this->drainRates[queued.request.target].record(now, this->waitingFor(queued.request.target));
-    this->forgetIdleTargets();
+    const Stream stream{queued.request.target, queued.request.callerClass};
+    this->drainRates[stream].record(now, this->waitingIn(stream));
+    this->forgetIdleStreams();
 }
 
 std::optional<Error> RequestQueue::refusal(const WaitingRequest &request, TimePoint now) const
@@ -238,7 +237,7 @@
                                       this->heldBytes, this->limits.maxBytes),
                           classQueue, now);
     const Duration slack = request.latestStart() - now;
-    const Duration wait = this->waitOf(request, now).value_or(Duration::zero());
+    const Duration wait = this->safeWaitOf(request, now);
     if (slack < Duration::zero() || wait > slack)
         return Error(ErrorKind::DeadlineUnreachable,
                      fmt::format("request would wait {:.3f} s and take {:.3f} s; its deadline is "
@@ -258,38 +257,47 @@
             .withRetryAfter(retryAfterOf(secondsToDuration(seconds)));
 }
 
+Duration RequestQueue::safeWaitOf(const WaitingRequest &request, TimePoint now) const
+{
+    const Duration untilReady = std::max(Duration::zero(), request.targetReady - now);
+    const Duration wait = this->waitOf(request, now).value_or(Duration::zero());
+    const double queued = this->limits.waitSafety * toSeconds(wait - std::min(wait, untilReady));
+    return untilReady + secondsToDuration(queued);
+}
+
 std::optional<Duration> RequestQueue::waitOf(const WaitingRequest &request, TimePoint now) const
 {
     const Duration untilReady = std::max(Duration::zero(), request.targetReady - now);
-    const auto drain = this->drainRates.find(request.target);
+    const auto drain = this->drainRates.find(Stream{request.target, request.callerClass});
     const std::optional<double> rate
             = drain == this->drainRates.end() ? std::nullopt : drain->second.perSecond(now);
     if (!rate)
         return untilReady > Duration::zero() ? std::optional(untilReady) : std::nullopt;
-    double ahead = 0;
-    double total = 0;
-    double ownWeight = 0;
-    double otherWeight = 0;
-    for (const auto &[id, classQueue] : this->classQueues) {
-        const auto places = classQueue.waiting.find(request.target);
-        const bool isOwn = id == request.callerClass;
-        if (isOwn)
-            ownWeight = classQueue.settings.weight;
-        if (places == classQueue.waiting.end())
-            continue;
-        total += static_cast<double>(places->second.size());
-        if (!isOwn) {
-            otherWeight += classQueue.settings.weight;
-            continue;
-        }
-        const auto behind = places->second.lower_bound(Place{request.latestStart(), Ticket()});
-        ahead = static_cast<double>(std::distance(places->second.begin(), behind));
-    }
-    const double ownShare = ownWeight / (ownWeight + otherWeight);
-    const double seconds = std::min(ahead / (*rate * ownShare), total / *rate);
+    const double seconds = static_cast<double>(this->countAhead(request)) / *rate;
     return std::max(untilReady, secondsToDuration(seconds));
 }
 
+std::size_t RequestQueue::countAhead(const WaitingRequest &request) const
+{
+    const auto classQueue = this->classQueues.find(request.callerClass);
+    if (classQueue == this->classQueues.end())
+        return 0;
+    const auto places = classQueue->second.waiting.find(request.target);
+    if (places == classQueue->second.waiting.end())
+        return 0;
+    const auto behind = places->second.lower_bound(Place{request.latestStart(), Ticket()});
+    return static_cast<std::size_t>(std::distance(places->second.begin(), behind));
+}
+
+std::size_t RequestQueue::waitingIn(const Stream &stream) const
+{
+    const auto classQueue = this->classQueues.find(stream.callerClass);
+    if (classQueue == this->classQueues.end())
+        return 0;
+    const auto places = classQueue->second.waiting.find(stream.target);
+    return places == classQueue->second.waiting.end() ? 0 : places->second.size();
+}
+
 ExpiredRequest RequestQueue::expired(Ticket ticket, ErrorKind kind, std::string message,
                                      Duration retryAfter)
 {
@@ -297,14 +305,12 @@
             Error(kind, std::move(message)).withRetryAfter(retryAfterOf(retryAfter))};
 }
 
-void RequestQueue::forgetIdleTargets()
+void RequestQueue::forgetIdleStreams()
 {
-    if (this->drainRates.size() <= maxTrackedTargets)
+    if (this->drainRates.size() <= maxTrackedStreams)
         return;
-    for (auto entry = this->drainRates.begin(); entry != this->drainRates.end();) {
-        const bool isIdle = this->waitingFor(entry->first) == 0;
-        entry = isIdle ? this->drainRates.erase(entry) : std::next(entry);
-    }
+    std::erase_if(this->drainRates,
+                  [this](const auto &entry) { return this->waitingIn(entry.first) == 0; });
 }
 
 } // namespace bamboochute::admission
--- a/src/admission/request_queue.hpp
+++ b/src/admission/request_queue.hpp
@@ -59,6 +59,8 @@
 {
     /// Memory that all waiting requests may hold together.
     std::uint64_t maxBytes = 64ULL << 20;
+    /// A request is refused early if this many times its estimated wait is longer than it can wait.
+    double waitSafety = 1.5;
     /// One in this many dispatches goes to the class that was served longest ago.
     std::uint32_t ageingInterval = 16;
     auto operator<=>(const QueueLimits &) const = default;
@@ -142,6 +144,14 @@
     };
     using Places = std::set<Place>;
 
+    /// Requests that are served at a rate of their own.
+    struct Stream
+    {
+        Target target;
+        CallerClassId callerClass;
+        auto operator<=>(const Stream &) const = default;
+    };
+
     struct ClassQueue
     {
         CallerClass settings;
@@ -168,15 +178,18 @@
     void recordDispatch(const QueuedRequest &queued, TimePoint now);
     std::optional<Error> refusal(const WaitingRequest &request, TimePoint now) const;
     Error full(std::string message, const ClassQueue &classQueue, TimePoint now) const;
+    Duration safeWaitOf(const WaitingRequest &request, TimePoint now) const;
     std::optional<Duration> waitOf(const WaitingRequest &request, TimePoint now) const;
     ExpiredRequest expired(Ticket ticket, ErrorKind kind, std::string message, Duration retryAfter);
-    void forgetIdleTargets();
+    std::size_t countAhead(const WaitingRequest &request) const;
+    std::size_t waitingIn(const Stream &stream) const;
+    void forgetIdleStreams();
 
     QueueLimits limits;
     std::map<CallerClassId, ClassQueue> classQueues;
     std::unordered_map<Ticket, QueuedRequest> byTicket;
     std::set<Place> byLatestStart;
-    std::map<Target, DrainRate> drainRates;
+    std::map<Stream, DrainRate> drainRates;
     DrainRate totalDrain;
     std::uint64_t heldBytes = 0;
     std::uint64_t dispatches = 0;
--- a/tests/admission/unit-request_queue.cpp
+++ b/tests/admission/unit-request_queue.cpp
@@ -32,7 +32,7 @@
 
 TEST_CASE("a queue holds requests until an upstream is free")
 {
-    RequestQueue queue(classes(), QueueLimits{1000, 4});
+    RequestQueue queue(classes(), QueueLimits{.maxBytes = 1000, .ageingInterval = 4});
     const TimePoint now{};
 
     SUBCASE("within a class the earliest deadline goes first")
@@ -138,7 +138,7 @@
 TEST_CASE("classes share the dispatches by weight, and none starves")
 {
     constexpr std::uint32_t interval = 4;
-    RequestQueue queue(classes(), QueueLimits{1 << 20, interval});
+    RequestQueue queue(classes(), QueueLimits{.ageingInterval = interval});
     TimePoint now{};
     const auto refill = [&] {
         while (queue.offer(request(exportHouse, drafting, 1h), now)) {
