--- a/bench/experiment-traffic.cpp
+++ b/bench/experiment-traffic.cpp
@@ -87,6 +87,30 @@
     report.atMost("overload.lowest_unanswered", 0);
 }
 
+/// Other sizes of upstreams, and a balancer that sends two thirds to half of the instances.
+void overloadElsewhere(Report &report, const ExperimentArguments &arguments)
+{
+    TrafficSettings settings = baseSettings(arguments);
+    settings.classes = threeClasses();
+    report.table += "Overload elsewhere (top class p99 queueing at half and double load):\n";
+    for (const std::uint32_t slots : {8U, 16U, 32U, 64U}) {
+        for (const double firstHalf : {0.5, 0.67}) {
+            settings.slots = slots;
+            settings.firstHalfShare = firstHalf;
+            settings.load = 0.5;
+            const TrafficResult half = runTraffic(settings);
+            settings.load = 2.0;
+            const TrafficResult twice = runTraffic(settings);
+            report.table += fmt::format(
+                    "{:>2} slots, first half gets {:.2f}: goodput {:.3f}, top {:>7.2f} -> {:>7.2f} "
+                    "ms\n",
+                    slots, firstHalf, twice.goodput,
+                    milliseconds(quantile(half.classes.at(exportHouse).queueing, 0.99)),
+                    milliseconds(quantile(twice.classes.at(exportHouse).queueing, 0.99)));
+        }
+    }
+}
+
 void routing(Report &report, const ExperimentArguments &arguments)
 {
     TrafficSettings settings = baseSettings(arguments);
@@ -156,6 +180,7 @@
 {
     Report report;
     overload(report, arguments);
+    overloadElsewhere(report, arguments);
     routing(report, arguments);
     prefixes(report, arguments);
     return report;
--- a/bench/traffic_world.cpp
+++ b/bench/traffic_world.cpp
@@ -153,11 +153,19 @@
         this->time.after(this->randomTime(1.0 / rate), [this] {
             if (this->time.now() >= this->end)
                 return;
-            this->receive(*this->instances[this->random.below(this->instances.size())]);
+            this->receive(this->balance());
             this->arrive();
         });
     }
 
+    Instance &balance()
+    {
+        const std::size_t half = this->instances.size() / 2;
+        const std::uint64_t place = this->random.below(half);
+        const bool isFirstHalf = this->random.chance(this->settings.firstHalfShare);
+        return *this->instances[isFirstHalf ? place : half + place];
+    }
+
     void receive(Instance &instance)
     {
         const TrafficClass &drawn = this->drawClass();
--- a/bench/traffic_world.hpp
+++ b/bench/traffic_world.hpp
@@ -36,6 +36,8 @@
     double meanServiceSeconds = 0.5;
     /// Times that one of the upstreams is slower than the others.
     double slowFactor = 1.0;
+    /// Share of the requests that the balancer sends to the first half of the instances.
+    double firstHalfShare = 0.5;
     /// Offered load as a share of the capacity.
     double load = 0.8;
     Duration reportInterval = std::chrono::milliseconds(500);
--- a/src/admission/claim_batcher.cpp
+++ b/src/admission/claim_batcher.cpp
@@ -98,7 +98,7 @@
     for (std::size_t i = 0; i < batch.size(); ++i) {
         finished[i].number = batch[i].number;
         if (!answer)
-            finished[i].result.emplace<WriteUnavailable>(mayHaveEffect);
+            finished[i].result = WriteUnavailable{mayHaveEffect};
     }
     return finished;
 }
@@ -178,7 +178,7 @@
         }
         FinishedWrite &conflict = finished.emplace_back();
         conflict.number = batch[i].number;
-        conflict.result.emplace<ConditionFailed>(std::move(found));
+        conflict.result = ConditionFailed{std::move(found)};
     }
     return finished;
 }
--- a/src/admission/request_queue.cpp
+++ b/src/admission/request_queue.cpp
@@ -113,6 +113,7 @@
     const std::string message
             = fmt::format("model \"{}\" is expected to be loaded in {:.1f} s, after the deadline",
                           target.model.value(), toSeconds(ready - now));
+    all.reserve(hopeless.size());
     for (const Ticket ticket : hopeless)
         all.push_back(this->expired(ticket, ErrorKind::DeadlineUnreachable, message, ready - now));
     return all;
--- a/tests/admission/unit-claim_batcher.cpp
+++ b/tests/admission/unit-claim_batcher.cpp
@@ -140,6 +140,7 @@
     CHECK(claimWriterCount(340, 300.0) == 30);
     CHECK(claimWriterCount(340, 1.0) == 1);
     std::vector<InstanceId> members;
+    members.reserve(340);
     for (int i = 0; i < 340; ++i)
         members.emplace_back("node" + std::to_string(i));
     const auto writers = claimWriters(members, 30);
