--- a/bench/experiment-traffic.cpp
+++ b/bench/experiment-traffic.cpp
@@ -87,6 +87,30 @@
     report.atMost("overload.lowest_unanswered", 0);
 }
 
+/// Other sizes of upstreams, and a balancer that sends two thirds to half of the instances.
+void overloadElsewhere(Report &report, const ExperimentArguments &arguments)
+{
+    TrafficSettings settings = baseSettings(arguments);
+    settings.classes = threeClasses();
+    report.table += "Overload elsewhere (top class p99 queueing at half and double load):\n";
+    for (const std::uint32_t slots : {8U, 16U, 32U, 64U}) {
+        for (const double firstHalf : {0.5, 0.67}) {
+            settings.slots = slots;
+            settings.firstHalfShare = firstHalf;
+            settings.load = 0.5;
+            const TrafficResult half = runTraffic(settings);
+            settings.load = 2.0;
+            const TrafficResult twice = runTraffic(settings);
+            report.table += fmt::format(
+                    "{:>2} slots, first half gets {:.2f}: goodput {:.3f}, top {:>7.2f} -> {:>7.2f} "
+                    "ms\n",
+                    slots, firstHalf, twice.goodput,
+                    milliseconds(quantile(half.classes.at(exportHouse).queueing, 0.99)),
+                    milliseconds(quantile(twice.classes.at(exportHouse).queueing, 0.99)));
+        }
+    }
+}
+
 void routing(Report &report, const ExperimentArguments &arguments)
 {
     TrafficSettings settings = baseSettings(arguments);
@@ -94,8 +118,10 @@
     settings.slots = 8;
     settings.load = 0.8;
     report.table += "Routing at 80% load, reports 2 s late, upstreams of 8 slots:\n";
-    const auto measure = [&](const std::string &name, RoutingPolicy policy) {
+    const auto measure = [&](const std::string &name, RoutingPolicy policy,
+                             const admission::RouterLimits &limits = {}) {
         settings.policy = policy;
+        settings.routerLimits = limits;
         const TrafficResult result = runTraffic(settings);
         const ClassResult &each = result.classes.at(localShop);
         const double p99 = milliseconds(quantile(each.latency, 0.99));
@@ -109,6 +135,16 @@
     const double roundRobin = measure("round robin", RoutingPolicy::RoundRobin);
     const double least = measure("least reported load", RoutingPolicy::LeastReportedLoad);
     const double two = measure("two reported loads", RoutingPolicy::TwoReportedLoads);
+    admission::RouterLimits withoutReports;
+    withoutReports.reportTolerance = 1e9;
+    measure("router without reports", RoutingPolicy::Router, withoutReports);
+    settings.instances = 340;
+    settings.upstreams = 24;
+    settings.load = 0.7;
+    settings.slowFactor = 3.0;
+    report.table += "The same by 340 instances at 70% load, one of 24 upstreams 3 x slower:\n";
+    measure("router", RoutingPolicy::Router);
+    measure("router without reports", RoutingPolicy::Router, withoutReports);
     report.figure("routing.p99", ours, "ms");
     report.figure("routing.p99_round_robin", roundRobin, "ms");
     report.figure("routing.p99_least_reported", least, "ms");
@@ -144,6 +180,7 @@
 {
     Report report;
     overload(report, arguments);
+    overloadElsewhere(report, arguments);
     routing(report, arguments);
     prefixes(report, arguments);
     return report;
