--- /dev/null
+++ b/tests/caller/unit-bad_input.cpp
@@ -0,0 +1,229 @@
+#include "test_bed.hpp"
+
+#include <memory>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace bamboochute;
+using test::chatBody;
+using test::Client;
+using test::ClientAnswer;
+using test::TestBed;
+
+namespace {
+
+/// The code in an OpenAI-shaped error, checked for its shape.
+std::string codeOf(const ClientAnswer &answer)
+{
+    const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+    REQUIRE(body.is_object());
+    const auto &error = body.at("error");
+    CHECK(error.at("message").is_string());
+    CHECK(error.at("type").is_string());
+    CHECK(error.contains("param"));
+    CHECK(answer.headers.at("x-bamboochute-run-state") == "not-run");
+    CHECK_FALSE(answer.headers.at("x-request-id").empty());
+    return error.at("code").get<std::string>();
+}
+
+std::string paramOf(const ClientAnswer &answer)
+{
+    const auto param = nlohmann::json::parse(answer.body).at("error").at("param");
+    return param.is_string() ? param.get<std::string>() : std::string();
+}
+
+caller::ServerLimits tightLimits()
+{
+    caller::ServerLimits limits;
+    limits.maxHeaderBytes = 2048;
+    limits.maxBodyBytes = 4096;
+    limits.headerTimeout = std::chrono::milliseconds(150);
+    limits.bodyTimeout = std::chrono::milliseconds(150);
+    return limits;
+}
+
+ClientAnswer raw(TestBed &bed, std::string_view text)
+{
+    Client client(bed.endpoint);
+    client.send(text);
+    return client.read();
+}
+
+} // namespace
+
+TEST_CASE("wrong requests get an error that names the fault, and the server goes on")
+{
+    TestBed bed(tightLimits());
+    bed.addEngine();
+    bed.publish();
+
+    SUBCASE("text that is not HTTP")
+    {
+        CHECK(codeOf(raw(bed, "hello there\r\n\r\n")) == "malformed_request");
+    }
+
+    SUBCASE("Content-Length beside Transfer-Encoding, in either order")
+    {
+        for (const char *headers :
+             {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+              "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+              "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n", "Transfer-Encoding: gzip\r\n"}) {
+            CAPTURE(headers);
+            const std::string text
+                    = std::string("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n") + headers
+                      + "\r\n0\r\n\r\n";
+            CHECK(codeOf(raw(bed, text)) == "malformed_request");
+        }
+    }
+
+    SUBCASE("headers that may come only once, twice")
+    {
+        for (const char *header :
+             {"Content-Length: 2", "Host: b", "Authorization: Bearer a", "idempotency-key: k",
+              "x-request-deadline-ms: 5", "x-request-id: r"}) {
+            CAPTURE(header);
+            const std::string line = std::string(header) + "\r\n";
+            const std::string text
+                    = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n" + line + line + "\r\n{}";
+            CHECK(codeOf(raw(bed, text)) == "malformed_request");
+        }
+    }
+
+    SUBCASE("no Host")
+    {
+        CHECK(codeOf(raw(bed, "GET /healthz HTTP/1.1\r\n\r\n")) == "malformed_request");
+    }
+
+    SUBCASE("a header or a body that is too long")
+    {
+        const std::string longHeader = "X-Long: " + std::string(4000, 'a') + "\r\n";
+        CHECK(codeOf(raw(bed, "GET /healthz HTTP/1.1\r\nHost: a\r\n" + longHeader + "\r\n"))
+              == "header_too_large");
+        CHECK(codeOf(raw(bed, "POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+                              "Content-Length: 5000\r\n\r\n"))
+              == "body_too_large");
+        CHECK(codeOf(raw(bed, "POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n2000\r\n"))
+              == "body_too_large");
+    }
+
+    SUBCASE("senders that are too slow, in the header and in the body")
+    {
+        CHECK(codeOf(raw(bed, "GET /healthz HTT")) == "slow_sender");
+        CHECK(codeOf(raw(bed, "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
+                              "\r\n{"))
+              == "slow_sender");
+    }
+
+    SUBCASE("unknown paths, methods, models and adapters")
+    {
+        Client client(bed.endpoint);
+        CHECK(codeOf(client.call("GET", "/v2/none")) == "unknown_path");
+        CHECK(codeOf(client.call("GET", "/v1/chat/completions")) == "method_not_allowed");
+        const ClientAnswer answer
+                = client.call("POST", "/v1/chat/completions", chatBody("nowhere"));
+        CHECK(codeOf(answer) == "model_not_found");
+        CHECK(paramOf(answer) == "model");
+        CHECK(codeOf(client.call("POST", "/v1/chat/completions", chatBody("small:other"),
+                                 "Authorization: Bearer officer-secret\r\n"))
+              == "adapter_not_found");
+    }
+
+    SUBCASE("bodies that are not JSON, too deep, or of wrong types")
+    {
+        Client client(bed.endpoint);
+        const auto code = [&](std::string_view body) {
+            return codeOf(client.call("POST", "/v1/chat/completions", body));
+        };
+        CHECK(code("{") == "malformed_json");
+        CHECK(code("") == "malformed_json");
+        CHECK(code("[]") == "invalid_field");
+        CHECK(code(R"({"messages":[]})") == "invalid_field");
+        CHECK(code(R"({"model":7,"messages":[]})") == "invalid_field");
+        CHECK(code(R"({"model":"small"})") == "invalid_field");
+        CHECK(code(R"({"model":"small","messages":"hi"})") == "invalid_field");
+        CHECK(code(R"({"model":"small","stream":"yes","messages":[]})") == "invalid_field");
+        CHECK(code(R"({"model":"small","messages":)" + std::string(200, '[')) == "json_too_deep");
+        CHECK(client.call("POST", "/v1/chat/completions", chatBody("small")).status == 200);
+    }
+
+    SUBCASE("deadlines in the past or absurd")
+    {
+        Client client(bed.endpoint);
+        for (const char *deadline : {"0", "-5", "soon", "99999999999999999999", "600001", ""}) {
+            CAPTURE(deadline);
+            const ClientAnswer answer
+                    = client.call("POST", "/v1/chat/completions", chatBody("small"),
+                                  std::string("x-request-deadline-ms: ") + deadline + "\r\n");
+            CHECK(codeOf(answer) == "invalid_deadline");
+        }
+    }
+
+    SUBCASE("operation keys that are too long")
+    {
+        Client client(bed.endpoint);
+        const std::string header = "idempotency-key: " + std::string(300, 'k') + "\r\n";
+        CHECK(codeOf(client.call("POST", "/reservations/book", "{}", header))
+              == "operation_key_invalid");
+    }
+
+    // Whatever came, the server answers the next caller and has counted the fault.
+    Client next(bed.endpoint);
+    CHECK(next.call("GET", "/healthz").status == 200);
+    const ClientAnswer metrics = next.call("GET", "/metrics");
+    CHECK(metrics.body.find("bamboochute_errors_total") != std::string::npos);
+}
+
+TEST_CASE("a hundred idle connections are harmless")
+{
+    TestBed bed;
+    bed.addEngine();
+    bed.publish();
+    std::vector<std::unique_ptr<Client>> idle;
+    for (int i = 0; i < 100; ++i)
+        idle.push_back(std::make_unique<Client>(bed.endpoint));
+    Client client(bed.endpoint);
+    CHECK(client.call("POST", "/v1/chat/completions", chatBody("small")).status == 200);
+    CHECK(idle.back()->call("GET", "/readyz").status == 200);
+}
+
+TEST_CASE("requests that come at once over one connection are answered in turn")
+{
+    TestBed bed;
+    bed.addEngine();
+    bed.publish();
+    Client client(bed.endpoint);
+    const std::string chat = test::requestText("POST", "/v1/chat/completions", chatBody("small"),
+                                               "x-request-id: first\r\n");
+    client.send(chat + test::requestText("GET", "/healthz", "", "x-request-id: second\r\n"));
+    CHECK(client.read().headers.at("x-request-id") == "first");
+    CHECK(client.read().headers.at("x-request-id") == "second");
+
+    SUBCASE("also a chunked body, and one that waits to be asked for")
+    {
+        client.send(
+                "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+                "Expect: 100-continue\r\n\r\n");
+        client.readUntil("100 Continue\r\n\r\n");
+        CHECK(client.read().status == 100);
+        const std::string body = chatBody("small");
+        client.send("a\r\n" + body.substr(0, 10) + "\r\n");
+        char size[16];
+        std::snprintf(size, sizeof(size), "%zx", body.size() - 10);
+        client.send(size + std::string("\r\n") + body.substr(10) + "\r\n0\r\n\r\n");
+        CHECK(client.read().status == 200);
+    }
+}
+
+TEST_CASE("callers see the models of their deployment")
+{
+    TestBed bed;
+    bed.publish();
+    Client client(bed.endpoint);
+    const auto body = nlohmann::json::parse(client.call("GET", "/v1/models").body);
+    CHECK(body.at("object") == "list");
+    REQUIRE(body.at("data").size() == 3);
+    CHECK(body.at("data")[2].at("id") == "small:desk-tone");
+}
--- a/tests/upstream/unit-orders.cpp
+++ b/tests/upstream/unit-orders.cpp
@@ -113,8 +113,8 @@
         CHECK(report.value().placements[1].target == leaseTone);
 
         // No more is loaded than there is memory.
-        CHECK(std::holds_alternative<OrderRefused>(bench.send(
-                makeOrder(OrderKind::LoadModel, 1, {ModelId("grant@1"), AdapterId()}))));
+        CHECK(std::holds_alternative<OrderRefused>(
+                bench.send(makeOrder(OrderKind::LoadModel, 1, {ModelId("grant@1"), AdapterId()}))));
         CHECK(bench.engine.state().stats.overcommitted == 1);
 
         // The answer to a raised fencing number is the exact inventory.
@@ -145,8 +145,7 @@
     settings.fencing = Fencing::Ignores;
     Bench bench(settings);
     CHECK(std::holds_alternative<OrderDone>(bench.send(makeOrder(OrderKind::RaiseFence, 9))));
-    CHECK(std::holds_alternative<OrderDone>(
-            bench.send(makeOrder(OrderKind::LoadModel, 2, lease))));
+    CHECK(std::holds_alternative<OrderDone>(bench.send(makeOrder(OrderKind::LoadModel, 2, lease))));
 }
 
 TEST_CASE("an engine that checks the sender")
