--- a/fakes/completion.cpp
+++ b/fakes/completion.cpp
@@ -117,18 +117,20 @@
     const EngineSettings &settings = this->state.settings();
     call.writer.beginStream({});
     std::uint32_t sent = 0;
+    std::uint32_t pending = 0;
     std::string events;
     for (std::uint32_t number = work.resumeAfter + 1; number <= settings.tokensPerAnswer;
          ++number) {
         events += tokenEvent(work.id, work.model, number);
         ++sent;
+        ++pending;
         const bool breaks = settings.breakAfterTokens > 0 && sent >= settings.breakAfterTokens;
-        if (sent % settings.tokensPerWrite != 0 && number != settings.tokensPerAnswer && !breaks)
+        if (pending < settings.tokensPerWrite && number != settings.tokensPerAnswer && !breaks)
             continue;
         const std::array<std::string_view, 1> pieces{events};
         const auto status = co_await call.writer.writeChunk(pieces);
-        this->state.stats.tokens += sent;
-        sent = breaks ? sent : 0;
+        this->state.stats.tokens += pending;
+        pending = 0;
         events.clear();
         if (breaks || work.isCancelled || status != upstream::StreamStatus::Ok) {
             call.writer.closeAfterAnswer();
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -93,7 +93,7 @@
         Resumption<bool> resumption = std::move(*this->waiter);
         this->waiter.reset();
         resumption(!error);
-    } else if (error && this->peerClosed) {
+    } else if (this->isReadClosed && this->peerClosed) {
         const auto handler = std::move(this->peerClosed);
         this->peerClosed = nullptr;
         handler();
