--- a/bench/decision_fakes.hpp
+++ b/bench/decision_fakes.hpp
@@ -222,6 +222,30 @@
 
     bool holds(const Target &target) const { return this->held.contains(target); }
 
+    /// @brief Where the target's checkpoint is.
+    decision::CheckpointPlace placeOf(const Target &target) const
+    {
+        const auto found = std::find(this->cached.begin(), this->cached.end(), target);
+        if (found == this->cached.end())
+            return decision::CheckpointPlace::Remote;
+        return found - this->cached.begin() < inMemory ? decision::CheckpointPlace::Memory
+                                                       : decision::CheckpointPlace::Disk;
+    }
+
+    /// @brief Where the target's last load came from.
+    decision::CheckpointPlace loadedFrom(const Target &target) const
+    {
+        const auto found = this->held.find(target);
+        return found == this->held.end() ? decision::CheckpointPlace::Remote : found->second.from;
+    }
+
+    /// @brief When the target's load began; the earliest time when it is not held.
+    TimePoint loadBegan(const Target &target) const
+    {
+        const auto found = this->held.find(target);
+        return found == this->held.end() ? TimePoint() : found->second.began;
+    }
+
     bool isLoaded(const Target &target) const
     {
         const auto found = this->held.find(target);
@@ -235,18 +259,34 @@
     bool isFenceIgnored = false;
     /// Defect: claims that loads are done and does nothing.
     bool isLying = false;
-    /// Checkpoints kept on disk after a load.
-    std::set<Target> onDisk;
+    /// Models' checkpoints kept at hand, last used first.
+    std::deque<Target> cached;
     /// Runs after each change of what it holds.
     std::function<void()> changed = [] {};
     std::uint64_t loadsStarted = 0;
 
 private:
+    /// Checkpoints that fit into the host's memory, and on its disk.
+    static constexpr std::ptrdiff_t inMemory = 1;
+    static constexpr std::size_t atHand = 4;
+
+    void keepCheckpoint(const Target &target)
+    {
+        if (!target.adapter.isEmpty())
+            return;
+        std::erase(this->cached, target);
+        this->cached.push_front(target);
+        if (this->cached.size() > atHand)
+            this->cached.pop_back();
+    }
+
     struct Held
     {
         decision::InventoryState state = decision::InventoryState::Loading;
         Bytes memory;
         bool isFromStore = false;
+        decision::CheckpointPlace from = decision::CheckpointPlace::Remote;
+        TimePoint began;
         std::vector<Answer> answers;
         /// Loads that an unload ended; refused once nothing of them is left.
         std::vector<Answer> cancelled;
@@ -271,7 +311,8 @@
             return;
         }
         const bool isAdapter = !target.adapter.isEmpty();
-        const bool isLocal = this->onDisk.contains(target);
+        const auto place = this->placeOf(target);
+        const bool isLocal = place != decision::CheckpointPlace::Remote;
         const bool isBaseThere = !isAdapter || this->isLoaded(Target{target.model, {}});
         if (!isBaseThere || (!isLocal && !order.mayFetch)) {
             answer(decision::OrderOutcome::Refused, std::nullopt);
@@ -283,9 +324,12 @@
         one.answers.push_back(answer);
         one.number = ++this->count;
         one.isFromStore = !isLocal;
-        Duration takes = isAdapter ? this->times.adapter
-                         : isLocal ? this->times.disk
-                                   : this->times.remote;
+        one.from = place;
+        one.began = this->scheduler->now();
+        Duration takes = isAdapter                                    ? this->times.adapter
+                         : place == decision::CheckpointPlace::Memory ? this->times.memory
+                         : isLocal                                    ? this->times.disk
+                                                                      : this->times.remote;
         if (one.isFromStore)
             takes = this->store->start(isAdapter, takes, this->scheduler->now());
         this->changed();
@@ -304,7 +348,7 @@
         if (std::exchange(one.isFromStore, false))
             this->store->end(!target.adapter.isEmpty());
         one.state = decision::InventoryState::Loaded;
-        this->onDisk.insert(target);
+        this->keepCheckpoint(target);
         const auto answers = std::exchange(one.answers, {});
         this->changed();
         for (const Answer &answer : answers)
--- a/src/decision/placement.cpp
+++ b/src/decision/placement.cpp
@@ -12,6 +12,7 @@
 constexpr double loadSeconds = 1.0;
 constexpr double fullnessSeconds = 0.2;
 constexpr double victimSeconds = 1.0;
+constexpr double cachedSeconds = 0.05;
 
 bool isAllowedIn(const TargetSpec &spec, const DataCentreId &dataCentre)
 {
@@ -29,10 +30,14 @@
     return false;
 }
 
-bool isBaseThere(const Ledger &ledger, const UpstreamId &upstream, const Target &target)
+bool isBaseThere(const Ledger &ledger, const UpstreamId &upstream, const Target &target,
+                 const UpstreamCondition &condition)
 {
     if (target.adapter.isEmpty())
         return true;
+    const auto &draining = condition.draining;
+    if (std::find(draining.begin(), draining.end(), target.model) != draining.end())
+        return false;
     const Placement *base = ledger.find(upstream, Target{target.model, {}});
     return base != nullptr && base->state == PlacementState::Loaded;
 }
@@ -109,7 +114,7 @@
             || !isAllowedIn(spec->second, upstream.dataCentre)
             || (question.isFencingRequired && !isFenced)
             || ledger.find(id, question.target) != nullptr
-            || !isBaseThere(ledger, id, question.target))
+            || !isBaseThere(ledger, id, question.target, condition->second))
             continue;
         const Bytes all = ledger.free(id);
         const Bytes reserved = condition->second.reserved;
@@ -126,6 +131,9 @@
         if (hasReplicaIn(ledger, question.target, upstream.dataCentre))
             cost += spreadSeconds;
         cost += loadSeconds * condition->second.load;
+        // A checkpoint fetched to where many are at hand pushes one of them out.
+        if (place == CheckpointPlace::Remote)
+            cost += cachedSeconds * static_cast<double>(condition->second.cached.size());
         const double fullness = 1.0
                                 - static_cast<double>(free.count)
                                           / static_cast<double>(upstream.memory.count + 1);
--- a/src/decision/placement.hpp
+++ b/src/decision/placement.hpp
@@ -21,6 +21,8 @@
     double load = 0.0;
     /// Memory that is being made free for another target.
     Bytes reserved;
+    /// Models whose replicas there are about to be unloaded.
+    std::vector<ModelId> draining;
     /// Checkpoints at hand there.
     std::map<Target, CheckpointPlace> cached;
 };
--- a/src/decision/pool_controller.cpp
+++ b/src/decision/pool_controller.cpp
@@ -208,12 +208,20 @@
         this->count("usage_unknown_target");
         return;
     }
-    if (event.started > 0)
+    if (event.started > 0) {
         this->predictor.used(event.target, event.lastUsed);
+        if (!event.target.adapter.isEmpty())
+            this->predictor.used(Target{event.target.model, {}}, event.lastUsed);
+    }
     if (this->ledger.find(event.upstream, event.target) == nullptr)
         return;
-    ReplicaState &replica = this->runtimeOf(event.upstream).replicas[event.target];
+    auto &replicas = this->runtimeOf(event.upstream).replicas;
+    ReplicaState &replica = replicas[event.target];
     replica.lastUsed = std::max(replica.lastUsed, event.lastUsed);
+    if (!event.target.adapter.isEmpty()) {
+        ReplicaState &base = replicas[Target{event.target.model, {}}];
+        base.lastUsed = std::max(base.lastUsed, event.lastUsed);
+    }
     if (event.running == 0)
         replica.running.erase(event.instance);
     else
--- a/src/decision/pool_loading.cpp
+++ b/src/decision/pool_loading.cpp
@@ -64,12 +64,10 @@
                              TimePoint::max()});
         return;
     }
-    if (this->isMet(demand))
-        return;
-    if (!demand.target.adapter.isEmpty()) {
+    if (!demand.target.adapter.isEmpty())
         this->meetBase(demand);
-    }
-    this->place(demand, true);
+    if (!this->isMet(demand))
+        this->place(demand, true);
 }
 
 bool PoolController::State::isMet(const WaitingDemand &demand)
@@ -124,7 +122,11 @@
     if (found == this->reservations.end())
         return false;
     const UpstreamId upstream = found->second.upstream;
-    if (!this->ledger.canLoad(upstream, demand.target))
+    const auto &replicas = this->runtimeOf(upstream).replicas;
+    const auto base = replicas.find(Target{demand.target.model, {}});
+    const bool isBaseDraining = !demand.target.adapter.isEmpty() && base != replicas.end()
+                                && base->second.drainingSince;
+    if (isBaseDraining || !this->ledger.canLoad(upstream, demand.target))
         return true;
     const auto place = placeOf(this->runtimeOf(upstream).condition, demand.target);
     if (this->startLoad(demand, upstream, place))
@@ -291,6 +293,10 @@
         UpstreamCondition condition = runtime.condition;
         condition.isClosed
                 = runtime.isLeaving || runtime.isGone || runtime.inquiry != Inquiry::None;
+        for (const auto &[target, replica] : runtime.replicas) {
+            if (target.adapter.isEmpty() && replica.drainingSince)
+                condition.draining.push_back(target.model);
+        }
         all.emplace(id, std::move(condition));
     }
     for (const auto &[target, reservation] : this->reservations) {
--- a/src/decision/pool_unloading.cpp
+++ b/src/decision/pool_unloading.cpp
@@ -192,6 +192,8 @@
                      });
         if (isDue && !hasAdapters)
             this->orderUnload(upstream, target);
+        else if (isDue)
+            this->startDrain(upstream, target, replica.isEvicted);
     }
 }
 
