Measure the contention on one queue for the whole process

Cause: one queue per process keeps weights and shares exact; it had to be shown cheap enough. Change: the experiment "traffic" lets 1 to 8 threads offer, dispatch and finish under one mutex.

--- a/bench/experiment-traffic.cpp
+++ b/bench/experiment-traffic.cpp
@@ -1,4 +1,5 @@
 #include "experiment.hpp"
+#include "queue_contention.hpp"
 #include "traffic_world.hpp"
 
 #include <algorithm>
@@ -176,9 +177,23 @@
     report.atMost("prefix.busy_max_over_mean", 1.25);
 }
 
+void contention(Report &report)
+{
+    report.table += "One queue, router and ejector under one mutex, 12 upstreams (wall time):\n";
+    for (const std::uint32_t threads : {1U, 2U, 4U, 8U}) {
+        const ContentionResult result = runContention(threads);
+        report.table += fmt::format(
+                "{} threads: {:>8.0f} requests/s, mutex held {:>5.2f} us a request, longest wait "
+                "{:>7.0f} us\n",
+                threads, result.requestsPerSecond, result.heldMicroseconds,
+                result.longestWaitMicroseconds);
+    }
+}
+
 Report run(const ExperimentArguments &arguments)
 {
     Report report;
+    contention(report);
     overload(report, arguments);
     overloadElsewhere(report, arguments);
     routing(report, arguments);
