--- a/src/admission/operation_claims.cpp
+++ b/src/admission/operation_claims.cpp
@@ -11,91 +11,6 @@
 
 namespace {
 
-/// Time after which an unanswered lease request is made again.
-constexpr Duration leaseRequestTimeout = std::chrono::seconds(5);
-
-std::size_t headerBytes(const OperationOutcome &outcome)
-{
-    std::size_t bytes = 0;
-    for (const OutcomeHeader &header : outcome.headers)
-        bytes += header.name.size() + header.value.size();
-    return bytes;
-}
-
-/// The state to record for a settlement: answers that are too large are not kept.
-OperationState stateOf(const Settlement &settlement)
-{
-    return std::visit(Overloaded{
-                              [](const OperationOutcome &outcome) -> OperationState {
-                                  const bool isSmall
-                                          = outcome.body.size() <= maxRecordedBodyBytes
-                                            && headerBytes(outcome) <= maxRecordedHeaderBytes;
-                                  if (isSmall)
-                                      return outcome;
-                                  return OutcomeTooLarge{outcome.status};
-                              },
-                              [](const auto &other) -> OperationState { return other; },
-                      },
-                      settlement);
-}
-
-std::size_t bytesOf(const OperationState &state)
-{
-    const auto *outcome = std::get_if<OperationOutcome>(&state);
-    return outcome == nullptr ? 0 : outcome->body.size() + headerBytes(*outcome);
-}
-
-ClaimDecision inProgress()
-{
-    return Error(ErrorKind::OperationInProgress, "the operation is in progress");
-}
-
-ClaimDecision outcomeUnknown()
-{
-    return Error(ErrorKind::OperationOutcomeUnknown,
-                 "the operation was dispatched before; whether it ran is not known");
-}
-
-/// Answer to a repeat of an operation in a final state.
-ClaimDecision decisionOf(const OperationState &state)
-{
-    return std::visit(
-            Overloaded{
-                    [](const OperationOutcome &outcome) -> ClaimDecision {
-                        return Replay{outcome};
-                    },
-                    [](const OutcomeTooLarge &large) -> ClaimDecision {
-                        return Error(ErrorKind::OperationOutcomeUnknown,
-                                     fmt::format("the operation ran with status {}; its answer was "
-                                                 "too large to be kept",
-                                                 large.status));
-                    },
-                    [](const Released &) -> ClaimDecision {
-                        return Error(ErrorKind::ClaimUnavailable,
-                                     "an earlier claim of the operation is being withdrawn");
-                    },
-                    [](const Claimed &) -> ClaimDecision { return inProgress(); },
-                    [](const OutcomeUnknown &) -> ClaimDecision { return outcomeUnknown(); },
-            },
-            state);
-}
-
-std::string_view decisionName(const ClaimDecision &decision)
-{
-    return std::visit(Overloaded{
-                              [](const Dispatch &) -> std::string_view { return "dispatch"; },
-                              [](const Replay &) -> std::string_view { return "replay"; },
-                              [](const Error &error) { return error.row().code; },
-                      },
-                      decision);
-}
-
-void count(Metrics &metrics, const ClaimDecision &decision)
-{
-    const std::string label = fmt::format("decision=\"{}\"", decisionName(decision));
-    metrics.counter("bamboochute_claims_total", label).add();
-}
-
 bool isReleased(const std::string &value)
 {
     const Result<OperationRecord> record = decodeOperationRecord(value);
@@ -111,6 +26,7 @@
     , metrics(metrics)
     , limits(limits)
     , batcher(transactionsPerSecond)
+    , leases(limits.leases)
     , lastNumber(this->self.number)
 {}
 
@@ -124,7 +40,7 @@
     ClaimActions actions;
     std::optional<ClaimDecision> known = this->decideLocally(request);
     if (known) {
-        count(this->metrics, *known);
+        countDecision(this->metrics, *known);
         actions.emplace_back(Decide{ticket, *std::move(known)});
         return actions;
     }
@@ -161,7 +77,7 @@
     if (found == this->byTicket.end())
         return false;
     const Claim &claim = this->claims.at(found->second);
-    const TimePoint end = std::min(claim.request.deadline, claim.leaseEnd);
+    const TimePoint end = std::min(claim.request.deadline, claim.lease.end);
     return claim.phase == Phase::Dispatched && now < end;
 }
 
@@ -195,15 +111,7 @@
 ClaimActions OperationClaims::leaseGranted(std::chrono::seconds timeToLive,
                                            const Result<platform::LeaseId> &lease, TimePoint now)
 {
-    for (auto &[retention, pool] : this->leases) {
-        if (this->timeToLive(retention) != timeToLive || !pool.isRequested)
-            continue;
-        pool.isRequested = false;
-        if (!lease)
-            continue;
-        pool.id = lease.value();
-        pool.end = pool.requestedAt + timeToLive;
-    }
+    this->leases.granted(timeToLive, lease);
     return this->tick(now);
 }
 
@@ -242,7 +150,7 @@
         if (claim.request.fingerprint != request.fingerprint)
             return Error(ErrorKind::OperationKeyReused,
                          "operation key is in use by a request with another method, path or body");
-        return claim.phase == Phase::Settling ? decisionOf(claim.wanted) : inProgress();
+        return decisionOf(claim.wanted);
     }
     if (this->claims.size() >= this->limits.maxOpen)
         return Error(ErrorKind::ClaimUnavailable,
@@ -260,14 +168,14 @@
 {
     const Result<OperationRecord> decoded = decodeOperationRecord(value);
     if (!decoded)
-        return outcomeUnknown();
+        return decisionOf(OutcomeUnknown{});
     const OperationRecord &record = decoded.value();
     if (record.fingerprint != request.fingerprint)
         return Error(ErrorKind::OperationKeyReused,
                      "operation key was used by a request with another method, path or body");
     const bool isOpen = std::holds_alternative<Claimed>(record.state);
     if (isOpen && this->isGone(record.claimant))
-        return outcomeUnknown();
+        return decisionOf(OutcomeUnknown{});
     return decisionOf(record.state);
 }
 
@@ -282,27 +190,11 @@
 bool OperationClaims::takeLease(Claim &claim, TimePoint now, ClaimActions &actions)
 {
     const std::chrono::seconds retention = claim.request.retention;
-    Lease &pool = this->leases[retention];
-    const TimePoint needed = now + retention + this->limits.leaseMargin;
-    const bool isUsable = pool.id != platform::LeaseId() && needed <= pool.end;
-    const bool isEnding = needed + this->limits.leaseWindow / 8 > pool.end;
-    const Duration wait = pool.isRequested ? leaseRequestTimeout : this->limits.retryDelay;
-    const bool isDue = pool.requestedAt == TimePoint() || now - pool.requestedAt >= wait;
-    if ((!isUsable || isEnding) && isDue) {
-        pool.isRequested = true;
-        pool.requestedAt = now;
-        actions.emplace_back(RequestLease{this->timeToLive(retention)});
-    }
-    if (!isUsable)
-        return false;
-    claim.lease = pool.id;
-    claim.leaseEnd = pool.end;
-    return true;
-}
-
-std::chrono::seconds OperationClaims::timeToLive(std::chrono::seconds retention) const
-{
-    return retention + this->limits.leaseMargin + this->limits.leaseWindow;
+    if (const auto timeToLive = this->leases.request(retention, now))
+        actions.emplace_back(RequestLease{*timeToLive});
+    const std::optional<ClaimLease> lease = this->leases.find(retention, now);
+    claim.lease = lease.value_or(ClaimLease{});
+    return lease.has_value();
 }
 
 void OperationClaims::send(Claim &claim, bool isExpectedToHold)
@@ -313,7 +205,7 @@
         condition = platform::CompareValue{key, *claim.believed};
     claim.isClaimWrite = claim.phase == Phase::Claiming;
     const OperationState state = claim.isClaimWrite ? OperationState(Claimed{}) : claim.wanted;
-    platform::Put put{key, this->valueOf(claim, state), claim.lease};
+    platform::Put put{key, this->valueOf(claim, state), claim.lease.id};
     claim.write = this->batcher.add({std::move(condition), std::move(put)}, isExpectedToHold);
     claim.retryAt = TimePoint();
     this->byWrite[claim.write] = claim.number;
@@ -373,12 +265,12 @@
 {
     claim.mayBeRecorded = true;
     claim.believed = this->valueOf(claim, Claimed{});
-    if (now >= claim.giveUpAt || now + claim.request.retention > claim.leaseEnd) {
+    if (now >= claim.giveUpAt || now + claim.request.retention > claim.lease.end) {
         this->refuse(claim, "the claim was confirmed too late", actions);
         return;
     }
     claim.phase = Phase::Dispatched;
-    this->decide(claim, Dispatch{claim.leaseEnd}, actions);
+    this->decide(claim, Dispatch{claim.lease.end}, actions);
 }
 
 void OperationClaims::settleFinished(Claim &claim, const WriteResult &result, TimePoint now)
@@ -402,23 +294,20 @@
 
 void OperationClaims::settleConflict(Claim &claim, const std::optional<platform::KeyValue> &found)
 {
+    const bool isWritten = found && found->value == this->valueOf(claim, claim.wanted);
     const bool isOwnClaim = found && found->value == this->valueOf(claim, Claimed{});
-    if (isOwnClaim || !found || isReleased(found->value)) {
-        const bool isDone = found && found->value == this->valueOf(claim, claim.wanted);
-        if (isDone) {
-            this->forget(claim.number);
-            return;
-        }
-        claim.believed = found ? std::optional(found->value) : std::nullopt;
-        this->send(claim, true);
+    const bool isFree = !found || isReleased(found->value);
+    if (isWritten || !(isOwnClaim || isFree)) {
+        this->forget(claim.number);
         return;
     }
-    this->forget(claim.number);
+    claim.believed = found ? std::optional(found->value) : std::nullopt;
+    this->send(claim, true);
 }
 
 void OperationClaims::decide(const Claim &claim, ClaimDecision decision, ClaimActions &actions)
 {
-    count(this->metrics, decision);
+    countDecision(this->metrics, decision);
     actions.emplace_back(Decide{claim.ticket, std::move(decision)});
 }
 
@@ -470,7 +359,7 @@
     }
     if (claim.retryAt == TimePoint() || now < claim.retryAt)
         return;
-    const bool isLeaseOver = claim.phase == Phase::Settling && now >= claim.leaseEnd;
+    const bool isLeaseOver = claim.phase == Phase::Settling && now >= claim.lease.end;
     if (isLeaseOver)
         this->forget(claim.number);
     else
--- a/src/admission/operation_claims.hpp
+++ b/src/admission/operation_claims.hpp
@@ -3,7 +3,8 @@
 #pragma once
 
 #include "admission/claim_batcher.hpp"
-#include "admission/operation_record.hpp"
+#include "admission/claim_decision.hpp"
+#include "admission/claim_leases.hpp"
 #include "admission/request_queue.hpp"
 #include "core/metrics.hpp"
 
@@ -32,25 +33,6 @@
     auto operator<=>(const ClaimRequest &) const = default;
 };
 
-/// @brief The request is claimed: dispatch it once, then call settle().
-struct Dispatch
-{
-    /// The key is remembered at least until then; value for operationExpiresHeader.
-    TimePoint expires;
-    auto operator<=>(const Dispatch &) const = default;
-};
-
-/// @brief The operation ran before; this is its answer.
-struct Replay
-{
-    OperationOutcome outcome;
-    auto operator<=>(const Replay &) const = default;
-};
-
-/// @brief Dispatch, answer again, or refuse with OperationInProgress, OperationOutcomeUnknown,
-/// OperationKeyReused or ClaimUnavailable.
-using ClaimDecision = std::variant<Dispatch, Replay, Error>;
-
 /// @brief Tells the decision on a request.
 struct Decide
 {
@@ -68,10 +50,6 @@
 using ClaimAction = std::variant<SubmitTransaction, RequestLease, Decide>;
 using ClaimActions = std::vector<ClaimAction>;
 
-/// @brief What became of a dispatched operation: its answer, OutcomeUnknown, or Released when it is
-/// known that nothing was run.
-using Settlement = std::variant<OperationOutcome, OutcomeUnknown, Released>;
-
 /// @brief Whether a process is known to have ended.
 using KnownGone = std::function<bool(const InstanceId &, Incarnation)>;
 
@@ -84,12 +62,9 @@
     std::size_t maxUnwrittenBytes = 16 << 20;
     /// Longest time that a request waits for its claim.
     Duration patience = std::chrono::seconds(2);
-    /// Claims made within this time share a lease.
-    std::chrono::seconds leaseWindow{600};
-    /// Time allowed for a write on its way when a lease is chosen.
-    std::chrono::seconds leaseMargin{60};
     /// Delay before a write goes out again after the service was out.
     Duration retryDelay = std::chrono::milliseconds(250);
+    LeaseLimits leases{};
     auto operator<=>(const ClaimLimits &) const = default;
 };
 
@@ -167,8 +142,7 @@
         ClaimNumber number;
         Phase phase = Phase::NeedsLease;
         TimePoint giveUpAt;
-        platform::LeaseId lease;
-        TimePoint leaseEnd;
+        ClaimLease lease;
         /// State that is to be written in the phase Settling.
         OperationState wanted = Claimed{};
         /// Value that the key is believed to hold; nothing when it does not exist.
@@ -183,20 +157,11 @@
         TimePoint retryAt{};
     };
 
-    struct Lease
-    {
-        platform::LeaseId id;
-        TimePoint end{};
-        TimePoint requestedAt{};
-        bool isRequested = false;
-    };
-
     std::optional<ClaimDecision> decideLocally(const ClaimRequest &request) const;
     ClaimDecision decideByRecord(const std::string &value, const ClaimRequest &request) const;
     bool isGone(const Claimant &claimant) const;
 
     bool takeLease(Claim &claim, TimePoint now, ClaimActions &actions);
-    std::chrono::seconds timeToLive(std::chrono::seconds retention) const;
     void send(Claim &claim, bool isExpectedToHold);
     void sendLater(Claim &claim, TimePoint now);
     void finished(const FinishedWrite &write, TimePoint now, ClaimActions &actions);
@@ -224,8 +189,7 @@
     std::unordered_map<Ticket, ClaimNumber> byTicket;
     std::unordered_map<std::string, ClaimNumber> byKey;
     std::unordered_map<WriteNumber, ClaimNumber> byWrite;
-    /// Leases by the retention that they serve.
-    std::map<std::chrono::seconds, Lease> leases;
+    ClaimLeases leases;
     std::size_t unwrittenBytes = 0;
     ClaimNumber lastNumber;
 };
