--- a/bench/claims_run.hpp
+++ b/bench/claims_run.hpp
@@ -2,6 +2,7 @@
 /// @brief Randomised run of operations with keys through several instances that fail.
 #pragma once
 
+#include "admission/claim_relay.hpp"
 #include "admission/operation_claims.hpp"
 #include "core/overloaded.hpp"
 #include "core/random.hpp"
@@ -23,6 +24,8 @@
     std::uint32_t instances = 6;
     double operationsPerSecond = 50.0;
     double transactionsPerSecond = 25.0;
+    /// Instances that write the claims of all; zero when each writes its own.
+    std::uint32_t writers = 0;
     std::chrono::seconds retention{7200};
     /// Chances for one transaction.
     double lostAnswer = 0.02;
@@ -105,6 +108,8 @@
     }
 
 private:
+    static constexpr Duration callTimeout = std::chrono::seconds(1);
+
     struct Node
     {
         std::uint32_t index = 0;
@@ -117,6 +122,12 @@
         std::uint64_t lastTicket = 0;
         /// Attempts that were neither answered nor settled.
         std::map<admission::Ticket, std::uint64_t> open;
+        /// For an instance that writes the claims of others.
+        std::unique_ptr<admission::ClaimRelay> relay;
+        std::map<admission::RelayNumber,
+                 std::function<void(Duration, Result<platform::TransactionResponse>)>>
+                relayed;
+        TimePoint relayPollAt{};
         /// Operations that were tried here since the start of the process.
         std::set<std::uint64_t> touched;
     };
@@ -161,6 +172,8 @@
         ++node.incarnation;
         node.isUp = true;
         node.tickAt = TimePoint();
+        node.relayPollAt = TimePoint();
+        node.relay = std::make_unique<admission::ClaimRelay>(this->settings.transactionsPerSecond);
         const admission::Claimant self{
                 InstanceId(name(node.index)), Incarnation(node.incarnation), {}};
         const auto isGone = [this](const InstanceId &instance, Incarnation incarnation) {
@@ -239,6 +252,8 @@
         node.open.clear();
         node.touched.clear();
         node.claims.reset();
+        node.relay.reset();
+        node.relayed.clear();
         this->time.after(std::chrono::seconds(2) + this->upTo(std::chrono::seconds(8)),
                          [this, &node] { this->boot(node); });
     }
@@ -339,42 +354,100 @@
             std::visit([&](const auto &each) { this->on(node, each); }, action);
     }
 
+    using Response = platform::TransactionResponse;
+    using AnswerFunction = std::function<void(Duration, Result<Response>)>;
+
     void on(Node &node, const admission::SubmitTransaction &submission)
     {
-        using Response = platform::TransactionResponse;
-        const Duration latency
-                = std::chrono::milliseconds(1) + this->upTo(std::chrono::milliseconds(9));
-        const auto answer
-                = [this, &node, tag = submission.tag](Duration delay, Result<Response> response) {
-                      this->deliverAfter(delay, node, [this, &node, tag, response] {
-                          this->act(node, node.claims->answered(tag, response, this->now()));
+        const AnswerFunction answer
+                = [this, &node, tag = submission.tag,
+                   incarnation = node.incarnation](Duration delay, Result<Response> response) {
+                      this->time.after(delay, [=, this, &node] {
+                          this->deliver(node, incarnation, [=, this, &node] {
+                              this->act(node, node.claims->answered(tag, response, this->now()));
+                          });
                       });
                   };
+        if (this->settings.writers == 0)
+            this->submit(submission.transaction, answer);
+        else
+            this->sendToWriter(node, submission.transaction, answer);
+    }
+
+    /// Hands a transaction to the key-value service.
+    void submit(const platform::Transaction &transaction, const AnswerFunction &answer)
+    {
+        const Duration latency
+                = std::chrono::milliseconds(1) + this->upTo(std::chrono::milliseconds(9));
         const bool isOut = this->now() < this->outageEnd;
         if (isOut && this->random.chance(0.5)) {
             answer(latency, Error(ErrorKind::KeyValueUnavailable));
             return;
         }
-        const Duration timeout = std::chrono::seconds(1);
         if (isOut || this->isFaulty(this->settings.lateEffect)) {
-            answer(timeout, Error(ErrorKind::KeyValueOutcomeUnknown));
+            answer(callTimeout, Error(ErrorKind::KeyValueOutcomeUnknown));
             if (this->random.chance(0.7))
-                this->time.after(this->upTo(std::chrono::seconds(8)), [this, submission] {
-                    (void)this->service.apply(submission.transaction);
-                });
+                this->time.after(this->upTo(std::chrono::seconds(8)),
+                                 [this, transaction] { (void)this->service.apply(transaction); });
             return;
         }
         const bool isLost = this->isFaulty(this->settings.lostAnswer);
         this->result.lostAnswers += isLost ? 1 : 0;
-        this->time.after(latency / 2, [this, submission, answer, latency, timeout, isLost] {
-            const auto response = this->service.apply(submission.transaction);
+        this->time.after(latency / 2, [this, transaction, answer, latency, isLost] {
+            const auto response = this->service.apply(transaction);
             if (isLost)
-                answer(timeout, Error(ErrorKind::KeyValueOutcomeUnknown));
+                answer(callTimeout, Error(ErrorKind::KeyValueOutcomeUnknown));
             else
                 answer(latency / 2, response);
         });
     }
 
+    /// Hands a transaction to the instance that writes for this one; it may be down or paused.
+    void sendToWriter(Node &node, const platform::Transaction &transaction,
+                      const AnswerFunction &answer)
+    {
+        Node &writer = *this->nodes[node.index % this->settings.writers];
+        answer(callTimeout, Error(ErrorKind::KeyValueOutcomeUnknown)); // ignored after another
+        this->deliverAfter(std::chrono::milliseconds(1), writer, [=, this, &writer] {
+            const auto number = writer.relay->offer(transaction);
+            if (!number)
+                answer(std::chrono::milliseconds(1), number.error());
+            else
+                writer.relayed[number.value()] = answer;
+            this->pollRelay(writer);
+        });
+    }
+
+    void pollRelay(Node &writer)
+    {
+        for (const admission::SubmitTransaction &submission : writer.relay->poll(this->now())) {
+            const AnswerFunction answer = [this, &writer, tag = submission.tag,
+                                           incarnation = writer.incarnation](
+                                                  Duration delay, Result<Response> response) {
+                this->time.after(delay, [=, this, &writer] {
+                    this->deliver(writer, incarnation,
+                                  [=, this, &writer] { this->relayed(writer, tag, response); });
+                });
+            };
+            this->submit(submission.transaction, answer);
+        }
+        const auto next = writer.relay->nextPoll(this->now());
+        if (!next || writer.relayPollAt > this->now())
+            return;
+        writer.relayPollAt = std::max(*next, this->now() + std::chrono::milliseconds(1));
+        this->deliverAfter(writer.relayPollAt - this->now(), writer,
+                           [this, &writer] { this->pollRelay(writer); });
+    }
+
+    void relayed(Node &writer, admission::TransactionTag tag, const Result<Response> &response)
+    {
+        for (const admission::RelayedAnswer &each : writer.relay->answered(tag, response)) {
+            writer.relayed.at(each.number)(std::chrono::milliseconds(1), each.answer);
+            writer.relayed.erase(each.number);
+        }
+        this->pollRelay(writer);
+    }
+
     void on(Node &node, const admission::RequestLease &request)
     {
         const bool isOut = this->now() < this->outageEnd;
--- a/tests/admission/unit-claims_run.cpp
+++ b/tests/admission/unit-claims_run.cpp
@@ -105,9 +105,20 @@
 
 TEST_CASE("operations run at most once through instances that fail")
 {
+    std::uint32_t writers = 0;
+    SUBCASE("each writes its own claims")
+    {
+        writers = 0;
+    }
+    SUBCASE("two write the claims of all")
+    {
+        writers = 2;
+    }
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         CAPTURE(seed);
-        const auto result = bench::ClaimsRun<OperationClaims>(settings(seed)).run();
+        bench::ClaimsRunSettings chosen = settings(seed);
+        chosen.writers = writers;
+        const auto result = bench::ClaimsRun<OperationClaims>(chosen).run();
         CHECK(result.runTwice == 0);
         CHECK(result.falseNotRun == 0);
         CHECK(result.unexplainedUnknown == 0);
