--- a/bench/claims_run.hpp
+++ b/bench/claims_run.hpp
@@ -4,6 +4,7 @@
 
 #include "admission/claim_relay.hpp"
 #include "admission/operation_claims.hpp"
+#include "claims_checks.hpp"
 #include "core/overloaded.hpp"
 #include "core/random.hpp"
 #include "platform/key_value_state.hpp"
@@ -39,34 +40,6 @@
     Duration betweenOutages = std::chrono::seconds(60);
 };
 
-/// @brief What a run found; the first four must be zero.
-struct ClaimsRunResult
-{
-    std::uint64_t runTwice = 0;
-    std::uint64_t falseNotRun = 0;
-    std::uint64_t unexplainedUnknown = 0;
-    std::uint64_t otherWrong = 0;
-    std::uint64_t operations = 0;
-    std::uint64_t attempts = 0;
-    std::uint64_t ran = 0;
-    std::uint64_t replays = 0;
-    std::uint64_t notRun = 0;
-    std::uint64_t inProgress = 0;
-    std::uint64_t unknown = 0;
-    std::uint64_t conflicts = 0;
-    std::uint64_t kills = 0;
-    std::uint64_t pauses = 0;
-    std::uint64_t outages = 0;
-    std::uint64_t lostAnswers = 0;
-    std::uint64_t transactions = 0;
-
-    bool isRight() const
-    {
-        return this->runTwice + this->falseNotRun + this->unexplainedUnknown + this->otherWrong
-               == 0;
-    }
-};
-
 /// @brief Drives `Claims` (OperationClaims, or a variant of it) on several instances.
 template<typename Claims>
 class ClaimsRun
@@ -75,6 +48,7 @@
     explicit ClaimsRun(const ClaimsRunSettings &settings)
         : settings(settings)
         , random(settings.seed)
+        , checks(settings.operations)
     {
         for (std::uint32_t i = 0; i < settings.instances; ++i) {
             this->nodes.push_back(std::make_unique<Node>());
@@ -88,7 +62,6 @@
         const double seconds = static_cast<double>(this->settings.operations)
                                / this->settings.operationsPerSecond;
         this->faultsEnd = this->time.now() + duration(seconds);
-        this->operations.resize(this->settings.operations);
         for (std::uint64_t i = 0; i < this->settings.operations; ++i)
             this->time.after(duration(this->random.unit() * seconds),
                              [=, this] { this->begin(i); });
@@ -98,8 +71,8 @@
         this->failLater(this->settings.betweenOutages, [this] { this->outage(); });
         this->time.runUntil(this->faultsEnd + std::chrono::minutes(3));
         this->isQuiet = true;
+        this->checks.startQuiet();
         for (std::uint64_t i = 0; i < this->settings.operations; ++i) {
-            this->operations[i].attempts = 0;
             this->time.after(duration(this->random.unit() * seconds),
                              [=, this] { this->attempt(i); });
         }
@@ -132,27 +105,6 @@
         std::set<std::uint64_t> touched;
     };
 
-    struct Attempt
-    {
-        std::uint64_t operation = 0;
-        bool isOtherBody = false;
-        bool isAnswered = false;
-        bool hasRun = false;
-    };
-
-    struct Operation
-    {
-        std::uint32_t runs = 0;
-        std::uint32_t attempts = 0;
-        /// A failure happened that may hide the outcome.
-        bool isFaulted = false;
-        bool hasOtherBody = false;
-        /// A caller got the last word on it after all failures were over.
-        bool isResolved = false;
-        std::uint64_t ranBy = 0;
-        std::optional<admission::OperationOutcome> outcome;
-    };
-
     static Duration duration(double seconds)
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -244,10 +196,10 @@
         Node &node = *this->nodes[this->random.below(this->nodes.size())];
         if (!node.isUp)
             return;
-        ++this->result.kills;
-        this->result.transactions += node.claims->transactions();
+        ++this->checks.counts().kills;
+        this->checks.counts().transactions += node.claims->transactions();
         for (const std::uint64_t operation : node.touched)
-            this->operations[operation].isFaulted |= !this->isFinal(operation);
+            this->checks.operation(operation).isFaulted |= !this->isFinal(operation);
         node.isUp = false;
         node.open.clear();
         node.touched.clear();
@@ -277,7 +229,7 @@
 
     void pause()
     {
-        ++this->result.pauses;
+        ++this->checks.counts().pauses;
         Node &node = *this->nodes[this->random.below(this->nodes.size())];
         const Duration longest
                 = this->random.chance(0.1) ? std::chrono::seconds(40) : std::chrono::seconds(3);
@@ -286,19 +238,15 @@
 
     void outage()
     {
-        ++this->result.outages;
+        ++this->checks.counts().outages;
         this->outageEnd = this->now() + this->upTo(std::chrono::seconds(12));
     }
 
     ClaimsRunResult finish()
     {
         for (const auto &node : this->nodes)
-            this->result.transactions += node->claims->transactions();
-        for (const Operation &operation : this->operations)
-            this->result.otherWrong += operation.isResolved ? 0 : 1;
-        this->result.operations = this->operations.size();
-        this->result.attempts = this->attempts.size();
-        return this->result;
+            this->checks.counts().transactions += node->claims->transactions();
+        return this->checks.finish();
     }
 
     // Callers.
@@ -315,18 +263,16 @@
     {
         Node &node = *this->nodes[this->random.below(this->nodes.size())];
         const bool isUsable = node.isUp && node.pausedUntil <= this->now();
-        ++this->operations[operation].attempts;
+        ++this->checks.operation(operation).attempts;
         if (!isUsable) {
             this->repeat(operation);
             return;
         }
-        const std::uint64_t attempt = this->attempts.size();
         const bool isOtherBody = this->isFaulty(0.01);
-        this->attempts.push_back({operation, isOtherBody, false, false});
+        const std::uint64_t attempt = this->checks.begin(operation, isOtherBody);
         const admission::Ticket ticket(++node.lastTicket);
         node.open[ticket] = attempt;
         node.touched.insert(operation);
-        this->operations[operation].hasOtherBody |= isOtherBody;
         const admission::ClaimRequest request{
                 keyOf(operation),
                 admission::requestFingerprint("POST", "/lathe-slots", isOtherBody ? "b" : "a"),
@@ -339,7 +285,7 @@
     {
         constexpr std::uint32_t maxAttempts = 12;
         const bool isOver = !this->isQuiet && this->now() > this->faultsEnd;
-        if (isOver || this->operations[operation].attempts >= maxAttempts)
+        if (isOver || this->checks.operation(operation).attempts >= maxAttempts)
             return;
         const Duration delay
                 = this->random.chance(0.1) ? std::chrono::seconds(60) : std::chrono::seconds(3);
@@ -392,7 +338,7 @@
             return;
         }
         const bool isLost = this->isFaulty(this->settings.lostAnswer);
-        this->result.lostAnswers += isLost ? 1 : 0;
+        this->checks.counts().lostAnswers += isLost ? 1 : 0;
         this->time.after(latency / 2, [this, transaction, answer, latency, isLost] {
             const auto response = this->service.apply(transaction);
             if (isLost)
@@ -471,7 +417,7 @@
                            },
                            [&](const admission::Replay &replay) {
                                node.open.erase(decide.ticket);
-                               this->replayed(attempt, replay.outcome);
+                               this->checks.replayed(attempt, replay.outcome);
                            },
                            [&](const Error &error) {
                                node.open.erase(decide.ticket);
@@ -498,10 +444,10 @@
                 201, {{"Content-Type", "text/plain"}}, "attempt " + std::to_string(attempt)};
         this->time.after(latency / 2, [=, this] {
             if (doesRun)
-                this->runAtUpstream(attempt, outcome);
+                this->checks.ran(attempt, outcome);
         });
         if (isLost)
-            this->operationOf(attempt).isFaulted = true;
+            this->checks.operationOf(attempt).isFaulted = true;
         const Duration wait = isLost ? Duration(std::chrono::seconds(2)) : latency;
         this->deliverAfter(wait, node, [=, this, &node] {
             admission::Settlement settlement = admission::OutcomeUnknown{};
@@ -510,96 +456,26 @@
             this->act(node, node.claims->settle(ticket, settlement, this->now()));
             node.open.erase(ticket);
             if (!isLost)
-                this->answered(attempt);
+                this->checks.answered(attempt);
             else
                 this->refused(attempt, Error(ErrorKind::UpstreamTimedOut));
         });
     }
 
-    void runAtUpstream(std::uint64_t attempt, const admission::OperationOutcome &outcome)
-    {
-        Operation &operation = this->operationOf(attempt);
-        this->attempts[attempt].hasRun = true;
-        this->result.falseNotRun += this->toldNotRun.count(attempt);
-        ++operation.runs;
-        operation.ranBy = attempt;
-        operation.outcome = outcome;
-        this->result.ran += 1;
-        this->result.runTwice += operation.runs > 1 ? 1 : 0;
-    }
-
-    // What callers are told.
-
-    void answered(std::uint64_t attempt)
-    {
-        this->markAnswered(attempt);
-        this->resolve(attempt);
-    }
-
-    void replayed(std::uint64_t attempt, const admission::OperationOutcome &outcome)
-    {
-        this->markAnswered(attempt);
-        this->resolve(attempt);
-        ++this->result.replays;
-        const Operation &operation = this->operationOf(attempt);
-        const bool isSameBody = this->attempts[operation.ranBy].isOtherBody
-                                == this->attempts[attempt].isOtherBody;
-        this->result.otherWrong += operation.outcome == outcome && isSameBody ? 0 : 1;
-    }
-
+    /// Tells a caller of an error; it may send the operation again.
     void refused(std::uint64_t attempt, const Error &error)
     {
-        this->markAnswered(attempt);
-        const Operation &operation = this->operationOf(attempt);
-        if (error.kind() == ErrorKind::OperationOutcomeUnknown) {
-            ++this->result.unknown;
-            this->result.unexplainedUnknown += operation.isFaulted ? 0 : 1;
-            this->resolve(attempt);
-            return;
-        }
-        if (error.kind() == ErrorKind::OperationKeyReused) {
-            ++this->result.conflicts;
-            this->result.otherWrong += operation.hasOtherBody ? 0 : 1;
-            this->resolve(attempt);
-            return;
-        }
-        if (error.row().runState == RunState::NotRun) {
-            ++this->result.notRun;
-            this->result.falseNotRun += this->attempts[attempt].hasRun ? 1 : 0;
-            this->toldNotRun.insert(attempt);
-        }
-        this->result.inProgress += error.kind() == ErrorKind::OperationInProgress ? 1 : 0;
-        this->repeat(this->attempts[attempt].operation);
-    }
-
-    Operation &operationOf(std::uint64_t attempt)
-    {
-        return this->operations[this->attempts[attempt].operation];
-    }
-
-    void resolve(std::uint64_t attempt)
-    {
-        if (this->isQuiet)
-            this->operationOf(attempt).isResolved = true;
-    }
-
-    void markAnswered(std::uint64_t attempt)
-    {
-        Attempt &state = this->attempts[attempt];
-        this->result.otherWrong += state.isAnswered ? 1 : 0;
-        state.isAnswered = true;
+        if (this->checks.refused(attempt, error))
+            this->repeat(this->checks.operationNumber(attempt));
     }
 
     ClaimsRunSettings settings;
     Random random;
+    ClaimsChecks checks;
     VirtualTime time;
     platform::KeyValueState service;
     std::vector<std::unique_ptr<Node>> nodes;
     std::map<InstanceId, std::uint64_t> knownIncarnation;
-    std::vector<Operation> operations;
-    std::vector<Attempt> attempts;
-    std::set<std::uint64_t> toldNotRun;
-    ClaimsRunResult result;
     TimePoint faultsEnd{};
     TimePoint outageEnd{};
     bool isQuiet = false;
