--- a/bench/traffic_world.cpp
+++ b/bench/traffic_world.cpp
@@ -153,11 +153,19 @@
         this->time.after(this->randomTime(1.0 / rate), [this] {
             if (this->time.now() >= this->end)
                 return;
-            this->receive(*this->instances[this->random.below(this->instances.size())]);
+            this->receive(this->balance());
             this->arrive();
         });
     }
 
+    Instance &balance()
+    {
+        const std::size_t half = this->instances.size() / 2;
+        const std::uint64_t place = this->random.below(half);
+        const bool isFirstHalf = this->random.chance(this->settings.firstHalfShare);
+        return *this->instances[isFirstHalf ? place : half + place];
+    }
+
     void receive(Instance &instance)
     {
         const TrafficClass &drawn = this->drawClass();
@@ -292,6 +300,8 @@
         const double fixed = request->book == 0 ? 0.0 : this->settings.prefixSeconds;
         job->serviceSeconds
                 = fixed + this->random.exponential(this->settings.meanServiceSeconds - fixed);
+        if (index == 0)
+            job->serviceSeconds *= this->settings.slowFactor;
         job->onStart = [this, request] {
             this->resultOf(*request).queueing.push_back(this->time.now() - request->arrival);
         };
