End every request with its error when a stop can't wait, and take fewer coroutines for a request

Cause: a bounded stop closed connections in the middle of an answer; each step of a request cost a coroutine frame even when there was nothing to wait for. Change: Exchange::stop() cancels the upstream call and the request ends with the error draining; writes and whole requests that need no wait take no coroutine of their own.

--- a/src/caller/admit.cpp
+++ b/src/caller/admit.cpp
@@ -29,12 +29,12 @@
             request, [slot](Result<UpstreamPointer> result) { slot->complete(std::move(result)); });
     if (!ticket)
         co_return ticket.error();
-    exchange.onCallerGone([&admission, slot, ticket = ticket.value()] {
+    exchange.onCancel([&admission, &exchange, slot, ticket = ticket.value()] {
         if (admission.leave(ticket))
-            slot->complete(Error(ErrorKind::CallerGone, "the caller left while waiting"));
+            slot->complete(exchange.cancelReason());
     });
     Admitted admitted = co_await slot->wait();
-    exchange.onCallerGone(nullptr);
+    exchange.onCancel(nullptr);
     co_return admitted;
 }
 
@@ -57,10 +57,10 @@
         co_return *picked;
     Admitted admitted = co_await waitForSlot(exchange, request);
     const TimePoint answered = SteadyClock().now();
-    if (admitted && (exchange.isCallerGone() || answered >= request.deadline)) {
+    if (admitted && (exchange.isCancelled() || answered >= request.deadline)) {
         dropSlot(admission, request, admitted.value());
-        co_return exchange.isCallerGone()
-                ? Error(ErrorKind::CallerGone, "the caller left while waiting")
+        co_return exchange.isCancelled()
+                ? exchange.cancelReason()
                 : Error(ErrorKind::DeadlineExceededInQueue, "the deadline passed while waiting");
     }
     if (!admitted && answered > request.deadline + maxLateness)
--- a/src/caller/answer.cpp
+++ b/src/caller/answer.cpp
@@ -92,8 +92,11 @@
 Awaitable<StreamStatus> AnswerWriter::send(std::span<const asio::const_buffer> parts)
 {
     this->hasBegun = true;
+    const std::optional<StreamStatus> written = this->stream.tryWrite(parts);
+    if (written)
+        co_return *written;
     this->stream.expireAt(SteadyClock().now() + this->limits.writeTimeout);
-    const StreamStatus status = co_await this->stream.write(parts);
+    const StreamStatus status = co_await this->stream.writeRest(parts);
     this->stream.neverExpire();
     co_return status;
 }
--- a/src/caller/attempt.cpp
+++ b/src/caller/attempt.cpp
@@ -65,7 +65,10 @@
                               ? reasonOf(error.failure)
                               : RetryReason::ConnectionClosedBeforeWrite;
     const std::string &name = attempt.result.slot->upstream().id.value();
-    attempt.error = Error(kindOf(error), fmt::format("upstream \"{}\": {}", name, error.message));
+    attempt.error = error.failure == CallFailure::Cancelled
+                            ? exchange.cancelReason()
+                            : Error(kindOf(error),
+                                    fmt::format("upstream \"{}\": {}", name, error.message));
     attempt.result.slot->judge(error.failure == CallFailure::Cancelled ? CallVerdict::Neutral
                                                                        : CallVerdict::Failed);
 }
@@ -147,10 +150,13 @@
     result.call = std::make_unique<upstream::UpstreamCall>(exchange.thread.pool,
                                                            result.slot->upstream().endpoint);
     exchange.thread.server.requestMetrics.upstreamAttempts.add();
+    const auto cancel = [call = result.call.get()] { call->cancel(); };
     if (request.isIdempotent())
-        exchange.onCallerGone([call = result.call.get()] { call->cancel(); });
+        exchange.onCancel(cancel);
+    else
+        exchange.onStop(cancel);
     const CallResult<void> called = co_await callAndRead(exchange, request, result, resumeAfter);
-    exchange.onCallerGone(nullptr);
+    exchange.onCancel(nullptr);
     if (called) {
         noteAnswer(exchange, request, attempt);
         co_return attempt;
--- a/src/caller/caller_request.cpp
+++ b/src/caller/caller_request.cpp
@@ -126,8 +126,6 @@
 
 Awaitable<RequestRead> waitForFirstByte(Reading &reading)
 {
-    if (!reading.stream.unread().empty())
-        co_return std::nullopt;
     reading.stream.expireAt(SteadyClock().now() + reading.limits.idleTimeout);
     const StreamStatus status = co_await reading.stream.readMore();
     if (status != StreamStatus::Ok)
@@ -138,19 +136,19 @@
 Awaitable<RequestRead> readHeader(Reading &reading)
 {
     reading.stream.expireAt(reading.request.arrival + reading.limits.headerTimeout);
-    while (true) {
-        RequestRead fault = feed(reading);
-        if (fault || reading.parser.is_header_done())
-            co_return fault;
+    RequestRead fault;
+    while (!fault && !reading.parser.is_header_done()) {
         const StreamStatus status = co_await reading.stream.readMore();
         if (status != StreamStatus::Ok)
             co_return ended(reading, status, "header");
+        fault = feed(reading);
     }
+    co_return fault;
 }
 
 Awaitable<RequestRead> confirmExpectation(Reading &reading)
 {
-    if (reading.parser.is_done() || !reading.request.headers().contains("expect"))
+    if (!reading.request.headers().contains("expect"))
         co_return std::nullopt;
     constexpr std::string_view answer = "HTTP/1.1 100 Continue\r\n\r\n";
     const std::array<upstream::asio::const_buffer, 1> buffers{
@@ -163,8 +161,6 @@
 
 Awaitable<RequestRead> readBody(Reading &reading)
 {
-    if (reading.parser.is_done())
-        co_return std::nullopt;
     reading.stream.expireAt(SteadyClock().now() + reading.limits.bodyTimeout);
     while (!reading.parser.is_done()) {
         const std::size_t before = reading.stream.unread().size();
@@ -196,16 +192,21 @@
 {
     request.body.clear();
     Reading reading(stream, limits, request);
-    RequestRead fault = co_await waitForFirstByte(reading);
+    RequestRead fault;
+    if (stream.unread().empty())
+        fault = co_await waitForFirstByte(reading);
     if (fault)
         co_return fault;
     request.arrival = SteadyClock().now();
-    fault = co_await readHeader(reading);
+    fault = feed(reading);
+    // Most requests are there as a whole; a coroutine for each step would cost them allocations.
+    if (!fault && !reading.parser.is_header_done())
+        fault = co_await readHeader(reading);
     if (!fault)
         fault = checkHeader(reading);
-    if (!fault)
+    if (!fault && !reading.parser.is_done())
         fault = co_await confirmExpectation(reading);
-    if (!fault)
+    if (!fault && !reading.parser.is_done())
         fault = co_await readBody(reading);
     if (fault)
         co_return fault;
--- a/src/caller/dispatch.cpp
+++ b/src/caller/dispatch.cpp
@@ -54,8 +54,9 @@
         if (!attempt.failure)
             co_return std::move(attempt.result);
         attempt.result.slot->giveBack();
-        if (exchange.isCallerGone() && request.isIdempotent())
-            co_return Error(ErrorKind::CallerGone, "the caller left before the answer");
+        const bool isNobodyWaiting = exchange.isCallerGone() && request.isIdempotent();
+        if (isNobodyWaiting || exchange.isStopping())
+            co_return exchange.cancelReason();
         admission::FailedAttempt failed;
         failed.reason = *attempt.failure;
         failed.callerClass = admission.callerClass.id;
--- a/src/caller/exchange.cpp
+++ b/src/caller/exchange.cpp
@@ -12,11 +12,8 @@
     , writer(writer)
     , snapshot(thread.snapshot.get())
 {
-    this->stream.onPeerClosed([this] {
-        this->hasCallerGone = true;
-        if (this->cancel)
-            this->cancel();
-    });
+    this->thread.exchanges.insert(this);
+    this->stream.onPeerClosed([this] { this->callerGone(); });
     // A caller that has sent its next request already can't be watched without reading that.
     if (this->stream.unread().empty())
         this->stream.readAhead();
@@ -25,6 +22,41 @@
 Exchange::~Exchange()
 {
     this->stream.onPeerClosed(nullptr);
+    this->thread.exchanges.erase(this);
+}
+
+Error Exchange::cancelReason() const
+{
+    if (this->isStopped)
+        return Error(ErrorKind::Draining, "this instance stopped before the answer");
+    return Error(ErrorKind::CallerGone, "the caller left before the answer");
+}
+
+void Exchange::onCancel(std::function<void()> handler)
+{
+    this->cancel = std::move(handler);
+    this->isOnlyForStop = false;
+}
+
+void Exchange::onStop(std::function<void()> handler)
+{
+    this->cancel = std::move(handler);
+    this->isOnlyForStop = true;
+}
+
+void Exchange::callerGone()
+{
+    this->hasCallerGone = true;
+    if (this->cancel && !this->isOnlyForStop)
+        this->cancel();
+}
+
+void Exchange::stop()
+{
+    this->isStopped = true;
+    this->writer.closeAfterAnswer();
+    if (this->cancel)
+        this->cancel();
 }
 
 upstream::Awaitable<void> Exchange::refuse(const Error &error)
--- a/src/caller/exchange.hpp
+++ b/src/caller/exchange.hpp
@@ -32,8 +32,24 @@
 
     bool isCallerGone() const noexcept { return this->hasCallerGone; }
 
-    /// @brief Sets what is to be cancelled when the caller goes; null for nothing.
-    void onCallerGone(std::function<void()> cancel) { this->cancel = std::move(cancel); }
+    /// @brief Whether the request is to end now: the caller has gone, or the server stops.
+    bool isCancelled() const noexcept { return this->hasCallerGone || this->isStopped; }
+
+    bool isStopping() const noexcept { return this->isStopped; }
+
+    /// @brief Why a cancelled request ends.
+    Error cancelReason() const;
+
+    /// @brief Sets what is to be cancelled when the caller goes or the server stops; null for
+    /// nothing.
+    void onCancel(std::function<void()> cancel);
+
+    /// @brief Sets what is to be cancelled only when the server stops, such as an operation that
+    /// must be recorded though its caller has gone.
+    void onStop(std::function<void()> cancel);
+
+    /// @brief Ends the request with an error, because the server can't wait for it.
+    void stop();
 
     /// @brief Writes an error, counts and logs it.
     upstream::Awaitable<void> refuse(const Error &error);
@@ -42,8 +58,12 @@
     void report(const Error &error) const;
 
 private:
+    void callerGone();
+
     std::function<void()> cancel;
+    bool isOnlyForStop = false;
     bool hasCallerGone = false;
+    bool isStopped = false;
 };
 
 } // namespace bamboochute::caller
--- a/src/caller/relay.cpp
+++ b/src/caller/relay.cpp
@@ -47,7 +47,7 @@
     const std::string &name = relay.source.slot->upstream().id.value();
     switch (error.failure) {
     case CallFailure::Cancelled:
-        return Error(ErrorKind::CallerGone, "the caller left in the middle of the stream");
+        return relay.exchange.cancelReason();
     case CallFailure::TimedOut:
         return Error(ErrorKind::UpstreamTimedOut,
                      fmt::format("upstream \"{}\" paused the stream too long", name));
@@ -128,8 +128,8 @@
 
 void watchCaller(Relay &relay)
 {
-    relay.exchange.onCallerGone([&relay] { relay.source.call->cancel(); });
-    if (relay.exchange.isCallerGone())
+    relay.exchange.onCancel([&relay] { relay.source.call->cancel(); });
+    if (relay.exchange.isCancelled())
         relay.source.call->cancel();
 }
 
@@ -143,7 +143,7 @@
     relay.exchange.writer.closeAfterAnswer();
     relay.exchange.report(*end.error);
     relay.source.call->cancel();
-    const bool isWorkLeft = !end.isUpstreamFault || end.error->kind() == ErrorKind::CallerGone;
+    const bool isWorkLeft = !end.isUpstreamFault || relay.exchange.isCancelled();
     if (isWorkLeft)
         cancelUpstream(relay.exchange, relay.source.slot->upstream());
     else
@@ -183,7 +183,7 @@
     while (true) {
         watchCaller(relay);
         end = co_await relayPart(relay);
-        exchange.onCallerGone(nullptr);
+        exchange.onCancel(nullptr);
         if (!end.error || !end.isUpstreamFault)
             break;
         const bool isResumed = co_await resume(relay, *end.error);
--- a/src/caller/thread_context.hpp
+++ b/src/caller/thread_context.hpp
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <memory>
+#include <unordered_set>
 
 namespace bamboochute::caller {
 
@@ -39,6 +40,8 @@
     std::atomic<std::uint64_t> lastRequest{0};
 };
 
+class Exchange;
+
 /// @brief What the requests of one thread use.
 struct ThreadContext
 {
@@ -58,6 +61,8 @@
     upstream::DeadlineWatch watch;
     upstream::ConnectionPool pool;
     SnapshotReader snapshot;
+    /// Requests on their way.
+    std::unordered_set<Exchange *> exchanges;
 };
 
 } // namespace bamboochute::caller
--- a/src/caller/traffic_thread.cpp
+++ b/src/caller/traffic_thread.cpp
@@ -1,5 +1,6 @@
 #include "caller/traffic_thread.hpp"
 
+#include "caller/exchange.hpp"
 #include "caller/session.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -19,6 +20,8 @@
 /// How often the queue's deadlines are looked at.
 constexpr Duration tickInterval = std::chrono::milliseconds(5);
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
+/// Time in which requests that are ended by a stop write their errors.
+constexpr Duration maxStopTime = std::chrono::seconds(1);
 constexpr int maxBacklog = 1024;
 
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
@@ -67,15 +70,39 @@
 
 void TrafficThread::stop()
 {
-    asio::post(*this->context, [this] { this->closeAll(); });
+    asio::post(*this->context, [this] {
+        this->stopAccepting();
+        asio::co_spawn(*this->context, this->endAll(), asio::detached);
+    });
 }
 
-void TrafficThread::closeAll()
+void TrafficThread::stopAccepting()
 {
     this->isStopping = true;
     error_code ignored;
     this->acceptor.close(ignored);
     this->timer.cancel();
+}
+
+/// Ends every request with its error, then closes the connections.
+Awaitable<void> TrafficThread::endAll()
+{
+    const std::vector<Exchange *> open(this->thread.exchanges.begin(),
+                                       this->thread.exchanges.end());
+    for (Exchange *exchange : open)
+        exchange->stop();
+    const TimePoint latest = SteadyClock().now() + maxStopTime;
+    while (!this->thread.exchanges.empty() && SteadyClock().now() < latest) {
+        Timer pause(*this->context);
+        pause.expires_after(tickInterval);
+        error_code ignored;
+        co_await pause.async_wait(asio::redirect_error(upstream::UseAwaitable(), ignored));
+    }
+    this->closeAll();
+}
+
+void TrafficThread::closeAll()
+{
     this->thread.pool.shutdown();
     for (const upstream::HttpStreamPointer &stream : this->streams)
         stream->close();
--- a/src/caller/traffic_thread.hpp
+++ b/src/caller/traffic_thread.hpp
@@ -36,7 +36,9 @@
 
     upstream::Awaitable<void> accept();
     upstream::Awaitable<void> tick();
+    upstream::Awaitable<void> endAll();
     void serve(upstream::Socket socket);
+    void stopAccepting();
     void closeAll();
 
     ServerContext &server;
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -133,23 +133,31 @@
     this->begin += count;
 }
 
-Awaitable<StreamStatus> HttpStream::write(std::span<const asio::const_buffer> buffers)
+std::optional<StreamStatus> HttpStream::tryWrite(std::span<const asio::const_buffer> buffers)
 {
     error_code error;
     const std::span<const asio::const_buffer> first
             = buffers.first(std::min(buffers.size(), maxBuffersPerWrite));
-    const std::size_t sent = this->socket.write_some(first, error);
-    this->written += sent;
+    this->lastWrite = this->socket.write_some(first, error);
+    this->written += this->lastWrite;
     if (error && error != asio::error::would_block)
-        co_return this->failure();
-    if (sent == totalBytes(buffers))
-        co_return StreamStatus::Ok;
-    co_return co_await this->writeRest(buffers, sent);
+        return this->failure();
+    if (this->lastWrite == totalBytes(buffers))
+        return StreamStatus::Ok;
+    return std::nullopt;
+}
+
+Awaitable<StreamStatus> HttpStream::write(std::span<const asio::const_buffer> buffers)
+{
+    const std::optional<StreamStatus> status = this->tryWrite(buffers);
+    if (status)
+        co_return *status;
+    co_return co_await this->writeRest(buffers);
 }
 
-Awaitable<StreamStatus> HttpStream::writeRest(std::span<const asio::const_buffer> buffers,
-                                              std::size_t done)
+Awaitable<StreamStatus> HttpStream::writeRest(std::span<const asio::const_buffer> buffers)
 {
+    std::size_t done = this->lastWrite;
     std::vector<asio::const_buffer> rest(buffers.begin(), buffers.end());
     for (asio::const_buffer &buffer : rest) {
         const std::size_t skipped = std::min(done, buffer.size());
--- a/src/upstream/http_stream.hpp
+++ b/src/upstream/http_stream.hpp
@@ -54,6 +54,13 @@
     /// @brief Drops bytes from the front of unread().
     void consume(std::size_t count);
 
+    /// @brief Writes what the kernel takes at once.
+    /// @return nothing when part of the buffers is left, else how the write ended
+    std::optional<StreamStatus> tryWrite(std::span<const asio::const_buffer> buffers);
+
+    /// @brief Writes what tryWrite() left of the same buffers.
+    Awaitable<StreamStatus> writeRest(std::span<const asio::const_buffer> buffers);
+
     /// @brief Writes all buffers; suspends only if the peer doesn't take them at once.
     Awaitable<StreamStatus> write(std::span<const asio::const_buffer> buffers);
 
@@ -87,8 +94,6 @@
     {
         return this->hasExpired ? StreamStatus::Expired : StreamStatus::Closed;
     }
-    Awaitable<StreamStatus> writeRest(std::span<const asio::const_buffer> buffers,
-                                      std::size_t done);
 
     Socket socket;
     DeadlineWatch &watch;
@@ -97,6 +102,8 @@
     std::size_t begin = 0;
     std::size_t end = 0;
     std::uint64_t written = 0;
+    /// Bytes that the last tryWrite() wrote.
+    std::size_t lastWrite = 0;
     TimePoint expiry{};
     std::size_t watchIndex = notWatched;
     bool isReading = false;
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -30,13 +30,8 @@
         this->stream->close();
 }
 
-Awaitable<CallResult<void>> UpstreamCall::open(TimePoint deadline, ConnectionUse use)
+Awaitable<CallResult<void>> UpstreamCall::open(TimePoint deadline)
 {
-    if (use == ConnectionUse::Any)
-        this->stream = this->pool.takeIdle(this->endpoint);
-    this->isKept = this->stream != nullptr;
-    if (this->isKept)
-        co_return boost::outcome_v2::success();
     this->stream = this->pool.makeStream();
     const StreamStatus status
             = co_await this->pool.connect(*this->stream, this->endpoint, deadline);
@@ -50,18 +45,25 @@
 Awaitable<CallResult<void>> UpstreamCall::send(std::string_view head, std::string_view body,
                                                TimePoint deadline, ConnectionUse use)
 {
-    const CallResult<void> opened = co_await this->open(deadline, use);
-    if (!opened)
-        co_return opened.error();
+    if (use == ConnectionUse::Any)
+        this->stream = this->pool.takeIdle(this->endpoint);
+    this->isKept = this->stream != nullptr;
+    if (!this->isKept) {
+        const CallResult<void> opened = co_await this->open(deadline);
+        if (!opened)
+            co_return opened.error();
+    }
     this->parser.emplace(this->message);
     this->parser->body_limit(unlimitedBody);
     this->stream->resetWrittenBytes();
     this->stream->expireAt(deadline);
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(head.data(), head.size()),
                                                     asio::buffer(body.data(), body.size())};
-    const StreamStatus status = co_await this->stream->write(buffers);
-    if (status != StreamStatus::Ok)
-        co_return this->streamError(status);
+    std::optional<StreamStatus> status = this->stream->tryWrite(buffers);
+    if (!status)
+        status = co_await this->stream->writeRest(buffers);
+    if (*status != StreamStatus::Ok)
+        co_return this->streamError(*status);
     co_return boost::outcome_v2::success();
 }
 
@@ -79,23 +81,20 @@
     return boost::outcome_v2::success();
 }
 
-Awaitable<CallResult<void>> UpstreamCall::readMore()
+void UpstreamCall::dropUsed()
 {
     this->stream->consume(this->used);
     this->used = 0;
-    const StreamStatus status = co_await this->stream->readMore();
-    if (status != StreamStatus::Ok)
-        co_return this->streamError(status);
-    co_return boost::outcome_v2::success();
 }
 
 Awaitable<CallResult<void>> UpstreamCall::readHead()
 {
     while (true) {
         while (!this->parser->is_header_done()) {
-            const CallResult<void> read = co_await this->readMore();
-            if (!read)
-                co_return read.error();
+            this->dropUsed();
+            const StreamStatus read = co_await this->stream->readMore();
+            if (read != StreamStatus::Ok)
+                co_return this->streamError(read);
             const CallResult<void> parsed = this->parse();
             if (!parsed)
                 co_return parsed.error();
@@ -105,8 +104,7 @@
             break;
         if (status < statusContinue || status == statusSwitchingProtocols)
             co_return this->error(CallFailure::Malformed, fmt::format("status {}", status));
-        this->stream->consume(this->used);
-        this->used = 0;
+        this->dropUsed();
         this->parser.emplace(this->message);
         this->parser->body_limit(unlimitedBody);
         if (!this->stream->unread().empty()) {
@@ -130,23 +128,20 @@
     }
     this->message.pieces.clear();
     while (!this->parser->is_done()) {
-        this->stream->consume(this->used);
-        this->used = 0;
-        if (this->stream->unread().empty()) {
-            const CallResult<void> read = co_await this->readMore();
-            if (!read)
-                co_return read.error();
+        // Without progress the parser needs more than is there.
+        const bool needsMore = this->stream->unread().size() == this->used || this->isStuck;
+        this->dropUsed();
+        if (needsMore) {
+            const StreamStatus read = co_await this->stream->readMore();
+            if (read != StreamStatus::Ok)
+                co_return this->streamError(read);
         }
         const CallResult<void> parsed = this->parse();
         if (!parsed)
             co_return parsed.error();
+        this->isStuck = this->used == 0;
         if (!this->message.pieces.empty())
             co_return true;
-        if (this->used == 0 && !this->parser->is_done()) {
-            const CallResult<void> read = co_await this->readMore();
-            if (!read)
-                co_return read.error();
-        }
     }
     co_return false;
 }
@@ -154,12 +149,12 @@
 Awaitable<CallResult<std::string>> UpstreamCall::readWholeBody(std::size_t maxBytes)
 {
     std::string body;
-    while (true) {
+    while (this->hasFreshPieces || !this->parser->is_done()) {
         const CallResult<bool> more = co_await this->readBody();
         if (!more)
             co_return more.error();
         if (!more.value())
-            co_return body;
+            break;
         for (const std::string_view piece : this->message.pieces) {
             if (body.size() + piece.size() > maxBytes)
                 co_return this->error(CallFailure::Oversized,
@@ -167,6 +162,7 @@
             body += piece;
         }
     }
+    co_return body;
 }
 
 bool UpstreamCall::isWhole() const
@@ -195,8 +191,7 @@
 {
     if (!this->stream)
         return;
-    this->stream->consume(this->used);
-    this->used = 0;
+    this->dropUsed();
     this->message.pieces.clear();
     HttpStreamPointer finished = std::move(this->stream);
     if (this->isWhole() && this->parser->keep_alive())
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -105,8 +105,8 @@
     void finish();
 
 private:
-    Awaitable<CallResult<void>> open(TimePoint deadline, ConnectionUse use);
-    Awaitable<CallResult<void>> readMore();
+    Awaitable<CallResult<void>> open(TimePoint deadline);
+    void dropUsed();
     CallResult<void> parse();
     CallError error(CallFailure failure, std::string message) const;
     CallError streamError(StreamStatus status) const;
@@ -119,6 +119,8 @@
     /// Bytes of the stream that the parser has used and that the pieces may point into.
     std::size_t used = 0;
     bool hasFreshPieces = false;
+    /// Whether the parser found nothing to use in what was read.
+    bool isStuck = false;
     bool isKept = false;
     bool isAnswerBegun = false;
     bool isCancelled = false;
--- a/tests/caller/unit-waiting.cpp
+++ b/tests/caller/unit-waiting.cpp
@@ -221,3 +221,30 @@
     CHECK(answer.status == 503);
     CHECK(codeOf(answer) == "draining");
 }
+
+TEST_CASE("a stop that can't wait ends every request under way with an error")
+{
+    TestBed bed;
+    fakes::EngineSettings settings;
+    settings.tokensPerAnswer = 100000;
+    settings.tokensPerSecond = 200;
+    fakes::FakeEngine &engine = bed.addEngine(settings);
+    bed.publish();
+    Client stream(bed.endpoint);
+    stream.send(test::requestText("POST", "/v1/chat/completions", chatBody("small", true)));
+    stream.readUntil(" t1\"");
+    Client plain(bed.endpoint);
+    plain.send(test::requestText("POST", "/v1/chat/completions", chatBody("small")));
+    CHECK(eventually([&] {
+        std::uint32_t running = 0;
+        bed.loop.run([&] { running = engine.state().running; });
+        return running == 2;
+    }));
+    bed.server->stop();
+    const ClientAnswer answer = plain.read();
+    CHECK(codeOf(answer) == "draining");
+    CHECK(answer.headers.at("x-bamboochute-run-state") == "may-have-run");
+    const ClientAnswer cut = stream.read();
+    CHECK_FALSE(cut.isWhole);
+    CHECK(cut.body.find("\"code\":\"draining\"") != std::string::npos);
+}
