--- /dev/null
+++ b/bench/experiment-membership.cpp
@@ -0,0 +1,222 @@
+#include "experiment.hpp"
+#include "membership_baselines.hpp"
+#include "membership_failures.hpp"
+#include "membership_load.hpp"
+#include "virtual_fleet.hpp"
+
+#include <array>
+#include <ctime>
+#include <malloc.h>
+
+#include <fmt/format.h>
+
+namespace bamboochute::bench {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::array<std::size_t, 3> fleetSizes{12, 48, 340};
+constexpr std::size_t targetNodes = 340;
+constexpr std::size_t poolsAtTarget = 20;
+/// One datagram in five.
+constexpr double heavyLoss = 0.2;
+
+double processorSeconds()
+{
+    timespec now{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+/// What control costs one node.
+struct Cost
+{
+    double meanBytesPerSecond = 0;
+    double maxBytesPerSecond = 0;
+    double processorShare = 0;
+    double memoryBytes = 0;
+};
+
+Cost measureCost(std::size_t nodes, const LoadRates &rates, Duration duration, std::uint64_t seed)
+{
+    const double heapBefore = heapBytes();
+    VirtualFleet fleet(shapeOf(nodes), NetworkSettings{}, seed);
+    FleetLoad load(fleet, poolsAtTarget, rates, seed + 1);
+    load.run(seconds(15));
+    std::vector<peer::GossipTraffic> before;
+    for (std::size_t node = 0; node < nodes; ++node)
+        before.push_back(fleet.gossip(node).traffic());
+    const double startedAt = processorSeconds();
+    load.run(duration);
+    const double elapsed = toSeconds(duration);
+    Cost cost;
+    cost.processorShare = (processorSeconds() - startedAt) / elapsed / static_cast<double>(nodes);
+    std::size_t counted = 0;
+    for (std::size_t node = 0; node < nodes; ++node) {
+        const peer::GossipTraffic &after = fleet.gossip(node).traffic();
+        // A process that was replaced meanwhile has begun to count anew.
+        if (after.sentBytes < before[node].sentBytes)
+            continue;
+        const std::uint64_t bytes = after.sentBytes - before[node].sentBytes + after.receivedBytes
+                                    - before[node].receivedBytes;
+        const double perSecond = static_cast<double>(bytes) / elapsed;
+        cost.meanBytesPerSecond += perSecond;
+        cost.maxBytesPerSecond = std::max(cost.maxBytesPerSecond, perSecond);
+        ++counted;
+    }
+    cost.meanBytesPerSecond /= static_cast<double>(counted);
+    cost.memoryBytes = (heapBytes() - heapBefore) / static_cast<double>(nodes);
+    return cost;
+}
+
+void measureFailures(Report &report, std::uint64_t seed)
+{
+    report.table += "Failures\n";
+    for (const std::size_t nodes : fleetSizes) {
+        const std::size_t trials = nodes == targetNodes ? 4 : 8;
+        const double quiet = worstDetection(nodes, 0, trials, seed);
+        const double lossy = worstDetection(nodes, heavyLoss, trials, seed + 1);
+        const AlarmCounter paused = pausedThreeSeconds(nodes, trials, seed + 2);
+        report.table
+                += fmt::format("  {:>4} nodes: killed known at all in {:.2f} s, {:.2f} s at 20% "
+                               "loss; paused 3 s: {} gone, {} unreachable\n",
+                               nodes, quiet, lossy, paused.gone, paused.unreachable);
+        const std::string suffix = fmt::format("_{}", nodes);
+        report.figure("killed_known_at_all" + suffix, quiet, "s");
+        report.atMost("killed_known_at_all" + suffix, 5);
+        report.figure("killed_known_at_all_lossy" + suffix, lossy, "s");
+        report.figure("paused_declared_gone" + suffix, static_cast<double>(paused.gone), "");
+        report.atMost("paused_declared_gone" + suffix, 0);
+        report.figure("paused_unreachable" + suffix, static_cast<double>(paused.unreachable), "");
+    }
+}
+
+void measureLoss(Report &report, std::uint64_t seed)
+{
+    report.table += "Alarms under 20% loss\n";
+    for (const std::size_t nodes : fleetSizes) {
+        const Duration duration = nodes == targetNodes ? seconds(60) : seconds(600);
+        const AlarmCounter alarms = alarmsUnderLoss(nodes, heavyLoss, duration, seed + 3);
+        const std::size_t total = alarms.gone + alarms.unreachable;
+        report.table += fmt::format("  {:>4} nodes, {:.0f} s: {} gone, {} unreachable\n", nodes,
+                                    toSeconds(duration), alarms.gone, alarms.unreachable);
+        const std::string name = fmt::format("false_alarms_{}", nodes);
+        report.figure(name, static_cast<double>(total), "");
+        report.atMost(name, 0);
+    }
+}
+
+std::string spreadRow(const char *way, std::size_t nodes, double loss, const SpreadResult &result)
+{
+    return fmt::format("  {:<9} {:>4} nodes {:>3.0f}% loss: {:>9.0f} B/s mean {:>9.0f} B/s max, "
+                       "median {:.3f} s, worst {:.3f} s, {} not at all\n",
+                       way, nodes, loss * 100, result.meanBytesPerSecond, result.maxBytesPerSecond,
+                       result.medianSeconds, result.maxSeconds, result.incomplete);
+}
+
+void compareWays(Report &report, std::uint64_t seed)
+{
+    report.table += "Ways to spread 8 changes a second\n";
+    for (const std::size_t nodes : fleetSizes) {
+        for (const double loss : {0.0, heavyLoss}) {
+            const SpreadResult epidemic = epidemicSpread(nodes, loss, peer::Topic::Placements, 8,
+                                                         seconds(10), seed + 4);
+            HeartbeatSettings other;
+            other.nodes = nodes;
+            other.dataCentres = shapeOf(nodes).dataCentres;
+            other.loss = loss;
+            const SpreadResult mesh = HeartbeatFleet(other, seed).run(seconds(10));
+            other.isTree = true;
+            const SpreadResult tree = HeartbeatFleet(other, seed).run(seconds(10));
+            report.table += spreadRow("epidemic", nodes, loss, epidemic);
+            report.table += spreadRow("full mesh", nodes, loss, mesh);
+            report.table += spreadRow("tree", nodes, loss, tree);
+            const std::string suffix = fmt::format("_{}_{:.0f}", nodes, loss * 100);
+            report.figure("spread_epidemic" + suffix, epidemic.maxSeconds, "s");
+            report.figure("bytes_epidemic" + suffix, epidemic.meanBytesPerSecond, "B/s");
+            report.figure("bytes_mesh" + suffix, mesh.meanBytesPerSecond, "B/s");
+            report.figure("bytes_tree_busiest" + suffix, tree.maxBytesPerSecond, "B/s");
+        }
+    }
+    const SpreadResult leaving = epidemicSpread(
+            targetNodes, heavyLoss, peer::Topic::LeavingUpstreams, 1, seconds(10), seed + 5);
+    report.table += spreadRow("leaving", targetNodes, heavyLoss, leaving);
+    report.figure("leaving_known_at_all", leaving.maxSeconds, "s");
+    report.atMost("leaving_known_at_all", 3);
+    report.figure("leaving_missed", static_cast<double>(leaving.incomplete), "");
+    report.atMost("leaving_missed", 0);
+}
+
+void measureCosts(Report &report, std::uint64_t seed)
+{
+    report.table += "Cost of a node under the target's rates\n";
+    for (const std::size_t nodes : {std::size_t{48}, std::size_t{170}, targetNodes}) {
+        const Cost cost = measureCost(nodes, LoadRates{}, seconds(40), seed + 6);
+        report.table += fmt::format("  {:>4} nodes: {:.0f} B/s mean, {:.0f} B/s max, {:.3f}% of a "
+                                    "core, {:.0f} kB\n",
+                                    nodes, cost.meanBytesPerSecond, cost.maxBytesPerSecond,
+                                    cost.processorShare * 100, cost.memoryBytes / 1000);
+        const std::string suffix = fmt::format("_{}", nodes);
+        report.figure("bytes_per_second" + suffix, cost.meanBytesPerSecond, "B/s");
+        report.figure("bytes_per_second_busiest" + suffix, cost.maxBytesPerSecond, "B/s");
+        report.figure("processor_share" + suffix, cost.processorShare * 100, "%");
+        report.figure("memory" + suffix, cost.memoryBytes / 1e6, "MB");
+    }
+    report.atMost("bytes_per_second_busiest_340", 13000);
+    report.atMost("processor_share_340", 2.7);
+    report.atMost("memory_340", 256);
+    for (const std::size_t workers : {std::size_t{700}, std::size_t{1400}, std::size_t{2800}}) {
+        LoadRates rates;
+        rates.workers = workers;
+        const Cost cost = measureCost(48, rates, seconds(40), seed + 7);
+        report.table += fmt::format("  48 nodes, {:>4} workers: {:.0f} B/s\n", workers,
+                                    cost.meanBytesPerSecond);
+        report.figure(fmt::format("bytes_per_second_workers_{}", workers), cost.meanBytesPerSecond,
+                      "B/s");
+    }
+}
+
+/// Memory of what one node holds, for each loaded target (a model or an adapter on a model).
+void measureMemory(Report &report)
+{
+    for (const std::size_t targets : {std::size_t{1000}, std::size_t{4000}, std::size_t{16000}}) {
+        const double before = heapBytes();
+        peer::Dissemination state{peer::DisseminationSettings{}};
+        for (std::size_t i = 0; i < targets; ++i) {
+            const std::string scope = fmt::format("pool-{}", i % poolsAtTarget);
+            const std::string item = fmt::format("model-{}@1+adapter-{}", i % 270, i);
+            const auto published = state.publish(
+                    peer::StateKey{{peer::Topic::Placements, scope}, item}, Fence(1), "12345");
+            if (!published)
+                return;
+        }
+        const double each = (heapBytes() - before) / static_cast<double>(targets);
+        report.table += fmt::format("  {:>5} loaded targets: {:.0f} B each\n", targets, each);
+        report.figure(fmt::format("memory_per_target_{}", targets), each, "B");
+    }
+}
+
+Report runMembership(const ExperimentArguments &arguments)
+{
+    Report report;
+    measureMemory(report);
+    measureCosts(report, arguments.seed);
+    measureFailures(report, arguments.seed);
+    compareWays(report, arguments.seed);
+    measureLoss(report, arguments.seed);
+    return report;
+}
+
+const RegisterExperiment registered("membership",
+                                    "Failure detection, spread of state, and their cost",
+                                    runMembership);
+
+} // namespace
+
+} // namespace bamboochute::bench
--- /dev/null
+++ b/bench/membership_failures.hpp
@@ -0,0 +1,166 @@
+/// @file
+/// @brief Trials of failures: kills, pauses and loss, and what the members make of them.
+#pragma once
+
+#include "membership_baselines.hpp"
+#include "virtual_fleet.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bamboochute::bench {
+
+/// @brief A fleet of the given size in the target's proportions.
+inline FleetShape shapeOf(std::size_t nodes)
+{
+    constexpr std::size_t smallFleet = 12;
+    FleetShape shape;
+    shape.nodes = nodes;
+    shape.dataCentres = nodes > smallFleet ? 20 : 4;
+    shape.regions = nodes > smallFleet ? 8 : 1;
+    return shape;
+}
+
+/// @brief Counts what was found of members that run.
+class AlarmCounter
+{
+public:
+    explicit AlarmCounter(VirtualFleet &fleet)
+    {
+        fleet.onObservation = [this](const Observation &seen) {
+            const auto *change = std::get_if<peer::MemberChanged>(&seen.what);
+            if (change == nullptr)
+                return;
+            this->unreachable += change->member.state == peer::MemberState::Unreachable ? 1 : 0;
+            this->gone += change->member.state == peer::MemberState::Gone ? 1 : 0;
+        };
+    }
+
+    std::size_t unreachable = 0;
+    std::size_t gone = 0;
+};
+
+/// @brief Kills nodes one after another.
+/// @return longest time from a kill until all others know; the run's end if some never do
+inline double worstDetection(std::size_t nodes, double loss, std::size_t kills, std::uint64_t seed)
+{
+    constexpr Duration trial = std::chrono::seconds(7);
+    NetworkSettings network;
+    network.loss = loss;
+    VirtualFleet fleet(shapeOf(nodes), network, seed);
+    fleet.run(std::chrono::seconds(10));
+    double worst = 0;
+    for (std::size_t victim = 1; victim <= kills; ++victim) {
+        std::map<std::size_t, TimePoint> known;
+        const InstanceId name = fleet.name(victim);
+        fleet.onObservation = [&](const Observation &seen) {
+            const auto *change = std::get_if<peer::MemberChanged>(&seen.what);
+            if (change != nullptr && change->member.identity.instance == name
+                && !peer::isReachable(change->member.state))
+                known.emplace(seen.node, seen.at);
+        };
+        const TimePoint killedAt = fleet.now();
+        // Every second host vanishes; at the others only the process ends, and the port refuses.
+        fleet.kill(victim, victim % 2 == 0);
+        fleet.run(trial);
+        std::size_t informed = 0;
+        for (const auto &[node, at] : known) {
+            informed += fleet.isRunning(node) ? 1 : 0;
+            worst = std::max(worst, toSeconds(at - killedAt));
+        }
+        if (informed < nodes - victim)
+            worst = std::max(worst, toSeconds(trial));
+    }
+    return worst;
+}
+
+/// @brief Pauses nodes for three seconds each and counts what the others make of it.
+inline AlarmCounter pausedThreeSeconds(std::size_t nodes, std::size_t pauses, std::uint64_t seed)
+{
+    VirtualFleet fleet(shapeOf(nodes), NetworkSettings{}, seed);
+    fleet.run(std::chrono::seconds(10));
+    AlarmCounter alarms(fleet);
+    for (std::size_t paused = 1; paused <= pauses; ++paused) {
+        fleet.pause(paused, std::chrono::seconds(3));
+        fleet.run(std::chrono::seconds(6));
+    }
+    return alarms;
+}
+
+/// @brief Lets the network lose datagrams and counts the alarms.
+inline AlarmCounter alarmsUnderLoss(std::size_t nodes, double loss, Duration duration,
+                                    std::uint64_t seed)
+{
+    NetworkSettings network;
+    network.loss = loss;
+    VirtualFleet fleet(shapeOf(nodes), network, seed);
+    fleet.run(std::chrono::seconds(15));
+    AlarmCounter alarms(fleet);
+    fleet.run(duration);
+    return alarms;
+}
+
+/// @brief Publishes changes of one topic at random nodes and measures their way to all others.
+inline SpreadResult epidemicSpread(std::size_t nodes, double loss, peer::Topic topic,
+                                   double changesPerSecond, Duration duration, std::uint64_t seed)
+{
+    NetworkSettings network;
+    network.loss = loss;
+    network.farDelay = network.nearDelay;
+    VirtualFleet fleet(shapeOf(nodes), network, seed);
+    Random random(seed + 9);
+    fleet.run(std::chrono::seconds(12));
+    struct Change
+    {
+        TimePoint publishedAt{};
+        std::size_t holders = 1;
+        double seconds = -1;
+    };
+    std::map<std::string, Change> changes;
+    fleet.onObservation = [&](const Observation &seen) {
+        const auto *state = std::get_if<peer::StateChanged>(&seen.what);
+        const auto change = state == nullptr ? changes.end() : changes.find(state->delta.key.item);
+        if (change != changes.end() && ++change->second.holders == nodes)
+            change->second.seconds = toSeconds(seen.at - change->second.publishedAt);
+    };
+    const std::uint64_t bytesBefore = fleet.bytes();
+    const TimePoint start = fleet.now();
+    constexpr Duration step = std::chrono::milliseconds(25);
+    constexpr Duration settle = std::chrono::seconds(6);
+    while (fleet.now() < start + duration) {
+        if (random.chance(changesPerSecond * toSeconds(step))) {
+            const std::size_t origin = random.below(nodes);
+            const std::string item = "change-" + std::to_string(changes.size());
+            changes[item].publishedAt = fleet.now();
+            const peer::StreamKey stream{topic, "pool-" + std::to_string(origin)};
+            fleet.publish(origin, peer::StateKey{stream, item}, Fence(1), std::string(40, 'x'));
+        }
+        fleet.run(step);
+    }
+    SpreadResult result;
+    result.meanBytesPerSecond = static_cast<double>(fleet.bytes() - bytesBefore)
+                                / toSeconds(duration) / static_cast<double>(nodes);
+    for (std::size_t node = 0; node < nodes; ++node) {
+        const peer::GossipTraffic &traffic = fleet.gossip(node).traffic();
+        result.maxBytesPerSecond = std::max(
+                result.maxBytesPerSecond,
+                static_cast<double>(traffic.sentBytes + traffic.receivedBytes)
+                        / toSeconds(fleet.now() - TimePoint{std::chrono::seconds(1000)}));
+    }
+    fleet.run(settle);
+    std::vector<double> times;
+    for (const auto &[item, change] : changes) {
+        if (change.seconds >= 0)
+            times.push_back(change.seconds);
+        else
+            ++result.incomplete;
+    }
+    summarize(std::move(times), result);
+    return result;
+}
+
+} // namespace bamboochute::bench
--- a/bench/virtual_fleet.hpp
+++ b/bench/virtual_fleet.hpp
@@ -80,6 +80,15 @@
         this->scheduleTick(node, this->time + phase);
     }
 
+    /// @brief Starts a process under the incarnation of the present one; a fault of the platform.
+    void startAgain(std::size_t node)
+    {
+        this->nodes[node].incarnation -= 2;
+        this->start(node);
+    }
+
+    bool isPaused(std::size_t node) const { return this->time < this->nodes[node].pausedUntil; }
+
     /// @brief Ends a process without a word.
     /// @param isHostUp whether the host still answers, and refuses what comes to the port
     void kill(std::size_t node, bool isHostUp)
--- a/src/peer/call_client.cpp
+++ b/src/peer/call_client.cpp
@@ -35,7 +35,7 @@
 
     std::function<void(Result<std::string>)> done;
     boost::asio::steady_timer timer;
-    /// Text of the request while it waits for the connection; empty once it was sent.
+    /// Payload of the request while it waits for the connection; empty once it was sent.
     std::string unsent;
     bool isSent = false;
 };
@@ -87,7 +87,8 @@
         const std::uint64_t number = this->nextNumber++;
         auto pending = std::make_unique<Pending>(this->context);
         pending->done = std::move(done);
-        pending->unsent = this->protocol.request(method, params);
+        const std::string envelope = this->protocol.request(method);
+        pending->unsent = writeCallPayload(CallPayload{number, envelope, params});
         pending->timer.expires_after(timeout);
         pending->timer.async_wait(
                 [state = this->shared_from_this(), link, number](const ErrorCode &code) {
@@ -167,10 +168,9 @@
             return;
         const TextDone done = std::move(pending->second->done);
         link->pending.erase(pending);
-        std::string result;
         std::string error;
-        if (this->protocol.result(std::string(answer->text), result, error))
-            done(std::move(result));
+        if (this->protocol.accepts(std::string(answer->envelope), error))
+            done(std::string(answer->body));
         else
             done(Error(ErrorKind::MalformedRequest,
                        fmt::format("{} refused the call: {}", describe(link->to), error)));
@@ -182,7 +182,7 @@
             if (pending->isSent || link->isEnded)
                 continue;
             pending->isSent = true;
-            link->connection->send(writeCallPayload(number, pending->unsent));
+            link->connection->send(pending->unsent);
             pending->unsent.clear();
         }
     }
--- a/src/peer/call_messages.cpp
+++ b/src/peer/call_messages.cpp
@@ -4,7 +4,6 @@
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 namespace bamboochute::peer {
 
@@ -183,47 +182,24 @@
 template<typename Value>
 Json write(const std::vector<Value> &values);
 
-std::string toBase64(const std::string &bytes)
-{
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
-                                     reinterpret_cast<const unsigned char *>(bytes.data()),
-                                     static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(size));
-    return text;
-}
-
-std::string fromBase64(const char *name, const std::string &text)
-{
-    std::string bytes(text.size() / 4 * 3 + 3, '\0');
-    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
-                                     reinterpret_cast<const unsigned char *>(text.data()),
-                                     static_cast<int>(text.size()));
-    if (size < 0 || text.size() % 4 != 0)
-        throw FieldFailure{name, "must be base64"};
-    const std::size_t end = text.find_last_not_of('=');
-    const std::size_t padding
-            = text.empty() || end == std::string::npos ? 0 : text.size() - end - 1;
-    bytes.resize(static_cast<std::size_t>(size) - padding);
-    return bytes;
-}
-
-/// Bytes of a chunk, which JSON can't hold as they are.
-struct Base64
+/// Bytes that need not be text.
+struct Binary
 {
     std::string &bytes;
 };
 
-void read(const Json &object, const char *name, Base64 value)
+void read(const Json &object, const char *name, Binary value)
 {
-    std::string text;
-    read(object, name, text);
-    value.bytes = fromBase64(name, text);
+    const Json &found = member(object, name);
+    if (!found.is_binary())
+        throw FieldFailure{name, "must be bytes"};
+    const Json::binary_t &bytes = found.get_binary();
+    value.bytes.assign(bytes.begin(), bytes.end());
 }
 
-Json write(Base64 value)
+Json write(Binary value)
 {
-    return toBase64(value.bytes);
+    return Json::binary(std::vector<std::uint8_t>(value.bytes.begin(), value.bytes.end()));
 }
 
 // The members of each message, told to a visitor that reads or writes them.
@@ -313,7 +289,7 @@
     each("hash", message.hash);
     each("offset", message.offset);
     each("totalBytes", message.totalBytes);
-    each("bytes", Base64{message.bytes});
+    each("bytes", Binary{message.bytes});
 }
 
 template<typename Visitor>
@@ -440,9 +416,16 @@
     return delay.count() > 0 ? error.withRetryAfter(delay) : error;
 }
 
-std::string dump(const Json &json)
+std::string toBytes(const Json &json)
+{
+    std::string bytes;
+    Json::to_cbor(json, nlohmann::detail::output_adapter<char>(bytes));
+    return bytes;
+}
+
+Json fromBytes(std::string_view bytes)
 {
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
 }
 
 } // namespace
@@ -450,15 +433,15 @@
 template<typename Message>
 std::string encodeMessage(const Message &message)
 {
-    return dump(writeMessage(message));
+    return toBytes(writeMessage(message));
 }
 
 template<typename Message>
-Result<Message> decodeMessage(std::string_view text)
+Result<Message> decodeMessage(std::string_view bytes)
 {
-    const Json json = Json::parse(text.begin(), text.end(), nullptr, false);
+    const Json json = fromBytes(bytes);
     if (json.is_discarded())
-        return Error(ErrorKind::MalformedJson, "a message between instances is not JSON");
+        return Error(ErrorKind::MalformedJson, "a message between instances is not CBOR");
     try {
         Message message;
         readMessage(json, message);
@@ -476,15 +459,15 @@
         object["value"] = writeMessage(result.value());
     else
         object["error"] = writeError(result.error());
-    return dump(object);
+    return toBytes(object);
 }
 
 template<typename Message>
-Result<Message> decodeResult(std::string_view text)
+Result<Message> decodeResult(std::string_view bytes)
 {
-    const Json json = Json::parse(text.begin(), text.end(), nullptr, false);
+    const Json json = fromBytes(bytes);
     if (json.is_discarded())
-        return Error(ErrorKind::MalformedJson, "an answer between instances is not JSON");
+        return Error(ErrorKind::MalformedJson, "an answer between instances is not CBOR");
     try {
         if (json.is_object() && json.contains("error"))
             return readError(json["error"]);
--- a/src/peer/call_messages.hpp
+++ b/src/peer/call_messages.hpp
@@ -138,7 +138,6 @@
     std::string hash;
     std::uint64_t offset = 0;
     std::uint64_t totalBytes = 0;
-    /// Raw bytes; they travel as base64.
     std::string bytes;
     auto operator<=>(const PartChunk &) const = default;
 };
@@ -238,20 +237,20 @@
     T::method;
 };
 
-/// @brief Encodes a message as JSON.
+/// @brief Encodes a message as CBOR.
 template<typename Message>
 std::string encodeMessage(const Message &message);
 
 /// @brief Decodes a message; MalformedJson or InvalidField names what is wrong.
 template<typename Message>
-Result<Message> decodeMessage(std::string_view text);
+Result<Message> decodeMessage(std::string_view bytes);
 
-/// @brief Encodes a result or an error as JSON, as answers to calls carry it.
+/// @brief Encodes a result or an error as CBOR, as answers to calls carry it.
 template<typename Message>
 std::string encodeResult(const Result<Message> &result);
 
 /// @brief Decodes what encodeResult has encoded.
 template<typename Message>
-Result<Message> decodeResult(std::string_view text);
+Result<Message> decodeResult(std::string_view bytes);
 
 } // namespace bamboochute::peer
--- a/src/peer/call_payload.hpp
+++ b/src/peer/call_payload.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Payload of a frame that carries a call or its answer: a number and a text.
+/// @brief Payload of a frame that carries a call or its answer: number, envelope and body.
 #pragma once
 
 #include <cstdint>
@@ -11,35 +11,62 @@
 
 /// Bytes of a call's number, the highest first.
 constexpr std::size_t callNumberBytes = 8;
+/// Bytes of the envelope's length, the highest first.
+constexpr std::size_t envelopeLengthBytes = 4;
 
 /// @brief A call or an answer; the number ties one to the other on a connection.
 struct CallPayload
 {
     std::uint64_t number = 0;
-    std::string_view text;
+    /// JSON-RPC without parameters or result.
+    std::string_view envelope;
+    /// Parameters or result as CBOR.
+    std::string_view body;
     auto operator<=>(const CallPayload &) const = default;
 };
 
-/// @brief Joins number and text.
-inline std::string writeCallPayload(std::uint64_t number, std::string_view text)
+/// @brief Appends a number, the highest byte first.
+inline void appendNumber(std::string &bytes, std::uint64_t number, std::size_t size)
+{
+    for (std::size_t i = size; i > 0; --i)
+        bytes.push_back(static_cast<char>((number >> (8 * (i - 1))) & 0xff));
+}
+
+/// @brief Reads a number, the highest byte first.
+inline std::uint64_t readNumber(std::string_view bytes)
+{
+    std::uint64_t number = 0;
+    for (const char byte : bytes)
+        number = (number << 8) | static_cast<unsigned char>(byte);
+    return number;
+}
+
+/// @brief Joins the parts of a payload.
+inline std::string writeCallPayload(const CallPayload &call)
 {
     std::string payload;
-    payload.reserve(callNumberBytes + text.size());
-    for (std::size_t i = callNumberBytes; i > 0; --i)
-        payload.push_back(static_cast<char>((number >> (8 * (i - 1))) & 0xff));
-    payload.append(text);
+    payload.reserve(callNumberBytes + envelopeLengthBytes + call.envelope.size()
+                    + call.body.size());
+    appendNumber(payload, call.number, callNumberBytes);
+    appendNumber(payload, call.envelope.size(), envelopeLengthBytes);
+    payload.append(call.envelope);
+    payload.append(call.body);
     return payload;
 }
 
 /// @brief Splits a payload; nothing when it is too short.
 inline std::optional<CallPayload> readCallPayload(std::string_view payload)
 {
-    if (payload.size() < callNumberBytes)
+    constexpr std::size_t fixedBytes = callNumberBytes + envelopeLengthBytes;
+    if (payload.size() < fixedBytes)
         return std::nullopt;
     CallPayload call;
-    for (const char byte : payload.substr(0, callNumberBytes))
-        call.number = (call.number << 8) | static_cast<unsigned char>(byte);
-    call.text = payload.substr(callNumberBytes);
+    call.number = readNumber(payload.substr(0, callNumberBytes));
+    const std::uint64_t length = readNumber(payload.substr(callNumberBytes, envelopeLengthBytes));
+    if (length > payload.size() - fixedBytes)
+        return std::nullopt;
+    call.envelope = payload.substr(fixedBytes, length);
+    call.body = payload.substr(fixedBytes + length);
     return call;
 }
 
--- a/src/peer/call_server.cpp
+++ b/src/peer/call_server.cpp
@@ -21,9 +21,6 @@
 using Tcp = boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-/// Stands in the library's answer for the result, which may come later.
-constexpr std::string_view resultToken = "@result@";
-constexpr std::string_view quotedToken = "\"@result@\"";
 /// Time until accepting goes on after it has failed, such as for want of file descriptors.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(100);
 
@@ -146,21 +143,20 @@
     {
         ++this->totals.calls;
         this->invokedMethod.clear();
-        std::string envelope = this->protocol->handle(std::string(call.text));
-        const std::size_t token = envelope.rfind(quotedToken);
+        const std::string envelope = this->protocol->handle(std::string(call.envelope));
         const auto handler = this->handlers.find(this->invokedMethod);
-        if (handler == this->handlers.end() || token == std::string::npos) {
-            session->connection->send(writeCallPayload(call.number, envelope));
+        if (handler == this->handlers.end()) {
+            session->connection->send(writeCallPayload(CallPayload{call.number, envelope, {}}));
             return;
         }
-        const TextReply reply = this->replyTo(session, call.number, std::move(envelope), token);
+        const TextReply reply = replyTo(session, call.number, envelope);
         if (session->inFlight >= maxCallsInFlight) {
             ++this->totals.tooMany;
             reply(encodeResult<Pong>(Error(ErrorKind::QueueFull, "too many calls in flight")));
             return;
         }
         ++session->inFlight;
-        handler->second(session->caller, this->invokedParams,
+        handler->second(session->caller, call.body,
                         [session, reply, isDone = false](const std::string &result) mutable {
                             if (isDone)
                                 return;
@@ -170,21 +166,20 @@
                         });
     }
 
-    TextReply replyTo(const SessionPointer &session, std::uint64_t number, std::string envelope,
-                      std::size_t token) const
+    static TextReply replyTo(const SessionPointer &session, std::uint64_t number,
+                             const std::string &envelope)
     {
-        return [session, number, envelope = std::move(envelope), token](const std::string &result) {
-            std::string text = envelope;
-            text.replace(token, quotedToken.size(), result);
-            if (text.size() + callNumberBytes + 1 + tagBytes > maxFrameBytes) {
+        return [session, number, envelope](const std::string &result) {
+            std::string payload = writeCallPayload(CallPayload{number, envelope, result});
+            if (payload.size() + 1 + tagBytes > maxFrameBytes) {
                 const Error tooLarge(ErrorKind::UpstreamOversized,
-                                     fmt::format("the answer to a call has {} bytes; {} are "
-                                                 "allowed",
-                                                 text.size(), maxFrameBytes));
-                text = envelope;
-                text.replace(token, quotedToken.size(), encodeResult<Pong>(tooLarge));
+                                     fmt::format("the answer to a call has {} bytes; at most {} "
+                                                 "are allowed",
+                                                 payload.size(), maxFrameBytes));
+                payload = writeCallPayload(
+                        CallPayload{number, envelope, encodeResult<Pong>(tooLarge)});
             }
-            session->connection->send(writeCallPayload(number, text));
+            session->connection->send(payload);
         };
     }
 
@@ -197,7 +192,6 @@
     std::set<SessionPointer> sessions;
     /// What the protocol's library has found in the request that it reads.
     std::string invokedMethod;
-    std::string invokedParams;
     CallServerCounts totals;
 };
 
@@ -242,11 +236,7 @@
         methods.push_back(method);
     State *state = this->state.get();
     state->protocol = std::make_unique<JsonRpcServer>(
-            methods, [state](const std::string &method, const std::string &params) {
-                state->invokedMethod = method;
-                state->invokedParams = params;
-                return std::string(resultToken);
-            });
+            methods, [state](const std::string &method) { state->invokedMethod = method; });
     state->accept();
 }
 
--- a/src/peer/dissemination.cpp
+++ b/src/peer/dissemination.cpp
@@ -115,7 +115,7 @@
     for (const StateRange &range : datagram.ranges)
         this->acceptRange(now, range, changes);
     for (const StreamDigest &digest : datagram.digests)
-        this->compare(now, digest);
+        this->compare(now, digest, datagram.sender);
     for (const StatePull &pull : datagram.pulls)
         this->owe(datagram.sender, pull);
     return changes;
@@ -200,6 +200,8 @@
     if (isHeld && held->second.version >= delta.version) {
         const bool isSame = held->second.version == delta.version;
         this->countUp(isSame ? DisseminationCount::Duplicate : DisseminationCount::Superseded);
+        if (isSame)
+            this->noteDuplicate(delta.key, delta.version);
         this->noteSequence(*stream, delta.version.sequence);
         this->noteProgress(now, key, *stream);
         return false;
@@ -263,7 +265,7 @@
     }
 }
 
-void Dissemination::compare(TimePoint now, const StreamDigest &theirs)
+void Dissemination::compare(TimePoint now, const StreamDigest &theirs, const InstanceId &sender)
 {
     if (mayBeLost(theirs.stream.topic))
         return;
@@ -278,6 +280,7 @@
     if (stream == nullptr)
         return;
     stream->known = std::max(stream->known, theirs.complete);
+    stream->aheadMember = sender;
     this->noteProgress(now, theirs.stream, *stream);
 }
 
@@ -322,6 +325,20 @@
         this->heat(key.stream);
 }
 
+void Dissemination::noteDuplicate(const StateKey &key, StateVersion version)
+{
+    // Others spread the change already: each copy that comes in stands for one that goes out.
+    auto &queue = this->queues.at(static_cast<std::size_t>(key.stream.topic));
+    const auto queued = std::find_if(queue.begin(), queue.end(), [&](const QueuedDelta &each) {
+        return each.version == version && each.key == key;
+    });
+    if (queued == queue.end() || queued->transmissions == 0)
+        return;
+    ++queued->transmissions;
+    if (queued->transmissions >= this->settings.transmissions)
+        queue.erase(queued);
+}
+
 void Dissemination::heat(const StreamKey &stream)
 {
     std::erase_if(this->hot, [&](const HotDigest &each) { return each.stream == stream; });
--- a/src/peer/dissemination.hpp
+++ b/src/peer/dissemination.hpp
@@ -27,8 +27,8 @@
 constexpr std::size_t maxKeyBytes = 160;
 /// Most changes that are held above a gap of one stream.
 constexpr std::size_t maxAboveGap = 1024;
-/// Most deltas that wait to be sent.
-constexpr std::size_t maxQueuedDeltas = 8192;
+/// Most deltas of one topic that wait to be sent; what is dropped is pulled by those who lack it.
+constexpr std::size_t maxQueuedDeltas = 256;
 /// Most streams whose digest goes before the others.
 constexpr std::size_t maxHotDigests = 64;
 /// Most answers to pulls that wait to be sent.
@@ -40,7 +40,7 @@
     /// Times that one change rides on a datagram of this instance.
     std::uint32_t transmissions = 3;
     /// The same for topics that may be lost.
-    std::uint32_t lossyTransmissions = 1;
+    std::uint32_t lossyTransmissions = 2;
     /// Digests on one datagram.
     std::uint32_t digestsPerDatagram = 8;
     /// Times that the digest of a stream rides on a datagram after an urgent change.
@@ -48,7 +48,7 @@
     /// Time that a missing change may still arrive by itself.
     Duration pullDelay = std::chrono::milliseconds(300);
     /// Time until the same gap is asked for again.
-    Duration pullRetry = std::chrono::milliseconds(600);
+    Duration pullRetry = std::chrono::milliseconds(1000);
     auto operator<=>(const DisseminationSettings &) const = default;
 };
 
@@ -173,6 +173,8 @@
         std::set<std::uint64_t> aboveGap;
         std::map<std::string, Entry> entries;
         std::map<std::uint64_t, std::string> bySequence;
+        /// Member whose digest was last seen to be ahead.
+        InstanceId aheadMember;
         TimePoint behindSince{};
         TimePoint pulledAt{};
         bool isBehind = false;
@@ -211,16 +213,18 @@
     bool accept(TimePoint now, const StateDelta &delta, std::vector<StateChanged> &changes);
     void acceptRange(TimePoint now, const StateRange &range, std::vector<StateChanged> &changes);
     void prune(const StreamKey &key, Stream &stream, std::vector<StateChanged> &changes) const;
-    void compare(TimePoint now, const StreamDigest &theirs);
+    void compare(TimePoint now, const StreamDigest &theirs, const InstanceId &sender);
     void noteProgress(TimePoint now, const StreamKey &key, Stream &stream);
     void owe(const InstanceId &asker, const StatePull &pull);
 
     // What it sends.
     void enqueue(const StateKey &key, StateVersion version);
+    void noteDuplicate(const StateKey &key, StateVersion version);
     void heat(const StreamKey &stream);
     void fillDeltas(Datagram &datagram, Topic topic, std::size_t &room);
     void fillRanges(Datagram &datagram, const InstanceId &receiver, std::size_t &room);
-    void fillPulls(TimePoint now, Datagram &datagram, std::size_t &room);
+    void fillPulls(TimePoint now, Datagram &datagram, const InstanceId &receiver,
+                   std::size_t &room);
     void fillDigests(Datagram &datagram, std::size_t &room);
     std::optional<StateRange> rangeAfter(const StreamDigest &after, std::size_t room) const;
     std::optional<StateDelta> queuedValue(const QueuedDelta &queued) const;
--- a/src/peer/dissemination_sending.cpp
+++ b/src/peer/dissemination_sending.cpp
@@ -33,7 +33,7 @@
     std::size_t room = maxBytes - reserved;
     this->fillDeltas(datagram, Topic::LeavingUpstreams, room);
     this->fillDeltas(datagram, Topic::ConfigurationRoot, room);
-    this->fillPulls(now, datagram, room);
+    this->fillPulls(now, datagram, receiver, room);
     this->fillDeltas(datagram, Topic::Placements, room);
     this->fillRanges(datagram, receiver, room);
     this->fillDeltas(datagram, Topic::InForceRevision, room);
@@ -187,7 +187,8 @@
     return range;
 }
 
-void Dissemination::fillPulls(TimePoint now, Datagram &datagram, std::size_t &room)
+void Dissemination::fillPulls(TimePoint now, Datagram &datagram, const InstanceId &receiver,
+                              std::size_t &room)
 {
     for (const StreamKey &key : this->behind) {
         if (datagram.pulls.size() >= maxPullsPerDatagram)
@@ -195,7 +196,7 @@
         Stream &stream = this->streams.at(key);
         const bool isFresh = now - stream.behindSince < this->settings.pullDelay;
         const bool isAsked = stream.wasPulled && now - stream.pulledAt < this->settings.pullRetry;
-        if (isFresh || isAsked)
+        if (isFresh || isAsked || stream.aheadMember != receiver)
             continue;
         const StatePull pull{StreamDigest{key, stream.fence, stream.complete}};
         if (!takeRoom(room, estimateBytes(pull.after)))
--- a/src/peer/framed_connection.cpp
+++ b/src/peer/framed_connection.cpp
@@ -1,5 +1,7 @@
 #include "peer/framed_connection.hpp"
 
+#include "peer/call_payload.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -20,12 +22,6 @@
 /// Bytes of a frame beside its payload: key identifier and tag.
 constexpr std::size_t frameOverhead = 1 + tagBytes;
 
-void appendNumber(std::string &bytes, std::uint64_t number, std::size_t size)
-{
-    for (std::size_t i = size; i > 0; --i)
-        bytes.push_back(static_cast<char>((number >> (8 * (i - 1))) & 0xff));
-}
-
 } // namespace
 
 FramedConnection::FramedConnection(Socket socket, KeyRing keys, ConnectionSide side)
--- a/src/peer/json_rpc.cpp
+++ b/src/peer/json_rpc.cpp
@@ -11,23 +11,6 @@
 
 namespace {
 
-std::string toText(const Json::Value &value)
-{
-    static const Json::StreamWriterBuilder builder = [] {
-        Json::StreamWriterBuilder made;
-        made["indentation"] = "";
-        return made;
-    }();
-    return Json::writeString(builder, value);
-}
-
-bool fromText(const std::string &text, Json::Value &value)
-{
-    static const Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    return reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
-}
-
 /// Hands texts to the library and keeps its answer.
 class TextServerConnector : public jsonrpc::AbstractServerConnector
 {
@@ -78,10 +61,11 @@
         }
     }
 
-    void HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &input,
+    void HandleMethodCall(jsonrpc::Procedure &procedure, const Json::Value &,
                           Json::Value &output) override
     {
-        output = this->handler(procedure.GetProcedureName(), toText(input));
+        this->handler(procedure.GetProcedureName());
+        output = true;
     }
 
     std::string handle(const std::string &request)
@@ -125,24 +109,21 @@
 
 JsonRpcClient::~JsonRpcClient() = default;
 
-std::string JsonRpcClient::request(const std::string &method, const std::string &params)
+std::string JsonRpcClient::request(const std::string &method)
 {
-    Json::Value value;
-    fromText(params, value);
     // The library waits for the answer within the call, so it gets an empty one.
-    this->state->connector.answer = R"({"jsonrpc":"2.0","id":1,"result":null})";
+    this->state->connector.answer = R"({"jsonrpc":"2.0","id":1,"result":true})";
     Json::Value ignored;
-    this->state->client.CallMethod(method, value, ignored);
+    this->state->client.CallMethod(method, Json::Value(Json::objectValue), ignored);
     return std::move(this->state->connector.request);
 }
 
-bool JsonRpcClient::result(const std::string &answer, std::string &result, std::string &error)
+bool JsonRpcClient::accepts(const std::string &answer, std::string &error)
 {
     this->state->connector.answer = answer;
     try {
-        Json::Value value;
-        this->state->client.CallMethod(std::string(), Json::Value(), value);
-        result = toText(value);
+        Json::Value ignored;
+        this->state->client.CallMethod(std::string(), Json::Value(Json::objectValue), ignored);
         return true;
     } catch (const jsonrpc::JsonRpcException &failure) {
         error = failure.what();
--- a/src/peer/json_rpc.hpp
+++ b/src/peer/json_rpc.hpp
@@ -1,5 +1,8 @@
 /// @file
-/// @brief JSON-RPC 2.0 as text, by libjsonrpccpp.
+/// @brief JSON-RPC 2.0 envelopes as text, by libjsonrpccpp.
+///
+/// An envelope names the method and tells errors of the protocol. Parameters and results travel
+/// beside it in CBOR, because as members of it they would be parsed and written three times.
 ///
 /// That library's headers need C++14, so its types stay behind this header, which is read by both.
 #pragma once
@@ -16,9 +19,8 @@
 class JsonRpcServer
 {
 public:
-    /// Gets the method and its parameters as JSON; returns a text that stands for the result.
-    using Handler
-            = std::function<std::string(const std::string &method, const std::string &params)>;
+    /// Gets the method that is called.
+    using Handler = std::function<void(const std::string &method)>;
 
     /// @param methods names that are known
     /// @param handler called for each valid request of a known method
@@ -27,8 +29,8 @@
     JsonRpcServer(const JsonRpcServer &) = delete;
     JsonRpcServer &operator=(const JsonRpcServer &) = delete;
 
-    /// @brief Reads one request.
-    /// @return the answer, in which the handler's text is the result, or an error of the protocol
+    /// @brief Reads the envelope of one request.
+    /// @return envelope of the answer, or of an error of the protocol
     std::string handle(const std::string &request);
 
 private:
@@ -45,16 +47,14 @@
     JsonRpcClient(const JsonRpcClient &) = delete;
     JsonRpcClient &operator=(const JsonRpcClient &) = delete;
 
-    /// @brief Text of a request.
-    /// @param params JSON object
-    std::string request(const std::string &method, const std::string &params);
+    /// @brief Envelope of a request.
+    std::string request(const std::string &method);
 
-    /// @brief Reads an answer.
+    /// @brief Reads the envelope of an answer.
     /// @param answer text received
-    /// @param result gets the result as JSON
     /// @param error gets the protocol's error
     /// @return false when the answer is an error or malformed
-    bool result(const std::string &answer, std::string &result, std::string &error);
+    bool accepts(const std::string &answer, std::string &error);
 
 private:
     class State;
--- a/src/peer/member.hpp
+++ b/src/peer/member.hpp
@@ -41,6 +41,8 @@
     Gone,
 };
 
+constexpr std::size_t memberStateCount = 4;
+
 /// @brief Name of a state, as in logs and answers.
 std::string_view memberStateName(MemberState state) noexcept;
 
--- a/src/peer/member_table.cpp
+++ b/src/peer/member_table.cpp
@@ -183,11 +183,19 @@
 
 void MemberTable::cleanUp(TimePoint now)
 {
-    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-        const bool isOld = entry->second.member.state == MemberState::Gone
-                           && now - entry->second.stateSince >= this->goneRetention;
-        entry = isOld ? this->entries.erase(entry) : std::next(entry);
+    std::vector<InstanceId> old;
+    for (const InstanceId &instance : this->inState(MemberState::Gone)) {
+        if (now - this->entries.at(instance).stateSince >= this->goneRetention)
+            old.push_back(instance);
     }
+    for (const InstanceId &instance : old)
+        this->erase(instance);
+}
+
+void MemberTable::erase(const InstanceId &instance)
+{
+    this->exit(this->entries.at(instance).member);
+    this->entries.erase(instance);
 }
 
 MemberEntry *MemberTable::find(const InstanceId &instance)
@@ -221,9 +229,9 @@
 TableChange MemberTable::change(TimePoint now, MemberEntry &entry, const Member &to)
 {
     const MemberState before = entry.member.state;
-    this->toggleInDigest(entry.member);
+    this->exit(entry.member);
     entry.member = to;
-    this->toggleInDigest(entry.member);
+    this->enter(entry.member);
     if (before != to.state)
         entry.stateSince = now;
     if (isReachable(before) != isReachable(to.state))
@@ -244,7 +252,7 @@
     entry.member = memberOf(update);
     entry.stateSince = now;
     this->byEndpoint[update.identity.datagramEndpoint] = update.identity.instance;
-    this->toggleInDigest(entry.member);
+    this->enter(entry.member);
     ++this->changeCount;
     return TableChange{entry.member, MemberState::Alive, true};
 }
@@ -266,27 +274,36 @@
     }
     this->byEndpoint.erase(entry.member.identity.datagramEndpoint);
     this->byEndpoint[later.identity.datagramEndpoint] = later.identity.instance;
-    this->toggleInDigest(entry.member);
+    this->exit(entry.member);
     entry = MemberEntry{};
     entry.member = later;
     entry.stateSince = now;
-    this->toggleInDigest(entry.member);
+    this->enter(entry.member);
     ++this->changeCount;
     changes.push_back(TableChange{later, MemberState::Gone, true});
 }
 
 bool MemberTable::makeRoom()
 {
-    const auto gone
-            = std::find_if(this->entries.begin(), this->entries.end(), [](const auto &each) {
-                  return each.second.member.state == MemberState::Gone;
-              });
-    if (gone == this->entries.end())
+    const std::set<InstanceId> &gone = this->inState(MemberState::Gone);
+    if (gone.empty())
         return false;
-    this->entries.erase(gone);
+    this->erase(InstanceId(*gone.begin()));
     return true;
 }
 
+void MemberTable::enter(const Member &member)
+{
+    this->byState.at(static_cast<std::size_t>(member.state)).insert(member.identity.instance);
+    this->toggleInDigest(member);
+}
+
+void MemberTable::exit(const Member &member)
+{
+    this->byState.at(static_cast<std::size_t>(member.state)).erase(member.identity.instance);
+    this->toggleInDigest(member);
+}
+
 void MemberTable::toggleInDigest(const Member &member)
 {
     if (member.state != MemberState::Gone)
--- a/src/peer/member_table.hpp
+++ b/src/peer/member_table.hpp
@@ -6,10 +6,12 @@
 #include "peer/datagram.hpp"
 #include "peer/member.hpp"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bamboochute::peer {
@@ -111,6 +113,12 @@
     std::map<InstanceId, MemberEntry> &all() { return this->entries; }
     const std::map<InstanceId, MemberEntry> &all() const { return this->entries; }
 
+    /// @brief Members in a state, by name.
+    const std::set<InstanceId> &inState(MemberState state) const
+    {
+        return this->byState.at(static_cast<std::size_t>(state));
+    }
+
     /// @brief Raised with each change of who is reachable.
     std::uint64_t generation() const noexcept { return this->changeCount; }
 
@@ -130,6 +138,9 @@
     void replaceProcess(TimePoint now, MemberEntry &entry, const MemberUpdate &update,
                         TableChanges &changes);
     bool makeRoom();
+    void erase(const InstanceId &instance);
+    void enter(const Member &member);
+    void exit(const Member &member);
     void toggleInDigest(const Member &member);
 
     InstanceId self;
@@ -137,6 +148,7 @@
     Duration goneRetention;
     std::map<InstanceId, MemberEntry> entries;
     std::map<Endpoint, InstanceId> byEndpoint;
+    std::array<std::set<InstanceId>, memberStateCount> byState;
     std::deque<News> news;
     TableDigest buckets{};
     std::uint64_t changeCount = 0;
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -373,10 +373,8 @@
 
 std::size_t Membership::reachableCount() const
 {
-    const auto &all = this->table.all();
-    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto &each) {
-        return isReachable(each.second.member.state);
-    }));
+    return this->table.inState(MemberState::Alive).size()
+           + this->table.inState(MemberState::Suspected).size();
 }
 
 std::uint64_t Membership::count(MembershipCount which) const
--- a/src/peer/membership_list.cpp
+++ b/src/peer/membership_list.cpp
@@ -106,9 +106,8 @@
 void Membership::judgeListed(TimePoint now, MembershipActions &actions)
 {
     std::vector<std::pair<InstanceId, GoneEvidence>> ended;
-    for (const auto &[instance, entry] : this->table.all()) {
-        if (entry.member.state != MemberState::Unreachable)
-            continue;
+    for (const InstanceId &instance : this->table.inState(MemberState::Unreachable)) {
+        const MemberEntry &entry = *this->table.find(instance);
         if (entry.listed != GoneEvidence::None)
             ended.emplace_back(instance, entry.listed);
         else if (this->isAbsenceProof(now, entry))
--- a/src/peer/membership_probing.cpp
+++ b/src/peer/membership_probing.cpp
@@ -59,10 +59,8 @@
     this->countUp(MembershipCount::SelfPaused);
     this->probes.clear();
     this->relayedProbes.clear();
-    for (auto &[instance, entry] : this->table.all()) {
-        if (entry.member.state == MemberState::Suspected)
-            entry.stateSince += gap;
-    }
+    for (const InstanceId &instance : this->table.inState(MemberState::Suspected))
+        this->table.find(instance)->stateSince += gap;
 }
 
 void Membership::startProbe(TimePoint now, const InstanceId &target, MembershipActions &actions)
@@ -210,9 +208,8 @@
 void Membership::judgeSuspects(TimePoint now, MembershipActions &actions)
 {
     std::vector<InstanceId> silent;
-    for (const auto &[instance, entry] : this->table.all()) {
-        const bool isSuspected = entry.member.state == MemberState::Suspected;
-        if (isSuspected && now - entry.stateSince >= this->suspicionTime())
+    for (const InstanceId &instance : this->table.inState(MemberState::Suspected)) {
+        if (now - this->table.find(instance)->stateSince >= this->suspicionTime())
             silent.push_back(instance);
     }
     for (const InstanceId &instance : silent) {
@@ -234,11 +231,8 @@
 
 void Membership::probeSuspects(TimePoint now, MembershipActions &actions)
 {
-    std::vector<InstanceId> suspects;
-    for (const auto &[instance, entry] : this->table.all()) {
-        if (entry.member.state == MemberState::Suspected)
-            suspects.push_back(instance);
-    }
+    const std::set<InstanceId> &suspected = this->table.inState(MemberState::Suspected);
+    const std::vector<InstanceId> suspects(suspected.begin(), suspected.end());
     const std::size_t offset = suspects.empty() ? 0 : this->random.below(suspects.size());
     for (std::size_t i = 0; i < std::min(suspects.size(), maxSuspectsProbed); ++i)
         this->startProbe(now, suspects[(offset + i) % suspects.size()], actions);
@@ -246,13 +240,11 @@
 
 void Membership::probeUnreachable(TimePoint now, MembershipActions &actions)
 {
-    std::vector<InstanceId> unreachable;
-    for (const auto &[instance, entry] : this->table.all()) {
-        if (entry.member.state == MemberState::Unreachable)
-            unreachable.push_back(instance);
-    }
-    if (!unreachable.empty())
-        this->startProbe(now, unreachable[this->random.below(unreachable.size())], actions);
+    const std::set<InstanceId> &unreachable = this->table.inState(MemberState::Unreachable);
+    if (unreachable.empty())
+        return;
+    const auto chosen = static_cast<std::ptrdiff_t>(this->random.below(unreachable.size()));
+    this->startProbe(now, InstanceId(*std::next(unreachable.begin(), chosen)), actions);
 }
 
 void Membership::contactSeeds(TimePoint now, MembershipActions &actions)
