--- a/bench/experiment-membership.cpp
+++ b/bench/experiment-membership.cpp
@@ -222,8 +222,8 @@
 const RegisterExperiment registered("membership",
                                     "Failure detection, spread of state, and their cost",
                                     runMembership);
-const RegisterExperiment registeredWays("membership-ways",
-                                        "Epidemic, full mesh and tree compared", runWays);
+const RegisterExperiment registeredWays("membership-ways", "Epidemic, full mesh and tree compared",
+                                        runWays);
 
 } // namespace
 
--- a/bench/experiment-overhead.cpp
+++ b/bench/experiment-overhead.cpp
@@ -141,10 +141,10 @@
 {
     const std::string body = chatBody(false);
     const TimePoint deadline = SteadyClock().now() + std::chrono::seconds(10);
-    const auto answer = co_await upstream::exchange(loop.pool, to, requestHead(body.size()), body,
-                                                    deadline, 1 << 20,
-                                                    upstream::ConnectionUse::Any);
-    co_return answer && answer.value().status == 200;
+    const auto answer
+            = co_await upstream::exchange(loop.pool, to, requestHead(body.size()), body, deadline,
+                                          1 << 20, upstream::ConnectionUse::Any);
+    co_return answer &&answer.value().status == 200;
 }
 
 /// Engines and one server with one traffic thread before them.
@@ -205,8 +205,8 @@
     {
         if (this->millis.empty())
             return 0;
-        const auto place = static_cast<std::ptrdiff_t>(
-                share * static_cast<double>(this->millis.size() - 1));
+        const auto place
+                = static_cast<std::ptrdiff_t>(share * static_cast<double>(this->millis.size() - 1));
         std::nth_element(this->millis.begin(), this->millis.begin() + place, this->millis.end());
         return this->millis[static_cast<std::size_t>(place)];
     }
@@ -260,8 +260,7 @@
 };
 
 Awaitable<void> saturatedConnection(Loop &loop, Endpoint to, std::uint64_t &done,
-                                    const std::atomic<bool> &isOver,
-                                    std::atomic<std::size_t> &open)
+                                    const std::atomic<bool> &isOver, std::atomic<std::size_t> &open)
 {
     while (!isOver) {
         const bool isOk = co_await callOnce(loop, to);
@@ -386,8 +385,7 @@
                 this->engines.push_back(
                         std::make_unique<fakes::FakeEngine>(loop.context, settings));
                 this->engines.back()->state().preload({ModelId("small"), AdapterId()}, Bytes{1});
-                this->endpoints.push_back(
-                        this->engines.back()->listen({"127.0.0.1", 0}).value());
+                this->endpoints.push_back(this->engines.back()->listen({"127.0.0.1", 0}).value());
             });
         }
     }
@@ -415,8 +413,8 @@
         runPaced(client, engines.endpoints[0], direct);
         runPaced(client, node.endpoint, through);
     }
-    report.table += fmt::format("{:>10} {:>12} {:>12} {:>12}\n", "ms", "direct", "through",
-                                "added");
+    report.table
+            += fmt::format("{:>10} {:>12} {:>12} {:>12}\n", "ms", "direct", "through", "added");
     for (const auto &[name, share] : {std::pair("p50", 0.5), {"p99", 0.99}, {"p999", 0.999}}) {
         const double before = direct.quantile(share);
         const double after = through.quantile(share);
@@ -439,8 +437,7 @@
     const Throughput through = runSaturated(client, node.endpoint);
     report.table += fmt::format("\n{:>10} {:>12} {:>12} {:>12}\n", "", "requests/s", "cores",
                                 "per core");
-    for (const auto &[name, result] :
-         {std::pair("direct", direct), std::pair("through", through)})
+    for (const auto &[name, result] : {std::pair("direct", direct), std::pair("through", through)})
         report.table += fmt::format("{:>10} {:>12.0f} {:>12.2f} {:>12.0f}\n", name,
                                     result.perSecond, result.cores, result.perCore());
     report.figure("direct_requests_per_core", direct.perCore(), "1/s");
@@ -476,9 +473,10 @@
     return report;
 }
 
-const RegisterExperiment registration(
-        "overhead", "What one node adds to an engine: latency, processor time, streamed tokens.",
-        &runOverhead);
+const RegisterExperiment
+        registration("overhead",
+                     "What one node adds to an engine: latency, processor time, streamed tokens.",
+                     &runOverhead);
 
 } // namespace
 
--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -14,6 +14,7 @@
 
 using upstream::Awaitable;
 
+constexpr Duration joinPeriod = std::chrono::milliseconds(5);
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusBadRequest = 400;
@@ -99,6 +100,7 @@
                     jsonAnswer(statusUnauthorized, R"({"error":"unknown sender"})"));
             co_return;
         }
+        co_await this->joinTransfer(order);
         std::optional<upstream::OrderOutcome> outcome = this->state.begin(order);
         if (!outcome) {
             co_await this->transfer(order);
@@ -107,6 +109,13 @@
         co_await call.writer.write(writeOutcome(this->state.settings().vendor, *outcome));
     }
 
+    /// Waits for the load of a target that is ordered again; it is done when the first one is.
+    Awaitable<void> joinTransfer(const upstream::Order &order)
+    {
+        while (this->state.isTransferring(order))
+            co_await pauseFor(this->context, joinPeriod);
+    }
+
     /// The time that a load takes.
     Awaitable<void> transfer(const upstream::Order &order)
     {
--- a/fakes/engine_state.cpp
+++ b/fakes/engine_state.cpp
@@ -69,6 +69,15 @@
     return std::nullopt;
 }
 
+bool EngineState::isTransferring(const Order &order) const
+{
+    const bool isLoad = order.kind == OrderKind::LoadModel || order.kind == OrderKind::LoadAdapter;
+    const bool isOld = order.fence < this->fence && this->configured.fencing == Fencing::Refuses;
+    const auto found = this->placements.find(order.target);
+    return isLoad && !isOld && found != this->placements.end()
+           && found->second.state == upstream::PlacementState::Loading;
+}
+
 OrderOutcome EngineState::finish(const Order &order)
 {
     if (order.kind == OrderKind::Unload) {
--- a/fakes/engine_state.hpp
+++ b/fakes/engine_state.hpp
@@ -78,6 +78,9 @@
     /// @return nothing when it goes on and finish() is to be called, else its outcome
     std::optional<upstream::OrderOutcome> begin(const upstream::Order &order);
 
+    /// @brief Whether the order is a load of a target that is being loaded already.
+    bool isTransferring(const upstream::Order &order) const;
+
     /// @brief Ends an order that begin() let go on.
     upstream::OrderOutcome finish(const upstream::Order &order);
 
