Look classes up by identifier, and make room for headers at once

Cause: a request copied its caller class and compared all of its members, and headers grew by many small allocations; after a change of configuration a waiting request's old class could contradict the check that an upstream can be picked, which would have stopped the process. Change: AdmissionRequest names its class; the query takes headroom and overflow from the configuration in force, both for the check and for the choice. Header lists and request heads reserve their usual size.

--- a/bench/experiment-overhead.cpp
+++ b/bench/experiment-overhead.cpp
@@ -32,7 +32,8 @@
 constexpr auto pacedTime = std::chrono::seconds(4);
 constexpr int pacedRounds = 3;
 constexpr std::size_t pacedConnections = 64;
-constexpr auto saturatedTime = std::chrono::seconds(4);
+constexpr auto saturatedTime = std::chrono::seconds(2);
+constexpr int saturatedRounds = 4;
 constexpr std::size_t saturatedConnections = 32;
 constexpr auto streamTime = std::chrono::seconds(6);
 constexpr std::size_t streamsPerLoop = 32;
@@ -141,10 +142,10 @@
 {
     const std::string body = chatBody(false);
     const TimePoint deadline = SteadyClock().now() + std::chrono::seconds(10);
-    const auto answer = co_await upstream::exchange(loop.pool, to, requestHead(body.size()), body,
-                                                    deadline, 1 << 20,
-                                                    upstream::ConnectionUse::Any);
-    co_return answer && answer.value().status == 200;
+    const auto answer
+            = co_await upstream::exchange(loop.pool, to, requestHead(body.size()), body, deadline,
+                                          1 << 20, upstream::ConnectionUse::Any);
+    co_return answer &&answer.value().status == 200;
 }
 
 /// Engines and one server with one traffic thread before them.
@@ -205,8 +206,8 @@
     {
         if (this->millis.empty())
             return 0;
-        const auto place = static_cast<std::ptrdiff_t>(
-                share * static_cast<double>(this->millis.size() - 1));
+        const auto place
+                = static_cast<std::ptrdiff_t>(share * static_cast<double>(this->millis.size() - 1));
         std::nth_element(this->millis.begin(), this->millis.begin() + place, this->millis.end());
         return this->millis[static_cast<std::size_t>(place)];
     }
@@ -252,16 +253,19 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
 }
 
+/// Requests, and the time and processor time that they took over all rounds.
 struct Throughput
 {
-    double perSecond = 0;
-    double cores = 0;
-    double perCore() const { return this->perSecond / this->cores; }
+    double requests = 0;
+    double seconds = 0;
+    double cpuSeconds = 0;
+    double perSecond() const { return this->requests / this->seconds; }
+    double cores() const { return this->cpuSeconds / this->seconds; }
+    double perCore() const { return this->requests / this->cpuSeconds; }
 };
 
 Awaitable<void> saturatedConnection(Loop &loop, Endpoint to, std::uint64_t &done,
-                                    const std::atomic<bool> &isOver,
-                                    std::atomic<std::size_t> &open)
+                                    const std::atomic<bool> &isOver, std::atomic<std::size_t> &open)
 {
     while (!isOver) {
         const bool isOk = co_await callOnce(loop, to);
@@ -270,7 +274,7 @@
     --open;
 }
 
-Throughput runSaturated(Loop &loop, const Endpoint &to)
+void runSaturated(Loop &loop, const Endpoint &to, Throughput &into)
 {
     std::atomic<std::size_t> open{saturatedConnections};
     std::atomic<bool> isOver{false};
@@ -287,10 +291,9 @@
     while (open > 0)
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begin;
-    Throughput result;
-    result.perSecond = static_cast<double>(done) / took.count();
-    result.cores = (processCpuSeconds() - cpuBefore) / took.count();
-    return result;
+    into.requests += static_cast<double>(done);
+    into.seconds += took.count();
+    into.cpuSeconds += processCpuSeconds() - cpuBefore;
 }
 
 std::uint64_t countEvents(std::string_view text)
@@ -386,8 +389,7 @@
                 this->engines.push_back(
                         std::make_unique<fakes::FakeEngine>(loop.context, settings));
                 this->engines.back()->state().preload({ModelId("small"), AdapterId()}, Bytes{1});
-                this->endpoints.push_back(
-                        this->engines.back()->listen({"127.0.0.1", 0}).value());
+                this->endpoints.push_back(this->engines.back()->listen({"127.0.0.1", 0}).value());
             });
         }
     }
@@ -415,8 +417,8 @@
         runPaced(client, engines.endpoints[0], direct);
         runPaced(client, node.endpoint, through);
     }
-    report.table += fmt::format("{:>10} {:>12} {:>12} {:>12}\n", "ms", "direct", "through",
-                                "added");
+    report.table
+            += fmt::format("{:>10} {:>12} {:>12} {:>12}\n", "ms", "direct", "through", "added");
     for (const auto &[name, share] : {std::pair("p50", 0.5), {"p99", 0.99}, {"p999", 0.999}}) {
         const double before = direct.quantile(share);
         const double after = through.quantile(share);
@@ -435,14 +437,17 @@
     Engines engines(1, {});
     Node node(engines.endpoints);
     Loop client;
-    const Throughput direct = runSaturated(client, engines.endpoints[0]);
-    const Throughput through = runSaturated(client, node.endpoint);
+    Throughput direct;
+    Throughput through;
+    for (int round = 0; round < saturatedRounds; ++round) {
+        runSaturated(client, engines.endpoints[0], direct);
+        runSaturated(client, node.endpoint, through);
+    }
     report.table += fmt::format("\n{:>10} {:>12} {:>12} {:>12}\n", "", "requests/s", "cores",
                                 "per core");
-    for (const auto &[name, result] :
-         {std::pair("direct", direct), std::pair("through", through)})
+    for (const auto &[name, result] : {std::pair("direct", direct), std::pair("through", through)})
         report.table += fmt::format("{:>10} {:>12.0f} {:>12.2f} {:>12.0f}\n", name,
-                                    result.perSecond, result.cores, result.perCore());
+                                    result.perSecond(), result.cores(), result.perCore());
     report.figure("direct_requests_per_core", direct.perCore(), "1/s");
     report.figure("through_requests_per_core", through.perCore(), "1/s");
     report.figure("through_share_per_core", through.perCore() / direct.perCore(), "");
@@ -476,9 +481,10 @@
     return report;
 }
 
-const RegisterExperiment registration(
-        "overhead", "What one node adds to an engine: latency, processor time, streamed tokens.",
-        &runOverhead);
+const RegisterExperiment
+        registration("overhead",
+                     "What one node adds to an engine: latency, processor time, streamed tokens.",
+                     &runOverhead);
 
 } // namespace
 
--- a/src/caller/admission_control.cpp
+++ b/src/caller/admission_control.cpp
@@ -78,7 +78,8 @@
     return pool ? this->router.services(*pool) : this->router.replicas(target);
 }
 
-admission::RouteQuery AdmissionControl::query(const Target &target, const CallerClass &callerClass,
+admission::RouteQuery AdmissionControl::query(const DeploymentId &deploymentId,
+                                              const CallerClassId &classId, const Target &target,
                                               std::uint64_t prefix) const
 {
     admission::RouteQuery query;
@@ -86,9 +87,15 @@
     query.prefix = prefix;
     const std::uint32_t slots = this->router.slots(query.candidates);
     for (const Deployment &deployment : this->snapshot->configuration->deployments) {
-        const auto &classes = deployment.callerClasses;
-        if (std::find(classes.begin(), classes.end(), callerClass) != classes.end())
+        if (deployment.id != deploymentId)
+            continue;
+        const std::vector<CallerClass> &classes = deployment.callerClasses;
+        for (const CallerClass &callerClass : classes) {
+            if (callerClass.id != classId)
+                continue;
             query.headroom = admission::headroomFor(callerClass, classes, slots);
+            query.overflow = admission::overflowFor(callerClass, classes);
+        }
     }
     return query;
 }
@@ -111,8 +118,7 @@
     ++this->usageOf(request.deployment, request.target).arrived;
     if (this->queueOf(request.deployment).waitingFor(request.target) > 0)
         return std::nullopt;
-    const UpstreamPointer picked = this->pick(
-            this->query(request.target, request.callerClass, request.prefix), timeNow());
+    const UpstreamPointer picked = this->pick(this->query(request), timeNow());
     if (!picked)
         return std::nullopt;
     ++this->usageOf(request.deployment, request.target).inFlight;
@@ -130,7 +136,7 @@
             return Error(ErrorKind::UpstreamUnavailable,
                          fmt::format("pool \"{}\" has no service", pool->value()));
         admission::WaitingRequest waiting;
-        waiting.callerClass = request.callerClass.id;
+        waiting.callerClass = request.callerClass;
         waiting.target = request.target;
         waiting.deadline = request.deadline;
         waiting.expectedService = this->expectedService(request.target, request.isStream);
@@ -181,7 +187,7 @@
 {
     const std::lock_guard lock(this->mutex);
     const TimePoint now = timeNow();
-    admission::RouteQuery query = this->query(request.target, request.callerClass, request.prefix);
+    admission::RouteQuery query = this->query(request);
     query.excluded = tried;
     std::optional<UpstreamId> next = this->router.pick(query, this->ejector, now);
     if (!next) {
@@ -315,16 +321,8 @@
     this->refuse(deployment, queue.expire(now), deferred);
     const auto canDispatch
             = [this, &deployment, now](const Target &target, const CallerClassId &callerClass) {
-                  for (const Deployment &known : this->snapshot->configuration->deployments) {
-                      if (known.id != deployment)
-                          continue;
-                      for (const CallerClass &settings : known.callerClasses) {
-                          if (settings.id == callerClass)
-                              return this->router.canPick(this->query(target, settings, 0),
-                                                          this->ejector, now);
-                      }
-                  }
-                  return false;
+                  return this->router.canPick(this->query(deployment, callerClass, target, 0),
+                                              this->ejector, now);
               };
     while (queue.size() > 0) {
         const std::optional<admission::QueuedRequest> next = queue.next(now, canDispatch);
@@ -332,8 +330,7 @@
             return;
         const QueuePlace place{deployment, next->ticket};
         const AdmissionRequest &request = this->waiters.at(place).request;
-        const UpstreamPointer picked
-                = this->pick(this->query(request.target, request.callerClass, request.prefix), now);
+        const UpstreamPointer picked = this->pick(this->query(request), now);
         BC_INVARIANT(picked != nullptr, "a request left the queue without an upstream");
         ++this->usageOf(deployment, request.target).inFlight;
         this->answer(place, picked, deferred);
@@ -370,7 +367,7 @@
     if (servicePool(waiter.request.target))
         return;
     waiter.hasDemand = true;
-    const ColdStartDemand demand{waiter.request.deployment, waiter.request.callerClass.id,
+    const ColdStartDemand demand{waiter.request.deployment, waiter.request.callerClass,
                                  waiter.request.target, waiter.request.deadline};
     deferred.emplace_back([this, ticket = waiter.publicTicket, demand] {
         const std::weak_ptr<AdmissionControl> self = this->weak_from_this();
--- a/src/caller/admission_control.hpp
+++ b/src/caller/admission_control.hpp
@@ -29,7 +29,7 @@
 struct AdmissionRequest
 {
     DeploymentId deployment;
-    CallerClass callerClass;
+    CallerClassId callerClass;
     Target target;
     TimePoint deadline;
     std::uint64_t prefix = 0;
@@ -150,8 +150,12 @@
     using Deferred = std::vector<std::function<void()>>;
 
     admission::RequestQueue &queueOf(const DeploymentId &deployment);
-    admission::RouteQuery query(const Target &target, const CallerClass &callerClass,
-                                std::uint64_t prefix) const;
+    admission::RouteQuery query(const DeploymentId &deployment, const CallerClassId &callerClass,
+                                const Target &target, std::uint64_t prefix) const;
+    admission::RouteQuery query(const AdmissionRequest &request) const
+    {
+        return this->query(request.deployment, request.callerClass, request.target, request.prefix);
+    }
     std::vector<UpstreamId> candidates(const Target &target) const;
     UpstreamPointer pick(const admission::RouteQuery &query, TimePoint now);
     Duration expectedService(const Target &target, bool isStream) const;
--- a/src/caller/admit.cpp
+++ b/src/caller/admit.cpp
@@ -42,8 +42,8 @@
 
 AdmissionRequest admissionRequest(const ClassifiedRequest &request, std::size_t bytes)
 {
-    return AdmissionRequest{request.deployment->id, *request.callerClass, request.target,
-                            request.deadline,       request.prefix(),     bytes,
+    return AdmissionRequest{request.deployment->id, request.callerClass->id, request.target,
+                            request.deadline,       request.prefix(),        bytes,
                             request.isStream()};
 }
 
--- a/src/caller/dispatch.cpp
+++ b/src/caller/dispatch.cpp
@@ -45,7 +45,7 @@
                                        const AdmissionRequest &admission, UpstreamPointer first)
 {
     AdmissionControl &control = *exchange.thread.server.admission;
-    control.firstAttempt(admission.callerClass.id, first->spec.id);
+    control.firstAttempt(admission.callerClass, first->spec.id);
     std::vector<UpstreamId> tried;
     UpstreamPointer next = std::move(first);
     while (true) {
@@ -59,7 +59,7 @@
             co_return exchange.cancelReason();
         admission::FailedAttempt failed;
         failed.reason = *attempt.failure;
-        failed.callerClass = admission.callerClass.id;
+        failed.callerClass = admission.callerClass;
         failed.isIdempotent = request.isIdempotent();
         failed.attempts = static_cast<std::uint32_t>(tried.size());
         failed.deadline = request.deadline;
--- a/src/caller/relay.cpp
+++ b/src/caller/relay.cpp
@@ -154,13 +154,15 @@
 
 } // namespace
 
-Answer answerFrom(const Dispatched &dispatched)
+Answer answerFrom(Dispatched &dispatched)
 {
+    constexpr std::size_t usualHeaderBytes = 256;
     const upstream::ParsedMessage &message = dispatched.call->answer();
     Answer answer;
     answer.status = message.status;
     answer.contentType.clear();
-    answer.body = dispatched.body;
+    answer.extraHeaders.reserve(usualHeaderBytes);
+    answer.body = std::move(dispatched.body);
     for (std::size_t i = 0; i < message.headers.size(); ++i) {
         const upstream::Header header = message.headers[i];
         const bool isOwn = upstream::sameHeaderName(header.name, "content-length")
--- a/src/caller/upstream_request.cpp
+++ b/src/caller/upstream_request.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,6 +18,7 @@
 using upstream::appendHeader;
 
 constexpr Duration cancelTimeout = std::chrono::seconds(1);
+constexpr std::size_t usualHeadBytes = 512;
 constexpr std::size_t maxCancelAnswerBytes = 4 << 10;
 
 /// Headers that are written by this program or must not leave it.
@@ -32,11 +34,11 @@
            && std::none_of(ownHeaders.begin(), ownHeaders.end(), isSame);
 }
 
-std::string requestLine(std::string_view method, std::string_view target,
-                        const UpstreamSpec &upstream)
+void appendRequestLine(std::string &head, std::string_view method, std::string_view target,
+                       const UpstreamSpec &upstream)
 {
-    return fmt::format("{} {} HTTP/1.1\r\nHost: {}:{}\r\n", method, target,
-                       upstream.endpoint.address, upstream.endpoint.port);
+    fmt::format_to(std::back_inserter(head), "{} {} HTTP/1.1\r\nHost: {}:{}\r\n", method, target,
+                   upstream.endpoint.address, upstream.endpoint.port);
 }
 
 void appendEngineHeaders(std::string &head, const ClassifiedRequest &request,
@@ -66,7 +68,9 @@
                          const UpstreamSpec &upstream, std::string_view resumeAfter)
 {
     const upstream::ParsedMessage &message = exchange.request.message;
-    std::string head = requestLine(message.method, message.target, upstream);
+    std::string head;
+    head.reserve(usualHeadBytes);
+    appendRequestLine(head, message.method, message.target, upstream);
     if (std::holds_alternative<GenerationCall>(request.call))
         appendEngineHeaders(head, request, upstream, resumeAfter);
     else
@@ -84,7 +88,8 @@
     const RequestId id(exchange.writer.requestId());
     const upstream::DialectCall call = upstream::withDialect(
             upstream.vendor, [&](auto dialect) { return decltype(dialect)::cancelCall(id); });
-    std::string head = requestLine(call.method, call.target, upstream);
+    std::string head;
+    appendRequestLine(head, call.method, call.target, upstream);
     appendHeader(head, "Content-Type", "application/json");
     appendHeader(head, "Content-Length", std::to_string(call.body.size()));
     const std::string &credential = exchange.thread.server.settings.orderCredential;
--- a/src/upstream/header_list.cpp
+++ b/src/upstream/header_list.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// Room made at once, so that most messages take one allocation each for text and places.
+constexpr std::size_t usualTextBytes = 512;
+constexpr std::size_t usualHeaders = 16;
+
 char lower(char character) noexcept
 {
     return character >= 'A' && character <= 'Z' ? static_cast<char>(character + ('a' - 'A'))
@@ -17,6 +21,10 @@
 
 void HeaderList::add(std::string_view name, std::string_view value)
 {
+    if (this->places.empty()) {
+        this->text.reserve(usualTextBytes);
+        this->places.reserve(usualHeaders);
+    }
     Place place{};
     place.nameBegin = static_cast<std::uint32_t>(this->text.size());
     this->text += name;
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -149,6 +149,9 @@
 Awaitable<CallResult<std::string>> UpstreamCall::readWholeBody(std::size_t maxBytes)
 {
     std::string body;
+    const boost::optional<std::uint64_t> length = this->parser->content_length();
+    if (length && *length <= maxBytes)
+        body.reserve(static_cast<std::size_t>(*length));
     while (this->hasFreshPieces || !this->parser->is_done()) {
         const CallResult<bool> more = co_await this->readBody();
         if (!more)
