--- a/bench/experiment-overhead.cpp
+++ b/bench/experiment-overhead.cpp
@@ -32,7 +32,8 @@
 constexpr auto pacedTime = std::chrono::seconds(4);
 constexpr int pacedRounds = 3;
 constexpr std::size_t pacedConnections = 64;
-constexpr auto saturatedTime = std::chrono::seconds(4);
+constexpr auto saturatedTime = std::chrono::seconds(2);
+constexpr int saturatedRounds = 4;
 constexpr std::size_t saturatedConnections = 32;
 constexpr auto streamTime = std::chrono::seconds(6);
 constexpr std::size_t streamsPerLoop = 32;
@@ -252,11 +253,15 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
 }
 
+/// Requests, and the time and processor time that they took over all rounds.
 struct Throughput
 {
-    double perSecond = 0;
-    double cores = 0;
-    double perCore() const { return this->perSecond / this->cores; }
+    double requests = 0;
+    double seconds = 0;
+    double cpuSeconds = 0;
+    double perSecond() const { return this->requests / this->seconds; }
+    double cores() const { return this->cpuSeconds / this->seconds; }
+    double perCore() const { return this->requests / this->cpuSeconds; }
 };
 
 Awaitable<void> saturatedConnection(Loop &loop, Endpoint to, std::uint64_t &done,
@@ -269,7 +274,7 @@
     --open;
 }
 
-Throughput runSaturated(Loop &loop, const Endpoint &to)
+void runSaturated(Loop &loop, const Endpoint &to, Throughput &into)
 {
     std::atomic<std::size_t> open{saturatedConnections};
     std::atomic<bool> isOver{false};
@@ -286,10 +291,9 @@
     while (open > 0)
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begin;
-    Throughput result;
-    result.perSecond = static_cast<double>(done) / took.count();
-    result.cores = (processCpuSeconds() - cpuBefore) / took.count();
-    return result;
+    into.requests += static_cast<double>(done);
+    into.seconds += took.count();
+    into.cpuSeconds += processCpuSeconds() - cpuBefore;
 }
 
 std::uint64_t countEvents(std::string_view text)
@@ -433,13 +437,17 @@
     Engines engines(1, {});
     Node node(engines.endpoints);
     Loop client;
-    const Throughput direct = runSaturated(client, engines.endpoints[0]);
-    const Throughput through = runSaturated(client, node.endpoint);
+    Throughput direct;
+    Throughput through;
+    for (int round = 0; round < saturatedRounds; ++round) {
+        runSaturated(client, engines.endpoints[0], direct);
+        runSaturated(client, node.endpoint, through);
+    }
     report.table += fmt::format("\n{:>10} {:>12} {:>12} {:>12}\n", "", "requests/s", "cores",
                                 "per core");
     for (const auto &[name, result] : {std::pair("direct", direct), std::pair("through", through)})
         report.table += fmt::format("{:>10} {:>12.0f} {:>12.2f} {:>12.0f}\n", name,
-                                    result.perSecond, result.cores, result.perCore());
+                                    result.perSecond(), result.cores(), result.perCore());
     report.figure("direct_requests_per_core", direct.perCore(), "1/s");
     report.figure("through_requests_per_core", through.perCore(), "1/s");
     report.figure("through_share_per_core", through.perCore() / direct.perCore(), "");
