--- a/bench/decision_random.hpp
+++ b/bench/decision_random.hpp
@@ -458,7 +458,7 @@
     {
         if (!instance.isAlive || instance.isPaused)
             return;
-        this->world.tell(instance, decision::HandOver{});
+        this->world.stop(instance);
         this->world.scheduler.after(std::chrono::seconds(3),
                                     [this, &instance] { this->killFor(instance, 5); });
     }
--- a/bench/decision_world.hpp
+++ b/bench/decision_world.hpp
@@ -56,6 +56,8 @@
     std::unique_ptr<decision::PoolController> controller;
     bool isAlive = true;
     bool isPaused = false;
+    /// It was told to stop, and membership says so.
+    bool isLeaving = false;
     /// Work that waits for the end of a pause.
     std::vector<std::function<void()>> deferred;
     /// Instances that this one suspects.
@@ -135,6 +137,20 @@
         }
     }
 
+    /// @brief Tells a process to stop; membership spreads it.
+    void stop(InstanceFake &instance)
+    {
+        this->note("stop {}", instance.id.value());
+        instance.isLeaving = true;
+        this->tell(instance, decision::HandOver{});
+        for (InstanceFake &other : this->instances) {
+            this->scheduler.after(Duration(this->below(1000000)), [this, &other] {
+                if (other.isAlive)
+                    this->chooseCandidate(other);
+            });
+        }
+    }
+
     /// @brief Starts a process again under the instance's name.
     void restart(InstanceFake &instance)
     {
@@ -142,6 +158,7 @@
         const decision::Sender before{instance.id, instance.incarnation};
         instance.incarnation = instance.incarnation.next();
         instance.isAlive = true;
+        instance.isLeaving = false;
         instance.suspects.clear();
         this->boot(instance);
         for (InstanceFake &other : this->instances) {
@@ -435,7 +452,7 @@
     {
         InstanceId first;
         for (const InstanceFake &other : this->instances) {
-            if (!instance.suspects.contains(other.id)) {
+            if (!instance.suspects.contains(other.id) && !other.isLeaving) {
                 first = other.id;
                 break;
             }
--- a/bench/experiment-cold-start.cpp
+++ b/bench/experiment-cold-start.cpp
@@ -1,4 +1,5 @@
 #include "cold_start_baselines.hpp"
+#include "cold_start_scenarios.hpp"
 #include "experiment.hpp"
 
 #include "core/log.hpp"
@@ -125,6 +126,88 @@
     report.atMost(name + "_refused_in_vain", 0.1);
 }
 
+void addTakeover(Report &report, std::uint64_t seed)
+{
+    constexpr std::uint64_t rounds = 10;
+    for (const bool isGraceful : {false, true}) {
+        double longest = 0.0;
+        std::uint64_t twice = 0;
+        for (std::uint64_t round = 0; round < rounds; ++round) {
+            const std::uint64_t roundSeed = seed * rounds + round;
+            WorldSettings settings = settingsFor(configurationOf(instituto(), seed), roundSeed,
+                                                 decision::KeepAlive::Predicted);
+            settings.idleTick = 1s;
+            const TakeoverResult result = endOwnerMidLoad(settings, isGraceful);
+            longest = std::max(longest, result.seconds);
+            const bool isWhole = result.isServed && result.isBoundKept && result.loadsBegun == 2;
+            twice += isWhole ? 0 : 1;
+        }
+        const std::string name = isGraceful ? "takeover_after_stop" : "takeover_after_kill";
+        report.figure(name, longest, "s");
+        report.atMost(name, isGraceful ? 3.0 : 5.0);
+        report.figure(name + "_not_exactly_once", static_cast<double>(twice), "loads");
+        report.atMost(name + "_not_exactly_once", 0);
+    }
+}
+
+void addOutage(Report &report, const DeploymentShape &shape, std::uint64_t seed)
+{
+    const Configuration configuration = configurationOf(shape, seed);
+    const auto trace = traceOf(shape, configuration, instanceCount, 2h, seed);
+    // Around an opening, when much is wanted at once.
+    const OutageResult result
+            = runOutage(settingsFor(configuration, seed, decision::KeepAlive::Predicted), trace,
+                        TimePoint() + 88min);
+    const std::string prefix = shape.name + "_outage_";
+    report.figure(prefix + "warm_requests", static_cast<double>(result.warm), "requests");
+    report.figure(prefix + "warm_failed", static_cast<double>(result.warmFailed), "requests");
+    report.atMost(prefix + "warm_failed", 0);
+    report.figure(prefix + "cold_requests", static_cast<double>(result.cold), "requests");
+    report.figure(prefix + "cold_served",
+                  100.0 * static_cast<double>(result.coldServed)
+                          / static_cast<double>(std::max<std::uint64_t>(1, result.cold)),
+                  "%");
+    report.figure(prefix + "late", static_cast<double>(result.late), "requests");
+    report.figure(prefix + "bounds_kept", result.isBoundKept ? 1 : 0, "yes");
+    report.atLeast(prefix + "bounds_kept", 1);
+}
+
+void addCalls(Report &report, const DeploymentShape &shape, std::uint64_t seed)
+{
+    // Targets at the target size, the share of them that wakes up or falls idle in an hour, and
+    // the rates of the service.
+    constexpr double targetTargets = 22270;
+    constexpr double changingShare = 0.13;
+    constexpr double writesAllowed = 300;
+    constexpr Duration length = 1h;
+    CallSlope slope;
+    for (const int factor : {1, 2, 4}) {
+        const DeploymentShape sized = scaled(shape, factor);
+        const Configuration configuration = configurationOf(sized, seed);
+        ColdStartRun run(settingsFor(configuration, seed, decision::KeepAlive::Predicted),
+                         traceOf(sized, configuration, instanceCount, length, seed), TimePoint());
+        run.start();
+        run.runUntil(TimePoint() + length);
+        ColdStartResult result = run.result(TimePoint() + length);
+        const double changes = static_cast<double>(result.counters["loads_ordered"]
+                                                   + result.counters["unloads_ordered"]);
+        slope.loadsPerSecond.push_back(changes / toSeconds(length));
+        slope.callsPerSecond.push_back(result.keyValueCallsPerSecond);
+        const std::string name = fmt::format("{}_calls_at_{}_workers", shape.name, sized.workers);
+        report.figure(name, result.keyValueCallsPerSecond, "calls/s");
+        for (const auto &[purpose, calls] : result.callsByPurpose) {
+            if (factor == 1 && calls > 0.0)
+                report.figure(name + "_" + purpose, calls, "calls/s");
+        }
+    }
+    report.atMost(fmt::format("{}_calls_at_{}_workers", shape.name, shape.workers),
+                  writesAllowed / 2);
+    report.figure(shape.name + "_calls_per_change", slope.perLoad(), "calls");
+    const double changesAtTarget = targetTargets * changingShare / 3600.0;
+    report.figure(shape.name + "_calls_at_target", slope.perLoad() * changesAtTarget, "calls/s");
+    report.atMost(shape.name + "_calls_at_target", writesAllowed / 2);
+}
+
 Report runColdStart(const ExperimentArguments &arguments)
 {
     configureLog("bench", LogLevel::Critical);
@@ -139,6 +222,11 @@
     addFigures(report, "glassmark", drafting);
     report.atMost("glassmark_idle_product_over_fixed", 0.5);
     report.atMost("glassmark_p99_product_over_fixed", 1.0);
+    addTakeover(report, arguments.seed);
+    for (const DeploymentShape &shape : {instituto(), glassmark()}) {
+        addOutage(report, shape, arguments.seed);
+        addCalls(report, shape, arguments.seed);
+    }
     return report;
 }
 
--- a/src/decision/ledger_writer.cpp
+++ b/src/decision/ledger_writer.cpp
@@ -32,6 +32,7 @@
     this->isReadBackWanted = false;
     this->isFlushing = false;
     this->hasFailed = false;
+    this->silentSince.reset();
     this->notBefore = {};
 }
 
@@ -69,6 +70,13 @@
     return isWaiting || this->hasFailed;
 }
 
+Duration LedgerWriter::silence(TimePoint now) const
+{
+    if (this->silentSince)
+        return now - *this->silentSince;
+    return this->isInFlight ? now - this->submittedAt : Duration{};
+}
+
 std::optional<platform::Transaction> LedgerWriter::next(const Ledger &ledger, TimePoint now)
 {
     if (this->isInFlight || now < this->notBefore)
@@ -90,12 +98,15 @@
         this->readBackCount += isUnknown && !this->isReadBack ? 1 : 0;
         this->isReadBackWanted = this->isReadBackWanted || isUnknown;
         this->hasFailed = true;
+        if (!this->silentSince)
+            this->silentSince = this->submittedAt;
         this->notBefore = now + this->policy.retryPause;
         for (const UpstreamId &upstream : this->sent)
             this->entries[upstream].isUrgent = true;
         return WriterChange::None;
     }
     this->hasFailed = false;
+    this->silentSince.reset();
     if (this->isReadBack || !result.value().succeeded) {
         this->isReadBackWanted = false;
         return this->takeRead(result.value().found);
--- a/src/decision/ledger_writer.hpp
+++ b/src/decision/ledger_writer.hpp
@@ -48,6 +48,9 @@
     /// @brief Whether the service doesn't answer, so that the owner decides without it.
     bool isServiceSlow(TimePoint now) const;
 
+    /// @brief How long the service has not answered; zero while it does.
+    Duration silence(TimePoint now) const;
+
     /// @brief The next transaction to submit, if any.
     std::optional<platform::Transaction> next(const Ledger &ledger, TimePoint now);
 
@@ -89,6 +92,8 @@
     bool isFlushing = false;
     bool hasFailed = false;
     TimePoint submittedAt;
+    /// When the first of the transactions was submitted that had no answer since.
+    std::optional<TimePoint> silentSince;
     TimePoint notBefore;
     std::uint64_t writes = 0;
     std::uint64_t readBackCount = 0;
--- a/src/decision/pool_controller.cpp
+++ b/src/decision/pool_controller.cpp
@@ -13,6 +13,8 @@
 using namespace std::chrono_literals;
 
 /// Longest list that is taken from one report.
+/// Contradicting reports make an upstream be asked for its inventory at most this often.
+constexpr Duration reportInquiryInterval = 30s;
 constexpr std::size_t maxReportEntries = 4096;
 
 } // namespace
@@ -198,7 +200,8 @@
     if (!isContradicted || !isSettled)
         return;
     this->count("reports_contradicting");
-    if (runtime.inquiry == Inquiry::None && this->now >= runtime.inquiryNotBefore)
+    const bool isDue = this->now - runtime.inventoryAt >= reportInquiryInterval;
+    if (runtime.inquiry == Inquiry::None && isDue)
         this->wantInventory(event.upstream, Duration{});
 }
 
--- a/src/decision/pool_loading.cpp
+++ b/src/decision/pool_loading.cpp
@@ -15,6 +15,10 @@
 constexpr Duration reservationTime = 30s;
 /// Refusals for one target are at least this far apart.
 constexpr Duration refusalInterval = 100ms;
+/// Without the key-value service for this long, what can't be loaded without it is refused.
+constexpr Duration outagePatience = 3s;
+/// A refusal for want of room comes at least this long before the deadline.
+constexpr Duration leastNotice = 1s;
 /// A target loaded ahead stays at least this long.
 constexpr Duration aheadResidency = 60s;
 /// Share of the expected load time below which a refusal is certain enough.
@@ -64,8 +68,13 @@
                              TimePoint::max()});
         return;
     }
-    if (!demand.target.adapter.isEmpty())
+    if (!demand.target.adapter.isEmpty()) {
         this->meetBase(demand);
+        if (this->isBlockedByOutage(Target{demand.target.model, {}})) {
+            this->refuseInOutage(demand);
+            return;
+        }
+    }
     if (!this->isMet(demand))
         this->place(demand, true);
 }
@@ -153,7 +162,10 @@
         choice = choosePlacement(question, this->ledger, conditions, this->victims());
     if (!choice) {
         this->count("loads_without_room");
-        this->refuseHopeless(demand, this->now + question.times.remote);
+        if (this->isBlockedByOutage(demand.target))
+            this->refuseInOutage(demand);
+        else
+            this->refuseHopeless(demand, this->now + std::max(question.times.remote, leastNotice));
         return;
     }
     if (choice->victims.empty()) {
@@ -195,6 +207,36 @@
     return true;
 }
 
+bool PoolController::State::isBlockedByOutage(const Target &target) const
+{
+    if (this->writer.silence(this->now) <= outagePatience)
+        return false;
+    for (const auto &[id, runtime] : this->runtime) {
+        if (this->ledger.find(id, target) != nullptr)
+            return false;
+    }
+    PlacementQuestion question{target, {}, this->loadTimesOf(target), true};
+    const auto conditions = this->conditions();
+    const auto victims = this->victims();
+    const auto fenced = choosePlacement(question, this->ledger, conditions, victims);
+    question.isFencingRequired = false;
+    return !fenced && choosePlacement(question, this->ledger, conditions, victims);
+}
+
+void PoolController::State::refuseInOutage(const WaitingDemand &demand)
+{
+    if (demand.waiting == 0)
+        return;
+    this->count("refusals_in_outage");
+    this->demand.refused(demand.target, TimePoint::max());
+    this->actions.push_back(RefuseDemand{
+            this->settings.pool, demand.target,
+            Error(ErrorKind::ColdStartUnavailable,
+                  fmt::format("model \"{}\" can't be loaded while the key-value service is out",
+                              demand.target.model.value())),
+            TimePoint::max()});
+}
+
 void PoolController::State::refuseHopeless(const WaitingDemand &demand, TimePoint readyAt)
 {
     const auto wait = std::chrono::duration_cast<Duration>((readyAt - this->now) * hopelessShare);
--- a/src/decision/pool_orders.cpp
+++ b/src/decision/pool_orders.cpp
@@ -13,7 +13,7 @@
 
 /// Pause before a refused load of a target is tried again at the same upstream.
 constexpr Duration refusedLoadPause = 5s;
-/// Pause before an upstream is asked for its inventory again after it gave one.
+/// Pause before a distrusted upstream is asked for its inventory again.
 constexpr Duration inventoryPause = 30s;
 /// Pause before an upstream is asked whether a load ended that may not be ordered again.
 constexpr Duration beyondBoundPause = 2s;
@@ -104,7 +104,7 @@
 {
     UpstreamRuntime &runtime = this->runtimeOf(upstream);
     runtime.inquiry = Inquiry::Wanted;
-    runtime.inquiryNotBefore = std::max(runtime.inquiryNotBefore, this->now + pause);
+    runtime.inquiryNotBefore = this->now + pause;
     this->withdrawWaiting(upstream);
 }
 
@@ -290,7 +290,7 @@
     const InventoryFindings findings
             = this->ledger.takeInventory(upstream, runtime.wireFence, *event.inventory);
     runtime.inquiry = Inquiry::None;
-    runtime.inquiryNotBefore = this->now + inventoryPause;
+    runtime.inventoryAt = this->now;
     this->count("inventories_taken");
     this->count("inventory_unknown_targets", findings.unknownTargets);
     this->count("inventory_unrecorded_targets", findings.unrecordedTargets);
@@ -381,7 +381,8 @@
             = this->ledger.replicas(target) > this->ledger.view()->targets.at(target).maxReplicas;
     if (isBeyondBound) {
         // It may be loading already; another order could begin one load too many.
-        this->wantInventory(upstream, beyondBoundPause);
+        if (this->now - this->runtimeOf(upstream).inventoryAt >= beyondBoundPause)
+            this->wantInventory(upstream, Duration{});
         return;
     }
     const Target base{target.model, {}};
--- a/src/decision/pool_state.hpp
+++ b/src/decision/pool_state.hpp
@@ -39,6 +39,8 @@
     Fence wireFence;
     Inquiry inquiry = Inquiry::None;
     TimePoint inquiryNotBefore;
+    /// When the last inventory was taken.
+    TimePoint inventoryAt;
     TimePoint changedAt;
     UpstreamCondition condition;
     std::map<Target, ReplicaState> replicas;
@@ -144,6 +146,8 @@
     bool placeReserved(const WaitingDemand &demand);
     bool startLoad(const WaitingDemand &demand, const UpstreamId &upstream, CheckpointPlace place);
     void refuseHopeless(const WaitingDemand &demand, TimePoint readyAt);
+    bool isBlockedByOutage(const Target &target) const;
+    void refuseInOutage(const WaitingDemand &demand);
     void loadAhead(const Target &used);
     void loadMinimum();
     std::uint32_t inTransit(store::LoadKind kind) const;
