--- a/bench/cold_start_baselines.hpp
+++ b/bench/cold_start_baselines.hpp
@@ -19,6 +19,7 @@
                                                const StoreLimits &limits)
 {
     std::vector<const ColdEpisode *> inOrder;
+    inOrder.reserve(episodes.size());
     for (const ColdEpisode &episode : episodes)
         inOrder.push_back(&episode);
     std::stable_sort(inOrder.begin(), inOrder.end(), [](const auto *left, const auto *right) {
--- a/bench/cold_start_run.hpp
+++ b/bench/cold_start_run.hpp
@@ -236,7 +236,7 @@
     void serve(const TraceRequest &request)
     {
         const std::vector<UpstreamId> routes = this->world.routesOf(request.target);
-        const UpstreamId upstream = routes[this->world.below(routes.size())];
+        const UpstreamId &upstream = routes[this->world.below(routes.size())];
         if (!this->world.engines.at(upstream)->isLoaded(request.target)) {
             ++this->counted.failedWarm;
             return;
--- a/bench/decision_world.hpp
+++ b/bench/decision_world.hpp
@@ -580,6 +580,12 @@
                     });
         };
         const Duration travel(200 + this->below(800));
+        if (!this->engines.at(order.upstream)->isAlive) {
+            // No connection, so nothing was written that could arrive later.
+            this->scheduler.after(
+                    travel, [finish] { finish(decision::OrderOutcome::Refused, std::nullopt); });
+            return;
+        }
         if (isLost || isLate) {
             this->scheduler.after(std::chrono::seconds(3), [finish] {
                 finish(decision::OrderOutcome::Unconfirmed, std::nullopt);
--- a/bench/experiment-cold-start.cpp
+++ b/bench/experiment-cold-start.cpp
@@ -197,7 +197,7 @@
         report.figure(name, result.keyValueCallsPerSecond, "calls/s");
         for (const auto &[purpose, calls] : result.callsByPurpose) {
             if (factor == 1 && calls > 0.0)
-                report.figure(name + "_" + purpose, calls, "calls/s");
+                report.figure(fmt::format("{}_{}", name, purpose), calls, "calls/s");
         }
     }
     report.atMost(fmt::format("{}_calls_at_{}_workers", shape.name, shape.workers),
--- a/src/decision/keep_alive.cpp
+++ b/src/decision/keep_alive.cpp
@@ -66,8 +66,8 @@
         const auto found = this->targets.find(target);
         const auto &axis = this->all.axis(0);
         double total = 0.0;
-        for (int bin = -1; bin <= binCount; ++bin) {
-            const auto index = static_cast<std::size_t>(bin + 1);
+        std::size_t index = 0;
+        for (int bin = -1; bin <= binCount; ++bin, ++index) {
             const double prior = this->allWeight > 0.0
                                          ? priorWeight * this->all.at(bin) / this->allWeight
                                          : priorWeight / (binCount + 2);
