Measure hedging, and claims through relays, in the experiments

Cause: hedging was rejected without a measurement; the relay had no long run. Change: experiment "traffic" sends second attempts after 1.5 s to compare; "faults" runs 20,000 more operations through three writers and prints how many operations had a fault.

--- a/bench/claims_checks.hpp
+++ b/bench/claims_checks.hpp
@@ -19,6 +19,8 @@
     std::uint64_t unexplainedUnknown = 0;
     std::uint64_t otherWrong = 0;
     std::uint64_t operations = 0;
+    /// Operations of which a failure may hide the outcome.
+    std::uint64_t faulted = 0;
     std::uint64_t attempts = 0;
     std::uint64_t ran = 0;
     std::uint64_t replays = 0;
@@ -81,8 +83,10 @@
     /// @brief Counts the operations that were never resolved.
     ClaimsRunResult finish()
     {
-        for (const Operation &operation : this->operations)
+        for (const Operation &operation : this->operations) {
             this->result.otherWrong += operation.isResolved ? 0 : 1;
+            this->result.faulted += operation.isFaulted ? 1 : 0;
+        }
         this->result.operations = this->operations.size();
         this->result.attempts = this->attempts.size();
         return this->result;
--- a/bench/experiment-faults.cpp
+++ b/bench/experiment-faults.cpp
@@ -10,28 +10,32 @@
 namespace {
 
 constexpr std::uint64_t defaultOperations = 100000;
+/// Instances that write the claims of all in the second run, and its part of the operations.
+constexpr std::uint32_t relayWriters = 3;
+constexpr std::uint64_t relayedPart = 5;
 /// Transactions a second that the edges of the measured time may add.
 constexpr double groupingTolerance = 1.0;
 
-void reportClaims(Report &report, const ClaimsRunResult &result)
+void reportClaims(Report &report, const std::string &name, const ClaimsRunResult &result)
 {
-    report.figure("claims.operations", static_cast<double>(result.operations), "operations");
-    report.figure("claims.run_twice", static_cast<double>(result.runTwice), "operations");
-    report.figure("claims.false_not_run", static_cast<double>(result.falseNotRun), "answers");
-    report.figure("claims.unexplained_unknown", static_cast<double>(result.unexplainedUnknown),
+    report.figure(name + ".operations", static_cast<double>(result.operations), "operations");
+    report.figure(name + ".run_twice", static_cast<double>(result.runTwice), "operations");
+    report.figure(name + ".false_not_run", static_cast<double>(result.falseNotRun), "answers");
+    report.figure(name + ".unexplained_unknown", static_cast<double>(result.unexplainedUnknown),
                   "answers");
-    report.figure("claims.other_wrong", static_cast<double>(result.otherWrong), "answers");
-    report.atMost("claims.run_twice", 0);
-    report.atMost("claims.false_not_run", 0);
-    report.atMost("claims.unexplained_unknown", 0);
-    report.atMost("claims.other_wrong", 0);
+    report.figure(name + ".other_wrong", static_cast<double>(result.otherWrong), "answers");
+    report.atMost(name + ".run_twice", 0);
+    report.atMost(name + ".false_not_run", 0);
+    report.atMost(name + ".unexplained_unknown", 0);
+    report.atMost(name + ".other_wrong", 0);
     report.table += fmt::format(
-            "At most once: {} operations, {} attempts; {} ran, {} replays, {} not run, "
+            "At most once, {}: {} operations ({} with a fault), {} attempts; {} ran, {} replays, "
+            "{} not run, "
             "{} in progress, {} unknown, {} conflicts;\n"
             "{} kills, {} pauses, {} outages, {} lost answers, {} transactions\n",
-            result.operations, result.attempts, result.ran, result.replays, result.notRun,
-            result.inProgress, result.unknown, result.conflicts, result.kills, result.pauses,
-            result.outages, result.lostAnswers, result.transactions);
+            name, result.operations, result.faulted, result.attempts, result.ran, result.replays,
+            result.notRun, result.inProgress, result.unknown, result.conflicts, result.kills,
+            result.pauses, result.outages, result.lostAnswers, result.transactions);
 }
 
 void reportFailing(Report &report, const ExperimentArguments &arguments)
@@ -74,7 +78,10 @@
     settings.operations = arguments.steps == 0 ? defaultOperations : arguments.steps;
     settings.instances = 12;
     Report report;
-    reportClaims(report, ClaimsRun<admission::OperationClaims>(settings).run());
+    reportClaims(report, "claims", ClaimsRun<admission::OperationClaims>(settings).run());
+    settings.writers = relayWriters;
+    settings.operations /= relayedPart;
+    reportClaims(report, "relayed", ClaimsRun<admission::OperationClaims>(settings).run());
     reportFailing(report, arguments);
     reportGrouping(report, arguments);
     return report;
--- a/bench/experiment-traffic.cpp
+++ b/bench/experiment-traffic.cpp
@@ -155,6 +155,33 @@
     report.figure("routing.p99_over_round_robin", ours / roundRobin, "ratio");
 }
 
+/// Whether a second attempt at another upstream shortens the tail.
+void hedging(Report &report, const ExperimentArguments &arguments)
+{
+    TrafficSettings settings = baseSettings(arguments);
+    settings.classes = oneClass();
+    settings.slots = 8;
+    report.table
+            += "Hedging, upstreams of 8 slots (the second attempt takes as long as the first):\n";
+    for (const double slow : {1.0, 3.0}) {
+        for (const double load : {0.5, 0.7, 0.8}) {
+            for (const Duration after : {Duration(0s), Duration(1500ms)}) {
+                settings.slowFactor = slow;
+                settings.load = load;
+                settings.hedgeAfter = after;
+                const TrafficResult result = runTraffic(settings);
+                const ClassResult &each = result.classes.at(localShop);
+                report.table += fmt::format(
+                        "one upstream {:.0f} x slower, load {:.1f}, hedged after "
+                        "{:>4.0f} ms: p50 {:>6.1f} p99 {:>7.1f} ms, {} second "
+                        "attempts of {}\n",
+                        slow, load, milliseconds(after), milliseconds(quantile(each.latency, 0.5)),
+                        milliseconds(quantile(each.latency, 0.99)), result.hedges, each.offered);
+            }
+        }
+    }
+}
+
 void prefixes(Report &report, const ExperimentArguments &arguments)
 {
     TrafficSettings settings = baseSettings(arguments);
@@ -197,6 +224,7 @@
     overload(report, arguments);
     overloadElsewhere(report, arguments);
     routing(report, arguments);
+    hedging(report, arguments);
     prefixes(report, arguments);
     return report;
 }
--- a/bench/traffic_world.cpp
+++ b/bench/traffic_world.cpp
@@ -79,6 +79,12 @@
     }
 
 private:
+    struct Attempt
+    {
+        std::uint32_t upstream = 0;
+        JobPointer job;
+    };
+
     struct Request
     {
         CallerClassId callerClass;
@@ -86,6 +92,8 @@
         TimePoint arrival;
         TimePoint deadline;
         std::uint32_t book = 0;
+        double serviceSeconds = 0;
+        std::vector<Attempt> attempts;
         bool isMeasured = false;
         bool isDone = false;
     };
@@ -175,6 +183,9 @@
         request->arrival = this->time.now();
         request->deadline = this->time.now() + drawn.deadline;
         request->book = this->popularity.draw(this->random);
+        const double fixed = request->book == 0 ? 0.0 : this->settings.prefixSeconds;
+        request->serviceSeconds
+                = fixed + this->random.exponential(this->settings.meanServiceSeconds - fixed);
         request->isMeasured = this->time.now() >= this->measuredFrom;
         ClassResult &result = this->resultOf(*request);
         ++result.offered;
@@ -292,42 +303,71 @@
 
     void send(Instance &instance, const RequestPointer &request, std::uint32_t index)
     {
-        TrafficUpstream &upstream = *this->upstreams[index];
+        this->attempt(instance, request, index);
+        this->time.at(request->deadline, [this, &instance, request] {
+            if (request->isDone)
+                return;
+            ++this->resultOf(*request).cutAtDeadline;
+            this->finish(instance, request);
+        });
+        if (this->settings.hedgeAfter > Duration::zero())
+            this->time.after(this->settings.hedgeAfter,
+                             [=, this, &instance] { this->hedge(instance, request); });
+    }
+
+    void hedge(Instance &instance, const RequestPointer &request)
+    {
+        if (request->isDone)
+            return;
+        const UpstreamId &first = this->ids[request->attempts.front().upstream];
+        const admission::RouteQuery query{instance.router.replicas(target), 0, 0, 0, {first}};
+        const auto second = instance.router.pick(query, instance.ejector, this->time.now());
+        if (!second)
+            return;
+        this->result.hedges += request->isMeasured ? 1 : 0;
+        this->attempt(instance, request, this->indexOf.at(*second));
+    }
+
+    void attempt(Instance &instance, const RequestPointer &request, std::uint32_t index)
+    {
         instance.router.started(this->ids[index], this->time.now());
         const auto job = std::make_shared<Job>();
         job->priority = request->priority;
         job->book = request->book;
-        const double fixed = request->book == 0 ? 0.0 : this->settings.prefixSeconds;
-        job->serviceSeconds
-                = fixed + this->random.exponential(this->settings.meanServiceSeconds - fixed);
+        job->serviceSeconds = request->serviceSeconds;
         if (index == 0)
             job->serviceSeconds *= this->settings.slowFactor;
         job->onStart = [this, request] {
             this->resultOf(*request).queueing.push_back(this->time.now() - request->arrival);
         };
-        const auto done = [this, &instance, request, index] {
-            request->isDone = true;
-            instance.router.finished(this->ids[index]);
-            this->noteAnswer(*request);
-            this->pump(instance);
-        };
-        job->onEnd = [this, request, done] {
-            ClassResult &result = this->resultOf(*request);
-            ++result.inTime;
-            const bool isCounted
-                    = this->time.now() >= this->measuredFrom && this->time.now() < this->end;
-            this->goodAnswers += isCounted ? 1 : 0;
-            result.latency.push_back(this->time.now() - request->arrival);
-            done();
-        };
-        upstream.add(job);
-        this->time.at(request->deadline, [this, request, &upstream, job, done] {
-            if (request->isDone)
-                return;
-            ++this->resultOf(*request).cutAtDeadline;
-            upstream.cancel(job);
-            done();
-        });
+        job->onEnd = [this, &instance, request] { this->succeed(instance, request); };
+        request->attempts.push_back({index, job});
+        this->upstreams[index]->add(job);
+    }
+
+    void succeed(Instance &instance, const RequestPointer &request)
+    {
+        ClassResult &result = this->resultOf(*request);
+        ++result.inTime;
+        const bool isCounted
+                = this->time.now() >= this->measuredFrom && this->time.now() < this->end;
+        this->goodAnswers += isCounted ? 1 : 0;
+        result.latency.push_back(this->time.now() - request->arrival);
+        this->finish(instance, request);
+    }
+
+    /// Ends all attempts of a request.
+    void finish(Instance &instance, const RequestPointer &request)
+    {
+        request->isDone = true;
+        for (const Attempt &attempt : request->attempts) {
+            instance.router.finished(this->ids[attempt.upstream]);
+            if (!attempt.job->isEnded)
+                this->upstreams[attempt.upstream]->cancel(attempt.job);
+        }
+        request->attempts.clear();
+        this->noteAnswer(*request);
+        this->pump(instance);
     }
 
     void noteAnswer(const Request &request)
--- a/bench/traffic_world.hpp
+++ b/bench/traffic_world.hpp
@@ -40,6 +40,8 @@
     double firstHalfShare = 0.5;
     /// Offered load as a share of the capacity.
     double load = 0.8;
+    /// Time after which a request that has no answer is sent to a second upstream; zero never.
+    Duration hedgeAfter{};
     Duration reportInterval = std::chrono::milliseconds(500);
     Duration reportLag = std::chrono::seconds(2);
     Duration warmUp = std::chrono::seconds(20);
@@ -74,6 +76,8 @@
 struct TrafficResult
 {
     std::map<CallerClassId, ClassResult> classes;
+    /// Requests that were sent to a second upstream.
+    std::uint64_t hedges = 0;
     /// Answers in time as a share of the capacity.
     double goodput = 0;
     std::uint64_t possibleHits = 0;
