Print prefix affinity for other sizes

Cause: the bound on affinity's load was measured at one size. Change: the experiment prints 12, 60 and 150 books, 8 and 32 slots, 30% and 80% load.

--- a/bench/experiment-traffic.cpp
+++ b/bench/experiment-traffic.cpp
@@ -196,6 +196,22 @@
             += fmt::format("Prefixes: 60 style books, 16 kept by an upstream: {} of {} possible "
                            "hits\n",
                            result.hits, result.possibleHits);
+    for (const std::uint32_t books : {12U, 60U, 150U}) {
+        for (const std::uint32_t slots : {8U, 32U}) {
+            for (const double load : {0.3, 0.8}) {
+                settings.books = books;
+                settings.slots = slots;
+                settings.load = load;
+                const TrafficResult other = runTraffic(settings);
+                report.table += fmt::format(
+                        "{:>3} books, {:>2} slots, load {:.1f}: hits {:.3f} of possible, busiest "
+                        "{:.3f} x mean by requests, {:.3f} by time\n",
+                        books, slots, load,
+                        static_cast<double>(other.hits) / static_cast<double>(other.possibleHits),
+                        other.loadRatio, other.busyRatio);
+            }
+        }
+    }
     report.figure("prefix.hits", hitShare, "of possible");
     report.atLeast("prefix.hits", 0.9);
     report.figure("prefix.requests_max_over_mean", result.loadRatio, "ratio");
