Let recent requests fade over 30 s

Cause: with few requests (8 slots, 30% load) an upstream's recent count was about four, so one more was a quarter of the mean: busiest 1.251 x mean by requests, 1.352 by time. Change: RouterLimits::recentTime 10 s -> 30 s.

--- a/src/admission/router.hpp
+++ b/src/admission/router.hpp
@@ -39,7 +39,7 @@
     /// Affinity applies while an upstream got at most this many times the mean of recent requests.
     double affinityLoadBound = 1.15;
     /// Time over which recent requests are forgotten.
-    Duration recentTime = std::chrono::seconds(10);
+    Duration recentTime = std::chrono::seconds(30);
     /// An upstream that reports less than this share of its slots may get more than our share.
     double borrowBelow = 0.85;
     /// Weight of a new report in the smoothed load of an upstream.
