Tell a withdrawn claim from a key in use; damage records in a test

Cause: another body under a key whose claim was being withdrawn was refused for good as reused, though nothing had run; records were only read whole. Change: such a request gets ClaimUnavailable; a test reads 5000 damaged records. Conclusion: the refusal is now one that may be repeated.

--- a/src/admission/operation_claims.cpp
+++ b/src/admission/operation_claims.cpp
@@ -147,7 +147,8 @@
     const auto found = this->byKey.find(request.key);
     if (found != this->byKey.end()) {
         const Claim &claim = this->claims.at(found->second);
-        if (claim.request.fingerprint != request.fingerprint)
+        const bool isWithdrawn = std::holds_alternative<Released>(claim.wanted);
+        if (!isWithdrawn && claim.request.fingerprint != request.fingerprint)
             return Error(ErrorKind::OperationKeyReused,
                          "operation key is in use by a request with another method, path or body");
         return decisionOf(claim.wanted);
--- a/tests/admission/unit-operation_claims.cpp
+++ b/tests/admission/unit-operation_claims.cpp
@@ -220,6 +220,7 @@
         CHECK(first.error(ticket) == ErrorKind::ClaimUnavailable);
         CHECK_FALSE(first.claims.mayDispatch(ticket, first.now));
         CHECK(second.error(second.claim("deposit-1")) == ErrorKind::OperationInProgress);
+        CHECK(first.error(first.claim("deposit-1", "other")) == ErrorKind::ClaimUnavailable);
         first.mode = Service::Works;
         first.advance(250ms);
         CHECK(first.claims.open() == 1);
--- a/tests/admission/unit-operation_record.cpp
+++ b/tests/admission/unit-operation_record.cpp
@@ -1,4 +1,5 @@
 #include "admission/operation_record.hpp"
+#include "core/random.hpp"
 
 #include <doctest/doctest.h>
 
@@ -30,6 +31,23 @@
     }
 }
 
+TEST_CASE("a damaged record is an error or another record, never a crash")
+{
+    const OperationOutcome outcome{200, {{"Content-Type", "text/plain"}}, "body"};
+    const std::string whole
+            = encode({{InstanceId("i-7"), Incarnation(3), ClaimNumber(99)}, "f", outcome});
+    Random random(1);
+    int errors = 0;
+    for (int i = 0; i < 5000; ++i) {
+        std::string damaged = whole.substr(0, 1 + random.below(whole.size()));
+        for (std::uint64_t n = random.below(4); n > 0; --n)
+            damaged[random.below(damaged.size())] = static_cast<char>(random.below(256));
+        const auto decoded = decodeOperationRecord(damaged);
+        errors += decoded ? 0 : 1;
+    }
+    CHECK(errors > 4000);
+}
+
 TEST_CASE("operation keys are checked")
 {
     CHECK(parseOperationKey("deposit-17").value().value() == "deposit-17");
