--- a/bench/experiment-traffic.cpp
+++ b/bench/experiment-traffic.cpp
@@ -155,6 +155,33 @@
     report.figure("routing.p99_over_round_robin", ours / roundRobin, "ratio");
 }
 
+/// Whether a second attempt at another upstream shortens the tail.
+void hedging(Report &report, const ExperimentArguments &arguments)
+{
+    TrafficSettings settings = baseSettings(arguments);
+    settings.classes = oneClass();
+    settings.slots = 8;
+    report.table
+            += "Hedging, upstreams of 8 slots (the second attempt takes as long as the first):\n";
+    for (const double slow : {1.0, 3.0}) {
+        for (const double load : {0.5, 0.7, 0.8}) {
+            for (const Duration after : {Duration(0s), Duration(1500ms)}) {
+                settings.slowFactor = slow;
+                settings.load = load;
+                settings.hedgeAfter = after;
+                const TrafficResult result = runTraffic(settings);
+                const ClassResult &each = result.classes.at(localShop);
+                report.table += fmt::format(
+                        "one upstream {:.0f} x slower, load {:.1f}, hedged after "
+                        "{:>4.0f} ms: p50 {:>6.1f} p99 {:>7.1f} ms, {} second "
+                        "attempts of {}\n",
+                        slow, load, milliseconds(after), milliseconds(quantile(each.latency, 0.5)),
+                        milliseconds(quantile(each.latency, 0.99)), result.hedges, each.offered);
+            }
+        }
+    }
+}
+
 void prefixes(Report &report, const ExperimentArguments &arguments)
 {
     TrafficSettings settings = baseSettings(arguments);
@@ -169,6 +196,22 @@
             += fmt::format("Prefixes: 60 style books, 16 kept by an upstream: {} of {} possible "
                            "hits\n",
                            result.hits, result.possibleHits);
+    for (const std::uint32_t books : {12U, 60U, 150U}) {
+        for (const std::uint32_t slots : {8U, 32U}) {
+            for (const double load : {0.3, 0.8}) {
+                settings.books = books;
+                settings.slots = slots;
+                settings.load = load;
+                const TrafficResult other = runTraffic(settings);
+                report.table += fmt::format(
+                        "{:>3} books, {:>2} slots, load {:.1f}: hits {:.3f} of possible, busiest "
+                        "{:.3f} x mean by requests, {:.3f} by time\n",
+                        books, slots, load,
+                        static_cast<double>(other.hits) / static_cast<double>(other.possibleHits),
+                        other.loadRatio, other.busyRatio);
+            }
+        }
+    }
     report.figure("prefix.hits", hitShare, "of possible");
     report.atLeast("prefix.hits", 0.9);
     report.figure("prefix.requests_max_over_mean", result.loadRatio, "ratio");
@@ -197,6 +240,7 @@
     overload(report, arguments);
     overloadElsewhere(report, arguments);
     routing(report, arguments);
+    hedging(report, arguments);
     prefixes(report, arguments);
     return report;
 }
