Ask the member that is ahead at once, and let leaving upstreams overdraw the budget

Change: gaps are asked for by a datagram of their own from the tick, after 100 ms for urgent topics; leaving upstreams and configuration roots may overdraw the byte budget; a join is answered with at most 100 records, table comparison brings the others; datagrams with long names are trimmed instead of exceeding 1,400 bytes.

--- a/bench/membership_failures.hpp
+++ b/bench/membership_failures.hpp
@@ -128,6 +128,9 @@
             change->second.seconds = toSeconds(seen.at - change->second.publishedAt);
     };
     const std::uint64_t bytesBefore = fleet.bytes();
+    std::vector<peer::GossipTraffic> before;
+    for (std::size_t node = 0; node < nodes; ++node)
+        before.push_back(fleet.gossip(node).traffic());
     const TimePoint start = fleet.now();
     constexpr Duration step = std::chrono::milliseconds(25);
     constexpr Duration settle = std::chrono::seconds(6);
@@ -145,11 +148,11 @@
     result.meanBytesPerSecond = static_cast<double>(fleet.bytes() - bytesBefore)
                                 / toSeconds(duration) / static_cast<double>(nodes);
     for (std::size_t node = 0; node < nodes; ++node) {
-        const peer::GossipTraffic &traffic = fleet.gossip(node).traffic();
-        result.maxBytesPerSecond = std::max(
-                result.maxBytesPerSecond,
-                static_cast<double>(traffic.sentBytes + traffic.receivedBytes)
-                        / toSeconds(fleet.now() - TimePoint{std::chrono::seconds(1000)}));
+        const peer::GossipTraffic &after = fleet.gossip(node).traffic();
+        const std::uint64_t bytes = after.sentBytes - before[node].sentBytes + after.receivedBytes
+                                    - before[node].receivedBytes;
+        result.maxBytesPerSecond = std::max(result.maxBytesPerSecond,
+                                            static_cast<double>(bytes) / toSeconds(duration));
     }
     fleet.run(settle);
     std::vector<double> times;
--- a/src/peer/dissemination.hpp
+++ b/src/peer/dissemination.hpp
@@ -47,8 +47,12 @@
     std::uint32_t hotDigestTransmissions = 6;
     /// Time that a missing change may still arrive by itself.
     Duration pullDelay = std::chrono::milliseconds(300);
+    /// The same for urgent topics.
+    Duration urgentPullDelay = std::chrono::milliseconds(100);
     /// Time until the same gap is asked for again.
     Duration pullRetry = std::chrono::milliseconds(1000);
+    /// The same for urgent topics.
+    Duration urgentPullRetry = std::chrono::milliseconds(300);
     auto operator<=>(const DisseminationSettings &) const = default;
 };
 
@@ -119,7 +123,11 @@
 
     /// @brief Takes the changes of urgent topics that were not sent yet, to be sent at once.
     /// @param maxBytes bound of their encoded bytes, as estimated
-    std::vector<StateDelta> takeUrgent(std::size_t maxBytes);
+    /// @param leastUrgent last topic that may be taken
+    std::vector<StateDelta> takeUrgent(std::size_t maxBytes, Topic leastUrgent);
+
+    /// @brief Members that are known to hold what this instance lacks, and should be asked now.
+    std::vector<InstanceId> membersToAsk(TimePoint now) const;
 
     /// @brief Whether changes of an urgent topic wait that were not sent yet.
     bool hasUrgent() const;
@@ -221,6 +229,7 @@
     void enqueue(const StateKey &key, StateVersion version);
     void noteDuplicate(const StateKey &key, StateVersion version);
     void heat(const StreamKey &stream);
+    bool isPullDue(TimePoint now, const StreamKey &key, const Stream &stream) const;
     void fillDeltas(Datagram &datagram, Topic topic, std::size_t &room);
     void fillRanges(Datagram &datagram, const InstanceId &receiver, std::size_t &room);
     void fillPulls(TimePoint now, Datagram &datagram, const InstanceId &receiver,
--- a/src/peer/dissemination_sending.cpp
+++ b/src/peer/dissemination_sending.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t digestReserve = 160;
 /// Bytes of a range without its deltas.
 constexpr std::size_t rangeOverhead = 60;
+/// Most members that are asked at a time.
+constexpr std::size_t maxMembersAsked = 3;
 /// Most pulls on one datagram.
 constexpr std::size_t maxPullsPerDatagram = 8;
 
@@ -42,11 +44,12 @@
     this->fillDigests(datagram, room);
 }
 
-std::vector<StateDelta> Dissemination::takeUrgent(std::size_t maxBytes)
+std::vector<StateDelta> Dissemination::takeUrgent(std::size_t maxBytes, Topic leastUrgent)
 {
     std::vector<StateDelta> taken;
     std::size_t room = maxBytes;
-    for (std::size_t topic = 0; topic < urgentTopics; ++topic) {
+    const std::size_t end = std::min(urgentTopics, static_cast<std::size_t>(leastUrgent) + 1);
+    for (std::size_t topic = 0; topic < end; ++topic) {
         auto &queue = this->queues.at(topic);
         while (!queue.empty() && queue.front().transmissions == 0) {
             QueuedDelta queued = std::move(queue.front());
@@ -187,6 +190,31 @@
     return range;
 }
 
+bool Dissemination::isPullDue(TimePoint now, const StreamKey &key, const Stream &stream) const
+{
+    const bool isUrgent = static_cast<std::size_t>(key.topic) < urgentTopics;
+    const Duration delay = isUrgent ? this->settings.urgentPullDelay : this->settings.pullDelay;
+    const Duration retry = isUrgent ? this->settings.urgentPullRetry : this->settings.pullRetry;
+    return now - stream.behindSince >= delay
+           && (!stream.wasPulled || now - stream.pulledAt >= retry);
+}
+
+std::vector<InstanceId> Dissemination::membersToAsk(TimePoint now) const
+{
+    std::vector<InstanceId> members;
+    for (const StreamKey &key : this->behind) {
+        const Stream &stream = this->streams.at(key);
+        const bool isAskable = !stream.aheadMember.isEmpty() && this->isPullDue(now, key, stream);
+        const bool isNew
+                = std::find(members.begin(), members.end(), stream.aheadMember) == members.end();
+        if (isAskable && isNew)
+            members.push_back(stream.aheadMember);
+        if (members.size() >= maxMembersAsked)
+            break;
+    }
+    return members;
+}
+
 void Dissemination::fillPulls(TimePoint now, Datagram &datagram, const InstanceId &receiver,
                               std::size_t &room)
 {
@@ -194,9 +222,7 @@
         if (datagram.pulls.size() >= maxPullsPerDatagram)
             return;
         Stream &stream = this->streams.at(key);
-        const bool isFresh = now - stream.behindSince < this->settings.pullDelay;
-        const bool isAsked = stream.wasPulled && now - stream.pulledAt < this->settings.pullRetry;
-        if (isFresh || isAsked || stream.aheadMember != receiver)
+        if (stream.aheadMember != receiver || !this->isPullDue(now, key, stream))
             continue;
         const StatePull pull{StreamDigest{key, stream.fence, stream.complete}};
         if (!takeRoom(room, estimateBytes(pull.after)))
--- a/src/peer/gossip.cpp
+++ b/src/peer/gossip.cpp
@@ -23,6 +23,15 @@
 /// Urgent changes go on to this many members anywhere.
 constexpr std::size_t urgentFanOutAnywhere = 1;
 
+/// Drops what does not fit because of long names; it is sent again later.
+void trim(Datagram &datagram)
+{
+    while (estimateBytes(datagram) > maxDatagramBytes && !datagram.records.empty())
+        datagram.records.pop_back();
+    while (estimateBytes(datagram) > maxDatagramBytes && !datagram.members.empty())
+        datagram.members.pop_back();
+}
+
 } // namespace
 
 Gossip::Gossip(GossipSettings settings, KeyRing keys, MemberIdentity self,
@@ -55,7 +64,9 @@
         actions.emplace_back(std::move(change));
     this->take(now, this->members.onDatagram(now, datagram, source), actions);
     this->sendOwed(now, datagram.sender, actions);
-    this->sendUrgent(now, false, actions);
+    // With little budget left, changes gather until the next tick and share a datagram.
+    if (this->budget.available(now) * 2 >= this->settings.burstBytes)
+        this->sendUrgent(now, false, actions);
     return actions;
 }
 
@@ -78,6 +89,7 @@
     GossipActions actions;
     this->take(now, this->members.onTick(now), actions);
     this->sendUrgent(now, false, actions);
+    this->sendPulls(now, actions);
     return actions;
 }
 
@@ -157,6 +169,7 @@
 void Gossip::send(TimePoint now, SendDatagram message, GossipActions &actions)
 {
     Datagram &datagram = message.datagram;
+    trim(datagram);
     const std::size_t fixedBytes = estimateBytes(datagram);
     const std::size_t room = maxDatagramBytes - std::min(maxDatagramBytes, fixedBytes);
     const std::size_t affordable = this->budget.available(now);
@@ -193,14 +206,15 @@
 {
     if (!this->state.hasUrgent())
         return;
-    if (this->budget.available(now) < maxDatagramBytes) {
+    // Leaving upstreams and configuration may overdraw the budget; placements wait for it.
+    const bool isAffordable = this->budget.available(now) >= maxDatagramBytes;
+    const Topic leastUrgent = isAffordable ? Topic::Placements : Topic::ConfigurationRoot;
+    if (!isAffordable)
         ++this->totals.deferred;
-        return;
-    }
     const std::vector<Member> receivers = this->urgentReceivers(isOrigin);
     if (receivers.empty())
         return;
-    const std::vector<StateDelta> urgent = this->state.takeUrgent(maxUrgentBytes);
+    const std::vector<StateDelta> urgent = this->state.takeUrgent(maxUrgentBytes, leastUrgent);
     if (urgent.empty())
         return;
     for (const Member &receiver : receivers) {
@@ -210,6 +224,15 @@
     }
 }
 
+void Gossip::sendPulls(TimePoint now, GossipActions &actions)
+{
+    for (const InstanceId &instance : this->state.membersToAsk(now)) {
+        const std::optional<Member> member = this->members.find(instance);
+        if (member && this->budget.available(now) >= maxDatagramBytes)
+            this->send(now, this->newsFor(*member), actions);
+    }
+}
+
 void Gossip::sendOwed(TimePoint now, const InstanceId &receiver, GossipActions &actions)
 {
     const std::optional<Member> member = this->members.find(receiver);
--- a/src/peer/gossip.hpp
+++ b/src/peer/gossip.hpp
@@ -111,6 +111,7 @@
     SendDatagram newsFor(const Member &receiver) const;
     void forgetStateOf(const Member &member);
     void sendUrgent(TimePoint now, bool isOrigin, GossipActions &actions);
+    void sendPulls(TimePoint now, GossipActions &actions);
     void sendOwed(TimePoint now, const InstanceId &receiver, GossipActions &actions);
     std::vector<Member> urgentReceivers(bool isOrigin);
 
--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -10,9 +10,11 @@
 /// Most records that an answer to a ping carries to repair a table.
 constexpr std::size_t maxRepairRecords = 10;
 /// Most bytes of members' news on one datagram.
-constexpr std::size_t maxNewsBytes = 500;
+constexpr std::size_t maxNewsBytes = 400;
 /// Most bytes of records on one datagram.
-constexpr std::size_t maxRecordBytes = 900;
+constexpr std::size_t maxRecordBytes = 750;
+/// Most records that answer a member that joins; the comparison of tables brings the others.
+constexpr std::size_t maxJoinRecords = 100;
 /// Members that are told directly of this process's end.
 constexpr std::size_t farewellFanOut = 8;
 /// Times that news of this process rides on its datagrams.
@@ -194,10 +196,9 @@
                             MembershipActions &actions)
 {
     std::vector<MemberUpdate> records{this->selfUpdate()};
-    for (const auto &[instance, entry] : this->table.all()) {
-        const bool isOther = instance != datagram.sender;
-        if (isOther && entry.member.state != MemberState::Gone)
-            records.push_back(updateOf(entry.member, true));
+    for (const InstanceId &instance : this->pickReachable(maxJoinRecords)) {
+        if (instance != datagram.sender)
+            records.push_back(updateOf(this->table.find(instance)->member, true));
     }
     std::size_t position = 0;
     while (position < records.size()) {
@@ -306,7 +307,7 @@
     std::size_t kept = 0;
     while (kept < records.size()) {
         bytes += estimateBytes(records[kept]);
-        if (bytes > maxRecordBytes - maxNewsBytes)
+        if (bytes > maxRecordBytes)
             break;
         ++kept;
     }
--- a/tests/peer/unit-dissemination.cpp
+++ b/tests/peer/unit-dissemination.cpp
@@ -182,7 +182,7 @@
     }
     SUBCASE("and among what is sent at once")
     {
-        const std::vector<StateDelta> urgent = node.takeUrgent(600);
+        const std::vector<StateDelta> urgent = node.takeUrgent(600, Topic::Placements);
         REQUIRE(urgent.size() >= 2);
         CHECK(urgent[0].key.stream.topic == Topic::LeavingUpstreams);
         CHECK(urgent[1].key.stream.topic == Topic::ConfigurationRoot);
