--- a/src/peer/byte_budget.cpp
+++ b/src/peer/byte_budget.cpp
@@ -19,7 +19,7 @@
 void ByteBudget::spend(TimePoint now, std::size_t bytes)
 {
     this->refill(now);
-    this->level = std::max(this->level - static_cast<double>(bytes), -this->burst);
+    this->level = std::max(this->level - static_cast<double>(bytes), -this->rate);
 }
 
 void ByteBudget::refill(TimePoint now)
--- a/src/peer/byte_budget.hpp
+++ b/src/peer/byte_budget.hpp
@@ -19,7 +19,7 @@
     /// @brief Bytes available; zero while it is overdrawn.
     std::size_t available(TimePoint now);
 
-    /// @brief Takes bytes out, also more than are available, down to one burst of debt.
+    /// @brief Takes bytes out, also more than are available, down to the debt of one second.
     void spend(TimePoint now, std::size_t bytes);
 
 private:
--- a/src/peer/datagram.cpp
+++ b/src/peer/datagram.cpp
@@ -26,8 +26,8 @@
 std::size_t estimateBytes(const MemberUpdate &update)
 {
     // Each number takes at most 9 bytes, each text 3 more than its length.
-    constexpr std::size_t numbers = 3 + 2 * 9 + 3;
-    constexpr std::size_t endpointNumbers = 3 * 3 + 2 * 3;
+    constexpr std::size_t numbers = 3 + std::size_t{2} * 9 + 3;
+    constexpr std::size_t endpointNumbers = std::size_t{3} * 3 + std::size_t{2} * 3;
     const MemberIdentity &identity = update.identity;
     std::size_t bytes = numbers + identity.instance.value().size();
     if (!identity.datagramEndpoint.address.empty())
@@ -38,21 +38,22 @@
 
 std::size_t estimateBytes(const StateDelta &delta)
 {
-    constexpr std::size_t numbers = 3 + 2 * 9 + 4 + 4 + 2;
+    constexpr std::size_t numbers = 3 + std::size_t{2} * 9 + 4 + 4 + 2;
     return numbers + delta.key.stream.scope.size() + delta.key.item.size() + delta.payload.size();
 }
 
 std::size_t estimateBytes(const StreamDigest &digest)
 {
-    constexpr std::size_t numbers = 3 + 2 * 9 + 2;
+    constexpr std::size_t numbers = 3 + std::size_t{2} * 9 + 2;
     return numbers + digest.stream.scope.size();
 }
 
 std::size_t estimateBytes(const Datagram &datagram)
 {
-    constexpr std::size_t lists = 7 * 3;
-    constexpr std::size_t numbers = 3 * 9 + 2;
-    std::size_t bytes = prefixBytes + tagBytes + lists + numbers + 2 * 3
+    constexpr std::size_t lists = std::size_t{7} * 3;
+    constexpr std::size_t numbers = std::size_t{3} * 9 + 2;
+    constexpr std::size_t texts = std::size_t{2} * 3;
+    std::size_t bytes = prefixBytes + tagBytes + lists + numbers + texts
                         + datagram.sender.value().size() + datagram.subject.value().size()
                         + tableBuckets * sizeof(std::uint16_t) + 3;
     for (const MemberUpdate &update : datagram.members)
@@ -65,7 +66,7 @@
         bytes += estimateBytes(digest);
     for (const StatePull &pull : datagram.pulls)
         bytes += estimateBytes(pull.after);
-    constexpr std::size_t rangeNumbers = 4 * 9 + 8;
+    constexpr std::size_t rangeNumbers = std::size_t{4} * 9 + 8;
     for (const StateRange &range : datagram.ranges) {
         bytes += rangeNumbers + range.stream.scope.size();
         for (const StateDelta &delta : range.deltas)
