--- a/fuzz/datagram.cpp
+++ b/fuzz/datagram.cpp
@@ -23,6 +23,46 @@
     return Gossip(GossipSettings{}, keys, identity, {}, 1);
 }
 
+void checkFields(std::string_view bytes, const KeyRing &keys, const Endpoint &self)
+{
+    const std::optional<Datagram> datagram = readFields(bytes);
+    if (!datagram)
+        return;
+    std::string written;
+    appendFields(written, *datagram);
+    const std::optional<Datagram> again = readFields(written);
+    BC_INVARIANT(again && *again == *datagram, "a datagram reads as it was written");
+    if (estimateBytes(*datagram) <= maxDatagramBytes) {
+        Gossip gossip = makeGossip(keys, self);
+        gossip.onBytes(TimePoint{}, encodeDatagram(*datagram, keys, self), self);
+        gossip.onTick(TimePoint{std::chrono::seconds(1)});
+    }
+}
+
+/// A valid datagram in which pairs of input bytes (position, value) replace bytes.
+std::string changedDatagram(const std::uint8_t *data, std::size_t size)
+{
+    Datagram datagram;
+    datagram.sender = InstanceId("entry-1");
+    MemberUpdate update;
+    update.identity = MemberIdentity{InstanceId("entry-2"), Incarnation(4), DataCentreId("centre"),
+                                     Endpoint{"10.0.0.2", 7200}, Endpoint{"10.0.0.2", 7201}};
+    datagram.members.push_back(update);
+    datagram.tableDigest.emplace();
+    const StateKey key{{Topic::Placements, "pool"}, "item"};
+    const StateDelta delta{key, StateVersion{Fence(2), Sequence(9)}, "12", false};
+    datagram.deltas.push_back(delta);
+    datagram.digests.push_back(StreamDigest{key.stream, Fence(2), Sequence(9)});
+    datagram.pulls.push_back(StatePull{StreamDigest{key.stream, Fence(2), Sequence(4)}});
+    datagram.ranges.push_back(
+            StateRange{key.stream, Fence(2), Sequence(4), Sequence(9), Sequence(2), {delta}});
+    std::string bytes;
+    appendFields(bytes, datagram);
+    for (std::size_t i = 0; i + 1 < size; i += 2)
+        bytes[data[i] % bytes.size()] = static_cast<char>(data[i + 1]);
+    return bytes;
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
@@ -36,18 +76,8 @@
     // As a stranger sends it.
     decodeDatagram(bytes, keys, self);
 
-    // As a member with the key sends it.
-    const std::optional<Datagram> datagram = readFields(bytes);
-    if (!datagram)
-        return 0;
-    std::string written;
-    appendFields(written, *datagram);
-    const std::optional<Datagram> again = readFields(written);
-    BC_INVARIANT(again && *again == *datagram, "a datagram reads as it was written");
-    if (estimateBytes(*datagram) <= maxDatagramBytes) {
-        Gossip gossip = makeGossip(keys, self);
-        gossip.onBytes(TimePoint{}, encodeDatagram(*datagram, keys, self), self);
-        gossip.onTick(TimePoint{std::chrono::seconds(1)});
-    }
+    // As a member with the key sends it: from nothing, and as a valid one with some bytes changed.
+    checkFields(bytes, keys, self);
+    checkFields(changedDatagram(data, size), keys, self);
     return 0;
 }
--- a/tests/peer/unit-calls.cpp
+++ b/tests/peer/unit-calls.cpp
@@ -36,7 +36,7 @@
 
 struct Node
 {
-    Node(boost::asio::io_context &context, std::string name, const KeyRing &keys)
+    Node(boost::asio::io_context &context, const std::string &name, const KeyRing &keys)
         : server(CallServer::open(context, anyPort, keys).value())
         , client(context, keys, Caller{InstanceId(name), Incarnation(7)})
     {
