--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -100,7 +100,9 @@
                     jsonAnswer(statusUnauthorized, R"({"error":"unknown sender"})"));
             co_return;
         }
-        co_await this->joinTransfer(order);
+        // A load that is ordered again is done when the first one is.
+        co_await pauseWhile(this->context, joinPeriod,
+                            [this, &order] { return this->state.isTransferring(order); });
         std::optional<upstream::OrderOutcome> outcome = this->state.begin(order);
         if (!outcome) {
             co_await this->transfer(order);
@@ -109,13 +111,6 @@
         co_await call.writer.write(writeOutcome(this->state.settings().vendor, *outcome));
     }
 
-    /// Waits for the load of a target that is ordered again; it is done when the first one is.
-    Awaitable<void> joinTransfer(const upstream::Order &order)
-    {
-        while (this->state.isTransferring(order))
-            co_await pauseFor(this->context, joinPeriod);
-    }
-
     /// The time that a load takes.
     Awaitable<void> transfer(const upstream::Order &order)
     {
--- a/fakes/pause.cpp
+++ b/fakes/pause.cpp
@@ -19,4 +19,11 @@
     co_await timer.async_wait(asio::redirect_error(upstream::UseAwaitable(), ignored));
 }
 
+upstream::Awaitable<void> pauseWhile(asio::io_context &context, Duration period,
+                                     std::function<bool()> condition)
+{
+    while (condition())
+        co_await pauseFor(context, period);
+}
+
 } // namespace bamboochute::fakes
