--- a/fakes/completion.cpp
+++ b/fakes/completion.cpp
@@ -132,7 +132,10 @@
         this->state.stats.tokens += pending;
         pending = 0;
         events.clear();
-        if (breaks || work.isCancelled || status != upstream::StreamStatus::Ok) {
+        const bool isPeerGone = status != upstream::StreamStatus::Ok;
+        if (isPeerGone && !work.isCancelled)
+            ++this->state.stats.cancelled;
+        if (breaks || work.isCancelled || isPeerGone) {
             call.writer.closeAfterAnswer();
             call.stream.close();
             co_return;
--- a/fakes/engine.cpp
+++ b/fakes/engine.cpp
@@ -34,6 +34,7 @@
                                   {"cancelled", stats.cancelled},
                                   {"resumed", stats.resumed},
                                   {"failed", stats.failed},
+                                  {"failed_transfers", stats.failedTransfers},
                                   {"tokens", stats.tokens}}
             .dump();
 }
@@ -120,8 +121,11 @@
                                      + (isModel ? "model" : "adapter")
                                      + " HTTP/1.1\r\nHost: store\r\n\r\n";
             const TimePoint deadline = SteadyClock().now() + storeTimeout;
-            co_await upstream::exchange(this->pool, *settings.store, head, {}, deadline,
-                                        maxStoreAnswerBytes, upstream::ConnectionUse::Any);
+            const auto loaded = co_await upstream::exchange(this->pool, *settings.store, head, {},
+                                                            deadline, maxStoreAnswerBytes,
+                                                            upstream::ConnectionUse::Any);
+            if (!loaded)
+                ++this->state.stats.failedTransfers;
         }
         co_await pauseFor(this->context, isModel ? settings.loadTime : settings.adapterLoadTime);
     }
--- a/fakes/engine_protocol.cpp
+++ b/fakes/engine_protocol.cpp
@@ -11,10 +11,8 @@
 namespace {
 
 using nlohmann::json;
-using upstream::Order;
 using upstream::OrderKind;
 using upstream::PlacementReport;
-using upstream::PlacementState;
 
 constexpr std::uint64_t mebibyte = 1 << 20;
 constexpr int statusOk = 200;
--- a/fakes/engine_state.hpp
+++ b/fakes/engine_state.hpp
@@ -53,9 +53,12 @@
     std::uint64_t overcommitted = 0;
     std::uint64_t staleOrders = 0;
     std::uint64_t requests = 0;
+    /// Requests whose work was stopped, by a cancel call or by the end of their connection.
     std::uint64_t cancelled = 0;
     std::uint64_t resumed = 0;
     std::uint64_t failed = 0;
+    /// Loads for which the weight store could not be reached.
+    std::uint64_t failedTransfers = 0;
     std::uint64_t tokens = 0;
     auto operator<=>(const EngineStats &) const = default;
 };
--- a/src/caller/admission_control.cpp
+++ b/src/caller/admission_control.cpp
@@ -112,15 +112,15 @@
     return UpstreamPointer(this->snapshot->routing, &found->second);
 }
 
-std::optional<UpstreamPointer> AdmissionControl::admitNow(const AdmissionRequest &request)
+UpstreamPointer AdmissionControl::admitNow(const AdmissionRequest &request)
 {
     const std::lock_guard lock(this->mutex);
     ++this->usageOf(request.deployment, request.target).arrived;
     if (this->queueOf(request.deployment).waitingFor(request.target) > 0)
-        return std::nullopt;
-    const UpstreamPointer picked = this->pick(this->query(request), timeNow());
+        return nullptr;
+    UpstreamPointer picked = this->pick(this->query(request), timeNow());
     if (!picked)
-        return std::nullopt;
+        return nullptr;
     ++this->usageOf(request.deployment, request.target).inFlight;
     return picked;
 }
--- a/src/caller/admission_control.hpp
+++ b/src/caller/admission_control.hpp
@@ -85,8 +85,8 @@
     /// @brief Takes a new snapshot into use.
     void update(const TrafficSnapshotPointer &snapshot);
 
-    /// @brief Picks an upstream at once if one has a free slot and nobody waits for it.
-    std::optional<UpstreamPointer> admitNow(const AdmissionRequest &request);
+    /// @brief Picks an upstream at once if one has a free slot and nobody waits for it, else null.
+    UpstreamPointer admitNow(const AdmissionRequest &request);
 
     /// @brief Lets a request wait; admitted() is called once, on any thread, unless leave() is.
     /// @return the ticket, or a refusal, after which admitted() is not called
--- a/src/caller/admit.cpp
+++ b/src/caller/admit.cpp
@@ -47,14 +47,18 @@
                             request.isStream()};
 }
 
-Awaitable<Admitted> admit(Exchange &exchange, const AdmissionRequest &request)
+UpstreamPointer admitNow(Exchange &exchange, const AdmissionRequest &request)
+{
+    if (SteadyClock().now() >= request.deadline)
+        return nullptr;
+    return exchange.thread.server.admission->admitNow(request);
+}
+
+Awaitable<Admitted> waitForAdmission(Exchange &exchange, const AdmissionRequest &request)
 {
     AdmissionControl &admission = *exchange.thread.server.admission;
-    const TimePoint now = SteadyClock().now();
-    if (now >= request.deadline)
+    if (SteadyClock().now() >= request.deadline)
         co_return Error(ErrorKind::DeadlineExceededInQueue, "the deadline has passed");
-    if (const std::optional<UpstreamPointer> picked = admission.admitNow(request))
-        co_return *picked;
     Admitted admitted = co_await waitForSlot(exchange, request);
     const TimePoint answered = SteadyClock().now();
     if (admitted && (exchange.isCancelled() || answered >= request.deadline)) {
--- a/src/caller/answer.cpp
+++ b/src/caller/answer.cpp
@@ -89,12 +89,14 @@
         appendHeader(text, "Connection", "close");
 }
 
-Awaitable<StreamStatus> AnswerWriter::send(std::span<const asio::const_buffer> parts)
+std::optional<StreamStatus> AnswerWriter::trySend(std::span<const asio::const_buffer> parts)
 {
     this->hasBegun = true;
-    const std::optional<StreamStatus> written = this->stream.tryWrite(parts);
-    if (written)
-        co_return *written;
+    return this->stream.tryWrite(parts);
+}
+
+Awaitable<StreamStatus> AnswerWriter::sendRest(std::span<const asio::const_buffer> parts)
+{
     this->stream.expireAt(SteadyClock().now() + this->limits.writeTimeout);
     const StreamStatus status = co_await this->stream.writeRest(parts);
     this->stream.neverExpire();
@@ -115,7 +117,10 @@
     this->head += answer.extraHeaders;
     this->head += "\r\n";
     const std::array<asio::const_buffer, 2> parts{toBuffer(this->head), toBuffer(answer.body)};
-    co_return co_await this->send(parts);
+    const std::optional<StreamStatus> sent = this->trySend(parts);
+    if (sent)
+        co_return *sent;
+    co_return co_await this->sendRest(parts);
 }
 
 void AnswerWriter::beginStream(std::string_view extraHeaders)
@@ -146,7 +151,10 @@
     for (const std::string_view piece : pieces)
         this->buffers.push_back(toBuffer(piece));
     this->buffers.push_back(toBuffer("\r\n"));
-    co_return co_await this->send(this->buffers);
+    const std::optional<StreamStatus> sent = this->trySend(this->buffers);
+    if (sent)
+        co_return *sent;
+    co_return co_await this->sendRest(this->buffers);
 }
 
 Awaitable<StreamStatus> AnswerWriter::endStream()
@@ -154,7 +162,10 @@
     std::string last = this->hasBegun ? std::string() : this->head;
     last += "0\r\n\r\n";
     const std::array<asio::const_buffer, 1> parts{toBuffer(last)};
-    co_return co_await this->send(parts);
+    const std::optional<StreamStatus> sent = this->trySend(parts);
+    if (sent)
+        co_return *sent;
+    co_return co_await this->sendRest(parts);
 }
 
 Awaitable<StreamStatus> AnswerWriter::breakStream(const Error &error)
--- a/src/caller/answer.hpp
+++ b/src/caller/answer.hpp
@@ -8,6 +8,7 @@
 #include "upstream/header_list.hpp"
 #include "upstream/http_stream.hpp"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -72,7 +73,9 @@
 private:
     void appendCommonHeaders(std::string &head) const;
     upstream::Awaitable<upstream::StreamStatus>
-    send(std::span<const upstream::asio::const_buffer> buffers);
+    sendRest(std::span<const upstream::asio::const_buffer> parts);
+    std::optional<upstream::StreamStatus>
+    trySend(std::span<const upstream::asio::const_buffer> parts);
 
     upstream::HttpStream &stream;
     const ServerLimits &limits;
--- a/src/caller/attempt.cpp
+++ b/src/caller/attempt.cpp
@@ -111,11 +111,15 @@
     result.isStream = request.isStream() && isEventStream(call.answer());
     if (result.isStream)
         co_return boost::outcome_v2::success();
-    CallResult<std::string> body
-            = co_await call.readWholeBody(exchange.thread.server.settings.limits.maxAnswerBytes);
-    if (!body)
-        co_return body.error();
-    result.body = std::move(body).value();
+    const std::size_t maxBytes = exchange.thread.server.settings.limits.maxAnswerBytes;
+    std::optional<std::string> body = call.takeBody(maxBytes);
+    if (!body) {
+        CallResult<std::string> read = co_await call.readWholeBody(maxBytes);
+        if (!read)
+            co_return read.error();
+        body = std::move(read).value();
+    }
+    result.body = *std::move(body);
     call.finish();
     co_return boost::outcome_v2::success();
 }
--- a/src/caller/request_metrics.hpp
+++ b/src/caller/request_metrics.hpp
@@ -19,6 +19,7 @@
         , connections(metrics.gauge("bamboochute_caller_connections"))
         , refusedConnections(metrics.counter("bamboochute_refused_connections_total"))
         , cancelledUpstream(metrics.counter("bamboochute_upstream_cancels_total"))
+        , failedCancels(metrics.counter("bamboochute_upstream_cancel_failures_total"))
         , resumedStreams(metrics.counter("bamboochute_streams_resumed_total"))
         , replayedOperations(metrics.counter("bamboochute_operations_replayed_total"))
         , upstreamAttempts(metrics.counter("bamboochute_upstream_attempts_total"))
@@ -35,6 +36,7 @@
     Gauge &connections;
     Counter &refusedConnections;
     Counter &cancelledUpstream;
+    Counter &failedCancels;
     Counter &resumedStreams;
     Counter &replayedOperations;
     Counter &upstreamAttempts;
--- a/src/caller/request_steps.cpp
+++ b/src/caller/request_steps.cpp
@@ -17,18 +17,22 @@
 Awaitable<void> runClaimed(Exchange &exchange, const ClassifiedRequest &request, Claim &claim)
 {
     const AdmissionRequest admission = admissionRequest(request, exchange.request.body.size());
-    const Result<UpstreamPointer> admitted = co_await admit(exchange, admission);
-    if (!admitted)
-        co_return co_await exchange.refuse(admitted.error());
+    UpstreamPointer upstream = admitNow(exchange, admission);
+    if (!upstream) {
+        Result<UpstreamPointer> admitted = co_await waitForAdmission(exchange, admission);
+        if (!admitted)
+            co_return co_await exchange.refuse(admitted.error());
+        upstream = std::move(admitted).value();
+    }
 
     if (claim.hasLapsed(SteadyClock().now())) {
-        UpstreamSlot unused(*exchange.thread.server.admission, admission, admitted.value());
+        UpstreamSlot unused(*exchange.thread.server.admission, admission, std::move(upstream));
         co_return co_await exchange.refuse(
                 Error(ErrorKind::ClaimUnavailable, "the claim lapsed before the dispatch"));
     }
 
     Result<Dispatched> dispatched
-            = co_await dispatch(exchange, request, admission, admitted.value());
+            = co_await dispatch(exchange, request, admission, std::move(upstream));
     if (!dispatched) {
         claim.fail(exchange.runState);
         co_return co_await exchange.refuse(dispatched.error());
--- a/src/caller/upstream_request.cpp
+++ b/src/caller/upstream_request.cpp
@@ -101,10 +101,15 @@
     const TimePoint deadline = SteadyClock().now() + cancelTimeout;
     upstream::asio::co_spawn(
             exchange.thread.context->get_executor(),
-            [&pool = exchange.thread.pool, endpoint = upstream.endpoint, head, body = call.body,
+            [&pool = exchange.thread.pool,
+             &failures = exchange.thread.server.requestMetrics.failedCancels,
+             endpoint = upstream.endpoint, head, body = call.body,
              deadline]() -> upstream::Awaitable<void> {
-                co_await upstream::exchange(pool, endpoint, head, body, deadline,
-                                            maxCancelAnswerBytes, upstream::ConnectionUse::Any);
+                const auto answer = co_await upstream::exchange(pool, endpoint, head, body,
+                                                                deadline, maxCancelAnswerBytes,
+                                                                upstream::ConnectionUse::Any);
+                if (!answer)
+                    failures.add();
             },
             upstream::asio::detached);
 }
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -146,6 +146,23 @@
     co_return false;
 }
 
+std::optional<std::string> UpstreamCall::takeBody(std::size_t maxBytes)
+{
+    if (!this->isWhole())
+        return std::nullopt;
+    std::size_t size = 0;
+    for (const std::string_view piece : this->message.pieces)
+        size += piece.size();
+    if (size > maxBytes)
+        return std::nullopt;
+    std::string body;
+    body.reserve(size);
+    for (const std::string_view piece : this->message.pieces)
+        body += piece;
+    this->hasFreshPieces = false;
+    return body;
+}
+
 Awaitable<CallResult<std::string>> UpstreamCall::readWholeBody(std::size_t maxBytes)
 {
     std::string body;
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -84,6 +84,11 @@
     /// @return false when the body had ended before
     Awaitable<CallResult<bool>> readBody();
 
+    /// @brief The whole body, if it came together with the head.
+    /// @param maxBytes longest body
+    /// @return nothing when there is more to read, or too much was read
+    std::optional<std::string> takeBody(std::size_t maxBytes);
+
     /// @brief Reads the rest of the body.
     /// @param maxBytes longest body
     Awaitable<CallResult<std::string>> readWholeBody(std::size_t maxBytes);
--- a/tests/caller/unit-faults.cpp
+++ b/tests/caller/unit-faults.cpp
@@ -225,6 +225,7 @@
             CHECK(eventually(bed, [&] { return engine.state().stats.cancelled == 1; }));
             if (isStream)
                 CHECK(eventually(bed, [&] { return engine.state().running == 0; }));
+            CHECK(metricsOf(bed).find("bamboochute_upstream_cancels_total 1") != std::string::npos);
         }
     }
 }
