Unload nothing in an owner's first five seconds

Cause: a new owner doesn't know yet which requests run at a replica, and could unload one under a leaving upstream's streams.

--- a/src/decision/events.hpp
+++ b/src/decision/events.hpp
@@ -103,6 +103,9 @@
 };
 
 /// @brief Use of a replica by one instance since its last report.
+///
+/// Repeated at least every three seconds while requests run there: a new owner unloads nothing in
+/// its first five seconds, and then only where nobody has said that something runs.
 struct UsageReported
 {
     InstanceId instance;
--- a/src/decision/pool_state.hpp
+++ b/src/decision/pool_state.hpp
@@ -193,6 +193,7 @@
     Actions actions;
     TimePoint now;
     TimePoint nextUnloadScan;
+    TimePoint ownedSince;
     std::optional<TimePoint> stoppingSince;
     bool isStopping = false;
     std::uint64_t orderCount = 0;
--- a/src/decision/pool_takeover.cpp
+++ b/src/decision/pool_takeover.cpp
@@ -19,6 +19,7 @@
 void PoolController::State::won()
 {
     this->count("ownerships_won");
+    this->ownedSince = this->now;
     this->ledger.clear();
     this->writer.reset(this->ownership.ownValue(), this->ownership.fence());
     this->writerTag = 0;
--- a/src/decision/pool_unloading.cpp
+++ b/src/decision/pool_unloading.cpp
@@ -9,6 +9,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration unloadScanInterval = 1s;
+/// After a takeover all instances have said by then what runs where.
+constexpr Duration usageSettleTime = 5s;
 /// Window in which a use makes a victim regretted.
 constexpr Duration regretWindow = 300s;
 /// A retired version waits this long for its successor.
@@ -20,6 +22,8 @@
 {
     if (!this->isDeciding())
         return;
+    if (this->now - this->ownedSince < usageSettleTime)
+        return;
     for (const auto &[id, record] : this->ledger.records())
         this->finishDrains(id);
     if (this->now < this->nextUnloadScan)
--- a/tests/decision/unit-hazards.cpp
+++ b/tests/decision/unit-hazards.cpp
@@ -479,3 +479,26 @@
     CHECK(world.isRouted(after));
     CHECK_FALSE(world.isRouted(before));
 }
+
+TEST_CASE("a new owner unloads nothing before it has heard what runs")
+{
+    World world(settingsOf(plainConfiguration(1, 2, Fencing::Refuses)));
+    runFor(world, 5s);
+    REQUIRE(isServedWithin(world, modelNamed(0), 20s));
+    const UpstreamId upstream = world.routesOf(modelNamed(0)).front();
+    world.kill(*world.announcedOwner());
+    world.tellAll(UpstreamLeaving{upstream});
+    runFor(world, 5s);
+    REQUIRE(owners(world) == 1);
+    InstanceFake &owner = *world.announcedOwner();
+    const auto use = [&](std::uint32_t running) {
+        world.tell(owner, UsageReported{InstanceId("i2"), upstream, modelNamed(0), 0, running,
+                                        world.scheduler.now()});
+    };
+    use(1);
+    runFor(world, 20s);
+    CHECK(world.engines.at(upstream)->isLoaded(modelNamed(0)));
+    use(0);
+    runFor(world, 5s);
+    CHECK_FALSE(world.engines.at(upstream)->isLoaded(modelNamed(0)));
+}
