--- a/src/admin/configuration_in_force.cpp
+++ b/src/admin/configuration_in_force.cpp
@@ -223,6 +223,7 @@
 {
     // A part may become wanted only by a later one of the same message.
     std::vector<const std::string *> left;
+    left.reserve(texts.size());
     for (const std::string &text : texts)
         left.push_back(&text);
     bool isProgress = true;
