Measure the cost at 340 instances over 100 s, with changes of configuration in it

Cause: in 20 s at the target's rates half a configuration change is expected, so its cost was hardly in the figure. Change: 100 s at 340 instances, 40 s below.

--- a/bench/experiment-membership.cpp
+++ b/bench/experiment-membership.cpp
@@ -161,7 +161,9 @@
 {
     report.table += "Cost of a node under the target's rates\n";
     for (const std::size_t nodes : {std::size_t{48}, std::size_t{170}, targetNodes}) {
-        const Cost cost = measureCost(nodes, LoadRates{}, seconds(20), seed + 6);
+        // Long enough at the target for some changes of configuration and a replacement.
+        const Duration duration = nodes == targetNodes ? seconds(100) : seconds(40);
+        const Cost cost = measureCost(nodes, LoadRates{}, duration, seed + 6);
         report.table += fmt::format("  {:>4} nodes: {:.0f} B/s mean, {:.0f} B/s max, {:.3f}% of a "
                                     "core, {:.0f} kB\n",
                                     nodes, cost.meanBytesPerSecond, cost.maxBytesPerSecond,
