Fit load summaries into the byte budget

Cause: an owner published the load of its whole pool twice a second in one payload; at 340 instances only one summary every 5 s fits, and 70 upstreams exceed a payload's 900 bytes.

--- a/src/node/upstream_watch.cpp
+++ b/src/node/upstream_watch.cpp
@@ -15,6 +15,11 @@
 /// Time between two readings of the platform's list by all instances together.
 constexpr Duration fleetListPeriod = std::chrono::milliseconds(100);
 constexpr Duration leastListPeriod = std::chrono::seconds(1);
+/// Time between two load summaries for each instance of the fleet, so that they fit the byte
+/// budget.
+constexpr Duration summaryPeriodPerInstance = std::chrono::milliseconds(15);
+/// Upstreams in one item of the load summary; the item fits into a datagram.
+constexpr std::size_t upstreamsPerSummary = 24;
 constexpr const char *drainScopeSuffix = "/drain";
 
 std::vector<peer::ListedInstance> toMembership(const std::vector<platform::ListedInstance> &rows)
@@ -27,13 +32,24 @@
     return listed;
 }
 
-std::string printLoads(const std::map<UpstreamId, std::uint32_t> &loads)
+/// Payloads of the topic LoadSummary, a few upstreams in each.
+std::vector<std::string> printLoads(const std::map<UpstreamId, std::uint32_t> &loads)
 {
+    std::vector<std::string> payloads;
     nlohmann::json object = nlohmann::json::object();
-    for (const auto &[upstream, load] : loads)
+    const auto finish = [&] {
+        const auto bytes = nlohmann::json::to_cbor(object);
+        payloads.emplace_back(bytes.begin(), bytes.end());
+        object = nlohmann::json::object();
+    };
+    for (const auto &[upstream, load] : loads) {
         object[upstream.value()] = load;
-    const auto bytes = nlohmann::json::to_cbor(object);
-    return std::string(bytes.begin(), bytes.end());
+        if (object.size() == upstreamsPerSummary)
+            finish();
+    }
+    if (!object.empty())
+        finish();
+    return payloads;
 }
 
 std::map<UpstreamId, std::uint32_t> parseLoads(std::string_view payload)
@@ -80,6 +96,7 @@
     std::set<UpstreamId> reading;
     std::map<PoolId, std::map<UpstreamId, std::uint32_t>> ownLoads;
     UpstreamNews merged;
+    TimePoint nextSummary{};
 
     const UpstreamSpec *find(const UpstreamId &upstream) const
     {
@@ -148,15 +165,31 @@
 
     void publishLoads()
     {
+        const TimePoint now = this->context.clock.now();
+        if (now < this->nextSummary)
+            return;
+        const auto instances = this->gossip.gossip().membership().reachableCount() + 1;
+        this->nextSummary = now + summaryPeriodPerInstance * static_cast<std::int64_t>(instances);
         for (const auto &[pool, loads] : this->ownLoads) {
             PoolDriver *driver = this->pools.find(pool);
             const auto owner = driver ? driver->controller().knownOwner() : std::nullopt;
             if (driver != nullptr && driver->controller().isOwner() && owner)
-                this->gossip.publish({{peer::Topic::LoadSummary, pool.value()}, ""}, owner->fence,
-                                     printLoads(loads));
+                this->publishLoads(pool, owner->fence, loads);
         }
     }
 
+    void publishLoads(const PoolId &pool, Fence fence,
+                      const std::map<UpstreamId, std::uint32_t> &loads)
+    {
+        const std::vector<std::string> payloads = printLoads(loads);
+        for (std::size_t i = 0; i < payloads.size(); ++i)
+            this->gossip.publish({{peer::Topic::LoadSummary, pool.value()}, std::to_string(i)},
+                                 fence, payloads[i]);
+        for (const auto &[upstream, load] : loads)
+            this->merged.reportedLoad[upstream] = load;
+        this->onNews();
+    }
+
     void readList()
     {
         const auto instances = this->gossip.gossip().membership().reachableCount() + 1;
