--- a/tests/caller/test_bed.cpp
+++ b/tests/caller/test_bed.cpp
@@ -49,7 +49,7 @@
 }
 
 void FakeControl::demand(caller::Ticket, const caller::ColdStartDemand &demand,
-                         caller::ColdStartCallback answered)
+                         const caller::ColdStartCallback &answered)
 {
     std::unique_lock lock(this->mutex);
     ++this->demands;
--- a/tests/caller/test_bed.hpp
+++ b/tests/caller/test_bed.hpp
@@ -38,7 +38,7 @@
 {
 public:
     void demand(caller::Ticket ticket, const caller::ColdStartDemand &demand,
-                caller::ColdStartCallback answered);
+                const caller::ColdStartCallback &answered);
     void withdraw(caller::Ticket ticket);
     void claim(caller::Ticket ticket, const admission::ClaimRequest &request,
                const caller::ClaimCallback &decided);
--- a/tests/caller/unit-bad_input.cpp
+++ b/tests/caller/unit-bad_input.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 using namespace bamboochute;
@@ -71,9 +72,8 @@
               "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
               "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n", "Transfer-Encoding: gzip\r\n"}) {
             CAPTURE(headers);
-            const std::string text
-                    = std::string("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n") + headers
-                      + "\r\n0\r\n\r\n";
+            const std::string text = fmt::format(
+                    "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n{}\r\n0\r\n\r\n", headers);
             CHECK(codeOf(raw(bed, text)) == "malformed_request");
         }
     }
@@ -85,8 +85,8 @@
               "x-request-deadline-ms: 5", "x-request-id: r"}) {
             CAPTURE(header);
             const std::string line = std::string(header) + "\r\n";
-            const std::string text
-                    = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n" + line + line + "\r\n{}";
+            const std::string text = fmt::format(
+                    "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n{0}{0}\r\n{{}}", line);
             CHECK(codeOf(raw(bed, text)) == "malformed_request");
         }
     }
@@ -182,6 +182,7 @@
     bed.addEngine();
     bed.publish();
     std::vector<std::unique_ptr<Client>> idle;
+    idle.reserve(100);
     for (int i = 0; i < 100; ++i)
         idle.push_back(std::make_unique<Client>(bed.endpoint));
     Client client(bed.endpoint);
