--- a/tests/upstream/unit-orders.cpp
+++ b/tests/upstream/unit-orders.cpp
@@ -16,7 +16,7 @@
 /// A stand-in engine and a client on one event loop, run by the test itself.
 struct Bench
 {
-    explicit Bench(fakes::EngineSettings settings)
+    explicit Bench(const fakes::EngineSettings &settings)
         : engine(this->context, settings)
         , client(this->context, "order-secret", this->metrics, this->timeouts())
     {
@@ -38,7 +38,7 @@
     OrderOutcome send(const Order &order)
     {
         std::optional<OrderOutcome> outcome;
-        this->client.send(order, this->spec, [&](OrderOutcome told) { outcome = std::move(told); });
+        this->client.send(order, this->spec, [&](const OrderOutcome &told) { outcome = told; });
         while (!outcome)
             this->context.run_one();
         return *outcome;
@@ -47,7 +47,8 @@
     Result<EngineReport> report()
     {
         std::optional<Result<EngineReport>> report;
-        this->client.fetchReport(this->spec, [&](Result<EngineReport> told) { report = told; });
+        this->client.fetchReport(this->spec,
+                                 [&](const Result<EngineReport> &told) { report = told; });
         while (!report)
             this->context.run_one();
         return *report;
