Become ready in an outage by the revisions that peers say are in force

Cause: an instance that started while the key-value service was down stayed 'not ready', because revisions that came before its own parts were dropped; and the traffic threads did not hear of a change of readiness.

--- a/src/node/configuration_driver.cpp
+++ b/src/node/configuration_driver.cpp
@@ -79,12 +79,12 @@
 
     State(ControlContext &context, Timers &timers, platform::KeyValueClient &keyValue,
           GossipDriver &gossip, peer::CallClient &calls,
-          std::function<void(ConfigurationPointer)> onApplied)
+          ConfigurationCallbacks callbacks)
         : context(context)
         , timers(timers)
         , gossip(gossip)
         , calls(calls)
-        , onApplied(std::move(onApplied))
+        , callbacks(std::move(callbacks))
         , store(keyValue, timers,
                 [this](const admin::PartHash &hash) { return this->inForce.findPart(hash); })
         , random(context.incarnation.value())
@@ -94,12 +94,13 @@
     Timers &timers;
     GossipDriver &gossip;
     peer::CallClient &calls;
-    std::function<void(ConfigurationPointer)> onApplied;
+    ConfigurationCallbacks callbacks;
     admin::ConfigurationInForce inForce;
     Store store;
     Random random;
     InstanceId holder;
     bool isFetching = false;
+    bool wasReady = false;
     std::uint32_t fetchAttempts = 0;
     std::uint32_t readRounds = 0;
 
@@ -111,10 +112,18 @@
             this->fetchAttempts = 0;
         if (step.applied) {
             this->announce();
-            this->onApplied(step.applied);
+            this->callbacks.onApplied(step.applied);
         }
         if (!step.wanted.hashes.empty())
             this->fetch();
+        this->noteReadiness();
+    }
+
+    void noteReadiness()
+    {
+        const bool isReady = this->inForce.readiness().isReady;
+        if (std::exchange(this->wasReady, isReady) != isReady)
+            this->callbacks.onReadinessChanged();
     }
 
     /// Tells the others what is in force here.
@@ -235,6 +244,7 @@
                 self->take(self->inForce.onRootRead(root.value()));
             else
                 self->inForce.onKeyValueUnavailable();
+            self->noteReadiness();
         });
     }
 
@@ -243,11 +253,8 @@
         const auto revision = parseRevision(payload);
         if (!revision || instance == this->context.settings.instance)
             return;
-        const admin::ConfigurationRoot &known = this->inForce.newest();
-        if (*revision == Revision())
-            this->take(this->inForce.onRootAnnounced(instance, {}));
-        else if (*revision == known.revision)
-            this->take(this->inForce.onRootAnnounced(instance, {known, {}}));
+        this->inForce.onPeerRevision(instance, *revision);
+        this->noteReadiness();
     }
 
     void onRootNews(std::string_view payload)
@@ -326,8 +333,8 @@
 ConfigurationDriver::ConfigurationDriver(ControlContext &context, Timers &timers,
                                          platform::KeyValueClient &keyValue, GossipDriver &gossip,
                                          peer::CallClient &calls,
-                                         std::function<void(ConfigurationPointer)> onApplied)
-    : state(std::make_shared<State>(context, timers, keyValue, gossip, calls, std::move(onApplied)))
+                                         ConfigurationCallbacks callbacks)
+    : state(std::make_shared<State>(context, timers, keyValue, gossip, calls, std::move(callbacks)))
 {}
 
 ConfigurationDriver::~ConfigurationDriver() = default;
@@ -358,6 +365,7 @@
 {
     const auto others = usableInstances(this->state->membership(), true);
     this->state->inForce.onPeers({others.begin(), others.end()});
+    this->state->noteReadiness();
 }
 
 peer::ConfigurationPartsAnswer
--- a/src/node/configuration_driver.hpp
+++ b/src/node/configuration_driver.hpp
@@ -16,14 +16,22 @@
 
 namespace bamboochute::node {
 
+/// @brief What the configuration's driver tells the rest of the control thread.
+struct ConfigurationCallbacks
+{
+    /// A newer configuration came into force.
+    std::function<void(ConfigurationPointer)> onApplied;
+    /// The instance became ready, or is so no more.
+    std::function<void()> onReadinessChanged;
+};
+
 /// @brief Joins the configuration's state machines with key-value service, gossip and peer calls.
 class ConfigurationDriver
 {
 public:
-    /// @param onApplied called when a newer configuration came into force
     ConfigurationDriver(ControlContext &context, Timers &timers, platform::KeyValueClient &keyValue,
                         GossipDriver &gossip, peer::CallClient &calls,
-                        std::function<void(ConfigurationPointer)> onApplied);
+                        ConfigurationCallbacks callbacks);
     ~ConfigurationDriver();
     ConfigurationDriver(const ConfigurationDriver &) = delete;
     ConfigurationDriver &operator=(const ConfigurationDriver &) = delete;
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -161,7 +161,12 @@
                                                   *this->callClient, this->deskCallbacks());
         this->configuration = std::make_unique<ConfigurationDriver>(
                 this->context, this->timers, this->keyValue, *this->gossip, *this->callClient,
-                [this](const ConfigurationPointer &applied) { this->onConfiguration(applied); });
+                ConfigurationCallbacks{
+                        [this](const ConfigurationPointer &applied) {
+                            this->onConfiguration(applied);
+                        },
+                        [this] { this->publisher->changed(); },
+                });
         this->upstreams = std::make_unique<UpstreamWatch>(this->context, this->timers,
                                                           *this->gossip, *this->pools, this->orders,
                                                           [this] { this->publisher->changed(); });
