Tell pools that earlier processes of a name are gone when a later one appears

Cause: the decision core counts an earlier process's open orders until it is known gone; a later incarnation under the name is that knowledge, and was not handed on. Change: each change of a member tells the incarnations before it as gone. Conclusion: a restarted owner's orders at engines that ignore fencing numbers are released.

--- a/src/node/configuration_driver.cpp
+++ b/src/node/configuration_driver.cpp
@@ -78,8 +78,7 @@
     using Store = admin::ConfigurationStore<platform::KeyValueClient, Timers>;
 
     State(ControlContext &context, Timers &timers, platform::KeyValueClient &keyValue,
-          GossipDriver &gossip, peer::CallClient &calls,
-          ConfigurationCallbacks callbacks)
+          GossipDriver &gossip, peer::CallClient &calls, ConfigurationCallbacks callbacks)
         : context(context)
         , timers(timers)
         , gossip(gossip)
@@ -332,8 +331,7 @@
 
 ConfigurationDriver::ConfigurationDriver(ControlContext &context, Timers &timers,
                                          platform::KeyValueClient &keyValue, GossipDriver &gossip,
-                                         peer::CallClient &calls,
-                                         ConfigurationCallbacks callbacks)
+                                         peer::CallClient &calls, ConfigurationCallbacks callbacks)
     : state(std::make_shared<State>(context, timers, keyValue, gossip, calls, std::move(callbacks)))
 {}
 
--- a/src/node/pools.cpp
+++ b/src/node/pools.cpp
@@ -70,6 +70,9 @@
 {
     const peer::Member &member = changed.member;
     const InstanceId &instance = member.identity.instance;
+    const std::uint64_t incarnation = member.identity.incarnation.value();
+    if (incarnation > 0)
+        this->handleAll(decision::InstanceKnownGone{{instance, Incarnation(incarnation - 1)}});
     switch (member.state) {
     case peer::MemberState::Alive:
         if (changed.before != peer::MemberState::Alive)
