--- a/src/admin/configuration_difference.cpp
+++ b/src/admin/configuration_difference.cpp
@@ -16,7 +16,7 @@
 std::string shown(std::string_view field, const nlohmann::ordered_json &value)
 {
     if (field == hashField)
-        return value == "" ? "none" : "set (not shown)";
+        return value == nlohmann::ordered_json(std::string()) ? "none" : "set (not shown)";
     return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
@@ -110,7 +110,7 @@
     {
         for (const auto &[field, value] : after.items()) {
             const nlohmann::ordered_json &old = before.at(field);
-            const std::string place = name + ", " + field;
+            const std::string place = fmt::format("{}, {}", name, field);
             if (value.is_object())
                 this->compareFields(place, old, value);
             else if (old != value)
--- a/src/admin/configuration_parts.cpp
+++ b/src/admin/configuration_parts.cpp
@@ -113,7 +113,7 @@
 
     PartHash keep(std::string text)
     {
-        const PartHash hash = hashOf(text);
+        PartHash hash = hashOf(text);
         this->parts.emplace(hash, std::move(text));
         return hash;
     }
--- a/src/admin/text_table.cpp
+++ b/src/admin/text_table.cpp
@@ -72,11 +72,13 @@
     if (list.empty())
         return fmt::format("{}: none\n\n", name);
     std::vector<std::string> heading;
+    heading.reserve(columns.size());
     for (const Column &column : columns)
         heading.emplace_back(column.title);
     std::vector<std::vector<std::string>> rows;
     for (const Json &entry : list) {
         std::vector<std::string> row;
+        row.reserve(columns.size());
         for (const Column &column : columns)
             row.push_back(textOf(entry, column.member));
         rows.push_back(std::move(row));
--- a/src/node/admin_ports.cpp
+++ b/src/node/admin_ports.cpp
@@ -235,6 +235,7 @@
         }
     }
     std::vector<admin::ReplicaStatus> list;
+    list.reserve(rows.size());
     for (auto &[key, row] : rows)
         list.push_back(std::move(row));
     return list;
--- a/src/node/configuration_driver.cpp
+++ b/src/node/configuration_driver.cpp
@@ -167,7 +167,7 @@
     std::optional<Endpoint> pickHolder()
     {
         if (this->fetchAttempts == 1) {
-            if (const auto endpoint = callEndpointOf(this->membership(), this->holder))
+            if (auto endpoint = callEndpointOf(this->membership(), this->holder))
                 return endpoint;
         }
         const auto instances = usableInstances(this->membership(), true);
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -28,7 +28,8 @@
 
 namespace {
 
-constexpr Duration poolTickPeriod = std::chrono::milliseconds(50);
+constexpr Duration ownerTickPeriod = std::chrono::milliseconds(100);
+constexpr Duration observerTickPeriod = std::chrono::seconds(1);
 constexpr Duration usagePeriod = std::chrono::seconds(2);
 constexpr Duration stopPollPeriod = std::chrono::milliseconds(20);
 /// Longest wait for handing over pools and settling claims after the last request has ended.
@@ -203,7 +204,8 @@
         this->configuration->start();
         this->upstreams->start();
         this->desk->start();
-        this->timers.every(poolTickPeriod, [this] { this->pools->handleAll(decision::Tick{}); });
+        this->timers.every(ownerTickPeriod, [this] { this->pools->tick(true); });
+        this->timers.every(observerTickPeriod, [this] { this->pools->tick(false); });
         this->timers.every(usagePeriod, [this] { this->reportUsage(); });
         this->publisher->changed();
     }
--- a/src/node/demand_desk.cpp
+++ b/src/node/demand_desk.cpp
@@ -150,7 +150,7 @@
                                       remaining(demand.earliestDeadline, sentAt), demand.weight});
         }
         this->calls.call(owner.callEndpoint, report, callTimeout,
-                         [weak = this->weak_from_this()](Result<peer::DemandAnswer> answer) {
+                         [weak = this->weak_from_this()](const Result<peer::DemandAnswer> &answer) {
                              const auto self = weak.lock();
                              if (self)
                                  self->onAnswer(answer);
--- a/src/node/pools.cpp
+++ b/src/node/pools.cpp
@@ -110,6 +110,14 @@
         driver->handle(event);
 }
 
+void Pools::tick(bool isOwner)
+{
+    for (const auto &[pool, driver] : this->drivers) {
+        if (driver->controller().isOwner() == isOwner)
+            driver->handle(decision::Tick{});
+    }
+}
+
 void Pools::handOver()
 {
     this->isStopping = true;
--- a/src/node/pools.hpp
+++ b/src/node/pools.hpp
@@ -46,6 +46,10 @@
     /// @brief Feeds an event to all drivers.
     void handleAll(const decision::Event &event);
 
+    /// @brief Tells the drivers that time has passed.
+    /// @param isOwner which drivers: those that own their pool, or the others
+    void tick(bool isOwner);
+
     /// @brief Gives all pools back; the instance stops.
     void handOver();
 
--- a/src/node/upstream_orders.cpp
+++ b/src/node/upstream_orders.cpp
@@ -47,6 +47,7 @@
 inventoryOf(const std::vector<upstream::PlacementReport> &placements)
 {
     std::vector<decision::InventoryEntry> inventory;
+    inventory.reserve(placements.size());
     for (const upstream::PlacementReport &each : placements)
         inventory.push_back({each.target, stateOf(each.state), each.memory});
     return inventory;
--- a/src/node/upstream_watch.cpp
+++ b/src/node/upstream_watch.cpp
@@ -25,6 +25,7 @@
 std::vector<peer::ListedInstance> toMembership(const std::vector<platform::ListedInstance> &rows)
 {
     std::vector<peer::ListedInstance> listed;
+    listed.reserve(rows.size());
     for (const platform::ListedInstance &row : rows) {
         listed.push_back({InstanceId(row.name), row.dataCentre, row.endpoint,
                           static_cast<peer::ListedState>(row.state), row.generation});
--- a/src/platform/key_value_client.cpp
+++ b/src/platform/key_value_client.cpp
@@ -68,7 +68,7 @@
                                                                  - this->lastAnswer);
 }
 
-void KeyValueClient::submit(Purpose purpose, Transaction transaction, TransactionDone done)
+void KeyValueClient::submit(Purpose purpose, const Transaction &transaction, TransactionDone done)
 {
     const bool isWrite = hasWrites(transaction);
     const char *name
--- a/src/platform/key_value_client.hpp
+++ b/src/platform/key_value_client.hpp
@@ -23,7 +23,7 @@
 
     /// @brief Sends a transaction.
     /// @param done gets the response, KeyValueUnavailable (no effect) or KeyValueOutcomeUnknown
-    void submit(Purpose purpose, Transaction transaction, TransactionDone done);
+    void submit(Purpose purpose, const Transaction &transaction, TransactionDone done);
 
     /// @brief Asks for a lease.
     void grantLease(Purpose purpose, std::chrono::seconds timeToLive, LeaseDone done);
--- a/tests/admin/unit-configuration-store.cpp
+++ b/tests/admin/unit-configuration-store.cpp
@@ -247,7 +247,7 @@
         missing.submissionId = SubmissionId("d");
         const auto refused = fixture.submit(missing);
         CHECK(refused.error().kind() == ErrorKind::InvalidField);
-        CHECK(refused.error().message().find("9") != std::string::npos);
+        CHECK(refused.error().message().find('9') != std::string::npos);
     }
 }
 
