--- a/src/node/admin_ports.cpp
+++ b/src/node/admin_ports.cpp
@@ -159,6 +159,8 @@
 std::string AdminPorts::metricsText() const
 {
     this->parts.gossip.gossip().exportMetrics(this->parts.context.metrics);
+    for (const auto &[pool, driver] : this->parts.pools.all())
+        driver->exportMetrics(this->parts.context.metrics);
     return this->parts.context.metrics.print();
 }
 
--- a/src/node/pool_driver.cpp
+++ b/src/node/pool_driver.cpp
@@ -2,11 +2,14 @@
 
 #include "core/overloaded.hpp"
 
+#include <fmt/format.h>
+
 namespace bamboochute::node {
 
 PoolDriver::PoolDriver(ControlContext &context, const PoolId &pool,
                        platform::KeyValueClient &keyValue, PoolCallbacks callbacks)
-    : context(context)
+    : pool(pool)
+    , context(context)
     , keyValue(keyValue)
     , callbacks(std::move(callbacks))
     , decisions({pool, {context.settings.instance, context.incarnation}, {}})
@@ -37,6 +40,16 @@
     }
 }
 
+void PoolDriver::exportMetrics(Metrics &metrics) const
+{
+    for (const auto &[event, total] : this->decisions.counters()) {
+        const std::string labels
+                = fmt::format("pool=\"{}\",event=\"{}\"", this->pool.value(), event);
+        Counter &counter = metrics.counter("bamboochute_decisions_total", labels);
+        counter.add(total - counter.value());
+    }
+}
+
 void PoolDriver::carryOut(const decision::SubmitTransaction &submit)
 {
     this->keyValue.submit(
--- a/src/node/pool_driver.hpp
+++ b/src/node/pool_driver.hpp
@@ -38,12 +38,16 @@
     /// @brief Feeds one event and carries out the actions that it causes.
     void handle(const decision::Event &event);
 
+    /// @brief Brings the counters of the pool's decisions up to date.
+    void exportMetrics(Metrics &metrics) const;
+
     const decision::PoolController &controller() const noexcept { return this->decisions; }
 
 private:
     void carryOut(const decision::SubmitTransaction &submit);
     void carryOut(const decision::SendOrder &send);
 
+    PoolId pool;
     ControlContext &context;
     platform::KeyValueClient &keyValue;
     PoolCallbacks callbacks;
--- a/src/peer/call_messages.cpp
+++ b/src/peer/call_messages.cpp
@@ -93,12 +93,6 @@
     value = static_cast<ReportOutcome>(readNumber(object, name, last));
 }
 
-void read(const Json &object, const char *name, ClaimState &value)
-{
-    const auto last = static_cast<std::uint64_t>(ClaimState::Unavailable);
-    value = static_cast<ClaimState>(readNumber(object, name, last));
-}
-
 void read(const Json &object, const char *name, ErrorKind &value)
 {
     std::string id;
@@ -178,11 +172,6 @@
     return static_cast<std::uint64_t>(value);
 }
 
-Json write(ClaimState value)
-{
-    return static_cast<std::uint64_t>(value);
-}
-
 Json write(ErrorKind value)
 {
     return std::string(errorRow(value).id);
@@ -325,38 +314,6 @@
     each("parts", message.parts);
 }
 
-template<typename Visitor>
-void visit(ClaimForwardAnswer &message, Visitor &&each)
-{
-    each("state", message.state);
-    each("outcome", message.outcome);
-}
-
-template<typename Visitor>
-void visit(ClaimForwardRequest &message, Visitor &&each)
-{
-    each("operationKey", message.operationKey);
-    each("bodyHash", message.bodyHash);
-    each("request", message.request);
-    each("retentionS", message.retention);
-}
-
-template<typename Visitor>
-void visit(HandOverAnswer &message, Visitor &&each)
-{
-    each("isAccepted", message.isAccepted);
-    each("reason", message.reason);
-}
-
-template<typename Visitor>
-void visit(HandOver &message, Visitor &&each)
-{
-    each("pool", message.pool);
-    each("fence", message.fence);
-    each("from", message.from);
-    each("to", message.to);
-}
-
 template<typename Visitor>
 void visit(Pong &message, Visitor &&each)
 {
@@ -517,14 +474,6 @@
 template Result<ConfigurationPartsRequest> decodeMessage(std::string_view);
 template std::string encodeResult(const Result<ConfigurationPartsAnswer> &);
 template Result<ConfigurationPartsAnswer> decodeResult(std::string_view);
-template std::string encodeMessage(const ClaimForwardRequest &);
-template Result<ClaimForwardRequest> decodeMessage(std::string_view);
-template std::string encodeResult(const Result<ClaimForwardAnswer> &);
-template Result<ClaimForwardAnswer> decodeResult(std::string_view);
-template std::string encodeMessage(const HandOver &);
-template Result<HandOver> decodeMessage(std::string_view);
-template std::string encodeResult(const Result<HandOverAnswer> &);
-template Result<HandOverAnswer> decodeResult(std::string_view);
 template std::string encodeMessage(const Ping &);
 template Result<Ping> decodeMessage(std::string_view);
 template std::string encodeMessage(const Pong &);
--- a/src/peer/call_messages.hpp
+++ b/src/peer/call_messages.hpp
@@ -163,60 +163,6 @@
     auto operator<=>(const ConfigurationPartsRequest &) const = default;
 };
 
-/// @brief What is recorded of a claim.
-enum class ClaimState : std::uint8_t {
-    /// The sender holds the claim and may dispatch the call.
-    Granted,
-    InProgress,
-    /// The outcome is recorded; it is in the answer.
-    Done,
-    OutcomeUnknown,
-    /// The key was used with another body.
-    KeyReused,
-    Unavailable,
-};
-
-struct ClaimForwardAnswer
-{
-    ClaimState state = ClaimState::Unavailable;
-    /// Recorded outcome; empty unless the state is Done.
-    std::string outcome;
-    auto operator<=>(const ClaimForwardAnswer &) const = default;
-};
-
-/// @brief Asks another instance to claim an operation key together with its own claims.
-struct ClaimForwardRequest
-{
-    using Response = ClaimForwardAnswer;
-    static constexpr const char *method = "claimForward";
-
-    OperationKey operationKey;
-    std::string bodyHash;
-    RequestId request;
-    std::chrono::seconds retention{0};
-    auto operator<=>(const ClaimForwardRequest &) const = default;
-};
-
-struct HandOverAnswer
-{
-    bool isAccepted = false;
-    std::string reason;
-    auto operator<=>(const HandOverAnswer &) const = default;
-};
-
-/// @brief An owner that stops offers its pool to another instance.
-struct HandOver
-{
-    using Response = HandOverAnswer;
-    static constexpr const char *method = "handOver";
-
-    PoolId pool;
-    Fence fence;
-    InstanceId from;
-    InstanceId to;
-    auto operator<=>(const HandOver &) const = default;
-};
-
 struct Pong
 {
     InstanceId instance;
