Take an upstream for gone only when its port refuses, twice in a row

Every failed report, a time-out as well, was told to the pool as the end of the upstream's process, so a paused or slow engine's contents were forgotten while it still held them: one replica or its memory could have been decided twice. Change: a refused connection is told apart from every other failure, from the socket up to the report's error kind; the pool hears of the end after two refusals in a row.

--- a/src/node/upstream_watch.cpp
+++ b/src/node/upstream_watch.cpp
@@ -20,6 +20,7 @@
 constexpr Duration summaryPeriodPerInstance = std::chrono::milliseconds(15);
 /// Upstreams in one item of the load summary; the item fits into a datagram.
 constexpr std::size_t upstreamsPerSummary = 24;
+constexpr std::uint32_t refusalsUntilGone = 2;
 constexpr const char *drainScopeSuffix = "/drain";
 
 std::vector<peer::ListedInstance> toMembership(const std::vector<platform::ListedInstance> &rows)
@@ -95,6 +96,8 @@
     std::set<UpstreamId> listedLeaving;
     std::set<UpstreamId> gone;
     std::set<UpstreamId> reading;
+    /// Refused reports in a row.
+    std::map<UpstreamId, std::uint32_t> refusals;
     std::map<PoolId, std::map<UpstreamId, std::uint32_t>> ownLoads;
     UpstreamNews merged;
     TimePoint nextSummary{};
@@ -141,6 +144,8 @@
                   Result<decision::ReportReceived> report)
     {
         this->reading.erase(upstream);
+        if (report)
+            this->refusals.erase(upstream);
         if (!report) {
             this->onReportFailed(upstream, pool, report.error());
             return;
@@ -156,8 +161,13 @@
     void onReportFailed(const UpstreamId &upstream, const PoolId &pool, const Error &error)
     {
         this->context.metrics.counter("bamboochute_reports_failed_total").add();
-        const bool isRefused = error.kind() == ErrorKind::UpstreamUnavailable;
-        if (isRefused && this->gone.insert(upstream).second) {
+        // Only a refused port shows that the process has ended; silence may be a pause or a cut.
+        if (error.kind() != ErrorKind::UpstreamUnavailable) {
+            this->refusals.erase(upstream);
+            return;
+        }
+        const bool isProven = ++this->refusals[upstream] >= refusalsUntilGone;
+        if (isProven && this->gone.insert(upstream).second) {
             logEvent(LogLevel::Warning, "upstream gone",
                      {{"upstream", upstream.value()}, {"detail", error.message()}});
             this->pools.handle(pool, decision::UpstreamGone{upstream});
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -49,6 +49,8 @@
 {
     error_code error;
     co_await this->socket.async_connect(peer, asio::redirect_error(UseAwaitable(), error));
+    if (error == asio::error::connection_refused)
+        co_return StreamStatus::Refused;
     if (error)
         co_return this->failure();
     this->socket.non_blocking(true, error);
--- a/src/upstream/http_stream.hpp
+++ b/src/upstream/http_stream.hpp
@@ -19,7 +19,14 @@
 namespace bamboochute::upstream {
 
 /// @brief How a read or write ended.
-enum class StreamStatus { Ok, Closed, Expired, BufferFull };
+enum class StreamStatus {
+    Ok,
+    Closed,
+    Expired,
+    BufferFull,
+    /// The host answered that no process listens at the address.
+    Refused
+};
 
 /// @brief One connection, used by one thread.
 ///
--- a/src/upstream/order_client.cpp
+++ b/src/upstream/order_client.cpp
@@ -87,7 +87,8 @@
                 deadline, maxAnswerBytes, ConnectionUse::Any);
         constexpr int statusOk = 200;
         if (!answer)
-            co_return Error(ErrorKind::UpstreamUnavailable,
+            co_return Error(answer.error().isRefused ? ErrorKind::UpstreamUnavailable
+                                                     : ErrorKind::UpstreamTimedOut,
                             fmt::format("upstream \"{}\": {}", upstream.id.value(),
                                         answer.error().message));
         if (answer.value().status != statusOk)
--- a/src/upstream/order_client.hpp
+++ b/src/upstream/order_client.hpp
@@ -50,7 +50,9 @@
     void send(const Order &order, const UpstreamSpec &upstream, OrderCallback done);
 
     /// @brief Asks for load and inventory, and checks them against what is configured.
-    /// @param done gets the report, ReportDistrusted, or UpstreamUnavailable
+    /// @param done gets the report, ReportDistrusted, UpstreamUnavailable when the host answered
+    /// that
+    ///        no process listens there, or UpstreamTimedOut when nothing is known of the process
     void fetchReport(const UpstreamSpec &upstream, ReportCallback done);
 
 private:
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -37,9 +37,11 @@
             = co_await this->pool.connect(*this->stream, this->endpoint, deadline);
     if (status == StreamStatus::Ok)
         co_return boost::outcome_v2::success();
-    co_return this->error(
+    CallError failed = this->error(
             this->isCancelled ? CallFailure::Cancelled : CallFailure::ConnectFailed,
             fmt::format("{}:{} can't be reached", this->endpoint.address, this->endpoint.port));
+    failed.isRefused = status == StreamStatus::Refused;
+    co_return failed;
 }
 
 Awaitable<CallResult<void>> UpstreamCall::send(std::string_view head, std::string_view body,
@@ -222,7 +224,7 @@
 
 CallError UpstreamCall::error(CallFailure failure, std::string message) const
 {
-    return CallError{failure, this->isAnythingWritten(), std::move(message)};
+    return CallError{failure, this->isAnythingWritten(), std::move(message), false};
 }
 
 CallError UpstreamCall::streamError(StreamStatus status) const
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -37,6 +37,8 @@
     CallFailure failure = CallFailure::ConnectFailed;
     bool isAnythingWritten = false;
     std::string message;
+    /// The host answered that no process listens at the address.
+    bool isRefused = false;
     auto operator<=>(const CallError &) const = default;
 };
 
--- a/tests/upstream/unit-orders.cpp
+++ b/tests/upstream/unit-orders.cpp
@@ -205,3 +205,35 @@
         CHECK(bench.report().error().kind() == ErrorKind::ReportDistrusted);
     }
 }
+
+TEST_CASE("only a refused port shows that an upstream's process has ended")
+{
+    asio::io_context context;
+    Metrics metrics;
+    OrderTimeouts timeouts;
+    timeouts.report = std::chrono::milliseconds(50);
+    OrderClient client(context, {}, metrics, timeouts);
+    asio::ip::tcp::acceptor silent(context, {asio::ip::make_address("127.0.0.1"), 0});
+    UpstreamSpec spec;
+    spec.id = UpstreamId("worker-1");
+    spec.endpoint = {"127.0.0.1", silent.local_endpoint().port()};
+    const auto kindOfReport = [&] {
+        std::optional<ErrorKind> kind;
+        client.fetchReport(spec,
+                           [&](const Result<EngineReport> &told) { kind = told.error().kind(); });
+        while (!kind)
+            context.run_one();
+        return *kind;
+    };
+
+    SUBCASE("a process that accepts and does not answer may be paused")
+    {
+        CHECK(kindOfReport() == ErrorKind::UpstreamTimedOut);
+    }
+
+    SUBCASE("a port that refuses has no process")
+    {
+        silent.close();
+        CHECK(kindOfReport() == ErrorKind::UpstreamUnavailable);
+    }
+}
