--- a/scripts/process_run.py
+++ b/scripts/process_run.py
@@ -18,6 +18,7 @@
 DEADLINE_MS = 15000
 DEADLINE_SLACK_S = 0.5
 LONGEST_PAUSE_S = 3.0
+LONGEST_ENGINE_PAUSE_S = 5.0
 RETRYABLE_KINDS = (ConnectionError, TimeoutError, OSError)
 
 
@@ -187,6 +188,14 @@
     running.disturb(name)
 
 
+def pause_engine(running, chance):
+    """An engine that is silent for a while still holds what it has loaded."""
+    engine = chance.choice(running.engines)
+    engine.send(signal.SIGSTOP)
+    time.sleep(chance.uniform(2.0, LONGEST_ENGINE_PAUSE_S))
+    engine.send(signal.SIGCONT)
+
+
 def stop_and_replace(running, name, totals):
     """A planned stop cuts nothing: it is not recorded as a disturbance."""
     running.unready.add(name)
@@ -233,7 +242,7 @@
     names = sorted(running.instances)
     while time.monotonic() < end:
         name = chance.choice(names)
-        kind = chance.choice(["kill", "pause", "stop", "key-value"])
+        kind = chance.choice(["kill", "pause", "stop", "key-value", "engine pause"])
         totals.count(f"fault {kind}")
         if kind == "kill":
             kill_and_replace(running, name)
@@ -241,6 +250,8 @@
             pause(running, name, chance.uniform(0.5, LONGEST_PAUSE_S))
         elif kind == "stop":
             stop_and_replace(running, name, totals)
+        elif kind == "engine pause":
+            pause_engine(running, chance)
         else:
             address = running.key_value.address
             faults = chance.choice([{"down": True}, {"delayMs": 300}, {"lostAnswerShare": 0.3}])
