--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -30,9 +30,12 @@
         self.child = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=self.log,
                                       env={**os.environ, **(environment or {})})
         line = self.child.stdout.readline()
-        if not line:
-            raise RuntimeError(f"{name} did not start; its log is {self.log_path.read_text()}")
-        self.bound = json.loads(line)
+        try:
+            self.bound = json.loads(line)
+        except json.JSONDecodeError:
+            self.close()
+            raise RuntimeError(f"{name} did not start; it wrote \"{line.decode().strip()}\" and "
+                               f"its log is {self.log_path.read_text()}") from None
 
     def send(self, number):
         if self.child.poll() is None:
@@ -96,7 +99,7 @@
         self.engine_flags = list(engine_flags)
         self.service_flags = list(service_flags)
         self.engines, self.services, self.instances = [], [], {}
-        self.platform = []
+        self.stand_ins = []
         try:
             self._start_platform()
             self._start_upstreams()
@@ -116,13 +119,13 @@
         command = [str(self.binaries / "bamboochute-fakes"), kind, *flags]
         process = Process(name, command, self.directory.name)
         process.address = f"{process.bound['address']}:{process.bound['port']}"
+        self.stand_ins.append(process)
         return process
 
     def _start_platform(self):
         self.key_value = self._fake("key-value", "key-value")
         self.instance_list = self._fake("instance-list", "instances", "--lag-ms=500")
         self.store = self._fake("store", "store", f"--load-ms={self.load_ms}")
-        self.platform = [self.key_value, self.instance_list, self.store]
 
     def _start_upstreams(self):
         for number in range(ENGINE_COUNT):
@@ -204,6 +207,6 @@
 
     def close(self):
         """Ends whatever still runs."""
-        for process in [*self.instances.values(), *self.engines, *self.services, *self.platform]:
+        for process in [*self.instances.values(), *self.stand_ins]:
             process.close()
         self.directory.cleanup()
