--- a/bench/experiment-config.cpp
+++ b/bench/experiment-config.cpp
@@ -6,7 +6,7 @@
 #include "admin/configuration_check.hpp"
 #include "admin/configuration_format.hpp"
 #include "admin/configuration_in_force.hpp"
-#include "admin/digest.hpp"
+#include "core/digest.hpp"
 #include "core/invariant.hpp"
 
 #include <algorithm>
--- a/daemons/bamboochutectl.cpp
+++ b/daemons/bamboochutectl.cpp
@@ -1,9 +1,9 @@
 #include "admin/admin_client.hpp"
 #include "admin/configuration_format.hpp"
 #include "admin/configuration_schema.hpp"
-#include "admin/digest.hpp"
 #include "admin/text_table.hpp"
 #include "bamboochute/bamboochute.hpp"
+#include "core/digest.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -455,7 +455,7 @@
 
 void hash(const Flags &flags)
 {
-    std::cout << admin::sha256Hex(credentialOf(flags)) << '\n';
+    std::cout << sha256Hex(credentialOf(flags)) << '\n';
 }
 
 void schema(const Flags &)
--- a/examples/example.cpp
+++ b/examples/example.cpp
@@ -1,6 +1,6 @@
 #include "example.hpp"
 
-#include "admin/digest.hpp"
+#include "core/digest.hpp"
 
 #include <charconv>
 #include <iostream>
@@ -87,7 +87,7 @@
     ExampleParameters parameters{defaultEndpoints(engineCount, 1, 9000),
                                  defaultEndpoints(serviceCount, 2, 9100),
                                  flags.at("--operator").asString(),
-                                 admin::sha256Hex(flags.at("--credential").asString())};
+                                 sha256Hex(flags.at("--credential").asString())};
     if (!readEndpoints(flags.at("--engines"), "--engines", parameters.engines)
         || !readEndpoints(flags.at("--services"), "--services", parameters.services))
         return 2;
--- a/src/admin/configuration_parts.cpp
+++ b/src/admin/configuration_parts.cpp
@@ -2,8 +2,8 @@
 
 #include "admin/configuration_format.hpp"
 #include "admin/configuration_items.hpp"
-#include "admin/digest.hpp"
 #include "admin/field_writer.hpp"
+#include "core/digest.hpp"
 #include "core/random.hpp"
 
 #include <algorithm>
--- a/src/admin/credentials.cpp
+++ b/src/admin/credentials.cpp
@@ -1,6 +1,6 @@
 #include "admin/credentials.hpp"
 
-#include "admin/digest.hpp"
+#include "core/digest.hpp"
 
 namespace bamboochute::admin {
 
--- a/src/admission/operation_record.cpp
+++ b/src/admission/operation_record.cpp
@@ -1,15 +1,14 @@
 #include "admission/operation_record.hpp"
 
+#include "core/digest.hpp"
 #include "core/overloaded.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cctype>
 #include <cstdint>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <openssl/sha.h>
 
 namespace bamboochute::admission {
 
@@ -102,16 +101,6 @@
     text += part;
 }
 
-std::string sha256(std::string_view text)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
-    std::string hex;
-    for (const unsigned char byte : digest)
-        hex += fmt::format("{:02x}", byte);
-    return hex;
-}
-
 } // namespace
 
 std::string encode(const OperationRecord &record)
@@ -163,7 +152,7 @@
     std::string text;
     appendPart(text, scope);
     appendPart(text, key.value());
-    return "claims/" + sha256(text);
+    return "claims/" + sha256Hex(text);
 }
 
 std::string requestFingerprint(std::string_view method, std::string_view path,
@@ -173,7 +162,7 @@
     appendPart(text, method);
     appendPart(text, path);
     appendPart(text, body);
-    return sha256(text);
+    return sha256Hex(text);
 }
 
 } // namespace bamboochute::admission
--- a/src/caller/classification.cpp
+++ b/src/caller/classification.cpp
@@ -1,13 +1,13 @@
 #include "caller/classification.hpp"
 
 #include "admission/operation_record.hpp"
+#include "core/digest.hpp"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 
 #include <fmt/format.h>
-#include <openssl/evp.h>
 
 namespace bamboochute::caller {
 
@@ -213,20 +213,4 @@
     return PoolId(name.substr(servicePrefix.size()));
 }
 
-std::string sha256Hex(std::string_view text)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int length = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    constexpr std::string_view digits = "0123456789abcdef";
-    constexpr unsigned int halfByte = 4;
-    std::string hex;
-    hex.reserve(std::size_t{2} * length);
-    for (unsigned int i = 0; i < length; ++i) {
-        hex += digits[digest[i] >> halfByte];
-        hex += digits[digest[i] & 0xfU];
-    }
-    return hex;
-}
-
 } // namespace bamboochute::caller
--- a/src/caller/classification.hpp
+++ b/src/caller/classification.hpp
@@ -68,7 +68,4 @@
 /// @brief The pool of a target made by serviceTarget(); nothing for a model.
 std::optional<PoolId> servicePool(const Target &target);
 
-/// @brief SHA-256 of a text as lower-case hex.
-std::string sha256Hex(std::string_view text);
-
 } // namespace bamboochute::caller
--- a/src/admin/digest.cpp
+++ b/src/core/digest.cpp
@@ -1,11 +1,11 @@
-#include "admin/digest.hpp"
+#include "core/digest.hpp"
 
 #include <array>
 
 #include <openssl/crypto.h>
 #include <openssl/sha.h>
 
-namespace bamboochute::admin {
+namespace bamboochute {
 
 std::string sha256Hex(std::string_view text)
 {
@@ -27,4 +27,4 @@
            && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
-} // namespace bamboochute::admin
+} // namespace bamboochute
--- a/src/admin/digest.hpp
+++ b/src/core/digest.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace bamboochute::admin {
+namespace bamboochute {
 
 /// @brief SHA-256 of a text as 64 lower-case hexadecimal digits.
 std::string sha256Hex(std::string_view text);
@@ -13,4 +13,4 @@
 /// @brief Compares two texts in a time that depends only on their lengths.
 bool equalsInConstantTime(std::string_view left, std::string_view right);
 
-} // namespace bamboochute::admin
+} // namespace bamboochute
--- a/src/node/configuration_driver.cpp
+++ b/src/node/configuration_driver.cpp
@@ -41,8 +41,9 @@
 std::string printRootNews(const admin::ConfigurationRoot &root, const InstanceId &holder)
 {
     const auto object = nlohmann::json::array({admin::writeRoot(root), holder.value()});
-    const auto bytes = nlohmann::json::to_cbor(object);
-    return std::string(bytes.begin(), bytes.end());
+    std::string bytes;
+    nlohmann::json::to_cbor(object, bytes);
+    return bytes;
 }
 
 struct RootNews
--- a/src/node/members.cpp
+++ b/src/node/members.cpp
@@ -6,18 +6,9 @@
 
 namespace bamboochute::node {
 
-namespace {
-
-bool isReachable(const peer::Member &member)
-{
-    return member.state == peer::MemberState::Alive || member.state == peer::MemberState::Suspected;
-}
-
-} // namespace
-
 bool isUsable(const peer::Member &member)
 {
-    return isReachable(member) && !member.isLeaving;
+    return peer::isReachable(member.state) && !member.isLeaving;
 }
 
 std::vector<InstanceId> usableInstances(const peer::Membership &membership, bool isSelfLeaving)
@@ -52,7 +43,7 @@
                                        const InstanceId &instance)
 {
     const auto member = membership.find(instance);
-    if (!member || !isReachable(*member))
+    if (!member || !peer::isReachable(member->state))
         return std::nullopt;
     return member->identity.callEndpoint;
 }
--- a/src/node/placement_stream.cpp
+++ b/src/node/placement_stream.cpp
@@ -44,8 +44,9 @@
 std::string printOwnerAnnouncement(const OwnerAnnouncement &owner)
 {
     const auto object = nlohmann::json::array({owner.instance.value(), owner.incarnation.value()});
-    const auto bytes = nlohmann::json::to_cbor(object);
-    return std::string(bytes.begin(), bytes.end());
+    std::string bytes;
+    nlohmann::json::to_cbor(object, bytes);
+    return bytes;
 }
 
 std::optional<OwnerAnnouncement> parseOwnerAnnouncement(std::string_view payload)
--- a/src/node/upstream_watch.cpp
+++ b/src/node/upstream_watch.cpp
@@ -40,8 +40,7 @@
     std::vector<std::string> payloads;
     nlohmann::json object = nlohmann::json::object();
     const auto finish = [&] {
-        const auto bytes = nlohmann::json::to_cbor(object);
-        payloads.emplace_back(bytes.begin(), bytes.end());
+        nlohmann::json::to_cbor(object, payloads.emplace_back());
         object = nlohmann::json::object();
     };
     for (const auto &[upstream, load] : loads) {
--- a/tests/admin/sample.hpp
+++ b/tests/admin/sample.hpp
@@ -2,8 +2,8 @@
 /// @brief A small valid configuration for tests.
 #pragma once
 
-#include "admin/digest.hpp"
 #include "core/configuration.hpp"
+#include "core/digest.hpp"
 
 #include <string>
 
--- a/tests/admin/unit-operator.cpp
+++ b/tests/admin/unit-operator.cpp
@@ -1,6 +1,6 @@
 #include "admin/configuration_format.hpp"
-#include "admin/digest.hpp"
 #include "bamboochute/operator.hpp"
+#include "core/digest.hpp"
 
 #include <doctest/doctest.h>
 
@@ -31,7 +31,7 @@
 
 operators::Configuration configurationOf(const operators::Deployment &deployment)
 {
-    return operators::Configuration().allow("ana", admin::sha256Hex("secret")).add(deployment);
+    return operators::Configuration().allow("ana", sha256Hex("secret")).add(deployment);
 }
 
 void checkRefused(const operators::Deployment &deployment, const std::string &field,
