--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -1,5 +1,7 @@
 #include "core/clock.hpp"
 
+#include <ctime>
+
 namespace bamboochute {
 
 TimePoint SteadyClock::now() const
@@ -8,4 +10,13 @@
     return TimePoint(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
+TimePoint BootClock::now() const
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    const auto sinceBoot
+            = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    return TimePoint(std::chrono::duration_cast<Duration>(sinceBoot));
+}
+
 } // namespace bamboochute
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -37,6 +37,15 @@
     TimePoint now() const;
 };
 
+/// @brief The monotonic clock that also counts the time while the machine is suspended.
+///
+/// Leases granted by others run out on it.
+class BootClock
+{
+public:
+    TimePoint now() const;
+};
+
 /// @brief A clock that stands still until it is moved; for tests and virtual time.
 class ManualClock
 {
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -6,9 +6,13 @@
 #include <memory>
 #include <mutex>
 
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace bamboochute {
 
@@ -34,6 +38,57 @@
     return levelRows[static_cast<std::size_t>(level)];
 }
 
+/// Writes to a file descriptor that does not block; what does not fit is dropped whole.
+class DroppingSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+    explicit DroppingSink(int descriptor)
+        : descriptor(descriptor)
+    {}
+
+    std::uint64_t dropped() const noexcept { return this->droppedLines; }
+
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override
+    {
+        spdlog::memory_buf_t line;
+        this->formatter_->format(message, line);
+        if (!this->writeRest() || !this->write(line.data(), line.size()))
+            ++this->droppedLines;
+    }
+
+    void flush_() override { this->writeRest(); }
+
+private:
+    /// Writes what is left of a line that went out in part.
+    bool writeRest()
+    {
+        const std::string rest = std::move(this->unwritten);
+        this->unwritten.clear();
+        return rest.empty() || (this->write(rest.data(), rest.size()) && this->unwritten.empty());
+    }
+
+    bool write(const char *data, std::size_t size)
+    {
+        const ssize_t written = ::write(this->descriptor, data, size);
+        if (written <= 0)
+            return false;
+        if (static_cast<std::size_t>(written) < size)
+            this->unwritten.assign(data + written, size - static_cast<std::size_t>(written));
+        return true;
+    }
+
+    int descriptor;
+    std::string unwritten;
+    std::uint64_t droppedLines = 0;
+};
+
+std::shared_ptr<DroppingSink> &standardOutput()
+{
+    static std::shared_ptr<DroppingSink> sink;
+    return sink;
+}
+
 std::string &instanceName()
 {
     static std::string name;
@@ -74,6 +129,21 @@
     logger().set_level(rowOf(level).native);
 }
 
+void logToStandardOutput()
+{
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    standardOutput() = std::make_shared<DroppingSink>(STDOUT_FILENO);
+    logger().sinks().assign({standardOutput()});
+    logger().set_pattern("%v");
+}
+
+std::uint64_t droppedLogLines() noexcept
+{
+    return standardOutput() ? standardOutput()->dropped() : 0;
+}
+
 bool parseLogLevel(std::string_view name, LogLevel &level)
 {
     for (const LevelRow &row : levelRows) {
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -2,6 +2,7 @@
 /// @brief Structured log: one JSON object a line on stderr, by spdlog.
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -18,6 +19,14 @@
 /// @param level least level written
 void configureLog(std::string_view instance, LogLevel level);
 
+/// @brief Writes the lines to standard output from now on, without ever waiting for its reader.
+///
+/// Lines that the reader does not take at once are dropped and counted.
+void logToStandardOutput();
+
+/// @brief Lines dropped because standard output was full.
+std::uint64_t droppedLogLines() noexcept;
+
 /// @brief Parses "debug", "info", "warning", "error" or "critical".
 /// @return false when the name is none of these; level is unchanged then
 bool parseLogLevel(std::string_view name, LogLevel &level);
--- /dev/null
+++ b/src/gateway/catalogue.cpp
@@ -0,0 +1,67 @@
+#include "gateway/catalogue.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace bamboochute::gateway {
+
+namespace {
+
+/// Host without port, in lower case.
+std::string plainHost(std::string_view host)
+{
+    std::string plain(host.substr(0, host.rfind(':') == std::string_view::npos ? host.size()
+                                                                               : host.rfind(':')));
+    std::transform(plain.begin(), plain.end(), plain.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return plain;
+}
+
+std::string indexKey(std::string_view plainHost, std::string_view prefix)
+{
+    std::string key(plainHost);
+    key += ' ';
+    key += prefix;
+    return key;
+}
+
+} // namespace
+
+const ModelWeights *EngineSpec::find(const ModelId &model) const noexcept
+{
+    const auto found = std::find_if(this->models.begin(), this->models.end(),
+                                    [&model](const ModelWeights &one) { return one.id == model; });
+    return found == this->models.end() ? nullptr : &*found;
+}
+
+RouteIndex::RouteIndex(Catalogue catalogue)
+    : whole(std::move(catalogue))
+{
+    for (const Route &route : this->whole.routes)
+        this->byPrefix.emplace(indexKey(plainHost(route.host), route.pathPrefix), &route);
+}
+
+const Route *RouteIndex::find(std::string_view host, std::string_view target) const
+{
+    const std::string plain = plainHost(host);
+    std::string_view prefix = target.substr(0, target.find('?'));
+    while (!prefix.empty()) {
+        const std::size_t slash = prefix.rfind('/');
+        if (slash == std::string_view::npos)
+            return nullptr;
+        const auto found = this->byPrefix.find(indexKey(plain, prefix.substr(0, slash + 1)));
+        if (found != this->byPrefix.end())
+            return found->second;
+        prefix = prefix.substr(0, slash);
+    }
+    return nullptr;
+}
+
+const Service *RouteIndex::service(const ServiceId &id) const
+{
+    const auto found = std::find_if(this->whole.services.begin(), this->whole.services.end(),
+                                    [&id](const Service &service) { return service.id == id; });
+    return found == this->whole.services.end() ? nullptr : &*found;
+}
+
+} // namespace bamboochute::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,176 @@
+#include "gateway/gateway.hpp"
+
+#include "caller/caller_request.hpp"
+#include "core/log.hpp"
+#include "gateway/request_exchange.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <fmt/format.h>
+
+namespace bamboochute::gateway {
+
+namespace {
+
+namespace asio = upstream::asio;
+using upstream::Awaitable;
+using upstream::error_code;
+
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
+constexpr int maxBacklog = 512;
+/// Unread bytes that one connection holds.
+constexpr std::size_t maxBufferBytes = 64 << 10;
+/// Time in which an upstream accepts a connection; links have a round trip of a few milliseconds.
+constexpr Duration connectTimeout = std::chrono::milliseconds(400);
+/// From the end of the header to the end of the body, in header timeouts.
+constexpr int bodyTimeouts = 5;
+
+upstream::PoolLimits poolLimits()
+{
+    upstream::PoolLimits limits;
+    limits.connectTimeout = connectTimeout;
+    limits.maxBufferBytes = maxBufferBytes;
+    return limits;
+}
+
+} // namespace
+
+Gateway::Gateway(boost::asio::io_context &loop, GatewaySettings settings, CallCodec codec,
+                 Metrics &metrics)
+    : health(settings.health)
+    , choice(settings.dataCentre, settings.seed)
+    , budget(settings.repeats)
+    , loop(loop)
+    , settings(std::move(settings))
+    , codec(std::move(codec))
+    , metrics(metrics)
+    , watch(loop)
+    , pool(loop, this->watch, poolLimits())
+    , acceptor(loop)
+    , change(loop)
+    , random(this->settings.seed)
+{}
+
+Gateway::~Gateway() = default;
+
+Result<Endpoint> Gateway::start()
+{
+    error_code error;
+    const Endpoint &listen = this->settings.listen;
+    const auto address = asio::ip::make_address(listen.address, error);
+    if (!error)
+        this->acceptor.open(asio::ip::tcp::v4(), error);
+    if (!error)
+        this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        this->acceptor.bind(asio::ip::tcp::endpoint(address, listen.port), error);
+    if (!error)
+        this->acceptor.listen(maxBacklog, error);
+    if (error)
+        return Error(ErrorKind::SettingInvalid,
+                     fmt::format("{}:{} can't be listened on: {}", listen.address, listen.port,
+                                 error.message()));
+    asio::co_spawn(this->loop, this->accept(), asio::detached);
+    return Endpoint{listen.address, this->acceptor.local_endpoint().port()};
+}
+
+void Gateway::publish(RouteIndexPointer newer)
+{
+    this->index = std::move(newer);
+    this->changed();
+}
+
+void Gateway::beginDrain()
+{
+    this->draining = true;
+}
+
+void Gateway::closeIdle()
+{
+    this->closing = true;
+    error_code ignored;
+    this->acceptor.close(ignored);
+    for (upstream::HttpStream *stream : this->idleStreams)
+        stream->close();
+}
+
+void Gateway::stop()
+{
+    this->closeIdle();
+    for (const upstream::HttpStreamPointer &stream : this->streams)
+        stream->close();
+    this->pool.shutdown();
+    this->changed();
+}
+
+caller::ServerLimits Gateway::limits() const
+{
+    caller::ServerLimits limits;
+    const CallerLimits given
+            = this->index ? this->index->catalogue().limits : CallerLimits();
+    limits.maxHeaderBytes = given.maxHeaderBytes;
+    limits.maxBodyBytes = given.maxBodyBytes;
+    limits.headerTimeout = given.headerTimeout;
+    limits.idleTimeout = given.idleTimeout;
+    limits.bodyTimeout = bodyTimeouts * given.headerTimeout;
+    return limits;
+}
+
+Awaitable<void> Gateway::accept()
+{
+    while (!this->closing) {
+        error_code error;
+        upstream::Socket socket(this->loop);
+        co_await this->acceptor.async_accept(socket,
+                                             asio::redirect_error(upstream::UseAwaitable(), error));
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            logEvent(LogLevel::Warning, "connection not accepted", {{"error", error.message()}});
+            ChangeSignal::Timer pause(this->loop);
+            pause.expires_after(acceptRetryDelay);
+            co_await pause.async_wait(asio::redirect_error(upstream::UseAwaitable(), error));
+            continue;
+        }
+        if (this->streams.size() >= this->settings.maxConnections) {
+            this->metrics.counter("bamboochute_connections_refused_total").add();
+            continue;
+        }
+        auto stream = std::make_shared<upstream::HttpStream>(std::move(socket), this->watch,
+                                                             maxBufferBytes);
+        this->streams.insert(stream);
+        asio::co_spawn(this->loop, this->serve(stream),
+                       [this, stream](const std::exception_ptr &failure) {
+                           this->streams.erase(stream);
+                           if (failure)
+                               std::rethrow_exception(failure);
+                       });
+    }
+}
+
+Awaitable<void> Gateway::serve(upstream::HttpStreamPointer stream)
+{
+    caller::CallerRequest request;
+    while (!this->closing) {
+        this->idleStreams.insert(stream.get());
+        const caller::ServerLimits limits = this->limits();
+        const caller::RequestRead none = co_await caller::readRequest(*stream, limits, request);
+        this->idleStreams.erase(stream.get());
+        if (none && !none->error)
+            break;
+        ++this->requests;
+        RequestExchange exchange(*this, *stream, request);
+        if (none)
+            co_await exchange.refuseUnread(*none->error);
+        else
+            co_await exchange.run();
+        --this->requests;
+        if (none || !exchange.isKeepAlive() || stream->isExpired())
+            break;
+    }
+    stream->neverExpire();
+    stream->close();
+}
+
+} // namespace bamboochute::gateway
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,103 @@
+/// @file
+/// @brief Serves callers by routes: one event loop for connections, choices and upstreams.
+#pragma once
+
+#include "caller/server_settings.hpp"
+#include "core/metrics.hpp"
+#include "gateway/call_codec.hpp"
+#include "gateway/catalogue.hpp"
+#include "gateway/change_signal.hpp"
+#include "gateway/demand_book.hpp"
+#include "gateway/repeat_budget.hpp"
+#include "gateway/upstream_choice.hpp"
+#include "upstream/connection_pool.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace bamboochute::gateway {
+
+/// @brief What a gateway needs to know of its process.
+struct GatewaySettings
+{
+    Endpoint listen;
+    DataCentreId dataCentre;
+    /// Of random choices; differs between instances.
+    std::uint64_t seed = 1;
+    RepeatLimits repeats;
+    HealthLimits health;
+    /// Connections of callers at a time.
+    std::size_t maxConnections = 2000;
+};
+
+/// @brief What the connections of callers share; used on the loop's thread only.
+class Gateway
+{
+public:
+    Gateway(boost::asio::io_context &loop, GatewaySettings settings, CallCodec codec,
+            Metrics &metrics);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    /// @brief Binds the callers' address and accepts connections.
+    /// @return SettingInvalid when the address can't be bound
+    Result<Endpoint> start();
+
+    /// @brief Takes a catalogue into use unless a newer one is in force.
+    void publish(RouteIndexPointer index);
+
+    /// @brief From now on answers ask their callers to close the connection.
+    void beginDrain();
+
+    /// @brief Accepts no more connections and closes those that wait for a request.
+    void closeIdle();
+
+    /// @brief Ends the requests that are still open and closes everything.
+    void stop();
+
+    /// @brief Tells all that wait that upstreams, their contents or promises have changed.
+    void changed() { this->change.notifyAll(); }
+
+    std::size_t openRequests() const noexcept { return this->requests; }
+    std::size_t openConnections() const noexcept { return this->streams.size(); }
+    bool isDraining() const noexcept { return this->draining; }
+
+    RouteIndexPointer index;
+    UpstreamTable table;
+    UpstreamHealth health;
+    UpstreamChoice choice;
+    RepeatBudget budget;
+    DemandBook demand;
+    /// Called when a request begins to wait for a target that nobody holds.
+    std::function<void()> onNewWait;
+    /// Called when an upstream begins to be avoided.
+    std::function<void(const UpstreamId &, UpstreamFault)> onSuspicion;
+
+private:
+    friend class RequestExchange;
+
+    upstream::Awaitable<void> accept();
+    upstream::Awaitable<void> serve(upstream::HttpStreamPointer stream);
+    caller::ServerLimits limits() const;
+
+    boost::asio::io_context &loop;
+    GatewaySettings settings;
+    CallCodec codec;
+    Metrics &metrics;
+    upstream::DeadlineWatch watch;
+    upstream::ConnectionPool pool;
+    upstream::Acceptor acceptor;
+    ChangeSignal change;
+    Random random;
+    std::set<upstream::HttpStreamPointer> streams;
+    std::set<upstream::HttpStream *> idleStreams;
+    std::size_t requests = 0;
+    bool draining = false;
+    bool closing = false;
+};
+
+} // namespace bamboochute::gateway
--- /dev/null
+++ b/src/gateway/request_exchange.hpp
@@ -0,0 +1,124 @@
+/// @file
+/// @brief One request: routed, sent to upstreams, and its answer relayed to the caller.
+#pragma once
+
+#include "caller/caller_request.hpp"
+#include "caller/event_stream.hpp"
+#include "core/log.hpp"
+#include "gateway/gateway.hpp"
+#include "upstream/upstream_call.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bamboochute::gateway {
+
+/// @brief How one attempt at an upstream ended.
+enum class AttemptEnd {
+    /// The caller has the whole answer, or has left, or its connection failed.
+    Finished,
+    /// The upstream did not run the request and never will.
+    NotRun,
+    /// The request may have run; nothing of an answer has reached the caller.
+    MayHaveRun,
+    /// A stream broke after some of its events had reached the caller.
+    StreamBroken,
+};
+
+/// @brief Carries one request to its end; lives as long as the request.
+class RequestExchange
+{
+public:
+    RequestExchange(Gateway &gateway, upstream::HttpStream &caller,
+                    const caller::CallerRequest &request);
+    ~RequestExchange();
+    RequestExchange(const RequestExchange &) = delete;
+    RequestExchange &operator=(const RequestExchange &) = delete;
+
+    /// @brief Answers the request.
+    upstream::Awaitable<void> run();
+
+    /// @brief Refuses what could not be read as a request.
+    upstream::Awaitable<void> refuseUnread(const Error &error);
+
+    /// @brief Whether the caller's connection can be used for another request.
+    bool isKeepAlive() const noexcept { return this->keepAlive; }
+
+private:
+    using HeadText = std::string;
+
+    /// An upstream, or why there is none.
+    struct Placement
+    {
+        std::optional<UpstreamId> upstream;
+        std::optional<Error> refusal;
+        /// When a refused caller may come back.
+        Duration retryAfter{};
+    };
+
+    bool begin();
+    void watchCaller();
+    void callerLeft();
+    TimePoint now() const { return SteadyClock().now(); }
+    Duration left() const { return this->deadline - this->now(); }
+
+    upstream::Awaitable<void> runAttempts();
+    upstream::Awaitable<Placement> place();
+    upstream::Awaitable<Placement> waitForTarget();
+    ChoiceQuery query() const;
+    bool isEngineTarget() const;
+    bool isClaimed() const;
+    bool isHeldOnlyByTried() const;
+    bool hasAlternative() const;
+    bool mayTryAgain(AttemptEnd end);
+
+    upstream::Awaitable<AttemptEnd> attempt(const UpstreamId &id);
+    upstream::Awaitable<AttemptEnd> exchange(const UpstreamTable::Entry &entry);
+    upstream::Awaitable<AttemptEnd> readAnswer();
+    upstream::Awaitable<AttemptEnd> relayWhole();
+    upstream::Awaitable<AttemptEnd> relayEvents();
+    AttemptEnd callFailed(const upstream::CallError &error);
+    AttemptEnd refusedByUpstream(const AnswerAttributes &attributes, int status);
+    HeadText upstreamHead(const UpstreamTable::Entry &entry) const;
+    TimePoint firstEventLimit() const;
+    TimePoint nextEventLimit() const;
+    void noteFault(UpstreamFault fault, std::string_view reason);
+    void noteSuccess();
+
+    upstream::Awaitable<void> finishUnanswered();
+    upstream::Awaitable<void> refuse(const Error &error, std::optional<Duration> retryAfter);
+    upstream::Awaitable<bool> send(std::string_view head, std::string_view body);
+    std::string answerHead(int status, const upstream::HeaderList &headers) const;
+    void log(LogLevel level, std::string_view message, std::string_view reason,
+             std::string_view detail = {}) const;
+
+    Gateway &gateway;
+    upstream::HttpStream &caller;
+    const caller::CallerRequest &request;
+    RequestAttributes attributes;
+    RouteIndexPointer index;
+    const Route *route = nullptr;
+    const Service *service = nullptr;
+    ServiceTarget target;
+    TimePoint deadline{};
+    bool keepAlive = false;
+    bool isCallerGone = false;
+    std::vector<UpstreamId> tried;
+    /// Upstreams that the request may have run at.
+    std::uint32_t runs = 0;
+    /// Answers by which upstreams said that they did not run it.
+    std::uint32_t refusals = 0;
+    std::uint32_t sends = 0;
+    UpstreamId current;
+    TimePoint sentAt{};
+    std::optional<upstream::UpstreamCall> call;
+    caller::EventStream events;
+    bool isAnswerBegun = false;
+    bool hasTimedOut = false;
+    /// An upstream's own failure, relayed when no other upstream does better.
+    std::optional<std::pair<std::string, std::string>> failureAnswer;
+    std::string lastFault;
+};
+
+} // namespace bamboochute::gateway
--- /dev/null
+++ b/src/gateway/status_server.cpp
@@ -0,0 +1,110 @@
+#include "gateway/status_server.hpp"
+
+#include "caller/caller_request.hpp"
+
+#include <array>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <fmt/format.h>
+
+namespace bamboochute::gateway {
+
+namespace {
+
+namespace asio = upstream::asio;
+using upstream::Awaitable;
+using upstream::error_code;
+
+constexpr int maxBacklog = 64;
+constexpr std::size_t maxConnections = 64;
+constexpr std::size_t maxBufferBytes = 16 << 10;
+constexpr Duration writeTimeout = std::chrono::seconds(2);
+
+} // namespace
+
+StatusServer::StatusServer(boost::asio::io_context &loop, Metrics &metrics,
+                           std::function<bool()> isReady)
+    : loop(loop)
+    , metrics(metrics)
+    , isReady(std::move(isReady))
+    , watch(loop)
+    , acceptor(loop)
+{}
+
+Result<Endpoint> StatusServer::start(const Endpoint &listen)
+{
+    error_code error;
+    const auto address = asio::ip::make_address(listen.address, error);
+    if (!error)
+        this->acceptor.open(asio::ip::tcp::v4(), error);
+    if (!error)
+        this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        this->acceptor.bind(asio::ip::tcp::endpoint(address, listen.port), error);
+    if (!error)
+        this->acceptor.listen(maxBacklog, error);
+    if (error)
+        return Error(ErrorKind::SettingInvalid,
+                     fmt::format("{}:{} can't be listened on: {}", listen.address, listen.port,
+                                 error.message()));
+    asio::co_spawn(this->loop, this->accept(), asio::detached);
+    return Endpoint{listen.address, this->acceptor.local_endpoint().port()};
+}
+
+void StatusServer::stop()
+{
+    this->isStopped = true;
+    error_code ignored;
+    this->acceptor.close(ignored);
+    for (const upstream::HttpStreamPointer &stream : this->streams)
+        stream->close();
+}
+
+Awaitable<void> StatusServer::accept()
+{
+    while (!this->isStopped) {
+        error_code error;
+        upstream::Socket socket(this->loop);
+        co_await this->acceptor.async_accept(socket,
+                                             asio::redirect_error(upstream::UseAwaitable(), error));
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error || this->streams.size() >= maxConnections)
+            continue;
+        auto stream = std::make_shared<upstream::HttpStream>(std::move(socket), this->watch,
+                                                             maxBufferBytes);
+        this->streams.insert(stream);
+        asio::co_spawn(this->loop, this->serve(stream),
+                       [this, stream](const std::exception_ptr &) { this->streams.erase(stream); });
+    }
+}
+
+Awaitable<void> StatusServer::serve(upstream::HttpStreamPointer stream)
+{
+    caller::CallerRequest request;
+    const caller::ServerLimits limits;
+    while (!this->isStopped) {
+        const caller::RequestRead none = co_await caller::readRequest(*stream, limits, request);
+        if (none)
+            break;
+        const bool isMetrics = request.path() == "/metrics";
+        const std::string body = isMetrics ? this->metrics.print() : std::string();
+        const std::string_view status
+                = isMetrics || this->isReady() ? "200 OK" : "503 Service Unavailable";
+        const std::string head
+                = fmt::format("HTTP/1.1 {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n",
+                              status, body.size());
+        const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(body)};
+        stream->expireAt(SteadyClock().now() + writeTimeout);
+        const upstream::StreamStatus written = co_await stream->write(parts);
+        stream->neverExpire();
+        if (written != upstream::StreamStatus::Ok || !request.isKeepAlive)
+            break;
+    }
+    stream->neverExpire();
+    stream->close();
+}
+
+} // namespace bamboochute::gateway
--- /dev/null
+++ b/src/gateway/upstream_choice.cpp
@@ -0,0 +1,150 @@
+#include "gateway/upstream_choice.hpp"
+
+#include "core/invariant.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace bamboochute::gateway {
+
+namespace {
+
+/// Breaks ties between equal costs.
+constexpr double tieCost = 0.05;
+
+} // namespace
+
+UpstreamChoice::UpstreamChoice(DataCentreId dataCentre, std::uint64_t seed, ChoiceLimits limits)
+    : dataCentre(std::move(dataCentre))
+    , limits(limits)
+    , random(seed)
+{}
+
+std::optional<UpstreamId> UpstreamChoice::pick(const ChoiceQuery &query,
+                                               const UpstreamHealth &health, TimePoint now)
+{
+    Candidates untried;
+    for (const UpstreamTable::Entry *entry : query.candidates) {
+        const auto &excluded = query.excluded;
+        if (std::find(excluded.begin(), excluded.end(), entry->registered.id) == excluded.end())
+            untried.push_back(entry);
+    }
+    if (untried.empty())
+        return std::nullopt;
+    Candidates usable = this->usable(untried, health, now);
+    if (usable.empty() && query.isHealthRequired)
+        return std::nullopt;
+    if (usable.empty()) {
+        const auto earlier = [&health](const auto *left, const auto *right) {
+            return health.avoidedUntil(left->registered.id)
+                   < health.avoidedUntil(right->registered.id);
+        };
+        return (*std::min_element(untried.begin(), untried.end(), earlier))->registered.id;
+    }
+    double fastest = std::numeric_limits<double>::max();
+    for (const UpstreamTable::Entry *entry : usable) {
+        const double seconds = health.latencySeconds(entry->registered.id, now);
+        if (seconds > 0)
+            fastest = std::min(fastest, seconds);
+    }
+    if (query.affinity != 0) {
+        const auto *kept = this->byAffinity(usable, query.affinity, fastest, health, now);
+        if (kept != nullptr)
+            return kept->registered.id;
+    }
+    const UpstreamTable::Entry *best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const UpstreamTable::Entry *entry : usable) {
+        const double cost = this->cost(*entry, fastest, health, now);
+        if (cost < bestCost) {
+            best = entry;
+            bestCost = cost;
+        }
+    }
+    return best->registered.id;
+}
+
+/// Candidates that are not avoided; those whose registration vanished only if there is no other.
+UpstreamChoice::Candidates UpstreamChoice::usable(const Candidates &candidates,
+                                                  const UpstreamHealth &health,
+                                                  TimePoint now) const
+{
+    Candidates registered;
+    Candidates missing;
+    for (const UpstreamTable::Entry *entry : candidates) {
+        if (!health.isAvoided(entry->registered.id, now))
+            (entry->missingSince ? missing : registered).push_back(entry);
+    }
+    return registered.empty() ? missing : registered;
+}
+
+double UpstreamChoice::slowness(const UpstreamId &upstream, double fastest,
+                                const UpstreamHealth &health, TimePoint now) const
+{
+    const double seconds = health.latencySeconds(upstream, now);
+    if (seconds <= 0 || fastest <= 0)
+        return 1;
+    return std::clamp(seconds / fastest, 1.0, this->limits.maxSlowness);
+}
+
+double UpstreamChoice::cost(const UpstreamTable::Entry &entry, double fastest,
+                            const UpstreamHealth &health, TimePoint now)
+{
+    const UpstreamId &id = entry.registered.id;
+    const double slots = std::max<double>(entry.registered.slots, 1);
+    const double own = this->underWay(id);
+    const double reported = (entry.load.running + 4.0 * entry.load.waiting) / slots;
+    double cost = (1 + own + reported) * this->slowness(id, fastest, health, now);
+    cost += this->limits.failureCost * health.failureShare(id);
+    if (entry.registered.dataCentre != this->dataCentre)
+        cost += this->limits.otherDataCentreCost;
+    return cost + tieCost * this->random.unit();
+}
+
+const UpstreamTable::Entry *UpstreamChoice::byAffinity(const Candidates &usable,
+                                                       std::uint64_t affinity, double fastest,
+                                                       const UpstreamHealth &health,
+                                                       TimePoint now) const
+{
+    // Highest hash of upstream and prompt, so that all instances agree without talking.
+    const UpstreamTable::Entry *best = nullptr;
+    std::uint64_t bestScore = 0;
+    for (const UpstreamTable::Entry *entry : usable) {
+        const UpstreamId &id = entry->registered.id;
+        const double use = (this->underWay(id) + entry->load.running) / (2.0 * std::max(entry->registered.slots, 1U));
+        const bool isBusy = entry->load.waiting > 0 || use > this->limits.affinityMaxUse
+                            || entry->load.cacheUse > this->limits.affinityMaxCache
+                            || this->slowness(id, fastest, health, now)
+                                       > this->limits.affinityMaxSlowness;
+        if (isBusy)
+            continue;
+        const std::uint64_t score = stableHash(id.value(), affinity);
+        if (best == nullptr || score > bestScore) {
+            best = entry;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void UpstreamChoice::started(const UpstreamId &upstream)
+{
+    ++this->requests[upstream];
+}
+
+void UpstreamChoice::finished(const UpstreamId &upstream)
+{
+    const auto found = this->requests.find(upstream);
+    BC_INVARIANT(found != this->requests.end() && found->second > 0,
+                 "a request ended that was not under way");
+    if (--found->second == 0)
+        this->requests.erase(found);
+}
+
+std::uint32_t UpstreamChoice::underWay(const UpstreamId &upstream) const
+{
+    const auto found = this->requests.find(upstream);
+    return found == this->requests.end() ? 0 : found->second;
+}
+
+} // namespace bamboochute::gateway
--- a/src/peer/datagram_socket.cpp
+++ b/src/peer/datagram_socket.cpp
@@ -71,13 +71,24 @@
                                 [self = this->shared_from_this()](const ErrorCode &code) {
                                     if (code || !self->socket.is_open())
                                         return;
-                                    self->readErrors();
+                                    if (self->onRefused)
+                                        self->readErrors();
                                     self->readDatagrams();
                                     if (self->socket.is_open())
                                         self->waitReadable();
                                 });
     }
 
+    /// Lets the kernel queue an error for each datagram that was refused.
+    void queueErrors()
+    {
+        const int on = 1;
+        ErrorCode ignored;
+        const bool isIp6 = this->socket.local_endpoint(ignored).address().is_v6();
+        ::setsockopt(this->socket.native_handle(), isIp6 ? SOL_IPV6 : SOL_IP,
+                     isIp6 ? IPV6_RECVERR : IP_RECVERR, &on, sizeof on);
+    }
+
     /// Reads the kernel's queue of errors, which names the destination of each datagram refused.
     void readErrors()
     {
@@ -150,10 +161,6 @@
         return socketError(listen, code);
     if (socket.non_blocking(true, code); code)
         return socketError(listen, code);
-    const int on = 1;
-    const bool isIp6 = address.is_v6();
-    ::setsockopt(socket.native_handle(), isIp6 ? SOL_IPV6 : SOL_IP,
-                 isIp6 ? IPV6_RECVERR : IP_RECVERR, &on, sizeof on);
     // The kernel may grant less; a loss is repaired.
     ErrorCode ignored;
     socket.set_option(boost::asio::socket_base::receive_buffer_size(kernelBufferBytes), ignored);
@@ -165,6 +172,8 @@
 {
     this->state->onReceived = std::move(onReceived);
     this->state->onRefused = std::move(onRefused);
+    if (this->state->onRefused)
+        this->state->queueErrors();
     this->state->waitReadable();
 }
 
--- a/src/peer/datagram_socket.hpp
+++ b/src/peer/datagram_socket.hpp
@@ -45,7 +45,8 @@
 
     /// @brief Starts to receive.
     /// @param onReceived gets each datagram; the bytes are valid during the call only
-    /// @param onRefused gets each endpoint whose host answered that no process is there
+    /// @param onRefused gets each endpoint whose host answered that no process is there; may be
+    /// empty, and the kernel's errors are not read then
     void start(OnReceived onReceived, OnRefused onRefused);
 
     /// @brief Sends at once; what the kernel does not take is dropped and counted.
--- /dev/null
+++ b/src/residency/peer_link.hpp
@@ -0,0 +1,57 @@
+/// @file
+/// @brief Demand to the owner of the placement, and the owner's word to the instances, over UDP.
+#pragma once
+
+#include "gateway/gateway.hpp"
+#include "peer/datagram_socket.hpp"
+#include "residency/owner_election.hpp"
+#include "residency/peer_messages.hpp"
+#include "residency/placement_driver.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace bamboochute::residency {
+
+/// @brief How often an instance reports its demand.
+struct PeerLinkLimits
+{
+    Duration reportInterval = std::chrono::milliseconds(500);
+    /// Pause between two reports while requests wait for a target.
+    Duration waitingInterval = std::chrono::milliseconds(150);
+    /// Instances that are assumed before the owner has told their number.
+    std::uint32_t assumedInstances = 24;
+};
+
+/// @brief One instance's side of the talk about placement; one thread.
+class PeerLink
+{
+public:
+    PeerLink(boost::asio::io_context &loop, gateway::Gateway &gateway, OwnerElection &election,
+             PlacementDriver &driver, InstanceId self, PeerLinkLimits limits = {});
+
+    /// @brief Binds the socket and begins to report.
+    Result<Endpoint> start(const Endpoint &listen);
+    void stop();
+
+private:
+    upstream::Awaitable<void> run();
+    void report();
+    void receive(std::string_view bytes, const Endpoint &from);
+    void take(const OwnerMessage &message);
+
+    boost::asio::io_context &loop;
+    gateway::Gateway &gateway;
+    OwnerElection &election;
+    PlacementDriver &driver;
+    InstanceId self;
+    PeerLinkLimits limits;
+    gateway::ChangeSignal wake;
+    std::unique_ptr<peer::DatagramSocket> socket;
+    std::vector<UpstreamId> suspected;
+    bool isAnyWaiting = false;
+    bool isStopped = false;
+    Fence newest;
+};
+
+} // namespace bamboochute::residency
--- /dev/null
+++ b/src/residency/peer_messages.hpp
@@ -0,0 +1,80 @@
+/// @file
+/// @brief Datagrams between instances about demand and placement, and their encoding.
+#pragma once
+
+#include "core/error.hpp"
+#include "gateway/demand_book.hpp"
+#include "gateway/upstream_table.hpp"
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace bamboochute::residency {
+
+/// @brief What an instance tells the owner of the placement.
+struct DemandMessage
+{
+    InstanceId sender;
+    /// Adds to the message before it instead of replacing what that said.
+    bool isContinuation = false;
+    std::vector<gateway::TargetDemand> demand;
+    /// Upstreams that the sender has begun to avoid.
+    std::vector<UpstreamId> suspected;
+    auto operator<=>(const DemandMessage &) const = default;
+};
+
+/// @brief What one upstream holds.
+struct HeldTargets
+{
+    UpstreamId upstream;
+    gateway::Residency residency;
+    auto operator<=>(const HeldTargets &) const = default;
+};
+
+/// @brief Load of one upstream.
+struct UpstreamLoad
+{
+    UpstreamId upstream;
+    gateway::ReportedLoad load;
+    auto operator<=>(const UpstreamLoad &) const = default;
+};
+
+/// @brief Time until a target is expected to be held.
+struct PromisedTarget
+{
+    gateway::ServiceTarget target;
+    Duration readyIn{};
+    auto operator<=>(const PromisedTarget &) const = default;
+};
+
+/// @brief What the owner tells the instances.
+struct OwnerMessage
+{
+    /// Term of the owner; what a former one says counts for nothing.
+    Fence fence;
+    /// Instances that report to the owner; zero when this message does not tell.
+    std::uint32_t instances = 0;
+    std::vector<HeldTargets> held;
+    std::vector<UpstreamLoad> loads;
+    std::vector<PromisedTarget> promises;
+    std::vector<UpstreamId> suspected;
+    auto operator<=>(const OwnerMessage &) const = default;
+};
+
+using PeerMessage = std::variant<DemandMessage, OwnerMessage>;
+
+/// @brief Encodes a message as CBOR.
+std::string encodePeerMessage(const PeerMessage &message);
+
+/// @brief Decodes a datagram.
+/// @return MalformedRequest when the bytes are no message
+Result<PeerMessage> decodePeerMessage(std::string_view bytes);
+
+/// @brief Divides a message so that each part fits into a datagram.
+/// @param maxBytes of an encoded part; a single element may be longer
+std::vector<DemandMessage> divide(const DemandMessage &message, std::size_t maxBytes);
+std::vector<OwnerMessage> divide(const OwnerMessage &message, std::size_t maxBytes);
+
+} // namespace bamboochute::residency
--- /dev/null
+++ b/src/residency/placement_driver.hpp
@@ -0,0 +1,148 @@
+/// @file
+/// @brief The owner's work: asks engines for reports, plans, orders, and tells the instances.
+#pragma once
+
+#include "core/metrics.hpp"
+#include "gateway/gateway.hpp"
+#include "residency/demand_tally.hpp"
+#include "residency/engine_orders.hpp"
+#include "residency/owner_election.hpp"
+#include "residency/peer_messages.hpp"
+#include "residency/planner.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace bamboochute::residency {
+
+/// @brief Calls to engines.
+struct EnginePort
+{
+    template<typename T>
+    using Awaitable = upstream::Awaitable<T>;
+
+    std::function<Awaitable<Result<EngineReport>>(gateway::RegisteredUpstream)> report;
+    std::function<Awaitable<OrderAnswer>(gateway::RegisteredUpstream, EngineOrder)> order;
+};
+
+/// @brief How often the owner looks, asks and tells.
+struct DriverLimits
+{
+    Duration tickInterval = std::chrono::milliseconds(100);
+    /// Pause between two reports of an engine that does nothing unusual.
+    Duration reportInterval = std::chrono::milliseconds(2000);
+    /// Pause between two reports of an engine whose order is awaited.
+    Duration awaitInterval = std::chrono::milliseconds(120);
+    /// A change of what an engine holds is told a second time after this pause.
+    Duration repeatPause = std::chrono::milliseconds(900);
+    /// Pause between two statements on the load of all engines.
+    Duration loadInterval = std::chrono::milliseconds(1000);
+    /// A report that shows fewer accepted orders than were counted is believed after this time.
+    Duration reportLag = std::chrono::milliseconds(1200);
+    /// Pause after an order that was in conflict.
+    Duration conflictPause = std::chrono::milliseconds(40);
+    /// Conflicts in a row after which a new report is awaited.
+    std::uint32_t maxConflicts = 2;
+    /// An engine is not used for placement after so many reports in a row have failed.
+    std::uint32_t failedReports = 2;
+    /// Time beyond the expected end after which a load that was not seen to end is asked about.
+    Duration loadMargin = std::chrono::milliseconds(15);
+};
+
+/// @brief Drives the placement of all services while this instance owns it; one thread.
+class PlacementDriver
+{
+public:
+    PlacementDriver(boost::asio::io_context &loop, gateway::Gateway &gateway,
+                    OwnerElection &election, EnginePort port, InstanceId self, Metrics &metrics,
+                    DriverLimits limits = {});
+
+    void start();
+    void stop() { this->isStopped = true; }
+
+    /// @brief Takes what an instance tells.
+    void receive(const DemandMessage &message, const Endpoint &from);
+
+    /// @brief Sends a message to one instance; set before start().
+    std::function<void(const Endpoint &to, const OwnerMessage &message)> send;
+
+private:
+    /// What is known of one engine, beyond its registration.
+    struct Engine
+    {
+        EngineReport report;
+        bool isReported = false;
+        TimePoint askedAt{};
+        bool isAsked = false;
+        std::uint32_t failedReports = 0;
+        bool isOrderUnderWay = false;
+        /// When the accepted order is expected to be complete.
+        TimePoint busyUntil{};
+        TimePoint orderedAt{};
+        /// What is loaded, and from where; the model is empty when nothing is.
+        PlannedOrder loading;
+        /// Whether a report showed the end of the last order.
+        bool isEndSeen = true;
+        /// A report said that an order is in progress, or orders were refused for that.
+        bool isBusy = false;
+        std::uint32_t conflicts = 0;
+        TimePoint notBefore{};
+        /// What the instances were told, and when it is told once more because datagrams get lost.
+        gateway::Residency told;
+        std::optional<TimePoint> tellAgainAt;
+    };
+    struct Pool
+    {
+        ResidencyPlanner planner;
+        DemandTally demand;
+        gateway::EngineSpec spec;
+    };
+
+    upstream::Awaitable<void> run();
+    upstream::Awaitable<void> ask(gateway::RegisteredUpstream upstream);
+    upstream::Awaitable<void> order(PlannedOrder planned, gateway::RegisteredUpstream upstream);
+    void tick();
+    void tickPool(const gateway::Service &service, Pool &pool);
+    void askIfDue(const gateway::UpstreamTable::Entry &entry, Engine &engine, TimePoint now);
+    void completeLoad(const UpstreamId &id, Engine &engine, Pool &pool, TimePoint now);
+    PlannedUpstream view(const gateway::UpstreamTable::Entry &entry, const Engine &engine,
+                         TimePoint now) const;
+    void takeReport(const UpstreamId &id, Engine &engine, EngineReport report, TimePoint now);
+    void logReport(const UpstreamId &id, const EngineReport &report) const;
+    void orderAccepted(const PlannedOrder &planned, Engine &engine, TimePoint now);
+    void applyOrder(const PlannedOrder &planned, gateway::Residency &residency) const;
+    upstream::Awaitable<void> publishAt(UpstreamId id, TimePoint time);
+    void publish(const UpstreamId &id, Engine &engine);
+    void tellHeld(const UpstreamId &id, const Engine &engine);
+    void tellPromises(const gateway::ServiceId &service, const Pool &pool, TimePoint now);
+    void tellLoads(TimePoint now);
+    void tellAll(const OwnerMessage &message);
+    OwnerMessage message() const;
+    void forgetGone();
+
+    boost::asio::io_context &loop;
+    gateway::Gateway &gateway;
+    OwnerElection &election;
+    EnginePort port;
+    InstanceId self;
+    Metrics &metrics;
+    DriverLimits limits;
+    gateway::ChangeSignal wake;
+    /// Waits that nothing cuts short.
+    gateway::ChangeSignal settle;
+    std::map<gateway::ServiceId, Pool> pools;
+    std::map<UpstreamId, Engine> engines;
+    struct Listener
+    {
+        Endpoint endpoint;
+        TimePoint heardAt{};
+    };
+    std::map<InstanceId, Listener> listeners;
+    TimePoint loadsToldAt{};
+    Fence term;
+    bool isStopped = false;
+};
+
+} // namespace bamboochute::residency
--- /dev/null
+++ b/src/residency/planner.hpp
@@ -0,0 +1,179 @@
+/// @file
+/// @brief Decides which engine holds which models and adapters; no I/O, time is a parameter.
+#pragma once
+
+#include "core/clock.hpp"
+#include "gateway/catalogue.hpp"
+#include "gateway/upstream_table.hpp"
+#include "residency/demand_tally.hpp"
+#include "residency/engine_orders.hpp"
+#include "store/pacing.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bamboochute::residency {
+
+/// @brief An engine as the planner sees it.
+struct PlannedUpstream
+{
+    UpstreamId id;
+    gateway::Residency residency;
+    gateway::WeightCopies copies;
+    std::vector<Target> pendingAdapters;
+    /// It takes requests now and is not about to leave.
+    bool isUsable = false;
+    /// It can take an order now.
+    bool isReady = false;
+    /// When the order that it carries out is expected to be complete.
+    TimePoint busyUntil{};
+    /// The model that it is loading; empty when there is none.
+    ModelId loading;
+    /// Requests that run there, of all instances.
+    std::uint32_t running = 0;
+    auto operator<=>(const PlannedUpstream &) const = default;
+};
+
+/// @brief Where the weights of a load come from.
+enum class WeightSource { Memory, Disk, Store };
+
+/// @brief Name of a source in logs and metric labels.
+std::string_view weightSourceName(WeightSource source) noexcept;
+
+/// @brief An order that should be sent now.
+struct PlannedOrder
+{
+    UpstreamId upstream;
+    OrderOperation operation = OrderOperation::Load;
+    Target target;
+    WeightSource source = WeightSource::Disk;
+    /// Time that it is expected to take.
+    Duration expected{};
+    /// Why it is sent, for the log.
+    std::string_view reason;
+    auto operator<=>(const PlannedOrder &) const = default;
+};
+
+/// @brief Weights of the decisions, in seconds of waiting unless said otherwise.
+struct PlannerLimits
+{
+    /// Requests a second that are assumed of a model that nobody has asked for yet.
+    double assumedRate = 0.03;
+    /// Time over which a replica's use is counted.
+    double horizonSeconds = 12;
+    /// Requests under way that one replica of a model bears.
+    double concurrencyPerReplica = 10;
+    /// Requests a second from which a model has two replicas.
+    double twoReplicasFrom = 0.8;
+    /// Replicas that are kept of a model before its demand is known.
+    std::uint32_t assumedReplicas = 3;
+    /// Demand counts as known once so many requests were seen.
+    std::uint64_t knownAfterArrivals = 60;
+    /// Cost of dropping a replica beyond those wanted, and one that is wanted.
+    double surplusCost = 0.02;
+    double replicaCost = 0.3;
+    double soleReplicaCost = 0.25;
+    /// Cost of an engine's request under way when a model is to be unloaded there.
+    double runningCost = 0.05;
+    /// A model is not unloaded for others within this time of its load.
+    Duration minResidency = std::chrono::milliseconds(1500);
+    /// A goal that is not reached in this time is given up.
+    Duration goalPatience = std::chrono::seconds(15);
+    /// Time that an adapter takes.
+    Duration adapterTime = std::chrono::milliseconds(12);
+    /// What is said to those who wait when nothing can be done for them now.
+    Duration hopelessWait = std::chrono::seconds(4);
+    auto operator<=>(const PlannerLimits &) const = default;
+};
+
+/// @brief Plans the engines of one service; keeps the goals that take several orders.
+class ResidencyPlanner
+{
+public:
+    explicit ResidencyPlanner(PlannerLimits limits = {})
+        : limits(limits)
+    {}
+
+    void configure(const gateway::EngineSpec &engine);
+
+    /// @brief Begins anew, as after a change of owner.
+    void restart(TimePoint now);
+
+    /// @brief What to order now; at most one order for each engine that is ready.
+    std::vector<PlannedOrder> plan(const std::vector<PlannedUpstream> &upstreams,
+                                   const DemandTally &demand, TimePoint now);
+
+    /// @brief When a target that is waited for is expected to be held.
+    std::optional<TimePoint> readyAt(const Target &target) const;
+
+    /// @brief Tells that an engine accepted an order of the plan.
+    void accepted(const PlannedOrder &order, TimePoint now);
+
+    /// @brief Tells that an engine completed a load from the weight store.
+    void storeLoadFinished(Duration took, Duration expected);
+
+private:
+    struct Goal
+    {
+        ModelId model;
+        std::vector<ModelId> victims;
+        TimePoint since{};
+        TimePoint readyAt{};
+        bool isWaitedFor = false;
+        std::string_view reason;
+    };
+    struct Place
+    {
+        const PlannedUpstream *upstream = nullptr;
+        std::vector<ModelId> victims;
+        double cost = 0;
+        double evictionCost = 0;
+        TimePoint readyAt{};
+    };
+    /// Everything that one call of plan() looks at.
+    struct Scene
+    {
+        const std::vector<PlannedUpstream> &upstreams;
+        const DemandTally &demand;
+        TimePoint now;
+    };
+
+    void dropGoals(const Scene &scene);
+    void goalsForWaiting(const Scene &scene);
+    void goalsForReplicas(const Scene &scene);
+    void goalsForCoverage(const Scene &scene);
+    void ordersForGoals(const Scene &scene, std::vector<PlannedOrder> &orders);
+    void ordersForAdapters(const Scene &scene, std::vector<PlannedOrder> &orders);
+    void orderAdapter(const Scene &scene, const Target &target, std::vector<PlannedOrder> &orders);
+    void addGoal(const Scene &scene, const Place &place, const ModelId &model, bool isWaitedFor,
+                 std::string_view reason);
+
+    std::optional<Place> bestPlace(const Scene &scene, const gateway::ModelWeights &model,
+                                   bool isWaitedFor);
+    std::optional<Place> placeAt(const Scene &scene, const PlannedUpstream &upstream,
+                                 const gateway::ModelWeights &model);
+    double keepValue(const Scene &scene, const PlannedUpstream &upstream,
+                     const gateway::ModelWeights &model) const;
+    std::uint32_t replicas(const Scene &scene, const ModelId &model) const;
+    std::uint32_t wantedReplicas(const Scene &scene, const ModelId &model) const;
+    bool isDemandKnown(const Scene &scene) const;
+    double rate(const Scene &scene, const ModelId &model) const;
+    double usedMegabytes(const PlannedUpstream &upstream) const;
+    WeightSource sourceAt(const PlannedUpstream &upstream, const ModelId &model) const;
+    bool hasCopy(const Scene &scene, const ModelId &model) const;
+    Duration loadTime(const gateway::ModelWeights &model, WeightSource source) const;
+    std::uint32_t storeLoads(const Scene &scene) const;
+    bool isGoal(const ModelId &model) const;
+
+    PlannerLimits limits;
+    gateway::EngineSpec engine;
+    store::Pacer pacer;
+    std::map<UpstreamId, Goal> goals;
+    std::map<std::pair<UpstreamId, ModelId>, TimePoint> loadedAt;
+    std::map<UpstreamId, ModelId> storeLoading;
+    std::map<Target, TimePoint> expectations;
+};
+
+} // namespace bamboochute::residency
--- a/src/upstream/deadline_watch.cpp
+++ b/src/upstream/deadline_watch.cpp
@@ -2,6 +2,8 @@
 
 #include "upstream/http_stream.hpp"
 
+#include <algorithm>
+
 namespace bamboochute::upstream {
 
 DeadlineWatch::DeadlineWatch(asio::io_context &context)
@@ -9,12 +11,14 @@
     , timer(context)
 {}
 
-void DeadlineWatch::add(HttpStream &stream)
+void DeadlineWatch::limit(HttpStream &stream)
 {
-    stream.watchIndex = this->watched.size();
-    this->watched.push_back(&stream);
-    if (!this->isScheduled)
-        this->schedule();
+    if (stream.watchIndex == HttpStream::notWatched) {
+        stream.watchIndex = this->watched.size();
+        this->watched.push_back(&stream);
+    }
+    if (!this->isScheduled || stream.expiry + tickInterval < this->nextTick)
+        this->schedule(stream.expiry);
 }
 
 void DeadlineWatch::remove(HttpStream &stream)
@@ -26,10 +30,12 @@
     stream.watchIndex = HttpStream::notWatched;
 }
 
-void DeadlineWatch::schedule()
+void DeadlineWatch::schedule(TimePoint due)
 {
+    const TimePoint now = SteadyClock().now();
     this->isScheduled = true;
-    this->timer.expires_after(tickInterval);
+    this->nextTick = std::max(due, now + tickInterval);
+    this->timer.expires_after(this->nextTick - now);
     this->timer.async_wait([this](const error_code &error) {
         if (!error)
             this->tick();
@@ -39,15 +45,19 @@
 void DeadlineWatch::tick()
 {
     const TimePoint now = SteadyClock().now();
+    this->isScheduled = false;
     // Backwards, because an expired stream leaves the list and the last one takes its place.
     for (std::size_t i = this->watched.size(); i > 0; --i) {
         HttpStream &stream = *this->watched[i - 1];
         if (stream.expiry <= now)
             stream.expire();
     }
-    this->isScheduled = false;
-    if (!this->watched.empty())
-        this->schedule();
+    if (this->watched.empty() || this->isScheduled)
+        return;
+    const auto earlier = [](const HttpStream *left, const HttpStream *right) {
+        return left->expiry < right->expiry;
+    };
+    this->schedule((*std::min_element(this->watched.begin(), this->watched.end(), earlier))->expiry);
 }
 
 } // namespace bamboochute::upstream
--- a/src/upstream/deadline_watch.hpp
+++ b/src/upstream/deadline_watch.hpp
@@ -22,14 +22,14 @@
 
     explicit DeadlineWatch(asio::io_context &context);
 
-    /// @brief Watches a stream until remove(); its place is kept in the stream.
-    void add(HttpStream &stream);
+    /// @brief Watches a stream's new time limit until remove(); its place is kept in the stream.
+    void limit(HttpStream &stream);
     void remove(HttpStream &stream);
 
     Executor executor() { return this->context.get_executor(); }
 
 private:
-    void schedule();
+    void schedule(TimePoint due);
     void tick();
 
     asio::io_context &context;
@@ -37,6 +37,8 @@
                                asio::wait_traits<std::chrono::steady_clock>, Executor>
             timer;
     std::vector<HttpStream *> watched;
+    /// When the timer fires next; no later than the earliest limit and one tick.
+    TimePoint nextTick{};
     bool isScheduled = false;
 };
 
--- a/src/upstream/header_list.cpp
+++ b/src/upstream/header_list.cpp
@@ -84,6 +84,22 @@
                        [name](std::string_view other) { return sameHeaderName(name, other); });
 }
 
+bool isListed(std::string_view list, std::string_view name) noexcept
+{
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        std::string_view item = list.substr(0, comma);
+        list.remove_prefix(std::min(comma + 1, list.size()));
+        const std::size_t begin = item.find_first_not_of(" \t");
+        if (begin == std::string_view::npos)
+            continue;
+        item = item.substr(begin, item.find_last_not_of(" \t") - begin + 1);
+        if (sameHeaderName(item, name))
+            return true;
+    }
+    return false;
+}
+
 void appendHeader(std::string &text, std::string_view name, std::string_view value)
 {
     text += name;
--- a/src/upstream/header_list.hpp
+++ b/src/upstream/header_list.hpp
@@ -50,6 +50,9 @@
 /// @brief Whether a header belongs to one connection and is never passed on.
 bool isHopByHop(std::string_view name) noexcept;
 
+/// @brief Whether a comma-separated list, such as the value of Connection, names a header.
+bool isListed(std::string_view list, std::string_view name) noexcept;
+
 /// @brief Appends "name: value" and the end of the line.
 void appendHeader(std::string &text, std::string_view name, std::string_view value);
 
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -89,8 +89,10 @@
 {
     this->isReading = false;
     this->end += count;
-    if (error && !this->hasExpired)
+    if (error && !this->hasExpired) {
         this->isReadClosed = true;
+        this->hasCleanEnd = error == asio::error::eof;
+    }
     if (this->waiter) {
         Resumption<bool> resumption = std::move(*this->waiter);
         this->waiter.reset();
@@ -176,8 +178,7 @@
 {
     this->expiry = time;
     this->hasExpired = false;
-    if (this->watchIndex == notWatched)
-        this->watch.add(*this);
+    this->watch.limit(*this);
 }
 
 void HttpStream::neverExpire()
--- a/src/upstream/http_stream.hpp
+++ b/src/upstream/http_stream.hpp
@@ -86,6 +86,8 @@
 
     bool isOpen() const { return this->socket.is_open(); }
     bool isPeerClosed() const noexcept { return this->isReadClosed; }
+    /// @brief Whether the peer ended its side in order, and not by a reset.
+    bool isCleanEnd() const noexcept { return this->isReadClosed && this->hasCleanEnd; }
     bool isExpired() const noexcept { return this->hasExpired; }
     /// @brief Bytes of the request under way that have been handed to the kernel.
     std::uint64_t writtenBytes() const noexcept { return this->written; }
@@ -115,6 +117,7 @@
     std::size_t watchIndex = notWatched;
     bool isReading = false;
     bool isReadClosed = false;
+    bool hasCleanEnd = false;
     bool hasExpired = false;
     std::optional<Resumption<bool>> waiter;
     std::function<void()> peerClosed;
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -115,7 +115,7 @@
                 co_return parsed.error();
         }
     }
-    if (this->parser->need_eof() && !this->parser->is_done())
+    if (this->parser->need_eof() && !this->parser->is_done() && !this->isUnframedAllowed)
         co_return this->error(CallFailure::Malformed,
                               "the answer has neither Content-Length nor chunks");
     this->hasFreshPieces = !this->message.pieces.empty();
@@ -135,6 +135,8 @@
         this->dropUsed();
         if (needsMore) {
             const StreamStatus read = co_await this->stream->readMore();
+            if (read != StreamStatus::Ok && this->endsWithConnection(read))
+                break;
             if (read != StreamStatus::Ok)
                 co_return this->streamError(read);
         }
@@ -148,6 +150,17 @@
     co_return false;
 }
 
+/// Whether the end of the connection is the end of an answer without a length.
+bool UpstreamCall::endsWithConnection(StreamStatus status)
+{
+    if (status != StreamStatus::Closed || !this->isUnframedAllowed || !this->parser->need_eof()
+        || !this->stream->isCleanEnd())
+        return false;
+    error_code code;
+    this->parser->put_eof(code);
+    return !code;
+}
+
 std::optional<std::string> UpstreamCall::takeBody(std::size_t maxBytes)
 {
     if (!this->isWhole())
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -79,6 +79,11 @@
     Awaitable<CallResult<void>> send(std::string_view head, std::string_view body,
                                      TimePoint deadline, ConnectionUse use);
 
+    /// @brief Takes answers without a length, which end with their connection.
+    ///
+    /// Such an answer is whole only if the upstream closed the connection in order.
+    void allowUnframedAnswer() noexcept { this->isUnframedAllowed = true; }
+
     /// @brief Reads status and headers into answer().
     Awaitable<CallResult<void>> readHead();
 
@@ -115,6 +120,7 @@
     Awaitable<CallResult<void>> open(TimePoint deadline);
     void dropUsed();
     CallResult<void> parse();
+    bool endsWithConnection(StreamStatus status);
     CallError error(CallFailure failure, std::string message) const;
     CallError streamError(StreamStatus status) const;
 
@@ -131,6 +137,7 @@
     bool isKept = false;
     bool isAnswerBegun = false;
     bool isCancelled = false;
+    bool isUnframedAllowed = false;
 };
 
 /// @brief Makes a call and reads its whole answer.
