Reload engines that crashed at once, and set none aside for the weight store

Ruled out: missing copies (a returned engine has 12 to 14 models on its disk).

Change: an engine that an instance could not use is not counted until it reports again; no goal for a load that the weight store can't begin yet; loads from disk into free room are not capped; waits end with the callers' patience.

--- a/src/gateway/catalogue.hpp
+++ b/src/gateway/catalogue.hpp
@@ -53,6 +53,8 @@
     Duration objective{};
     /// Longest pause between two events of a stream that is on time.
     Duration maxEventGap{};
+    /// Callers leave when the first event of a stream has not come after this time; zero: never.
+    Duration firstEventPatience{};
     /// Upstreams that may run one request.
     std::uint32_t maxUpstreams = 1;
     /// Rank of the requests; zero is the most urgent.
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -259,7 +259,12 @@
     const TimePoint began = this->now();
     const auto reserved = std::chrono::duration_cast<Duration>(
             (this->deadline - this->request.arrival) * reservedShare);
-    const TimePoint latest = this->deadline - reserved;
+    TimePoint latest = this->deadline - reserved;
+    if (this->route->firstEventPatience > Duration(0) && !this->isAnswerBegun) {
+        const auto patience = std::chrono::duration_cast<Duration>(this->route->firstEventPatience
+                                                                   * (1 - reservedShare));
+        latest = std::min(latest, this->request.arrival + patience);
+    }
     Placement placement;
     placement.refusal = Error(ErrorKind::ColdStartUnavailable, "no upstream holds the target");
     placement.retryAfter = noUpstreamRetry;
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -65,8 +65,12 @@
     }
     for (const auto &[service, demand] : byService)
         this->pools[service].demand.report(message.sender, demand, message.isContinuation, now);
-    for (const UpstreamId &id : message.suspected)
+    for (const UpstreamId &id : message.suspected) {
         this->gateway.health.suspected(id, gateway::HealthLimits().firstPause, now);
+        const auto engine = this->engines.find(id);
+        if (engine != this->engines.end())
+            engine->second.isDoubted = true;
+    }
     if (!message.suspected.empty()) {
         OwnerMessage news = this->message();
         news.suspected = message.suspected;
@@ -172,8 +176,7 @@
     view.copies = engine.report.copies;
     view.pendingAdapters = engine.report.pendingAdapters;
     view.isUsable = !entry.registered.isLeaving && !entry.missingSince && engine.isReported
-                    && engine.failedReports < this->limits.failedReports
-                    && !this->gateway.health.isAvoided(view.id, now);
+                    && engine.failedReports < this->limits.failedReports && !engine.isDoubted;
     view.busyUntil = engine.busyUntil;
     view.loading = engine.loading.target.model;
     view.isReady = view.isUsable && !engine.isOrderUnderWay && engine.busyUntil <= now
@@ -188,7 +191,8 @@
 {
     if (engine.isAsked || engine.isOrderUnderWay)
         return;
-    const bool isAwaited = !engine.isReported || !engine.isEndSeen || engine.isBusy;
+    const bool isAwaited = !engine.isReported || !engine.isEndSeen || engine.isBusy
+                           || engine.isDoubted || engine.failedReports > 0;
     const Duration interval
             = isAwaited ? this->limits.awaitInterval : this->limits.reportInterval;
     if (engine.askedAt != TimePoint() && now < engine.askedAt + interval)
@@ -213,6 +217,7 @@
         co_return;
     }
     engine.failedReports = 0;
+    engine.isDoubted = false;
     this->takeReport(upstream.id, engine, std::move(report).value(), steadyNow());
 }
 
@@ -263,6 +268,8 @@
               {"accepted_orders", std::to_string(report.residency.version.acceptedOrders)},
               {"settled", report.residency.version.isSettled ? "yes" : "no"},
               {"models", models},
+              {"in_memory", std::to_string(report.copies.inMemory.size())},
+              {"on_disk", std::to_string(report.copies.onDisk.size())},
               {"running", std::to_string(report.load.running)}});
 }
 
--- a/src/residency/placement_driver.hpp
+++ b/src/residency/placement_driver.hpp
@@ -77,6 +77,8 @@
         TimePoint askedAt{};
         bool isAsked = false;
         std::uint32_t failedReports = 0;
+        /// An instance could not use it; a report is awaited.
+        bool isDoubted = false;
         bool isOrderUnderWay = false;
         /// When the accepted order is expected to be complete.
         TimePoint busyUntil{};
--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -134,7 +134,7 @@
             if (place)
                 this->addGoal(scene, *place, target.model, true, "requests wait");
         }
-        TimePoint ready = scene.now + this->limits.hopelessWait;
+        TimePoint ready = scene.now + this->hopelessWait(*model);
         for (auto &[id, goal] : this->goals) {
             if (goal.model != target.model)
                 continue;
@@ -145,6 +145,12 @@
     }
 }
 
+/// What is said to those who wait for a model that can't be loaded yet.
+Duration ResidencyPlanner::hopelessWait(const gateway::ModelWeights &model) const
+{
+    return std::max(this->limits.hopelessWait, model.fromStore);
+}
+
 void ResidencyPlanner::goalsForReplicas(const Scene &scene)
 {
     if (!this->isDemandKnown(scene))
@@ -185,10 +191,11 @@
         return left.benefit > right.benefit;
     });
     for (const Missing &one : missing) {
-        if (this->goals.size() >= most)
-            return;
         const std::optional<Place> place = this->bestPlace(scene, *one.model, false);
-        if (place && place->evictionCost < one.benefit)
+        if (!place || place->evictionCost >= one.benefit)
+            continue;
+        const bool isFree = place->victims.empty() && place->source != WeightSource::Store;
+        if (isFree || this->goals.size() < most)
             this->addGoal(scene, *place, one.model->id, false, "not held anywhere");
     }
 }
@@ -208,7 +215,7 @@
     std::stable_sort(byUrgency.begin(), byUrgency.end(), [](const auto &left, const auto &right) {
         return left.second->isWaitedFor && !right.second->isWaitedFor;
     });
-    std::uint32_t inTransit = this->storeLoads(scene);
+    auto inTransit = static_cast<std::uint32_t>(this->storeLoading.size());
     for (const auto &[id, goal] : byUrgency) {
         const auto upstream = std::find_if(scene.upstreams.begin(), scene.upstreams.end(),
                                            [&id = id](const auto &one) { return one.id == id; });
@@ -324,6 +331,9 @@
         if (present != this->goals.end() && (!isWaitedFor || present->second.isWaitedFor))
             continue;
         const std::optional<Place> place = this->placeAt(scene, upstream, model);
+        // An engine is not set aside for a load that the weight store can't begin yet.
+        if (place && place->source == WeightSource::Store && !this->canLoadFromStore(scene))
+            continue;
         if (place && place->evictionCost < forbiddenCost && (!best || place->cost < best->cost))
             best = place;
     }
@@ -369,6 +379,7 @@
     const TimePoint begin = std::max(scene.now, upstream.busyUntil)
                             + unloadTime * static_cast<int>(place.victims.size());
     place.readyAt = begin + load;
+    place.source = source;
     if (source == WeightSource::Store) {
         const auto ahead = static_cast<std::uint32_t>(this->goals.size());
         place.readyAt
@@ -471,9 +482,23 @@
     return source == WeightSource::Disk ? model.fromDisk : model.fromStore;
 }
 
-std::uint32_t ResidencyPlanner::storeLoads(const Scene &) const
+/// Loads from the weight store that run or are about to begin.
+std::uint32_t ResidencyPlanner::storeLoads(const Scene &scene) const
+{
+    auto count = static_cast<std::uint32_t>(this->storeLoading.size());
+    for (const auto &[id, goal] : this->goals) {
+        const auto upstream = std::find_if(scene.upstreams.begin(), scene.upstreams.end(),
+                                           [&id = id](const auto &one) { return one.id == id; });
+        if (upstream != scene.upstreams.end() && upstream->loading.isEmpty()
+            && this->sourceAt(*upstream, goal.model) == WeightSource::Store)
+            ++count;
+    }
+    return count;
+}
+
+bool ResidencyPlanner::canLoadFromStore(const Scene &scene)
 {
-    return static_cast<std::uint32_t>(this->storeLoading.size());
+    return this->pacer.mayStart(store::LoadKind::Model, this->storeLoads(scene), scene.now);
 }
 
 bool ResidencyPlanner::isGoal(const ModelId &model) const
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -131,6 +131,7 @@
         double cost = 0;
         double evictionCost = 0;
         TimePoint readyAt{};
+        WeightSource source = WeightSource::Disk;
     };
     /// Everything that one call of plan() looks at.
     struct Scene
@@ -165,6 +166,8 @@
     bool hasCopy(const Scene &scene, const ModelId &model) const;
     Duration loadTime(const gateway::ModelWeights &model, WeightSource source) const;
     std::uint32_t storeLoads(const Scene &scene) const;
+    bool canLoadFromStore(const Scene &scene);
+    Duration hopelessWait(const gateway::ModelWeights &model) const;
     bool isGoal(const ModelId &model) const;
 
     PlannerLimits limits;
