Survey models and engines once in each plan

Change: facts on models and engines are computed once in each plan; what nobody waits for is looked at every 300 ms, 24 models at a time.

--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -61,18 +61,107 @@
 std::vector<PlannedOrder> ResidencyPlanner::plan(const std::vector<PlannedUpstream> &upstreams,
                                                  const DemandTally &demand, TimePoint now)
 {
-    const Scene scene{upstreams, demand, now};
+    Scene scene = this->survey(upstreams, demand, now);
     this->expectations.clear();
     this->dropGoals(scene);
     this->goalsForWaiting(scene);
-    this->goalsForReplicas(scene);
-    this->goalsForCoverage(scene);
+    if (this->plannedAheadAt == TimePoint()
+        || now >= this->plannedAheadAt + this->limits.aheadInterval) {
+        this->plannedAheadAt = now;
+        this->goalsForReplicas(scene);
+        this->goalsForCoverage(scene);
+    }
     std::vector<PlannedOrder> orders;
     this->ordersForAdapters(scene, orders);
     this->ordersForGoals(scene, orders);
     return orders;
 }
 
+ResidencyPlanner::ModelFacts *ResidencyPlanner::Scene::find(const ModelId &model)
+{
+    const auto found = this->modelPlaces.find(model);
+    return found == this->modelPlaces.end() ? nullptr : &this->models[found->second];
+}
+
+ResidencyPlanner::UpstreamFacts *ResidencyPlanner::Scene::find(const UpstreamId &upstream)
+{
+    const auto found = std::find_if(
+            this->upstreams.begin(), this->upstreams.end(),
+            [&upstream](const UpstreamFacts &one) { return one.upstream->id == upstream; });
+    return found == this->upstreams.end() ? nullptr : &*found;
+}
+
+ResidencyPlanner::Scene ResidencyPlanner::survey(const std::vector<PlannedUpstream> &upstreams,
+                                                 const DemandTally &demand, TimePoint now) const
+{
+    Scene scene{demand, now, demand.arrivals() >= this->limits.knownAfterArrivals, {}, {}, {}};
+    for (const gateway::ModelWeights &model : this->engine.models) {
+        scene.modelPlaces.emplace(model.id, scene.models.size());
+        const double rate = demand.of(Target{model.id, {}}).perSecond;
+        scene.models.push_back({&model, 0, 1, std::max(this->limits.assumedRate, rate)});
+    }
+    for (const PlannedUpstream &upstream : upstreams) {
+        scene.upstreams.push_back(this->surveyUpstream(scene, upstream));
+        if (!upstream.isUsable)
+            continue;
+        const UpstreamFacts &facts = scene.upstreams.back();
+        const auto goal = this->goals.find(upstream.id);
+        for (const std::size_t model : facts.resident) {
+            const ModelId &id = scene.models[model].weights->id;
+            if (goal == this->goals.end() || !contains(goal->second.victims, id))
+                ++scene.models[model].replicas;
+        }
+        for (std::size_t i = 0; i < scene.models.size(); ++i) {
+            if (facts.sources[i] != WeightSource::Store)
+                scene.models[i].hasCopy = true;
+        }
+    }
+    for (ModelFacts &facts : scene.models)
+        facts.wanted = this->wantedReplicas(scene, facts);
+    for (const auto &[id, goal] : this->goals) {
+        ModelFacts *facts = scene.find(goal.model);
+        if (facts != nullptr)
+            facts->hasGoal = true;
+    }
+    return scene;
+}
+
+ResidencyPlanner::UpstreamFacts
+ResidencyPlanner::surveyUpstream(const Scene &scene, const PlannedUpstream &upstream) const
+{
+    UpstreamFacts facts;
+    facts.upstream = &upstream;
+    facts.sources.assign(scene.models.size(), WeightSource::Store);
+    const auto mark = [&](const std::vector<ModelId> &copies, WeightSource source) {
+        for (const ModelId &copy : copies) {
+            const auto place = scene.modelPlaces.find(copy);
+            if (place != scene.modelPlaces.end())
+                facts.sources[place->second] = source;
+        }
+    };
+    mark(upstream.copies.onDisk, WeightSource::Disk);
+    mark(upstream.copies.inMemory, WeightSource::Memory);
+    for (const gateway::ResidentModel &resident : upstream.residency.models) {
+        const auto place = scene.modelPlaces.find(resident.model);
+        if (place == scene.modelPlaces.end()) {
+            // A model that the configuration no longer names takes room of unknown size.
+            facts.usedMegabytes = this->engine.weightMegabytes;
+            continue;
+        }
+        const gateway::ModelWeights &model = *scene.models[place->second].weights;
+        facts.resident.push_back(place->second);
+        facts.usedMegabytes
+                += model.megabytes
+                   + static_cast<double>(resident.adapters.size()) * model.adapterMegabytes;
+    }
+    for (const Target &pending : upstream.pendingAdapters) {
+        const auto place = scene.modelPlaces.find(pending.model);
+        if (place != scene.modelPlaces.end())
+            facts.usedMegabytes += scene.models[place->second].weights->adapterMegabytes;
+    }
+    return facts;
+}
+
 std::optional<TimePoint> ResidencyPlanner::readyAt(const Target &target) const
 {
     const auto found = this->expectations.find(target);
@@ -94,47 +183,46 @@
     this->pacer.finished(store::LoadKind::Model, took, expected);
 }
 
-void ResidencyPlanner::dropGoals(const Scene &scene)
+void ResidencyPlanner::dropGoals(Scene &scene)
 {
-    const auto find = [&scene](const UpstreamId &id) {
-        return std::find_if(scene.upstreams.begin(), scene.upstreams.end(),
-                            [&id](const PlannedUpstream &one) { return one.id == id; });
-    };
     std::erase_if(this->storeLoading, [&](const auto &item) {
-        const auto upstream = find(item.first);
-        return upstream == scene.upstreams.end() || upstream->loading != item.second;
+        const UpstreamFacts *upstream = scene.find(item.first);
+        return upstream == nullptr || upstream->upstream->loading != item.second;
     });
     std::erase_if(this->goals, [&](const auto &item) {
-        const auto upstream = find(item.first);
+        const UpstreamFacts *upstream = scene.find(item.first);
         const Goal &goal = item.second;
-        if (upstream == scene.upstreams.end() || !upstream->isUsable)
-            return true;
-        const bool isThere = upstream->residency.find(goal.model) != nullptr;
-        return isThere || this->engine.find(goal.model) == nullptr
-               || goal.since + this->limits.goalPatience < scene.now;
+        const bool isOver = upstream == nullptr || !upstream->upstream->isUsable
+                            || upstream->upstream->residency.find(goal.model) != nullptr
+                            || goal.since + this->limits.goalPatience < scene.now;
+        ModelFacts *model = scene.find(goal.model);
+        if (isOver && model != nullptr)
+            model->hasGoal = false;
+        return isOver || model == nullptr;
     });
 }
 
-void ResidencyPlanner::goalsForWaiting(const Scene &scene)
+void ResidencyPlanner::goalsForWaiting(Scene &scene)
 {
     std::vector<Target> waiting = scene.demand.waiting();
     std::sort(waiting.begin(), waiting.end(), [&scene](const Target &left, const Target &right) {
         return scene.demand.of(left).shortestWait < scene.demand.of(right).shortestWait;
     });
     for (const Target &target : waiting) {
-        const gateway::ModelWeights *model = this->engine.find(target.model);
+        ModelFacts *model = scene.find(target.model);
         if (model == nullptr)
             continue;
-        if (this->replicas(scene, target.model) > 0) {
+        if (model->replicas > 0) {
             this->expectations[target] = scene.now + this->limits.adapterTime;
             continue;
         }
-        if (!this->isGoal(target.model)) {
-            const std::optional<Place> place = this->bestPlace(scene, *model, true);
+        if (!model->hasGoal) {
+            const std::optional<Place> place
+                    = this->bestPlace(scene, scene.modelPlaces[target.model], true);
             if (place)
                 this->addGoal(scene, *place, target.model, true, "requests wait");
         }
-        TimePoint ready = scene.now + this->hopelessWait(*model);
+        TimePoint ready = scene.now + this->hopelessWait(*model->weights);
         for (auto &[id, goal] : this->goals) {
             if (goal.model != target.model)
                 continue;
@@ -151,63 +239,77 @@
     return std::max(this->limits.hopelessWait, model.fromStore);
 }
 
-void ResidencyPlanner::goalsForReplicas(const Scene &scene)
+void ResidencyPlanner::goalsForReplicas(Scene &scene)
 {
-    if (!this->isDemandKnown(scene))
+    if (!scene.isDemandKnown)
         return;
-    for (const gateway::ModelWeights &model : this->engine.models) {
-        const std::uint32_t have = this->replicas(scene, model.id);
-        const std::uint32_t wanted = this->wantedReplicas(scene, model.id);
-        if (have == 0 || have >= wanted || this->isGoal(model.id))
+    for (std::size_t i = 0; i < scene.models.size(); ++i) {
+        const ModelFacts &model = scene.models[i];
+        if (model.replicas == 0 || model.replicas >= model.wanted || model.hasGoal)
             continue;
-        const std::optional<Place> place = this->bestPlace(scene, model, false);
-        const double benefit = this->limits.replicaCost + 2 * this->rate(scene, model.id);
+        const std::optional<Place> place = this->bestPlace(scene, i, false);
+        const double benefit = this->limits.replicaCost + 2 * model.rate;
         if (place && place->evictionCost < benefit)
-            this->addGoal(scene, *place, model.id, false, "more replicas wanted");
+            this->addGoal(scene, *place, model.weights->id, false, "more replicas wanted");
     }
 }
 
-void ResidencyPlanner::goalsForCoverage(const Scene &scene)
+void ResidencyPlanner::goalsForCoverage(Scene &scene)
 {
-    const auto usable = static_cast<double>(std::count_if(
-            scene.upstreams.begin(), scene.upstreams.end(), [](const auto &u) { return u.isUsable; }));
+    const auto usable = static_cast<double>(
+            std::count_if(scene.upstreams.begin(), scene.upstreams.end(),
+                          [](const UpstreamFacts &one) { return one.upstream->isUsable; }));
     const auto most = static_cast<std::size_t>(std::max(1.0, usable * idleGoalShare));
     struct Missing
     {
-        const gateway::ModelWeights *model;
+        std::size_t model;
         double benefit;
     };
     std::vector<Missing> missing;
-    for (const gateway::ModelWeights &model : this->engine.models) {
-        if (this->replicas(scene, model.id) > 0 || this->isGoal(model.id))
+    for (std::size_t i = 0; i < scene.models.size(); ++i) {
+        const ModelFacts &model = scene.models[i];
+        if (model.replicas > 0 || model.hasGoal)
             continue;
-        const WeightSource source
-                = this->hasCopy(scene, model.id) ? WeightSource::Disk : WeightSource::Store;
-        const double saved = toSeconds(this->loadTime(model, source));
-        missing.push_back(
-                {&model, this->rate(scene, model.id) * this->limits.horizonSeconds * saved});
+        const WeightSource source = model.hasCopy ? WeightSource::Disk : WeightSource::Store;
+        const double saved = toSeconds(this->loadTime(*model.weights, source));
+        missing.push_back({i, model.rate * this->limits.horizonSeconds * saved});
     }
     std::stable_sort(missing.begin(), missing.end(), [](const Missing &left, const Missing &right) {
         return left.benefit > right.benefit;
     });
+    if (missing.size() > this->limits.modelsAhead)
+        missing.resize(this->limits.modelsAhead);
     for (const Missing &one : missing) {
-        const std::optional<Place> place = this->bestPlace(scene, *one.model, false);
+        const std::optional<Place> place = this->bestPlace(scene, one.model, false);
         if (!place || place->evictionCost >= one.benefit)
             continue;
         const bool isFree = place->victims.empty() && place->source != WeightSource::Store;
         if (isFree || this->goals.size() < most)
-            this->addGoal(scene, *place, one.model->id, false, "not held anywhere");
+            this->addGoal(scene, *place, scene.models[one.model].weights->id, false,
+                          "not held anywhere");
     }
 }
 
-void ResidencyPlanner::addGoal(const Scene &scene, const Place &place, const ModelId &model,
+void ResidencyPlanner::addGoal(Scene &scene, const Place &place, const ModelId &model,
                                bool isWaitedFor, std::string_view reason)
 {
+    const auto replaced = this->goals.find(place.upstream->id);
+    if (replaced != this->goals.end()) {
+        ModelFacts *former = scene.find(replaced->second.model);
+        if (former != nullptr)
+            former->hasGoal = false;
+    }
+    for (const ModelId &victim : place.victims) {
+        ModelFacts *facts = scene.find(victim);
+        if (facts != nullptr && facts->replicas > 0)
+            --facts->replicas;
+    }
+    scene.find(model)->hasGoal = true;
     this->goals[place.upstream->id]
             = Goal{model, place.victims, scene.now, place.readyAt, isWaitedFor, reason};
 }
 
-void ResidencyPlanner::ordersForGoals(const Scene &scene, std::vector<PlannedOrder> &orders)
+void ResidencyPlanner::ordersForGoals(Scene &scene, std::vector<PlannedOrder> &orders)
 {
     std::vector<std::pair<UpstreamId, Goal *>> byUrgency;
     for (auto &[id, goal] : this->goals)
@@ -217,43 +319,44 @@
     });
     auto inTransit = static_cast<std::uint32_t>(this->storeLoading.size());
     for (const auto &[id, goal] : byUrgency) {
-        const auto upstream = std::find_if(scene.upstreams.begin(), scene.upstreams.end(),
-                                           [&id = id](const auto &one) { return one.id == id; });
+        const UpstreamFacts *facts = scene.find(id);
+        const PlannedUpstream &upstream = *facts->upstream;
         const bool isTaken = std::any_of(orders.begin(), orders.end(), [&id = id](const auto &order) {
             return order.upstream == id;
         });
-        if (!upstream->isReady || isTaken)
+        if (!upstream.isReady || isTaken)
             continue;
         const auto victim
                 = std::find_if(goal->victims.begin(), goal->victims.end(), [&](const ModelId &one) {
-                      return upstream->residency.find(one) != nullptr;
+                      return upstream.residency.find(one) != nullptr;
                   });
         if (victim != goal->victims.end()) {
             orders.push_back({id, OrderOperation::Unload, Target{*victim, {}}, WeightSource::Disk,
                               unloadTime, goal->reason});
             continue;
         }
-        const gateway::ModelWeights *model = this->engine.find(goal->model);
-        if (this->usedMegabytes(*upstream) + model->megabytes > this->engine.weightMegabytes) {
+        const std::size_t place = scene.modelPlaces[goal->model];
+        const gateway::ModelWeights &model = *scene.models[place].weights;
+        if (facts->usedMegabytes + model.megabytes > this->engine.weightMegabytes) {
             // Something else was loaded there meanwhile.
             goal->since = TimePoint();
             continue;
         }
-        const WeightSource source = this->sourceAt(*upstream, goal->model);
+        const WeightSource source = facts->sources[place];
         if (source == WeightSource::Store) {
             if (!this->pacer.mayStart(store::LoadKind::Model, inTransit, scene.now))
                 continue;
             this->pacer.start(store::LoadKind::Model, inTransit, scene.now);
             ++inTransit;
         }
-        const Duration expected = this->loadTime(*model, source);
+        const Duration expected = this->loadTime(model, source);
         goal->readyAt = scene.now + expected;
-        orders.push_back(
-                {id, OrderOperation::Load, Target{goal->model, {}}, source, expected, goal->reason});
+        orders.push_back({id, OrderOperation::Load, Target{goal->model, {}}, source, expected,
+                          goal->reason});
     }
 }
 
-void ResidencyPlanner::ordersForAdapters(const Scene &scene, std::vector<PlannedOrder> &orders)
+void ResidencyPlanner::ordersForAdapters(Scene &scene, std::vector<PlannedOrder> &orders)
 {
     for (const Target &target : scene.demand.waiting()) {
         if (!target.adapter.isEmpty())
@@ -261,17 +364,17 @@
     }
 }
 
-void ResidencyPlanner::orderAdapter(const Scene &scene, const Target &target,
+void ResidencyPlanner::orderAdapter(Scene &scene, const Target &target,
                                     std::vector<PlannedOrder> &orders)
 {
-    const gateway::ModelWeights *model = this->engine.find(target.model);
+    const ModelFacts *model = scene.find(target.model);
     if (model == nullptr)
         return;
-    const PlannedUpstream *best = nullptr;
+    const UpstreamFacts *best = nullptr;
     std::uint64_t bestScore = 0;
-    for (const PlannedUpstream &upstream : scene.upstreams) {
-        const gateway::ResidentModel *resident = upstream.residency.find(target.model);
-        if (!upstream.isUsable || resident == nullptr)
+    for (const UpstreamFacts &facts : scene.upstreams) {
+        const PlannedUpstream &upstream = *facts.upstream;
+        if (!upstream.isUsable || upstream.residency.find(target.model) == nullptr)
             continue;
         const auto &pending = upstream.pendingAdapters;
         const bool isComing = std::find(pending.begin(), pending.end(), target) != pending.end();
@@ -280,23 +383,25 @@
         const bool isTaken = std::any_of(orders.begin(), orders.end(), [&](const auto &order) {
             return order.upstream == upstream.id;
         });
-        const bool isLeavingModel = this->goals.contains(upstream.id)
-                                    && contains(this->goals[upstream.id].victims, target.model);
+        const auto goal = this->goals.find(upstream.id);
+        const bool isLeavingModel
+                = goal != this->goals.end() && contains(goal->second.victims, target.model);
         if (!upstream.isReady || isTaken || isLeavingModel)
             continue;
         const std::uint64_t score
                 = stableHash(target.adapter.value(), stableHash(upstream.id.value()));
         if (best == nullptr || score > bestScore) {
-            best = &upstream;
+            best = &facts;
             bestScore = score;
         }
     }
     if (best == nullptr)
         return;
-    std::size_t count = best->pendingAdapters.size();
+    const PlannedUpstream &upstream = *best->upstream;
+    std::size_t count = upstream.pendingAdapters.size();
     std::optional<Target> victim;
     double victimRate = std::numeric_limits<double>::max();
-    for (const gateway::ResidentModel &resident : best->residency.models) {
+    for (const gateway::ResidentModel &resident : upstream.residency.models) {
         count += resident.adapters.size();
         for (const AdapterId &adapter : resident.adapters) {
             const Target other{resident.model, adapter};
@@ -308,123 +413,102 @@
             }
         }
     }
-    const bool fits = this->usedMegabytes(*best) + model->adapterMegabytes
+    const bool fits = best->usedMegabytes + model->weights->adapterMegabytes
                       <= this->engine.weightMegabytes;
     if (count < this->engine.adapterSlots && fits) {
-        orders.push_back({best->id, OrderOperation::Load, target, WeightSource::Store,
+        orders.push_back({upstream.id, OrderOperation::Load, target, WeightSource::Store,
                           this->limits.adapterTime, "requests wait for the adapter"});
     } else if (victim) {
-        orders.push_back({best->id, OrderOperation::Unload, *victim, WeightSource::Store,
+        orders.push_back({upstream.id, OrderOperation::Unload, *victim, WeightSource::Store,
                           this->limits.adapterTime, "another adapter is wanted"});
     }
 }
 
-std::optional<ResidencyPlanner::Place>
-ResidencyPlanner::bestPlace(const Scene &scene, const gateway::ModelWeights &model, bool isWaitedFor)
+std::optional<ResidencyPlanner::Place> ResidencyPlanner::bestPlace(Scene &scene, std::size_t model,
+                                                                   bool isWaitedFor)
 {
     std::optional<Place> best;
-    for (const PlannedUpstream &upstream : scene.upstreams) {
-        if (!upstream.isUsable || upstream.residency.find(model.id) != nullptr)
+    const bool canUseStore = this->canLoadFromStore(scene);
+    for (const UpstreamFacts &facts : scene.upstreams) {
+        const auto &resident = facts.resident;
+        if (!facts.upstream->isUsable
+            || std::find(resident.begin(), resident.end(), model) != resident.end())
+            continue;
+        // An engine is not set aside for a load that the weight store can't begin yet.
+        if (facts.sources[model] == WeightSource::Store && !canUseStore)
             continue;
-        const auto present = this->goals.find(upstream.id);
+        const auto present = this->goals.find(facts.upstream->id);
         // Those who wait go before what was only planned ahead.
         if (present != this->goals.end() && (!isWaitedFor || present->second.isWaitedFor))
             continue;
-        const std::optional<Place> place = this->placeAt(scene, upstream, model);
-        // An engine is not set aside for a load that the weight store can't begin yet.
-        if (place && place->source == WeightSource::Store && !this->canLoadFromStore(scene))
-            continue;
+        const std::optional<Place> place = this->placeAt(scene, facts, model);
         if (place && place->evictionCost < forbiddenCost && (!best || place->cost < best->cost))
             best = place;
     }
     return best;
 }
 
-std::optional<ResidencyPlanner::Place> ResidencyPlanner::placeAt(const Scene &scene,
-                                                                 const PlannedUpstream &upstream,
-                                                                 const gateway::ModelWeights &model)
+std::optional<ResidencyPlanner::Place>
+ResidencyPlanner::placeAt(const Scene &scene, const UpstreamFacts &facts, std::size_t model) const
 {
     struct Victim
     {
-        const gateway::ModelWeights *model;
+        std::size_t model;
         double value;
-        double megabytes;
     };
-    double free = this->engine.weightMegabytes - this->usedMegabytes(upstream);
-    std::vector<Victim> victims;
-    for (const gateway::ResidentModel &resident : upstream.residency.models) {
-        const gateway::ModelWeights *weights = this->engine.find(resident.model);
-        if (weights == nullptr)
-            continue;
-        const double megabytes
-                = weights->megabytes
-                  + static_cast<double>(resident.adapters.size()) * weights->adapterMegabytes;
-        victims.push_back({weights, this->keepValue(scene, upstream, *weights), megabytes});
-    }
-    std::sort(victims.begin(), victims.end(),
-              [](const Victim &left, const Victim &right) { return left.value < right.value; });
+    const gateway::ModelWeights &weights = *scene.models[model].weights;
+    double free = this->engine.weightMegabytes - facts.usedMegabytes;
     Place place;
-    place.upstream = &upstream;
-    for (const Victim &victim : victims) {
-        if (free >= model.megabytes)
-            break;
-        free += victim.megabytes;
-        place.victims.push_back(victim.model->id);
-        place.evictionCost += victim.value;
+    place.upstream = facts.upstream;
+    if (free < weights.megabytes) {
+        std::vector<Victim> victims;
+        for (const std::size_t resident : facts.resident)
+            victims.push_back({resident, this->keepValue(scene, facts, resident)});
+        std::sort(victims.begin(), victims.end(),
+                  [](const Victim &left, const Victim &right) { return left.value < right.value; });
+        for (const Victim &victim : victims) {
+            if (free >= weights.megabytes)
+                break;
+            free += scene.models[victim.model].weights->megabytes;
+            place.victims.push_back(scene.models[victim.model].weights->id);
+            place.evictionCost += victim.value;
+        }
     }
-    if (free < model.megabytes)
+    if (free < weights.megabytes)
         return std::nullopt;
-    const WeightSource source = this->sourceAt(upstream, model.id);
-    const Duration load = this->loadTime(model, source);
-    const TimePoint begin = std::max(scene.now, upstream.busyUntil)
+    place.source = facts.sources[model];
+    const Duration load = this->loadTime(weights, place.source);
+    const TimePoint begin = std::max(scene.now, facts.upstream->busyUntil)
                             + unloadTime * static_cast<int>(place.victims.size());
     place.readyAt = begin + load;
-    place.source = source;
-    if (source == WeightSource::Store) {
-        const auto ahead = static_cast<std::uint32_t>(this->goals.size());
-        place.readyAt
-                = this->pacer.estimateStart(ahead, this->storeLoads(scene), load, begin) + load;
-    }
     place.cost = seconds(scene.now, place.readyAt) + place.evictionCost;
     return place;
 }
 
 /// What it costs the callers when the model is dropped there.
-double ResidencyPlanner::keepValue(const Scene &scene, const PlannedUpstream &upstream,
-                                   const gateway::ModelWeights &model) const
+double ResidencyPlanner::keepValue(const Scene &scene, const UpstreamFacts &facts,
+                                   std::size_t model) const
 {
-    const auto loaded = this->loadedAt.find({upstream.id, model.id});
+    const ModelFacts &known = scene.models[model];
+    const auto loaded = this->loadedAt.find({facts.upstream->id, known.weights->id});
     if (loaded != this->loadedAt.end()
         && loaded->second + this->limits.minResidency > scene.now)
         return forbiddenCost;
-    const double running = this->limits.runningCost * upstream.running;
-    const std::uint32_t have = this->replicas(scene, model.id);
-    const double rate = this->rate(scene, model.id);
-    if (have > this->wantedReplicas(scene, model.id))
-        return this->limits.surplusCost + 0.01 * rate + running;
-    if (have > 1)
-        return this->limits.replicaCost + 2 * rate + running;
-    const double reload = toSeconds(this->loadTime(model, WeightSource::Disk));
-    return this->limits.soleReplicaCost + rate * this->limits.horizonSeconds * reload + running;
-}
-
-std::uint32_t ResidencyPlanner::replicas(const Scene &scene, const ModelId &model) const
-{
-    std::uint32_t count = 0;
-    for (const PlannedUpstream &upstream : scene.upstreams) {
-        const auto goal = this->goals.find(upstream.id);
-        const bool isGoing = goal != this->goals.end() && contains(goal->second.victims, model);
-        if (upstream.isUsable && !isGoing && upstream.residency.find(model) != nullptr)
-            ++count;
-    }
-    return count;
+    const double running = this->limits.runningCost * facts.upstream->running;
+    if (known.replicas > known.wanted)
+        return this->limits.surplusCost + 0.01 * known.rate + running;
+    if (known.replicas > 1)
+        return this->limits.replicaCost + 2 * known.rate + running;
+    const double reload = toSeconds(this->loadTime(*known.weights, WeightSource::Disk));
+    return this->limits.soleReplicaCost + known.rate * this->limits.horizonSeconds * reload
+           + running;
 }
 
-std::uint32_t ResidencyPlanner::wantedReplicas(const Scene &scene, const ModelId &model) const
+std::uint32_t ResidencyPlanner::wantedReplicas(const Scene &scene, const ModelFacts &facts) const
 {
-    if (!this->isDemandKnown(scene))
-        return std::clamp(this->replicas(scene, model), 1U, this->limits.assumedReplicas);
-    const SmoothedDemand demand = scene.demand.of(Target{model, {}});
+    if (!scene.isDemandKnown)
+        return std::clamp(facts.replicas, 1U, this->limits.assumedReplicas);
+    const SmoothedDemand demand = scene.demand.of(Target{facts.weights->id, {}});
     std::uint32_t wanted = 1;
     if (demand.perSecond >= this->limits.twoReplicasFrom)
         wanted = 2;
@@ -432,49 +516,6 @@
     return std::max(wanted, static_cast<std::uint32_t>(byLoad));
 }
 
-bool ResidencyPlanner::isDemandKnown(const Scene &scene) const
-{
-    return scene.demand.arrivals() >= this->limits.knownAfterArrivals;
-}
-
-double ResidencyPlanner::rate(const Scene &scene, const ModelId &model) const
-{
-    return std::max(this->limits.assumedRate, scene.demand.of(Target{model, {}}).perSecond);
-}
-
-double ResidencyPlanner::usedMegabytes(const PlannedUpstream &upstream) const
-{
-    double used = 0;
-    for (const gateway::ResidentModel &resident : upstream.residency.models) {
-        const gateway::ModelWeights *model = this->engine.find(resident.model);
-        // A model that the configuration no longer names takes room of unknown size.
-        if (model == nullptr)
-            return this->engine.weightMegabytes;
-        used += model->megabytes
-                + static_cast<double>(resident.adapters.size()) * model->adapterMegabytes;
-    }
-    for (const Target &pending : upstream.pendingAdapters) {
-        const gateway::ModelWeights *model = this->engine.find(pending.model);
-        used += model == nullptr ? 0 : model->adapterMegabytes;
-    }
-    return used;
-}
-
-WeightSource ResidencyPlanner::sourceAt(const PlannedUpstream &upstream, const ModelId &model) const
-{
-    if (contains(upstream.copies.inMemory, model))
-        return WeightSource::Memory;
-    return contains(upstream.copies.onDisk, model) ? WeightSource::Disk : WeightSource::Store;
-}
-
-/// Whether some upstream could load the model without the weight store.
-bool ResidencyPlanner::hasCopy(const Scene &scene, const ModelId &model) const
-{
-    return std::any_of(scene.upstreams.begin(), scene.upstreams.end(), [&](const auto &upstream) {
-        return upstream.isUsable && this->sourceAt(upstream, model) != WeightSource::Store;
-    });
-}
-
 Duration ResidencyPlanner::loadTime(const gateway::ModelWeights &model, WeightSource source) const
 {
     if (source == WeightSource::Memory)
@@ -483,28 +524,21 @@
 }
 
 /// Loads from the weight store that run or are about to begin.
-std::uint32_t ResidencyPlanner::storeLoads(const Scene &scene) const
+std::uint32_t ResidencyPlanner::storeLoads(Scene &scene) const
 {
     auto count = static_cast<std::uint32_t>(this->storeLoading.size());
     for (const auto &[id, goal] : this->goals) {
-        const auto upstream = std::find_if(scene.upstreams.begin(), scene.upstreams.end(),
-                                           [&id = id](const auto &one) { return one.id == id; });
-        if (upstream != scene.upstreams.end() && upstream->loading.isEmpty()
-            && this->sourceAt(*upstream, goal.model) == WeightSource::Store)
+        const UpstreamFacts *facts = scene.find(id);
+        if (facts != nullptr && facts->upstream->loading.isEmpty()
+            && facts->sources[scene.modelPlaces[goal.model]] == WeightSource::Store)
             ++count;
     }
     return count;
 }
 
-bool ResidencyPlanner::canLoadFromStore(const Scene &scene)
+bool ResidencyPlanner::canLoadFromStore(Scene &scene)
 {
     return this->pacer.mayStart(store::LoadKind::Model, this->storeLoads(scene), scene.now);
 }
 
-bool ResidencyPlanner::isGoal(const ModelId &model) const
-{
-    return std::any_of(this->goals.begin(), this->goals.end(),
-                       [&model](const auto &item) { return item.second.model == model; });
-}
-
 } // namespace bamboochute::residency
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -81,6 +81,10 @@
     Duration minResidency = std::chrono::milliseconds(1500);
     /// A goal that is not reached in this time is given up.
     Duration goalPatience = std::chrono::seconds(15);
+    /// Pause between two looks for what nobody waits for.
+    Duration aheadInterval = std::chrono::milliseconds(300);
+    /// Models that one such look considers.
+    std::size_t modelsAhead = 24;
     /// Time that an adapter takes.
     Duration adapterTime = std::chrono::milliseconds(12);
     /// What is said to those who wait when nothing can be done for them now.
@@ -133,42 +137,63 @@
         TimePoint readyAt{};
         WeightSource source = WeightSource::Disk;
     };
+    /// What one call of plan() knows of a model; looked up by its place in the configuration.
+    struct ModelFacts
+    {
+        const gateway::ModelWeights *weights = nullptr;
+        std::uint32_t replicas = 0;
+        std::uint32_t wanted = 1;
+        double rate = 0;
+        bool hasGoal = false;
+        /// Some engine has the weights at hand.
+        bool hasCopy = false;
+    };
+    /// What one call of plan() knows of an engine.
+    struct UpstreamFacts
+    {
+        const PlannedUpstream *upstream = nullptr;
+        double usedMegabytes = 0;
+        /// Places of the resident models in Scene::models.
+        std::vector<std::size_t> resident;
+        /// Where each model's weights would come from.
+        std::vector<WeightSource> sources;
+    };
     /// Everything that one call of plan() looks at.
     struct Scene
     {
-        const std::vector<PlannedUpstream> &upstreams;
         const DemandTally &demand;
         TimePoint now;
+        bool isDemandKnown = false;
+        std::vector<ModelFacts> models;
+        std::map<ModelId, std::size_t> modelPlaces;
+        std::vector<UpstreamFacts> upstreams;
+
+        ModelFacts *find(const ModelId &model);
+        UpstreamFacts *find(const UpstreamId &upstream);
     };
 
-    void dropGoals(const Scene &scene);
-    void goalsForWaiting(const Scene &scene);
-    void goalsForReplicas(const Scene &scene);
-    void goalsForCoverage(const Scene &scene);
-    void ordersForGoals(const Scene &scene, std::vector<PlannedOrder> &orders);
-    void ordersForAdapters(const Scene &scene, std::vector<PlannedOrder> &orders);
-    void orderAdapter(const Scene &scene, const Target &target, std::vector<PlannedOrder> &orders);
-    void addGoal(const Scene &scene, const Place &place, const ModelId &model, bool isWaitedFor,
+    Scene survey(const std::vector<PlannedUpstream> &upstreams, const DemandTally &demand,
+                 TimePoint now) const;
+    UpstreamFacts surveyUpstream(const Scene &scene, const PlannedUpstream &upstream) const;
+    std::uint32_t wantedReplicas(const Scene &scene, const ModelFacts &facts) const;
+    void dropGoals(Scene &scene);
+    void goalsForWaiting(Scene &scene);
+    void goalsForReplicas(Scene &scene);
+    void goalsForCoverage(Scene &scene);
+    void ordersForGoals(Scene &scene, std::vector<PlannedOrder> &orders);
+    void ordersForAdapters(Scene &scene, std::vector<PlannedOrder> &orders);
+    void orderAdapter(Scene &scene, const Target &target, std::vector<PlannedOrder> &orders);
+    void addGoal(Scene &scene, const Place &place, const ModelId &model, bool isWaitedFor,
                  std::string_view reason);
 
-    std::optional<Place> bestPlace(const Scene &scene, const gateway::ModelWeights &model,
-                                   bool isWaitedFor);
-    std::optional<Place> placeAt(const Scene &scene, const PlannedUpstream &upstream,
-                                 const gateway::ModelWeights &model);
-    double keepValue(const Scene &scene, const PlannedUpstream &upstream,
-                     const gateway::ModelWeights &model) const;
-    std::uint32_t replicas(const Scene &scene, const ModelId &model) const;
-    std::uint32_t wantedReplicas(const Scene &scene, const ModelId &model) const;
-    bool isDemandKnown(const Scene &scene) const;
-    double rate(const Scene &scene, const ModelId &model) const;
-    double usedMegabytes(const PlannedUpstream &upstream) const;
-    WeightSource sourceAt(const PlannedUpstream &upstream, const ModelId &model) const;
-    bool hasCopy(const Scene &scene, const ModelId &model) const;
+    std::optional<Place> bestPlace(Scene &scene, std::size_t model, bool isWaitedFor);
+    std::optional<Place> placeAt(const Scene &scene, const UpstreamFacts &upstream,
+                                 std::size_t model) const;
+    double keepValue(const Scene &scene, const UpstreamFacts &upstream, std::size_t model) const;
     Duration loadTime(const gateway::ModelWeights &model, WeightSource source) const;
-    std::uint32_t storeLoads(const Scene &scene) const;
-    bool canLoadFromStore(const Scene &scene);
+    std::uint32_t storeLoads(Scene &scene) const;
+    bool canLoadFromStore(Scene &scene);
     Duration hopelessWait(const gateway::ModelWeights &model) const;
-    bool isGoal(const ModelId &model) const;
 
     PlannerLimits limits;
     gateway::EngineSpec engine;
@@ -177,6 +202,7 @@
     std::map<std::pair<UpstreamId, ModelId>, TimePoint> loadedAt;
     std::map<UpstreamId, ModelId> storeLoading;
     std::map<Target, TimePoint> expectations;
+    TimePoint plannedAheadAt{};
 };
 
 } // namespace bamboochute::residency
