Let the owner of the placement vouch for the store

Change: the owner's watches wait 0.4 s; every 0.4 s it tells the instances the revisions of the last changes that matter and how old its knowledge is. Instances with a larger share of a core stand for owner first. Promises go only to instances whose requests wait.

--- a/src/residency/demand_tally.cpp
+++ b/src/residency/demand_tally.cpp
@@ -114,4 +114,17 @@
     return targets;
 }
 
+std::vector<Target> DemandTally::waitingAt(const InstanceId &instance) const
+{
+    std::vector<Target> targets;
+    const auto found = this->byInstance.find(instance);
+    if (found == this->byInstance.end())
+        return targets;
+    for (const gateway::TargetDemand &line : found->second.demand) {
+        if (line.waiting > 0)
+            targets.push_back(line.target.target);
+    }
+    return targets;
+}
+
 } // namespace bamboochute::residency
--- a/src/residency/demand_tally.hpp
+++ b/src/residency/demand_tally.hpp
@@ -58,6 +58,9 @@
     /// @brief Targets for which requests wait.
     std::vector<Target> waiting() const;
 
+    /// @brief Targets for which requests of one instance wait.
+    std::vector<Target> waitingAt(const InstanceId &instance) const;
+
     /// @brief Requests seen since the tally began.
     std::uint64_t arrivals() const noexcept { return this->arrivalCount; }
 
--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -147,8 +147,10 @@
 upstream::Awaitable<void> OwnerElection::stand()
 {
     if (!this->seen) {
-        const auto delay = Duration(this->random.below(
-                static_cast<std::uint64_t>(this->settings.maxStagger.count()) + 1));
+        const auto delay = this->settings.standDelay
+                           + Duration(this->random.below(static_cast<std::uint64_t>(
+                                              this->settings.maxStagger.count())
+                                      + 1));
         co_await this->change.wait(steadyNow() + delay);
         if (!this->maySeize() || this->isResigned)
             co_return;
--- a/src/residency/owner_election.hpp
+++ b/src/residency/owner_election.hpp
@@ -69,7 +69,9 @@
     bool areEnginesFenced = true;
     /// How long it goes on without the store.
     Duration maxSilence = std::chrono::seconds(30);
-    /// Longest random delay before an empty place is taken.
+    /// Delay before an empty place is taken; shorter at instances that can do more.
+    Duration standDelay{};
+    /// Longest random delay in addition.
     Duration maxStagger = std::chrono::milliseconds(250);
     std::uint64_t seed = 1;
 };
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -128,6 +128,8 @@
         this->gateway.demand.promised(promise.target, {time + promise.readyIn, time});
     for (const UpstreamId &id : message.suspected)
         this->gateway.health.suspected(id, gateway::HealthLimits().firstPause, time);
+    if (message.followed && this->onFollowed)
+        this->onFollowed(message.fence, *message.followed);
     if (!message.held.empty() || !message.promises.empty())
         this->gateway.changed();
 }
--- a/src/residency/peer_link.hpp
+++ b/src/residency/peer_link.hpp
@@ -34,6 +34,9 @@
     Result<Endpoint> start(const Endpoint &listen);
     void stop();
 
+    /// Called with the owner's term and how far it has followed the platform's state.
+    std::function<void(Fence fence, const FollowedState &followed)> onFollowed;
+
 private:
     upstream::Awaitable<void> run();
     void report();
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -145,9 +145,13 @@
 
 Json toJson(const OwnerMessage &message)
 {
+    Json followed;
+    if (message.followed)
+        followed = Json::array({message.followed->configuration, message.followed->registrations,
+                                toMillis(message.followed->age)});
     return Json::array({ownerKind, message.fence.value(), message.instances,
                         toArray(message.held), toArray(message.loads), toArray(message.promises),
-                        toArray(message.suspected)});
+                        toArray(message.suspected), std::move(followed)});
 }
 
 PeerMessage messageFrom(const Json &value)
@@ -156,12 +160,16 @@
         return DemandMessage{InstanceId(value.at(1).get<std::string>()), value.at(2).get<bool>(),
                              fromArray<gateway::TargetDemand>(value.at(3), demandFrom),
                              fromArray<UpstreamId>(value.at(4), upstreamFrom)};
+    std::optional<FollowedState> followed;
+    if (const Json &told = value.at(7); !told.is_null())
+        followed = FollowedState{told.at(0).get<std::uint64_t>(), told.at(1).get<std::uint64_t>(),
+                                 fromMillis(told.at(2))};
     return OwnerMessage{Fence(value.at(1).get<std::uint64_t>()),
                         value.at(2).get<std::uint32_t>(),
                         fromArray<HeldTargets>(value.at(3), heldFrom),
                         fromArray<UpstreamLoad>(value.at(4), loadFrom),
                         fromArray<PromisedTarget>(value.at(5), promiseFrom),
-                        fromArray<UpstreamId>(value.at(6), upstreamFrom)};
+                        fromArray<UpstreamId>(value.at(6), upstreamFrom), followed};
 }
 
 std::string encode(const Json &value)
@@ -215,8 +223,9 @@
 
 std::vector<OwnerMessage> divide(const OwnerMessage &message, std::size_t maxBytes)
 {
-    const OwnerMessage empty{message.fence, message.instances, {}, {}, {}, {}};
+    const OwnerMessage empty{message.fence, message.instances, {}, {}, {}, {}, std::nullopt};
     std::vector<OwnerMessage> parts{empty};
+    parts.front().followed = message.followed;
     spread(parts, empty, message.held, &OwnerMessage::held, maxBytes);
     spread(parts, empty, message.loads, &OwnerMessage::loads, maxBytes);
     spread(parts, empty, message.promises, &OwnerMessage::promises, maxBytes);
--- a/src/residency/peer_messages.hpp
+++ b/src/residency/peer_messages.hpp
@@ -6,6 +6,7 @@
 #include "gateway/demand_book.hpp"
 #include "gateway/upstream_table.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -49,6 +50,17 @@
     auto operator<=>(const PromisedTarget &) const = default;
 };
 
+/// @brief How far the owner has followed what the operators and the upstreams write.
+struct FollowedState
+{
+    /// Revisions of the last changes that matter to every instance.
+    std::uint64_t configuration = 0;
+    std::uint64_t registrations = 0;
+    /// Time since the owner last heard that there is nothing newer.
+    Duration age{};
+    auto operator<=>(const FollowedState &) const = default;
+};
+
 /// @brief What the owner tells the instances.
 struct OwnerMessage
 {
@@ -60,6 +72,7 @@
     std::vector<UpstreamLoad> loads;
     std::vector<PromisedTarget> promises;
     std::vector<UpstreamId> suspected;
+    std::optional<FollowedState> followed;
     auto operator<=>(const OwnerMessage &) const = default;
 };
 
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -121,6 +121,8 @@
     }
     if (now >= this->loadsToldAt + this->limits.loadInterval)
         this->tellLoads(now);
+    if (now >= this->followedToldAt + this->limits.followedInterval)
+        this->tellFollowed(now);
 }
 
 void PlacementDriver::forgetGone()
@@ -433,22 +435,40 @@
     this->tellAll(news);
 }
 
+/// Tells each instance when the targets that its requests wait for are expected.
 void PlacementDriver::tellPromises(const gateway::ServiceId &service, const Pool &pool,
                                    TimePoint now)
 {
-    OwnerMessage news = this->message();
-    for (const Target &target : pool.demand.waiting()) {
-        const std::optional<TimePoint> ready = pool.planner.readyAt(target);
-        if (!ready)
+    const auto promisesFor = [&](const InstanceId &instance) {
+        std::vector<PromisedTarget> promises;
+        for (const Target &target : pool.demand.waitingAt(instance)) {
+            const std::optional<TimePoint> ready = pool.planner.readyAt(target);
+            if (ready)
+                promises.push_back({{service, target}, std::max(Duration(0), *ready - now)});
+        }
+        return promises;
+    };
+    for (const PromisedTarget &promise : promisesFor(this->self)) {
+        this->gateway.demand.promised(promise.target, {now + promise.readyIn, now});
+        this->gateway.changed();
+    }
+    for (const auto &[instance, listener] : this->listeners) {
+        if (instance == this->self)
             continue;
-        const gateway::ServiceTarget key{service, target};
-        this->gateway.demand.promised(key, {*ready, now});
-        news.promises.push_back({key, std::max(Duration(0), *ready - now)});
+        OwnerMessage news = this->message();
+        news.promises = promisesFor(instance);
+        if (!news.promises.empty())
+            this->send(listener.endpoint, news);
     }
-    if (news.promises.empty())
-        return;
-    this->gateway.changed();
-    this->tellAll(news);
+}
+
+void PlacementDriver::tellFollowed(TimePoint now)
+{
+    this->followedToldAt = now;
+    OwnerMessage news = this->message();
+    news.followed = this->followed ? this->followed() : std::nullopt;
+    if (news.followed)
+        this->tellAll(news);
 }
 
 void PlacementDriver::tellLoads(TimePoint now)
--- a/src/residency/placement_driver.hpp
+++ b/src/residency/placement_driver.hpp
@@ -39,6 +39,8 @@
     Duration repeatPause = std::chrono::milliseconds(900);
     /// Pause between two statements on the load of all engines.
     Duration loadInterval = std::chrono::milliseconds(1000);
+    /// Pause between two statements on how far the platform's state has been followed.
+    Duration followedInterval = std::chrono::milliseconds(400);
     /// A report that shows fewer accepted orders than were counted is believed after this time.
     Duration reportLag = std::chrono::milliseconds(1200);
     /// Pause after an order that was in conflict.
@@ -65,6 +67,10 @@
     /// @brief Takes what an instance tells.
     void receive(const DemandMessage &message, const Endpoint &from);
 
+    /// @brief How far this instance has followed the platform's state; nothing when it has lost
+    /// it. Set before start().
+    std::function<std::optional<FollowedState>()> followed;
+
     /// @brief Sends a message to one instance; set before start().
     std::function<void(const Endpoint &to, const OwnerMessage &message)> send;
 
@@ -120,6 +126,7 @@
     void tellHeld(const UpstreamId &id, const Engine &engine);
     void tellPromises(const gateway::ServiceId &service, const Pool &pool, TimePoint now);
     void tellLoads(TimePoint now);
+    void tellFollowed(TimePoint now);
     void tellAll(const OwnerMessage &message);
     OwnerMessage message() const;
     void forgetGone();
@@ -143,6 +150,7 @@
     };
     std::map<InstanceId, Listener> listeners;
     TimePoint loadsToldAt{};
+    TimePoint followedToldAt{};
     Fence term;
     bool isStopped = false;
 };
--- a/tests/residency/unit-peer_messages.cpp
+++ b/tests/residency/unit-peer_messages.cpp
@@ -22,6 +22,7 @@
     message.loads.push_back({UpstreamId("w1"), {12, 1, 0.5}});
     message.promises.push_back({target, 1500ms});
     message.suspected.emplace_back("w2");
+    message.followed = FollowedState{12, 34, 250ms};
     return message;
 }
 
