--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -95,6 +95,12 @@
         stream->close();
 }
 
+void Gateway::refuseWaiting()
+{
+    this->refusing = true;
+    this->changed();
+}
+
 void Gateway::stop()
 {
     this->closeIdle();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -56,6 +56,9 @@
     /// @brief Accepts no more connections and closes those that wait for a request.
     void closeIdle();
 
+    /// @brief Refuses the requests that wait for a target, now and from now on.
+    void refuseWaiting();
+
     /// @brief Ends the requests that are still open and closes everything.
     void stop();
 
@@ -98,6 +101,7 @@
     std::size_t requests = 0;
     bool draining = false;
     bool closing = false;
+    bool refusing = false;
 };
 
 } // namespace bamboochute::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -275,6 +275,11 @@
     if (this->gateway.onNewWait)
         this->gateway.onNewWait();
     while (!this->isCallerGone && this->now() < latest) {
+        if (this->gateway.refusing) {
+            placement.refusal = Error(ErrorKind::Draining, "this instance stops");
+            placement.retryAfter = Duration(0);
+            break;
+        }
         const std::optional<TargetPromise> promise = demand.promise(this->target);
         const bool isClaimed = this->isClaimed();
         if (!isClaimed && promise && promise->readyAt > latest) {
--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -121,7 +121,7 @@
     for (const auto &[id, goal] : this->goals) {
         ModelFacts *facts = scene.find(goal.model);
         if (facts != nullptr)
-            facts->hasGoal = true;
+            ++facts->goals;
     }
     return scene;
 }
@@ -197,7 +197,7 @@
                             || goal.since + this->limits.goalPatience < scene.now;
         ModelFacts *model = scene.find(goal.model);
         if (isOver && model != nullptr)
-            model->hasGoal = false;
+            --model->goals;
         return isOver || model == nullptr;
     });
 }
@@ -216,7 +216,7 @@
             this->expectations[target] = scene.now + this->limits.adapterTime;
             continue;
         }
-        if (!model->hasGoal) {
+        if (model->goals == 0) {
             const std::size_t index = scene.modelPlaces[target.model];
             const std::optional<Place> place = this->bestPlace(scene, index, true);
             const std::optional<TimePoint> turn = this->nextTurn(scene, index);
@@ -249,12 +249,14 @@
         return;
     for (std::size_t i = 0; i < scene.models.size(); ++i) {
         const ModelFacts &model = scene.models[i];
-        if (model.replicas == 0 || model.replicas >= model.wanted || model.hasGoal)
-            continue;
-        const std::optional<Place> place = this->bestPlace(scene, i, false);
-        const double benefit = this->limits.replicaCost + 2 * model.rate;
-        if (place && place->evictionCost < benefit)
+        while (model.replicas > 0 && model.replicas + model.goals < model.wanted
+               && model.goals < this->limits.replicaGoals) {
+            const std::optional<Place> place = this->bestPlace(scene, i, false);
+            const double benefit = this->limits.replicaCost + 2 * model.rate;
+            if (!place || place->evictionCost >= benefit)
+                break;
             this->addGoal(scene, *place, model.weights->id, false, "more replicas wanted");
+        }
     }
 }
 
@@ -272,7 +274,7 @@
     std::vector<Missing> missing;
     for (std::size_t i = 0; i < scene.models.size(); ++i) {
         const ModelFacts &model = scene.models[i];
-        if (model.replicas > 0 || model.hasGoal)
+        if (model.replicas > 0 || model.goals > 0)
             continue;
         const WeightSource source = model.hasCopy ? WeightSource::Disk : WeightSource::Store;
         const double saved = toSeconds(this->loadTime(*model.weights, source));
@@ -301,14 +303,14 @@
     if (replaced != this->goals.end()) {
         ModelFacts *former = scene.find(replaced->second.model);
         if (former != nullptr)
-            former->hasGoal = false;
+            --former->goals;
     }
     for (const ModelId &victim : place.victims) {
         ModelFacts *facts = scene.find(victim);
         if (facts != nullptr && facts->replicas > 0)
             --facts->replicas;
     }
-    scene.find(model)->hasGoal = true;
+    ++scene.find(model)->goals;
     this->goals[place.upstream->id]
             = Goal{model, place.victims, scene.now, place.readyAt, isWaitedFor, reason};
 }
@@ -543,8 +545,10 @@
 
 std::uint32_t ResidencyPlanner::wantedReplicas(const Scene &scene, const ModelFacts &facts) const
 {
-    if (!scene.isDemandKnown)
-        return std::clamp(facts.replicas, 1U, this->limits.assumedReplicas);
+    if (!scene.isDemandKnown) {
+        const auto share = static_cast<std::uint32_t>(facts.replicas * this->limits.assumedShare);
+        return std::clamp(facts.replicas, 1U, std::max(this->limits.assumedReplicas, share));
+    }
     const SmoothedDemand demand = scene.demand.of(Target{facts.weights->id, {}});
     std::uint32_t wanted = 1;
     if (demand.perSecond >= this->limits.twoReplicasFrom)
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -67,8 +67,12 @@
     double concurrencyPerReplica = 10;
     /// Requests a second from which a model has two replicas.
     double twoReplicasFrom = 0.8;
-    /// Replicas that are kept of a model before its demand is known.
+    /// Replicas that are kept of a model before its demand is known: so many, and this share of
+    /// those that there are.
     std::uint32_t assumedReplicas = 3;
+    double assumedShare = 0.6;
+    /// Goals for further replicas of one model at a time.
+    std::uint32_t replicaGoals = 3;
     /// Demand counts as known once so many requests were seen.
     std::uint64_t knownAfterArrivals = 60;
     /// Cost of dropping a replica beyond those wanted, and one that is wanted.
@@ -146,7 +150,8 @@
         std::uint32_t replicas = 0;
         std::uint32_t wanted = 1;
         double rate = 0;
-        bool hasGoal = false;
+        /// Engines that are to load it.
+        std::uint32_t goals = 0;
         /// Some engine has the weights at hand.
         bool hasCopy = false;
     };
