--- a/cmake/Ci.cmake
+++ b/cmake/Ci.cmake
@@ -7,6 +7,8 @@
     ${PROJECT_SOURCE_DIR}/include/*.hpp
     ${PROJECT_SOURCE_DIR}/src/*.hpp
     ${PROJECT_SOURCE_DIR}/src/*.cpp
+    ${PROJECT_SOURCE_DIR}/platform/*.hpp
+    ${PROJECT_SOURCE_DIR}/platform/*.cpp
     ${PROJECT_SOURCE_DIR}/daemons/*.cpp
     ${PROJECT_SOURCE_DIR}/daemons/*.hpp
     ${PROJECT_SOURCE_DIR}/bench/*.hpp
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -89,6 +89,22 @@
     return sink;
 }
 
+/// Lines of one message that an instance writes in a second; one with 30 requests a second stays
+/// below it.
+constexpr std::uint32_t linesPerSecond = 120;
+
+struct Budget
+{
+    std::mutex mutex;
+    LogBudget budget{linesPerSecond};
+};
+
+Budget &lineBudget()
+{
+    static Budget budget;
+    return budget;
+}
+
 std::string &instanceName()
 {
     static std::string name;
@@ -123,6 +139,22 @@
 
 } // namespace
 
+LogBudget::Decision LogBudget::decide(std::string_view message, TimePoint now)
+{
+    const auto found = this->seconds.find(message);
+    Second &second
+            = found == this->seconds.end() ? this->seconds[std::string(message)] : found->second;
+    Decision decision;
+    if (second.begin == TimePoint() || now >= second.begin + std::chrono::seconds(1)) {
+        decision.leftOut
+                = second.lines > this->linesPerSecond ? second.lines - this->linesPerSecond : 0;
+        second = Second{now, 0};
+    }
+    ++second.lines;
+    decision.isWritten = second.lines <= this->linesPerSecond;
+    return decision;
+}
+
 void configureLog(std::string_view instance, LogLevel level)
 {
     instanceName() = instance;
@@ -155,11 +187,11 @@
     return false;
 }
 
-void logEvent(LogLevel level, std::string_view message, std::initializer_list<LogField> fields)
+namespace {
+
+void writeLine(const LevelRow &row, std::string_view message,
+               std::initializer_list<LogField> fields)
 {
-    const LevelRow &row = rowOf(level);
-    if (!logger().should_log(row.native))
-        return;
     nlohmann::ordered_json line;
     line["time"] = utcNow();
     line["level"] = row.name;
@@ -172,4 +204,27 @@
     logger().log(row.native, "{}", line.dump(-1, ' ', false, replaceInvalid));
 }
 
+} // namespace
+
+void logEvent(LogLevel level, std::string_view message, std::initializer_list<LogField> fields)
+{
+    const LevelRow &row = rowOf(level);
+    if (!logger().should_log(row.native))
+        return;
+    if (!standardOutput()) {
+        writeLine(row, message, fields);
+        return;
+    }
+    LogBudget::Decision decision;
+    {
+        const std::lock_guard lock(lineBudget().mutex);
+        decision = lineBudget().budget.decide(message, SteadyClock().now());
+    }
+    if (decision.leftOut > 0)
+        writeLine(row, "log lines left out",
+                  {{"of", std::string(message)}, {"count", std::to_string(decision.leftOut)}});
+    if (decision.isWritten)
+        writeLine(row, message, fields);
+}
+
 } // namespace bamboochute
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -2,8 +2,11 @@
 /// @brief Structured log: one JSON object a line on stderr, by spdlog.
 #pragma once
 
+#include "core/clock.hpp"
+
 #include <cstdint>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -24,6 +27,38 @@
 /// Lines that the reader does not take at once are dropped and counted.
 void logToStandardOutput();
 
+/// @brief Counts the lines of each message and leaves out what exceeds a rate; not thread-safe.
+class LogBudget
+{
+public:
+    /// @param linesPerSecond lines of one message that are written in a second
+    explicit LogBudget(std::uint32_t linesPerSecond)
+        : linesPerSecond(linesPerSecond)
+    {}
+
+    /// @brief What becomes of a line.
+    struct Decision
+    {
+        bool isWritten = true;
+        /// Lines of the message that were left out in the second before.
+        std::uint32_t leftOut = 0;
+        auto operator<=>(const Decision &) const = default;
+    };
+
+    /// @brief Decides on the next line of a message.
+    Decision decide(std::string_view message, TimePoint now);
+
+private:
+    struct Second
+    {
+        TimePoint begin{};
+        std::uint32_t lines = 0;
+    };
+
+    std::uint32_t linesPerSecond;
+    std::map<std::string, Second, std::less<>> seconds;
+};
+
 /// @brief Lines dropped because standard output was full.
 std::uint64_t droppedLogLines() noexcept;
 
--- a/src/gateway/change_signal.hpp
+++ b/src/gateway/change_signal.hpp
@@ -15,9 +15,10 @@
 class ChangeSignal
 {
 public:
-    using Timer = boost::asio::basic_waitable_timer<
-            std::chrono::steady_clock, boost::asio::wait_traits<std::chrono::steady_clock>,
-            upstream::Executor>;
+    using Timer
+            = boost::asio::basic_waitable_timer<std::chrono::steady_clock,
+                                                boost::asio::wait_traits<std::chrono::steady_clock>,
+                                                upstream::Executor>;
 
     explicit ChangeSignal(boost::asio::io_context &context)
         : context(context)
--- a/src/gateway/demand_book.hpp
+++ b/src/gateway/demand_book.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "core/clock.hpp"
-#include "gateway/catalogue.hpp"
 #include "core/routing_table.hpp"
+#include "gateway/catalogue.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,8 +113,7 @@
 caller::ServerLimits Gateway::limits() const
 {
     caller::ServerLimits limits;
-    const CallerLimits given
-            = this->index ? this->index->catalogue().limits : CallerLimits();
+    const CallerLimits given = this->index ? this->index->catalogue().limits : CallerLimits();
     limits.maxHeaderBytes = given.maxHeaderBytes;
     limits.maxBodyBytes = given.maxBodyBytes;
     limits.headerTimeout = given.headerTimeout;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -46,7 +46,6 @@
 constexpr Duration noOwnerRetry = std::chrono::milliseconds(1500);
 constexpr int statusOk = 200;
 constexpr int firstServerError = 500;
-constexpr int firstRedirect = 300;
 
 asio::const_buffer toBuffer(std::string_view text)
 {
@@ -97,8 +96,8 @@
                               notReadyRetry);
         co_return;
     }
-    this->route = this->index->find(this->request.headers().find("host"),
-                                    this->request.message.target);
+    this->route
+            = this->index->find(this->request.headers().find("host"), this->request.message.target);
     if (this->route == nullptr) {
         co_await this->refuse(Error(ErrorKind::UnknownPath, "no route matches host and path"),
                               std::nullopt);
@@ -114,7 +113,7 @@
     this->caller.onPeerClosed(nullptr);
     if (this->isCallerGone) {
         this->keepAlive = false;
-        this->log(LogLevel::Info, "caller left", "caller_gone");
+        this->log(LogLevel::Info, "caller left", "caller_gone", this->tookField());
     }
 }
 
@@ -216,15 +215,17 @@
 Awaitable<RequestExchange::Placement> RequestExchange::place()
 {
     Placement placement;
-    placement.upstream
-            = this->gateway.choice.pick(this->query(), this->gateway.health, this->now());
+    const ChoiceQuery query = this->query();
+    this->candidates = query.candidates.size();
+    placement.upstream = this->gateway.choice.pick(query, this->gateway.health, this->now());
     if (placement.upstream)
         co_return placement;
     if (this->isEngineTarget()) {
         placement = co_await this->waitForTarget();
         co_return placement;
     }
-    placement.refusal = Error(ErrorKind::UpstreamUnavailable, "no upstream of the service is there");
+    placement.refusal
+            = Error(ErrorKind::UpstreamUnavailable, "no upstream of the service is there");
     placement.retryAfter = noUpstreamRetry;
     co_return placement;
 }
@@ -303,7 +304,7 @@
     demand.waitEnded(this->target, latest);
     this->log(LogLevel::Info, "waited for target",
               placement.upstream ? "held" : placement.refusal->row().code,
-              millis(this->now() - began));
+              {"waited_ms", millis(this->now() - began)});
     co_return placement;
 }
 
@@ -335,7 +336,7 @@
     this->gateway.choice.started(id);
     if (this->isEngineTarget())
         this->gateway.demand.started(this->target);
-    this->log(LogLevel::Info, "request routed", "sent", millis(this->left()));
+    this->log(LogLevel::Info, "request routed", "sent", {"left_ms", millis(this->left())});
     const AttemptEnd end = co_await this->exchange(*entry);
     this->call.reset();
     this->gateway.choice.finished(id);
@@ -396,7 +397,7 @@
         this->gateway.table.refused(this->current, this->target.target,
                                     this->now() + targetRefusalTime);
         this->lastFault = "refused by upstream";
-        this->log(LogLevel::Info, "upstream refused", "target", std::to_string(status));
+        this->log(LogLevel::Info, "upstream refused", "target", {"status", std::to_string(status)});
         return AttemptEnd::NotRun;
     }
     this->tried.push_back(this->current);
@@ -455,8 +456,7 @@
     }
     this->noteSuccess();
     co_await this->send(head, body.value());
-    this->log(LogLevel::Info, "request answered", std::to_string(status),
-              millis(this->now() - this->request.arrival));
+    this->log(LogLevel::Info, "request answered", std::to_string(status), this->tookField());
     co_return AttemptEnd::Finished;
 }
 
@@ -503,8 +503,7 @@
         this->isAnswerBegun = true;
     }
     co_await this->send(head, "0\r\n\r\n");
-    this->log(LogLevel::Info, "request answered", "stream",
-              millis(this->now() - this->request.arrival));
+    this->log(LogLevel::Info, "request answered", "stream", this->tookField());
     co_return AttemptEnd::Finished;
 }
 
@@ -518,9 +517,8 @@
         const upstream::Header header = headers[i];
         const bool isFraming = sameHeaderName(header.name, "content-length")
                                || sameHeaderName(header.name, "expect");
-        const bool isNominated
-                = !nominated.empty() && !sameHeaderName(header.name, "host")
-                  && upstream::isListed(nominated, header.name);
+        const bool isNominated = !nominated.empty() && !sameHeaderName(header.name, "host")
+                                 && upstream::isListed(nominated, header.name);
         if (!isFraming && !isNominated && !upstream::isHopByHop(header.name)
             && this->gateway.codec.isPassedOn(header.name))
             appendHeader(head, header.name, header.value);
@@ -567,7 +565,8 @@
 {
     this->lastFault = reason;
     const bool isNew = this->gateway.health.failed(this->current, fault, this->now());
-    this->log(LogLevel::Warning, "attempt failed", upstreamFaultName(fault), reason);
+    this->log(LogLevel::Warning, "attempt failed", upstreamFaultName(fault),
+              {"detail", std::string(reason)});
     this->gateway.metrics
             .counter("bamboochute_upstream_faults_total",
                      fmt::format("fault=\"{}\"", upstreamFaultName(fault)))
@@ -587,7 +586,7 @@
     if (this->isAnswerBegun) {
         // Without its last chunk the stream is recognisably cut.
         this->keepAlive = false;
-        this->log(LogLevel::Warning, "stream broken", "stream_broken", this->lastFault);
+        this->log(LogLevel::Warning, "stream broken", "stream_broken", {"detail", this->lastFault});
         this->gateway.metrics.errors(ErrorKind::StreamBroken).add();
         this->caller.close();
         co_return;
@@ -595,7 +594,8 @@
     if (this->failureAnswer) {
         const auto &[head, body] = *this->failureAnswer;
         co_await this->send(head, body);
-        this->log(LogLevel::Warning, "request answered", "upstream_failure", this->lastFault);
+        this->log(LogLevel::Warning, "request answered", "upstream_failure",
+                  {"detail", this->lastFault});
         co_return;
     }
     if (this->runs > 0) {
@@ -620,8 +620,9 @@
         appendHeader(head, "Connection", "close");
     head += "\r\n";
     this->gateway.metrics.errors(error.kind()).add();
-    this->log(LogLevel::Warning, row.httpStatus >= firstServerError ? "request failed" : "request refused",
-              row.code, error.message());
+    this->log(LogLevel::Warning,
+              row.httpStatus >= firstServerError ? "request failed" : "request refused", row.code,
+              {"detail", error.message()});
     co_await this->send(head, body);
 }
 
@@ -632,8 +633,8 @@
     std::optional<StreamStatus> status = this->caller.tryWrite(parts);
     if (!status) {
         const TimePoint fallback = this->now() + std::chrono::seconds(5);
-        this->caller.expireAt(this->deadline == TimePoint() ? fallback
-                                                            : std::max(this->deadline, this->now()));
+        this->caller.expireAt(
+                this->deadline == TimePoint() ? fallback : std::max(this->deadline, this->now()));
         status = co_await this->caller.writeRest(parts);
         this->caller.neverExpire();
     }
@@ -642,6 +643,11 @@
     co_return *status == StreamStatus::Ok;
 }
 
+LogField RequestExchange::tookField() const
+{
+    return {"took_ms", millis(this->now() - this->request.arrival)};
+}
+
 std::string RequestExchange::answerHead(int status, const upstream::HeaderList &headers) const
 {
     std::string head = statusLine(status);
@@ -656,18 +662,19 @@
 }
 
 void RequestExchange::log(LogLevel level, std::string_view message, std::string_view reason,
-                          std::string_view detail) const
+                          const LogField &extra) const
 {
     logEvent(level, message,
              {{"request", this->attributes.id.value()},
               {"reason", std::string(reason)},
-              {"detail", std::string(detail)},
+              extra,
               {"route", this->route ? this->route->id.value() : std::string()},
               {"upstream", this->current.value()},
-              {"target", this->attributes.target.model.value()},
+              {"model", this->attributes.target.model.value()},
               {"adapter", this->attributes.target.adapter.value()},
               {"sends", std::to_string(this->sends)},
-              {"version",
+              {"candidates", std::to_string(this->candidates)},
+              {"configuration",
                this->index ? std::to_string(this->index->catalogue().version) : std::string()}});
 }
 
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -91,7 +91,8 @@
     upstream::Awaitable<bool> send(std::string_view head, std::string_view body);
     std::string answerHead(int status, const upstream::HeaderList &headers) const;
     void log(LogLevel level, std::string_view message, std::string_view reason,
-             std::string_view detail = {}) const;
+             const LogField &extra) const;
+    LogField tookField() const;
 
     Gateway &gateway;
     upstream::HttpStream &caller;
@@ -110,6 +111,8 @@
     /// Answers by which upstreams said that they did not run it.
     std::uint32_t refusals = 0;
     std::uint32_t sends = 0;
+    /// Upstreams that could serve the request when one was chosen last.
+    std::size_t candidates = 0;
     UpstreamId current;
     TimePoint sentAt{};
     std::optional<upstream::UpstreamCall> call;
--- a/src/gateway/status_server.cpp
+++ b/src/gateway/status_server.cpp
@@ -93,9 +93,9 @@
         const std::string body = isMetrics ? this->metrics.print() : std::string();
         const std::string_view status
                 = isMetrics || this->isReady() ? "200 OK" : "503 Service Unavailable";
-        const std::string head
-                = fmt::format("HTTP/1.1 {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n",
-                              status, body.size());
+        const std::string head = fmt::format(
+                "HTTP/1.1 {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n", status,
+                body.size());
         const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(body)};
         stream->expireAt(SteadyClock().now() + writeTimeout);
         const upstream::StreamStatus written = co_await stream->write(parts);
--- a/src/gateway/upstream_choice.cpp
+++ b/src/gateway/upstream_choice.cpp
@@ -66,8 +66,7 @@
 
 /// Candidates that are not avoided; those whose registration vanished only if there is no other.
 UpstreamChoice::Candidates UpstreamChoice::usable(const Candidates &candidates,
-                                                  const UpstreamHealth &health,
-                                                  TimePoint now) const
+                                                  const UpstreamHealth &health, TimePoint now) const
 {
     Candidates registered;
     Candidates missing;
@@ -111,11 +110,12 @@
     std::uint64_t bestScore = 0;
     for (const UpstreamTable::Entry *entry : usable) {
         const UpstreamId &id = entry->registered.id;
-        const double use = (this->underWay(id) + entry->load.running) / (2.0 * std::max(entry->registered.slots, 1U));
-        const bool isBusy = entry->load.waiting > 0 || use > this->limits.affinityMaxUse
-                            || entry->load.cacheUse > this->limits.affinityMaxCache
-                            || this->slowness(id, fastest, health, now)
-                                       > this->limits.affinityMaxSlowness;
+        const double use = (this->underWay(id) + entry->load.running)
+                           / (2.0 * std::max(entry->registered.slots, 1U));
+        const bool isBusy
+                = entry->load.waiting > 0 || use > this->limits.affinityMaxUse
+                  || entry->load.cacheUse > this->limits.affinityMaxCache
+                  || this->slowness(id, fastest, health, now) > this->limits.affinityMaxSlowness;
         if (isBusy)
             continue;
         const std::uint64_t score = stableHash(id.value(), affinity);
--- a/src/gateway/upstream_health.cpp
+++ b/src/gateway/upstream_health.cpp
@@ -7,8 +7,8 @@
 
 std::string_view upstreamFaultName(UpstreamFault fault) noexcept
 {
-    constexpr std::array<std::string_view, 6> names{"unreachable", "broken", "malformed",
-                                                    "server_error", "full", "slow"};
+    constexpr std::array<std::string_view, 6> names{"unreachable",  "broken", "malformed",
+                                                    "server_error", "full",   "slow"};
     return names[static_cast<std::size_t>(fault)];
 }
 
@@ -19,8 +19,8 @@
     record.nextPause = this->limits.firstPause;
     record.avoidedUntil = {};
     record.failureShare *= 1 - this->limits.newestWeight;
-    const bool isKnown = record.latencySeconds > 0
-                         && record.latencyAt + this->limits.latencyMemory > now;
+    const bool isKnown
+            = record.latencySeconds > 0 && record.latencyAt + this->limits.latencyMemory > now;
     const double seconds = toSeconds(latency);
     record.latencySeconds = isKnown ? record.latencySeconds * (1 - this->limits.newestWeight)
                                               + seconds * this->limits.newestWeight
@@ -40,8 +40,8 @@
     if (fault == UpstreamFault::ServerError)
         return false;
     ++record.faultsInRow;
-    const std::uint32_t tolerated = fault == UpstreamFault::Slow ? this->limits.slowInRow
-                                                                 : this->limits.faultsInRow;
+    const std::uint32_t tolerated
+            = fault == UpstreamFault::Slow ? this->limits.slowInRow : this->limits.faultsInRow;
     if (fault != UpstreamFault::Unreachable && record.faultsInRow < tolerated)
         return false;
     this->avoid(record, std::max(record.nextPause, this->limits.firstPause), now);
@@ -80,8 +80,7 @@
 double UpstreamHealth::latencySeconds(const UpstreamId &upstream, TimePoint now) const
 {
     const auto found = this->records.find(upstream);
-    if (found == this->records.end()
-        || found->second.latencyAt + this->limits.latencyMemory <= now)
+    if (found == this->records.end() || found->second.latencyAt + this->limits.latencyMemory <= now)
         return 0;
     return found->second.latencySeconds;
 }
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -83,9 +83,8 @@
     Entry &entry = found->second;
     const bool isOwnerHeard
             = entry.learnedAt != TimePoint() && now < entry.learnedAt + ownerWordTime;
-    const bool isOlder
-            = residency.version.startedAt < entry.registered.residency.version.startedAt
-              || (isOwnerHeard && residency.version < entry.residency.version);
+    const bool isOlder = residency.version.startedAt < entry.registered.residency.version.startedAt
+                         || (isOwnerHeard && residency.version < entry.residency.version);
     if (isOlder)
         return false;
     entry.residency = residency;
--- a/src/residency/lease.cpp
+++ b/src/residency/lease.cpp
@@ -33,8 +33,8 @@
 
 Duration successorPause(const LeaseTimes &times)
 {
-    const auto silent = std::chrono::duration_cast<Duration>(times.timeToLive
-                                                             * (1 - times.validShare));
+    const auto silent
+            = std::chrono::duration_cast<Duration>(times.timeToLive * (1 - times.validShare));
     return std::max(Duration(0), times.handoverPause - silent);
 }
 
--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -147,10 +147,10 @@
 upstream::Awaitable<void> OwnerElection::stand()
 {
     if (!this->seen) {
-        const auto delay = this->settings.standDelay
-                           + Duration(this->random.below(static_cast<std::uint64_t>(
-                                              this->settings.maxStagger.count())
-                                      + 1));
+        const auto delay
+                = this->settings.standDelay
+                  + Duration(this->random.below(
+                          static_cast<std::uint64_t>(this->settings.maxStagger.count()) + 1));
         co_await this->change.wait(steadyNow() + delay);
         if (!this->maySeize() || this->isResigned)
             co_return;
@@ -177,8 +177,7 @@
     this->lastContact = grant.value().sentAt;
     this->seen = SeenOwner{mine, grant.value().fence};
     logEvent(LogLevel::Info, "placement ownership taken",
-             {{"fence", std::to_string(grant.value().fence.value())},
-              {"former", former.value()}});
+             {{"fence", std::to_string(grant.value().fence.value())}, {"former", former.value()}});
     if (this->onChange)
         this->onChange();
 }
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -71,8 +71,8 @@
 {
     while (!this->isStopped) {
         this->report();
-        const Duration pause = this->isAnyWaiting ? this->limits.waitingInterval
-                                                  : this->limits.reportInterval;
+        const Duration pause
+                = this->isAnyWaiting ? this->limits.waitingInterval : this->limits.reportInterval;
         co_await this->wake.wait(now() + pause);
         if (this->gateway.demand.hasNewWait())
             co_await this->wake.wait(now() + gatherTime);
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -149,8 +149,8 @@
     if (message.followed)
         followed = Json::array({message.followed->configuration, message.followed->registrations,
                                 toMillis(message.followed->age)});
-    return Json::array({ownerKind, message.fence.value(), message.instances,
-                        toArray(message.held), toArray(message.loads), toArray(message.promises),
+    return Json::array({ownerKind, message.fence.value(), message.instances, toArray(message.held),
+                        toArray(message.loads), toArray(message.promises),
                         toArray(message.suspected), std::move(followed)});
 }
 
@@ -169,7 +169,8 @@
                         fromArray<HeldTargets>(value.at(3), heldFrom),
                         fromArray<UpstreamLoad>(value.at(4), loadFrom),
                         fromArray<PromisedTarget>(value.at(5), promiseFrom),
-                        fromArray<UpstreamId>(value.at(6), upstreamFrom), followed};
+                        fromArray<UpstreamId>(value.at(6), upstreamFrom),
+                        followed};
 }
 
 std::string encode(const Json &value)
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -132,9 +132,8 @@
                && !item.second.isOrderUnderWay;
     });
     const TimePoint now = steadyNow();
-    std::erase_if(this->listeners, [now](const auto &item) {
-        return item.second.heardAt + listenerMemory < now;
-    });
+    std::erase_if(this->listeners,
+                  [now](const auto &item) { return item.second.heardAt + listenerMemory < now; });
 }
 
 void PlacementDriver::tickPool(const gateway::Service &service, Pool &pool)
@@ -195,8 +194,7 @@
         return;
     const bool isAwaited = !engine.isReported || !engine.isEndSeen || engine.isBusy
                            || engine.isDoubted || engine.failedReports > 0;
-    const Duration interval
-            = isAwaited ? this->limits.awaitInterval : this->limits.reportInterval;
+    const Duration interval = isAwaited ? this->limits.awaitInterval : this->limits.reportInterval;
     if (engine.askedAt != TimePoint() && now < engine.askedAt + interval)
         return;
     engine.isAsked = true;
--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -213,7 +213,7 @@
         if (model == nullptr)
             continue;
         if (model->replicas > 0) {
-            this->expectations[target] = scene.now + this->limits.adapterTime;
+            this->expectations[target] = this->adapterReadyAt(scene, target);
             continue;
         }
         if (model->goals == 0) {
@@ -224,7 +224,8 @@
                 this->addGoal(scene, *place, target.model, true, "requests wait");
         }
         TimePoint ready = scene.now + this->hopelessWait(*model->weights);
-        const std::optional<TimePoint> turn = this->nextTurn(scene, scene.modelPlaces[target.model]);
+        const std::optional<TimePoint> turn
+                = this->nextTurn(scene, scene.modelPlaces[target.model]);
         if (turn)
             ready = *turn;
         for (auto &[id, goal] : this->goals) {
@@ -237,6 +238,18 @@
     }
 }
 
+/// When an engine that holds the model can have loaded an adapter.
+TimePoint ResidencyPlanner::adapterReadyAt(const Scene &scene, const Target &target) const
+{
+    TimePoint earliest = scene.now + this->limits.hopelessWait;
+    for (const UpstreamFacts &facts : scene.upstreams) {
+        const PlannedUpstream &upstream = *facts.upstream;
+        if (upstream.isUsable && upstream.residency.find(target.model) != nullptr)
+            earliest = std::min(earliest, std::max(scene.now, upstream.busyUntil));
+    }
+    return earliest + this->limits.adapterTime;
+}
+
 /// What is said to those who wait for a model that can't be loaded yet.
 Duration ResidencyPlanner::hopelessWait(const gateway::ModelWeights &model) const
 {
@@ -327,9 +340,9 @@
     for (const auto &[id, goal] : byUrgency) {
         const UpstreamFacts *facts = scene.find(id);
         const PlannedUpstream &upstream = *facts->upstream;
-        const bool isTaken = std::any_of(orders.begin(), orders.end(), [&id = id](const auto &order) {
-            return order.upstream == id;
-        });
+        const bool isTaken
+                = std::any_of(orders.begin(), orders.end(),
+                              [&id = id](const auto &order) { return order.upstream == id; });
         if (!upstream.isReady || isTaken)
             continue;
         const auto victim
@@ -454,8 +467,8 @@
     return best;
 }
 
-/// When an engine that has the weights at hand, and a goal for others who wait, could hold the model
-/// after that goal.
+/// When an engine that has the weights at hand, and a goal for others who wait, could hold the
+/// model after that goal.
 std::optional<TimePoint> ResidencyPlanner::nextTurn(const Scene &scene, std::size_t model) const
 {
     std::optional<TimePoint> earliest;
@@ -530,8 +543,7 @@
 {
     const ModelFacts &known = scene.models[model];
     const auto loaded = this->loadedAt.find({facts.upstream->id, known.weights->id});
-    if (loaded != this->loadedAt.end()
-        && loaded->second + this->limits.minResidency > scene.now)
+    if (loaded != this->loadedAt.end() && loaded->second + this->limits.minResidency > scene.now)
         return forbiddenCost;
     const double running = this->limits.runningCost * facts.upstream->running;
     if (known.replicas > known.wanted)
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -202,6 +202,7 @@
     Duration loadTime(const gateway::ModelWeights &model, WeightSource source) const;
     std::uint32_t storeLoads(Scene &scene) const;
     bool canLoadFromStore(Scene &scene);
+    TimePoint adapterReadyAt(const Scene &scene, const Target &target) const;
     Duration hopelessWait(const gateway::ModelWeights &model) const;
 
     PlannerLimits limits;
--- a/src/upstream/deadline_watch.cpp
+++ b/src/upstream/deadline_watch.cpp
@@ -3,6 +3,7 @@
 #include "upstream/http_stream.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboochute::upstream {
 
@@ -28,6 +29,10 @@
     last->watchIndex = stream.watchIndex;
     this->watched.pop_back();
     stream.watchIndex = HttpStream::notWatched;
+    if (this->watched.empty() && std::exchange(this->isScheduled, false)) {
+        // A pending timer would keep the loop from ending.
+        this->timer.cancel();
+    }
 }
 
 void DeadlineWatch::schedule(TimePoint due)
@@ -57,7 +62,8 @@
     const auto earlier = [](const HttpStream *left, const HttpStream *right) {
         return left->expiry < right->expiry;
     };
-    this->schedule((*std::min_element(this->watched.begin(), this->watched.end(), earlier))->expiry);
+    this->schedule(
+            (*std::min_element(this->watched.begin(), this->watched.end(), earlier))->expiry);
 }
 
 } // namespace bamboochute::upstream
--- a/tests/gateway/unit-catalogue.cpp
+++ b/tests/gateway/unit-catalogue.cpp
@@ -21,9 +21,10 @@
 TEST_CASE("a request finds the route of its host with the longest prefix")
 {
     Catalogue catalogue;
-    catalogue.routes = {routeOf("all", "desk.example", "/"), routeOf("chat", "desk.example", "/chat/"),
-                        routeOf("deep", "desk.example", "/chat/quick/"),
-                        routeOf("other", "shop.example", "/chat/")};
+    catalogue.routes
+            = {routeOf("all", "desk.example", "/"), routeOf("chat", "desk.example", "/chat/"),
+               routeOf("deep", "desk.example", "/chat/quick/"),
+               routeOf("other", "shop.example", "/chat/")};
     const RouteIndex index(catalogue);
     const auto idOf = [&index](std::string_view host, std::string_view target) {
         const Route *route = index.find(host, target);
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -92,7 +92,8 @@
     }
 }
 
-TEST_CASE("a failed idempotent request is repeated once, and the last failure is the upstream's own")
+TEST_CASE(
+        "a failed idempotent request is repeated once, and the last failure is the upstream's own")
 {
     ScriptedUpstream first({{answer(500, "broken here")}});
     SUBCASE("another upstream answers")
@@ -123,7 +124,8 @@
     };
     SUBCASE("an answer to another request")
     {
-        bad("HTTP/1.1 200 OK\r\ntest-id: r0\r\ntest-signature: s\r\nContent-Length: 6\r\n\r\nsecret");
+        bad("HTTP/1.1 200 OK\r\ntest-id: r0\r\ntest-signature: s\r\nContent-Length: "
+            "6\r\n\r\nsecret");
     }
     SUBCASE("an answer that nobody vouches for")
     {
@@ -131,7 +133,8 @@
     }
     SUBCASE("an answer that is cut short")
     {
-        bad("HTTP/1.1 200 OK\r\ntest-id: {id}\r\ntest-signature: s\r\nContent-Length: 9\r\n\r\nsecret");
+        bad("HTTP/1.1 200 OK\r\ntest-id: {id}\r\ntest-signature: s\r\nContent-Length: "
+            "9\r\n\r\nsecret");
     }
     SUBCASE("no HTTP at all")
     {
@@ -141,7 +144,8 @@
 
 TEST_CASE("an answer without a length is whole only when its connection ends in order")
 {
-    const std::string unframed = "HTTP/1.1 200 OK\r\ntest-id: {id}\r\ntest-signature: s\r\n\r\nall of it";
+    const std::string unframed
+            = "HTTP/1.1 200 OK\r\ntest-id: {id}\r\ntest-signature: s\r\n\r\nall of it";
     SUBCASE("in order")
     {
         ScriptedUpstream upstream({{unframed}});
@@ -158,7 +162,8 @@
 
 TEST_CASE("a second answer behind the first belongs to nobody")
 {
-    ScriptedUpstream upstream({{answer(200, "mine") + answer(200, "stray")}, {answer(200, "next")}});
+    ScriptedUpstream upstream(
+            {{answer(200, "mine") + answer(200, "stray")}, {answer(200, "next")}});
     RelayBed bed({&upstream});
     CHECK(bed.call(request("/once/", "one")).ends_with("mine"));
     CHECK(bed.call(request("/once/", "two")).ends_with("next"));
--- /dev/null
+++ b/tests/platform/adapter/soak.py
@@ -0,0 +1,338 @@
+"""A randomised soak: real instances as processes, stand-ins for the platform, faults from outside.
+
+Checks, from what callers and upstreams see: at most one run of a request that must not be repeated, true
+refusals, whole and own answers, unbroken series of events, configurations that never go back, memory of
+engines. Prints one JSON line; exit code 1 when a promise was broken.
+"""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import stand_ins
+
+REFUSALS = {408, 421, 429, 503}
+CAPACITY_MB = 200
+MODEL_MB = 70
+MODELS = [f"m{i}" for i in range(8)]
+DEADLINE_S = 4.0
+# Kinds of faults; a run draws several of them, also at once.
+FAULTS = ("pause", "kill", "terminate", "store_busy", "store_silent", "store_reset", "store_loses",
+          "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact", "worker_crash",
+          "worker_leaves", "answers_lost", "workers_refuse", "hangup", "configure")
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Instance:
+    """One process with its settings file and its own way to the store."""
+
+    def __init__(self, program, number, directory, proxy):
+        self.program, self.number, self.proxy = program, number, proxy
+        self.path = directory / f"instance-{number}.conf"
+        self.log = open(directory / f"instance-{number}.log", "ab")
+        ports = [free_port() for _ in range(3)]
+        self.port, self.ready_port = ports[0], ports[1]
+        self.path.write_text(
+            f"node_name=edge-{number}\nzone=norte\nip=127.0.0.1\n"
+            f"listen.frontend=127.0.0.1:{ports[0]}\nlisten.readiness=127.0.0.1:{ports[1]}\n"
+            f"internal_ports={ports[2]},{ports[2]}\nplatform.address=127.0.0.1:{proxy.port}\n"
+            "bounds.grace_s=8\nbounds.lease_ms=3000\nbounds.retry_budget_ratio=0.2\n"
+            "bounds.budget_slack=104\nbounds.budget_window_s=10\nbounds.fencing_enforced=true\n")
+        self.child, self.generation, self.newest = None, 0, 0
+        self.start()
+
+    def start(self):
+        self.generation += 1
+        self.newest = 0
+        self.child = subprocess.Popen([self.program], stdout=self.log, stderr=self.log,
+                                      env={"BAMBOOCHUTE_CONFIG": str(self.path)})
+
+    def send(self, number):
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    async def ended(self):
+        while self.child.poll() is None:
+            await asyncio.sleep(0.05)
+
+    def close(self):
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.child.kill()
+        self.child.wait()
+        self.log.close()
+
+
+class Soak:
+    def __init__(self, options, directory):
+        self.options, self.directory = options, directory
+        self.random = random.Random(options.seed)
+        self.record = stand_ins.Record()
+        self.counts, self.outcomes, self.version, self.faults = {}, {}, 0, []
+        self.is_over = False
+
+    def count(self, name):
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    async def configure(self):
+        """Writes the next configuration: the route of the version before is dropped, one is added."""
+        self.version += 1
+        route = {"hostname": "desk.example", "target_latency_ms": 300, "timeout_ms": 4000}
+        routes = [
+            {**route, "name": "once", "path_prefix": "/once/", "type": "non_idempotent",
+             "service": "rooms", "max_attempts": 1},
+            {**route, "name": "any", "path_prefix": "/any/", "type": "idempotent",
+             "service": "rooms", "max_attempts": 2},
+            {**route, "name": "talk", "path_prefix": "/talk/", "type": "stream",
+             "service": "chat", "max_attempts": 2, "resumable": True, "gap_target_ms": 250},
+            {**route, "name": "new", "path_prefix": f"/v{self.version}/", "type": "idempotent",
+             "service": "rooms", "max_attempts": 2}]
+        engine = {"slots": 8, "kv_cache_tokens": 1000, "weights_mb": CAPACITY_MB, "adapter_slots": 2,
+                  "loads_per_s": 4, "models": [{"name": m, "weights_mb": MODEL_MB, "load_s": 0.8,
+                                                "disk_s": 0.15, "warm_s": 0.1} for m in MODELS]}
+        value = {"version": self.version, "routes": routes, "limits": {},
+                 "services": [{"name": "rooms", "max_connections": 100},
+                              {"name": "chat", "max_connections": 100, "engine": engine}]}
+        await self.store.put("op/config", json.dumps(value).encode())
+
+    async def start(self):
+        self.store = stand_ins.Store()
+        await self.store.start()
+        asyncio.get_running_loop().create_task(self.store.expire())
+        sizes = {m: MODEL_MB for m in MODELS}
+        common = (self.store, self.record, self.random)
+        self.services = [stand_ins.Service(f"room-{i}", "rooms", *common) for i in range(3)]
+        self.engines = [stand_ins.Engine(f"engine-{i}", "chat", *common, models=MODELS[2 * i:2 * i + 2],
+                                         sizes=sizes, capacity=CAPACITY_MB) for i in range(3)]
+        for engine in self.engines:
+            engine.disk |= set(MODELS[:6])
+        for worker in self.services + self.engines:
+            await worker.start()
+            await worker.register()
+        await self.configure()
+        self.instances = []
+        for number in range(self.options.instances):
+            proxy = stand_ins.Proxy(self.store.port)
+            await proxy.start()
+            self.instances.append(Instance(self.options.program, number, self.directory, proxy))
+        for instance in self.instances:
+            while not await self.is_ready(instance):
+                await asyncio.sleep(0.05)
+
+    async def is_ready(self, instance):
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", instance.ready_port)
+            writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            first, _ = await asyncio.wait_for(stand_ins.read_head(reader), 2)
+            writer.close()
+            return " 200 " in first
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            return False
+
+    # Callers
+
+    async def caller(self, number):
+        connection = None
+        sent = 0
+        while not self.is_over:
+            instance = self.random.choice(self.instances)
+            sent += 1
+            attempt = f"{number}-{sent}"
+            kind = self.random.choice(("once", "any", "talk", "new"))
+            try:
+                if connection is None or self.random.random() < 0.3:
+                    connection = (instance, instance.generation,
+                                  *await asyncio.open_connection("127.0.0.1", instance.port))
+                is_kept = await asyncio.wait_for(self.ask(connection, attempt, kind), DEADLINE_S + 4)
+                if not is_kept:
+                    connection[3].close()
+                    connection = None
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as failure:
+                self.count(f"no answer, {type(failure).__name__}")
+                if connection:
+                    connection[3].close()
+                connection = None
+            await asyncio.sleep(self.random.uniform(0.01, 0.08))
+
+    async def ask(self, connection, attempt, kind):
+        instance, generation, reader, writer = connection
+        version = self.version
+        path = {"new": f"/v{version}/"}.get(kind, f"/{kind}/") + attempt
+        method = "POST" if kind in ("once", "talk") else "GET"
+        body = "pay" if method == "POST" else ""
+        lines = [f"{method} {path} HTTP/1.1", "Host: desk.example", f"X-Attempt-Id: {attempt}",
+                 f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}"]
+        if kind == "talk":
+            lines.append(f"X-Model: {self.random.choice(MODELS)}")
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        self.outcomes[attempt] = (kind, None)
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body.encode())
+        first, headers = await stand_ins.read_head(reader)
+        status = int(first.split(" ")[1])
+        is_signed = stand_ins.SIGNATURE.lower() in headers
+        if headers.get("transfer-encoding") == "chunked":
+            await self.check_events(attempt, reader)
+        else:
+            text = await reader.readexactly(int(headers.get("content-length", "0")))
+            if status == 200 and kind == "talk":
+                self.record.rule(f"{attempt} got a stream that is none")
+            if status == 200 and not text.decode().startswith(f"{attempt} at "):
+                self.record.rule(f"{attempt} got {text[:60]}")
+        if status == 200 and (not is_signed or headers.get("x-attempt-id") != attempt):
+            self.record.rule(f"{attempt} got a success that is not its own")
+        self.check_version(instance, generation, version, kind, status)
+        self.outcomes[attempt] = (kind, None if is_signed else status)
+        self.count(f"{kind} {status}")
+        return headers.get("connection", "") != "close"
+
+    async def check_events(self, attempt, reader):
+        text = b""
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            text += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+        expected = "".join(f"id: {n}\ndata: {attempt}.{n}\n\n"
+                           for n in range(1, stand_ins.Engine.EVENTS + 1))
+        if text.decode() != expected:
+            self.record.rule(f"{attempt} got a complete stream with other events: {text[:200]}")
+
+    def check_version(self, instance, generation, version, kind, status):
+        """A process that has served a version's route must know it from then on."""
+        if kind != "new" or generation != instance.generation or version != self.version:
+            return
+        if status == 200:
+            instance.newest = max(instance.newest, version)
+        elif status == 404 and instance.newest >= version:
+            self.record.rule(f"instance {instance.number} went back behind version {version}")
+
+    # Faults
+
+    async def disturb(self):
+        while not self.is_over:
+            await asyncio.sleep(self.random.uniform(0.1, 0.9))
+            kind = self.random.choice(FAULTS)
+            self.faults.append(kind)
+            asyncio.get_running_loop().create_task(self.fault(kind))
+
+    async def fault(self, kind):
+        span = self.random.uniform(0.3, 2.5)
+        instance = self.random.choice(self.instances)
+        worker = self.random.choice(self.services + self.engines)
+        if kind == "pause":
+            instance.send(signal.SIGSTOP)
+            await asyncio.sleep(span)
+            instance.send(signal.SIGCONT)
+        elif kind in ("kill", "terminate"):
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+            await instance.ended()
+            await asyncio.sleep(0.1)
+            if not self.is_over and instance.child.poll() is not None:
+                instance.start()
+        elif kind.startswith("store_"):
+            if kind == "store_loses":
+                self.store.lose_answers = True
+            else:
+                self.store.mode = kind[6:]
+            await asyncio.sleep(span)
+            self.store.mode, self.store.lose_answers = "serving", False
+        elif kind.startswith("cut_"):
+            instance.proxy.mode = kind[4:]
+            if kind == "cut_reset":
+                instance.proxy.reset_all()
+            await asyncio.sleep(span)
+            instance.proxy.mode = "pass"
+        elif kind == "compact":
+            self.store.compact()
+        elif kind == "worker_crash":
+            await worker.restart()
+        elif kind == "worker_leaves":
+            await worker.leave()
+            await asyncio.sleep(span)
+            await worker.restart()
+        elif kind == "answers_lost":
+            worker.lose = 0.3
+            await asyncio.sleep(span)
+            worker.lose = 0.0
+        elif kind == "workers_refuse":
+            worker.refuse = 0.5
+            await asyncio.sleep(span)
+            worker.refuse = 0.0
+        elif kind == "hangup":
+            instance.send(signal.SIGHUP)
+        else:
+            await self.configure()
+
+    # The end
+
+    def check_runs(self):
+        for attempt, (kind, refusal) in self.outcomes.items():
+            runs = self.record.runs.get(attempt, [])
+            if kind == "once" and len(runs) > 1:
+                self.record.rule(f"{attempt} ran {len(runs)} times, at {runs}")
+            if refusal in REFUSALS and kind == "once" and runs:
+                self.record.rule(f"{attempt} was refused with {refusal} and ran at {runs}")
+
+    async def run(self):
+        await self.start()
+        loop = asyncio.get_running_loop()
+        callers = [loop.create_task(self.caller(n)) for n in range(self.options.callers)]
+        disturber = loop.create_task(self.disturb())
+        await asyncio.sleep(self.options.seconds)
+        self.is_over = True
+        await asyncio.wait(callers, timeout=DEADLINE_S + 6)
+        disturber.cancel()
+        # Work that a caller left behind may still arrive.
+        await asyncio.sleep(0.5)
+        self.check_runs()
+        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in rest:
+            task.cancel()
+        await asyncio.gather(*rest, return_exceptions=True)
+
+    def close(self):
+        for instance in self.instances:
+            instance.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--program", required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--instances", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--keep-logs", help="folder for the settings and logs")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as temporary:
+        directory = pathlib.Path(options.keep_logs or temporary)
+        directory.mkdir(parents=True, exist_ok=True)
+        soak = Soak(options, directory)
+        started = time.monotonic()
+        try:
+            asyncio.run(soak.run())
+        finally:
+            soak.close()
+        broken = sorted(set(soak.record.broken))
+        print(json.dumps({"seed": options.seed, "seconds": round(time.monotonic() - started, 1),
+                          "requests": len(soak.outcomes), "answers": soak.counts,
+                          "faults": len(soak.faults), "broken": broken}))
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/platform/adapter/stand_ins.py
@@ -0,0 +1,409 @@
+"""Small stand-ins for the platform: its store, plain services and engines, on free ports of 127.0.0.1.
+
+They speak just as much of the platform's protocol as the soak needs, and record what they saw.
+"""
+
+import asyncio
+import base64
+import json
+import time
+import urllib.parse
+
+SIGNATURE = "X-Server-Signature"
+HISTORY = 2000
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method, self.headers, self.body = method, headers, body
+        self.path, _, query = target.partition("?")
+        self.query = dict(urllib.parse.parse_qsl(query))
+
+    def header(self, name):
+        return self.headers.get(name.lower(), "")
+
+
+async def read_head(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines:
+        name, colon, value = line.partition(":")
+        if colon:
+            headers[name.strip().lower()] = value.strip()
+    return first, headers
+
+
+async def read_request(reader):
+    first, headers = await read_head(reader)
+    method, target, _ = first.split(" ", 2)
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Request(method, target, headers, body)
+
+
+def answer_bytes(status, body=b"", headers=()):
+    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def reset(writer):
+    writer.transport.abort()
+
+
+class Server:
+    """Accepts connections and hands each request to handle()."""
+
+    def __init__(self):
+        self.server = None
+        self.connections = set()
+
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self.connected, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self.port
+
+    async def connected(self, reader, writer):
+        self.connections.add(writer)
+        try:
+            while True:
+                request = await read_request(reader)
+                await self.handle(request, reader, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
+            pass
+        self.connections.discard(writer)
+        if not asyncio.get_running_loop().is_closed():
+            writer.close()
+
+    def crash(self):
+        """Stops listening and resets every connection."""
+        if self.server:
+            self.server.close()
+        for writer in list(self.connections):
+            reset(writer)
+
+
+class Store(Server):
+    """Items with revisions, leases and watches. mode: serving, busy, silent or reset."""
+
+    def __init__(self):
+        super().__init__()
+        self.items, self.events, self.leases = {}, [], {}
+        self.revision, self.oldest, self.next_lease = 1, 1, 100
+        self.changed = asyncio.Condition()
+        self.mode = "serving"
+        self.lose_answers = False
+
+    async def put(self, key, value, lease=0):
+        self.revision += 1
+        created = self.items[key]["created"] if key in self.items else self.revision
+        self.items[key] = {"key": key, "value": base64.b64encode(value).decode(),
+                           "revision": self.revision, "created": created, "lease": lease}
+        await self.record(dict(self.items[key]))
+
+    async def remove(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            await self.record({"key": key, "revision": self.revision, "tombstone": True})
+
+    async def record(self, event):
+        self.events.append(event)
+        if len(self.events) > HISTORY:
+            self.compact(HISTORY // 2)
+        async with self.changed:
+            self.changed.notify_all()
+
+    def compact(self, kept=0):
+        dropped = self.events[:len(self.events) - kept]
+        self.events = self.events[len(self.events) - kept:]
+        if dropped:
+            self.oldest = dropped[-1]["revision"]
+
+    async def expire(self):
+        """Ends leases whose time has run out; they pause while the store is away."""
+        while True:
+            await asyncio.sleep(0.05)
+            now = time.monotonic()
+            if self.mode != "serving":
+                for lease in self.leases.values():
+                    lease["until"] += 0.05
+                continue
+            for number in [n for n, lease in self.leases.items() if lease["until"] < now]:
+                await self.end_lease(number)
+
+    async def end_lease(self, number):
+        self.leases.pop(number, None)
+        for key in [k for k, item in self.items.items() if item["lease"] == number]:
+            await self.remove(key)
+
+    async def handle(self, request, reader, writer):
+        if self.mode == "busy":
+            writer.write(answer_bytes(503))
+        elif self.mode == "silent":
+            await asyncio.sleep(3600)
+        elif self.mode == "reset":
+            raise ConnectionResetError
+        else:
+            status, value = await self.serve(request)
+            if self.lose_answers and request.method == "POST":
+                raise ConnectionResetError
+            writer.write(answer_bytes(status, json.dumps(value).encode()))
+
+    async def serve(self, request):
+        prefix = request.query.get("path_prefix", "")
+        after = request.query.get("after", "")
+        if request.path == "/kv-key":
+            item = self.items.get(request.query["key"])
+            return (200, {**item, "current_rev": self.revision}) if item else (404, {})
+        if request.path == "/kv-range":
+            keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+            return 200, {"items": [self.items[k] for k in keys[:50]],
+                         "more_pages": len(keys) > 50, "current_rev": self.revision}
+        if request.path == "/kv-watch":
+            return await self.watch(prefix, int(after), int(request.query["wait_ms"]) / 1000)
+        if request.path == "/kv-txn":
+            return await self.commit(json.loads(request.body))
+        if request.path == "/kv-lease":
+            self.next_lease += 1
+            span = json.loads(request.body)["ttl_ms"] / 1000
+            self.leases[self.next_lease] = {"span": span, "until": time.monotonic() + span}
+            return 200, {"lease": self.next_lease, "ttl_ms": int(span * 1000)}
+        number = int(request.path.rsplit("/", 1)[1])
+        if number not in self.leases:
+            return 404, {}
+        if request.path.startswith("/kv-keep/"):
+            lease = self.leases[number]
+            lease["until"] = time.monotonic() + lease["span"]
+        else:
+            await self.end_lease(number)
+        return 200, {"ttl_ms": 0}
+
+    async def watch(self, prefix, after, wait):
+        until = time.monotonic() + wait
+        while True:
+            if after < self.oldest:
+                return 410, {}
+            events = [e for e in self.events if e["revision"] > after and e["key"].startswith(prefix)]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "current_rev": self.revision}
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+
+    async def commit(self, body):
+        rows = body.get("expected", [])
+        if any(self.items.get(r["key"], {"revision": 0})["revision"] != r["revision"] for r in rows):
+            return 412, {"items": [self.items[r["key"]] for r in rows if r["key"] in self.items]}
+        if any(p.get("lease", 0) and p["lease"] not in self.leases for p in body.get("puts", [])):
+            return 404, {}
+        for put in body.get("puts", []):
+            await self.put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
+        for key in body.get("remove", []):
+            await self.remove(key)
+        return 200, {"revision": self.revision}
+
+
+class Record:
+    """What the upstreams saw: runs by request, and orders."""
+
+    def __init__(self):
+        self.runs = {}
+        self.broken = []
+        self.loads = []
+
+    def ran(self, attempt, worker):
+        self.runs.setdefault(attempt, []).append(worker)
+
+    def rule(self, text):
+        self.broken.append(text)
+
+
+class Worker(Server):
+    """One upstream; registers itself in the store. Subclasses answer requests."""
+
+    def __init__(self, name, service, store, record, random):
+        super().__init__()
+        self.name, self.service, self.store, self.record = name, service, store, record
+        self.random = random
+        self.state, self.beat, self.born = "ready", 0, int(time.time() * 1000)
+        self.lose, self.refuse = 0.0, 0.0
+
+    def says(self):
+        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "norte",
+                "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
+                "sequence": self.beat, "born": self.born}
+
+    async def register(self):
+        self.beat += 1
+        await self.store.put(f"servers/{self.name}", json.dumps(self.says()).encode())
+
+    async def leave(self):
+        self.state = "draining"
+        await self.register()
+
+    async def restart(self):
+        """Crashes and starts again, empty, on the same port and under the same name."""
+        self.crash()
+        await asyncio.sleep(0.3)
+        self.born, self.beat, self.state = int(time.time() * 1000), 0, "ready"
+        self.forget()
+        await self.start(self.port)
+        await self.register()
+
+    def forget(self):
+        pass
+
+    async def handle(self, request, reader, writer):
+        expected = request.header("X-Expect-Instance")
+        if expected and expected != self.name:
+            writer.write(answer_bytes(421, headers=[("X-Instance-Id", self.name)]))
+            return
+        if request.path == "/report":
+            writer.write(answer_bytes(200, json.dumps(self.report()).encode()))
+        elif request.path == "/order":
+            writer.write(answer_bytes(self.order(json.loads(request.body))))
+        elif self.random.random() < self.refuse:
+            writer.write(answer_bytes(503, headers=[("X-Not-Executed", "1")]))
+        else:
+            await self.work(request, reader, writer)
+
+    def headers(self, request):
+        return [("X-Attempt-Id", request.header("X-Attempt-Id")), (SIGNATURE, f"s.{self.name}")]
+
+
+class Service(Worker):
+    """Runs a request for some milliseconds; may lose the answer."""
+
+    async def work(self, request, reader, writer):
+        attempt = request.header("X-Attempt-Id")
+        self.record.ran(attempt, self.name)
+        await asyncio.sleep(self.random.uniform(0.005, 0.03))
+        if self.random.random() < self.lose:
+            raise ConnectionResetError
+        writer.write(answer_bytes(200, f"{attempt} at {self.name}".encode(), self.headers(request)))
+
+
+class Engine(Worker):
+    """Streams events for the models that it holds, and takes orders."""
+
+    EVENTS = 12
+    LOAD_S, DISK_S = 0.8, 0.15
+
+    def __init__(self, *args, models=(), sizes=None, capacity=0):
+        super().__init__(*args)
+        self.models, self.sizes, self.capacity = list(models), sizes, capacity
+        self.disk, self.accepted, self.fence, self.busy = set(models), 0, 0, False
+
+    def forget(self):
+        self.models, self.accepted, self.fence, self.busy = [], 0, 0, False
+
+    def says(self):
+        held = [{"name": m, "version": 1, "adapters": []} for m in self.models]
+        return {**super().says(), "models": held,
+                "available": {"in_memory": [], "on_disk": sorted(self.disk)}}
+
+    def report(self):
+        return {**self.says(), "busy": self.busy, "sequence": self.accepted, "waiting": 0,
+                "running": 0, "kv_used": 0, "kv_total": 1000, "pending": []}
+
+    def order(self, order):
+        fence, model = order["fencing_token"], order["model"]
+        if fence < self.fence:
+            return 412
+        self.fence = fence
+        if self.busy or order.get("expected", self.accepted) != self.accepted:
+            return 409
+        holds = model in self.models
+        if holds == (order["operation"] == "load"):
+            return 200
+        self.accepted += 1
+        if order["operation"] == "unload":
+            self.models.remove(model)
+        else:
+            self.busy = True
+            used = sum(self.sizes[m] for m in self.models) + self.sizes[model]
+            if used > self.capacity:
+                self.record.rule(f"{self.name} was ordered to load {used} MB of {self.capacity}")
+            if model not in self.disk:
+                self.record.loads.append(time.monotonic())
+            asyncio.get_running_loop().create_task(self.load(model, self.born))
+        return 202
+
+    async def load(self, model, born):
+        await asyncio.sleep(self.DISK_S if model in self.disk else self.LOAD_S)
+        if born == self.born:
+            self.models.append(model)
+            self.disk.add(model)
+            self.busy = False
+            await self.register()
+
+    async def work(self, request, reader, writer):
+        if request.header("X-Model") not in self.models:
+            writer.write(answer_bytes(421, headers=[("X-Instance-Id", self.name)]))
+            return
+        attempt = request.header("X-Attempt-Id")
+        self.record.ran(attempt, self.name)
+        first = int(request.header("Last-Event-Id") or 0) + 1
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        lines += [f"{name}: {value}" for name, value in self.headers(request)]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        for number in range(first, self.EVENTS + 1):
+            await asyncio.sleep(0.01)
+            event = f"id: {number}\ndata: {attempt}.{number}\n\n".encode()
+            if self.random.random() < self.lose / self.EVENTS:
+                writer.write(f"{len(event):x}\r\n".encode() + event[:-3])
+                raise ConnectionResetError
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+class Proxy:
+    """A TCP proxy to one port. mode: pass, delay, silent (nothing either way), upward (answers are
+    lost) or reset."""
+
+    def __init__(self, target):
+        self.target, self.mode, self.writers = target, "pass", set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.connected, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self.port
+
+    async def connected(self, reader, writer):
+        try:
+            if self.mode == "reset":
+                raise ConnectionResetError
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except ConnectionError:
+            reset(writer)
+            return
+        self.writers |= {writer, far_writer}
+        try:
+            await asyncio.gather(self.pump(reader, far_writer, False),
+                                 self.pump(far_reader, writer, True))
+        except asyncio.CancelledError:
+            pass
+        self.writers -= {writer, far_writer}
+
+    async def pump(self, reader, writer, is_answer):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.15)
+                while self.mode == "silent" or (self.mode == "upward" and is_answer):
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        if not asyncio.get_running_loop().is_closed():
+            writer.close()
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            reset(writer)
--- a/tests/adapter/unit-decoding.cpp
+++ b/tests/platform/adapter/unit-decoding.cpp
@@ -121,8 +121,8 @@
 
     SUBCASE("a leaving one gets no work")
     {
-        const auto leaving = decodeUpstream(
-                "w1", changed(registration(), "/state", "draining").dump());
+        const auto leaving
+                = decodeUpstream("w1", changed(registration(), "/state", "draining").dump());
         CHECK(leaving.value().isLeaving);
     }
 
@@ -136,9 +136,8 @@
     {
         for (const char *name : {"service", "address", "zone", "slots", "state", "sequence"}) {
             CHECK_FALSE(decodeUpstream("w1", removed(registration(), name).dump()));
-            CHECK_FALSE(decodeUpstream("w1", changed(registration(), std::string("/") + name,
-                                                     json::object())
-                                                     .dump()));
+            CHECK_FALSE(decodeUpstream(
+                    "w1", changed(registration(), std::string("/") + name, json::object()).dump()));
         }
         CHECK_FALSE(decodeUpstream("w1", changed(registration(), "/state", "resting").dump()));
         CHECK_FALSE(decodeUpstream("w1", changed(registration(), "/address", "here:80").dump()));
--- a/tests/residency/unit-demand_tally.cpp
+++ b/tests/residency/unit-demand_tally.cpp
@@ -12,7 +12,10 @@
                            std::uint32_t waiting, Duration left, std::uint32_t running)
 {
     return {{gateway::ServiceId("assistant"), {ModelId("lease"), AdapterId(adapter)}},
-            arrivals, waiting, left, running};
+            arrivals,
+            waiting,
+            left,
+            running};
 }
 
 } // namespace
--- a/tests/residency/unit-peer_messages.cpp
+++ b/tests/residency/unit-peer_messages.cpp
@@ -30,8 +30,8 @@
 
 TEST_CASE("messages come out of their encoding as they went in")
 {
-    const DemandMessage demand{InstanceId("edge-1"), true, {{target, 5, 1, 250ms, 2}},
-                               {UpstreamId("w9")}};
+    const DemandMessage demand{
+            InstanceId("edge-1"), true, {{target, 5, 1, 250ms, 2}}, {UpstreamId("w9")}};
     const auto decodedDemand = decodePeerMessage(encodePeerMessage(demand));
     REQUIRE(decodedDemand);
     CHECK(std::get<DemandMessage>(decodedDemand.value()) == demand);
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -66,8 +66,11 @@
     void demand(const std::string &model, std::uint32_t arrivals, std::uint32_t waiting = 0,
                 const std::string &adapter = {}, std::uint32_t running = 0)
     {
-        this->lines.push_back({{service, {ModelId(model), AdapterId(adapter)}}, arrivals, waiting,
-                               Duration(2s), running});
+        this->lines.push_back({{service, {ModelId(model), AdapterId(adapter)}},
+                               arrivals,
+                               waiting,
+                               Duration(2s),
+                               running});
         this->tally.report(InstanceId("edge"), this->lines, false, this->now);
         for (gateway::TargetDemand &line : this->lines)
             line.arrivals = 0;
@@ -110,8 +113,7 @@
     {
         return static_cast<std::size_t>(
                 std::count_if(this->orders.begin(), this->orders.end(), [](const auto &order) {
-                    return order.operation == OrderOperation::Load
-                           && order.target.adapter.isEmpty()
+                    return order.operation == OrderOperation::Load && order.target.adapter.isEmpty()
                            && order.source == WeightSource::Store;
                 }));
     }
@@ -208,7 +210,8 @@
     CHECK(fleet.replicas("m2") == 1);
 }
 
-TEST_CASE("a crashed rack: what was held there only is loaded elsewhere, and the rest is left alone")
+TEST_CASE(
+        "a crashed rack: what was held there only is loaded elsewhere, and the rest is left alone")
 {
     Fleet fleet(6, 10);
     for (std::size_t i = 0; i < 5; ++i) {
@@ -255,9 +258,9 @@
 
     SUBCASE("no engine is set aside for a load that can't begin")
     {
-        CHECK(std::count_if(fleet.upstreams.begin(), fleet.upstreams.end(), [](const auto &one) {
-                  return !one.loading.isEmpty();
-              }) <= 4);
+        CHECK(std::count_if(fleet.upstreams.begin(), fleet.upstreams.end(),
+                            [](const auto &one) { return !one.loading.isEmpty(); })
+              <= 4);
     }
 }
 
@@ -305,9 +308,10 @@
     fleet.demand("m1", 1, 1);
     fleet.demand("m2", 1, 1);
     fleet.run(6s);
-    const auto loads = std::count_if(fleet.orders.begin(), fleet.orders.end(), [](const auto &order) {
-        return order.operation == OrderOperation::Load;
-    });
+    const auto loads
+            = std::count_if(fleet.orders.begin(), fleet.orders.end(), [](const auto &order) {
+                  return order.operation == OrderOperation::Load;
+              });
     // Half a second for a load and the least residency after it bound the changes.
     CHECK(loads <= 6);
     CHECK(loads >= 3);
