Split the request exchange and the planner by concern; one way to listen

Change: request_placement.cpp, planner_survey.cpp and planner_adapters.cpp hold what their names say; `upstream::listenOn` serves both servers; the status server logs and pauses as the gateway does. Behaviour is otherwise unchanged.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,11 +3,11 @@
 #include "caller/caller_request.hpp"
 #include "core/log.hpp"
 #include "gateway/request_exchange.hpp"
+#include "upstream/listen.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <fmt/format.h>
 
 namespace bamboochute::gateway {
 
@@ -56,23 +56,12 @@
 
 Result<Endpoint> Gateway::start()
 {
-    error_code error;
-    const Endpoint &listen = this->settings.listen;
-    const auto address = asio::ip::make_address(listen.address, error);
-    if (!error)
-        this->acceptor.open(asio::ip::tcp::v4(), error);
-    if (!error)
-        this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error)
-        this->acceptor.bind(asio::ip::tcp::endpoint(address, listen.port), error);
-    if (!error)
-        this->acceptor.listen(maxBacklog, error);
-    if (error)
-        return Error(ErrorKind::SettingInvalid,
-                     fmt::format("{}:{} can't be listened on: {}", listen.address, listen.port,
-                                 error.message()));
+    const Result<Endpoint> bound
+            = upstream::listenOn(this->acceptor, this->settings.listen, maxBacklog);
+    if (!bound)
+        return bound.error();
     asio::co_spawn(this->loop, this->accept(), asio::detached);
-    return Endpoint{listen.address, this->acceptor.local_endpoint().port()};
+    return bound;
 }
 
 void Gateway::publish(RouteIndexPointer newer)
--- /dev/null
+++ b/src/gateway/request_placement.cpp
@@ -0,0 +1,144 @@
+#include "gateway/exchange_limits.hpp"
+#include "gateway/request_exchange.hpp"
+
+#include <algorithm>
+
+namespace bamboochute::gateway {
+
+namespace {
+
+using upstream::Awaitable;
+
+/// Time in which the owner of the placement answers a request for a target.
+constexpr Duration ownerPatience = std::chrono::milliseconds(700);
+/// Time that is left for the answer when a target becomes available, as a share of the deadline.
+constexpr double reservedShare = 0.15;
+/// When callers may come back while the owner is silent; a new one is there within seconds.
+constexpr Duration noOwnerRetry = std::chrono::milliseconds(1500);
+
+} // namespace
+
+ChoiceQuery RequestExchange::query() const
+{
+    ChoiceQuery query;
+    const UpstreamTable &table = this->gateway.table;
+    query.candidates = this->isEngineTarget()
+                               ? table.holding(this->service->id, this->target.target, this->now())
+                               : table.serving(this->service->id);
+    query.excluded = this->tried;
+    if (this->isEngineTarget()) {
+        query.affinity = this->attributes.sharedPrompt;
+        // The owner of the placement can bring the target up elsewhere.
+        query.isHealthRequired = true;
+    }
+    return query;
+}
+
+/// Whether another healthy upstream could take the request over.
+bool RequestExchange::hasAlternative() const
+{
+    const ChoiceQuery query = this->query();
+    return std::any_of(query.candidates.begin(), query.candidates.end(), [&](const auto *entry) {
+        const UpstreamId &id = entry->registered.id;
+        return id != this->current && !this->gateway.health.isAvoided(id, this->now())
+               && std::find(this->tried.begin(), this->tried.end(), id) == this->tried.end();
+    });
+}
+
+Awaitable<RequestExchange::Placement> RequestExchange::place()
+{
+    Placement placement;
+    const ChoiceQuery query = this->query();
+    this->candidates = query.candidates.size();
+    placement.upstream = this->gateway.choice.pick(query, this->gateway.health, this->now());
+    if (placement.upstream)
+        co_return placement;
+    if (this->isEngineTarget()) {
+        placement = co_await this->waitForTarget();
+        co_return placement;
+    }
+    placement.refusal
+            = Error(ErrorKind::UpstreamUnavailable, "no upstream of the service is there");
+    placement.retryAfter = noUpstreamRetry;
+    co_return placement;
+}
+
+/// Whether an upstream is said to hold the target, even if it refused it a moment ago.
+bool RequestExchange::isClaimed() const
+{
+    const auto serving = this->gateway.table.serving(this->service->id);
+    return std::any_of(serving.begin(), serving.end(), [this](const auto *entry) {
+        return entry->residency.holds(this->target.target);
+    });
+}
+
+/// Whether the target is held, and only where the request has failed before.
+bool RequestExchange::isHeldOnlyByTried() const
+{
+    bool isHeld = false;
+    for (const UpstreamTable::Entry *entry : this->gateway.table.serving(this->service->id)) {
+        if (!entry->residency.holds(this->target.target))
+            continue;
+        isHeld = true;
+        const UpstreamId &id = entry->registered.id;
+        if (std::find(this->tried.begin(), this->tried.end(), id) == this->tried.end())
+            return false;
+    }
+    return isHeld;
+}
+
+/// Waits until an upstream holds the target, as long as the answer can still come in time.
+Awaitable<RequestExchange::Placement> RequestExchange::waitForTarget()
+{
+    const TimePoint began = this->now();
+    const auto reserved = std::chrono::duration_cast<Duration>(
+            (this->deadline - this->request.arrival) * reservedShare);
+    TimePoint latest = this->deadline - reserved;
+    if (this->route->firstEventPatience > Duration(0) && !this->isAnswerBegun) {
+        const auto patience = std::chrono::duration_cast<Duration>(this->route->firstEventPatience
+                                                                   * (1 - reservedShare));
+        latest = std::min(latest, this->request.arrival + patience);
+    }
+    Placement placement;
+    placement.refusal = Error(ErrorKind::ColdStartUnavailable, "no upstream holds the target");
+    placement.retryAfter = noUpstreamRetry;
+    if (this->isHeldOnlyByTried())
+        co_return placement;
+    DemandBook &demand = this->gateway.demand;
+    demand.waitBegan(this->target, latest);
+    if (this->gateway.onNewWait)
+        this->gateway.onNewWait();
+    while (!this->isCallerGone && this->now() < latest) {
+        if (this->gateway.refusing) {
+            placement.refusal = Error(ErrorKind::Draining, "this instance stops");
+            placement.retryAfter = Duration(0);
+            break;
+        }
+        const std::optional<TargetPromise> promise = demand.promise(this->target);
+        const bool isClaimed = this->isClaimed();
+        if (!isClaimed && promise && promise->readyAt > latest) {
+            placement.retryAfter = promise->readyAt - this->now();
+            break;
+        }
+        if (!isClaimed && !promise && this->now() >= began + ownerPatience) {
+            placement.refusal = Error(ErrorKind::NotOwner, "the owner of the placement is silent");
+            placement.retryAfter = noOwnerRetry;
+            break;
+        }
+        TimePoint until = promise ? latest : std::min(latest, began + ownerPatience);
+        if (isClaimed)
+            until = std::min(latest, this->now() + targetRefusalTime);
+        co_await this->gateway.change.wait(until);
+        placement.upstream
+                = this->gateway.choice.pick(this->query(), this->gateway.health, this->now());
+        if (placement.upstream)
+            break;
+    }
+    demand.waitEnded(this->target, latest);
+    this->log(LogLevel::Info, "waited for target",
+              placement.upstream ? "held" : placement.refusal->row().code,
+              {"waited_ms", millis(this->now() - began)});
+    co_return placement;
+}
+
+} // namespace bamboochute::gateway
--- a/src/gateway/status_server.cpp
+++ b/src/gateway/status_server.cpp
@@ -1,6 +1,9 @@
 #include "gateway/status_server.hpp"
 
 #include "caller/caller_request.hpp"
+#include "core/log.hpp"
+#include "gateway/change_signal.hpp"
+#include "upstream/listen.hpp"
 
 #include <array>
 
@@ -20,6 +23,7 @@
 constexpr int maxBacklog = 64;
 constexpr std::size_t maxConnections = 64;
 constexpr std::size_t maxBufferBytes = 16 << 10;
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 constexpr Duration writeTimeout = std::chrono::seconds(2);
 
 } // namespace
@@ -35,22 +39,11 @@
 
 Result<Endpoint> StatusServer::start(const Endpoint &listen)
 {
-    error_code error;
-    const auto address = asio::ip::make_address(listen.address, error);
-    if (!error)
-        this->acceptor.open(asio::ip::tcp::v4(), error);
-    if (!error)
-        this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error)
-        this->acceptor.bind(asio::ip::tcp::endpoint(address, listen.port), error);
-    if (!error)
-        this->acceptor.listen(maxBacklog, error);
-    if (error)
-        return Error(ErrorKind::SettingInvalid,
-                     fmt::format("{}:{} can't be listened on: {}", listen.address, listen.port,
-                                 error.message()));
+    const Result<Endpoint> bound = upstream::listenOn(this->acceptor, listen, maxBacklog);
+    if (!bound)
+        return bound.error();
     asio::co_spawn(this->loop, this->accept(), asio::detached);
-    return Endpoint{listen.address, this->acceptor.local_endpoint().port()};
+    return bound;
 }
 
 void StatusServer::stop()
@@ -71,7 +64,14 @@
                                              asio::redirect_error(upstream::UseAwaitable(), error));
         if (error == asio::error::operation_aborted)
             co_return;
-        if (error || this->streams.size() >= maxConnections)
+        if (error) {
+            logEvent(LogLevel::Warning, "connection not accepted", {{"error", error.message()}});
+            ChangeSignal::Timer pause(this->loop);
+            pause.expires_after(acceptRetryDelay);
+            co_await pause.async_wait(asio::redirect_error(upstream::UseAwaitable(), error));
+            continue;
+        }
+        if (this->streams.size() >= maxConnections)
             continue;
         auto stream = std::make_shared<upstream::HttpStream>(std::move(socket), this->watch,
                                                              maxBufferBytes);
--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -1,11 +1,7 @@
 #include "residency/planner.hpp"
 
-#include "core/random.hpp"
-
 #include <algorithm>
 #include <array>
-#include <cmath>
-#include <limits>
 
 namespace bamboochute::residency {
 
@@ -22,11 +18,6 @@
 /// Goals that nobody waits for, at a time, as a share of the engines.
 constexpr double idleGoalShare = 0.34;
 
-bool contains(const std::vector<ModelId> &models, const ModelId &model)
-{
-    return std::find(models.begin(), models.end(), model) != models.end();
-}
-
 double seconds(TimePoint from, TimePoint to)
 {
     return std::max(0.0, toSeconds(to - from));
@@ -40,6 +31,11 @@
     return names[static_cast<std::size_t>(source)];
 }
 
+bool ResidencyPlanner::Goal::drops(const ModelId &dropped) const
+{
+    return std::find(this->victims.begin(), this->victims.end(), dropped) != this->victims.end();
+}
+
 void ResidencyPlanner::configure(const gateway::EngineSpec &changed)
 {
     this->engine = changed;
@@ -77,91 +73,6 @@
     return orders;
 }
 
-ResidencyPlanner::ModelFacts *ResidencyPlanner::Scene::find(const ModelId &model)
-{
-    const auto found = this->modelPlaces.find(model);
-    return found == this->modelPlaces.end() ? nullptr : &this->models[found->second];
-}
-
-ResidencyPlanner::UpstreamFacts *ResidencyPlanner::Scene::find(const UpstreamId &upstream)
-{
-    const auto found = std::find_if(
-            this->upstreams.begin(), this->upstreams.end(),
-            [&upstream](const UpstreamFacts &one) { return one.upstream->id == upstream; });
-    return found == this->upstreams.end() ? nullptr : &*found;
-}
-
-ResidencyPlanner::Scene ResidencyPlanner::survey(const std::vector<PlannedUpstream> &upstreams,
-                                                 const DemandTally &demand, TimePoint now) const
-{
-    Scene scene{demand, now, demand.arrivals() >= this->limits.knownAfterArrivals, {}, {}, {}};
-    for (const gateway::ModelWeights &model : this->engine.models) {
-        scene.modelPlaces.emplace(model.id, scene.models.size());
-        const double rate = demand.of(Target{model.id, {}}).perSecond;
-        scene.models.push_back({&model, 0, 1, std::max(this->limits.assumedRate, rate)});
-    }
-    for (const PlannedUpstream &upstream : upstreams) {
-        scene.upstreams.push_back(this->surveyUpstream(scene, upstream));
-        if (!upstream.isUsable)
-            continue;
-        const UpstreamFacts &facts = scene.upstreams.back();
-        const auto goal = this->goals.find(upstream.id);
-        for (const std::size_t model : facts.resident) {
-            const ModelId &id = scene.models[model].weights->id;
-            if (goal == this->goals.end() || !contains(goal->second.victims, id))
-                ++scene.models[model].replicas;
-        }
-        for (std::size_t i = 0; i < scene.models.size(); ++i) {
-            if (facts.sources[i] != WeightSource::Store)
-                scene.models[i].hasCopy = true;
-        }
-    }
-    for (ModelFacts &facts : scene.models)
-        facts.wanted = this->wantedReplicas(scene, facts);
-    for (const auto &[id, goal] : this->goals) {
-        ModelFacts *facts = scene.find(goal.model);
-        if (facts != nullptr)
-            ++facts->goals;
-    }
-    return scene;
-}
-
-ResidencyPlanner::UpstreamFacts
-ResidencyPlanner::surveyUpstream(const Scene &scene, const PlannedUpstream &upstream) const
-{
-    UpstreamFacts facts;
-    facts.upstream = &upstream;
-    facts.sources.assign(scene.models.size(), WeightSource::Store);
-    const auto mark = [&](const std::vector<ModelId> &copies, WeightSource source) {
-        for (const ModelId &copy : copies) {
-            const auto place = scene.modelPlaces.find(copy);
-            if (place != scene.modelPlaces.end())
-                facts.sources[place->second] = source;
-        }
-    };
-    mark(upstream.copies.onDisk, WeightSource::Disk);
-    mark(upstream.copies.inMemory, WeightSource::Memory);
-    for (const gateway::ResidentModel &resident : upstream.residency.models) {
-        const auto place = scene.modelPlaces.find(resident.model);
-        if (place == scene.modelPlaces.end()) {
-            // A model that the configuration no longer names takes room of unknown size.
-            facts.usedMegabytes = this->engine.weightMegabytes;
-            continue;
-        }
-        const gateway::ModelWeights &model = *scene.models[place->second].weights;
-        facts.resident.push_back(place->second);
-        facts.usedMegabytes
-                += model.megabytes
-                   + static_cast<double>(resident.adapters.size()) * model.adapterMegabytes;
-    }
-    for (const Target &pending : upstream.pendingAdapters) {
-        const auto place = scene.modelPlaces.find(pending.model);
-        if (place != scene.modelPlaces.end())
-            facts.usedMegabytes += scene.models[place->second].weights->adapterMegabytes;
-    }
-    return facts;
-}
-
 std::optional<TimePoint> ResidencyPlanner::readyAt(const Target &target) const
 {
     const auto found = this->expectations.find(target);
@@ -238,18 +149,6 @@
     }
 }
 
-/// When an engine that holds the model can have loaded an adapter.
-TimePoint ResidencyPlanner::adapterReadyAt(const Scene &scene, const Target &target) const
-{
-    TimePoint earliest = scene.now + this->limits.hopelessWait;
-    for (const UpstreamFacts &facts : scene.upstreams) {
-        const PlannedUpstream &upstream = *facts.upstream;
-        if (upstream.isUsable && upstream.residency.find(target.model) != nullptr)
-            earliest = std::min(earliest, std::max(scene.now, upstream.busyUntil));
-    }
-    return earliest + this->limits.adapterTime;
-}
-
 /// What is said to those who wait for a model that can't be loaded yet.
 Duration ResidencyPlanner::hopelessWait(const gateway::ModelWeights &model) const
 {
@@ -375,74 +274,6 @@
     }
 }
 
-void ResidencyPlanner::ordersForAdapters(Scene &scene, std::vector<PlannedOrder> &orders)
-{
-    for (const Target &target : scene.demand.waiting()) {
-        if (!target.adapter.isEmpty())
-            this->orderAdapter(scene, target, orders);
-    }
-}
-
-void ResidencyPlanner::orderAdapter(Scene &scene, const Target &target,
-                                    std::vector<PlannedOrder> &orders)
-{
-    const ModelFacts *model = scene.find(target.model);
-    if (model == nullptr)
-        return;
-    const UpstreamFacts *best = nullptr;
-    std::uint64_t bestScore = 0;
-    for (const UpstreamFacts &facts : scene.upstreams) {
-        const PlannedUpstream &upstream = *facts.upstream;
-        if (!upstream.isUsable || upstream.residency.find(target.model) == nullptr)
-            continue;
-        const auto &pending = upstream.pendingAdapters;
-        const bool isComing = std::find(pending.begin(), pending.end(), target) != pending.end();
-        if (isComing || upstream.residency.holds(target))
-            return;
-        const bool isTaken = std::any_of(orders.begin(), orders.end(), [&](const auto &order) {
-            return order.upstream == upstream.id;
-        });
-        const auto goal = this->goals.find(upstream.id);
-        const bool isLeavingModel
-                = goal != this->goals.end() && contains(goal->second.victims, target.model);
-        if (!upstream.isReady || isTaken || isLeavingModel)
-            continue;
-        const std::uint64_t score
-                = stableHash(target.adapter.value(), stableHash(upstream.id.value()));
-        if (best == nullptr || score > bestScore) {
-            best = &facts;
-            bestScore = score;
-        }
-    }
-    if (best == nullptr)
-        return;
-    const PlannedUpstream &upstream = *best->upstream;
-    std::size_t count = upstream.pendingAdapters.size();
-    std::optional<Target> victim;
-    double victimRate = std::numeric_limits<double>::max();
-    for (const gateway::ResidentModel &resident : upstream.residency.models) {
-        count += resident.adapters.size();
-        for (const AdapterId &adapter : resident.adapters) {
-            const Target other{resident.model, adapter};
-            const SmoothedDemand demand = scene.demand.of(other);
-            const double rate = demand.perSecond + demand.concurrency;
-            if (rate < victimRate) {
-                victim = other;
-                victimRate = rate;
-            }
-        }
-    }
-    const bool fits = best->usedMegabytes + model->weights->adapterMegabytes
-                      <= this->engine.weightMegabytes;
-    if (count < this->engine.adapterSlots && fits) {
-        orders.push_back({upstream.id, OrderOperation::Load, target, WeightSource::Store,
-                          this->limits.adapterTime, "requests wait for the adapter"});
-    } else if (victim) {
-        orders.push_back({upstream.id, OrderOperation::Unload, *victim, WeightSource::Store,
-                          this->limits.adapterTime, "another adapter is wanted"});
-    }
-}
-
 std::optional<ResidencyPlanner::Place> ResidencyPlanner::bestPlace(Scene &scene, std::size_t model,
                                                                    bool isWaitedFor)
 {
@@ -524,19 +355,6 @@
     return place;
 }
 
-/// What it costs that an engine takes no adapters while it loads.
-double ResidencyPlanner::blockedAdapters(const Scene &scene, const UpstreamFacts &facts,
-                                         Duration load) const
-{
-    double rate = 0;
-    for (const std::size_t resident : facts.resident) {
-        const ModelFacts &model = scene.models[resident];
-        if (model.weights->adapters > 0 && model.rate > this->limits.assumedRate)
-            rate += model.rate;
-    }
-    return rate * toSeconds(load) * this->limits.adapterWaitCost;
-}
-
 /// What it costs the callers when the model is dropped there.
 double ResidencyPlanner::keepValue(const Scene &scene, const UpstreamFacts &facts,
                                    std::size_t model) const
@@ -555,20 +373,6 @@
            + running;
 }
 
-std::uint32_t ResidencyPlanner::wantedReplicas(const Scene &scene, const ModelFacts &facts) const
-{
-    if (!scene.isDemandKnown) {
-        const auto share = static_cast<std::uint32_t>(facts.replicas * this->limits.assumedShare);
-        return std::clamp(facts.replicas, 1U, std::max(this->limits.assumedReplicas, share));
-    }
-    const SmoothedDemand demand = scene.demand.of(Target{facts.weights->id, {}});
-    std::uint32_t wanted = 1;
-    if (demand.perSecond >= this->limits.twoReplicasFrom)
-        wanted = 2;
-    const double byLoad = 1 + demand.concurrency / this->limits.concurrencyPerReplica;
-    return std::max(wanted, static_cast<std::uint32_t>(byLoad));
-}
-
 Duration ResidencyPlanner::loadTime(const gateway::ModelWeights &model, WeightSource source) const
 {
     if (source == WeightSource::Memory)
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -133,6 +133,9 @@
         TimePoint readyAt{};
         bool isWaitedFor = false;
         std::string_view reason;
+
+        /// @brief Whether a model is dropped for it.
+        bool drops(const ModelId &dropped) const;
     };
     struct Place
     {
