Return the bound address without a copy

Cause: the linter found that a const result can't be moved out (two places, since the servers listen by one function).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,8 +56,7 @@
 
 Result<Endpoint> Gateway::start()
 {
-    const Result<Endpoint> bound
-            = upstream::listenOn(this->acceptor, this->settings.listen, maxBacklog);
+    Result<Endpoint> bound = upstream::listenOn(this->acceptor, this->settings.listen, maxBacklog);
     if (!bound)
         return bound.error();
     asio::co_spawn(this->loop, this->accept(), asio::detached);
--- a/src/gateway/status_server.cpp
+++ b/src/gateway/status_server.cpp
@@ -39,7 +39,7 @@
 
 Result<Endpoint> StatusServer::start(const Endpoint &listen)
 {
-    const Result<Endpoint> bound = upstream::listenOn(this->acceptor, listen, maxBacklog);
+    Result<Endpoint> bound = upstream::listenOn(this->acceptor, listen, maxBacklog);
     if (!bound)
         return bound.error();
     asio::co_spawn(this->loop, this->accept(), asio::detached);
