Take the soak's ports from below the kernel's own

Ruled out: a fault of the program (the log's only line says that the address is in use).

Change: ports below the range of outgoing connections, probed for TCP and UDP; a run whose instance ends before it is ready says so at once.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -11,7 +11,6 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -30,12 +29,6 @@
           "worker_leaves", "answers_lost", "workers_refuse", "hangup", "configure")
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Instance:
     """One process with its settings file and its own way to the store."""
 
@@ -43,7 +36,7 @@
         self.program, self.number, self.proxy = program, number, proxy
         self.path = directory / f"instance-{number}.conf"
         self.log = open(directory / f"instance-{number}.log", "ab")
-        ports = [free_port() for _ in range(3)]
+        ports = [stand_ins.free_port() for _ in range(3)]
         self.port, self.ready_port = ports[0], ports[1]
         self.path.write_text(
             f"node_name=edge-{number}\nzone=norte\nip=127.0.0.1\n"
@@ -130,6 +123,8 @@
             self.instances.append(Instance(self.options.program, number, self.directory, proxy))
         for instance in self.instances:
             while not await self.is_ready(instance):
+                if instance.child.poll() is not None:
+                    raise RuntimeError(f"instance {instance.number} did not start, see its log")
                 await asyncio.sleep(0.05)
 
     async def is_ready(self, instance):
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -6,13 +6,31 @@
 import asyncio
 import base64
 import json
+import pathlib
+import random
+import socket
 import time
 import urllib.parse
 
+LOWEST_PORT = 10000
 SIGNATURE = "X-Server-Signature"
 HISTORY = 2000
 
 
+def free_port():
+    """A port that the kernel gives to no outgoing connection, so that it is still free later on."""
+    ephemeral = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()
+    while True:
+        port = random.SystemRandom().randrange(LOWEST_PORT, int(ephemeral[0]))
+        try:
+            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            return port
+        except OSError:
+            continue
+
+
 class Request:
     def __init__(self, method, target, headers, body):
         self.method, self.headers, self.body = method, headers, body
@@ -58,9 +76,9 @@
         self.server = None
         self.connections = set()
 
-    async def start(self, port=0):
-        self.server = await asyncio.start_server(self.connected, "127.0.0.1", port)
-        self.port = self.server.sockets[0].getsockname()[1]
+    async def start(self, port=None):
+        self.port = port or free_port()
+        self.server = await asyncio.start_server(self.connected, "127.0.0.1", self.port)
         return self.port
 
     async def connected(self, reader, writer):
@@ -370,8 +388,8 @@
         self.target, self.mode, self.writers = target, "pass", set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.connected, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = free_port()
+        self.server = await asyncio.start_server(self.connected, "127.0.0.1", self.port)
         return self.port
 
     async def connected(self, reader, writer):
