--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,13 +1,11 @@
 #include "gateway/gateway.hpp"
 
 #include "caller/caller_request.hpp"
-#include "core/log.hpp"
 #include "gateway/request_exchange.hpp"
 #include "upstream/listen.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 
 namespace bamboochute::gateway {
 
@@ -17,7 +15,6 @@
 using upstream::Awaitable;
 using upstream::error_code;
 
-constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 constexpr int maxBacklog = 512;
 /// Unread bytes that one connection holds.
 constexpr std::size_t maxBufferBytes = 64 << 10;
@@ -113,24 +110,14 @@
 Awaitable<void> Gateway::accept()
 {
     while (!this->closing) {
-        error_code error;
-        upstream::Socket socket(this->loop);
-        co_await this->acceptor.async_accept(socket,
-                                             asio::redirect_error(upstream::UseAwaitable(), error));
-        if (error == asio::error::operation_aborted)
+        std::optional<upstream::Socket> socket = co_await upstream::acceptNext(this->acceptor);
+        if (!socket)
             co_return;
-        if (error) {
-            logEvent(LogLevel::Warning, "connection not accepted", {{"error", error.message()}});
-            ChangeSignal::Timer pause(this->loop);
-            pause.expires_after(acceptRetryDelay);
-            co_await pause.async_wait(asio::redirect_error(upstream::UseAwaitable(), error));
-            continue;
-        }
         if (this->streams.size() >= this->settings.maxConnections) {
             this->metrics.counter("bamboochute_connections_refused_total").add();
             continue;
         }
-        auto stream = std::make_shared<upstream::HttpStream>(std::move(socket), this->watch,
+        auto stream = std::make_shared<upstream::HttpStream>(std::move(*socket), this->watch,
                                                              maxBufferBytes);
         this->streams.insert(stream);
         asio::co_spawn(this->loop, this->serve(stream),
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -66,7 +66,6 @@
     void changed() { this->change.notifyAll(); }
 
     std::size_t openRequests() const noexcept { return this->requests; }
-    std::size_t openConnections() const noexcept { return this->streams.size(); }
     bool isDraining() const noexcept { return this->draining; }
 
     RouteIndexPointer index;
--- a/src/gateway/status_server.cpp
+++ b/src/gateway/status_server.cpp
@@ -1,15 +1,12 @@
 #include "gateway/status_server.hpp"
 
 #include "caller/caller_request.hpp"
-#include "core/log.hpp"
-#include "gateway/change_signal.hpp"
 #include "upstream/listen.hpp"
 
 #include <array>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <fmt/format.h>
 
 namespace bamboochute::gateway {
@@ -23,7 +20,6 @@
 constexpr int maxBacklog = 64;
 constexpr std::size_t maxConnections = 64;
 constexpr std::size_t maxBufferBytes = 16 << 10;
-constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 constexpr Duration writeTimeout = std::chrono::seconds(2);
 
 } // namespace
@@ -58,22 +54,12 @@
 Awaitable<void> StatusServer::accept()
 {
     while (!this->isStopped) {
-        error_code error;
-        upstream::Socket socket(this->loop);
-        co_await this->acceptor.async_accept(socket,
-                                             asio::redirect_error(upstream::UseAwaitable(), error));
-        if (error == asio::error::operation_aborted)
+        std::optional<upstream::Socket> socket = co_await upstream::acceptNext(this->acceptor);
+        if (!socket)
             co_return;
-        if (error) {
-            logEvent(LogLevel::Warning, "connection not accepted", {{"error", error.message()}});
-            ChangeSignal::Timer pause(this->loop);
-            pause.expires_after(acceptRetryDelay);
-            co_await pause.async_wait(asio::redirect_error(upstream::UseAwaitable(), error));
-            continue;
-        }
         if (this->streams.size() >= maxConnections)
             continue;
-        auto stream = std::make_shared<upstream::HttpStream>(std::move(socket), this->watch,
+        auto stream = std::make_shared<upstream::HttpStream>(std::move(*socket), this->watch,
                                                              maxBufferBytes);
         this->streams.insert(stream);
         asio::co_spawn(this->loop, this->serve(stream),
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -16,8 +16,8 @@
 constexpr Duration listenerMemory = std::chrono::seconds(4);
 /// Pause between looks while another instance is the owner.
 constexpr Duration idlePause = std::chrono::seconds(1);
-/// Time that an unload takes while requests run on the model.
-constexpr Duration busyUnloadTime = std::chrono::milliseconds(400);
+/// Time that an unload takes longer while requests run on the engine.
+constexpr Duration busyUnloadTime = std::chrono::milliseconds(50);
 
 TimePoint steadyNow()
 {
@@ -409,7 +409,7 @@
     }
     this->applyOrder(planned, engine.report.residency);
     if (planned.target.adapter.isEmpty())
-        engine.busyUntil = now + (engine.report.load.running > 0 ? busyUnloadTime / 8 : Duration(0))
+        engine.busyUntil = now + (engine.report.load.running > 0 ? busyUnloadTime : Duration(0))
                            + planned.expected;
 }
 
--- a/src/upstream/listen.cpp
+++ b/src/upstream/listen.cpp
@@ -1,9 +1,23 @@
 #include "upstream/listen.hpp"
 
+#include "core/log.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
 namespace bamboochute::upstream {
 
+namespace {
+
+using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
+                                         asio::wait_traits<std::chrono::steady_clock>, Executor>;
+
+/// Pause after a failure to accept, such as one for want of descriptors.
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
+
+} // namespace
+
 Result<Endpoint> listenOn(Acceptor &acceptor, const Endpoint &endpoint, int backlog)
 {
     error_code error;
@@ -23,4 +37,24 @@
     return Endpoint{endpoint.address, acceptor.local_endpoint().port()};
 }
 
+Awaitable<std::optional<Socket>> acceptNext(Acceptor &acceptor)
+{
+    std::optional<Socket> accepted;
+    while (true) {
+        error_code error;
+        Socket socket(acceptor.get_executor());
+        co_await acceptor.async_accept(socket, asio::redirect_error(UseAwaitable(), error));
+        if (!error) {
+            accepted.emplace(std::move(socket));
+            co_return accepted;
+        }
+        if (error == asio::error::operation_aborted || !acceptor.is_open())
+            co_return accepted;
+        logEvent(LogLevel::Warning, "connection not accepted", {{"error", error.message()}});
+        Timer pause(acceptor.get_executor());
+        pause.expires_after(acceptRetryDelay);
+        co_await pause.async_wait(asio::redirect_error(UseAwaitable(), error));
+    }
+}
+
 } // namespace bamboochute::upstream
--- a/src/upstream/listen.hpp
+++ b/src/upstream/listen.hpp
@@ -6,6 +6,8 @@
 #include "core/error.hpp"
 #include "upstream/net.hpp"
 
+#include <optional>
+
 namespace bamboochute::upstream {
 
 /// @brief Opens, binds and listens.
@@ -14,4 +16,8 @@
 /// @return the address bound, or SettingInvalid
 Result<Endpoint> listenOn(Acceptor &acceptor, const Endpoint &endpoint, int backlog);
 
+/// @brief Waits for the next connection; failures are logged and tried again after a pause.
+/// @return nothing when the acceptor was closed
+Awaitable<std::optional<Socket>> acceptNext(Acceptor &acceptor);
+
 } // namespace bamboochute::upstream
