--- a/src/residency/lease.cpp
+++ b/src/residency/lease.cpp
@@ -38,4 +38,13 @@
     return std::max(Duration(0), times.handoverPause - silent);
 }
 
+TimePoint firstOrderAt(const LeaseTimes &times, bool areEnginesFenced, TimePoint now,
+                       TimePoint lastSign)
+{
+    if (!areEnginesFenced)
+        return now + successorPause(times);
+    const auto valid = std::chrono::duration_cast<Duration>(times.timeToLive * times.validShare);
+    return std::max(now, lastSign + valid);
+}
+
 } // namespace bamboochute::residency
--- a/src/residency/lease.hpp
+++ b/src/residency/lease.hpp
@@ -72,4 +72,13 @@
 /// The former holder sent its last order when its lease stopped to be valid, or before.
 Duration successorPause(const LeaseTimes &times);
 
+/// @brief First time at which a successor may send an order.
+/// @param areEnginesFenced engines refuse the former holder's orders once they know the new fence;
+/// then the successor waits only as long as a holder that was heard lately may still act
+/// @param now when the record was found free and taken
+/// @param lastSign when the former holder could last have been heard: its last message, or the time
+/// from which this instance has listened
+TimePoint firstOrderAt(const LeaseTimes &times, bool areEnginesFenced, TimePoint now,
+                       TimePoint lastSign);
+
 } // namespace bamboochute::residency
--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -40,6 +40,7 @@
 
 void OwnerElection::start()
 {
+    this->lastSign = bootNow();
     boost::asio::co_spawn(this->loop, this->run(), boost::asio::detached);
 }
 
@@ -64,6 +65,12 @@
         this->onChange();
 }
 
+void OwnerElection::ownerHeard(Fence fence)
+{
+    if (fence != this->lease.fence())
+        this->lastSign = bootNow();
+}
+
 void OwnerElection::fenced()
 {
     if (this->lease.isClaimed())
@@ -171,7 +178,9 @@
     const InstanceId &former = grant.value().formerHolder;
     const bool isFirst = former.isEmpty() || former == this->settings.self.instance;
     const TimePoint orderFrom
-            = bootNow() + (isFirst ? Duration(0) : successorPause(this->settings.times));
+            = isFirst ? bootNow()
+                      : firstOrderAt(this->settings.times, this->settings.areEnginesFenced,
+                                     bootNow(), this->lastSign);
     this->lease.granted(grant.value().fence, grant.value().sentAt, orderFrom);
     this->leaseId = grant.value().lease;
     this->lastContact = grant.value().sentAt;
--- a/src/residency/owner_election.hpp
+++ b/src/residency/owner_election.hpp
@@ -91,6 +91,9 @@
     /// @brief Takes the record as it stands in the store; nothing when there is none.
     void ownerSeen(std::optional<SeenOwner> owner);
 
+    /// @brief A message of an owner has come; it may act for a while yet.
+    void ownerHeard(Fence fence);
+
     /// @brief An engine knows a higher fencing number.
     void fenced();
 
@@ -122,6 +125,8 @@
     bool isUnreachable = false;
     bool isResigned = false;
     TimePoint lastContact{};
+    /// When another owner was last heard, or when this instance began to listen.
+    TimePoint lastSign{};
 };
 
 } // namespace bamboochute::residency
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -117,6 +117,7 @@
     if (message.fence < this->newest)
         return;
     this->newest = message.fence;
+    this->election.ownerHeard(message.fence);
     const TimePoint time = now();
     if (message.instances > 0)
         this->gateway.budget.setInstances(message.instances);
--- a/tests/residency/unit-lease.cpp
+++ b/tests/residency/unit-lease.cpp
@@ -66,3 +66,27 @@
         CHECK(firstOrder - lastOrder >= 3s);
     }
 }
+
+TEST_CASE("where engines check fences, a successor waits only for a holder that may still act")
+{
+    LeaseTimes times;
+    times.timeToLive = 2s;
+    const TimePoint now(100s);
+
+    SUBCASE("the former holder was silent since its process was killed")
+    {
+        CHECK(firstOrderAt(times, true, now, now - 2s) == now);
+    }
+    SUBCASE("the record was taken from a holder that is still heard: no order overlaps")
+    {
+        Lease former(times);
+        former.granted(Fence(1), now, now);
+        const TimePoint first = firstOrderAt(times, true, now, now);
+        CHECK(former.mayOrder(first - 1ms));
+        CHECK_FALSE(former.mayOrder(first));
+    }
+    SUBCASE("where they don't, the pause stays")
+    {
+        CHECK(firstOrderAt(times, false, now, now - 9s) == now + successorPause(times));
+    }
+}
