Refuse at once what an engine's queue makes late

Change: the owner asks engines with a queue every 0.5 s; an instance forecasts the first event behind that queue from what it has seen, and refuses a request beyond two objectives at once with the time at which to come back, spread. The less urgent ranks are refused first.

--- a/src/gateway/catalogue.cpp
+++ b/src/gateway/catalogue.cpp
@@ -39,6 +39,19 @@
 {
     for (const Route &route : this->whole.routes)
         this->byPrefix.emplace(indexKey(plainHost(route.host), route.pathPrefix), &route);
+    for (const Route &route : this->whole.routes) {
+        for (const WeightedService &weighted : route.services)
+            this->ranks[weighted.service].insert(route.priority);
+    }
+}
+
+std::uint32_t RouteIndex::lessUrgentRanks(const ServiceId &service, std::uint32_t priority) const
+{
+    const auto found = this->ranks.find(service);
+    if (found == this->ranks.end())
+        return 0;
+    return static_cast<std::uint32_t>(
+            std::distance(found->second.upper_bound(priority), found->second.end()));
 }
 
 const Route *RouteIndex::find(std::string_view host, std::string_view target) const
--- a/src/gateway/catalogue.hpp
+++ b/src/gateway/catalogue.hpp
@@ -6,8 +6,10 @@
 #include "core/ids.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -148,12 +150,17 @@
     /// @brief The service with an id; null when there is none.
     const Service *service(const ServiceId &id) const;
 
+    /// @brief Ranks among the routes to a service that are less urgent than a priority.
+    std::uint32_t lessUrgentRanks(const ServiceId &service, std::uint32_t priority) const;
+
     const Catalogue &catalogue() const noexcept { return this->whole; }
 
 private:
     Catalogue whole;
     /// By host, a space and the prefix.
     std::unordered_map<std::string, const Route *> byPrefix;
+    /// Priorities that the routes to a service have.
+    std::map<ServiceId, std::set<std::uint32_t>> ranks;
 };
 
 using RouteIndexPointer = std::shared_ptr<const RouteIndex>;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "gateway/catalogue.hpp"
 #include "gateway/change_signal.hpp"
 #include "gateway/demand_book.hpp"
+#include "gateway/queue_forecast.hpp"
 #include "gateway/repeat_budget.hpp"
 #include "gateway/upstream_choice.hpp"
 #include "upstream/connection_pool.hpp"
@@ -73,6 +74,7 @@
     UpstreamHealth health;
     UpstreamChoice choice;
     RepeatBudget budget;
+    QueueForecast forecast;
     DemandBook demand;
     /// Called when a request begins to wait for a target that nobody holds.
     std::function<void()> onNewWait;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -199,6 +199,7 @@
         co_return AttemptEnd::NotRun;
     this->current = id;
     this->sentAt = this->now();
+    this->waitingAhead = entry->load.waiting;
     ++this->sends;
     this->gateway.choice.started(id);
     if (this->isEngineTarget())
@@ -444,7 +445,10 @@
 
 void RequestExchange::noteSuccess()
 {
-    this->gateway.health.succeeded(this->current, this->now() - this->sentAt, this->now());
+    const Duration latency = this->now() - this->sentAt;
+    this->gateway.health.succeeded(this->current, latency, this->now());
+    if (this->isEngineTarget())
+        this->gateway.forecast.observed(this->service->id, this->waitingAhead, latency);
 }
 
 /// Gives a request its last answer after its attempts have failed.
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -70,6 +70,7 @@
     bool isEngineTarget() const;
     bool isClaimed() const;
     bool isHeldOnlyByTried() const;
+    std::optional<Duration> queueRetry(const UpstreamId &id) const;
     bool hasAlternative() const;
     bool mayTryAgain(AttemptEnd end);
 
@@ -115,6 +116,8 @@
     std::size_t candidates = 0;
     UpstreamId current;
     TimePoint sentAt{};
+    /// Requests that waited at the upstream when this one was sent there.
+    std::uint32_t waitingAhead = 0;
     std::optional<upstream::UpstreamCall> call;
     caller::EventStream events;
     bool isAnswerBegun = false;
--- a/src/gateway/request_placement.cpp
+++ b/src/gateway/request_placement.cpp
@@ -13,6 +13,10 @@
 constexpr Duration ownerPatience = std::chrono::milliseconds(700);
 /// Time that is left for the answer when a target becomes available, as a share of the deadline.
 constexpr double reservedShare = 0.15;
+/// A report of an engine's queue is relied on for so long; the owner repeats it every second.
+constexpr Duration queueReportTime = std::chrono::seconds(3);
+/// Least time after which a request that the queue is too long for may come back.
+constexpr Duration leastQueueRetry = std::chrono::milliseconds(300);
 /// When callers may come back while the owner is silent; a new one is there within seconds.
 constexpr Duration noOwnerRetry = std::chrono::milliseconds(1500);
 
@@ -51,6 +55,16 @@
     const ChoiceQuery query = this->query();
     this->candidates = query.candidates.size();
     placement.upstream = this->gateway.choice.pick(query, this->gateway.health, this->now());
+    if (placement.upstream && this->sends == 0) {
+        const std::optional<Duration> retry = this->queueRetry(*placement.upstream);
+        if (retry) {
+            placement.upstream.reset();
+            placement.refusal
+                    = Error(ErrorKind::NoCapacity, "too many requests wait at the target");
+            placement.retryAfter = *retry;
+        }
+        co_return placement;
+    }
     if (placement.upstream)
         co_return placement;
     if (this->isEngineTarget()) {
@@ -63,6 +77,25 @@
     co_return placement;
 }
 
+/// When the request may come back if the queue at the engine makes its first event too late;
+/// nothing when it may be sent.
+std::optional<Duration> RequestExchange::queueRetry(const UpstreamId &id) const
+{
+    const UpstreamTable::Entry *entry = this->gateway.table.find(id);
+    if (!this->isEngineTarget() || entry == nullptr || entry->load.waiting == 0
+        || entry->loadAt + queueReportTime < this->now())
+        return std::nullopt;
+    const EngineQueue queue{entry->load.waiting,
+                            this->index->lessUrgentRanks(this->service->id, this->route->priority)};
+    const std::optional<Duration> excess
+            = this->gateway.forecast.excess(this->service->id, queue, this->route->objective);
+    if (!excess)
+        return std::nullopt;
+    // Spread over twice the time, so that those who are refused together don't return together.
+    const Duration pause = std::max(leastQueueRetry, *excess);
+    return pause + Duration(this->gateway.random.below(static_cast<std::uint64_t>(pause.count())));
+}
+
 /// Whether an upstream is said to hold the target, even if it refused it a moment ago.
 bool RequestExchange::isClaimed() const
 {
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -93,11 +93,13 @@
     return true;
 }
 
-void UpstreamTable::learnLoad(const UpstreamId &id, const ReportedLoad &load)
+void UpstreamTable::learnLoad(const UpstreamId &id, const ReportedLoad &load, TimePoint now)
 {
     const auto found = this->byId.find(id);
-    if (found != this->byId.end())
-        found->second.load = load;
+    if (found == this->byId.end())
+        return;
+    found->second.load = load;
+    found->second.loadAt = now;
 }
 
 void UpstreamTable::refused(const UpstreamId &id, const Target &target, TimePoint until)
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -94,6 +94,8 @@
         /// When the owner said so.
         TimePoint learnedAt{};
         ReportedLoad load;
+        /// When the load was learned.
+        TimePoint loadAt{};
         /// Targets that it refused although it was said to hold them, until when.
         std::map<Target, TimePoint> refused;
         /// Set when the registration vanished while the list could not be relied on.
@@ -121,7 +123,7 @@
     /// @return whether it was taken
     bool learn(const UpstreamId &id, const Residency &residency, TimePoint now);
 
-    void learnLoad(const UpstreamId &id, const ReportedLoad &load);
+    void learnLoad(const UpstreamId &id, const ReportedLoad &load, TimePoint now);
 
     /// @brief Notes that an upstream refused a target that it was said to hold.
     void refused(const UpstreamId &id, const Target &target, TimePoint until);
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -124,7 +124,7 @@
     for (const HeldTargets &held : message.held)
         this->gateway.table.learn(held.upstream, held.residency, time);
     for (const UpstreamLoad &load : message.loads)
-        this->gateway.table.learnLoad(load.upstream, load.load);
+        this->gateway.table.learnLoad(load.upstream, load.load, time);
     for (const PromisedTarget &promise : message.promises)
         this->gateway.demand.promised(promise.target, {time + promise.readyIn, time});
     for (const UpstreamId &id : message.suspected)
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -196,7 +196,9 @@
         return;
     const bool isAwaited = !engine.isReported || !engine.isEndSeen || engine.isBusy
                            || engine.isDoubted || engine.failedReports > 0;
-    const Duration interval = isAwaited ? this->limits.awaitInterval : this->limits.reportInterval;
+    Duration interval = isAwaited ? this->limits.awaitInterval : this->limits.reportInterval;
+    if (!isAwaited && engine.report.load.waiting > 0)
+        interval = this->limits.queueInterval;
     if (engine.askedAt != TimePoint() && now < engine.askedAt + interval)
         return;
     engine.isAsked = true;
@@ -498,7 +500,7 @@
     for (const auto &[id, engine] : this->engines) {
         if (!engine.isReported)
             continue;
-        this->gateway.table.learnLoad(id, engine.report.load);
+        this->gateway.table.learnLoad(id, engine.report.load, now);
         news.loads.push_back({id, engine.report.load});
     }
     this->tellAll(news);
--- a/src/residency/placement_driver.hpp
+++ b/src/residency/placement_driver.hpp
@@ -33,6 +33,8 @@
     Duration tickInterval = std::chrono::milliseconds(100);
     /// Pause between two reports of an engine that does nothing unusual.
     Duration reportInterval = std::chrono::milliseconds(2000);
+    /// Pause between two reports of an engine at which requests wait.
+    Duration queueInterval = std::chrono::milliseconds(500);
     /// Pause between two reports of an engine whose order is awaited.
     Duration awaitInterval = std::chrono::milliseconds(120);
     /// A change of what an engine holds is told a second time after this pause.
--- a/tests/gateway/unit-catalogue.cpp
+++ b/tests/gateway/unit-catalogue.cpp
@@ -48,6 +48,23 @@
     }
 }
 
+TEST_CASE("the ranks of a service's routes are counted by priority")
+{
+    Catalogue catalogue;
+    for (const std::uint32_t priority : {0U, 1U, 2U, 2U}) {
+        Route route = routeOf("r" + std::to_string(catalogue.routes.size()), "desk.example",
+                              "/" + std::to_string(catalogue.routes.size()) + "/");
+        route.priority = priority;
+        route.services = {{ServiceId("assistant"), 1}};
+        catalogue.routes.push_back(route);
+    }
+    const RouteIndex index(catalogue);
+    CHECK(index.lessUrgentRanks(ServiceId("assistant"), 0) == 2);
+    CHECK(index.lessUrgentRanks(ServiceId("assistant"), 1) == 1);
+    CHECK(index.lessUrgentRanks(ServiceId("assistant"), 2) == 0);
+    CHECK(index.lessUrgentRanks(ServiceId("rooms"), 0) == 0);
+}
+
 TEST_CASE("only idempotent requests and resumable streams may be repeated")
 {
     Route route;
--- a/tests/gateway/unit-choice.cpp
+++ b/tests/gateway/unit-choice.cpp
@@ -136,7 +136,7 @@
     SUBCASE("until it is crowded")
     {
         const std::string kept = scene.pick(5);
-        scene.table.learnLoad(UpstreamId(kept), {8, 1, 0.2});
+        scene.table.learnLoad(UpstreamId(kept), {8, 1, 0.2}, scene.now);
         CHECK(scene.pick(5) != kept);
     }
 
