Pass changes of registrations on from the owner to all instances

A message to all is encoded once.

Tests: unit-store_mirror (lost, late and doubtful changes), unit-peer_messages.

--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -52,9 +52,12 @@
         this->suspected.push_back(id);
         this->wake.notifyAll();
     };
-    this->driver.send = [this](const Endpoint &to, const OwnerMessage &message) {
-        for (const OwnerMessage &part : divide(message, maxPartBytes))
-            this->socket->send(to, encodePeerMessage(part));
+    this->driver.send = [this](const std::vector<Endpoint> &to, const OwnerMessage &message) {
+        for (const OwnerMessage &part : divide(message, maxPartBytes)) {
+            const std::string bytes = encodePeerMessage(part);
+            for (const Endpoint &receiver : to)
+                this->socket->send(receiver, bytes);
+        }
     };
     boost::asio::co_spawn(this->loop, this->run(), boost::asio::detached);
     return this->socket->localEndpoint();
@@ -129,6 +132,10 @@
         this->gateway.demand.promised(promise.target, {time + promise.readyIn, time});
     for (const UpstreamId &id : message.suspected)
         this->gateway.health.suspected(id, gateway::HealthLimits().firstPause, time);
+    if (this->onForwarded) {
+        for (const ForwardedChange &change : message.changes)
+            this->onForwarded(change);
+    }
     if (message.followed && this->onFollowed)
         this->onFollowed(message.fence, *message.followed);
     if (!message.held.empty() || !message.promises.empty())
--- a/src/residency/peer_link.hpp
+++ b/src/residency/peer_link.hpp
@@ -37,6 +37,9 @@
     /// Called with the owner's term and how far it has followed the platform's state.
     std::function<void(Fence fence, const FollowedState &followed)> onFollowed;
 
+    /// @brief Called with each change that the owner passes on.
+    std::function<void(const ForwardedChange &change)> onForwarded;
+
 private:
     upstream::Awaitable<void> run();
     void report();
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -109,6 +109,29 @@
             fromMillis(value.at(2))};
 }
 
+Json toJson(const FollowedPart &part)
+{
+    return Json::array({part.lastChange, part.position});
+}
+
+FollowedPart partFrom(const Json &value)
+{
+    return FollowedPart{value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
+}
+
+Json toJson(const ForwardedChange &change)
+{
+    return Json::array({change.key, change.value, change.revision, change.previous,
+                        change.isRemoval, change.isDoubtful});
+}
+
+ForwardedChange changeFrom(const Json &value)
+{
+    return ForwardedChange{value.at(0).get<std::string>(),   value.at(1).get<std::string>(),
+                           value.at(2).get<std::uint64_t>(), value.at(3).get<std::uint64_t>(),
+                           value.at(4).get<bool>(),          value.at(5).get<bool>()};
+}
+
 Json toJson(const UpstreamId &id)
 {
     return id.value();
@@ -147,11 +170,12 @@
 {
     Json followed;
     if (message.followed)
-        followed = Json::array({message.followed->configuration, message.followed->registrations,
+        followed = Json::array({toJson(message.followed->configuration),
+                                toJson(message.followed->registrations),
                                 toMillis(message.followed->age)});
     return Json::array({ownerKind, message.fence.value(), message.instances, toArray(message.held),
                         toArray(message.loads), toArray(message.promises),
-                        toArray(message.suspected), std::move(followed)});
+                        toArray(message.suspected), toArray(message.changes), std::move(followed)});
 }
 
 PeerMessage messageFrom(const Json &value)
@@ -161,8 +185,8 @@
                              fromArray<gateway::TargetDemand>(value.at(3), demandFrom),
                              fromArray<UpstreamId>(value.at(4), upstreamFrom)};
     std::optional<FollowedState> followed;
-    if (const Json &told = value.at(7); !told.is_null())
-        followed = FollowedState{told.at(0).get<std::uint64_t>(), told.at(1).get<std::uint64_t>(),
+    if (const Json &told = value.at(8); !told.is_null())
+        followed = FollowedState{partFrom(told.at(0)), partFrom(told.at(1)),
                                  fromMillis(told.at(2))};
     return OwnerMessage{Fence(value.at(1).get<std::uint64_t>()),
                         value.at(2).get<std::uint32_t>(),
@@ -170,6 +194,7 @@
                         fromArray<UpstreamLoad>(value.at(4), loadFrom),
                         fromArray<PromisedTarget>(value.at(5), promiseFrom),
                         fromArray<UpstreamId>(value.at(6), upstreamFrom),
+                        fromArray<ForwardedChange>(value.at(7), changeFrom),
                         followed};
 }
 
@@ -224,13 +249,14 @@
 
 std::vector<OwnerMessage> divide(const OwnerMessage &message, std::size_t maxBytes)
 {
-    const OwnerMessage empty{message.fence, message.instances, {}, {}, {}, {}, std::nullopt};
+    const OwnerMessage empty{message.fence, message.instances, {}, {}, {}, {}, {}, std::nullopt};
     std::vector<OwnerMessage> parts{empty};
     parts.front().followed = message.followed;
     spread(parts, empty, message.held, &OwnerMessage::held, maxBytes);
     spread(parts, empty, message.loads, &OwnerMessage::loads, maxBytes);
     spread(parts, empty, message.promises, &OwnerMessage::promises, maxBytes);
     spread(parts, empty, message.suspected, &OwnerMessage::suspected, maxBytes);
+    spread(parts, empty, message.changes, &OwnerMessage::changes, maxBytes);
     return parts;
 }
 
--- a/src/residency/peer_messages.hpp
+++ b/src/residency/peer_messages.hpp
@@ -50,17 +50,41 @@
     auto operator<=>(const PromisedTarget &) const = default;
 };
 
-/// @brief How far the owner has followed what the operators and the upstreams write.
+/// @brief How far the owner has followed one part of what the operators and the upstreams write.
+struct FollowedPart
+{
+    /// Revision of the last change that matters to every instance.
+    std::uint64_t lastChange = 0;
+    /// Revision up to which the owner has seen every change.
+    std::uint64_t position = 0;
+    auto operator<=>(const FollowedPart &) const = default;
+};
+
+/// @brief How far the owner has followed the platform's store.
 struct FollowedState
 {
-    /// Revisions of the last changes that matter to every instance.
-    std::uint64_t configuration = 0;
-    std::uint64_t registrations = 0;
+    FollowedPart configuration;
+    FollowedPart registrations;
     /// Time since the owner last heard that there is nothing newer.
     Duration age{};
     auto operator<=>(const FollowedState &) const = default;
 };
 
+/// @brief A change of a registration, passed on so that not every instance has to ask the store.
+struct ForwardedChange
+{
+    std::string key;
+    /// The value as it was written; empty when the key was removed.
+    std::string value;
+    std::uint64_t revision = 0;
+    /// Revision of the change that matters before this one; who has not seen it asks the store.
+    std::uint64_t previous = 0;
+    bool isRemoval = false;
+    /// It vanished while the store did not answer.
+    bool isDoubtful = false;
+    auto operator<=>(const ForwardedChange &) const = default;
+};
+
 /// @brief What the owner tells the instances.
 struct OwnerMessage
 {
@@ -72,6 +96,7 @@
     std::vector<UpstreamLoad> loads;
     std::vector<PromisedTarget> promises;
     std::vector<UpstreamId> suspected;
+    std::vector<ForwardedChange> changes;
     std::optional<FollowedState> followed;
     auto operator<=>(const OwnerMessage &) const = default;
 };
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -478,13 +478,31 @@
         OwnerMessage news = this->message();
         news.promises = promisesFor(instance);
         if (!news.promises.empty())
-            this->send(listener.endpoint, news);
+            this->send({listener.endpoint}, news);
     }
 }
 
+void PlacementDriver::forward(ForwardedChange change)
+{
+    if (!this->election.mayOrder() || this->forwarded.size() >= this->limits.forwardedAtOnce)
+        return;
+    OwnerMessage news = this->message();
+    news.changes.push_back(change);
+    this->tellAll(news);
+    this->forwarded.push_back({std::move(change), steadyNow()});
+}
+
 void PlacementDriver::tellFollowed(TimePoint now)
 {
     this->followedToldAt = now;
+    std::erase_if(this->forwarded, [&](const Forwarded &one) {
+        return one.since + this->limits.forwardTime < now;
+    });
+    OwnerMessage again = this->message();
+    for (const Forwarded &one : this->forwarded)
+        again.changes.push_back(one.change);
+    if (!again.changes.empty())
+        this->tellAll(again);
     OwnerMessage news = this->message();
     news.followed = this->followed ? this->followed() : std::nullopt;
     if (news.followed)
@@ -508,10 +526,12 @@
 
 void PlacementDriver::tellAll(const OwnerMessage &message)
 {
+    std::vector<Endpoint> receivers;
     for (const auto &[instance, listener] : this->listeners) {
         if (instance != this->self)
-            this->send(listener.endpoint, message);
+            receivers.push_back(listener.endpoint);
     }
+    this->send(receivers, message);
 }
 
 OwnerMessage PlacementDriver::message() const
--- a/src/residency/placement_driver.hpp
+++ b/src/residency/placement_driver.hpp
@@ -43,6 +43,10 @@
     Duration loadInterval = std::chrono::milliseconds(1000);
     /// Pause between two statements on how far the platform's state has been followed.
     Duration followedInterval = std::chrono::milliseconds(400);
+    /// A change is passed on again with these statements for so long, as datagrams get lost.
+    Duration forwardTime = std::chrono::milliseconds(900);
+    /// Changes that are passed on at a time; beyond that a call of each instance costs less.
+    std::size_t forwardedAtOnce = 12;
     /// A report that shows fewer accepted orders than were counted is believed after this time.
     Duration reportLag = std::chrono::milliseconds(1200);
     /// Pause after an order that was in conflict.
@@ -73,8 +77,12 @@
     /// it. Set before start().
     std::function<std::optional<FollowedState>()> followed;
 
-    /// @brief Sends a message to one instance; set before start().
-    std::function<void(const Endpoint &to, const OwnerMessage &message)> send;
+    /// @brief Passes a change of the platform's state on to all instances while this one is the
+    /// owner.
+    void forward(ForwardedChange change);
+
+    /// @brief Sends a message to instances; set before start().
+    std::function<void(const std::vector<Endpoint> &to, const OwnerMessage &message)> send;
 
 private:
     /// What is known of one engine, beyond its registration.
@@ -152,6 +160,12 @@
         TimePoint heardAt{};
     };
     std::map<InstanceId, Listener> listeners;
+    struct Forwarded
+    {
+        ForwardedChange change;
+        TimePoint since{};
+    };
+    std::vector<Forwarded> forwarded;
     TimePoint loadsToldAt{};
     TimePoint followedToldAt{};
     Fence term;
--- a/tests/platform/adapter/unit-store_mirror.cpp
+++ b/tests/platform/adapter/unit-store_mirror.cpp
@@ -230,16 +230,56 @@
     ScriptedStore scripted({page(item("servers/a", "1", 5), false, 10), changes("", 10),
                             changes(item("servers/a", "2", 14), 14)});
     Bed bed(scripted);
-    bed.mirror.vouch(StoreRevision(10), SteadyClock().now() + 1h);
+    bed.mirror.vouch(StoreRevision(10), StoreRevision(10), SteadyClock().now() + 1h);
     bed.runUntil(scripted, 1);
     bed.loop.run_for(50ms);
     CHECK(scripted.targets().size() == 1);
 
     SUBCASE("a change that it has not seen ends the rest")
     {
-        bed.mirror.vouch(StoreRevision(14), SteadyClock().now() + 1h);
+        bed.mirror.vouch(StoreRevision(14), StoreRevision(14), SteadyClock().now() + 1h);
         bed.runUntil(scripted, 3);
         CHECK(bed.items["servers/a"] == "2");
         CHECK(bed.mirror.lastChange() == StoreRevision(14));
     }
 }
+
+TEST_CASE("changes that another instance passes on need no call")
+{
+    ScriptedStore scripted(
+            {page(item("servers/a", "1", 5), false, 10), changes(item("servers/a", "4", 30), 30)});
+    Bed bed(scripted);
+    const TimePoint later = SteadyClock().now() + 1h;
+    bed.mirror.vouch(StoreRevision(10), StoreRevision(10), later);
+    bed.runUntil(scripted, 1);
+    const auto put = [](const std::string &value, std::uint64_t revision) {
+        return StoreChange{{"servers/a", value, StoreRevision(revision), {}}, false};
+    };
+    bed.mirror.learn(put("2", 14), StoreRevision(5), false);
+    CHECK(bed.items["servers/a"] == "2");
+    bed.mirror.vouch(StoreRevision(14), StoreRevision(18), later);
+    CHECK(bed.mirror.seenUpTo() == StoreRevision(18));
+    bed.loop.run_for(50ms);
+    CHECK(scripted.targets().size() == 1);
+
+    SUBCASE("unless the one before has got lost: then the store is asked")
+    {
+        bed.mirror.learn(put("4", 30), StoreRevision(22), false);
+        CHECK(bed.items["servers/a"] == "2");
+        bed.mirror.vouch(StoreRevision(30), StoreRevision(31), later);
+        bed.runUntil(scripted, 2);
+        CHECK(bed.items["servers/a"] == "4");
+    }
+    SUBCASE("one that comes twice or late changes nothing")
+    {
+        bed.mirror.learn(put("1", 12), StoreRevision(5), false);
+        CHECK(bed.items["servers/a"] == "2");
+    }
+    SUBCASE("a removal says whether it is certain")
+    {
+        bed.mirror.learn(StoreChange{{"servers/a", {}, StoreRevision(20), {}}, true},
+                         StoreRevision(14), true);
+        REQUIRE(bed.removed.size() == 1);
+        CHECK(bed.removed[0] == std::pair<std::string, bool>("servers/a", true));
+    }
+}
