--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -86,6 +86,11 @@
            && now < this->lastContact + this->settings.maxSilence;
 }
 
+bool OwnerElection::isOwner() const
+{
+    return this->lease.isHeld(bootNow()) || this->mayOrder();
+}
+
 void OwnerElection::lose(std::string_view reason)
 {
     logEvent(LogLevel::Warning, "placement ownership lost",
--- a/src/residency/owner_election.hpp
+++ b/src/residency/owner_election.hpp
@@ -98,6 +98,9 @@
     void fenced();
 
     bool mayOrder() const;
+
+    /// @brief Whether this instance holds the term, even if it may not order yet.
+    bool isOwner() const;
     Fence fence() const noexcept { return this->lease.fence(); }
 
     /// @brief The owner as far as is known; this instance when it holds the term.
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -85,9 +85,11 @@
 upstream::Awaitable<void> PlacementDriver::run()
 {
     while (!this->isStopped) {
-        const bool isOwner = this->election.mayOrder();
-        if (isOwner)
+        const bool isOwner = this->election.isOwner();
+        if (this->election.mayOrder())
             this->tick();
+        if (isOwner)
+            this->tell();
         const Duration pause = isOwner ? this->limits.tickInterval : idlePause;
         co_await this->wake.wait(steadyNow() + pause);
     }
@@ -121,6 +123,14 @@
         pool.demand.advance(now);
         this->tickPool(service, pool);
     }
+}
+
+/// Tells the instances what they should know at all times, also before the first order.
+void PlacementDriver::tell()
+{
+    const TimePoint now = steadyNow();
+    std::erase_if(this->listeners,
+                  [now](const auto &item) { return item.second.heardAt + listenerMemory < now; });
     if (now >= this->loadsToldAt + this->limits.loadInterval)
         this->tellLoads(now);
     if (now >= this->followedToldAt + this->limits.followedInterval)
@@ -133,9 +143,6 @@
         return this->gateway.table.find(item.first) == nullptr && !item.second.isAsked
                && !item.second.isOrderUnderWay;
     });
-    const TimePoint now = steadyNow();
-    std::erase_if(this->listeners,
-                  [now](const auto &item) { return item.second.heardAt + listenerMemory < now; });
 }
 
 void PlacementDriver::tickPool(const gateway::Service &service, Pool &pool)
@@ -484,7 +491,7 @@
 
 void PlacementDriver::forward(ForwardedChange change)
 {
-    if (!this->election.mayOrder() || this->forwarded.size() >= this->limits.forwardedAtOnce)
+    if (!this->election.isOwner() || this->forwarded.size() >= this->limits.forwardedAtOnce)
         return;
     OwnerMessage news = this->message();
     news.changes.push_back(change);
--- a/src/residency/placement_driver.hpp
+++ b/src/residency/placement_driver.hpp
@@ -122,6 +122,7 @@
     upstream::Awaitable<void> ask(gateway::RegisteredUpstream upstream);
     upstream::Awaitable<void> order(PlannedOrder planned, gateway::RegisteredUpstream upstream);
     void tick();
+    void tell();
     void tickPool(const gateway::Service &service, Pool &pool);
     void askIfDue(const gateway::UpstreamTable::Entry &entry, Engine &engine, TimePoint now);
     void completeLoad(const UpstreamId &id, Engine &engine, TimePoint now);
