--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,6 +42,7 @@
     , settings(std::move(settings))
     , codec(std::move(codec))
     , metrics(metrics)
+    , latencies(metrics)
     , watch(loop)
     , pool(loop, this->watch, poolLimits())
     , acceptor(loop)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "gateway/demand_book.hpp"
 #include "gateway/queue_forecast.hpp"
 #include "gateway/repeat_budget.hpp"
+#include "gateway/request_metrics.hpp"
 #include "gateway/upstream_choice.hpp"
 #include "upstream/connection_pool.hpp"
 
@@ -92,6 +93,7 @@
     GatewaySettings settings;
     CallCodec codec;
     Metrics &metrics;
+    RequestMetrics latencies;
     upstream::DeadlineWatch watch;
     upstream::ConnectionPool pool;
     upstream::Acceptor acceptor;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -101,6 +101,7 @@
     this->watchCaller();
     co_await this->runAttempts();
     this->caller.onPeerClosed(nullptr);
+    this->recordLatencies();
     if (this->isCallerGone) {
         this->keepAlive = false;
         this->log(LogLevel::Info, "caller left", "caller_gone", this->tookField());
@@ -364,6 +365,7 @@
         const bool isSent = co_await this->send(chunk, text);
         if (!isSent)
             co_return AttemptEnd::Finished;
+        this->noteEvents();
         this->call->setDeadline(this->nextEventLimit());
     }
     if (!this->isAnswerBegun) {
@@ -451,6 +453,26 @@
         this->gateway.forecast.observed(this->service->id, this->waitingAhead, latency);
 }
 
+void RequestExchange::noteEvents()
+{
+    const TimePoint time = this->now();
+    if (this->firstEventAt == TimePoint())
+        this->firstEventAt = time;
+    else
+        this->longestGap = std::max(this->longestGap, time - this->lastEventAt);
+    this->lastEventAt = time;
+}
+
+void RequestExchange::recordLatencies() const
+{
+    const KindMetrics &metrics = this->gateway.latencies.of(this->route->kind);
+    metrics.whole->record(this->now() - this->request.arrival);
+    if (metrics.firstEvent == nullptr || this->firstEventAt == TimePoint())
+        return;
+    metrics.firstEvent->record(this->firstEventAt - this->request.arrival);
+    metrics.longestGap->record(this->longestGap);
+}
+
 /// Gives a request its last answer after its attempts have failed.
 Awaitable<void> RequestExchange::finishUnanswered()
 {
@@ -545,6 +567,11 @@
               {"adapter", this->attributes.target.adapter.value()},
               {"sends", std::to_string(this->sends)},
               {"candidates", std::to_string(this->candidates)},
+              {"waiting_ahead", std::to_string(this->waitingAhead)},
+              {"first_event_ms", this->firstEventAt == TimePoint()
+                                         ? std::string()
+                                         : millis(this->firstEventAt - this->request.arrival)},
+              {"longest_gap_ms", millis(this->longestGap)},
               {"configuration",
                this->index ? std::to_string(this->index->catalogue().version) : std::string()}});
 }
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -86,6 +86,8 @@
     TimePoint nextEventLimit() const;
     void noteFault(UpstreamFault fault, std::string_view reason);
     void noteSuccess();
+    void noteEvents();
+    void recordLatencies() const;
 
     upstream::Awaitable<void> finishUnanswered();
     upstream::Awaitable<void> refuse(const Error &error, std::optional<Duration> retryAfter);
@@ -121,6 +123,10 @@
     std::optional<upstream::UpstreamCall> call;
     caller::EventStream events;
     bool isAnswerBegun = false;
+    /// When the caller got the first event, and the last one so far.
+    TimePoint firstEventAt{};
+    TimePoint lastEventAt{};
+    Duration longestGap{};
     bool hasTimedOut = false;
     /// An upstream's own failure, relayed when no other upstream does better.
     std::optional<std::pair<std::string, std::string>> failureAnswer;
--- /dev/null
+++ b/src/gateway/request_metrics.hpp
@@ -0,0 +1,41 @@
+/// @file
+/// @brief Latency histograms of requests, looked up once.
+#pragma once
+
+#include "core/metrics.hpp"
+#include "gateway/catalogue.hpp"
+
+#include <array>
+
+namespace bamboochute::gateway {
+
+/// @brief Histograms of one kind of request.
+struct KindMetrics
+{
+    /// From the request's arrival to the end of its answer, of whatever outcome.
+    LatencyHistogram *whole = nullptr;
+    /// From the arrival to the first event of a stream.
+    LatencyHistogram *firstEvent = nullptr;
+    /// Longest pause between two events of a stream.
+    LatencyHistogram *longestGap = nullptr;
+};
+
+/// @brief The histograms that a gateway fills.
+class RequestMetrics
+{
+public:
+    explicit RequestMetrics(Metrics &metrics);
+
+    const KindMetrics &of(RequestKind kind) const
+    {
+        return this->byKind[static_cast<std::size_t>(kind)];
+    }
+
+    /// Time that requests waited for a target that nobody held.
+    LatencyHistogram &targetWait;
+
+private:
+    std::array<KindMetrics, 3> byKind;
+};
+
+} // namespace bamboochute::gateway
--- a/src/gateway/request_placement.cpp
+++ b/src/gateway/request_placement.cpp
@@ -168,6 +168,7 @@
             break;
     }
     demand.waitEnded(this->target, latest);
+    this->gateway.latencies.targetWait.record(this->now() - began);
     this->log(LogLevel::Info, "waited for target",
               placement.upstream ? "held" : placement.refusal->row().code,
               {"waited_ms", millis(this->now() - began)});
--- a/src/gateway/status_server.cpp
+++ b/src/gateway/status_server.cpp
@@ -1,5 +1,7 @@
 #include "gateway/status_server.hpp"
 
+#include "core/log.hpp"
+
 #include "caller/caller_request.hpp"
 #include "upstream/listen.hpp"
 
@@ -76,6 +78,9 @@
         if (none)
             break;
         const bool isMetrics = request.path() == "/metrics";
+        if (isMetrics)
+            this->metrics.gauge("bamboochute_log_lines_dropped")
+                    .set(static_cast<std::int64_t>(droppedLogLines()));
         const std::string body = isMetrics ? this->metrics.print() : std::string();
         const std::string_view status
                 = isMetrics || this->isReady() ? "200 OK" : "503 Service Unavailable";
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -44,6 +44,8 @@
     CHECK_FALSE(has(sent, "test-secret"));
     CHECK_FALSE(has(sent, "Connection: close"));
     CHECK(sent.ends_with("\r\n\r\nwho=me"));
+    CHECK(bed.metrics.histogram("bamboochute_request_seconds", "kind=\"non_idempotent\"").count()
+          == 1);
 }
 
 TEST_CASE("what can't be routed is refused")
--- a/tests/platform/adapter/unit-settings_file.cpp
+++ b/tests/platform/adapter/unit-settings_file.cpp
@@ -44,6 +44,16 @@
     CHECK(settings.value().repeatsPerRequest == doctest::Approx(0.25));
     CHECK(settings.value().repeatSlack == doctest::Approx(104));
     CHECK(settings.value().areEnginesFenced);
+    CHECK(settings.value().leaveTime == 2s);
+
+    SUBCASE("the bounds in which changes must be in force are the deployment's own")
+    {
+        const auto slower
+                = parseSettings(complete + "bounds.drain_ms=3000\nbounds.config_apply_ms=4500\n");
+        REQUIRE(slower);
+        CHECK(slower.value().leaveTime == 3s);
+        CHECK(slower.value().configurationTime == 4500ms);
+    }
 }
 
 TEST_CASE("what is missing or wrong is named")
@@ -72,6 +82,6 @@
 
     SUBCASE("a file that can't be read is an error")
     {
-        CHECK_FALSE(readSettingsFile("/nonexistent/settings"));
+        CHECK(readSettingsText("/nonexistent/settings").error().kind() == ErrorKind::SettingInvalid);
     }
 }
