A waited-for model pushes out only what is worth less

What is waited for was placed wherever it cost least, up to a bound that a model with less than eight requests a second stays below.

Change: a waited-for model is placed only where those who wait for it, and those who ask next, lose more by waiting for the weight store than the callers of what gives way; a goal that is further away than 1.5 s does not keep a faster one back.

Tests: unit-planner, two cases that failed before.

--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -127,28 +127,54 @@
             this->expectations[target] = this->adapterReadyAt(scene, target);
             continue;
         }
-        if (model->goals == 0) {
-            const std::size_t index = scene.modelPlaces[target.model];
+        const std::size_t index = scene.modelPlaces[target.model];
+        const std::optional<TimePoint> coming = this->earliestGoal(target.model);
+        if (!coming || *coming > scene.now + this->limits.slowGoal) {
             const std::optional<Place> place = this->bestPlace(scene, index, true);
-            const std::optional<TimePoint> turn = this->nextTurn(scene, index);
-            if (place && (!turn || place->readyAt <= *turn))
+            std::optional<TimePoint> other = this->nextTurn(scene, index);
+            // A load from the weight store that is under way is not waited for if a copy is at hand.
+            if (coming)
+                other = *coming - this->limits.slowGoal;
+            const bool isWorthIt = place && place->evictionCost < this->waitingValue(scene, *model);
+            if (isWorthIt && (!other || place->readyAt <= *other))
                 this->addGoal(scene, *place, target.model, true, "requests wait");
         }
         TimePoint ready = scene.now + this->hopelessWait(*model->weights);
-        const std::optional<TimePoint> turn
-                = this->nextTurn(scene, scene.modelPlaces[target.model]);
+        const std::optional<TimePoint> turn = this->nextTurn(scene, index);
         if (turn)
             ready = *turn;
-        for (auto &[id, goal] : this->goals) {
-            if (goal.model != target.model)
-                continue;
-            goal.isWaitedFor = true;
-            ready = std::max(goal.readyAt, scene.now + unloadTime);
-        }
+        for (auto &[id, goal] : this->goals)
+            goal.isWaitedFor = goal.isWaitedFor || goal.model == target.model;
+        if (const std::optional<TimePoint> goal = this->earliestGoal(target.model))
+            ready = std::max(*goal, scene.now + unloadTime);
         this->expectations[target] = ready;
     }
 }
 
+/// When the first of the engines that are to load a model is expected to hold it.
+std::optional<TimePoint> ResidencyPlanner::earliestGoal(const ModelId &model) const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &[id, goal] : this->goals) {
+        if (goal.model == model)
+            earliest = earliest ? std::min(*earliest, goal.readyAt) : goal.readyAt;
+    }
+    return earliest;
+}
+
+/// What it is worth to the callers that a model that they wait for is loaded now: otherwise they,
+/// and those who ask next, wait for as long as a load from the weight store takes.
+double ResidencyPlanner::waitingValue(const Scene &scene, const ModelFacts &model) const
+{
+    std::uint32_t waiting = 0;
+    for (const Target &target : scene.demand.waiting()) {
+        if (target.model == model.weights->id)
+            waiting += scene.demand.of(target).waiting;
+    }
+    const double asking = waiting + model.rate * this->limits.horizonSeconds;
+    return asking * toSeconds(model.weights->fromStore);
+}
+
 /// What is said to those who wait for a model that can't be loaded yet.
 Duration ResidencyPlanner::hopelessWait(const gateway::ModelWeights &model) const
 {
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -85,6 +85,9 @@
     double adapterWaitCost = 0.5;
     /// A model is not unloaded for others within this time of its load.
     Duration minResidency = std::chrono::milliseconds(1500);
+    /// A model that is to be held only after this time, and sooner by as much elsewhere, is loaded
+    /// there as well.
+    Duration slowGoal = std::chrono::milliseconds(1500);
     /// A goal that is not reached in this time is given up.
     Duration goalPatience = std::chrono::seconds(15);
     /// Pause between two looks for what nobody waits for.
@@ -200,6 +203,8 @@
     std::optional<Place> placeAt(const Scene &scene, const UpstreamFacts &upstream,
                                  std::size_t model) const;
     std::optional<TimePoint> nextTurn(const Scene &scene, std::size_t model) const;
+    std::optional<TimePoint> earliestGoal(const ModelId &model) const;
+    double waitingValue(const Scene &scene, const ModelFacts &model) const;
     double blockedAdapters(const Scene &scene, const UpstreamFacts &facts, Duration load) const;
     double keepValue(const Scene &scene, const UpstreamFacts &upstream, std::size_t model) const;
     Duration loadTime(const gateway::ModelWeights &model, WeightSource source) const;
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -314,6 +314,48 @@
     CHECK(fleet.replicas("m0") >= 4);
 }
 
+TEST_CASE("a rare model that is waited for does not push out the only replica of a busy one")
+{
+    Fleet fleet(1, 6);
+    fleet.hold(0, "m0");
+    fleet.hold(0, "m1");
+    fleet.onDisk(0, "m5");
+    fleet.demand("m0", 64, 0, {}, 12);
+    fleet.demand("m1", 64, 0, {}, 12);
+    fleet.demand("m5", 1, 1);
+    fleet.run(1s);
+    CHECK(fleet.replicas("m0") == 1);
+    CHECK(fleet.replicas("m1") == 1);
+    // Those who wait are told at once that it takes long.
+    CHECK(*fleet.planner.readyAt(Target{ModelId("m5"), {}}) >= fleet.now + 3s);
+
+    SUBCASE("it is loaded once what holds the place is missed less")
+    {
+        fleet.nobodyWaits();
+        fleet.run(40s);
+        fleet.demand("m5", 1, 1);
+        fleet.run(8s);
+        CHECK(fleet.replicas("m5") == 1);
+    }
+}
+
+TEST_CASE("a model that is held nowhere is not left to a slow load when a disk has it")
+{
+    Fleet fleet(3, 6);
+    fleet.hold(0, "m0");
+    fleet.hold(1, "m1");
+    fleet.hold(2, "m2");
+    fleet.demand("m0", 80, 0, {}, 25);
+    fleet.run(1s);
+    REQUIRE(fleet.storeLoads() > 0);
+    REQUIRE(fleet.replicas("m0") == 1);
+    // The engine that held it is replaced; another one has a copy.
+    fleet.at(0).residency.models.clear();
+    fleet.demand("m0", 8, 4, {}, 0);
+    fleet.run(1s);
+    CHECK(fleet.replicas("m0") >= 1);
+}
+
 TEST_CASE("an adapter goes where its model is, and makes room within the places")
 {
     Fleet fleet(2, 1);
