--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -186,8 +186,8 @@
                              fromArray<UpstreamId>(value.at(4), upstreamFrom)};
     std::optional<FollowedState> followed;
     if (const Json &told = value.at(8); !told.is_null())
-        followed = FollowedState{partFrom(told.at(0)), partFrom(told.at(1)),
-                                 fromMillis(told.at(2))};
+        followed
+                = FollowedState{partFrom(told.at(0)), partFrom(told.at(1)), fromMillis(told.at(2))};
     return OwnerMessage{Fence(value.at(1).get<std::uint64_t>()),
                         value.at(2).get<std::uint32_t>(),
                         fromArray<HeldTargets>(value.at(3), heldFrom),
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -502,9 +502,8 @@
 void PlacementDriver::tellFollowed(TimePoint now)
 {
     this->followedToldAt = now;
-    std::erase_if(this->forwarded, [&](const Forwarded &one) {
-        return one.since + this->limits.forwardTime < now;
-    });
+    std::erase_if(this->forwarded,
+                  [&](const Forwarded &one) { return one.since + this->limits.forwardTime < now; });
     OwnerMessage again = this->message();
     for (const Forwarded &one : this->forwarded)
         again.changes.push_back(one.change);
--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -132,7 +132,8 @@
         if (!coming || *coming > scene.now + this->limits.slowGoal) {
             const std::optional<Place> place = this->bestPlace(scene, index, true);
             std::optional<TimePoint> other = this->nextTurn(scene, index);
-            // A load from the weight store that is under way is not waited for if a copy is at hand.
+            // A load from the weight store that is under way is not waited for if a copy is at
+            // hand.
             if (coming)
                 other = *coming - this->limits.slowGoal;
             const bool isWorthIt = place && place->evictionCost < this->waitingValue(scene, *model);
@@ -197,9 +198,9 @@
         shortages.push_back({i, concurrency / (model.replicas + model.goals)});
     }
     // The weight store's few loads go to the model whose replicas bear the most.
-    std::stable_sort(
-            shortages.begin(), shortages.end(),
-            [](const Short &left, const Short &right) { return left.pressure > right.pressure; });
+    std::stable_sort(shortages.begin(), shortages.end(), [](const Short &left, const Short &right) {
+        return left.pressure > right.pressure;
+    });
     for (const Short &shortage : shortages) {
         const ModelFacts &model = scene.models[shortage.model];
         while (model.replicas + model.goals < model.wanted
--- a/tests/platform/adapter/unit-settings_file.cpp
+++ b/tests/platform/adapter/unit-settings_file.cpp
@@ -82,6 +82,7 @@
 
     SUBCASE("a file that can't be read is an error")
     {
-        CHECK(readSettingsText("/nonexistent/settings").error().kind() == ErrorKind::SettingInvalid);
+        CHECK(readSettingsText("/nonexistent/settings").error().kind()
+              == ErrorKind::SettingInvalid);
     }
 }
