--- a/examples/example.cpp
+++ b/examples/example.cpp
@@ -84,9 +84,10 @@
 {
     const std::vector<std::string> words(arguments + 1, arguments + argumentCount);
     const auto flags = docopt::docopt(usage, words, true);
-    ExampleParameters parameters{
-            defaultEndpoints(engineCount, 1, 9000), defaultEndpoints(serviceCount, 2, 9100),
-            flags.at("--operator").asString(), sha256Hex(flags.at("--credential").asString())};
+    ExampleParameters parameters{defaultEndpoints(engineCount, 1, 9000),
+                                 defaultEndpoints(serviceCount, 2, 9100),
+                                 flags.at("--operator").asString(),
+                                 sha256Hex(flags.at("--credential").asString())};
     if (!readEndpoints(flags.at("--engines"), "--engines", parameters.engines)
         || !readEndpoints(flags.at("--services"), "--services", parameters.services))
         return 2;
