--- a/src/gateway/request_placement.cpp
+++ b/src/gateway/request_placement.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace bamboochute::gateway {
 
 namespace {
@@ -58,10 +60,12 @@
     if (placement.upstream && this->sends == 0) {
         const std::optional<Duration> retry = this->queueRetry(*placement.upstream);
         if (retry) {
-            placement.upstream.reset();
-            placement.refusal
-                    = Error(ErrorKind::NoCapacity, "too many requests wait at the target");
+            this->waitingAhead = this->gateway.table.find(*placement.upstream)->load.waiting;
+            placement.refusal = Error(ErrorKind::NoCapacity,
+                                      fmt::format("{} requests wait at {}", this->waitingAhead,
+                                                  placement.upstream->value()));
             placement.retryAfter = *retry;
+            placement.upstream.reset();
         }
         co_return placement;
     }
--- a/tests/platform/adapter/unit-store_mirror.cpp
+++ b/tests/platform/adapter/unit-store_mirror.cpp
@@ -283,3 +283,40 @@
         CHECK(bed.removed[0] == std::pair<std::string, bool>("servers/a", true));
     }
 }
+
+TEST_CASE("changes that share a revision are not passed on one by one: each instance asks itself")
+{
+    const std::string three = item("servers/a", "1", 5) + "," + item("servers/b", "1", 6) + ","
+                              + item("servers/c", "1", 7);
+    std::vector<std::string> passedOn;
+    const auto follow = [&passedOn](Bed &bed) {
+        bed.mirror.onNews = [&passedOn](const StoreChange &change, StoreRevision, bool) {
+            passedOn.push_back(change.item.key);
+        };
+    };
+
+    SUBCASE("removals that a list shows have its revision")
+    {
+        ScriptedStore scripted(
+                {page(three, false, 10), {410, "{}"}, page(item("servers/c", "1", 7), false, 20)});
+        Bed bed(scripted);
+        follow(bed);
+        bed.runUntil(scripted, 3);
+        CHECK(bed.removed.size() == 2);
+        CHECK(passedOn.empty());
+        CHECK(bed.mirror.lastChange() == StoreRevision(20));
+    }
+    SUBCASE("so may changes of one transaction; the one after them is passed on again")
+    {
+        ScriptedStore scripted(
+                {page(three, false, 10),
+                 changes(item("servers/a", "2", 12) + "," + item("servers/b", "2", 12) + ","
+                                 + item("servers/c", "2", 13),
+                         13)});
+        Bed bed(scripted);
+        follow(bed);
+        bed.runUntil(scripted, 2);
+        CHECK(bed.items["servers/b"] == "2");
+        CHECK(passedOn == std::vector<std::string>{"servers/c"});
+    }
+}
