--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -128,22 +128,19 @@
             continue;
         }
         const std::size_t index = scene.modelPlaces[target.model];
+        const std::optional<TimePoint> turn = this->nextTurn(scene, index);
         const std::optional<TimePoint> coming = this->earliestGoal(target.model);
         if (!coming || *coming > scene.now + this->limits.slowGoal) {
             const std::optional<Place> place = this->bestPlace(scene, index, true);
-            std::optional<TimePoint> other = this->nextTurn(scene, index);
             // A load from the weight store that is under way is not waited for if a copy is at
             // hand.
-            if (coming)
-                other = *coming - this->limits.slowGoal;
-            const bool isWorthIt = place && place->evictionCost < this->waitingValue(scene, *model);
+            const std::optional<TimePoint> other
+                    = coming ? std::optional<TimePoint>(*coming - this->limits.slowGoal) : turn;
+            const bool isWorthIt = place && place->evictionCost < this->waitingValue(*model);
             if (isWorthIt && (!other || place->readyAt <= *other))
                 this->addGoal(scene, *place, target.model, true, "requests wait");
         }
-        TimePoint ready = scene.now + this->hopelessWait(*model->weights);
-        const std::optional<TimePoint> turn = this->nextTurn(scene, index);
-        if (turn)
-            ready = *turn;
+        TimePoint ready = turn.value_or(scene.now + this->hopelessWait(*model->weights));
         for (auto &[id, goal] : this->goals)
             goal.isWaitedFor = goal.isWaitedFor || goal.model == target.model;
         if (const std::optional<TimePoint> goal = this->earliestGoal(target.model))
@@ -165,14 +162,9 @@
 
 /// What it is worth to the callers that a model that they wait for is loaded now: otherwise they,
 /// and those who ask next, wait for as long as a load from the weight store takes.
-double ResidencyPlanner::waitingValue(const Scene &scene, const ModelFacts &model) const
+double ResidencyPlanner::waitingValue(const ModelFacts &model) const
 {
-    std::uint32_t waiting = 0;
-    for (const Target &target : scene.demand.waiting()) {
-        if (target.model == model.weights->id)
-            waiting += scene.demand.of(target).waiting;
-    }
-    const double asking = waiting + model.rate * this->limits.horizonSeconds;
+    const double asking = model.waiting + model.rate * this->limits.horizonSeconds;
     return asking * toSeconds(model.weights->fromStore);
 }
 
@@ -194,8 +186,7 @@
         const ModelFacts &model = scene.models[i];
         if (model.replicas == 0 || model.replicas + model.goals >= model.wanted)
             continue;
-        const double concurrency = scene.demand.of(Target{model.weights->id, {}}).concurrency;
-        shortages.push_back({i, concurrency / (model.replicas + model.goals)});
+        shortages.push_back({i, model.concurrency / (model.replicas + model.goals)});
     }
     // The weight store's few loads go to the model whose replicas bear the most.
     std::stable_sort(shortages.begin(), shortages.end(), [](const Short &left, const Short &right) {
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -156,6 +156,10 @@
         std::uint32_t replicas = 0;
         std::uint32_t wanted = 1;
         double rate = 0;
+        /// Requests under way or waiting, smoothed.
+        double concurrency = 0;
+        /// Requests that wait for it or for one of its adapters.
+        std::uint32_t waiting = 0;
         /// Engines that are to load it.
         std::uint32_t goals = 0;
         /// Some engine has the weights at hand.
@@ -204,7 +208,7 @@
                                  std::size_t model) const;
     std::optional<TimePoint> nextTurn(const Scene &scene, std::size_t model) const;
     std::optional<TimePoint> earliestGoal(const ModelId &model) const;
-    double waitingValue(const Scene &scene, const ModelFacts &model) const;
+    double waitingValue(const ModelFacts &model) const;
     double blockedAdapters(const Scene &scene, const UpstreamFacts &facts, Duration load) const;
     double keepValue(const Scene &scene, const UpstreamFacts &upstream, std::size_t model) const;
     Duration loadTime(const gateway::ModelWeights &model, WeightSource source) const;
--- a/src/residency/planner_survey.cpp
+++ b/src/residency/planner_survey.cpp
@@ -24,8 +24,16 @@
     Scene scene{demand, now, demand.arrivals() >= this->limits.knownAfterArrivals, {}, {}, {}};
     for (const gateway::ModelWeights &model : this->engine.models) {
         scene.modelPlaces.emplace(model.id, scene.models.size());
-        const double rate = demand.of(Target{model.id, {}}).perSecond;
-        scene.models.push_back({&model, 0, 1, std::max(this->limits.assumedRate, rate)});
+        const SmoothedDemand asked = demand.of(Target{model.id, {}});
+        ModelFacts facts;
+        facts.weights = &model;
+        facts.rate = std::max(this->limits.assumedRate, asked.perSecond);
+        facts.concurrency = asked.concurrency;
+        scene.models.push_back(facts);
+    }
+    for (const Target &target : demand.waiting()) {
+        if (ModelFacts *facts = scene.find(target.model))
+            facts->waiting += demand.of(target).waiting;
     }
     for (const PlannedUpstream &upstream : upstreams) {
         scene.upstreams.push_back(this->surveyUpstream(scene, upstream));
@@ -91,16 +99,15 @@
 
 std::uint32_t ResidencyPlanner::wantedReplicas(const Scene &scene, const ModelFacts &facts) const
 {
-    const SmoothedDemand demand = scene.demand.of(Target{facts.weights->id, {}});
     const auto byLoad = static_cast<std::uint32_t>(
-            1 + demand.concurrency / this->limits.concurrencyPerReplica);
+            1 + facts.concurrency / this->limits.concurrencyPerReplica);
     if (!scene.isDemandKnown) {
         const auto share = static_cast<std::uint32_t>(facts.replicas * this->limits.assumedShare);
         const std::uint32_t assumed
                 = std::clamp(facts.replicas, 1U, std::max(this->limits.assumedReplicas, share));
         return std::max(assumed, byLoad);
     }
-    return std::max(demand.perSecond >= this->limits.twoReplicasFrom ? 2U : 1U, byLoad);
+    return std::max(facts.rate >= this->limits.twoReplicasFrom ? 2U : 1U, byLoad);
 }
 
 } // namespace bamboochute::residency
