Log and count how an upstream's answer ended

Each request's lines now name the framing of the last answer that was read, the state of its connection and the bytes behind its last whole event; bamboochute_answer_ends_total counts the three together. No decision depends on them.

--- a/src/caller/event_stream.hpp
+++ b/src/caller/event_stream.hpp
@@ -32,6 +32,9 @@
     /// @brief Identifier of the last whole event that had one; empty when there was none.
     const std::string &lastEventId() const noexcept { return this->eventId; }
 
+    /// @brief Bytes of the event that is not complete yet.
+    std::size_t partialEventBytes() const noexcept { return this->partialEvent.size(); }
+
     /// @brief Discards the partial event that a broken connection left behind.
     void discardPartialEvent() { this->partialEvent.clear(); }
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -228,6 +228,8 @@
 Awaitable<AttemptOutcome> RequestExchange::callUpstream(const UpstreamTable::Entry &entry)
 {
     const HeadText head = this->buildUpstreamHead(entry);
+    this->answerEnd.reset();
+    this->events.discardPartialEvent();
     this->call.emplace(this->gateway.pool, entry.registered.endpoint);
     this->call->allowUnframedAnswer();
     // A new connection has no bytes of an earlier request, and the upstream is not about to close
@@ -296,6 +298,7 @@
     using upstream::CallFailure;
     if (error.failure == CallFailure::Cancelled)
         return AttemptOutcome::Finished;
+    this->recordAnswerEnd();
     this->triedUpstreams.push_back(this->currentUpstream);
     if (!error.isAnythingWritten) {
         this->recordFault(UpstreamFault::Unreachable, error.message);
@@ -320,6 +323,7 @@
     const CallResult<std::string> body = co_await this->call->readWholeBody(maxAnswerBytes);
     if (!body)
         co_return this->handleCallFailure(body.error());
+    this->recordAnswerEnd();
     std::string head = this->buildAnswerHead(status, this->call->answer().headers);
     appendHeader(head, "Content-Length", std::to_string(body.value().size()));
     head += "\r\n";
@@ -351,7 +355,6 @@
         appendHeader(head, "Transfer-Encoding", "chunked");
         head += "\r\n";
     }
-    this->events.discardPartialEvent();
     bool isFirst = true;
     while (true) {
         const CallResult<bool> more = co_await this->call->readBody();
@@ -383,6 +386,7 @@
         this->recordEventTime();
         this->call->setDeadline(this->nextEventDeadline());
     }
+    this->recordAnswerEnd();
     if (!this->isAnswerBegun) {
         // A stream without events is a valid answer.
         this->isAnswerBegun = true;
@@ -485,6 +489,21 @@
     this->lastEventAt = time;
 }
 
+/// Records how the upstream's answer ended, before its connection is closed by this side.
+void RequestExchange::recordAnswerEnd()
+{
+    this->answerEnd = this->call->answerEnd();
+    if (!this->answerEnd)
+        return;
+    this->gateway.metrics
+            .counter("bamboochute_answer_ends_total",
+                     fmt::format("framing=\"{}\",connection=\"{}\",partial_event=\"{}\"",
+                                 upstream::bodyFramingName(this->answerEnd->framing),
+                                 upstream::connectionStateName(this->answerEnd->connection),
+                                 this->events.partialEventBytes() > 0 ? "yes" : "no"))
+            .add();
+}
+
 void RequestExchange::recordLatencies() const
 {
     const KindMetrics &metrics = this->gateway.requestMetrics.forKind(this->route->kind);
@@ -581,6 +600,12 @@
 void RequestExchange::log(LogLevel level, std::string_view message, std::string_view reason,
                           const LogField &extra) const
 {
+    std::string_view framing;
+    std::string_view connection;
+    if (this->answerEnd) {
+        framing = upstream::bodyFramingName(this->answerEnd->framing);
+        connection = upstream::connectionStateName(this->answerEnd->connection);
+    }
     logEvent(level, message,
              {{"request", this->attributes.id.value()},
               {"reason", std::string(reason)},
@@ -597,6 +622,9 @@
                        ? std::string()
                        : formatMilliseconds(this->firstEventAt - this->request.arrival)},
               {"longest_gap_ms", formatMilliseconds(this->longestEventGap)},
+              {"framing", std::string(framing)},
+              {"connection", std::string(connection)},
+              {"partial_event_bytes", std::to_string(this->events.partialEventBytes())},
               {"configuration", this->index ? std::to_string(this->index->configuration().version)
                                             : std::string()}});
 }
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -88,6 +88,7 @@
     void recordFault(UpstreamFault fault, std::string_view reason);
     void recordSuccess();
     void recordEventTime();
+    void recordAnswerEnd();
     void recordLatencies() const;
 
     upstream::Awaitable<void> finishFailedRequest();
@@ -126,6 +127,8 @@
     /// Requests that waited at the upstream when this one was sent to it.
     std::uint32_t waitingAhead = 0;
     std::optional<upstream::UpstreamCall> call;
+    /// Where the reading of the last attempt's answer ended; unset while no head was read.
+    std::optional<upstream::AnswerEnd> answerEnd;
     caller::EventStream events;
     /// A part of an answer was sent to the caller.
     bool isAnswerBegun = false;
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -19,6 +19,18 @@
 
 } // namespace
 
+std::string_view bodyFramingName(BodyFraming framing) noexcept
+{
+    constexpr std::array<std::string_view, 3> names{"length", "chunked", "close"};
+    return names[static_cast<std::size_t>(framing)];
+}
+
+std::string_view connectionStateName(ConnectionState state) noexcept
+{
+    constexpr std::array<std::string_view, 3> names{"open", "closed", "reset"};
+    return names[static_cast<std::size_t>(state)];
+}
+
 UpstreamCall::UpstreamCall(ConnectionPool &pool, Endpoint endpoint)
     : pool(pool)
     , endpoint(std::move(endpoint))
@@ -209,6 +221,22 @@
     return this->parser && this->parser->is_done();
 }
 
+std::optional<AnswerEnd> UpstreamCall::answerEnd() const
+{
+    if (!this->parser || !this->parser->is_header_done())
+        return std::nullopt;
+    AnswerEnd end;
+    if (this->parser->chunked())
+        end.framing = BodyFraming::Chunked;
+    else if (this->parser->need_eof())
+        end.framing = BodyFraming::ConnectionClose;
+    if (this->stream && this->stream->isClosedInOrder())
+        end.connection = ConnectionState::Closed;
+    else if (!this->stream || this->stream->isPeerClosed())
+        end.connection = ConnectionState::Reset;
+    return end;
+}
+
 bool UpstreamCall::isAnythingWritten() const
 {
     return this->stream && this->stream->writtenBytes() > 0;
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -44,6 +44,37 @@
     auto operator<=>(const CallError &) const = default;
 };
 
+/// @brief How an answer states where its body ends.
+enum class BodyFraming {
+    ContentLength,
+    Chunked,
+    /// It does not: the body ends with its connection.
+    ConnectionClose
+};
+
+/// @brief State of a call's connection, as far as it has been read.
+enum class ConnectionState {
+    Open,
+    /// The peer has closed its side in order.
+    Closed,
+    /// The connection was reset or failed.
+    Reset
+};
+
+/// @brief Where the reading of an answer ended.
+struct AnswerEnd
+{
+    BodyFraming framing = BodyFraming::ContentLength;
+    ConnectionState connection = ConnectionState::Open;
+    auto operator<=>(const AnswerEnd &) const = default;
+};
+
+/// @brief Name for logs and metrics: "length", "chunked" or "close".
+std::string_view bodyFramingName(BodyFraming framing) noexcept;
+
+/// @brief Name for logs and metrics: "open", "closed" or "reset".
+std::string_view connectionStateName(ConnectionState state) noexcept;
+
 /// @brief A value or the error of a call.
 template<typename T>
 using CallResult
@@ -110,6 +141,10 @@
     /// @brief Whether status, headers and body are complete.
     bool isWhole() const;
 
+    /// @brief How the body is framed, and the state of the connection.
+    /// @return nothing before the headers are complete
+    std::optional<AnswerEnd> answerEnd() const;
+
     /// @brief Whether bytes of the request were handed to the kernel.
     bool isAnythingWritten() const;
 
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -227,3 +227,35 @@
     CHECK(got.starts_with("HTTP/1.1 504 "));
     CHECK_FALSE(containsText(got, "Retry-After"));
 }
+
+TEST_CASE("the end of an upstream's answer is counted by framing, connection and partial event")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\ntest-id: {id}\r\ntest-signature: s\r\n\r\n";
+    const auto countEnds = [](RelayFixture &fixture, const std::string &labels) {
+        return fixture.metrics.counter("bamboochute_answer_ends_total", labels).value();
+    };
+    SUBCASE("an answer with a length")
+    {
+        ScriptedUpstream upstream({{answer(200, "paid")}});
+        RelayFixture fixture({&upstream});
+        fixture.call(request("/once/", "pay"));
+        CHECK(countEnds(fixture, "framing=\"length\",connection=\"open\",partial_event=\"no\"")
+              == 1);
+    }
+    SUBCASE("a stream without a length whose connection is closed inside an event")
+    {
+        ScriptedUpstream upstream({{head + "id: 1\ndata: a\n\nid: 2\nda"}});
+        RelayFixture fixture({&upstream});
+        fixture.call(request("/fragile/"));
+        CHECK(countEnds(fixture, "framing=\"close\",connection=\"closed\",partial_event=\"yes\"")
+              == 1);
+    }
+    SUBCASE("a chunked stream whose connection is reset")
+    {
+        ScriptedUpstream upstream({{streamAnswer("id: 1\ndata: a\n\n", false), true}});
+        RelayFixture fixture({&upstream});
+        fixture.call(request("/fragile/"));
+        CHECK(countEnds(fixture, "framing=\"chunked\",connection=\"reset\",partial_event=\"no\"")
+              == 1);
+    }
+}
