Add a failing test: a stream that ends inside an event is framed as complete

A scripted upstream sends a whole event and a part of the next and closes its connection in order, without a length or chunks, as the host of a crashed process does. The gateway writes the last chunk to the caller and drops the partial event. Five of the six sections fail; the sixth, an orderly end between two events, has to go on working.

--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -259,3 +259,63 @@
               == 1);
     }
 }
+
+// Guards against a stream that its upstream broke off reaching its caller framed as complete: the
+// close of the connection was taken for the end of the last event.
+TEST_CASE("a stream that ends inside an event is not framed as complete")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\ntest-id: {id}\r\ntest-signature: s\r\n\r\n";
+    const std::string broken = "id: 1\ndata: a\n\nid: 2\nda";
+    SUBCASE("without a length, on a route that is not resumable, it is cut")
+    {
+        ScriptedUpstream upstream({{head + broken}});
+        RelayFixture fixture({&upstream});
+        const std::string got = fixture.call(request("/fragile/"));
+        CHECK(containsText(got, "id: 1\ndata: a\n\n"));
+        CHECK_FALSE(containsText(got, "id: 2"));
+        CHECK_FALSE(got.ends_with("0\r\n\r\n"));
+        CHECK(fixture.metrics.errors(ErrorKind::StreamBroken).value() == 1);
+    }
+    SUBCASE("without a length, on a resumable route, it goes on at another upstream")
+    {
+        ScriptedUpstream first({{head + broken}});
+        ScriptedUpstream second({{head + "id: 2\ndata: b\n\n"}});
+        RelayFixture fixture({&first, &second});
+        const std::string got = fixture.call(request("/stream/"));
+        const std::vector<std::string> continued = second.requests();
+        CHECK(continued.size() == 1);
+        CHECK((!continued.empty() && containsText(continued.front(), "test-last-event: 1\r\n")));
+        CHECK(containsText(got, "id: 1\ndata: a\n\n"));
+        CHECK(containsText(got, "id: 2\ndata: b\n\n"));
+        CHECK(got.ends_with("0\r\n\r\n"));
+    }
+    SUBCASE("with its last chunk, it is cut as well")
+    {
+        ScriptedUpstream upstream({{streamAnswer(broken, true)}});
+        RelayFixture fixture({&upstream});
+        const std::string got = fixture.call(request("/fragile/"));
+        CHECK(containsText(got, "id: 1\ndata: a\n\n"));
+        CHECK_FALSE(got.ends_with("0\r\n\r\n"));
+    }
+    SUBCASE("inside its first event, the request fails instead of being answered by an empty "
+            "stream")
+    {
+        ScriptedUpstream upstream({{head + "id: 1\nda"}});
+        RelayFixture fixture({&upstream});
+        CHECK(fixture.call(request("/fragile/")).starts_with("HTTP/1.1 502 "));
+    }
+    SUBCASE("without a length and before its first byte, the request fails as well")
+    {
+        ScriptedUpstream upstream({{head}});
+        RelayFixture fixture({&upstream});
+        CHECK(fixture.call(request("/fragile/")).starts_with("HTTP/1.1 502 "));
+    }
+    SUBCASE("without a length but between two events, it is complete")
+    {
+        ScriptedUpstream upstream({{head + events}});
+        RelayFixture fixture({&upstream});
+        const std::string got = fixture.call(request("/fragile/"));
+        CHECK(containsText(got, events));
+        CHECK(got.ends_with("0\r\n\r\n"));
+    }
+}
