End a stream as broken when its upstream stopped inside an event

Cause: an answer without a length or chunks ends with its connection, and the host of a crashed process closes its connections in order. The gateway took that close for the end of the stream, dropped the bytes behind the last whole event and wrote the last chunk. So the end of the transport was taken for the end of the message.

Change: a stream that ends inside an event is broken, however its end is framed; it goes on at another upstream where its route may be resumed, and is cut without its last chunk where not. A stream without a length that starts at its first event and ends before any is broken too; one that is resumed after its last event may be empty.

--- a/src/caller/event_stream.hpp
+++ b/src/caller/event_stream.hpp
@@ -35,6 +35,14 @@
     /// @brief Bytes of the event that is not complete yet.
     std::size_t partialEventBytes() const noexcept { return this->partialEvent.size(); }
 
+    /// @brief Whether the stream has begun an event that is not complete yet.
+    ///
+    /// Line ends behind the last event are no part of another one.
+    bool isInsideEvent() const noexcept
+    {
+        return this->partialEvent.find_first_not_of("\r\n") != std::string::npos;
+    }
+
     /// @brief Discards the partial event that a broken connection left behind.
     void discardPartialEvent() { this->partialEvent.clear(); }
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -363,12 +363,9 @@
         if (!more.value())
             break;
         const auto completeEvents = this->events.extractWholeEvents(this->call->answer().pieces);
-        if (!completeEvents) {
-            this->triedUpstreams.push_back(this->currentUpstream);
-            this->recordFault(UpstreamFault::Malformed, completeEvents.error().message());
-            co_return this->isAnswerBegun ? AttemptOutcome::StreamBroken
-                                          : AttemptOutcome::MayHaveRun;
-        }
+        if (!completeEvents)
+            co_return this->handleBrokenStream(UpstreamFault::Malformed,
+                                               completeEvents.error().message());
         std::string text;
         for (const std::string_view piece : completeEvents.value())
             text += piece;
@@ -387,15 +384,46 @@
         this->call->setDeadline(this->nextEventDeadline());
     }
     this->recordAnswerEnd();
-    if (!this->isAnswerBegun) {
-        // A stream without events is a valid answer.
-        this->isAnswerBegun = true;
-    }
+    const std::optional<std::string> defect = this->findStreamDefect(!isFirst);
+    if (defect)
+        co_return this->handleBrokenStream(UpstreamFault::Broken, *defect);
+    // A stream without events is a valid answer.
+    this->isAnswerBegun = true;
     co_await this->writeToCaller(head, "0\r\n\r\n");
     this->log(LogLevel::Info, "request answered", "stream", this->durationField());
     co_return AttemptOutcome::Finished;
 }
 
+/// Returns why a stream that has ended without an error is incomplete; unset when it is complete.
+///
+/// The host of a crashed process closes its connections in order, which is also how an answer
+/// without a length ends.
+std::optional<std::string> RequestExchange::findStreamDefect(bool hasEvents) const
+{
+    if (this->events.isInsideEvent())
+        return "the stream ended inside an event";
+    const bool isUnframed
+            = this->answerEnd && this->answerEnd->framing == upstream::BodyFraming::ConnectionClose;
+    // Only a stream that is resumed after its last event may have no further ones.
+    if (isUnframed && !hasEvents && this->resumePoint().empty())
+        return "the stream without a length ended before its first event";
+    return std::nullopt;
+}
+
+AttemptOutcome RequestExchange::handleBrokenStream(UpstreamFault fault, std::string_view reason)
+{
+    this->triedUpstreams.push_back(this->currentUpstream);
+    this->recordFault(fault, reason);
+    return this->isAnswerBegun ? AttemptOutcome::StreamBroken : AttemptOutcome::MayHaveRun;
+}
+
+/// Returns the id of the last event that the caller has; empty when the stream begins.
+const std::string &RequestExchange::resumePoint() const
+{
+    return this->events.lastEventId().empty() ? this->attributes.lastEventId
+                                              : this->events.lastEventId();
+}
+
 RequestExchange::HeadText
 RequestExchange::buildUpstreamHead(const UpstreamTable::Entry &entry) const
 {
@@ -420,9 +448,7 @@
     upstreamAttributes.expectedUpstream = entry.registered.id;
     upstreamAttributes.remaining = std::max(this->timeLeft(), minSendTime);
     upstreamAttributes.priority = this->route->priority;
-    upstreamAttributes.lastEventId = this->events.lastEventId().empty()
-                                             ? this->attributes.lastEventId
-                                             : this->events.lastEventId();
+    upstreamAttributes.lastEventId = this->resumePoint();
     this->gateway.codec.appendHeaders(head, upstreamAttributes);
     head += "\r\n";
     return head;
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -80,9 +80,12 @@
     upstream::Awaitable<AttemptOutcome> relayAnswer();
     upstream::Awaitable<AttemptOutcome> relayWholeAnswer();
     upstream::Awaitable<AttemptOutcome> relayEventStream();
+    std::optional<std::string> findStreamDefect(bool hasEvents) const;
+    AttemptOutcome handleBrokenStream(UpstreamFault fault, std::string_view reason);
     AttemptOutcome handleCallFailure(const upstream::CallError &error);
     AttemptOutcome handleUpstreamRefusal(const AnswerAttributes &attributes, int status);
     HeadText buildUpstreamHead(const UpstreamTable::Entry &entry) const;
+    const std::string &resumePoint() const;
     TimePoint firstEventDeadline() const;
     TimePoint nextEventDeadline() const;
     void recordFault(UpstreamFault fault, std::string_view reason);
