Accept streams, reports and answers to orders that state no length

Callers of bamboochuted got 502 for a stream with neither a length nor chunks, and a report or an answer to an order of that form counted as malformed: the engine's report was lost, and an order that the engine had accepted stayed unconfirmed.

Cause: UpstreamCall refused such an answer at its head, whatever its reader could tell of its completeness.

Change: the refusal moves to readWholeBody(). A stream on the caller path is complete by its end marker alone, as before; a whole answer there still needs a length or chunks. Reports, orders and calls to the store are accepted when the connection was closed in order: their JSON doesn't parse when it was cut, and an order's outcome is its status.

--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -128,9 +128,6 @@
                 co_return parsed.error();
         }
     }
-    if (this->parser->need_eof() && !this->parser->is_done() && !this->isUnframedAllowed)
-        co_return this->makeError(CallFailure::Malformed,
-                                  "the answer has neither Content-Length nor chunked encoding");
     this->hasUnreadPieces = !this->message.pieces.empty();
     co_return boost::outcome_v2::success();
 }
@@ -165,10 +162,10 @@
 }
 
 /// Ends an answer without a length when the connection was closed in order.
-/// @return whether the answer is complete
+/// @return whether it has ended so
 bool UpstreamCall::finishUnframedAnswer(StreamStatus status)
 {
-    if (status != StreamStatus::Closed || !this->isUnframedAllowed || !this->parser->need_eof()
+    if (status != StreamStatus::Closed || !this->parser->need_eof()
         || !this->stream->isClosedInOrder())
         return false;
     error_code parseError;
@@ -195,6 +192,9 @@
 
 Awaitable<CallResult<std::string>> UpstreamCall::readWholeBody(std::size_t maxBytes)
 {
+    if (this->parser->need_eof() && !this->parser->is_done() && !this->isUnframedAllowed)
+        co_return this->makeError(CallFailure::Malformed,
+                                  "the answer has neither Content-Length nor chunked encoding");
     std::string body;
     const boost::optional<std::uint64_t> length = this->parser->content_length();
     if (length && *length <= maxBytes)
@@ -294,6 +294,7 @@
                                                      ConnectionUse use)
 {
     UpstreamCall call(pool, std::move(endpoint));
+    call.allowUnframedAnswer();
     const CallResult<void> sent = co_await call.send(head, body, deadline, use);
     if (!sent)
         co_return sent.error();
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -115,9 +115,10 @@
     Awaitable<CallResult<void>> send(std::string_view head, std::string_view body,
                                      TimePoint deadline, ConnectionUse use);
 
-    /// @brief Accepts answers without a length, which end when their connection is closed.
+    /// @brief Lets readWholeBody() accept an answer without a length or chunks.
     ///
-    /// Such an answer is complete only if the upstream closed the connection in order.
+    /// Such an answer is complete if the upstream closed the connection in order, which the host of
+    /// a crashed process does as well.
     void allowUnframedAnswer() noexcept { this->isUnframedAllowed = true; }
 
     /// @brief Reads status and headers into answer().
@@ -125,6 +126,7 @@
 
     /// @brief Reads more of the body; answer() holds the pieces until the next call.
     /// @return false when the body has ended and there are no further pieces
+    /// @note The end of a body without a length or chunks does not show that it is complete.
     Awaitable<CallResult<bool>> readBody();
 
     /// @brief Takes the whole body, if it was received together with the head.
@@ -134,6 +136,8 @@
 
     /// @brief Reads the rest of the body.
     /// @param maxBytes largest size of the body; a larger one gives Oversized
+    /// @return the body; Malformed when it has neither a length nor chunks, unless
+    /// allowUnframedAnswer() was called
     Awaitable<CallResult<std::string>> readWholeBody(std::size_t maxBytes);
 
     const ParsedMessage &answer() const noexcept { return this->message; }
@@ -186,6 +190,8 @@
 /// @brief Sends a request and reads its complete answer; the parameters are those of
 /// UpstreamCall::send().
 /// @param maxAnswerBytes largest size of the answer's body
+/// @note An answer without a length or chunks is accepted: callers parse the body, which shows
+/// whether it was cut.
 Awaitable<CallResult<WholeAnswer>> sendAndReadAnswer(ConnectionPool &pool, Endpoint endpoint,
                                                      std::string head, std::string body,
                                                      TimePoint deadline, std::size_t maxAnswerBytes,
--- a/tests/caller/unit-faults.cpp
+++ b/tests/caller/unit-faults.cpp
@@ -108,6 +108,45 @@
     CHECK(client.call("GET", "/healthz").status == 200);
 }
 
+// Guards against refusing a stream because it has neither a length nor chunks, and against taking
+// the close of its connection for its end.
+TEST_CASE("a stream without a length is complete if it ends with its end marker")
+{
+    const std::string event = "data: {\"choices\":[]}\n\n";
+    std::string text;
+    bool isWhole = false;
+    SUBCASE("closed after its end marker")
+    {
+        text = event + "data: [DONE]\n\n";
+        isWhole = true;
+    }
+    SUBCASE("closed between two events")
+    {
+        text = event;
+    }
+    SUBCASE("closed inside an event")
+    {
+        text = event + "data: {\"cho";
+    }
+    SUBCASE("closed inside its end marker")
+    {
+        text = event + "data: [DONE]\n";
+    }
+    CustomEngineBed bed([&text](fakes::FakeCall &call) -> upstream::Awaitable<void> {
+        const std::string reply
+                = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + text;
+        co_await writeRaw(call, reply);
+        call.writer.closeAfterAnswer();
+    });
+    Client client(bed.endpoint);
+    const ClientAnswer answer
+            = client.call("POST", "/v1/chat/completions", chatBody("small", true));
+    CHECK(answer.status == 200);
+    CHECK(answer.isWhole == isWhole);
+    CHECK(answer.body.starts_with(event));
+    CHECK((answer.body.find("stream_broken") == std::string::npos) == isWhole);
+}
+
 TEST_CASE("an upstream answer over the size limit becomes a 502 error")
 {
     caller::ServerLimits limits;
