Let the soak's stand-ins answer without a length and really reset connections

A fifth of all answers and streams now end with their connection, and a lost answer ends inside an event, at a random byte, with an orderly close.

--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import socket
+import struct
 import time
 import urllib.parse
 
@@ -63,13 +64,20 @@
     return Request(method, target, headers, body)
 
 
-def answer_bytes(status, body=b"", headers=()):
-    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
+def answer_bytes(status, body=b"", headers=(), is_unframed=False):
+    """Returns an answer; an unframed one has no length, and the connection has to be closed after it."""
+    lines = [f"HTTP/1.1 {status} Status"]
+    if not is_unframed:
+        lines.append(f"Content-Length: {len(body)}")
     lines += [f"{name}: {value}" for name, value in headers]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
 def reset(writer):
+    """Resets a connection; without SO_LINGER its close would be in order."""
+    connection = writer.transport.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
@@ -258,7 +266,8 @@
     """One upstream that registers itself in the store; subclasses define how it answers requests.
 
     lose and refuse are the shares (0 to 1) of requests whose response is lost and that are refused with
-    status 503 before they run.
+    status 503 before they run. unframed is the share of responses without a length or chunks, which end
+    with their connection.
     """
 
     def __init__(self, name, service, store, record, random):
@@ -266,7 +275,7 @@
         self.name, self.service, self.store, self.record = name, service, store, record
         self.random = random
         self.state, self.report_sequence, self.started_at_ms = "ready", 0, int(time.time() * 1000)
-        self.lose, self.refuse = 0.0, 0.0
+        self.lose, self.refuse, self.unframed = 0.0, 0.0, 0.2
 
     def says(self):
         """Returns the registration that the worker writes to the store."""
@@ -309,6 +318,12 @@
         else:
             await self.work(request, reader, writer)
 
+    async def close_in_order(self, writer):
+        """Ends the connection without a reset, as the host of a crashed process does."""
+        await writer.drain()
+        writer.close()
+        raise ConnectionAbortedError
+
     def headers(self, request):
         return [("X-Attempt-Id", request.header("X-Attempt-Id")), (SIGNATURE, f"s.{self.name}")]
 
@@ -322,7 +337,11 @@
         await asyncio.sleep(self.random.uniform(0.005, 0.03))
         if self.random.random() < self.lose:
             raise ConnectionResetError
-        writer.write(answer_bytes(200, f"{attempt} at {self.name}".encode(), self.headers(request)))
+        is_unframed = self.random.random() < self.unframed
+        writer.write(answer_bytes(200, f"{attempt} at {self.name}".encode(), self.headers(request),
+                                  is_unframed))
+        if is_unframed:
+            await self.close_in_order(writer)
 
 
 class Engine(Worker):
@@ -392,17 +411,23 @@
         attempt = request.header("X-Attempt-Id")
         self.record.ran(attempt, self.name)
         first = int(request.header("Last-Event-Id") or 0) + 1
-        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        is_unframed = self.random.random() < self.unframed
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        if not is_unframed:
+            lines.append("Transfer-Encoding: chunked")
         lines += [f"{name}: {value}" for name, value in self.headers(request)]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(first, self.EVENTS + 1):
             await asyncio.sleep(0.01)
             event = f"id: {number}\ndata: {attempt}.{number}\n\n".encode()
+            chunk_head, chunk_end = (b"", b"") if is_unframed else (f"{len(event):x}\r\n".encode(), b"\r\n")
             if self.random.random() < self.lose / self.EVENTS:
-                writer.write(f"{len(event):x}\r\n".encode() + event[:-3])
-                raise ConnectionResetError
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                writer.write(chunk_head + event[:-self.random.randint(1, len(event) - 1)])
+                await self.close_in_order(writer)
+            writer.write(chunk_head + event + chunk_end)
             await writer.drain()
+        if is_unframed:
+            await self.close_in_order(writer)
         writer.write(b"0\r\n\r\n")
 
 
