Log the software version of upstreams and what a resumed request takes up

The order's answer is handled in a function of its own: with the larger registration g++ 12 warned falsely (mismatched-new-delete) about the long coroutine.

--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -56,6 +56,8 @@
 using ModelId = Id<struct ModelTag>;
 using AdapterId = Id<struct AdapterTag>;
 using UpstreamId = Id<struct UpstreamTag>;
+/// Version of the software that an upstream runs.
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 using InstanceId = Id<struct InstanceTag>;
 using DataCentreId = Id<struct DataCentreTag>;
 using RegionId = Id<struct RegionTag>;
--- a/src/gateway/call_codec.hpp
+++ b/src/gateway/call_codec.hpp
@@ -30,6 +30,9 @@
     std::uint64_t sharedPromptHash = 0;
     /// Id of the last stream event that the caller received; empty to start at the beginning.
     std::string lastEventId;
+    /// Request that brought the first event of a stream that is resumed; empty when the request
+    /// does not state it.
+    RequestId resumedRequest;
     auto operator<=>(const RequestAttributes &) const = default;
 };
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -207,6 +207,7 @@
     if (entry == nullptr)
         co_return AttemptOutcome::NotRun;
     this->currentUpstream = id;
+    this->currentVersion = entry->registered.softwareVersion;
     this->sentAt = this->now();
     this->waitingAhead = entry->load.waiting;
     ++this->sends;
@@ -638,6 +639,9 @@
               extra,
               {"route", this->route ? this->route->id.value() : std::string()},
               {"upstream", this->currentUpstream.value()},
+              {"version", this->currentVersion.value()},
+              {"resumes", this->attributes.resumedRequest.value()},
+              {"resumed_after", this->attributes.lastEventId},
               {"model", this->attributes.target.model.value()},
               {"adapter", this->attributes.target.adapter.value()},
               {"sends", std::to_string(this->sends)},
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -124,8 +124,9 @@
     std::uint32_t sends = 0;
     /// Number of candidates in the last selection.
     std::size_t candidateCount = 0;
-    /// Upstream of the last attempt, and when the attempt began.
+    /// Upstream of the last attempt, its version, and when the attempt began.
     UpstreamId currentUpstream;
+    SoftwareVersion currentVersion;
     TimePoint sentAt{};
     /// Requests that waited at the upstream when this one was sent to it.
     std::uint32_t waitingAhead = 0;
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -66,6 +66,8 @@
     ServiceId service;
     Endpoint endpoint;
     DataCentreId dataCentre;
+    /// Streams of different versions don't fit together.
+    SoftwareVersion softwareVersion;
     /// Requests that it runs at a time.
     std::uint32_t slots = 1;
     /// Sequence number of the registration since the upstream's start.
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -366,6 +366,13 @@
     order.holder = this->self;
     order.fence = this->election.fence();
     const OrderAnswer answer = co_await this->port.order(upstream, order);
+    this->handleOrderAnswer(planned, upstream.id, engine, order, answer);
+}
+
+void PlacementDriver::handleOrderAnswer(const PlannedOrder &planned, const UpstreamId &upstream,
+                                        Engine &engine, const EngineOrder &order,
+                                        OrderAnswer answer)
+{
     const TimePoint now = steadyNow();
     engine.isOrderInFlight = false;
     engine.orderAnsweredAt = now;
@@ -374,7 +381,7 @@
                      fmt::format("answer=\"{}\"", orderAnswerName(answer)))
             .add();
     logEvent(LogLevel::Info, "order",
-             {{"upstream", upstream.id.value()},
+             {{"upstream", upstream.value()},
               {"operation", planned.operation == OrderOperation::Load ? "load" : "unload"},
               {"target", targetName(planned.target)},
               {"source", std::string(weightSourceName(planned.source))},
@@ -412,10 +419,10 @@
     if (!planned.target.adapter.isEmpty() && planned.operation == OrderOperation::Load) {
         // Not before the adapter is expected: the engine would refuse requests that come earlier.
         boost::asio::co_spawn(this->loop,
-                              this->publishResidencyAt(upstream.id, now + planned.expected),
+                              this->publishResidencyAt(upstream, now + planned.expected),
                               boost::asio::detached);
     } else {
-        this->publishResidency(upstream.id, engine);
+        this->publishResidency(upstream, engine);
     }
     this->wake.notifyAll();
 }
--- a/src/residency/placement_driver.hpp
+++ b/src/residency/placement_driver.hpp
@@ -141,6 +141,8 @@
     upstream::Awaitable<void> run();
     upstream::Awaitable<void> requestReport(gateway::RegisteredUpstream upstream);
     upstream::Awaitable<void> sendOrder(PlannedOrder planned, gateway::RegisteredUpstream upstream);
+    void handleOrderAnswer(const PlannedOrder &planned, const UpstreamId &upstream, Engine &engine,
+                           const EngineOrder &order, OrderAnswer answer);
     void planAllPools();
     void sendPeriodicMessages();
     void planPool(const gateway::Service &service, Pool &pool);
