--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -26,9 +26,13 @@
         const std::string patience(headers.find("test-patience-ms"));
         if (!patience.empty())
             attributes.callerTimeout = std::chrono::milliseconds(std::stoi(patience));
+        attributes.lastEventId = headers.find("test-last-event");
+        attributes.resumedRequest = RequestId(std::string(headers.find("test-resumes")));
         return attributes;
     };
-    codec.isForwardedHeader = [](std::string_view name) { return name != "test-secret"; };
+    codec.isForwardedHeader = [](std::string_view name) {
+        return name != "test-secret" && name != "test-last-event";
+    };
     codec.appendHeaders = [](std::string &head, const gateway::UpstreamAttributes &attributes) {
         upstream::appendHeader(head, "test-expected", attributes.expectedUpstream.value());
         if (!attributes.lastEventId.empty())
@@ -168,7 +172,8 @@
     }
 }
 
-RelayFixture::RelayFixture(std::vector<ScriptedUpstream *> upstreams)
+RelayFixture::RelayFixture(std::vector<ScriptedUpstream *> upstreams,
+                           std::vector<std::string> versions)
 {
     gateway::GatewaySettings settings;
     settings.listen = {"127.0.0.1", 0};
@@ -183,6 +188,7 @@
         // In the gateway's data centre, so preferred while it is healthy.
         upstream.dataCentre = DataCentreId(i == 0 ? "" : "other");
         upstream.slots = 8;
+        upstream.softwareVersion = SoftwareVersion(i < versions.size() ? versions[i] : "v1");
         this->gateway->table.applyRegistration(upstream, SteadyClock().now());
     }
     this->listen = this->gateway->start().value();
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -60,7 +60,9 @@
 public:
     /// @param upstreams servers of the service; the gateway prefers the first one while it is
     /// healthy
-    explicit RelayFixture(std::vector<ScriptedUpstream *> upstreams);
+    /// @param versions software versions of the servers; those without one run "v1"
+    explicit RelayFixture(std::vector<ScriptedUpstream *> upstreams,
+                          std::vector<std::string> versions = {});
     ~RelayFixture();
 
     /// @brief Sends bytes on a new connection and returns what the gateway sends until it closes
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -20,6 +20,14 @@
            + std::string(size) + "\r\n" + text + "\r\n" + (isWhole ? "0\r\n\r\n" : "");
 }
 
+/// A request that takes up a stream that request r1 began.
+std::string resumeRequest(const std::string &path, const std::string &lastEvent)
+{
+    std::string text
+            = request(path, {}, "test-resumes: r1\r\ntest-last-event: " + lastEvent + "\r\n");
+    return text.replace(text.find("test-id: r1"), 11, "test-id: r2");
+}
+
 bool containsText(const std::string &text, const std::string &part)
 {
     return text.find(part) != std::string::npos;
@@ -319,3 +327,77 @@
         CHECK(got.ends_with("0\r\n\r\n"));
     }
 }
+
+// Guards against a stream going on at an upstream of another software version than the one that
+// began it, whose events don't fit to its first ones.
+TEST_CASE("a stream goes on only at the software version that began it")
+{
+    const std::string begun = streamAnswer("id: 1\ndata: a\n\n", false);
+    const std::string rest = streamAnswer("id: 2\ndata: b\n\n", true);
+    SUBCASE("within one answer, at another upstream of the version")
+    {
+        ScriptedUpstream first({{begun, true}});
+        ScriptedUpstream otherVersion({{rest}});
+        ScriptedUpstream sameVersion({{rest}});
+        RelayFixture fixture({&first, &otherVersion, &sameVersion}, {"v1", "v2", "v1"});
+        const std::string got = fixture.call(request("/stream/"));
+        CHECK(got.ends_with("0\r\n\r\n"));
+        CHECK(otherVersion.requests().empty());
+        CHECK(sameVersion.requests().size() == 1);
+    }
+    SUBCASE("within one answer, without another upstream of the version, it is cut")
+    {
+        ScriptedUpstream first({{begun, true}});
+        ScriptedUpstream otherVersion({{rest}});
+        RelayFixture fixture({&first, &otherVersion}, {"v1", "v2"});
+        const std::string got = fixture.call(request("/stream/"));
+        CHECK(containsText(got, "id: 1\ndata: a\n\n"));
+        CHECK_FALSE(got.ends_with("0\r\n\r\n"));
+        CHECK(otherVersion.requests().empty());
+
+        SUBCASE("and a caller that takes it up there is refused, as long as there is none")
+        {
+            const std::string refused = fixture.call(resumeRequest("/stream/", "1"));
+            CHECK(refused.starts_with("HTTP/1.1 503 "));
+            CHECK(containsText(refused, "Retry-After: "));
+            CHECK(otherVersion.requests().empty());
+        }
+    }
+    SUBCASE("when its caller takes it up at the instance that began it")
+    {
+        ScriptedUpstream first({{begun, true}, {rest}});
+        ScriptedUpstream otherVersion({{rest}, {rest}});
+        RelayFixture fixture({&first, &otherVersion}, {"v1", "v2"});
+        fixture.call(request("/stream/"));
+        const std::string got = fixture.call(resumeRequest("/stream/", "1"));
+        CHECK(got.starts_with("HTTP/1.1 200 "));
+        CHECK(containsText(got, "id: 2\ndata: b\n\n"));
+        CHECK(first.requests().size() == 2);
+        CHECK(otherVersion.requests().empty());
+    }
+    SUBCASE("when its caller takes it up at an instance that doesn't know who began it")
+    {
+        ScriptedUpstream first({{rest}});
+        SUBCASE("it goes on if all upstreams run one version")
+        {
+            RelayFixture fixture({&first});
+            CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with("HTTP/1.1 200 "));
+        }
+        SUBCASE("it is refused if several versions serve")
+        {
+            ScriptedUpstream second({{rest}});
+            RelayFixture fixture({&first, &second}, {"v1", "v2"});
+            CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with("HTTP/1.1 503 "));
+            CHECK(first.requests().empty());
+            CHECK(second.requests().empty());
+        }
+    }
+    SUBCASE("a request that got no event may still be sent to any version")
+    {
+        ScriptedUpstream first({{"", true}});
+        ScriptedUpstream otherVersion({{streamAnswer(events, true)}});
+        RelayFixture fixture({&first, &otherVersion}, {"v1", "v2"});
+        CHECK(fixture.call(request("/stream/")).ends_with("0\r\n\r\n"));
+        CHECK(otherVersion.requests().size() == 1);
+    }
+}
