Continue a stream only at the software version that began it

Cause: a stream that broke was sent on to any upstream that held its target, within one answer and when its caller took it up again. The version of the upstream that sent the first event was neither kept nor known to the instance that the caller came back to. So a request was routed by what it asks for alone, without the state that its earlier part had created.

Change: the instance that begins a resumable stream sends its origin (request, service, version) to five other instances, chosen by hashing of the request's id, before the first event goes out. A request that takes a stream up is bound to that version; an instance that doesn't know the origin asks the holders, then all, for 200 ms at most. Nobody knows it: the stream goes on if only one version of the service was ever seen, else the request is refused at once with 503, as it is when no upstream of the version serves.

Messages of an unknown kind are now rejected instead of read as an owner's.

The regression test's section on a refused caller relied on the upstream of the first version being gone but left it registered; it is removed there now, and the check is as strict as before.

--- a/src/gateway/exchange_limits.hpp
+++ b/src/gateway/exchange_limits.hpp
@@ -13,6 +13,12 @@
 /// Retry-After when no upstream is usable; about the time for which a faulty upstream is avoided.
 constexpr Duration noUpstreamRetryAfter = std::chrono::milliseconds(400);
 
+/// Time after which other instances are asked again for the origin of a stream; several times the
+/// round trip between instances, as datagrams get lost.
+constexpr Duration originQueryInterval = std::chrono::milliseconds(50);
+/// Time after which the origin of a stream counts as unknown.
+constexpr Duration originQueryTimeout = std::chrono::milliseconds(200);
+
 /// @brief Formats a duration in whole milliseconds, for log fields.
 inline std::string formatMilliseconds(Duration duration)
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,6 +96,13 @@
     this->notifyChange();
 }
 
+void Gateway::learnOrigin(const StreamOrigin &origin)
+{
+    this->origins.record(origin, SteadyClock().now());
+    if (this->originWaits > 0)
+        this->notifyChange();
+}
+
 caller::ServerLimits Gateway::limits() const
 {
     caller::ServerLimits limits;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include "gateway/request_metrics.hpp"
 #include "gateway/retry_budget.hpp"
 #include "gateway/routing_configuration.hpp"
+#include "gateway/stream_origins.hpp"
 #include "gateway/upstream_selector.hpp"
 #include "upstream/connection_pool.hpp"
 
@@ -66,6 +67,9 @@
     /// @brief Aborts the open requests and closes all connections.
     void stop();
 
+    /// @brief Remembers the origin of a stream that another instance began.
+    void learnOrigin(const StreamOrigin &origin);
+
     /// @brief Wakes the waiting requests after a change of upstreams, their residency or promises.
     void notifyChange() { this->change.notifyAll(); }
 
@@ -81,8 +85,13 @@
     RetryBudget budget;
     QueueForecast forecast;
     DemandTracker demand;
+    StreamOrigins origins;
     /// Called when a request begins to wait for a target that no usable upstream holds.
     std::function<void()> onTargetWait;
+    /// Called with the origin of a resumable stream before its first event is sent to the caller.
+    std::function<void(const StreamOrigin &)> onStreamBegun;
+    /// Called when a caller takes up a stream of unknown origin, and again until it is known.
+    std::function<void(const RequestId &, bool isRepeated)> onOriginWanted;
     /// Called when a failed call of this instance makes it begin to avoid an upstream.
     std::function<void(const UpstreamId &, UpstreamFault)> onUpstreamAvoided;
 
@@ -111,6 +120,8 @@
     /// No connection is accepted or read from any more.
     bool closing = false;
     bool refusingWaitingRequests = false;
+    /// Number of requests that wait for the origin of a stream.
+    std::size_t originWaits = 0;
 };
 
 } // namespace bamboochute::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -97,6 +97,12 @@
                               std::nullopt);
         co_return;
     }
+    this->deadline = this->request.arrival
+                     + std::min(this->attributes.callerTimeout.value_or(this->route->timeout),
+                                this->route->timeout);
+    this->watchCaller();
+    if (this->isResumption())
+        co_await this->findStreamOrigin();
     if (!this->selectService()) {
         co_await this->refuse(
                 Error(ErrorKind::NotReady,
@@ -104,8 +110,12 @@
                 notReadyRetryAfter);
         co_return;
     }
-    this->watchCaller();
-    co_await this->runAttempts();
+    if (this->applyStreamOrigin())
+        co_await this->runAttempts();
+    else
+        co_await this->refuse(Error(ErrorKind::UpstreamUnavailable,
+                                    "the software version that began the stream is not known"),
+                              noUpstreamRetryAfter);
     this->caller.setPeerClosedHandler(nullptr);
     this->recordLatencies();
     if (this->isCallerGone) {
@@ -114,32 +124,94 @@
     }
 }
 
-/// Selects one of the route's services by weight and counts the request; returns false when the
-/// configuration lacks the service.
+/// Selects the service of the request and counts the request; returns false when the configuration
+/// lacks the service.
 bool RequestExchange::selectService()
 {
-    std::uint64_t total = 0;
-    for (const WeightedService &weighted : this->route->services)
-        total += weighted.weight;
-    std::uint64_t point = this->gateway.random.below(total);
-    for (const WeightedService &weighted : this->route->services) {
-        if (point < weighted.weight) {
-            this->service = this->index->service(weighted.service);
-            break;
-        }
-        point -= weighted.weight;
-    }
+    this->service = this->pickService();
     if (this->service == nullptr)
         return false;
     this->target = ServiceTarget{this->service->id, this->attributes.target};
-    const Duration callerTimeout = this->attributes.callerTimeout.value_or(this->route->timeout);
-    this->deadline = this->request.arrival + std::min(callerTimeout, this->route->timeout);
     this->gateway.budget.recordRequest(this->service->id, this->now());
     if (this->isEngineTarget())
         this->gateway.demand.recordArrival(this->target);
     return true;
 }
 
+/// Picks the service that began a resumed stream if the route still has it, else one of the route's
+/// services by weight.
+const Service *RequestExchange::pickService()
+{
+    const std::optional<StreamOrigin> origin
+            = this->gateway.origins.find(this->attributes.resumedRequest);
+    std::uint64_t total = 0;
+    for (const WeightedService &weighted : this->route->services) {
+        if (origin && weighted.service == origin->service)
+            return this->index->service(weighted.service);
+        total += weighted.weight;
+    }
+    std::uint64_t point = this->gateway.random.below(total);
+    for (const WeightedService &weighted : this->route->services) {
+        if (point < weighted.weight)
+            return this->index->service(weighted.service);
+        point -= weighted.weight;
+    }
+    return nullptr;
+}
+
+/// Asks the other instances for the origin of the stream that the caller takes up, unless it is
+/// known, and waits for it.
+Awaitable<void> RequestExchange::findStreamOrigin()
+{
+    const RequestId &begun = this->attributes.resumedRequest;
+    const auto isKnown = [&] { return this->gateway.origins.find(begun).has_value(); };
+    if (begun.isEmpty() || isKnown() || !this->gateway.onOriginWanted)
+        co_return;
+    const TimePoint begin = this->now();
+    const TimePoint giveUpAt = std::min(this->deadline, begin + originQueryTimeout);
+    bool isRepeated = false;
+    ++this->gateway.originWaits;
+    while (!isKnown() && !this->isCallerGone && this->now() < giveUpAt) {
+        this->gateway.onOriginWanted(begun, isRepeated);
+        isRepeated = true;
+        const TimePoint askAgainAt = std::min(giveUpAt, this->now() + originQueryInterval);
+        while (!isKnown() && !this->isCallerGone && this->now() < askAgainAt)
+            co_await this->gateway.change.wait(askAgainAt);
+    }
+    --this->gateway.originWaits;
+    this->log(LogLevel::Info, "asked for the origin of a stream", isKnown() ? "known" : "unknown",
+              {"waited_ms", formatMilliseconds(this->now() - begin)});
+}
+
+/// Binds a resumed stream to the version that began it; returns false when that is not known.
+bool RequestExchange::applyStreamOrigin()
+{
+    if (!this->isResumption())
+        return true;
+    const std::optional<StreamOrigin> origin
+            = this->gateway.origins.find(this->attributes.resumedRequest);
+    // Another service than the one that began it may follow only where the route has changed.
+    if (origin && origin->service != this->service->id)
+        return true;
+    this->requiredVersion
+            = origin ? origin->version : this->gateway.table.onlyVersion(this->service->id);
+    return this->requiredVersion.has_value();
+}
+
+/// Binds the stream to the version that sends its first event, and announces that version.
+void RequestExchange::recordStreamBegin()
+{
+    if (this->requiredVersion)
+        return;
+    this->requiredVersion = this->currentVersion;
+    if (!this->route->isResumable)
+        return;
+    const StreamOrigin origin{this->attributes.id, this->service->id, this->currentVersion};
+    this->gateway.origins.record(origin, this->now());
+    if (this->gateway.onStreamBegun)
+        this->gateway.onStreamBegun(origin);
+}
+
 void RequestExchange::watchCaller()
 {
     this->caller.setPeerClosedHandler([this] { this->handleCallerDisconnect(); });
@@ -372,8 +444,10 @@
             text += piece;
         if (text.empty())
             continue;
-        if (std::exchange(isFirst, false))
+        if (std::exchange(isFirst, false)) {
             this->recordSuccess();
+            this->recordStreamBegin();
+        }
         this->isAnswerBegun = true;
         const std::string chunk = fmt::format("{}{:x}\r\n", head, text.size());
         head.clear();
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -59,6 +59,10 @@
     };
 
     bool selectService();
+    const Service *pickService();
+    upstream::Awaitable<void> findStreamOrigin();
+    bool applyStreamOrigin();
+    void recordStreamBegin();
     void watchCaller();
     void handleCallerDisconnect();
     TimePoint now() const { return SteadyClock().now(); }
@@ -68,7 +72,14 @@
     upstream::Awaitable<UpstreamSelection> selectUpstream();
     upstream::Awaitable<UpstreamSelection> waitForTarget();
     SelectionQuery buildSelectionQuery() const;
+    std::vector<const UpstreamTable::Entry *> findServing() const;
+    void removeOtherVersions(std::vector<const UpstreamTable::Entry *> &entries) const;
     bool isEngineTarget() const;
+    /// Whether the caller takes up a stream whose first events it has.
+    bool isResumption() const
+    {
+        return this->route->kind == RequestKind::Stream && !this->attributes.lastEventId.empty();
+    }
     bool isTargetReported() const;
     bool isTargetHeldOnlyByTried() const;
     std::optional<Duration> computeQueueRetryAfter(const UpstreamId &id) const;
@@ -127,6 +138,8 @@
     /// Upstream of the last attempt, its version, and when the attempt began.
     UpstreamId currentUpstream;
     SoftwareVersion currentVersion;
+    /// Version that began the stream, once it has begun; the stream goes on at no other one.
+    std::optional<SoftwareVersion> requiredVersion;
     TimePoint sentAt{};
     /// Requests that waited at the upstream when this one was sent to it.
     std::uint32_t waitingAhead = 0;
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -32,6 +32,7 @@
     query.candidates = this->isEngineTarget() ? table.findHolding(this->service->id,
                                                                   this->target.target, this->now())
                                               : table.findServing(this->service->id);
+    this->removeOtherVersions(query.candidates);
     query.excluded = this->triedUpstreams;
     if (this->isEngineTarget()) {
         query.affinityKey = this->attributes.sharedPromptHash;
@@ -41,6 +42,25 @@
     return query;
 }
 
+/// Upstreams of the service that may get the request, whatever they hold.
+std::vector<const UpstreamTable::Entry *> RequestExchange::findServing() const
+{
+    std::vector<const UpstreamTable::Entry *> serving
+            = this->gateway.table.findServing(this->service->id);
+    this->removeOtherVersions(serving);
+    return serving;
+}
+
+/// Removes the upstreams at which the stream can't go on because of their software version.
+void RequestExchange::removeOtherVersions(std::vector<const UpstreamTable::Entry *> &entries) const
+{
+    if (!this->requiredVersion)
+        return;
+    std::erase_if(entries, [this](const UpstreamTable::Entry *entry) {
+        return entry->registered.softwareVersion != *this->requiredVersion;
+    });
+}
+
 /// Whether the request could be sent to another healthy upstream.
 bool RequestExchange::hasAlternative() const
 {
@@ -108,7 +128,7 @@
 /// Whether an upstream is reported to hold the target, even if it recently refused it.
 bool RequestExchange::isTargetReported() const
 {
-    const auto serving = this->gateway.table.findServing(this->service->id);
+    const auto serving = this->findServing();
     return std::any_of(serving.begin(), serving.end(), [this](const auto *entry) {
         return entry->residency.holds(this->target.target);
     });
@@ -118,7 +138,7 @@
 bool RequestExchange::isTargetHeldOnlyByTried() const
 {
     bool isHeld = false;
-    for (const UpstreamTable::Entry *entry : this->gateway.table.findServing(this->service->id)) {
+    for (const UpstreamTable::Entry *entry : this->findServing()) {
         if (!entry->residency.holds(this->target.target))
             continue;
         isHeld = true;
@@ -146,7 +166,12 @@
     selection.refusal = Error(ErrorKind::ColdStartUnavailable,
                               "no usable upstream holds the model or adapter");
     selection.retryAfter = noUpstreamRetryAfter;
-    if (this->isTargetHeldOnlyByTried())
+    const bool isVersionGone = this->requiredVersion && this->findServing().empty();
+    if (isVersionGone)
+        selection.refusal = Error(ErrorKind::UpstreamUnavailable,
+                                  fmt::format("no upstream of software version \"{}\" serves",
+                                              this->requiredVersion->value()));
+    if (isVersionGone || this->isTargetHeldOnlyByTried())
         co_return selection;
     DemandTracker &demand = this->gateway.demand;
     demand.recordWaitStart(this->target, waitDeadline);
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -40,6 +40,7 @@
     }
     entry.missingSince.reset();
     entry.registered = std::move(upstream);
+    this->seenVersions[entry.registered.service].insert(entry.registered.softwareVersion);
     const bool isOwnerReportFresh = entry.residency.version.startedAt >= start
                                     && entry.ownerReportedAt != TimePoint()
                                     && now < entry.ownerReportedAt + ownerReportMaxAge;
@@ -109,6 +110,14 @@
         found->second.refusedTargets[target] = until;
 }
 
+std::optional<SoftwareVersion> UpstreamTable::onlyVersion(const ServiceId &service) const
+{
+    const auto found = this->seenVersions.find(service);
+    if (found == this->seenVersions.end() || found->second.size() != 1)
+        return std::nullopt;
+    return *found->second.begin();
+}
+
 const UpstreamTable::Entry *UpstreamTable::find(const UpstreamId &id) const
 {
     const auto found = this->byId.find(id);
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -153,11 +154,16 @@
     std::vector<const Entry *> findHolding(const ServiceId &service, const Target &target,
                                            TimePoint now) const;
 
+    /// @brief The only software version of a service that this instance has ever seen.
+    /// @return unset when there were none or several
+    std::optional<SoftwareVersion> onlyVersion(const ServiceId &service) const;
+
     /// @brief All known upstreams.
     const std::map<UpstreamId, Entry> &entries() const noexcept { return this->byId; }
 
 private:
     std::map<UpstreamId, Entry> byId;
+    std::map<ServiceId, std::set<SoftwareVersion>> seenVersions;
 };
 
 } // namespace bamboochute::gateway
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -52,7 +52,18 @@
         this->pendingSuspicions.push_back(id);
         this->wake.notifyAll();
     };
+    this->gateway.onStreamBegun = [this](const gateway::StreamOrigin &origin) {
+        this->sendToHolders(origin.request, this->settings.originHolders,
+                            StreamOriginMessage{origin});
+    };
+    this->gateway.onOriginWanted = [this](const RequestId &request, bool isRepeated) {
+        this->sendToHolders(request,
+                            isRepeated ? this->settings.maxAskedInstances
+                                       : this->settings.originHolders,
+                            StreamOriginQuery{request});
+    };
     this->driver.send = [this](const std::vector<Endpoint> &to, const OwnerMessage &message) {
+        this->directory.addListed(message.instances, this->socket->localEndpoint(), now());
         for (const OwnerMessage &part : splitMessage(message, maxPartBytes)) {
             const std::string bytes = encodePeerMessage(part);
             for (const Endpoint &receiver : to)
@@ -111,10 +122,37 @@
     }
     if (const auto *demand = std::get_if<DemandMessage>(&message.value()))
         this->driver.receiveDemand(*demand, from);
+    else if (const auto *origin = std::get_if<StreamOriginMessage>(&message.value()))
+        this->gateway.learnOrigin(origin->origin);
+    else if (const auto *query = std::get_if<StreamOriginQuery>(&message.value()))
+        this->answerOriginQuery(*query, from);
     else
         this->applyOwnerMessage(std::get<OwnerMessage>(message.value()));
 }
 
+void PeerLink::answerOriginQuery(const StreamOriginQuery &query, const Endpoint &from)
+{
+    const std::optional<gateway::StreamOrigin> origin = this->gateway.origins.find(query.request);
+    if (origin)
+        this->socket->send(from, encodePeerMessage(StreamOriginMessage{*origin}));
+}
+
+/// Sends a message to the instances that keep the origin of a stream; to the owner while no other
+/// instance is known.
+void PeerLink::sendToHolders(const RequestId &request, std::size_t count,
+                             const PeerMessage &message)
+{
+    std::vector<Endpoint> holders = this->directory.holdersOf(request.value(), count);
+    const auto &owner = this->election.owner();
+    if (holders.empty() && owner && owner->record.instance != this->self)
+        holders.push_back(owner->record.endpoint);
+    if (holders.empty())
+        return;
+    const std::string bytes = encodePeerMessage(message);
+    for (const Endpoint &holder : holders)
+        this->socket->send(holder, bytes);
+}
+
 void PeerLink::applyOwnerMessage(const OwnerMessage &message)
 {
     if (message.fence < this->newestFence)
@@ -122,6 +160,7 @@
     this->newestFence = message.fence;
     this->election.handleOwnerMessage(message.fence);
     const TimePoint time = now();
+    this->directory.addListed(message.instances, this->socket->localEndpoint(), time);
     if (message.instanceCount > 0)
         this->gateway.budget.setInstanceCount(message.instanceCount);
     for (const UpstreamResidency &upstreamResidency : message.residencies)
--- a/src/residency/peer_link.hpp
+++ b/src/residency/peer_link.hpp
@@ -5,6 +5,7 @@
 #include "gateway/gateway.hpp"
 #include "peer/datagram_socket.hpp"
 #include "residency/owner_election.hpp"
+#include "residency/peer_directory.hpp"
 #include "residency/peer_messages.hpp"
 #include "residency/placement_driver.hpp"
 
@@ -22,6 +23,10 @@
     Duration waitingInterval = std::chrono::milliseconds(150);
     /// Number of instances that is assumed until the owner has announced it.
     std::uint32_t assumedInstanceCount = 24;
+    /// Other instances that are told the origin of a stream; more than may fail together.
+    std::size_t originHolders = 5;
+    /// Other instances that are asked for the origin of a stream when its holders don't answer.
+    std::size_t maxAskedInstances = 24;
 };
 
 /// @brief Sends this instance's demand to the owner of the placement and applies the owner's
@@ -54,6 +59,8 @@
     void reportDemand();
     void receiveDatagram(std::string_view bytes, const Endpoint &from);
     void applyOwnerMessage(const OwnerMessage &message);
+    void sendToHolders(const RequestId &request, std::size_t count, const PeerMessage &message);
+    void answerOriginQuery(const StreamOriginQuery &query, const Endpoint &from);
 
     boost::asio::io_context &loop;
     gateway::Gateway &gateway;
@@ -63,6 +70,7 @@
     PeerLinkSettings settings;
     gateway::ChangeSignal wake;
     std::unique_ptr<peer::DatagramSocket> socket;
+    PeerDirectory directory;
     /// Upstreams that this instance began to avoid since its last report.
     std::vector<UpstreamId> pendingSuspicions;
     bool isAnyWaiting = false;
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace bamboochute::residency {
@@ -13,6 +14,10 @@
 /// First element of an encoded message: its kind.
 constexpr int demandKind = 1;
 constexpr int ownerKind = 2;
+constexpr int streamOriginKind = 3;
+constexpr int streamOriginQueryKind = 4;
+/// Element of an owner's message that instances of earlier releases neither send nor read.
+constexpr std::size_t instancesIndex = 9;
 /// Cache use is sent in thousandths.
 constexpr double cacheUseScale = 1000;
 
@@ -133,6 +138,16 @@
                            value.at(4).get<bool>(),          value.at(5).get<bool>()};
 }
 
+Json toJson(const Endpoint &endpoint)
+{
+    return Json::array({endpoint.address, endpoint.port});
+}
+
+Endpoint decodeEndpoint(const Json &value)
+{
+    return Endpoint{value.at(0).get<std::string>(), value.at(1).get<std::uint16_t>()};
+}
+
 Json toJson(const UpstreamId &id)
 {
     return id.value();
@@ -174,18 +189,40 @@
         watchProgress = Json::array({toJson(message.watchProgress->configuration),
                                      toJson(message.watchProgress->registrations),
                                      toMillis(message.watchProgress->age)});
-    return Json::array({ownerKind, message.fence.value(), message.instanceCount,
-                        toArray(message.residencies), toArray(message.loads),
-                        toArray(message.promises), toArray(message.suspected),
-                        toArray(message.changes), std::move(watchProgress)});
+    return Json::array(
+            {ownerKind, message.fence.value(), message.instanceCount, toArray(message.residencies),
+             toArray(message.loads), toArray(message.promises), toArray(message.suspected),
+             toArray(message.changes), std::move(watchProgress), toArray(message.instances)});
+}
+
+Json toJson(const StreamOriginMessage &message)
+{
+    const gateway::StreamOrigin &origin = message.origin;
+    return Json::array({streamOriginKind, origin.request.value(), origin.service.value(),
+                        origin.version.value()});
+}
+
+Json toJson(const StreamOriginQuery &message)
+{
+    return Json::array({streamOriginQueryKind, message.request.value()});
+}
+
+StreamOriginMessage decodeStreamOrigin(const Json &value)
+{
+    return StreamOriginMessage{{RequestId(value.at(1).get<std::string>()),
+                                gateway::ServiceId(value.at(2).get<std::string>()),
+                                SoftwareVersion(value.at(3).get<std::string>())}};
 }
 
-PeerMessage decodeMessage(const Json &value)
+DemandMessage decodeDemandMessage(const Json &value)
+{
+    return DemandMessage{InstanceId(value.at(1).get<std::string>()), value.at(2).get<bool>(),
+                         decodeArray<gateway::TargetDemand>(value.at(3), decodeDemand),
+                         decodeArray<UpstreamId>(value.at(4), decodeUpstream)};
+}
+
+OwnerMessage decodeOwnerMessage(const Json &value)
 {
-    if (value.at(0).get<int>() == demandKind)
-        return DemandMessage{InstanceId(value.at(1).get<std::string>()), value.at(2).get<bool>(),
-                             decodeArray<gateway::TargetDemand>(value.at(3), decodeDemand),
-                             decodeArray<UpstreamId>(value.at(4), decodeUpstream)};
     std::optional<StoreWatchProgress> watchProgress;
     if (const Json &encodedProgress = value.at(8); !encodedProgress.is_null())
         watchProgress = StoreWatchProgress{decodeProgress(encodedProgress.at(0)),
@@ -198,7 +235,27 @@
                         decodeArray<PromisedTarget>(value.at(5), decodePromise),
                         decodeArray<UpstreamId>(value.at(6), decodeUpstream),
                         decodeArray<ForwardedChange>(value.at(7), decodeChange),
-                        watchProgress};
+                        watchProgress,
+                        value.size() > instancesIndex
+                                ? decodeArray<Endpoint>(value.at(instancesIndex), decodeEndpoint)
+                                : std::vector<Endpoint>()};
+}
+
+Result<PeerMessage> decodeMessage(const Json &value)
+{
+    const int kind = value.at(0).get<int>();
+    switch (kind) {
+    case demandKind:
+        return PeerMessage(decodeDemandMessage(value));
+    case ownerKind:
+        return PeerMessage(decodeOwnerMessage(value));
+    case streamOriginKind:
+        return PeerMessage(decodeStreamOrigin(value));
+    case streamOriginQueryKind:
+        return PeerMessage(StreamOriginQuery{RequestId(value.at(1).get<std::string>())});
+    default:
+        return Error(ErrorKind::MalformedRequest, fmt::format("unknown kind of message {}", kind));
+    }
 }
 
 std::string encode(const Json &value)
@@ -253,8 +310,9 @@
 
 std::vector<OwnerMessage> splitMessage(const OwnerMessage &message, std::size_t maxBytes)
 {
-    const OwnerMessage emptyPart{message.fence, message.instanceCount, {}, {}, {}, {}, {},
-                                 std::nullopt};
+    OwnerMessage emptyPart;
+    emptyPart.fence = message.fence;
+    emptyPart.instanceCount = message.instanceCount;
     std::vector<OwnerMessage> parts{emptyPart};
     parts.front().watchProgress = message.watchProgress;
     distribute(parts, emptyPart, message.residencies, &OwnerMessage::residencies, maxBytes);
@@ -262,6 +320,7 @@
     distribute(parts, emptyPart, message.promises, &OwnerMessage::promises, maxBytes);
     distribute(parts, emptyPart, message.suspected, &OwnerMessage::suspected, maxBytes);
     distribute(parts, emptyPart, message.changes, &OwnerMessage::changes, maxBytes);
+    distribute(parts, emptyPart, message.instances, &OwnerMessage::instances, maxBytes);
     return parts;
 }
 
--- a/src/residency/peer_messages.hpp
+++ b/src/residency/peer_messages.hpp
@@ -4,6 +4,7 @@
 
 #include "core/error.hpp"
 #include "gateway/demand_tracker.hpp"
+#include "gateway/stream_origins.hpp"
 #include "gateway/upstream_table.hpp"
 
 #include <optional>
@@ -106,10 +107,28 @@
     std::vector<UpstreamId> suspected;
     std::vector<ForwardedChange> changes;
     std::optional<StoreWatchProgress> watchProgress;
+    /// Addresses of instances, the owner's included.
+    std::vector<Endpoint> instances;
     auto operator<=>(const OwnerMessage &) const = default;
 };
 
-using PeerMessage = std::variant<DemandMessage, OwnerMessage>;
+/// @brief Tells another instance which version began a stream.
+struct StreamOriginMessage
+{
+    gateway::StreamOrigin origin;
+    auto operator<=>(const StreamOriginMessage &) const = default;
+};
+
+/// @brief Asks another instance for the origin of a stream; one that knows it answers with a
+/// StreamOriginMessage.
+struct StreamOriginQuery
+{
+    RequestId request;
+    auto operator<=>(const StreamOriginQuery &) const = default;
+};
+
+using PeerMessage
+        = std::variant<DemandMessage, OwnerMessage, StreamOriginMessage, StreamOriginQuery>;
 
 /// @brief Encodes a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -56,7 +56,13 @@
 void PlacementDriver::receiveDemand(const DemandMessage &message, const Endpoint &from)
 {
     const TimePoint now = steadyNow();
+    const bool isNew = this->reportingInstances.count(message.sender) == 0;
     this->reportingInstances[message.sender] = ReportingInstance{from, now};
+    if (isNew && this->election.isOwner()) {
+        OwnerMessage update = this->makeMessage();
+        update.instances = this->listInstances();
+        this->broadcast(update);
+    }
     std::map<gateway::ServiceId, std::vector<gateway::TargetDemand>> byService;
     for (auto &[service, pool] : this->pools)
         byService[service];
@@ -545,9 +551,19 @@
         this->gateway.table.updateLoad(id, engine.report.load, now);
         update.loads.push_back({id, engine.report.load});
     }
+    update.instances = this->listInstances();
     this->broadcast(update);
 }
 
+/// Addresses of the instances that report to this one, and its own.
+std::vector<Endpoint> PlacementDriver::listInstances() const
+{
+    std::vector<Endpoint> instances;
+    for (const auto &[instance, reportingInstance] : this->reportingInstances)
+        instances.push_back(reportingInstance.endpoint);
+    return instances;
+}
+
 void PlacementDriver::broadcast(const OwnerMessage &message)
 {
     std::vector<Endpoint> receivers;
--- a/src/residency/placement_driver.hpp
+++ b/src/residency/placement_driver.hpp
@@ -161,6 +161,7 @@
     void sendResidency(const UpstreamId &id, const Engine &engine);
     void sendPromises(const gateway::ServiceId &service, const Pool &pool, TimePoint now);
     void sendLoads(TimePoint now);
+    std::vector<Endpoint> listInstances() const;
     void sendWatchProgress(TimePoint now);
     void broadcast(const OwnerMessage &message);
     OwnerMessage makeMessage() const;
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -1,5 +1,7 @@
 #include "relay_fixture.hpp"
 
+#include <future>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -216,6 +218,16 @@
     return answer;
 }
 
+void RelayFixture::removeUpstream(std::size_t index)
+{
+    std::promise<void> removed;
+    asio::post(this->loop, [&] {
+        this->gateway->table.remove(UpstreamId(fmt::format("u{}", index)));
+        removed.set_value();
+    });
+    removed.get_future().wait();
+}
+
 void RelayFixture::callAndDisconnect(const std::string &text, Duration after) const
 {
     asio::io_context context;
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -69,6 +69,10 @@
     /// it.
     std::string call(const std::string &request) const;
 
+    /// @brief Removes the registration of an upstream.
+    /// @param index position among the constructor's upstreams
+    void removeUpstream(std::size_t index);
+
     /// @brief Sends a request and disconnects after a delay without reading the answer.
     void callAndDisconnect(const std::string &request, Duration after) const;
 
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -357,6 +357,7 @@
 
         SUBCASE("and a caller that takes it up there is refused, as long as there is none")
         {
+            fixture.removeUpstream(0);
             const std::string refused = fixture.call(resumeRequest("/stream/", "1"));
             CHECK(refused.starts_with("HTTP/1.1 503 "));
             CHECK(containsText(refused, "Retry-After: "));
--- a/tests/residency/unit-peer_messages.cpp
+++ b/tests/residency/unit-peer_messages.cpp
@@ -25,6 +25,7 @@
     message.watchProgress = StoreWatchProgress{{12, 40}, {34, 41}, 250ms};
     message.changes.push_back({"engines/w3", "{}", 41, 34, false, false});
     message.changes.push_back({"engines/w4", "", 43, 41, true, true});
+    message.instances.push_back({"10.0.0.1", 7380});
     return message;
 }
 
@@ -40,6 +41,15 @@
     const auto decodedOwner = decodePeerMessage(encodePeerMessage(ownerMessage()));
     REQUIRE(decodedOwner);
     CHECK(std::get<OwnerMessage>(decodedOwner.value()) == ownerMessage());
+    const StreamOriginMessage origin{
+            {RequestId("r1"), gateway::ServiceId("assistant"), SoftwareVersion("v1.2")}};
+    const auto decodedOrigin = decodePeerMessage(encodePeerMessage(origin));
+    REQUIRE(decodedOrigin);
+    CHECK(std::get<StreamOriginMessage>(decodedOrigin.value()) == origin);
+    const StreamOriginQuery query{RequestId("r1")};
+    const auto decodedQuery = decodePeerMessage(encodePeerMessage(query));
+    REQUIRE(decodedQuery);
+    CHECK(std::get<StreamOriginQuery>(decodedQuery.value()) == query);
 }
 
 TEST_CASE("bytes that don't encode a message are rejected")
@@ -47,6 +57,8 @@
     const std::string bytes = encodePeerMessage(ownerMessage());
     CHECK_FALSE(decodePeerMessage(""));
     CHECK_FALSE(decodePeerMessage("hello"));
+    const std::string unknownKind = {'\x82', '\x09', '\x61', 'r'};
+    CHECK_FALSE(decodePeerMessage(unknownKind));
     for (std::size_t length = 0; length < bytes.size(); ++length)
         CHECK_FALSE(decodePeerMessage(std::string_view(bytes).substr(0, length)));
 }
