Let the soak release other software versions and take broken streams up again

Engines now restart with one of three versions, a tenth of the streams break, and callers take them up at any instance with the last event's id and the request that brought the first one. A stream's events have to come from one version, in order, over all its requests.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -4,6 +4,7 @@
 - a non-idempotent request runs at most once, and not at all when it was refused;
 - a successful response is complete and belongs to its request;
 - a complete event stream has all its events in order;
+- an event stream has the events of one software version, also when its caller takes it up again;
 - an instance never returns to an older configuration;
 - an engine is never ordered to load more than its memory holds.
 
@@ -31,7 +32,7 @@
 # Kinds of faults. A run injects several of them at random; they may overlap in time.
 FAULTS = ("pause", "kill", "terminate", "store_busy", "store_silent", "store_reset", "store_loses",
           "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact", "worker_crash",
-          "worker_leaves", "answers_lost", "workers_refuse", "hangup", "configure")
+          "worker_leaves", "engine_released", "answers_lost", "workers_refuse", "hangup", "configure")
 
 
 class Instance:
@@ -75,6 +76,30 @@
         self.log.close()
 
 
+class Stream:
+    """An event stream as its caller gets it, over one request or several."""
+
+    def __init__(self, begun_by, model):
+        self.begun_by, self.model = begun_by, model
+        self.text, self.requests = b"", 1
+
+    def events(self):
+        """Returns the events that are whole."""
+        return self.text.decode().split("\n\n")[:-1]
+
+    def violation(self, is_complete):
+        """Returns what is wrong with the events, or None."""
+        events = self.events()
+        versions = {event.split(" ")[3] for event in events}
+        expected = [f"id: {n}\ndata: {self.begun_by} {version} {n}"
+                    for version in versions for n in range(1, len(events) + 1)]
+        if len(versions) > 1:
+            return f"events of the versions {sorted(versions)}"
+        if events != expected or (is_complete and len(events) != stand_ins.Engine.EVENTS):
+            return f"unexpected events: {self.text[-200:]}"
+        return None
+
+
 class Soak:
     def __init__(self, options, directory):
         self.options, self.directory = options, directory
@@ -148,18 +173,26 @@
 
     async def caller(self, number):
         """Sends requests to random instances until the run ends."""
-        connection = None
+        connection, broken_stream = None, None
         sent = 0
         while not self.is_over:
             instance = self.random.choice(self.instances)
             sent += 1
             attempt = f"{number}-{sent}"
             kind = self.random.choice(("once", "any", "talk", "new"))
+            stream = None
+            if broken_stream:
+                kind, stream = "talk", broken_stream
+                stream.requests += 1
+            elif kind == "talk":
+                stream = Stream(attempt, self.random.choice(MODELS))
+            broken_stream = None
             try:
                 if connection is None or self.random.random() < 0.3:
                     connection = (instance, instance.generation,
                                   *await asyncio.open_connection("127.0.0.1", instance.port))
-                is_reusable = await asyncio.wait_for(self.ask(connection, attempt, kind), DEADLINE_S + 4)
+                is_reusable = await asyncio.wait_for(self.ask(connection, attempt, kind, stream),
+                                                    DEADLINE_S + 4)
                 if not is_reusable:
                     connection[3].close()
                     connection = None
@@ -168,9 +201,13 @@
                 if connection:
                     connection[3].close()
                 connection = None
+                if stream and stream.violation(False):
+                    self.record.rule(f"{stream.begun_by} got a stream with {stream.violation(False)}")
+                elif stream and stream.events() and stream.requests < 3:
+                    broken_stream = stream
             await asyncio.sleep(self.random.uniform(0.01, 0.08))
 
-    async def ask(self, connection, attempt, kind):
+    async def ask(self, connection, attempt, kind, stream):
         """Sends one request, checks the response, and returns whether the connection can be reused."""
         instance, generation, reader, writer = connection
         version = self.version
@@ -179,8 +216,10 @@
         body = "pay" if method == "POST" else ""
         request_lines = [f"{method} {path} HTTP/1.1", "Host: desk.example", f"X-Attempt-Id: {attempt}",
                  f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}"]
-        if kind == "talk":
-            request_lines.append(f"X-Model: {self.random.choice(MODELS)}")
+        if stream:
+            request_lines.append(f"X-Model: {stream.model}")
+        if stream and stream.events():
+            request_lines += [f"Last-Event-Id: {len(stream.events())}", f"Resumes: {stream.begun_by}"]
         if body:
             request_lines.append(f"Content-Length: {len(body)}")
         self.outcomes[attempt] = (kind, None)
@@ -189,7 +228,8 @@
         status = int(status_line.split(" ")[1])
         is_signed = stand_ins.SIGNATURE.lower() in headers
         if headers.get("transfer-encoding") == "chunked":
-            await self.check_events(attempt, reader)
+            self.count(f"stream taken up {stream.requests - 1} times")
+            await self.check_events(stream, reader)
         else:
             text = await reader.readexactly(int(headers.get("content-length", "0")))
             if status == 200 and kind == "talk":
@@ -204,17 +244,14 @@
         self.count(f"{kind} {status}")
         return headers.get("connection", "") != "close"
 
-    async def check_events(self, attempt, reader):
+    async def check_events(self, stream, reader):
         """Reads a chunked event stream and checks that it has exactly the expected events."""
-        text = b""
         while size := int(await reader.readuntil(b"\r\n"), 16):
-            text += await reader.readexactly(size)
+            stream.text += await reader.readexactly(size)
             await reader.readexactly(2)
         await reader.readexactly(2)
-        expected = "".join(f"id: {n}\ndata: {attempt}.{n}\n\n"
-                           for n in range(1, stand_ins.Engine.EVENTS + 1))
-        if text.decode() != expected:
-            self.record.rule(f"{attempt} got a complete stream with unexpected events: {text[:200]}")
+        if stream.violation(True):
+            self.record.rule(f"{stream.begun_by} got a complete stream with {stream.violation(True)}")
 
     def check_version(self, instance, generation, version, kind, status):
         """Checks that a process that has served the route of a version keeps that version or a newer one."""
@@ -273,6 +310,10 @@
             await worker.leave()
             await asyncio.sleep(duration_s)
             await worker.restart()
+        elif kind == "engine_released":
+            engine = self.random.choice(self.engines)
+            engine.version = self.random.choice(("v1", "v1.1", "v2"))
+            await engine.restart()
         elif kind == "answers_lost":
             worker.lose = 0.3
             await asyncio.sleep(duration_s)
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -276,11 +276,12 @@
         self.random = random
         self.state, self.report_sequence, self.started_at_ms = "ready", 0, int(time.time() * 1000)
         self.lose, self.refuse, self.unframed = 0.0, 0.0, 0.2
+        self.version = "v1"
 
     def says(self):
         """Returns the registration that the worker writes to the store."""
         return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "norte",
-                "version": "v1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
+                "version": self.version, "slots": 8, "state": self.state, "cold_remaining_ms": 0,
                 "sequence": self.report_sequence, "born": self.started_at_ms}
 
     async def register(self):
@@ -352,6 +353,8 @@
     """
 
     EVENTS = 12
+    # Share of the streams that break also while no fault is injected.
+    BREAKS = 0.1
     LOAD_S, LOAD_FROM_DISK_S = 0.8, 0.15
 
     def __init__(self, *args, models=(), sizes=None, capacity=0):
@@ -410,6 +413,7 @@
             return
         attempt = request.header("X-Attempt-Id")
         self.record.ran(attempt, self.name)
+        begun_by = request.header("Resumes") or attempt
         first = int(request.header("Last-Event-Id") or 0) + 1
         is_unframed = self.random.random() < self.unframed
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
@@ -419,9 +423,9 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(first, self.EVENTS + 1):
             await asyncio.sleep(0.01)
-            event = f"id: {number}\ndata: {attempt}.{number}\n\n".encode()
+            event = f"id: {number}\ndata: {begun_by} {self.version} {number}\n\n".encode()
             chunk_head, chunk_end = (b"", b"") if is_unframed else (f"{len(event):x}\r\n".encode(), b"\r\n")
-            if self.random.random() < self.lose / self.EVENTS:
+            if self.random.random() < max(self.lose, self.BREAKS) / self.EVENTS:
                 writer.write(chunk_head + event[:-self.random.randint(1, len(event) - 1)])
                 await self.close_in_order(writer)
             writer.write(chunk_head + event + chunk_end)
