Load the target of a resumed stream at an engine of its software version

What callers would see: a stream that is bound to the version that began it waits until most of its time is over and is refused, although engines of the version serve, because only engines of other versions hold its adapter or model. After the crash of an engine that is the usual case: an adapter is mostly held by one.

Cause: the demand that instances report names the target alone, so the owner sees it as held and orders nothing, and promises it at once.

Change: demand and promises of such requests name the version. The planner loads the adapter at an engine of the version that has the base model, or the model at one of them if the gain outweighs the evictions; without such an engine it announces a long wait, on which the request is refused at once. Instances of earlier releases ignore the new elements of the messages.

--- a/src/gateway/demand_tracker.hpp
+++ b/src/gateway/demand_tracker.hpp
@@ -18,6 +18,8 @@
 {
     ServiceId service;
     Target target;
+    /// Software version that the requests are bound to; empty when any serves them.
+    SoftwareVersion version = {};
     auto operator<=>(const ServiceTarget &) const = default;
 };
 
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -173,8 +173,10 @@
                                               this->requiredVersion->value()));
     if (isVersionGone || this->isTargetHeldOnlyByTried())
         co_return selection;
+    ServiceTarget wanted = this->target;
+    wanted.version = this->requiredVersion.value_or(SoftwareVersion());
     DemandTracker &demand = this->gateway.demand;
-    demand.recordWaitStart(this->target, waitDeadline);
+    demand.recordWaitStart(wanted, waitDeadline);
     if (this->gateway.onTargetWait)
         this->gateway.onTargetWait();
     while (!this->isCallerGone && this->now() < waitDeadline) {
@@ -183,7 +185,7 @@
             selection.retryAfter = Duration(0);
             break;
         }
-        const std::optional<TargetPromise> promise = demand.promise(this->target);
+        const std::optional<TargetPromise> promise = demand.promise(wanted);
         const bool isTargetReported = this->isTargetReported();
         if (!isTargetReported && promise && promise->readyAt > waitDeadline) {
             selection.retryAfter = promise->readyAt - this->now();
@@ -204,7 +206,7 @@
         if (selection.upstream)
             break;
     }
-    demand.recordWaitEnd(this->target, waitDeadline);
+    demand.recordWaitEnd(wanted, waitDeadline);
     this->gateway.requestMetrics.targetWait.record(this->now() - waitStart);
     this->log(LogLevel::Info, "waited for target",
               selection.upstream ? "held" : selection.refusal->row().code,
--- a/src/residency/demand_tally.cpp
+++ b/src/residency/demand_tally.cpp
@@ -86,10 +86,15 @@
         demand.waiting = 0;
         demand.shortestWait = Duration(0);
     }
+    this->boundWaitCounts.clear();
     for (const auto &[id, instance] : this->byInstance) {
         for (const gateway::TargetDemand &entry : instance.demand) {
             if (entry.waiting == 0)
                 continue;
+            if (!entry.target.version.isEmpty()) {
+                this->boundWaitCounts[{entry.target.target, entry.target.version}] += entry.waiting;
+                continue;
+            }
             SmoothedDemand &demand = this->byTarget[entry.target.target];
             demand.shortestWait = demand.waiting == 0
                                           ? entry.shortestWait
@@ -115,15 +120,15 @@
     return targets;
 }
 
-std::vector<Target> DemandTally::waitingTargetsAt(const InstanceId &instance) const
+std::vector<VersionedTarget> DemandTally::waitingTargetsAt(const InstanceId &instance) const
 {
-    std::vector<Target> targets;
+    std::vector<VersionedTarget> targets;
     const auto found = this->byInstance.find(instance);
     if (found == this->byInstance.end())
         return targets;
     for (const gateway::TargetDemand &entry : found->second.demand) {
         if (entry.waiting > 0)
-            targets.push_back(entry.target.target);
+            targets.push_back({entry.target.target, entry.target.version});
     }
     return targets;
 }
--- a/src/residency/demand_tally.hpp
+++ b/src/residency/demand_tally.hpp
@@ -10,6 +10,15 @@
 
 namespace bamboochute::residency {
 
+/// @brief A model or adapter, at the upstreams of one software version.
+struct VersionedTarget
+{
+    Target target;
+    /// Empty for all versions.
+    SoftwareVersion version = {};
+    auto operator<=>(const VersionedTarget &) const = default;
+};
+
 /// @brief Demand for one model or adapter, summed over all instances.
 struct SmoothedDemand
 {
@@ -64,11 +73,18 @@
     /// model include those of its adapters, its waiting requests don't
     SmoothedDemand demandFor(const Target &target) const;
 
-    /// @brief Targets for which requests of any instance wait.
+    /// @brief Targets for which requests of any instance wait that any version serves.
     std::vector<Target> waitingTargets() const;
 
+    /// @brief Targets for which requests of any instance wait that only one version serves, with
+    /// the number of these requests.
+    const std::map<VersionedTarget, std::uint32_t> &boundWaits() const noexcept
+    {
+        return this->boundWaitCounts;
+    }
+
     /// @brief Targets for which requests of one instance wait.
-    std::vector<Target> waitingTargetsAt(const InstanceId &instance) const;
+    std::vector<VersionedTarget> waitingTargetsAt(const InstanceId &instance) const;
 
     /// @brief Requests in all reports since construction.
     std::uint64_t arrivals() const noexcept { return this->arrivalCount; }
@@ -88,6 +104,7 @@
     DemandSmoothing smoothing;
     std::map<InstanceId, InstanceReport> byInstance;
     std::map<Target, SmoothedDemand> byTarget;
+    std::map<VersionedTarget, std::uint32_t> boundWaitCounts;
     TimePoint advancedAt{};
     std::uint64_t arrivalCount = 0;
 };
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -16,8 +16,11 @@
 constexpr int ownerKind = 2;
 constexpr int streamOriginKind = 3;
 constexpr int streamOriginQueryKind = 4;
-/// Element of an owner's message that instances of earlier releases neither send nor read.
+/// Elements of an owner's message, a demand and a promise that instances of earlier releases
+/// neither send nor read.
 constexpr std::size_t instancesIndex = 9;
+constexpr std::size_t demandVersionIndex = 6;
+constexpr std::size_t promiseVersionIndex = 3;
 /// Cache use is sent in thousandths.
 constexpr double cacheUseScale = 1000;
 
@@ -42,21 +45,28 @@
                   AdapterId(value.at(1).get<std::string>())};
 }
 
+SoftwareVersion decodeVersion(const Json &value, std::size_t index)
+{
+    return SoftwareVersion(value.size() > index ? value.at(index).get<std::string>()
+                                                : std::string());
+}
+
 Json toJson(const gateway::TargetDemand &demand)
 {
     return Json::array({demand.target.service.value(), toJson(demand.target.target),
                         demand.arrivals, demand.waiting, toMillis(demand.shortestWait),
-                        demand.running});
+                        demand.running, demand.target.version.value()});
 }
 
 gateway::TargetDemand decodeDemand(const Json &value)
 {
-    return gateway::TargetDemand{
-            {gateway::ServiceId(value.at(0).get<std::string>()), decodeTarget(value.at(1))},
-            value.at(2).get<std::uint32_t>(),
-            value.at(3).get<std::uint32_t>(),
-            fromMillis(value.at(4)),
-            value.at(5).get<std::uint32_t>()};
+    return gateway::TargetDemand{{gateway::ServiceId(value.at(0).get<std::string>()),
+                                  decodeTarget(value.at(1)),
+                                  decodeVersion(value, demandVersionIndex)},
+                                 value.at(2).get<std::uint32_t>(),
+                                 value.at(3).get<std::uint32_t>(),
+                                 fromMillis(value.at(4)),
+                                 value.at(5).get<std::uint32_t>()};
 }
 
 Json toJson(const UpstreamResidency &upstreamResidency)
@@ -105,14 +115,14 @@
 Json toJson(const PromisedTarget &promise)
 {
     return Json::array({promise.target.service.value(), toJson(promise.target.target),
-                        toMillis(promise.readyIn)});
+                        toMillis(promise.readyIn), promise.target.version.value()});
 }
 
 PromisedTarget decodePromise(const Json &value)
 {
-    return PromisedTarget{
-            {gateway::ServiceId(value.at(0).get<std::string>()), decodeTarget(value.at(1))},
-            fromMillis(value.at(2))};
+    return PromisedTarget{{gateway::ServiceId(value.at(0).get<std::string>()),
+                           decodeTarget(value.at(1)), decodeVersion(value, promiseVersionIndex)},
+                          fromMillis(value.at(2))};
 }
 
 Json toJson(const WatchProgress &part)
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -189,6 +189,7 @@
 {
     UpstreamSnapshot snapshot;
     snapshot.id = entry.registered.id;
+    snapshot.softwareVersion = entry.registered.softwareVersion;
     snapshot.residency = engine.report.residency;
     snapshot.copies = engine.report.copies;
     snapshot.pendingAdapters = engine.report.pendingAdapters;
@@ -489,10 +490,12 @@
 {
     const auto collectPromises = [&](const InstanceId &instance) {
         std::vector<PromisedTarget> promises;
-        for (const Target &target : pool.demand.waitingTargetsAt(instance)) {
-            const std::optional<TimePoint> ready = pool.planner.readyAt(target);
+        for (const VersionedTarget &wanted : pool.demand.waitingTargetsAt(instance)) {
+            const std::optional<TimePoint> ready
+                    = pool.planner.readyAt(wanted.target, wanted.version);
             if (ready)
-                promises.push_back({{service, target}, std::max(Duration(0), *ready - now)});
+                promises.push_back({{service, wanted.target, wanted.version},
+                                    std::max(Duration(0), *ready - now)});
         }
         return promises;
     };
--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -62,6 +62,7 @@
     this->expectedReadyTimes.clear();
     this->removeObsoleteGoals(state);
     this->addGoalsForWaitingRequests(state);
+    this->addGoalsForBoundRequests(state);
     if (this->preloadPlannedAt == TimePoint()
         || now >= this->preloadPlannedAt + this->settings.preloadInterval) {
         this->preloadPlannedAt = now;
@@ -74,9 +75,10 @@
     return orders;
 }
 
-std::optional<TimePoint> ResidencyPlanner::readyAt(const Target &target) const
+std::optional<TimePoint> ResidencyPlanner::readyAt(const Target &target,
+                                                   const SoftwareVersion &version) const
 {
-    const auto found = this->expectedReadyTimes.find(target);
+    const auto found = this->expectedReadyTimes.find({target, version});
     return found == this->expectedReadyTimes.end() ? std::nullopt
                                                    : std::optional<TimePoint>(found->second);
 }
@@ -126,7 +128,7 @@
         if (model == nullptr)
             continue;
         if (model->replicas > 0) {
-            this->expectedReadyTimes[target] = this->adapterReadyAt(state, target);
+            this->expectedReadyTimes[{target}] = this->adapterReadyAt(state, {target});
             continue;
         }
         const std::size_t index = state.modelIndexes[target.model];
@@ -151,10 +153,54 @@
             goal.hasWaitingRequests = goal.hasWaitingRequests || goal.model == target.model;
         if (const std::optional<TimePoint> goal = this->earliestGoalReadyAt(target.model))
             ready = std::max(*goal, state.now + unloadTime);
-        this->expectedReadyTimes[target] = ready;
+        this->expectedReadyTimes[{target}] = ready;
     }
 }
 
+/// Plans for streams that go on only at the version that began them, as other engines than those
+/// that hold their target may have to load it.
+void ResidencyPlanner::addGoalsForBoundRequests(PlanningState &state)
+{
+    for (const auto &[wanted, waitingRequests] : state.demand.boundWaits()) {
+        if (state.find(wanted.target.model) != nullptr)
+            this->expectedReadyTimes[wanted]
+                    = this->planBoundTarget(state, wanted, waitingRequests);
+    }
+}
+
+/// Returns when an engine of the version is expected to hold the target.
+TimePoint ResidencyPlanner::planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
+                                            std::uint32_t waitingRequests)
+{
+    const ModelId &id = wanted.target.model;
+    const std::size_t index = state.modelIndexes[id];
+    std::optional<TimePoint> goalReadyAt;
+    for (const UpstreamState &upstreamState : state.upstreams) {
+        if (!upstreamState.snapshot->isUsable || !upstreamState.isOfVersion(wanted.version))
+            continue;
+        const auto goal = this->goals.find(upstreamState.snapshot->id);
+        const bool hasGoal = goal != this->goals.end();
+        if (upstreamState.snapshot->residency.find(id) != nullptr
+            && !(hasGoal && goal->second.evicts(id)))
+            return this->adapterReadyAt(state, wanted);
+        if (hasGoal && goal->second.model == id) {
+            goal->second.hasWaitingRequests = true;
+            goalReadyAt
+                    = std::min(goalReadyAt.value_or(goal->second.readyAt), goal->second.readyAt);
+        }
+    }
+    if (goalReadyAt)
+        return std::max(*goalReadyAt, state.now + unloadTime);
+    const std::optional<Candidate> candidate
+            = this->findBestCandidate(state, index, true, wanted.version);
+    const gateway::ModelWeights &weights = *state.models[index].weights;
+    const double benefit = waitingRequests * toSeconds(weights.storeLoadTime);
+    if (!candidate || candidate->disruptionCost >= benefit)
+        return state.now + this->estimateUnplannedWait(weights);
+    this->addGoal(state, *candidate, id, true, "streams wait for the software version");
+    return candidate->readyAt;
+}
+
 /// Earliest time at which an engine with a goal for a model is expected to hold it.
 std::optional<TimePoint> ResidencyPlanner::earliestGoalReadyAt(const ModelId &model) const
 {
@@ -323,13 +369,13 @@
 
 std::optional<ResidencyPlanner::Candidate>
 ResidencyPlanner::findBestCandidate(PlanningState &state, std::size_t model,
-                                    bool hasWaitingRequests)
+                                    bool hasWaitingRequests, const SoftwareVersion &version)
 {
     std::optional<Candidate> best;
     const bool canUseStore = this->canLoadFromStore(state);
     for (const UpstreamState &upstreamState : state.upstreams) {
         const auto &resident = upstreamState.resident;
-        if (!upstreamState.snapshot->isUsable
+        if (!upstreamState.snapshot->isUsable || !upstreamState.isOfVersion(version)
             || std::find(resident.begin(), resident.end(), model) != resident.end())
             continue;
         // No engine is reserved for a load that the weight store can't begin yet.
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -21,6 +21,7 @@
 struct UpstreamSnapshot
 {
     UpstreamId id;
+    SoftwareVersion softwareVersion;
     gateway::Residency residency;
     gateway::WeightCopies copies;
     /// Adapters that are being loaded.
@@ -128,8 +129,10 @@
                                    const DemandTally &demand, TimePoint now);
 
     /// @brief When the last plan expects some engine to hold a target that requests wait for.
+    /// @param version software version that the waiting requests are bound to; empty for all others
     /// @return nothing when no request waited for the target
-    std::optional<TimePoint> readyAt(const Target &target) const;
+    std::optional<TimePoint> readyAt(const Target &target,
+                                     const SoftwareVersion &version = {}) const;
 
     /// @brief Records that an engine accepted a planned order.
     void recordAcceptedOrder(const PlannedOrder &order, TimePoint now);
@@ -195,6 +198,12 @@
         std::vector<std::size_t> resident;
         /// Where the weights of each model would be loaded from, by index in PlanningState::models.
         std::vector<WeightSource> sources;
+
+        /// @brief Whether the engine runs a version; true for the empty one.
+        bool isOfVersion(const SoftwareVersion &version) const
+        {
+            return version.isEmpty() || this->snapshot->softwareVersion == version;
+        }
     };
     /// Input and working state of one call of plan().
     struct PlanningState
@@ -218,19 +227,24 @@
                                         const ModelState &modelState) const;
     void removeObsoleteGoals(PlanningState &state);
     void addGoalsForWaitingRequests(PlanningState &state);
+    void addGoalsForBoundRequests(PlanningState &state);
+    TimePoint planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
+                              std::uint32_t waitingRequests);
     void addGoalsForReplicas(PlanningState &state);
     void addGoalsForUnloadedModels(PlanningState &state);
     void addOrdersForGoals(PlanningState &state, std::vector<PlannedOrder> &orders);
     void addOrdersForAdapters(PlanningState &state, std::vector<PlannedOrder> &orders);
-    void addAdapterOrder(PlanningState &state, const Target &target,
+    void addAdapterOrder(PlanningState &state, const VersionedTarget &wanted,
                          std::vector<PlannedOrder> &orders);
     void addGoal(PlanningState &state, const Candidate &candidate, const ModelId &model,
                  bool hasWaitingRequests, std::string_view reason);
 
     /// @param model index in PlanningState::models, here and below
     /// @param hasWaitingRequests whether requests wait for the model
+    /// @param version software version of the engines to consider; empty for all
     std::optional<Candidate> findBestCandidate(PlanningState &state, std::size_t model,
-                                               bool hasWaitingRequests);
+                                               bool hasWaitingRequests,
+                                               const SoftwareVersion &version = {});
     std::optional<Candidate> evaluateCandidate(const PlanningState &state,
                                                const UpstreamState &upstreamState,
                                                std::size_t model) const;
@@ -246,7 +260,7 @@
     Duration loadTime(const gateway::ModelWeights &model, WeightSource source) const;
     std::uint32_t countStoreLoads(PlanningState &state) const;
     bool canLoadFromStore(PlanningState &state);
-    TimePoint adapterReadyAt(const PlanningState &state, const Target &target) const;
+    TimePoint adapterReadyAt(const PlanningState &state, const VersionedTarget &wanted) const;
     Duration estimateUnplannedWait(const gateway::ModelWeights &model) const;
 
     PlannerSettings settings;
@@ -258,7 +272,7 @@
     std::map<std::pair<UpstreamId, ModelId>, TimePoint> loadedAt;
     std::map<UpstreamId, ModelId> runningStoreLoads;
     /// Results of the last plan, for readyAt().
-    std::map<Target, TimePoint> expectedReadyTimes;
+    std::map<VersionedTarget, TimePoint> expectedReadyTimes;
     TimePoint preloadPlannedAt{};
 };
 
--- a/src/residency/planner_adapters.cpp
+++ b/src/residency/planner_adapters.cpp
@@ -10,13 +10,18 @@
 {
     for (const Target &target : state.demand.waitingTargets()) {
         if (!target.adapter.isEmpty())
-            this->addAdapterOrder(state, target, orders);
+            this->addAdapterOrder(state, {target}, orders);
+    }
+    for (const auto &[wanted, waitingRequests] : state.demand.boundWaits()) {
+        if (!wanted.target.adapter.isEmpty())
+            this->addAdapterOrder(state, wanted, orders);
     }
 }
 
-void ResidencyPlanner::addAdapterOrder(PlanningState &state, const Target &target,
+void ResidencyPlanner::addAdapterOrder(PlanningState &state, const VersionedTarget &wanted,
                                        std::vector<PlannedOrder> &orders)
 {
+    const Target &target = wanted.target;
     const ModelState *model = state.find(target.model);
     if (model == nullptr)
         return;
@@ -24,7 +29,8 @@
     std::uint64_t bestScore = 0;
     for (const UpstreamState &upstreamState : state.upstreams) {
         const UpstreamSnapshot &upstream = *upstreamState.snapshot;
-        if (!upstream.isUsable || upstream.residency.find(target.model) == nullptr)
+        if (!upstream.isUsable || !upstreamState.isOfVersion(wanted.version)
+            || upstream.residency.find(target.model) == nullptr)
             continue;
         const auto &pending = upstream.pendingAdapters;
         const bool isPending = std::find(pending.begin(), pending.end(), target) != pending.end();
@@ -75,12 +81,14 @@
 }
 
 /// Earliest time at which an engine that holds the model can have loaded an adapter of it.
-TimePoint ResidencyPlanner::adapterReadyAt(const PlanningState &state, const Target &target) const
+TimePoint ResidencyPlanner::adapterReadyAt(const PlanningState &state,
+                                           const VersionedTarget &wanted) const
 {
     TimePoint earliest = state.now + this->settings.minUnplannedWait;
     for (const UpstreamState &upstreamState : state.upstreams) {
         const UpstreamSnapshot &upstream = *upstreamState.snapshot;
-        if (upstream.isUsable && upstream.residency.find(target.model) != nullptr)
+        if (upstream.isUsable && upstreamState.isOfVersion(wanted.version)
+            && upstream.residency.find(wanted.target.model) != nullptr)
             earliest = std::min(earliest, std::max(state.now, upstream.busyUntil));
     }
     return earliest + this->settings.adapterLoadTime;
--- a/tests/residency/unit-peer_messages.cpp
+++ b/tests/residency/unit-peer_messages.cpp
@@ -11,6 +11,8 @@
 const gateway::ServiceTarget target{gateway::ServiceId("assistant"),
                                     {ModelId("lease"), AdapterId("a3")}};
 
+const gateway::ServiceTarget boundTarget{target.service, target.target, SoftwareVersion("v1.2")};
+
 OwnerMessage ownerMessage()
 {
     OwnerMessage message;
@@ -21,6 +23,7 @@
              {{1700000000000, 3, true}, {{ModelId("lease"), {AdapterId("a3"), AdapterId("a4")}}}}});
     message.loads.push_back({UpstreamId("w1"), {12, 1, 0.5}});
     message.promises.push_back({target, 1500ms});
+    message.promises.push_back({boundTarget, 300ms});
     message.suspected.emplace_back("w2");
     message.watchProgress = StoreWatchProgress{{12, 40}, {34, 41}, 250ms};
     message.changes.push_back({"engines/w3", "{}", 41, 34, false, false});
@@ -33,8 +36,10 @@
 
 TEST_CASE("decoding restores an encoded message")
 {
-    const DemandMessage demand{
-            InstanceId("edge-1"), true, {{target, 5, 1, 250ms, 2}}, {UpstreamId("w9")}};
+    const DemandMessage demand{InstanceId("edge-1"),
+                               true,
+                               {{target, 5, 1, 250ms, 2}, {boundTarget, 0, 1, 250ms, 0}},
+                               {UpstreamId("w9")}};
     const auto decodedDemand = decodePeerMessage(encodePeerMessage(demand));
     REQUIRE(decodedDemand);
     CHECK(std::get<DemandMessage>(decodedDemand.value()) == demand);
@@ -78,7 +83,7 @@
         promiseCount += part.promises.size();
     }
     CHECK(residencyCount == message.residencies.size());
-    CHECK(promiseCount == 1);
+    CHECK(promiseCount == message.promises.size());
 
     SUBCASE("all parts of a demand message but the first are continuations")
     {
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 
 using namespace bamboochute;
 using namespace bamboochute::residency;
@@ -76,6 +77,16 @@
             entry.arrivals = 0;
     }
 
+    /// Adds a stream that goes on only at one software version.
+    void addBoundStream(const std::string &model, const std::string &adapter,
+                        const std::string &version)
+    {
+        const gateway::ServiceTarget wanted{
+                service, {ModelId(model), AdapterId(adapter)}, SoftwareVersion(version)};
+        this->reportedDemand.push_back({wanted, 0, 1, Duration(2s), 0});
+        this->tally.addReport(InstanceId("edge"), this->reportedDemand, false, this->now);
+    }
+
     void clearDemand()
     {
         this->reportedDemand.clear();
@@ -375,6 +386,58 @@
     CHECK(fleet.engineAt(0).residency.models[0].adapters.size() == 2);
 }
 
+// Guards against streams that can't be taken up because only engines of other software versions
+// hold their target.
+TEST_CASE("the target of a stream that is bound to a software version is loaded at that version")
+{
+    Fleet fleet(3, 2);
+    const std::array<const char *, 3> versions{"v1", "v2", "v2"};
+    for (std::size_t i = 0; i < versions.size(); ++i)
+        fleet.engineAt(i).softwareVersion = SoftwareVersion(versions[i]);
+    fleet.addModel(0, "m0");
+    const Target model{ModelId("m0"), {}};
+    const Target adapter{ModelId("m0"), AdapterId("a1")};
+
+    SUBCASE("the model, though an engine of another version holds it")
+    {
+        fleet.addDiskCopy(2, "m0");
+        fleet.addBoundStream("m0", "", "v2");
+        fleet.run(50ms);
+        const auto ready = fleet.planner.readyAt(model, SoftwareVersion("v2"));
+        REQUIRE(ready);
+        CHECK(*ready <= fleet.now + 500ms);
+        fleet.run(700ms);
+        CHECK(fleet.engineAt(2).residency.holds(model));
+        CHECK_FALSE(fleet.planner.readyAt(model));
+    }
+    SUBCASE("the adapter, though an engine of another version holds it")
+    {
+        fleet.engineAt(0).residency.models[0].adapters.emplace_back("a1");
+        fleet.addModel(1, "m0");
+        fleet.addBoundStream("m0", "a1", "v2");
+        fleet.run(200ms);
+        CHECK(fleet.engineAt(1).residency.holds(adapter));
+    }
+    SUBCASE("nothing is loaded if an engine of the version holds it")
+    {
+        fleet.addBoundStream("m0", "", "v1");
+        fleet.run(300ms);
+        CHECK(fleet.replicaCount("m0") == 1);
+        CHECK(fleet.planner.readyAt(model, SoftwareVersion("v1")));
+    }
+    SUBCASE("without a usable engine of the version a long wait is announced")
+    {
+        fleet.engineAt(1).isUsable = false;
+        fleet.engineAt(2).isUsable = false;
+        fleet.addBoundStream("m0", "", "v2");
+        fleet.run(50ms);
+        CHECK(fleet.replicaCount("m0") == 1);
+        const auto ready = fleet.planner.readyAt(model, SoftwareVersion("v2"));
+        REQUIRE(ready);
+        CHECK(*ready >= fleet.now + 3s);
+    }
+}
+
 TEST_CASE("models that compete for one engine don't evict each other right after their loads")
 {
     Fleet fleet(1, 4);
