--- a/tests/platform/adapter/unit-decoding.cpp
+++ b/tests/platform/adapter/unit-decoding.cpp
@@ -122,6 +122,7 @@
     CHECK(upstream.residency.holds({ModelId("m1"), AdapterId("a1")}));
     CHECK_FALSE(upstream.residency.holds({ModelId("m1"), AdapterId("a2")}));
     CHECK(upstream.copies.onDisk.size() == 2);
+    CHECK(upstream.softwareVersion == SoftwareVersion("v1"));
 
     SUBCASE("a draining registration marks the upstream as leaving")
     {
@@ -138,7 +139,7 @@
 
     SUBCASE("a registration with a missing or invalid field is rejected")
     {
-        for (const char *name : {"service", "address", "zone", "slots", "state", "sequence"}) {
+        for (const char *name : {"service", "address", "zone", "version", "slots", "state", "sequence"}) {
             CHECK_FALSE(decodeRegistration("w1", withoutField(registrationJson(), name).dump()));
             CHECK_FALSE(decodeRegistration(
                     "w1",
@@ -204,6 +205,7 @@
     headers.add("X-Token-Usage", "1460,80");
     headers.add("X-Prompt-Prefix", "5c1e:800,91bd:410,e440:250");
     headers.add("Last-Event-Id", "12");
+    headers.add("Resumes", "5e77");
     const gateway::RequestAttributes attributes = codec.readRequest(headers);
     CHECK(attributes.id == RequestId("9c41"));
     CHECK(attributes.callerTimeout == Duration(5s));
@@ -211,6 +213,7 @@
     CHECK(attributes.promptTokens == 1460);
     CHECK(attributes.maxOutputTokens == 80);
     CHECK(attributes.lastEventId == "12");
+    CHECK(attributes.resumedRequest == RequestId("5e77"));
 
     SUBCASE("requests to one model that differ only in their last prompt part have the same shared "
             "prompt hash")
