--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -90,8 +90,8 @@
     std::function<void()> onTargetWait;
     /// Called with the origin of a resumable stream before its first event is sent to the caller.
     std::function<void(const StreamOrigin &)> onStreamBegun;
-    /// Called when a caller takes up a stream of unknown origin; again, with isRepeated, until it is
-    /// known or the request gives up.
+    /// Called when a caller takes up a stream of unknown origin; again, with isRepeated, until it
+    /// is known or the request gives up.
     std::function<void(const RequestId &, bool isRepeated)> onOriginWanted;
     /// Called when a failed call of this instance makes it begin to avoid an upstream.
     std::function<void(const UpstreamId &, UpstreamFault)> onUpstreamAvoided;
--- a/tests/platform/adapter/unit-decoding.cpp
+++ b/tests/platform/adapter/unit-decoding.cpp
@@ -139,7 +139,8 @@
 
     SUBCASE("a registration with a missing or invalid field is rejected")
     {
-        for (const char *name : {"service", "address", "zone", "version", "slots", "state", "sequence"}) {
+        for (const char *name :
+             {"service", "address", "zone", "version", "slots", "state", "sequence"}) {
             CHECK_FALSE(decodeRegistration("w1", withoutField(registrationJson(), name).dump()));
             CHECK_FALSE(decodeRegistration(
                     "w1",
