--- a/src/residency/peer_directory.cpp
+++ b/src/residency/peer_directory.cpp
@@ -34,6 +34,7 @@
     std::sort(scores.rbegin(), scores.rend());
     scores.resize(std::min(scores.size(), count));
     std::vector<Endpoint> holders;
+    holders.reserve(scores.size());
     for (auto &[score, endpoint] : scores)
         holders.push_back(std::move(endpoint));
     return holders;
--- a/tests/residency/unit-peer_directory.cpp
+++ b/tests/residency/unit-peer_directory.cpp
@@ -14,6 +14,7 @@
 std::vector<Endpoint> makeEndpoints(int count)
 {
     std::vector<Endpoint> endpoints;
+    endpoints.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         endpoints.push_back({fmt::format("10.0.0.{}", i + 1), 7380});
     return endpoints;
