Don't ask other instances for stream ids that none of them remembers

Found while reading: a caller may name any header-sized text in "Resumes". Such an id counts as unknown at once now.

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -165,7 +165,9 @@
 {
     const RequestId &begun = this->attributes.resumedRequest;
     const auto isKnown = [&] { return this->gateway.origins.find(begun).has_value(); };
-    if (begun.isEmpty() || isKnown() || !this->gateway.onOriginWanted)
+    // Nobody remembers a longer id, and it could exceed a datagram.
+    const bool isTooLong = begun.value().size() > StreamOriginLimits().maxRequestIdBytes;
+    if (begun.isEmpty() || isTooLong || isKnown() || !this->gateway.onOriginWanted)
         co_return;
     const TimePoint begin = this->now();
     const TimePoint giveUpAt = std::min(this->deadline, begin + originQueryTimeout);
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -182,6 +182,9 @@
     this->gateway
             = std::make_unique<gateway::Gateway>(this->loop, settings, makeCodec(), this->metrics);
     this->gateway->publish(makeRoutes());
+    this->gateway->onOriginWanted = [this](const RequestId &request, bool isRepeated) {
+        this->answerOriginQuery(request, isRepeated);
+    };
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
         gateway::RegisteredUpstream upstream;
         upstream.id = UpstreamId(fmt::format("u{}", i));
@@ -218,6 +221,14 @@
     return answer;
 }
 
+void RelayFixture::answerOriginQuery(const RequestId &request, bool isRepeated)
+{
+    ++this->originQueries;
+    if (isRepeated && !this->versionKnownElsewhere.empty())
+        this->gateway->learnOrigin(
+                {request, service, SoftwareVersion(this->versionKnownElsewhere)});
+}
+
 void RelayFixture::removeUpstream(std::size_t index)
 {
     std::promise<void> removed;
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -77,8 +77,15 @@
     void callAndDisconnect(const std::string &request, Duration after) const;
 
     Metrics metrics;
+    /// Number of times that the gateway asked other instances for the origin of a stream.
+    std::atomic<int> originQueries{0};
+    /// Version that other instances name as the origin of request r1 when they are asked for the
+    /// second time; empty when none of them knows it. Set before the first call.
+    std::string versionKnownElsewhere;
 
 private:
+    void answerOriginQuery(const RequestId &request, bool isRepeated);
+
     boost::asio::io_context loop;
     std::unique_ptr<gateway::Gateway> gateway;
     Endpoint listen;
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -391,6 +391,25 @@
             CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with("HTTP/1.1 503 "));
             CHECK(first.requests().empty());
             CHECK(second.requests().empty());
+            CHECK(fixture.originQueries > 1);
+        }
+        SUBCASE("it goes on at the version that another instance names")
+        {
+            ScriptedUpstream second({{rest}});
+            RelayFixture fixture({&first, &second}, {"v1", "v2"});
+            fixture.versionKnownElsewhere = "v2";
+            CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with("HTTP/1.1 200 "));
+            CHECK(first.requests().empty());
+            CHECK(second.requests().size() == 1);
+        }
+        SUBCASE("other instances are not asked for an id that is too long to be remembered")
+        {
+            ScriptedUpstream second({{rest}});
+            RelayFixture fixture({&first, &second}, {"v1", "v2"});
+            std::string longId = resumeRequest("/stream/", "1");
+            longId.insert(longId.find("test-resumes: ") + 14, std::string(4096, 'r'));
+            CHECK(fixture.call(longId).starts_with("HTTP/1.1 503 "));
+            CHECK(fixture.originQueries == 0);
         }
     }
     SUBCASE("a request that got no event may still be sent to any version")
