--- a/src/residency/peer_directory.hpp
+++ b/src/residency/peer_directory.hpp
@@ -29,8 +29,6 @@
     /// @param count largest number of instances to return
     std::vector<Endpoint> holdersOf(std::string_view key, std::size_t count) const;
 
-    bool isEmpty() const noexcept { return this->listedAt.empty(); }
-
 private:
     std::map<Endpoint, TimePoint> listedAt;
 };
--- a/src/residency/peer_link.hpp
+++ b/src/residency/peer_link.hpp
@@ -23,7 +23,7 @@
     Duration waitingInterval = std::chrono::milliseconds(150);
     /// Number of instances that is assumed until the owner has announced it.
     std::uint32_t assumedInstanceCount = 24;
-    /// Other instances that are told the origin of a stream; more than may fail together.
+    /// Other instances that are told the origin of a stream; it is lost only if all of them fail.
     std::size_t originHolders = 5;
     /// Other instances that are asked for the origin of a stream when its holders don't answer.
     std::size_t maxAskedInstances = 24;
