Send the list of instances to a new instance alone

Found while reading: the owner sent the list to all instances whenever one reported for the first time. When n instances start together that is n² datagrams, 11,664 at 108 machines, within a second or two of the owner's sixth of a core. The new instance alone gets the list at once now; the others get the next one, within a second.

--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -58,10 +58,11 @@
     const TimePoint now = steadyNow();
     const bool isNew = this->reportingInstances.count(message.sender) == 0;
     this->reportingInstances[message.sender] = ReportingInstance{from, now};
-    if (isNew && this->election.isOwner()) {
+    if (isNew && message.sender != this->self && this->election.isOwner()) {
+        // The other instances learn of it with the next list.
         OwnerMessage update = this->makeMessage();
         update.instances = this->listInstances();
-        this->broadcast(update);
+        this->send({from}, update);
     }
     std::map<gateway::ServiceId, std::vector<gateway::TargetDemand>> byService;
     for (auto &[service, pool] : this->pools)
