Count requests read against their ends, and log silences and delays

Now each request that was read is counted with what its caller got (answered, refused, cut, caller_gone, unanswered), and one that ends without an answer is logged as an error.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -50,6 +50,7 @@
     , codec(std::move(codec))
     , metrics(metrics)
     , requestMetrics(metrics)
+    , requestEnds(metrics)
     , deadlineWatch(loop)
     , pool(loop, this->deadlineWatch, poolLimits())
     , quarantine(loop, this->pool, metrics)
@@ -210,12 +211,14 @@
         if (noRequest && !noRequest->error)
             break;
         ++this->openRequestCount;
+        this->requestEnds.recordRead();
         RequestExchange exchange(*this, *stream, request);
         if (noRequest)
             co_await exchange.refuseUnread(*noRequest->error);
         else
             co_await exchange.run();
         --this->openRequestCount;
+        this->requestEnds.recordEnd(exchange.requestEnd());
         if (noRequest || !exchange.isKeepAlive() || stream->isExpired())
             break;
     }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "gateway/limit_driver.hpp"
 #include "gateway/quarantine_driver.hpp"
 #include "gateway/queue_forecast.hpp"
+#include "gateway/request_ends.hpp"
 #include "gateway/request_metrics.hpp"
 #include "gateway/retry_budget.hpp"
 #include "gateway/routing_configuration.hpp"
@@ -138,6 +139,7 @@
     CallCodec codec;
     Metrics &metrics;
     RequestMetrics requestMetrics;
+    RequestEnds requestEnds;
     upstream::DeadlineWatch deadlineWatch;
     upstream::ConnectionPool pool;
     QuarantineDriver quarantine;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -82,6 +82,15 @@
 }
 
 Awaitable<void> RequestExchange::run()
+{
+    co_await this->runRouted();
+    if (this->requestEnd() == RequestEnd::Unanswered)
+        this->log(LogLevel::Error, "request ended without an answer", "unanswered",
+                  this->durationField());
+}
+
+/// Routes the request and sees to its answer.
+Awaitable<void> RequestExchange::runRouted()
 {
     this->keepAlive = this->request.isKeepAlive && !this->gateway.isDraining();
     this->attributes = this->gateway.codec.readRequest(this->request.headers());
@@ -334,14 +343,14 @@
     this->currentProcess = entry->process();
     this->currentEndpoint = entry->registered.endpoint;
     this->sentAt = this->now();
+    this->heardAt = {};
     this->waitingAhead = entry->load.waiting;
     ++this->sends;
     this->gateway.selector.recordStart(id);
     this->gateway.pauses.recordSend(this->currentProcess, this->now());
     if (this->isEngineTarget())
         this->gateway.demand.recordStart(this->target);
-    this->log(LogLevel::Info, "request routed", "sent",
-              {"left_ms", formatMilliseconds(this->timeLeft())});
+    this->log(LogLevel::Info, "request routed", "sent", this->durationField());
     const AttemptOutcome outcome = co_await this->callUpstream(*entry);
     this->call.reset();
     this->gateway.selector.recordFinish(id);
@@ -370,6 +379,7 @@
     const CallResult<void> read = co_await this->call->readHead();
     if (!read)
         co_return this->handleCallFailure(read.error());
+    this->heardAt = this->now();
     const AttemptOutcome outcome = co_await this->relayAnswer();
     co_return outcome;
 }
@@ -489,7 +499,8 @@
     }
     this->recordSuccess();
     this->recordCompletion();
-    co_await this->writeToCaller(head, body.value());
+    if (co_await this->writeToCaller(head, body.value()))
+        this->end = RequestEnd::Answered;
     this->log(LogLevel::Info, "request answered", std::to_string(status), this->durationField());
     co_return AttemptOutcome::Finished;
 }
@@ -507,6 +518,7 @@
         const CallResult<bool> more = co_await this->call->readBody();
         if (!more)
             co_return this->handleCallFailure(more.error());
+        this->heardAt = this->now();
         if (!more.value())
             break;
         if (this->requiredVersion && !this->bindStreamVersion())
@@ -542,7 +554,8 @@
     this->recordCompletion();
     // A stream without events is a valid answer.
     this->isAnswerBegun = true;
-    co_await this->writeToCaller(head, "0\r\n\r\n");
+    if (co_await this->writeToCaller(head, "0\r\n\r\n"))
+        this->end = RequestEnd::Answered;
     this->log(LogLevel::Info, "request answered", "stream", this->durationField());
     co_return AttemptOutcome::Finished;
 }
@@ -722,6 +735,7 @@
     if (this->isAnswerBegun) {
         // Without the last chunk the caller can tell that the stream is incomplete.
         this->keepAlive = false;
+        this->end = RequestEnd::Cut;
         this->log(LogLevel::Warning, "stream aborted, caller connection closed", "stream_broken",
                   {"detail", this->lastFault});
         this->gateway.metrics.errors(ErrorKind::StreamBroken).add();
@@ -730,7 +744,8 @@
     }
     if (this->upstreamErrorAnswer) {
         const auto &[head, body] = *this->upstreamErrorAnswer;
-        co_await this->writeToCaller(head, body);
+        if (co_await this->writeToCaller(head, body))
+            this->end = RequestEnd::Answered;
         this->log(LogLevel::Warning, "request answered", "upstream_failure",
                   {"detail", this->lastFault});
         co_return;
@@ -766,7 +781,8 @@
     this->log(LogLevel::Warning,
               row.httpStatus >= firstServerError ? "request failed" : "request refused", row.code,
               {"detail", error.message()});
-    co_await this->writeToCaller(head, body);
+    if (co_await this->writeToCaller(head, body))
+        this->end = RequestEnd::Refused;
 }
 
 /// Writes to the caller; returns false when it has disconnected or does not read in time.
@@ -786,6 +802,13 @@
     co_return *status == StreamStatus::Ok;
 }
 
+/// Time since the upstream of the current attempt has sent anything.
+Duration RequestExchange::upstreamSilence() const
+{
+    const TimePoint since = std::max(this->sentAt, this->heardAt);
+    return since == TimePoint() ? Duration(0) : this->now() - since;
+}
+
 LogField RequestExchange::durationField() const
 {
     return {"took_ms", formatMilliseconds(this->now() - this->request.arrival)};
@@ -828,6 +851,9 @@
               {"sends", std::to_string(this->sends)},
               {"candidates", std::to_string(this->candidateCount)},
               {"waiting_ahead", std::to_string(this->waitingAhead)},
+              {"left_ms", this->deadline == TimePoint() ? std::string()
+                                                        : formatMilliseconds(this->timeLeft())},
+              {"upstream_silent_ms", formatMilliseconds(this->upstreamSilence())},
               {"first_event_ms",
                this->firstEventAt == TimePoint()
                        ? std::string()
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -46,6 +46,13 @@
     /// @brief Whether the caller's connection may be used for another request.
     bool isKeepAlive() const noexcept { return this->keepAlive; }
 
+    /// @brief What the caller has got, once run() or refuseUnread() has returned.
+    RequestEnd requestEnd() const noexcept
+    {
+        return this->end.value_or(this->isCallerGone ? RequestEnd::CallerGone
+                                                     : RequestEnd::Unanswered);
+    }
+
 private:
     using HeadText = std::string;
 
@@ -69,6 +76,7 @@
     TimePoint now() const { return SteadyClock().now(); }
     Duration timeLeft() const { return this->deadline - this->now(); }
 
+    upstream::Awaitable<void> runRouted();
     upstream::Awaitable<void> runAttempts();
     bool isPromptQuarantined() const;
     bool admitPrompt();
@@ -124,6 +132,7 @@
     void log(LogLevel level, std::string_view message, std::string_view reason,
              const LogField &extra) const;
     LogField durationField() const;
+    Duration upstreamSilence() const;
 
     Gateway &gateway;
     upstream::HttpStream &caller;
@@ -137,6 +146,8 @@
     TimePoint deadline{};
     bool keepAlive = false;
     bool isCallerGone = false;
+    /// What the caller has got; unset while that is open.
+    std::optional<RequestEnd> end;
     /// Upstreams that are not selected again for this request.
     std::vector<UpstreamId> triedUpstreams;
     /// Upstreams that had no permit within their limit for the next attempt.
@@ -162,6 +173,8 @@
     /// Times that the announced version of the stream was corrected.
     std::uint32_t originCorrections = 0;
     TimePoint sentAt{};
+    /// When the last bytes of the current answer were read; zero before.
+    TimePoint heardAt{};
     /// Requests that waited at the upstream when this one was sent to it.
     std::uint32_t waitingAhead = 0;
     std::optional<upstream::UpstreamCall> call;
