Test upstreams that fall silent and go on (fails)

The new file tests/gateway/unit-silent_upstreams.cpp plays a silence of 0.4 s before the head, between head and body, before and between events and inside an event, each beside an upstream that is full, breaks the connection, answers something else or has ended.

--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -83,6 +83,13 @@
                             makeRoute("/once/", gateway::RequestKind::NonIdempotent, false),
                             makeRoute("/stream/", gateway::RequestKind::Stream, true),
                             makeRoute("/fragile/", gateway::RequestKind::Stream, false)};
+    for (const auto &[prefix, kind] : {std::pair("/quick/", gateway::RequestKind::Idempotent),
+                                       std::pair("/talk/", gateway::RequestKind::Stream)}) {
+        gateway::Route route = makeRoute(prefix, kind, kind == gateway::RequestKind::Stream);
+        route.objective = 100ms;
+        route.maxEventGap = 50ms;
+        configuration.routes.push_back(route);
+    }
     configuration.services = {{service, 100, std::nullopt}};
     return std::make_shared<gateway::RouteIndex>(configuration);
 }
@@ -115,6 +122,15 @@
     return request.substr(begin, request.find("\r\n", begin) - begin);
 }
 
+/// Replaces "{id}" in an answer by the id of the request.
+std::string insertRequestId(std::string answer, const std::string &request)
+{
+    const std::size_t position = answer.find("{id}");
+    if (position != std::string::npos)
+        answer.replace(position, 4, headerValue(request, "test-id"));
+    return answer;
+}
+
 } // namespace
 
 struct ScriptedUpstream::Sockets
@@ -177,15 +193,12 @@
             ++this->abandonedCount;
             continue;
         }
-        std::string bytes = script.answer;
-        const std::size_t position = bytes.find("{id}");
-        if (position != std::string::npos)
-            bytes.replace(position, 4, headerValue(text, "test-id"));
+        const std::string bytes = insertRequestId(script.answer, text);
         std::this_thread::sleep_for(script.delay);
         asio::write(socket, asio::buffer(bytes), error);
         if (!script.rest.empty()) {
-            std::this_thread::sleep_for(script.delay);
-            asio::write(socket, asio::buffer(script.rest), error);
+            std::this_thread::sleep_for(script.delayBeforeRest.value_or(script.delay));
+            asio::write(socket, asio::buffer(insertRequestId(script.rest, text)), error);
         }
         constexpr std::size_t maxEndlessBytes = 256 << 20;
         const std::size_t alreadySent = this->endlessCount;
@@ -316,6 +329,27 @@
     return text + "\r\n" + body;
 }
 
+std::string streamHead()
+{
+    return "HTTP/1.1 200 OK\r\ntest-id: {id}\r\ntest-signature: s\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string &text)
+{
+    return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
+std::string streamAnswer(const std::string &text, bool isWhole)
+{
+    return streamHead() + chunk(text) + (isWhole ? "0\r\n\r\n" : "");
+}
+
+bool containsText(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
 std::string answer(int status, const std::string &body, const std::string &headers)
 {
     return fmt::format("HTTP/1.1 {} Status\r\ntest-id: {{id}}\r\ntest-signature: s\r\n{}"
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -34,6 +35,8 @@
     Duration endlessPause{};
     /// Keeps the connection open after the answer until the peer closes it.
     bool isSilentAfterwards = false;
+    /// Pause between the answer and its rest, in place of `delay`.
+    std::optional<Duration> delayBeforeRest{};
 };
 
 /// @brief A TCP server on a free port that handles each connection by the next script.
@@ -70,7 +73,8 @@
 /// @brief A gateway with one service without engine, and one route for each kind of request.
 ///
 /// The routes are /plain/ (idempotent), /once/ (non-idempotent), /stream/ (resumable) and /fragile/
-/// (stream that is not resumable).
+/// (stream that is not resumable), and with short objectives /quick/ (idempotent) and /talk/
+/// (resumable).
 class RelayFixture
 {
 public:
@@ -120,6 +124,19 @@
 std::string request(const std::string &path, const std::string &body = {},
                     const std::string &headers = {});
 
+/// @brief Builds the head of a chunked stream with a signature.
+std::string streamHead();
+
+/// @brief Builds one chunk of a stream.
+std::string chunk(const std::string &text);
+
+/// @brief Builds a stream with all its events in one chunk.
+/// @param isWhole whether the last, empty chunk follows; without it the stream is incomplete
+std::string streamAnswer(const std::string &text, bool isWhole);
+
+/// @brief Whether a text contains another one.
+bool containsText(const std::string &text, const std::string &part);
+
 /// @brief Builds a complete answer with a signature.
 std::string answer(int status, const std::string &body, const std::string &headers = {});
 
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -15,16 +15,6 @@
 
 const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
-/// A stream with all its events in one chunk; without the last, empty chunk it is incomplete.
-std::string streamAnswer(const std::string &text, bool isWhole)
-{
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx", text.size());
-    return "HTTP/1.1 200 OK\r\ntest-id: {id}\r\ntest-signature: s\r\n"
-           "Transfer-Encoding: chunked\r\n\r\n"
-           + std::string(size) + "\r\n" + text + "\r\n" + (isWhole ? "0\r\n\r\n" : "");
-}
-
 /// A request that takes up a stream that request r1 began.
 std::string resumeRequest(const std::string &path, const std::string &lastEvent)
 {
@@ -40,11 +30,6 @@
     return text.replace(text.find("test-id: r1"), 11, "test-id: " + id);
 }
 
-bool containsText(const std::string &text, const std::string &part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 } // namespace
 
 TEST_CASE("a request and its answer are relayed unchanged but for headers that are not forwarded")
--- /dev/null
+++ b/tests/gateway/unit-silent_upstreams.cpp
@@ -0,0 +1,186 @@
+#include "relay_fixture.hpp"
+
+#include <memory>
+
+#include <doctest/doctest.h>
+
+using namespace bamboochute;
+using namespace bamboochute::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Longer than an upstream of the routes /quick/ and /talk/ is silent before another one is asked.
+constexpr Duration silence = 400ms;
+
+const std::string firstEvent = "id: 1\ndata: a\n\n";
+const std::string secondEvent = "id: 2\ndata: b\n\n";
+const std::string lastChunk = "0\r\n\r\n";
+
+/// An upstream that sends the first part of its answer, falls silent and goes on to the end.
+Script fallsSilent(const std::string &begin, const std::string &rest)
+{
+    Script script;
+    script.answer = begin;
+    script.delayBeforeRest = silence;
+    script.rest = rest;
+    return script;
+}
+
+/// An upstream that says nothing until the peer closes the connection.
+Script staysSilent()
+{
+    Script script;
+    script.isSilent = true;
+    return script;
+}
+
+/// Scripts of upstreams that don't serve the request: one is full, one breaks the connection, one
+/// answers another request, and the last one has ended.
+std::vector<std::vector<Script>> unwillingUpstreams()
+{
+    return {std::vector<Script>(8, Script{answer(503, "full", "test-not-run: 1\r\n")}),
+            {Script{"", true}},
+            {Script{"HTTP/1.1 200 OK\r\ntest-id: other\r\nContent-Length: 0\r\n\r\n"}},
+            {}};
+}
+
+/// Returns the body of an answer; "incomplete" when its last chunk is missing.
+std::string wholeBody(const std::string &answered)
+{
+    const std::size_t end = answered.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return "incomplete";
+    std::string rest = answered.substr(end + 4);
+    if (!containsText(answered, "Transfer-Encoding: chunked"))
+        return rest;
+    std::string body;
+    while (!rest.empty()) {
+        const std::size_t size = std::stoul(rest, nullptr, 16);
+        if (size == 0)
+            return body;
+        const std::size_t begin = rest.find("\r\n") + 2;
+        body += rest.substr(begin, size);
+        rest = rest.substr(begin + size + 2);
+    }
+    return "incomplete";
+}
+
+std::uint64_t countEnds(RelayFixture &fixture, std::string_view end)
+{
+    return fixture.metrics
+            .counter("bamboochute_request_ends_total", "end=\"" + std::string(end) + "\"")
+            .value();
+}
+
+} // namespace
+
+// Guards against an answer that is given up because its upstream is silent, though no other
+// upstream takes the request.
+TEST_CASE("an upstream that falls silent and goes on answers in full when no other one takes the "
+          "request")
+{
+    Script script;
+    std::string path = "/talk/";
+    std::string expected = firstEvent + secondEvent;
+    SUBCASE("silent before the head of a plain answer")
+    {
+        path = "/quick/";
+        expected = "status";
+        script = fallsSilent("", answer(200, "status"));
+    }
+    SUBCASE("silent between the head and the body of a plain answer")
+    {
+        path = "/quick/";
+        expected = "status";
+        const std::string whole = answer(200, "status");
+        script = fallsSilent(whole.substr(0, whole.size() - 6), "status");
+    }
+    SUBCASE("silent before the head of a stream")
+    {
+        script = fallsSilent("", streamAnswer(expected, true));
+    }
+    SUBCASE("silent between the head and the first event")
+    {
+        script = fallsSilent(streamHead(), chunk(expected) + lastChunk);
+    }
+    SUBCASE("silent between two events")
+    {
+        script = fallsSilent(streamHead() + chunk(firstEvent), chunk(secondEvent) + lastChunk);
+    }
+    SUBCASE("silent inside an event")
+    {
+        script = fallsSilent(streamHead() + chunk(firstEvent) + chunk("id: 2\nda"),
+                             chunk("ta: b\n\n") + lastChunk);
+    }
+    for (const std::vector<Script> &others : unwillingUpstreams()) {
+        const std::string refusal = others.empty() ? "none" : others.front().answer;
+        CAPTURE(refusal);
+        ScriptedUpstream silent({script});
+        auto other = std::make_unique<ScriptedUpstream>(others);
+        RelayFixture fixture({&silent, other.get()});
+        if (others.empty())
+            other.reset();
+        const std::string got = fixture.call(request(path));
+        CHECK(got.starts_with("HTTP/1.1 200 "));
+        CHECK(wholeBody(got) == expected);
+        CHECK(countEnds(fixture, "answered") == 1);
+    }
+}
+
+TEST_CASE("a silent upstream is given up once another one has taken the request")
+{
+    SUBCASE("before its answer")
+    {
+        ScriptedUpstream silent({staysSilent()});
+        ScriptedUpstream other({{answer(200, "status")}});
+        RelayFixture fixture({&silent, &other});
+        CHECK(wholeBody(fixture.call(request("/quick/"))) == "status");
+        CHECK(countEnds(fixture, "answered") == 1);
+        CHECK(silent.abandonedConnections() == 1);
+    }
+    SUBCASE("in the middle of a stream")
+    {
+        Script begun;
+        begun.answer = streamHead() + chunk(firstEvent) + chunk("id: 2\nda");
+        begun.isSilentAfterwards = true;
+        ScriptedUpstream silent({begun});
+        ScriptedUpstream other({{streamAnswer(secondEvent, true)}});
+        RelayFixture fixture({&silent, &other});
+        CHECK(wholeBody(fixture.call(request("/talk/"))) == firstEvent + secondEvent);
+        CHECK(containsText(other.requests().at(0), "test-last-event: 1\r\n"));
+    }
+    SUBCASE("also when the other one takes a while to answer")
+    {
+        Script slow;
+        slow.delay = silence;
+        slow.answer = answer(200, "status");
+        ScriptedUpstream silent({staysSilent()});
+        ScriptedUpstream other({slow});
+        RelayFixture fixture({&silent, &other});
+        CHECK(wholeBody(fixture.call(request("/quick/"))) == "status");
+        CHECK(silent.abandonedConnections() == 1);
+    }
+}
+
+TEST_CASE("an upstream that goes on while another one is asked keeps the request")
+{
+    Script late = fallsSilent("", answer(200, "first"));
+    late.delayBeforeRest = 250ms;
+    Script slow;
+    slow.delay = silence;
+    slow.answer = answer(200, "second");
+    ScriptedUpstream silent({late});
+    ScriptedUpstream other({slow});
+    RelayFixture fixture({&silent, &other});
+    CHECK(wholeBody(fixture.call(request("/quick/"))) == "first");
+}
+
+TEST_CASE("a request that may run once stays at its silent upstream")
+{
+    ScriptedUpstream silent({fallsSilent("", answer(200, "booked"))});
+    ScriptedUpstream other({{answer(200, "booked twice")}});
+    RelayFixture fixture({&silent, &other});
+    CHECK(wholeBody(fixture.call(request("/once/", "pay"))) == "booked");
+    CHECK(other.requests().empty());
+}
