Give up a silent upstream only once another one has taken the request

Cause: the time limit of an attempt was shortened when the wait began, if another upstream seemed usable then. When it passed, the connection was closed first, and only then another upstream was selected, a permit and a retry asked for and the request sent. Each of these could fail, and what was given up could not be had back. Plain answers had the same limit for their whole body.

Change: when the time passes, the attempt stays open. Another upstream is selected, with its permit, the retry and the quarantine's consent, and gets the request. The silent one is closed when the other one has answered, or has let 300 ms pass without refusing; if it refuses, breaks or answers something else, or the silent one goes on first, the request stays where it is, and others are looked for again after 200 ms until the deadline. Bytes that arrived while this process was busy end the silence as well. SilenceWatch decides when, without I/O; its limits are settings.

--- a/src/gateway/exchange_limits.hpp
+++ b/src/gateway/exchange_limits.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Durations that several steps of a request share.
+/// @brief Constants that several steps of a request share.
 #pragma once
 
 #include "core/clock.hpp"
@@ -11,10 +11,17 @@
 /// Retry-After when no upstream is usable; about the time for which a faulty upstream is avoided.
 constexpr Duration noUpstreamRetryAfter = std::chrono::milliseconds(400);
 
+/// A request with less time left than this is not sent to another upstream; also the least time
+/// that an upstream is told to have.
+constexpr Duration minSendTime = std::chrono::milliseconds(20);
+
 /// Time after which other instances are asked again for the origin of a stream; several times the
 /// round trip between instances, as datagrams get lost.
 constexpr Duration originQueryInterval = std::chrono::milliseconds(50);
 /// Time after which the origin of a stream counts as unknown.
 constexpr Duration originQueryTimeout = std::chrono::milliseconds(200);
 
+constexpr int statusOk = 200;
+constexpr int firstServerError = 500;
+
 } // namespace bamboochute::gateway
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -14,6 +14,7 @@
 #include "gateway/request_metrics.hpp"
 #include "gateway/retry_budget.hpp"
 #include "gateway/routing_configuration.hpp"
+#include "gateway/silence_watch.hpp"
 #include "gateway/stream_origins.hpp"
 #include "gateway/upstream_pauses.hpp"
 #include "gateway/upstream_selector.hpp"
@@ -42,6 +43,7 @@
     QuarantineLimits quarantine;
     LimitSettings upstreamLimits;
     PauseLimits pauses;
+    SilenceLimits silence;
     /// Callers' connections that may be open at a time.
     std::size_t maxConnections = 2000;
 };
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -28,23 +28,10 @@
 constexpr std::size_t maxEventBytes = 256 << 10;
 /// A request is refused after more than this many answers that an upstream did not run it.
 constexpr std::uint32_t maxNotRunAnswers = 4;
-/// A request with less time left than this is not sent to another upstream; also the least time
-/// that an upstream is told to have.
-constexpr Duration minSendTime = std::chrono::milliseconds(20);
-/// Lower bound of the time to wait for an answer before the request is sent to another upstream.
-constexpr Duration minFirstEventTimeout = std::chrono::milliseconds(150);
-/// Time to wait for an answer before the request is sent to another upstream, as a multiple of the
-/// route's latency objective.
-constexpr double firstEventTimeoutObjectives = 1.5;
-/// Time to wait for the next event before a stream is continued at another upstream, as a multiple
-/// of the route's objective for gaps.
-constexpr double nextEventTimeoutGaps = 3.0;
 /// Retry-After while no configuration is known; a new process reads it right after its start.
 constexpr Duration notReadyRetryAfter = std::chrono::milliseconds(500);
 /// Time for a caller to read the answer to a request that was not routed and so has no deadline.
 constexpr Duration refusalWriteTimeout = std::chrono::seconds(5);
-constexpr int statusOk = 200;
-constexpr int firstServerError = 500;
 
 asio::const_buffer toBuffer(std::string_view text)
 {
@@ -217,13 +204,13 @@
 /// two processes may have sent the part, so that the version is not known any more.
 bool RequestExchange::bindStreamVersion()
 {
-    const UpstreamTable::Entry *entry = this->gateway.table.find(this->currentUpstream);
-    const bool isAmbiguous = entry != nullptr && entry->process() != this->currentProcess
-                             && entry->registered.softwareVersion != this->currentVersion;
-    const SoftwareVersion version = isAmbiguous ? SoftwareVersion() : this->currentVersion;
+    const UpstreamTable::Entry *entry = this->gateway.table.find(this->attempt.upstream);
+    const bool isAmbiguous = entry != nullptr && entry->process() != this->attempt.process
+                             && entry->registered.softwareVersion != this->attempt.version;
+    const SoftwareVersion version = isAmbiguous ? SoftwareVersion() : this->attempt.version;
     if (this->requiredVersion == version)
         return true;
-    if (this->requiredVersion && this->beginSend != this->sends)
+    if (this->requiredVersion && this->beginSend != this->attempt.number)
         return false;
     this->announceVersion(version);
     return true;
@@ -235,7 +222,7 @@
     if (this->requiredVersion)
         ++this->originCorrections;
     this->requiredVersion = version;
-    this->beginSend = this->sends;
+    this->beginSend = this->attempt.number;
     if (!this->route->isResumable)
         return;
     const StreamOrigin origin{this->attributes.id, this->service->id, version,
@@ -256,8 +243,8 @@
 void RequestExchange::handleCallerDisconnect()
 {
     this->isCallerGone = true;
-    if (this->call)
-        this->call->cancel();
+    if (this->attempt.call)
+        this->attempt.call->cancel();
     this->gateway.notifyChange();
 }
 
@@ -338,55 +325,101 @@
     const UpstreamTable::Entry *entry = this->gateway.table.find(id);
     if (entry == nullptr)
         co_return AttemptOutcome::NotRun;
-    this->currentUpstream = id;
-    this->currentVersion = entry->registered.softwareVersion;
-    this->currentProcess = entry->process();
-    this->currentEndpoint = entry->registered.endpoint;
-    this->sentAt = this->now();
-    this->heardAt = {};
-    this->waitingAhead = entry->load.waiting;
-    ++this->sends;
-    this->gateway.selector.recordStart(id);
-    this->gateway.pauses.recordSend(this->currentProcess, this->now());
+    this->events.discardPartialEvent();
+    AttemptOutcome outcome = co_await this->sendAndReceive(this->beginAttempt(*entry));
+    while (outcome == AttemptOutcome::Replaced)
+        outcome = co_await this->receiveAnswer();
+    this->endAttempt();
+    if (outcome == AttemptOutcome::MayHaveRun || outcome == AttemptOutcome::StreamBroken)
+        ++this->possibleRuns;
+    co_return outcome;
+}
+
+/// Makes a new attempt the current one.
+/// @return the head of the request to the upstream
+RequestExchange::HeadText RequestExchange::beginAttempt(const UpstreamTable::Entry &entry)
+{
+    this->attempt = Attempt();
+    this->attempt.upstream = entry.registered.id;
+    this->attempt.version = entry.registered.softwareVersion;
+    this->attempt.process = entry.process();
+    this->attempt.endpoint = entry.registered.endpoint;
+    this->attempt.number = ++this->sends;
+    this->attempt.sentAt = this->now();
+    this->attempt.waitingAhead = entry.load.waiting;
+    this->attempt.call = std::make_unique<upstream::UpstreamCall>(this->gateway.pool,
+                                                                  entry.registered.endpoint);
+    this->attempt.call->allowUnframedAnswer();
+    this->gateway.selector.recordStart(this->attempt.upstream);
+    this->gateway.pauses.recordSend(this->attempt.process, this->now());
     if (this->isEngineTarget())
         this->gateway.demand.recordStart(this->target);
     this->log(LogLevel::Info, "request routed", "sent", this->durationField());
-    const AttemptOutcome outcome = co_await this->callUpstream(*entry);
-    this->call.reset();
-    this->gateway.selector.recordFinish(id);
+    return this->buildUpstreamHead(entry);
+}
+
+/// Closes the connection of the current attempt and stops counting it as in flight.
+void RequestExchange::endAttempt()
+{
+    this->attempt.call.reset();
+    this->gateway.selector.recordFinish(this->attempt.upstream);
     if (this->isEngineTarget())
         this->gateway.demand.recordFinish(this->target);
-    if (outcome == AttemptOutcome::MayHaveRun || outcome == AttemptOutcome::StreamBroken)
-        ++this->possibleRuns;
-    co_return outcome;
 }
 
-Awaitable<AttemptOutcome> RequestExchange::callUpstream(const UpstreamTable::Entry &entry)
+Awaitable<AttemptOutcome> RequestExchange::sendAndReceive(HeadText head)
 {
-    const HeadText head = this->buildUpstreamHead(entry);
-    this->answerEnd.reset();
-    this->upstreamLimit.reset();
-    this->events.discardPartialEvent();
-    this->call.emplace(this->gateway.pool, entry.registered.endpoint);
-    this->call->allowUnframedAnswer();
     // A new connection has no bytes of an earlier request, and the upstream is not about to close
     // it for idleness.
-    const CallResult<void> sent = co_await this->call->send(
+    const CallResult<void> sent = co_await this->attempt.call->send(
             head, this->request.body, this->deadline, upstream::ConnectionUse::Fresh);
     if (!sent)
         co_return this->handleCallFailure(sent.error());
-    this->call->setDeadline(this->firstEventDeadline());
-    const CallResult<void> read = co_await this->call->readHead();
-    if (!read)
-        co_return this->handleCallFailure(read.error());
-    this->heardAt = this->now();
+    this->silence = this->makeSilenceWatch();
+    const AttemptOutcome outcome = co_await this->receiveAnswer();
+    co_return outcome;
+}
+
+/// Reads the answer of the current attempt and relays it.
+Awaitable<AttemptOutcome> RequestExchange::receiveAnswer()
+{
+    while (true) {
+        this->attempt.call->setDeadline(this->silenceDeadline());
+        const CallResult<void> read = co_await this->attempt.call->readHead();
+        if (read)
+            break;
+        if (!this->isSilence(read.error()))
+            co_return this->handleCallFailure(read.error());
+        const bool isReplaced = co_await this->replaceSilentUpstream();
+        if (isReplaced)
+            co_return AttemptOutcome::Replaced;
+    }
+    this->attempt.heardAt = this->now();
+    this->silence.recordBytes(this->now());
     const AttemptOutcome outcome = co_await this->relayAnswer();
     co_return outcome;
 }
 
+/// Reads more of the current attempt's answer.
+/// @return as UpstreamCall::readBody(); nothing when another upstream has taken the request
+Awaitable<std::optional<CallResult<bool>>> RequestExchange::readMoreBody()
+{
+    while (true) {
+        this->attempt.call->setDeadline(this->silenceDeadline());
+        CallResult<bool> more = co_await this->attempt.call->readBody();
+        if (more)
+            this->attempt.heardAt = this->now();
+        if (more || !this->isSilence(more.error()))
+            co_return more;
+        const bool isReplaced = co_await this->replaceSilentUpstream();
+        if (isReplaced)
+            co_return std::nullopt;
+    }
+}
+
 Awaitable<AttemptOutcome> RequestExchange::relayAnswer()
 {
-    const upstream::ParsedMessage &answer = this->call->answer();
+    const upstream::ParsedMessage &answer = this->attempt.call->answer();
     const AnswerAttributes answerAttributes
             = this->gateway.codec.readAnswer(answer.status, answer.headers);
     if (!answerAttributes.request.isEmpty() && answerAttributes.request != this->attributes.id) {
@@ -412,11 +445,11 @@
 void RequestExchange::recordAnswer(const AnswerAttributes &attributes)
 {
     const bool isOtherProcess
-            = !attributes.answeredBy.isEmpty() && attributes.answeredBy != this->currentUpstream;
+            = !attributes.answeredBy.isEmpty() && attributes.answeredBy != this->attempt.upstream;
     if (isOtherProcess)
         return;
-    this->upstreamLimit = attributes.requestsPerSecond;
-    this->gateway.recordAnswer(this->currentProcess, attributes);
+    this->attempt.upstreamLimit = attributes.requestsPerSecond;
+    this->gateway.recordAnswer(this->attempt.process, attributes);
 }
 
 AttemptOutcome RequestExchange::handleUpstreamRefusal(const AnswerAttributes &attributes,
@@ -424,10 +457,10 @@
 {
     ++this->notRunAnswers;
     const bool isOtherProcess
-            = !attributes.answeredBy.isEmpty() && attributes.answeredBy != this->currentUpstream;
+            = !attributes.answeredBy.isEmpty() && attributes.answeredBy != this->attempt.upstream;
     if (this->isEngineTarget() && !isOtherProcess) {
         // The upstream may be loading or unloading the target, so it may be tried again later.
-        this->gateway.table.recordRefusal(this->currentUpstream, this->target.target,
+        this->gateway.table.recordRefusal(this->attempt.upstream, this->target.target,
                                           this->now() + refusedTargetRetryDelay);
         this->lastFault = "the upstream refused the model or adapter";
         this->log(LogLevel::Info, "upstream refused the model or adapter", "target",
@@ -436,7 +469,7 @@
     }
     // After a pause the upstream may be tried again.
     if (isOtherProcess || !attributes.pause)
-        this->triedUpstreams.push_back(this->currentUpstream);
+        this->triedUpstreams.push_back(this->attempt.upstream);
     if (isOtherProcess)
         this->recordFault(UpstreamFault::Unreachable,
                           "another process answers at the address of the upstream");
@@ -453,7 +486,7 @@
     this->recordAnswerEnd();
     if (this->isAnswerBegun)
         this->bindStreamVersion();
-    this->triedUpstreams.push_back(this->currentUpstream);
+    this->triedUpstreams.push_back(this->attempt.upstream);
     if (!error.isAnythingWritten) {
         this->recordFault(UpstreamFault::Unreachable, error.message);
         return AttemptOutcome::NotRun;
@@ -475,31 +508,46 @@
 
 Awaitable<AttemptOutcome> RequestExchange::relayWholeAnswer()
 {
-    const int status = this->call->answer().status;
-    const CallResult<std::string> body = co_await this->call->readWholeBody(maxAnswerBytes);
-    if (!body)
-        co_return this->handleCallFailure(body.error());
+    const int status = this->attempt.call->answer().status;
+    std::string body;
+    while (true) {
+        const std::optional<CallResult<bool>> more = co_await this->readMoreBody();
+        if (!more)
+            co_return AttemptOutcome::Replaced;
+        if (!*more)
+            co_return this->handleCallFailure(more->error());
+        if (!more->value())
+            break;
+        this->silence.recordBytes(this->now());
+        for (const std::string_view piece : this->attempt.call->answer().pieces)
+            body += piece;
+        if (body.size() > maxAnswerBytes)
+            co_return this->handleCallFailure(
+                    {upstream::CallFailure::Oversized, true,
+                     fmt::format("the answer's body is longer than {} bytes", maxAnswerBytes),
+                     false});
+    }
     this->recordAnswerEnd();
-    std::string head = this->buildAnswerHead(status, this->call->answer().headers);
-    appendHeader(head, "Content-Length", std::to_string(body.value().size()));
+    std::string head = this->buildAnswerHead(status, this->attempt.call->answer().headers);
+    appendHeader(head, "Content-Length", std::to_string(body.size()));
     head += "\r\n";
-    this->call->cancel();
+    this->attempt.call->cancel();
     if (status >= firstServerError) {
         this->recordFault(UpstreamFault::ServerError, fmt::format("status {}", status));
-        this->triedUpstreams.push_back(this->currentUpstream);
-        this->upstreamErrorAnswer.emplace(std::move(head), body.value());
+        this->triedUpstreams.push_back(this->attempt.upstream);
+        this->upstreamErrorAnswer.emplace(std::move(head), std::move(body));
         if (this->isAnswerBegun)
             co_return AttemptOutcome::StreamBroken;
         co_return AttemptOutcome::MayHaveRun;
     }
     if (this->isAnswerBegun) {
         // The stream was to be continued, but the upstream's answer is not a stream.
-        this->triedUpstreams.push_back(this->currentUpstream);
+        this->triedUpstreams.push_back(this->attempt.upstream);
         co_return AttemptOutcome::StreamBroken;
     }
     this->recordSuccess();
     this->recordCompletion();
-    if (co_await this->writeToCaller(head, body.value()))
+    if (co_await this->writeToCaller(head, body))
         this->end = RequestEnd::Answered;
     this->log(LogLevel::Info, "request answered", std::to_string(status), this->durationField());
     co_return AttemptOutcome::Finished;
@@ -509,23 +557,25 @@
 {
     std::string head;
     if (!this->isAnswerBegun) {
-        head = this->buildAnswerHead(statusOk, this->call->answer().headers);
+        head = this->buildAnswerHead(statusOk, this->attempt.call->answer().headers);
         appendHeader(head, "Transfer-Encoding", "chunked");
         head += "\r\n";
     }
     bool isFirst = true;
     while (true) {
-        const CallResult<bool> more = co_await this->call->readBody();
+        const std::optional<CallResult<bool>> more = co_await this->readMoreBody();
         if (!more)
-            co_return this->handleCallFailure(more.error());
-        this->heardAt = this->now();
-        if (!more.value())
+            co_return AttemptOutcome::Replaced;
+        if (!*more)
+            co_return this->handleCallFailure(more->error());
+        if (!more->value())
             break;
         if (this->requiredVersion && !this->bindStreamVersion())
             co_return this->handleBrokenStream(
                     UpstreamFault::Broken,
                     "the upstream has started again with another software version");
-        const auto completeEvents = this->events.extractWholeEvents(this->call->answer().pieces);
+        const auto completeEvents
+                = this->events.extractWholeEvents(this->attempt.call->answer().pieces);
         if (!completeEvents)
             co_return this->handleBrokenStream(UpstreamFault::Malformed,
                                                completeEvents.error().message());
@@ -545,7 +595,7 @@
         if (!isSent)
             co_return AttemptOutcome::Finished;
         this->recordEventTime();
-        this->call->setDeadline(this->nextEventDeadline());
+        this->silence.recordEvents(this->now());
     }
     this->recordAnswerEnd();
     const std::optional<std::string> defect = this->findStreamDefect(!isFirst);
@@ -569,7 +619,8 @@
     if (this->events.isInsideEvent())
         return "the stream ended inside an event";
     const bool isUnframed
-            = this->answerEnd && this->answerEnd->framing == upstream::BodyFraming::ConnectionClose;
+            = this->attempt.answerEnd
+              && this->attempt.answerEnd->framing == upstream::BodyFraming::ConnectionClose;
     // Only a stream that is resumed after its last event may have no further ones.
     if (isUnframed && !hasEvents && this->resumePoint().empty())
         return "the stream without a length ended before its first event";
@@ -580,7 +631,7 @@
 {
     if (this->isAnswerBegun)
         this->bindStreamVersion();
-    this->triedUpstreams.push_back(this->currentUpstream);
+    this->triedUpstreams.push_back(this->attempt.upstream);
     this->recordFault(fault, reason);
     if (fault == UpstreamFault::Broken)
         this->checkForCrash();
@@ -591,10 +642,10 @@
 /// it runs.
 void RequestExchange::checkForCrash()
 {
-    const UpstreamTable::Entry *entry = this->gateway.table.find(this->currentUpstream);
+    const UpstreamTable::Entry *entry = this->gateway.table.find(this->attempt.upstream);
     if (entry == nullptr || entry->isLeaving())
         return;
-    this->gateway.quarantine.checkForCrash({this->currentProcess, this->currentEndpoint,
+    this->gateway.quarantine.checkForCrash({this->attempt.process, this->attempt.endpoint,
                                             this->service->id, this->attributes.id,
                                             this->attributes.promptParts});
 }
@@ -636,39 +687,10 @@
     return head;
 }
 
-/// When to stop waiting for the answer, or the first event of a stream, and try another upstream;
-/// the request's deadline if it can't be sent to another one.
-TimePoint RequestExchange::firstEventDeadline() const
-{
-    const bool canRetryElsewhere
-            = this->route->mayRetry() && this->possibleRuns + 1 < this->route->maxUpstreams
-              && this->gateway.budget.remaining(this->service->id, this->now()) >= 1
-              && this->hasAlternative();
-    if (!canRetryElsewhere)
-        return this->deadline;
-    const auto timeout = std::chrono::duration_cast<Duration>(this->route->objective
-                                                              * firstEventTimeoutObjectives);
-    return std::min(this->deadline, this->now() + std::max(timeout, minFirstEventTimeout));
-}
-
-/// When to stop waiting for the next event and continue the stream at another upstream; the
-/// request's deadline if the stream can't be continued at another one.
-TimePoint RequestExchange::nextEventDeadline() const
-{
-    const bool canRetryElsewhere
-            = this->route->mayRetry() && this->possibleRuns + 1 < this->route->maxUpstreams
-              && this->route->maxEventGap > Duration(0) && this->hasAlternative();
-    if (!canRetryElsewhere)
-        return this->deadline;
-    const auto timeout
-            = std::chrono::duration_cast<Duration>(this->route->maxEventGap * nextEventTimeoutGaps);
-    return std::min(this->deadline, this->now() + timeout);
-}
-
 void RequestExchange::recordFault(UpstreamFault fault, std::string_view reason)
 {
     this->lastFault = reason;
-    const bool isNew = this->gateway.health.recordFault(this->currentUpstream, fault, this->now());
+    const bool isNew = this->gateway.health.recordFault(this->attempt.upstream, fault, this->now());
     this->log(LogLevel::Warning, "attempt failed", upstreamFaultName(fault),
               {"detail", std::string(reason)});
     this->gateway.metrics
@@ -676,21 +698,23 @@
                      fmt::format("fault=\"{}\"", upstreamFaultName(fault)))
             .add();
     if (isNew && this->gateway.onUpstreamAvoided)
-        this->gateway.onUpstreamAvoided(this->currentUpstream, fault);
+        this->gateway.onUpstreamAvoided(this->attempt.upstream, fault);
 }
 
 void RequestExchange::recordSuccess()
 {
-    const Duration latency = this->now() - this->sentAt;
-    this->gateway.health.recordSuccess(this->currentUpstream, latency, this->now());
+    const Duration latency = this->now() - this->attempt.sentAt;
+    this->gateway.health.recordSuccess(this->attempt.upstream, latency, this->now());
     if (this->isEngineTarget())
-        this->gateway.forecast.recordFirstEvent(this->service->id, this->waitingAhead, latency);
+        this->gateway.forecast.recordFirstEvent(this->service->id, this->attempt.waitingAhead,
+                                                latency);
 }
 
 /// Counts an answer whose end the upstream has stated as evidence that the prompt is sound.
 void RequestExchange::recordCompletion()
 {
-    if (this->answerEnd && this->answerEnd->framing != upstream::BodyFraming::ConnectionClose)
+    if (this->attempt.answerEnd
+        && this->attempt.answerEnd->framing != upstream::BodyFraming::ConnectionClose)
         this->gateway.quarantine.recordCompletion(this->service->id, this->attributes.promptParts);
 }
 
@@ -707,14 +731,14 @@
 /// Records how the upstream's answer ended, before its connection is closed by this side.
 void RequestExchange::recordAnswerEnd()
 {
-    this->answerEnd = this->call->answerEnd();
-    if (!this->answerEnd)
+    this->attempt.answerEnd = this->attempt.call->answerEnd();
+    if (!this->attempt.answerEnd)
         return;
     this->gateway.metrics
             .counter("bamboochute_answer_ends_total",
                      fmt::format("framing=\"{}\",connection=\"{}\",partial_event=\"{}\"",
-                                 upstream::bodyFramingName(this->answerEnd->framing),
-                                 upstream::connectionStateName(this->answerEnd->connection),
+                                 upstream::bodyFramingName(this->attempt.answerEnd->framing),
+                                 upstream::connectionStateName(this->attempt.answerEnd->connection),
                                  this->events.partialEventBytes() > 0 ? "yes" : "no"))
             .add();
 }
@@ -805,7 +829,7 @@
 /// Time since the upstream of the current attempt has sent anything.
 Duration RequestExchange::upstreamSilence() const
 {
-    const TimePoint since = std::max(this->sentAt, this->heardAt);
+    const TimePoint since = std::max(this->attempt.sentAt, this->attempt.heardAt);
     return since == TimePoint() ? Duration(0) : this->now() - since;
 }
 
@@ -832,17 +856,17 @@
 {
     std::string_view framing;
     std::string_view connection;
-    if (this->answerEnd) {
-        framing = upstream::bodyFramingName(this->answerEnd->framing);
-        connection = upstream::connectionStateName(this->answerEnd->connection);
+    if (this->attempt.answerEnd) {
+        framing = upstream::bodyFramingName(this->attempt.answerEnd->framing);
+        connection = upstream::connectionStateName(this->attempt.answerEnd->connection);
     }
     logEvent(level, message,
              {{"request", this->attributes.id.value()},
               {"reason", std::string(reason)},
               extra,
               {"route", this->route ? this->route->id.value() : std::string()},
-              {"upstream", this->currentUpstream.value()},
-              {"version", this->currentVersion.value()},
+              {"upstream", this->attempt.upstream.value()},
+              {"version", this->attempt.version.value()},
               {"resumes", this->attributes.resumedRequest.value()},
               {"resumed_after", this->attributes.lastEventId},
               {"prompt_parts", formatPromptParts(this->attributes.promptParts)},
@@ -850,7 +874,7 @@
               {"adapter", this->attributes.target.adapter.value()},
               {"sends", std::to_string(this->sends)},
               {"candidates", std::to_string(this->candidateCount)},
-              {"waiting_ahead", std::to_string(this->waitingAhead)},
+              {"waiting_ahead", std::to_string(this->attempt.waitingAhead)},
               {"left_ms", this->deadline == TimePoint() ? std::string()
                                                         : formatMilliseconds(this->timeLeft())},
               {"upstream_silent_ms", formatMilliseconds(this->upstreamSilence())},
@@ -859,8 +883,9 @@
                        ? std::string()
                        : formatMilliseconds(this->firstEventAt - this->request.arrival)},
               {"longest_gap_ms", formatMilliseconds(this->longestEventGap)},
-              {"upstream_limit",
-               this->upstreamLimit ? fmt::format("{}", *this->upstreamLimit) : std::string()},
+              {"upstream_limit", this->attempt.upstreamLimit
+                                         ? fmt::format("{}", *this->attempt.upstreamLimit)
+                                         : std::string()},
               {"framing", std::string(framing)},
               {"connection", std::string(connection)},
               {"partial_event_bytes", std::to_string(this->events.partialEventBytes())},
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -6,6 +6,7 @@
 #include "caller/event_stream.hpp"
 #include "core/log.hpp"
 #include "gateway/gateway.hpp"
+#include "gateway/silence_watch.hpp"
 #include "upstream/upstream_call.hpp"
 
 #include <optional>
@@ -24,6 +25,8 @@
     MayHaveRun,
     /// A stream broke after some of its events were sent to the caller.
     StreamBroken,
+    /// Another upstream has taken the request; the current attempt is that of the other one.
+    Replaced,
 };
 
 /// @brief Handles one request from its routing to the end of its answer; lives as long as the
@@ -65,6 +68,27 @@
         Duration retryAfter{};
     };
 
+    /// A request that was sent, or is being sent, to one upstream.
+    struct Attempt
+    {
+        UpstreamId upstream;
+        SoftwareVersion version;
+        UpstreamProcess process;
+        Endpoint endpoint;
+        /// Number of the attempt within the request, from one.
+        std::uint32_t number = 0;
+        TimePoint sentAt{};
+        /// When the last bytes of the answer were read; zero before.
+        TimePoint heardAt{};
+        /// Requests that waited at the upstream when this one was sent to it.
+        std::uint32_t waitingAhead = 0;
+        std::unique_ptr<upstream::UpstreamCall> call;
+        /// Where the reading of the answer ended; unset while no head was read.
+        std::optional<upstream::AnswerEnd> answerEnd;
+        /// Requests per second that the answer said the upstream takes.
+        std::optional<double> upstreamLimit;
+    };
+
     bool selectService();
     const Service *pickService();
     upstream::Awaitable<void> findStreamOrigin();
@@ -100,11 +124,14 @@
     bool isTargetReported() const;
     bool isTargetHeldOnlyByExcluded() const;
     std::optional<Duration> computeQueueRetryAfter(const UpstreamId &id) const;
-    bool hasAlternative() const;
     bool acquireRetry(AttemptOutcome outcome);
 
     upstream::Awaitable<AttemptOutcome> runAttempt(const UpstreamId &id);
-    upstream::Awaitable<AttemptOutcome> callUpstream(const UpstreamTable::Entry &entry);
+    HeadText beginAttempt(const UpstreamTable::Entry &entry);
+    void endAttempt();
+    upstream::Awaitable<AttemptOutcome> sendAndReceive(HeadText head);
+    upstream::Awaitable<AttemptOutcome> receiveAnswer();
+    upstream::Awaitable<std::optional<upstream::CallResult<bool>>> readMoreBody();
     upstream::Awaitable<AttemptOutcome> relayAnswer();
     upstream::Awaitable<AttemptOutcome> relayWholeAnswer();
     upstream::Awaitable<AttemptOutcome> relayEventStream();
@@ -116,8 +143,19 @@
     AttemptOutcome handleUpstreamRefusal(const AnswerAttributes &attributes, int status);
     HeadText buildUpstreamHead(const UpstreamTable::Entry &entry) const;
     const std::string &resumePoint() const;
-    TimePoint firstEventDeadline() const;
-    TimePoint nextEventDeadline() const;
+
+    TimePoint silenceDeadline() const;
+    bool mayReplaceUpstream() const;
+    bool isSilence(const upstream::CallError &error) const;
+    upstream::Awaitable<bool> replaceSilentUpstream();
+    upstream::Awaitable<bool> askReplacement();
+    upstream::Awaitable<std::optional<UpstreamId>> selectReplacement();
+    upstream::Awaitable<bool> sendToReplacement(const HeadText &head,
+                                                const upstream::UpstreamCall &silent);
+    bool isAcceptance();
+    void recordReplacementFailure(const upstream::CallError &error);
+    SilenceWatch makeSilenceWatch() const;
+
     void recordFault(UpstreamFault fault, std::string_view reason);
     void recordSuccess();
     void recordCompletion();
@@ -160,28 +198,16 @@
     std::uint32_t sends = 0;
     /// Number of candidates in the last selection.
     std::size_t candidateCount = 0;
-    /// Upstream of the last attempt, its version, and when the attempt began.
-    UpstreamId currentUpstream;
-    SoftwareVersion currentVersion;
-    /// Its process and address.
-    UpstreamProcess currentProcess;
-    Endpoint currentEndpoint;
+    /// The last attempt.
+    Attempt attempt;
+    /// How long its upstream has been silent.
+    SilenceWatch silence;
     /// Version that began the stream, once it has begun; the stream goes on at no other one.
     std::optional<SoftwareVersion> requiredVersion;
     /// Attempt that brought the first event, counted from one; zero while there is none.
     std::uint32_t beginSend = 0;
     /// Times that the announced version of the stream was corrected.
     std::uint32_t originCorrections = 0;
-    TimePoint sentAt{};
-    /// When the last bytes of the current answer were read; zero before.
-    TimePoint heardAt{};
-    /// Requests that waited at the upstream when this one was sent to it.
-    std::uint32_t waitingAhead = 0;
-    std::optional<upstream::UpstreamCall> call;
-    /// Where the reading of the last attempt's answer ended; unset while no head was read.
-    std::optional<upstream::AnswerEnd> answerEnd;
-    /// Requests per second that the last answer said the upstream takes.
-    std::optional<double> upstreamLimit;
     caller::EventStream events;
     /// A part of an answer was sent to the caller.
     bool isAnswerBegun = false;
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -99,18 +99,6 @@
     return contains(this->triedUpstreams) || contains(this->exhaustedUpstreams);
 }
 
-/// Whether the request could be sent to another healthy upstream that takes any number.
-bool RequestExchange::hasAlternative() const
-{
-    const SelectionQuery query = this->buildSelectionQuery();
-    return std::any_of(query.candidates.begin(), query.candidates.end(), [&](const auto *entry) {
-        const UpstreamId &id = entry->registered.id;
-        return id != this->currentUpstream && !this->gateway.health.isAvoided(id, this->now())
-               && !this->isExcluded(id)
-               && !this->gateway.upstreamLimits.isLimited(entry->process());
-    });
-}
-
 /// Selects an upstream and, if it has named a limit, gets a permit to send the request there; goes
 /// on to the next best one while there is none.
 Awaitable<RequestExchange::UpstreamSelection> RequestExchange::selectPermittedUpstream()
@@ -168,10 +156,12 @@
         const std::optional<Duration> retryAfter
                 = this->computeQueueRetryAfter(*selection.upstream);
         if (retryAfter) {
-            this->waitingAhead = this->gateway.table.find(*selection.upstream)->load.waiting;
-            selection.refusal = Error(ErrorKind::NoCapacity,
-                                      fmt::format("{} requests wait at upstream {}",
-                                                  this->waitingAhead, selection.upstream->value()));
+            this->attempt.waitingAhead
+                    = this->gateway.table.find(*selection.upstream)->load.waiting;
+            selection.refusal
+                    = Error(ErrorKind::NoCapacity,
+                            fmt::format("{} requests wait at upstream {}",
+                                        this->attempt.waitingAhead, selection.upstream->value()));
             selection.retryAfter = *retryAfter;
             selection.upstream.reset();
         }
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -92,7 +92,9 @@
 {
     this->isReading = false;
     this->end += count;
-    if (error && !this->hasExpired) {
+    // A read that a former time limit has cancelled says nothing about the connection.
+    const bool isCancelled = error == asio::error::operation_aborted && this->socket.is_open();
+    if (error && !this->hasExpired && !isCancelled) {
         this->isReadClosed = true;
         this->wasClosedInOrder = error == asio::error::eof;
     }
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -106,7 +106,7 @@
     while (true) {
         while (!this->parser->is_header_done()) {
             this->consumeParsedBytes();
-            const StreamStatus read = co_await this->stream->readMore();
+            const StreamStatus read = co_await this->readMoreInput();
             if (read != StreamStatus::Ok)
                 co_return this->makeStreamError(read);
             const CallResult<void> parsed = this->parse();
@@ -145,7 +145,7 @@
                 = this->stream->unread().size() == this->parsedBytes || this->needsMoreInput;
         this->consumeParsedBytes();
         if (mustRead) {
-            const StreamStatus read = co_await this->stream->readMore();
+            const StreamStatus read = co_await this->readMoreInput();
             if (read != StreamStatus::Ok && this->finishUnframedAnswer(read))
                 break;
             if (read != StreamStatus::Ok)
@@ -237,6 +237,32 @@
     return end;
 }
 
+void UpstreamCall::readAhead()
+{
+    this->consumeParsedBytes();
+    if (!this->bytesBeforeReadAhead)
+        this->bytesBeforeReadAhead = this->stream->unread().size();
+    this->stream->readAhead();
+}
+
+bool UpstreamCall::hasInput() const
+{
+    return this->stream->unread().size() > this->bytesBeforeReadAhead.value_or(0)
+           || this->stream->isPeerClosed();
+}
+
+/// Waits until there are more bytes than when the parser last needed them.
+Awaitable<StreamStatus> UpstreamCall::readMoreInput()
+{
+    const bool hasMore = this->bytesBeforeReadAhead
+                         && this->stream->unread().size() > *this->bytesBeforeReadAhead;
+    this->bytesBeforeReadAhead.reset();
+    if (hasMore)
+        co_return StreamStatus::Ok;
+    const StreamStatus status = co_await this->stream->readMore();
+    co_return status;
+}
+
 bool UpstreamCall::isAnythingWritten() const
 {
     return this->stream && this->stream->writtenBytes() > 0;
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -149,6 +149,14 @@
     /// @return nothing before the headers are complete
     std::optional<AnswerEnd> answerEnd() const;
 
+    /// @brief Starts to read, so that hasInput() tells whether there is something new.
+    /// @note Only after readHead() or readBody() has ended with TimedOut.
+    void readAhead();
+
+    /// @brief Whether bytes have arrived since readAhead(), or the upstream has closed the
+    /// connection.
+    bool hasInput() const;
+
     /// @brief Whether bytes of the request were handed to the kernel.
     bool isAnythingWritten() const;
 
@@ -164,6 +172,7 @@
 private:
     Awaitable<CallResult<void>> open(TimePoint deadline);
     void consumeParsedBytes();
+    Awaitable<StreamStatus> readMoreInput();
     CallResult<void> parse();
     bool finishUnframedAnswer(StreamStatus status);
     CallError makeError(CallFailure failure, std::string message) const;
@@ -177,6 +186,8 @@
     /// Bytes at the front of the stream that are parsed but not consumed: pieces may point into
     /// them.
     std::size_t parsedBytes = 0;
+    /// Unread bytes when readAhead() was called; unset when it was not called since the last read.
+    std::optional<std::size_t> bytesBeforeReadAhead;
     /// Whether answer() holds pieces that came with the head and weren't returned yet.
     bool hasUnreadPieces = false;
     /// Whether the parser made no progress with the buffered bytes.
--- a/tests/platform/adapter/unit-settings_file.cpp
+++ b/tests/platform/adapter/unit-settings_file.cpp
@@ -85,6 +85,22 @@
           == "upstream_limits.share_without_issuer");
 }
 
+TEST_CASE("the limits for silent upstreams are read from settings")
+{
+    const auto settings = parseSettings(completeSettings + "silence.event_gaps=2\n"
+                                        + "silence.accept_time_ms=100\n");
+    REQUIRE(settings);
+    CHECK(settings.value().silence.eventGaps == 2);
+    CHECK(settings.value().silence.acceptTime == 100ms);
+    CHECK(settings.value().silence.retryInterval == gateway::SilenceLimits().retryInterval);
+
+    SUBCASE("an interval that would ask without pause is refused")
+    {
+        CHECK(parseSettings(completeSettings + "silence.retry_interval_ms=0\n").error().field()
+              == "silence.retry_interval_ms");
+    }
+}
+
 TEST_CASE("an error names the setting that is missing or invalid")
 {
     for (const char *name : {"node_name", "zone", "ip", "listen.frontend", "listen.readiness",
