Answer a caller that has closed only its sending side

Cause: the end of the caller's bytes counted as its departure, and the exchange returned without writing. A caller that has left can't be told from one that still reads, so the work is cancelled as before.

Change: before the connection closes, the caller gets 503 if the request was not sent to an upstream, and 502 if it may have run, unless an answer has begun.

Evidence: unit-request_ends.cpp, both sections failed on the code before (no byte came).

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -118,6 +118,8 @@
     if (this->isCallerGone) {
         this->keepAlive = false;
         this->log(LogLevel::Info, "caller disconnected", "caller_gone", this->durationField());
+        if (!this->end && !this->isAnswerBegun)
+            co_await this->answerDepartedCaller();
     }
 }
 
@@ -789,7 +791,31 @@
                           noUpstreamRetryAfter);
 }
 
+/// Answers a caller that has closed its sending side: it may still read.
+Awaitable<void> RequestExchange::answerDepartedCaller()
+{
+    const std::string reason = "the caller closed its side of the connection";
+    if (this->sends == 0)
+        co_await this->writeRefusal(Error(ErrorKind::UpstreamUnavailable, reason),
+                                    noUpstreamRetryAfter);
+    else
+        co_await this->writeRefusal(Error(ErrorKind::UpstreamFailed, reason), std::nullopt);
+}
+
 Awaitable<void> RequestExchange::refuse(const Error &error, std::optional<Duration> retryAfter)
+{
+    const ErrorRow &row = error.row();
+    this->gateway.metrics.errors(error.kind()).add();
+    this->log(LogLevel::Warning,
+              row.httpStatus >= firstServerError ? "request failed" : "request refused", row.code,
+              {"detail", error.message()});
+    if (co_await this->writeRefusal(error, retryAfter))
+        this->end = RequestEnd::Refused;
+}
+
+/// Writes this instance's own answer; returns whether the connection has taken it.
+Awaitable<bool> RequestExchange::writeRefusal(const Error &error,
+                                              std::optional<Duration> retryAfter)
 {
     const ErrorRow &row = error.row();
     const std::string body = caller::errorBody(error);
@@ -801,12 +827,8 @@
     if (!this->keepAlive)
         appendHeader(head, "Connection", "close");
     head += "\r\n";
-    this->gateway.metrics.errors(error.kind()).add();
-    this->log(LogLevel::Warning,
-              row.httpStatus >= firstServerError ? "request failed" : "request refused", row.code,
-              {"detail", error.message()});
-    if (co_await this->writeToCaller(head, body))
-        this->end = RequestEnd::Refused;
+    const bool isWritten = co_await this->writeToCaller(head, body);
+    co_return isWritten;
 }
 
 /// Writes to the caller; returns false when it has disconnected or does not read in time.
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -164,7 +164,9 @@
     void recordLatencies() const;
 
     upstream::Awaitable<void> finishFailedRequest();
+    upstream::Awaitable<void> answerDepartedCaller();
     upstream::Awaitable<void> refuse(const Error &error, std::optional<Duration> retryAfter);
+    upstream::Awaitable<bool> writeRefusal(const Error &error, std::optional<Duration> retryAfter);
     upstream::Awaitable<bool> writeToCaller(std::string_view head, std::string_view body);
     std::string buildAnswerHead(int status, const upstream::HeaderList &headers) const;
     void log(LogLevel level, std::string_view message, std::string_view reason,
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -75,9 +75,10 @@
     return route;
 }
 
-gateway::RouteIndexPointer makeRoutes()
+gateway::RouteIndexPointer makeRoutes(const gateway::CallerLimits &limits = {})
 {
     gateway::RoutingConfiguration configuration;
+    configuration.limits = limits;
     configuration.version = 1;
     configuration.routes = {makeRoute("/plain/", gateway::RequestKind::Idempotent, false),
                             makeRoute("/once/", gateway::RequestKind::NonIdempotent, false),
@@ -94,15 +95,16 @@
     return std::make_shared<gateway::RouteIndex>(configuration);
 }
 
-/// Reads one request: its head, and a body of the length that the head states.
-std::string readRequest(Tcp::socket &socket)
+/// Reads one message: its head, and a body of the length that the head states.
+std::string readMessage(Tcp::socket &socket)
 {
     std::string text;
     boost::system::error_code error;
     while (text.find("\r\n\r\n") == std::string::npos && !error) {
         char byte = 0;
         asio::read(socket, asio::buffer(&byte, 1), error);
-        text += byte;
+        if (!error)
+            text += byte;
     }
     const std::size_t position = text.find("Content-Length: ");
     if (position != std::string::npos) {
@@ -113,6 +115,15 @@
     return text;
 }
 
+/// Reads until the peer closes the connection.
+std::string readToEnd(Tcp::socket &socket)
+{
+    std::string text;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(text), error);
+    return text;
+}
+
 std::string headerValue(const std::string &request, const std::string &name)
 {
     const std::size_t position = request.find(name + ": ");
@@ -133,6 +144,45 @@
 
 } // namespace
 
+struct KeptConnection::Socket
+{
+    asio::io_context context;
+    Tcp::socket socket{context};
+};
+
+KeptConnection::KeptConnection(const RelayFixture &fixture)
+    : socket(std::make_unique<Socket>())
+{
+    this->socket->socket.connect(
+            {asio::ip::make_address(fixture.endpoint().address), fixture.endpoint().port});
+}
+
+KeptConnection::~KeptConnection() = default;
+
+void KeptConnection::send(const std::string &bytes)
+{
+    boost::system::error_code ignored;
+    asio::write(this->socket->socket, asio::buffer(bytes), ignored);
+}
+
+std::string KeptConnection::readAnswer()
+{
+    return readMessage(this->socket->socket);
+}
+
+std::string KeptConnection::call(const std::string &text)
+{
+    this->send(text);
+    return this->readAnswer();
+}
+
+std::string keptRequest(const std::string &path, const std::string &body)
+{
+    std::string text = request(path, body);
+    const std::string close = "Connection: close\r\n";
+    return text.erase(text.find(close), close.size());
+}
+
 struct ScriptedUpstream::Sockets
 {
     asio::io_context context;
@@ -177,7 +227,7 @@
         this->sockets->acceptor.accept(socket, error);
         if (error || this->scripts.empty())
             return;
-        const std::string text = readRequest(socket);
+        const std::string text = readMessage(socket);
         {
             const std::lock_guard lock(this->mutex);
             this->received.push_back(text);
@@ -261,10 +311,7 @@
     Tcp::socket socket(context);
     socket.connect({asio::ip::make_address(this->listen.address), this->listen.port});
     asio::write(socket, asio::buffer(text));
-    std::string answer;
-    boost::system::error_code error;
-    asio::read(socket, asio::dynamic_buffer(answer), error);
-    return answer;
+    return readToEnd(socket);
 }
 
 void RelayFixture::answerOriginQuery(const RequestId &request, bool isRepeated)
@@ -310,6 +357,76 @@
     recorded.get_future().wait();
 }
 
+std::string RelayFixture::callAndCloseSending(const std::string &text, Duration after) const
+{
+    asio::io_context context;
+    Tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(this->listen.address), this->listen.port});
+    asio::write(socket, asio::buffer(text));
+    std::this_thread::sleep_for(after);
+    socket.shutdown(Tcp::socket::shutdown_send);
+    return readToEnd(socket);
+}
+
+std::string RelayFixture::callAndStop(const std::string &text, Duration after) const
+{
+    asio::io_context context;
+    Tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(this->listen.address), this->listen.port});
+    asio::write(socket, asio::buffer(text));
+    std::this_thread::sleep_for(after);
+    this->runOnLoop([](gateway::Gateway &gateway) { gateway.stop(); });
+    return readToEnd(socket);
+}
+
+std::string RelayFixture::callAndReadLate(const std::string &text, Duration after) const
+{
+    constexpr int receiveBufferBytes = 4096;
+    asio::io_context context;
+    Tcp::socket socket(context, Tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+    socket.connect({asio::ip::make_address(this->listen.address), this->listen.port});
+    asio::write(socket, asio::buffer(text));
+    std::this_thread::sleep_for(after);
+    return readToEnd(socket);
+}
+
+void RelayFixture::publishLimits(const gateway::CallerLimits &limits)
+{
+    this->runOnLoop([&limits](gateway::Gateway &gateway) { gateway.publish(makeRoutes(limits)); });
+}
+
+void RelayFixture::runOnLoop(const std::function<void(gateway::Gateway &)> &function) const
+{
+    std::promise<void> done;
+    asio::post(this->loop, [&] {
+        function(*this->gateway);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void RelayFixture::waitForIdle() const
+{
+    std::size_t open = 1;
+    while (open > 0) {
+        std::this_thread::sleep_for(10ms);
+        this->runOnLoop([&open](gateway::Gateway &gateway) { open = gateway.openRequests(); });
+    }
+}
+
+std::uint64_t RelayFixture::requestsRead()
+{
+    return this->metrics.counter("bamboochute_requests_read_total").value();
+}
+
+std::uint64_t RelayFixture::requestEnds(const std::string &end)
+{
+    // What the gateway does after it has closed a connection is done then.
+    this->runOnLoop([](gateway::Gateway &) {});
+    return this->metrics.counter("bamboochute_request_ends_total", "end=\"" + end + "\"").value();
+}
+
 void RelayFixture::callAndDisconnect(const std::string &text, Duration after) const
 {
     asio::io_context context;
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -104,6 +104,35 @@
     /// @brief Sends a request and disconnects after a delay without reading the answer.
     void callAndDisconnect(const std::string &request, Duration after) const;
 
+    /// @brief Sends a request, closes the sending side after a delay, and returns what the gateway
+    /// sends until it closes the connection.
+    std::string callAndCloseSending(const std::string &request, Duration after) const;
+
+    /// @brief Sends a request, lets the gateway end its open requests after a delay, and returns
+    /// what it sends until it closes the connection.
+    std::string callAndStop(const std::string &request, Duration after) const;
+
+    /// @brief Sends a request and reads the answer after a delay, with a small receive buffer.
+    std::string callAndReadLate(const std::string &request, Duration after) const;
+
+    /// @brief Publishes the same routes with other limits for callers.
+    void publishLimits(const gateway::CallerLimits &limits);
+
+    /// @brief Runs a function on the gateway's thread, which does nothing else meanwhile.
+    void runOnLoop(const std::function<void(gateway::Gateway &)> &function) const;
+
+    /// @brief Waits until no request is open.
+    void waitForIdle() const;
+
+    /// @brief Number of requests that the gateway has read.
+    std::uint64_t requestsRead();
+
+    /// @brief Number of requests that have ended in one way.
+    /// @param end name of a gateway::RequestEnd
+    std::uint64_t requestEnds(const std::string &end);
+
+    Endpoint endpoint() const { return this->listen; }
+
     Metrics metrics;
     /// Number of times that the gateway asked other instances for the origin of a stream.
     std::atomic<int> originQueries{0};
@@ -114,12 +143,36 @@
 private:
     void answerOriginQuery(const RequestId &request, bool isRepeated);
 
-    boost::asio::io_context loop;
+    mutable boost::asio::io_context loop;
     std::unique_ptr<gateway::Gateway> gateway;
     Endpoint listen;
     std::thread thread;
 };
 
+/// @brief A caller's connection that is kept open for several requests.
+class KeptConnection
+{
+public:
+    explicit KeptConnection(const RelayFixture &fixture);
+    ~KeptConnection();
+
+    void send(const std::string &bytes);
+
+    /// @brief Reads one answer with Content-Length.
+    /// @return the answer, or what came before the connection closed
+    std::string readAnswer();
+
+    /// @brief Sends a request and reads its answer.
+    std::string call(const std::string &request);
+
+private:
+    struct Socket;
+    std::unique_ptr<Socket> socket;
+};
+
+/// @brief Builds a request that keeps its connection open.
+std::string keptRequest(const std::string &path, const std::string &body = {});
+
 /// @brief Builds a request with an id and "Connection: close".
 std::string request(const std::string &path, const std::string &body = {},
                     const std::string &headers = {});
--- /dev/null
+++ b/tests/gateway/unit-request_ends.cpp
@@ -0,0 +1,57 @@
+#include "relay_fixture.hpp"
+
+#include <thread>
+
+#include <doctest/doctest.h>
+
+using namespace bamboochute;
+using namespace bamboochute::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An upstream that says nothing until the peer closes the connection.
+Script staysSilent()
+{
+    Script script;
+    script.isSilent = true;
+    return script;
+}
+
+/// A stream that begins and then says nothing until the peer closes the connection.
+Script beginsStream()
+{
+    Script script;
+    script.answer = streamHead() + chunk("id: 1\ndata: a\n\n");
+    script.isSilentAfterwards = true;
+    return script;
+}
+
+} // namespace
+
+// Guards against a request that was read whole and whose connection closes without an answer or a
+// refusal because its caller has closed only its sending side.
+TEST_CASE("a caller that closes only its sending side gets an answer before its connection closes")
+{
+    ScriptedUpstream upstream({staysSilent()});
+    RelayFixture fixture({&upstream});
+
+    SUBCASE("a request that an upstream may run is answered with 502, and its work is cancelled")
+    {
+        const std::string got = fixture.callAndCloseSending(request("/once/", "pay"), 100ms);
+        CHECK(got.starts_with("HTTP/1.1 502 "));
+        CHECK(upstream.requests().size() == 1);
+        fixture.waitForIdle();
+        CHECK(upstream.abandonedConnections() == 1);
+    }
+    SUBCASE("a request that was not sent yet is refused as not run")
+    {
+        const std::string got = fixture.callAndCloseSending(request("/once/", "pay"), 0ms);
+        const bool isRefused = got.starts_with("HTTP/1.1 503 ") && upstream.requests().empty();
+        // The close may arrive after the request was sent.
+        const bool isUnknown = got.starts_with("HTTP/1.1 502 ");
+        CHECK((isRefused || isUnknown));
+    }
+    CHECK(fixture.requestsRead() == 1);
+    CHECK(fixture.requestEnds("unanswered") == 0);
+}
--- a/tests/gateway/unit-silent_upstreams.cpp
+++ b/tests/gateway/unit-silent_upstreams.cpp
@@ -66,13 +66,6 @@
     return "incomplete";
 }
 
-std::uint64_t countEnds(RelayFixture &fixture, std::string_view end)
-{
-    return fixture.metrics
-            .counter("bamboochute_request_ends_total", "end=\"" + std::string(end) + "\"")
-            .value();
-}
-
 } // namespace
 
 // Guards against an answer that is given up because its upstream is silent, though no other
@@ -124,7 +117,7 @@
         const std::string got = fixture.call(request(path));
         CHECK(got.starts_with("HTTP/1.1 200 "));
         CHECK(wholeBody(got) == expected);
-        CHECK(countEnds(fixture, "answered") == 1);
+        CHECK(fixture.requestEnds("answered") == 1);
     }
 }
 
@@ -136,7 +129,7 @@
         ScriptedUpstream other({{answer(200, "status")}});
         RelayFixture fixture({&silent, &other});
         CHECK(wholeBody(fixture.call(request("/quick/"))) == "status");
-        CHECK(countEnds(fixture, "answered") == 1);
+        CHECK(fixture.requestEnds("answered") == 1);
         CHECK(silent.abandonedConnections() == 1);
     }
     SUBCASE("in the middle of a stream")
