Answer the open requests before a process stops

What callers saw: when the grace after SIGTERM was used up, the connections of open requests closed without a word.

Cause: Gateway::stop() closes all connections, and the event loop ends before an exchange could write anything.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -98,6 +98,13 @@
     this->notifyChange();
 }
 
+void Gateway::endOpenRequests()
+{
+    this->refuseWaitingRequests();
+    for (RequestExchange *exchange : this->exchanges)
+        exchange->abort();
+}
+
 void Gateway::stop()
 {
     this->closeIdleConnections();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -29,6 +29,8 @@
 
 namespace bamboochute::gateway {
 
+class RequestExchange;
+
 /// @brief Settings of the process that a gateway runs in.
 struct GatewaySettings
 {
@@ -74,6 +76,10 @@
     /// @brief Refuses the requests that wait for a target, and those that would begin to wait.
     void refuseWaitingRequests();
 
+    /// @brief Ends the open requests: those without an answer get one, streams are cut.
+    /// @note Their connections take a turn of the event loop to close.
+    void endOpenRequests();
+
     /// @brief Aborts the open requests and closes all connections.
     void stop();
 
@@ -152,6 +158,7 @@
     /// Connections without a request.
     std::set<upstream::HttpStream *> idleStreams;
     std::size_t openRequestCount = 0;
+    std::set<RequestExchange *> exchanges;
     bool draining = false;
     /// No connection is accepted or read from any more.
     bool closing = false;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -55,11 +55,14 @@
     , request(request)
     , index(gateway.index)
     , events(maxEventBytes, true)
-{}
+{
+    this->gateway.exchanges.insert(this);
+}
 
 RequestExchange::~RequestExchange()
 {
     this->caller.setPeerClosedHandler(nullptr);
+    this->gateway.exchanges.erase(this);
 }
 
 Awaitable<void> RequestExchange::refuseUnread(const Error &error)
@@ -250,6 +253,15 @@
     this->gateway.notifyChange();
 }
 
+void RequestExchange::abort()
+{
+    this->isAborted = true;
+    this->keepAlive = false;
+    if (this->attempt.call)
+        this->attempt.call->cancel();
+    this->gateway.notifyChange();
+}
+
 bool RequestExchange::isEngineTarget() const
 {
     return this->service->engine.has_value() && !this->target.target.model.isEmpty();
@@ -307,6 +319,8 @@
 /// Returns whether the request may be sent again, and takes the retry from the budget.
 bool RequestExchange::acquireRetry(AttemptOutcome outcome)
 {
+    if (this->isAborted)
+        return false;
     if (this->timeLeft() < minSendTime) {
         this->hasTimedOut = true;
         return false;
@@ -483,6 +497,12 @@
 AttemptOutcome RequestExchange::handleCallFailure(const upstream::CallError &error)
 {
     using upstream::CallFailure;
+    if (error.failure == CallFailure::Cancelled && this->isAborted && !this->isCallerGone) {
+        this->lastFault = "this instance is shutting down";
+        if (!error.isAnythingWritten)
+            return AttemptOutcome::NotRun;
+        return this->isAnswerBegun ? AttemptOutcome::StreamBroken : AttemptOutcome::MayHaveRun;
+    }
     if (error.failure == CallFailure::Cancelled)
         return AttemptOutcome::Finished;
     this->recordAnswerEnd();
@@ -787,8 +807,10 @@
         co_await this->refuse(Error(kind, this->lastFault), std::nullopt);
         co_return;
     }
-    co_await this->refuse(Error(ErrorKind::UpstreamUnavailable, this->lastFault),
-                          noUpstreamRetryAfter);
+    co_await this->refuse(
+            Error(this->isAborted ? ErrorKind::Draining : ErrorKind::UpstreamUnavailable,
+                  this->lastFault),
+            noUpstreamRetryAfter);
 }
 
 /// Answers a caller that has closed its sending side: it may still read.
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -46,6 +46,10 @@
     /// @brief Answers bytes that could not be parsed as a request with an error.
     upstream::Awaitable<void> refuseUnread(const Error &error);
 
+    /// @brief Ends the request because the process stops: it is answered if it has no answer yet,
+    /// and its stream is cut if that has begun.
+    void abort();
+
     /// @brief Whether the caller's connection may be used for another request.
     bool isKeepAlive() const noexcept { return this->keepAlive; }
 
@@ -186,6 +190,8 @@
     TimePoint deadline{};
     bool keepAlive = false;
     bool isCallerGone = false;
+    /// The process stops; no further upstream is asked.
+    bool isAborted = false;
     /// What the caller has got; unset while that is open.
     std::optional<RequestEnd> end;
     /// Upstreams that are not selected again for this request.
--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -38,7 +38,7 @@
 bool RequestExchange::isSilence(const upstream::CallError &error) const
 {
     return error.failure == CallFailure::TimedOut && this->timeLeft() >= minSendTime
-           && !this->isCallerGone;
+           && !this->isCallerGone && !this->isAborted;
 }
 
 /// Asks other upstreams to take the request from the current one, which is silent. It is given up
@@ -60,7 +60,8 @@
     const UpstreamTable::Entry *entry = id ? this->gateway.table.find(*id) : nullptr;
     const bool isRefused
             = this->gateway.quarantine.isRefused(this->service->id, this->attributes.promptParts);
-    if (entry == nullptr || isRefused || this->isCallerGone || this->attempt.call->hasInput()
+    if (entry == nullptr || isRefused || this->isCallerGone || this->isAborted
+        || this->attempt.call->hasInput()
         || !this->gateway.budget.takeRetry(this->service->id, this->now()) || !this->admitPrompt())
         co_return false;
     Attempt silent = std::exchange(this->attempt, Attempt());
@@ -119,7 +120,7 @@
         co_return false;
     }
     const TimePoint acceptedAt = this->now() + this->gateway.settings.silence.acceptTime;
-    while (!this->isCallerGone) {
+    while (!this->isCallerGone && !this->isAborted) {
         call.setDeadline(std::min(acceptedAt, this->now() + silentUpstreamPollInterval));
         const CallResult<void> read = co_await call.readHead();
         if (read)
--- a/tests/gateway/unit-request_ends.cpp
+++ b/tests/gateway/unit-request_ends.cpp
@@ -55,3 +55,46 @@
     CHECK(fixture.requestsRead() == 1);
     CHECK(fixture.requestEnds("unanswered") == 0);
 }
+
+// Guards against requests that get nothing when the process stops before they are answered.
+TEST_CASE("requests that are not answered when an instance stops get an answer")
+{
+    SUBCASE("one that an upstream may run is answered with 502")
+    {
+        ScriptedUpstream upstream({staysSilent()});
+        RelayFixture fixture({&upstream});
+        const std::string got = fixture.callAndStop(request("/once/", "pay"), 100ms);
+        CHECK(got.starts_with("HTTP/1.1 502 "));
+        CHECK(containsText(got, "Connection: close"));
+        CHECK(fixture.requestEnds("refused") == 1);
+    }
+    SUBCASE("one that may run again is not sent to another upstream")
+    {
+        ScriptedUpstream upstream({staysSilent()});
+        ScriptedUpstream other({{answer(200, "late")}});
+        RelayFixture fixture({&upstream, &other});
+        const std::string got = fixture.callAndStop(request("/plain/"), 100ms);
+        CHECK(got.starts_with("HTTP/1.1 502 "));
+        CHECK(other.requests().empty());
+    }
+    SUBCASE("one that waits for the end of a pause is refused as not run")
+    {
+        ScriptedUpstream upstream(
+                {{answer(503, "busy", "test-not-run: 1\r\ntest-pause-ms: 900\r\n")},
+                 {answer(200, "late")}});
+        RelayFixture fixture({&upstream});
+        const std::string got = fixture.callAndStop(request("/plain/"), 200ms);
+        CHECK(got.starts_with("HTTP/1.1 503 "));
+        CHECK(upstream.requests().size() == 1);
+        CHECK(fixture.requestEnds("refused") == 1);
+    }
+    SUBCASE("a stream that has begun ends without its last chunk")
+    {
+        ScriptedUpstream upstream({beginsStream()});
+        RelayFixture fixture({&upstream});
+        const std::string got = fixture.callAndStop(request("/stream/"), 100ms);
+        CHECK(got.starts_with("HTTP/1.1 200 "));
+        CHECK_FALSE(got.ends_with("0\r\n\r\n"));
+        CHECK(fixture.requestEnds("cut") == 1);
+    }
+}
