Give callers time to read an answer whose deadline has passed

What callers saw: an answer, or a refusal at the deadline, was cut when the caller's receive buffer was full at that moment.

Cause: writing ended at the request's deadline, and at once if that had passed.

Change: each write has at least a second.

Evidence: unit-request_ends.cpp, a 6 MB answer to a caller that reads 200 ms after its deadline: both assertions failed before.

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -32,6 +32,8 @@
 constexpr Duration notReadyRetryAfter = std::chrono::milliseconds(500);
 /// Time for a caller to read the answer to a request that was not routed and so has no deadline.
 constexpr Duration refusalWriteTimeout = std::chrono::seconds(5);
+/// Least time for a caller to read what is written to it, also when its deadline has passed.
+constexpr Duration minWriteTime = std::chrono::seconds(1);
 
 asio::const_buffer toBuffer(std::string_view text)
 {
@@ -859,9 +861,8 @@
     const std::array<asio::const_buffer, 2> parts{toBuffer(head), toBuffer(body)};
     std::optional<StreamStatus> status = this->caller.tryWrite(parts);
     if (!status) {
-        const TimePoint fallback = this->now() + refusalWriteTimeout;
-        this->caller.expireAt(
-                this->deadline == TimePoint() ? fallback : std::max(this->deadline, this->now()));
+        const Duration least = this->deadline == TimePoint() ? refusalWriteTimeout : minWriteTime;
+        this->caller.expireAt(std::max(this->deadline, this->now() + least));
         status = co_await this->caller.writeRest(parts);
         this->caller.neverExpire();
     }
--- a/tests/gateway/unit-request_ends.cpp
+++ b/tests/gateway/unit-request_ends.cpp
@@ -98,3 +98,16 @@
         CHECK(fixture.requestEnds("cut") == 1);
     }
 }
+
+// Guards against a refusal that is lost because the request's deadline has passed before the
+// caller has read what was sent to it.
+TEST_CASE("an answer is written although the deadline has passed and the caller reads slowly")
+{
+    const std::string body(6 << 20, 'x');
+    ScriptedUpstream upstream({{answer(200, body)}});
+    RelayFixture fixture({&upstream});
+    const std::string got
+            = fixture.callAndReadLate(request("/plain/", {}, "test-patience-ms: 300\r\n"), 500ms);
+    CHECK(got.ends_with(body));
+    CHECK(fixture.requestEnds("answered") == 1);
+}
