Go by the limits in force when a request arrives

Cause: the limits were read once, before the wait for the next request.

Change: the gateway waits for the first bytes itself and then reads the limits. A longer idle time applies to waiting connections at once; a shorter one from the next request on, as callers may still go by the former. A connection whose request has begun to arrive is not idle any more, and counts as open when the process stops.

--- a/src/caller/caller_request.cpp
+++ b/src/caller/caller_request.cpp
@@ -133,15 +133,6 @@
     return RequestReadFailure{};
 }
 
-Awaitable<OptionalReadFailure> waitForFirstByte(RequestReader &reader)
-{
-    reader.stream.expireAt(SteadyClock().now() + reader.limits.idleTimeout);
-    const StreamStatus status = co_await reader.stream.readMore();
-    if (status != StreamStatus::Ok)
-        co_return RequestReadFailure{};
-    co_return std::nullopt;
-}
-
 Awaitable<OptionalReadFailure> readHeader(RequestReader &reader)
 {
     reader.stream.expireAt(reader.request.arrival + reader.limits.headerTimeout);
@@ -196,18 +187,27 @@
     return target.substr(0, target.find('?'));
 }
 
+Awaitable<bool> waitForRequest(HttpStream &stream)
+{
+    if (!stream.unread().empty())
+        co_return true;
+    const StreamStatus status = co_await stream.readMore();
+    co_return status == StreamStatus::Ok;
+}
+
 Awaitable<OptionalReadFailure> readRequest(HttpStream &stream, const ServerLimits &limits,
                                            CallerRequest &request)
 {
     request.body.clear();
     RequestReader reader(stream, limits, request);
-    OptionalReadFailure failure;
-    if (stream.unread().empty())
-        failure = co_await waitForFirstByte(reader);
-    if (failure)
-        co_return failure;
+    if (stream.unread().empty()) {
+        stream.expireAt(SteadyClock().now() + limits.idleTimeout);
+        const bool hasRequest = co_await waitForRequest(stream);
+        if (!hasRequest)
+            co_return RequestReadFailure{};
+    }
     request.arrival = SteadyClock().now();
-    failure = parseUnread(reader);
+    OptionalReadFailure failure = parseUnread(reader);
     // Most requests arrive in one read; calling a coroutine for each step would allocate its frame.
     if (!failure && !reader.parser.is_header_done())
         failure = co_await readHeader(reader);
--- a/src/caller/caller_request.hpp
+++ b/src/caller/caller_request.hpp
@@ -38,6 +38,10 @@
 /// @brief Set when reading failed.
 using OptionalReadFailure = std::optional<RequestReadFailure>;
 
+/// @brief Waits until a connection has bytes of a request, at most until the stream's time limit.
+/// @return false when there are none: the peer closed the connection, or the time has passed
+upstream::Awaitable<bool> waitForRequest(upstream::HttpStream &stream);
+
 /// @brief Reads the next request of a connection.
 /// @param stream connection to the caller
 /// @param limits sizes and timeouts
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -74,7 +74,14 @@
 
 void Gateway::publish(RouteIndexPointer newIndex)
 {
+    const Duration formerIdleTimeout = this->limits().idleTimeout;
     this->index = std::move(newIndex);
+    const Duration idleTimeout = this->limits().idleTimeout;
+    // A shorter time applies from the next request on: callers may still go by the former one.
+    if (idleTimeout > formerIdleTimeout) {
+        for (const auto &[stream, since] : this->idleStreams)
+            stream->expireAt(since + idleTimeout);
+    }
     this->notifyChange();
 }
 
@@ -88,7 +95,7 @@
     this->closing = true;
     error_code ignored;
     this->acceptor.close(ignored);
-    for (upstream::HttpStream *stream : this->idleStreams)
+    for (const auto &[stream, since] : this->idleStreams)
         stream->close();
 }
 
@@ -209,28 +216,48 @@
 Awaitable<void> Gateway::serve(upstream::HttpStreamPointer stream)
 {
     caller::CallerRequest request;
-    while (!this->closing) {
-        this->idleStreams.insert(stream.get());
-        const caller::ServerLimits limits = this->limits();
-        const caller::OptionalReadFailure noRequest
-                = co_await caller::readRequest(*stream, limits, request);
-        this->idleStreams.erase(stream.get());
-        if (noRequest && !noRequest->error)
+    while (!this->closing || !stream->unread().empty()) {
+        const bool hasRequest = co_await this->waitForRequest(*stream);
+        if (!hasRequest)
             break;
         ++this->openRequestCount;
-        this->requestEnds.recordRead();
-        RequestExchange exchange(*this, *stream, request);
-        if (noRequest)
-            co_await exchange.refuseUnread(*noRequest->error);
-        else
-            co_await exchange.run();
+        const bool isKeepAlive = co_await this->serveRequest(*stream, request);
         --this->openRequestCount;
-        this->requestEnds.recordEnd(exchange.requestEnd());
-        if (noRequest || !exchange.isKeepAlive() || stream->isExpired())
+        if (!isKeepAlive)
             break;
     }
     stream->neverExpire();
     stream->close();
 }
 
+/// Waits for a request on a connection that has none, as long as it may be idle.
+Awaitable<bool> Gateway::waitForRequest(upstream::HttpStream &stream)
+{
+    const TimePoint begin = SteadyClock().now();
+    stream.expireAt(begin + this->limits().idleTimeout);
+    this->idleStreams.emplace(&stream, begin);
+    const bool hasRequest = co_await caller::waitForRequest(stream);
+    this->idleStreams.erase(&stream);
+    co_return hasRequest;
+}
+
+/// Reads a request that has begun to arrive, by the limits in force at that time, and answers it.
+/// @return whether the connection may be used for another request
+Awaitable<bool> Gateway::serveRequest(upstream::HttpStream &stream, caller::CallerRequest &request)
+{
+    const caller::ServerLimits limits = this->limits();
+    const caller::OptionalReadFailure noRequest
+            = co_await caller::readRequest(stream, limits, request);
+    if (noRequest && !noRequest->error)
+        co_return false;
+    this->requestEnds.recordRead();
+    RequestExchange exchange(*this, stream, request);
+    if (noRequest)
+        co_await exchange.refuseUnread(*noRequest->error);
+    else
+        co_await exchange.run();
+    this->requestEnds.recordEnd(exchange.requestEnd());
+    co_return !noRequest && exchange.isKeepAlive() && !stream.isExpired();
+}
+
 } // namespace bamboochute::gateway
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 /// @brief Accepts callers' connections and relays their requests to upstreams by route.
 #pragma once
 
+#include "caller/caller_request.hpp"
 #include "caller/server_settings.hpp"
 #include "core/metrics.hpp"
 #include "gateway/call_codec.hpp"
@@ -104,7 +105,7 @@
     /// @brief Wakes the waiting requests after a change of upstreams, their residency or promises.
     void notifyChange() { this->change.notifyAll(); }
 
-    /// @brief Number of requests that have been read and not yet been answered.
+    /// @brief Number of requests that have begun to arrive and are not answered.
     std::size_t openRequests() const noexcept { return this->openRequestCount; }
     bool isDraining() const noexcept { return this->draining; }
 
@@ -139,6 +140,9 @@
 
     upstream::Awaitable<void> accept();
     upstream::Awaitable<void> serve(upstream::HttpStreamPointer stream);
+    upstream::Awaitable<bool> waitForRequest(upstream::HttpStream &stream);
+    upstream::Awaitable<bool> serveRequest(upstream::HttpStream &stream,
+                                           caller::CallerRequest &request);
     caller::ServerLimits limits() const;
     void recordInvalidHeader(std::string_view header, const UpstreamProcess &process);
 
@@ -155,8 +159,9 @@
     ChangeSignal change;
     Random random;
     std::set<upstream::HttpStreamPointer> streams;
-    /// Connections without a request.
-    std::set<upstream::HttpStream *> idleStreams;
+    /// Connections without a request, and since when.
+    std::map<upstream::HttpStream *, TimePoint> idleStreams;
+    /// Requests of which a part has arrived and that are not answered.
     std::size_t openRequestCount = 0;
     std::set<RequestExchange *> exchanges;
     bool draining = false;
--- a/tests/gateway/unit-request_ends.cpp
+++ b/tests/gateway/unit-request_ends.cpp
@@ -111,3 +111,25 @@
     CHECK(got.ends_with(body));
     CHECK(fixture.requestEnds("answered") == 1);
 }
+
+// Guards against connections that go by the limits of a configuration that is no longer in force.
+TEST_CASE("a configuration that comes into force applies to open connections")
+{
+    ScriptedUpstream upstream({{answer(200, "one")}, {answer(200, "two")}});
+    RelayFixture fixture({&upstream});
+    fixture.publishLimits({.headerTimeout = 1s, .idleTimeout = 200ms});
+    KeptConnection connection(fixture);
+    CHECK(connection.call(keptRequest("/plain/")).ends_with("one"));
+
+    SUBCASE("a longer idle time")
+    {
+        fixture.publishLimits({.headerTimeout = 1s, .idleTimeout = 2s});
+        std::this_thread::sleep_for(400ms);
+        CHECK(connection.call(keptRequest("/plain/")).ends_with("two"));
+    }
+    SUBCASE("a longer body")
+    {
+        fixture.publishLimits({.maxBodyBytes = 4, .headerTimeout = 1s, .idleTimeout = 2s});
+        CHECK(connection.call(keptRequest("/plain/", "too long")).starts_with("HTTP/1.1 413 "));
+    }
+}
