Don't close a connection as idle when a request is on it

What callers saw: a request that arrived while the instance was busy or paused was reset with its connection, as idle.

Cause: the end of the idle time, and a stop, looked only at what the process had read, not at what the kernel had received.

Change: bytes that have arrived are read first, in both cases.

Evidence: unit-request_ends.cpp: the sections of a request that is read in part, or waits in the socket, failed on the code before; the third, of an idle time that passes while the loop is busy, passed there too, as the loop reads before it looks at timers on this machine.

--- a/src/caller/caller_request.cpp
+++ b/src/caller/caller_request.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::size_t maxTargetBytes = 4 << 10;
 constexpr int http11 = 11;
+/// Time to read bytes that the kernel already has.
+constexpr Duration arrivedBytesReadTime = std::chrono::seconds(1);
 
 /// Headers that decide what a request means. With a repeated one, a proxy or an upstream could pick
 /// another value than this server does.
@@ -191,7 +193,12 @@
 {
     if (!stream.unread().empty())
         co_return true;
-    const StreamStatus status = co_await stream.readMore();
+    StreamStatus status = co_await stream.readMore();
+    if (status == StreamStatus::Expired && stream.hasArrivedBytes()) {
+        // They arrived while this thread was busy or paused.
+        stream.expireAt(SteadyClock().now() + arrivedBytesReadTime);
+        status = co_await stream.readMore();
+    }
     co_return status == StreamStatus::Ok;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -95,8 +95,11 @@
     this->closing = true;
     error_code ignored;
     this->acceptor.close(ignored);
-    for (const auto &[stream, since] : this->idleStreams)
-        stream->close();
+    for (const auto &[stream, since] : this->idleStreams) {
+        // A request that has arrived and was not read yet is answered first.
+        if (!stream->hasArrivedBytes())
+            stream->close();
+    }
 }
 
 void Gateway::refuseWaitingRequests()
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -136,6 +136,12 @@
     return {this->buffer.data() + this->begin, this->end - this->begin};
 }
 
+bool HttpStream::hasArrivedBytes() const
+{
+    error_code error;
+    return this->socket.is_open() && this->socket.available(error) > 0 && !error;
+}
+
 void HttpStream::consume(std::size_t count)
 {
     BC_INVARIANT(count <= this->end - this->begin, "more bytes are consumed than were read");
--- a/src/upstream/http_stream.hpp
+++ b/src/upstream/http_stream.hpp
@@ -97,6 +97,8 @@
     }
 
     bool isOpen() const { return this->socket.is_open(); }
+    /// @brief Whether the kernel has bytes that were not read yet.
+    bool hasArrivedBytes() const;
     bool isPeerClosed() const noexcept { return this->isReadClosed; }
     /// @brief Whether the peer closed its side in order, and not by a reset.
     bool isClosedInOrder() const noexcept { return this->isReadClosed && this->wasClosedInOrder; }
--- a/tests/gateway/unit-request_ends.cpp
+++ b/tests/gateway/unit-request_ends.cpp
@@ -133,3 +133,42 @@
         CHECK(connection.call(keptRequest("/plain/", "too long")).starts_with("HTTP/1.1 413 "));
     }
 }
+
+// Guards against requests that arrive at the moment in which their connection is closed as idle.
+TEST_CASE("a connection with a request on it is not idle")
+{
+    ScriptedUpstream upstream({{answer(200, "one")}, {answer(200, "two")}});
+    RelayFixture fixture({&upstream});
+    KeptConnection connection(fixture);
+    CHECK(connection.call(keptRequest("/plain/")).ends_with("one"));
+
+    SUBCASE("when its first part has been read")
+    {
+        const std::string whole = keptRequest("/plain/", "body");
+        connection.send(whole.substr(0, whole.size() - 2));
+        std::this_thread::sleep_for(50ms);
+        fixture.runOnLoop([](gateway::Gateway &gateway) { gateway.closeIdleConnections(); });
+        connection.send(whole.substr(whole.size() - 2));
+        CHECK(connection.readAnswer().ends_with("two"));
+    }
+    SUBCASE("when it waits in the socket")
+    {
+        fixture.runOnLoop([&](gateway::Gateway &gateway) {
+            connection.send(keptRequest("/plain/"));
+            std::this_thread::sleep_for(50ms);
+            gateway.closeIdleConnections();
+        });
+        CHECK(connection.readAnswer().ends_with("two"));
+    }
+    SUBCASE("when its idle time has passed while the event loop was busy")
+    {
+        fixture.publishLimits({.headerTimeout = 1s, .idleTimeout = 200ms});
+        KeptConnection later(fixture);
+        std::this_thread::sleep_for(100ms);
+        fixture.runOnLoop([&](gateway::Gateway &) {
+            later.send(keptRequest("/plain/"));
+            std::this_thread::sleep_for(300ms);
+        });
+        CHECK(later.readAnswer().ends_with("two"));
+    }
+}
