Tell callers of a stopping process that their connection closes

What callers saw: an answer written after SIGTERM kept its connection open if its request had arrived before, and the instance closed it seconds later, perhaps across the next request.

Cause: whether the connection is kept was decided when the request arrived.

Change: it is decided when the head of the answer is written.

Evidence: unit-request_ends.cpp, its assertion failed on the code before.

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -848,8 +848,7 @@
     appendHeader(head, "Content-Length", std::to_string(body.size()));
     if (retryAfter)
         appendHeader(head, "Retry-After", fmt::format("{:.2f}", toSeconds(*retryAfter)));
-    if (!this->keepAlive)
-        appendHeader(head, "Connection", "close");
+    this->appendConnectionHeader(head);
     head += "\r\n";
     const bool isWritten = co_await this->writeToCaller(head, body);
     co_return isWritten;
@@ -878,12 +877,21 @@
     return since == TimePoint() ? Duration(0) : this->now() - since;
 }
 
+/// Tells the caller if its connection is closed after the answer; the process may have begun to
+/// stop since the request arrived.
+void RequestExchange::appendConnectionHeader(HeadText &head)
+{
+    this->keepAlive = this->keepAlive && !this->gateway.isDraining();
+    if (!this->keepAlive)
+        appendHeader(head, "Connection", "close");
+}
+
 LogField RequestExchange::durationField() const
 {
     return {"took_ms", formatMilliseconds(this->now() - this->request.arrival)};
 }
 
-std::string RequestExchange::buildAnswerHead(int status, const upstream::HeaderList &headers) const
+std::string RequestExchange::buildAnswerHead(int status, const upstream::HeaderList &headers)
 {
     std::string head = statusLine(status);
     for (std::size_t i = 0; i < headers.size(); ++i) {
@@ -891,8 +899,7 @@
         if (!sameHeaderName(header.name, "content-length") && !upstream::isHopByHop(header.name))
             appendHeader(head, header.name, header.value);
     }
-    if (!this->keepAlive)
-        appendHeader(head, "Connection", "close");
+    this->appendConnectionHeader(head);
     return head;
 }
 
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -172,7 +172,8 @@
     upstream::Awaitable<void> refuse(const Error &error, std::optional<Duration> retryAfter);
     upstream::Awaitable<bool> writeRefusal(const Error &error, std::optional<Duration> retryAfter);
     upstream::Awaitable<bool> writeToCaller(std::string_view head, std::string_view body);
-    std::string buildAnswerHead(int status, const upstream::HeaderList &headers) const;
+    std::string buildAnswerHead(int status, const upstream::HeaderList &headers);
+    void appendConnectionHeader(HeadText &head);
     void log(LogLevel level, std::string_view message, std::string_view reason,
              const LogField &extra) const;
     LogField durationField() const;
--- a/tests/gateway/unit-request_ends.cpp
+++ b/tests/gateway/unit-request_ends.cpp
@@ -172,3 +172,18 @@
         CHECK(later.readAnswer().ends_with("two"));
     }
 }
+
+// Guards against callers that keep a connection which a stopping instance is about to close.
+TEST_CASE("an answer that is written while an instance stops says that its connection closes")
+{
+    Script slow;
+    slow.delay = 150ms;
+    slow.answer = answer(200, "status");
+    ScriptedUpstream upstream({slow});
+    RelayFixture fixture({&upstream});
+    KeptConnection connection(fixture);
+    connection.send(keptRequest("/plain/"));
+    std::this_thread::sleep_for(50ms);
+    fixture.runOnLoop([](gateway::Gateway &gateway) { gateway.beginDrain(); });
+    CHECK(containsText(connection.readAnswer(), "Connection: close"));
+}
