Keep a silent upstream's request until another one answers it

- A request of whose answer the caller has nothing waits for the first of the two upstreams that answers.
Only a stream that has begun must go on at one of them after 300 ms; the platform lets it run at two for 400.
Bytes of the silent one come first.
- The end of the silent upstream's connection counted as "goes on" and made the other one be dropped.
- While the other one was asked, a caller that left and the end of the process reached only that one's call.
- After the stop had ended the open requests, ones that were just being read, or waited for a permit or target, were still sent.
- A connection or write to the other one could take until the deadline, while the silent one was not read.
- Each refusal cost a retry every 200 ms (6 sends to one full upstream in a second; now each is asked once), and a connection that failed cost one as well.
- Parts of a long event did not end the silence, so that it was sent elsewhere though bytes flowed.
- Bytes that the kernel has already count as well before another upstream is asked.
- Silent upstreams were recorded as broken, which took other requests' alternatives away; now as slow.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,9 +96,8 @@
     error_code ignored;
     this->acceptor.close(ignored);
     for (const auto &[stream, since] : this->idleStreams) {
-        // A request that has arrived and was not read yet is answered first.
-        if (!stream->hasArrivedBytes())
-            stream->close();
+        // A request that has arrived, even one that is just being read, is answered first.
+        stream->expireAt(SteadyClock().now());
     }
 }
 
@@ -110,6 +109,7 @@
 
 void Gateway::endOpenRequests()
 {
+    this->endingRequests = true;
     this->refuseWaitingRequests();
     for (RequestExchange *exchange : this->exchanges)
         exchange->abort();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -168,6 +168,8 @@
     /// No connection is accepted or read from any more.
     bool closing = false;
     bool refusingWaitingRequests = false;
+    /// No request is sent to an upstream any more.
+    bool endingRequests = false;
     /// Processes whose invalid headers were logged, by the header.
     std::map<std::string, std::set<UpstreamProcess>, std::less<>> invalidSources;
     /// Number of requests that wait for the origin of a stream.
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -34,6 +34,7 @@
 constexpr Duration refusalWriteTimeout = std::chrono::seconds(5);
 /// Least time for a caller to read what is written to it, also when its deadline has passed.
 constexpr Duration minWriteTime = std::chrono::seconds(1);
+constexpr std::string_view stoppingReason = "this instance is shutting down";
 
 asio::const_buffer toBuffer(std::string_view text)
 {
@@ -250,18 +251,22 @@
 void RequestExchange::handleCallerDisconnect()
 {
     this->isCallerGone = true;
-    if (this->attempt.call)
-        this->attempt.call->cancel();
+    this->cancelAttempts();
     this->gateway.notifyChange();
 }
 
 void RequestExchange::abort()
 {
-    this->isAborted = true;
     this->keepAlive = false;
+    this->cancelAttempts();
+}
+
+void RequestExchange::cancelAttempts()
+{
     if (this->attempt.call)
         this->attempt.call->cancel();
-    this->gateway.notifyChange();
+    if (this->silentCall != nullptr)
+        this->silentCall->cancel();
 }
 
 bool RequestExchange::isEngineTarget() const
@@ -305,8 +310,14 @@
             co_await this->refuse(*selection.refusal, selection.retryAfter);
             co_return;
         }
+        if (!selection.upstream)
+            break;
+        if (this->gateway.endingRequests) {
+            this->lastFault = stoppingReason;
+            break;
+        }
         // The part may have been quarantined while the request waited for an upstream.
-        if (!selection.upstream || !this->admitPrompt())
+        if (!this->admitPrompt())
             break;
         const AttemptOutcome outcome = co_await this->runAttempt(*selection.upstream);
         if (outcome == AttemptOutcome::Finished || this->isCallerGone)
@@ -321,7 +332,7 @@
 /// Returns whether the request may be sent again, and takes the retry from the budget.
 bool RequestExchange::acquireRetry(AttemptOutcome outcome)
 {
-    if (this->isAborted)
+    if (this->gateway.endingRequests)
         return false;
     if (this->timeLeft() < minSendTime) {
         this->hasTimedOut = true;
@@ -425,8 +436,10 @@
     while (true) {
         this->attempt.call->setDeadline(this->silenceDeadline());
         CallResult<bool> more = co_await this->attempt.call->readBody();
-        if (more)
+        if (more) {
             this->attempt.heardAt = this->now();
+            this->silence.recordBytes(this->now());
+        }
         if (more || !this->isSilence(more.error()))
             co_return more;
         const bool isReplaced = co_await this->replaceSilentUpstream();
@@ -499,8 +512,8 @@
 AttemptOutcome RequestExchange::handleCallFailure(const upstream::CallError &error)
 {
     using upstream::CallFailure;
-    if (error.failure == CallFailure::Cancelled && this->isAborted && !this->isCallerGone) {
-        this->lastFault = "this instance is shutting down";
+    if (error.failure == CallFailure::Cancelled && !this->isCallerGone) {
+        this->lastFault = stoppingReason;
         if (!error.isAnythingWritten)
             return AttemptOutcome::NotRun;
         return this->isAnswerBegun ? AttemptOutcome::StreamBroken : AttemptOutcome::MayHaveRun;
@@ -542,7 +555,6 @@
             co_return this->handleCallFailure(more->error());
         if (!more->value())
             break;
-        this->silence.recordBytes(this->now());
         for (const std::string_view piece : this->attempt.call->answer().pieces)
             body += piece;
         if (body.size() > maxAnswerBytes)
@@ -809,10 +821,10 @@
         co_await this->refuse(Error(kind, this->lastFault), std::nullopt);
         co_return;
     }
-    co_await this->refuse(
-            Error(this->isAborted ? ErrorKind::Draining : ErrorKind::UpstreamUnavailable,
-                  this->lastFault),
-            noUpstreamRetryAfter);
+    co_await this->refuse(Error(this->gateway.endingRequests ? ErrorKind::Draining
+                                                             : ErrorKind::UpstreamUnavailable,
+                                this->lastFault),
+                          noUpstreamRetryAfter);
 }
 
 /// Answers a caller that has closed its sending side: it may still read.
@@ -865,8 +877,10 @@
         status = co_await this->caller.writeRest(parts);
         this->caller.neverExpire();
     }
-    if (*status != StreamStatus::Ok)
+    if (*status != StreamStatus::Ok) {
         this->keepAlive = false;
+        this->end = *status == StreamStatus::Expired ? RequestEnd::Unread : RequestEnd::CallerGone;
+    }
     co_return *status == StreamStatus::Ok;
 }
 
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -119,6 +119,9 @@
     std::vector<const UpstreamTable::Entry *> findServing() const;
     void removeOtherVersions(std::vector<const UpstreamTable::Entry *> &entries) const;
     bool isEngineTarget() const;
+    /// Whether no upstream may be asked any more.
+    bool isEnding() const { return this->isCallerGone || this->gateway.endingRequests; }
+    void cancelAttempts();
     /// Whether the caller takes up a stream whose first events it has.
     bool isResumption() const
     {
@@ -154,9 +157,9 @@
     upstream::Awaitable<bool> replaceSilentUpstream();
     upstream::Awaitable<bool> askReplacement();
     upstream::Awaitable<std::optional<UpstreamId>> selectReplacement();
-    upstream::Awaitable<bool> sendToReplacement(const HeadText &head,
-                                                const upstream::UpstreamCall &silent);
-    bool isAcceptance();
+    upstream::Awaitable<bool> sendToReplacement(const HeadText &head);
+    bool isAnswerUsable();
+    void recordReplacedAttempt();
     void recordReplacementFailure(const upstream::CallError &error);
     SilenceWatch makeSilenceWatch() const;
 
@@ -191,8 +194,6 @@
     TimePoint deadline{};
     bool keepAlive = false;
     bool isCallerGone = false;
-    /// The process stops; no further upstream is asked.
-    bool isAborted = false;
     /// What the caller has got; unset while that is open.
     std::optional<RequestEnd> end;
     /// Upstreams that are not selected again for this request.
@@ -211,6 +212,10 @@
     Attempt attempt;
     /// How long its upstream has been silent.
     SilenceWatch silence;
+    /// Call of the silent upstream while another one is asked to take the request.
+    upstream::UpstreamCall *silentCall = nullptr;
+    /// Upstreams that were asked to take the request from a silent one; each is asked once.
+    std::vector<UpstreamId> askedReplacements;
     /// Version that began the stream, once it has begun; the stream goes on at no other one.
     std::optional<SoftwareVersion> requiredVersion;
     /// Attempt that brought the first event, counted from one; zero while there is none.
--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -13,6 +13,7 @@
 using upstream::Awaitable;
 using upstream::CallFailure;
 using upstream::CallResult;
+using upstream::PeerActivity;
 
 /// Interval at which the silent upstream is looked at while another one is asked.
 constexpr Duration silentUpstreamPollInterval = std::chrono::milliseconds(20);
@@ -38,11 +39,11 @@
 bool RequestExchange::isSilence(const upstream::CallError &error) const
 {
     return error.failure == CallFailure::TimedOut && this->timeLeft() >= minSendTime
-           && !this->isCallerGone && !this->isAborted;
+           && !this->isEnding();
 }
 
-/// Asks other upstreams to take the request from the current one, which is silent. It is given up
-/// only when another one has accepted the request.
+/// Asks another upstream to take the request from the current one, which is silent. It is given up
+/// only when the other one has taken the request, or its own connection has ended meanwhile.
 /// @return whether the current attempt is now that of another upstream
 Awaitable<bool> RequestExchange::replaceSilentUpstream()
 {
@@ -56,34 +57,51 @@
 
 Awaitable<bool> RequestExchange::askReplacement()
 {
+    const auto isPromptRefused = [this] {
+        return this->gateway.quarantine.isRefused(this->service->id, this->attributes.promptParts);
+    };
+    if (isPromptRefused())
+        co_return false;
     const std::optional<UpstreamId> id = co_await this->selectReplacement();
     const UpstreamTable::Entry *entry = id ? this->gateway.table.find(*id) : nullptr;
-    const bool isRefused
-            = this->gateway.quarantine.isRefused(this->service->id, this->attributes.promptParts);
-    if (entry == nullptr || isRefused || this->isCallerGone || this->isAborted
-        || this->attempt.call->hasInput()
+    if (entry == nullptr || isPromptRefused() || this->isEnding()
+        || this->attempt.call->activity() != PeerActivity::Silent
         || !this->gateway.budget.takeRetry(this->service->id, this->now()) || !this->admitPrompt())
         co_return false;
     Attempt silent = std::exchange(this->attempt, Attempt());
+    this->silentCall = silent.call.get();
+    this->askedReplacements.push_back(*id);
     const HeadText head = this->beginAttempt(*entry);
-    const bool isAccepted = co_await this->sendToReplacement(head, *silent.call);
-    if (!isAccepted) {
+    const bool isTaken = co_await this->sendToReplacement(head);
+    this->silentCall = nullptr;
+    if (!isTaken) {
         this->endAttempt();
         this->attempt = std::move(silent);
         co_return false;
     }
-    // The upstream may go on with the request until it notices that its connection is closed.
-    ++this->possibleRuns;
     this->events.discardPartialEvent();
     std::swap(this->attempt, silent);
-    this->triedUpstreams.push_back(this->attempt.upstream);
-    this->recordFault(UpstreamFault::Broken, "silent; another upstream has taken the request");
+    this->recordReplacedAttempt();
     this->endAttempt();
     this->attempt = std::move(silent);
     this->silence = this->makeSilenceWatch();
     co_return true;
 }
 
+/// Records the failure of the current attempt, which is that of the silent upstream.
+void RequestExchange::recordReplacedAttempt()
+{
+    // It may go on with the request until it notices that its connection is closed.
+    ++this->possibleRuns;
+    this->triedUpstreams.push_back(this->attempt.upstream);
+    if (this->attempt.call->activity() != PeerActivity::Lost) {
+        this->recordFault(UpstreamFault::Slow, "silent; another upstream has taken the request");
+        return;
+    }
+    this->recordFault(UpstreamFault::Broken, "the connection ended before the answer was complete");
+    this->checkForCrash();
+}
+
 /// Selects another upstream that takes the request now, and gets a permit if it has named a limit.
 Awaitable<std::optional<UpstreamId>> RequestExchange::selectReplacement()
 {
@@ -91,6 +109,8 @@
     while (true) {
         SelectionQuery query = this->buildSelectionQuery();
         query.excluded.push_back(this->attempt.upstream);
+        query.excluded.insert(query.excluded.end(), this->askedReplacements.begin(),
+                              this->askedReplacements.end());
         query.isHealthRequired = true;
         this->candidateCount = query.candidates.size();
         const std::optional<UpstreamId> id
@@ -106,42 +126,46 @@
     }
 }
 
-/// Sends the request to the upstream of the current attempt and waits until it has answered or has
-/// let the time pass in which it could refuse.
-/// @return whether it has accepted the request, and the silent upstream has not gone on meanwhile
-Awaitable<bool> RequestExchange::sendToReplacement(const HeadText &head,
-                                                   const upstream::UpstreamCall &silent)
+/// Sends the request to the upstream of the current attempt, and waits until it has answered, the
+/// silent one has gone on or ended, or a stream that has begun has to go on at one of them.
+/// @return whether the upstream has the request now
+Awaitable<bool> RequestExchange::sendToReplacement(const HeadText &head)
 {
     upstream::UpstreamCall &call = *this->attempt.call;
-    const CallResult<void> sent = co_await call.send(head, this->request.body, this->deadline,
-                                                     upstream::ConnectionUse::Fresh);
+    const TimePoint acceptedAt = this->now() + this->gateway.settings.silence.acceptTime;
+    const CallResult<void> sent
+            = co_await call.send(head, this->request.body, std::min(this->deadline, acceptedAt),
+                                 upstream::ConnectionUse::Fresh);
     if (!sent) {
         this->recordReplacementFailure(sent.error());
         co_return false;
     }
-    const TimePoint acceptedAt = this->now() + this->gateway.settings.silence.acceptTime;
-    while (!this->isCallerGone && !this->isAborted) {
-        call.setDeadline(std::min(acceptedAt, this->now() + silentUpstreamPollInterval));
+    while (true) {
+        call.setDeadline(std::min(this->deadline, this->now() + silentUpstreamPollInterval));
         const CallResult<void> read = co_await call.readHead();
+        const PeerActivity silentActivity = this->silentCall->activity();
+        if (silentActivity == PeerActivity::GoesOn || this->isEnding()
+            || this->timeLeft() < minSendTime) {
+            ++this->possibleRuns;
+            if (silentActivity == PeerActivity::GoesOn)
+                this->log(LogLevel::Info, "silent upstream goes on", "kept", this->durationField());
+            co_return false;
+        }
         if (read)
-            co_return this->isAcceptance();
+            co_return this->isAnswerUsable();
         if (read.error().failure != CallFailure::TimedOut) {
             this->recordReplacementFailure(read.error());
             co_return false;
         }
-        if (silent.hasInput()) {
-            ++this->possibleRuns;
-            this->log(LogLevel::Info, "silent upstream goes on", "kept", this->durationField());
-            co_return false;
-        }
-        if (this->now() >= acceptedAt)
+        const bool mustDecide = this->isAnswerBegun && this->now() >= acceptedAt;
+        if (silentActivity == PeerActivity::Lost || mustDecide)
             co_return true;
     }
-    co_return true;
 }
 
-/// Whether the head of the current attempt's answer shows that the upstream serves the request.
-bool RequestExchange::isAcceptance()
+/// Whether the head of the current attempt's answer begins an answer to the request; records the
+/// fault of the upstream if it does not.
+bool RequestExchange::isAnswerUsable()
 {
     const upstream::ParsedMessage &answer = this->attempt.call->answer();
     const AnswerAttributes answerAttributes
@@ -159,14 +183,18 @@
     ++this->possibleRuns;
     this->triedUpstreams.push_back(this->attempt.upstream);
     const bool isServerError = answerAttributes.isSigned && answer.status >= firstServerError;
-    this->recordFault(
-            isServerError ? UpstreamFault::ServerError : UpstreamFault::Malformed,
-            fmt::format("the answer with status {} is none to the request", answer.status));
+    this->recordFault(isServerError ? UpstreamFault::ServerError : UpstreamFault::Malformed,
+                      fmt::format("the answer with status {} is not an answer to the request",
+                                  answer.status));
     return false;
 }
 
 void RequestExchange::recordReplacementFailure(const upstream::CallError &error)
 {
+    if (error.isAnythingWritten)
+        ++this->possibleRuns;
+    else
+        this->gateway.budget.returnRetry(this->service->id, this->now());
     if (error.failure == CallFailure::Cancelled)
         return;
     this->triedUpstreams.push_back(this->attempt.upstream);
@@ -174,11 +202,13 @@
         this->recordFault(UpstreamFault::Unreachable, error.message);
         return;
     }
-    ++this->possibleRuns;
-    this->recordFault(error.failure == CallFailure::ConnectionLost ? UpstreamFault::Broken
-                                                                   : UpstreamFault::Malformed,
-                      error.message);
-    if (error.failure == CallFailure::ConnectionLost)
+    if (error.failure == CallFailure::TimedOut) {
+        this->recordFault(UpstreamFault::Slow, error.message);
+        return;
+    }
+    const bool isLost = error.failure == CallFailure::ConnectionLost;
+    this->recordFault(isLost ? UpstreamFault::Broken : UpstreamFault::Malformed, error.message);
+    if (isLost)
         this->checkForCrash();
 }
 
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -136,7 +136,7 @@
 {
     const TimePoint latest
             = std::min(this->deadline, this->request.arrival + this->route->objective);
-    while (!this->isCallerGone && !this->isAborted && !this->gateway.refusingWaitingRequests) {
+    while (!this->isEnding() && !this->gateway.refusingWaitingRequests) {
         const std::optional<Duration> pause = this->findPauseEnd();
         if (!pause || this->now() + *pause > latest)
             co_return;
@@ -148,7 +148,7 @@
 {
     UpstreamSelection selection;
     co_await this->waitForPauseEnd();
-    if (this->isAborted) {
+    if (this->gateway.endingRequests) {
         selection.refusal = Error(ErrorKind::Draining, "this instance is shutting down");
         co_return selection;
     }
--- a/src/gateway/retry_budget.cpp
+++ b/src/gateway/retry_budget.cpp
@@ -15,6 +15,13 @@
     return true;
 }
 
+void RetryBudget::returnRetry(const ServiceId &service, TimePoint now)
+{
+    Window &window = this->currentWindow(service, now);
+    if (!window.retries.empty())
+        window.retries.pop_back();
+}
+
 double RetryBudget::remaining(const ServiceId &service, TimePoint now)
 {
     const Window &window = this->currentWindow(service, now);
--- a/src/gateway/retry_budget.hpp
+++ b/src/gateway/retry_budget.hpp
@@ -56,6 +56,9 @@
     /// @return whether the request may be retried
     bool takeRetry(const ServiceId &service, TimePoint now);
 
+    /// @brief Takes back the latest retry, which has reached no upstream.
+    void returnRetry(const ServiceId &service, TimePoint now);
+
     /// @brief Number of retries that the budget still allows; may be fractional or negative.
     double remaining(const ServiceId &service, TimePoint now);
 
--- a/src/gateway/silence_watch.cpp
+++ b/src/gateway/silence_watch.cpp
@@ -16,19 +16,20 @@
 SilenceWatch::SilenceWatch(const SilenceLimits &limits, Duration objective, Duration maxEventGap,
                            TimePoint now)
     : retryInterval(limits.retryInterval)
-    , answerLimit(std::max(multiply(objective, limits.objectives), limits.minTime))
+    , limit(std::max(multiply(objective, limits.objectives), limits.minTime))
     , eventLimit(multiply(maxEventGap, limits.eventGaps))
-    , checkAt(now + this->answerLimit)
+    , checkAt(now + this->limit)
 {}
 
 void SilenceWatch::recordBytes(TimePoint now)
 {
-    this->checkAt = now + this->answerLimit;
+    this->checkAt = this->limit > Duration(0) ? now + this->limit : TimePoint::max();
 }
 
 void SilenceWatch::recordEvents(TimePoint now)
 {
-    this->checkAt = this->eventLimit > Duration(0) ? now + this->eventLimit : TimePoint::max();
+    this->limit = this->eventLimit;
+    this->recordBytes(now);
 }
 
 void SilenceWatch::recordNotReplaced(TimePoint now)
--- a/src/gateway/silence_watch.hpp
+++ b/src/gateway/silence_watch.hpp
@@ -18,8 +18,9 @@
     double eventGaps = 3.0;
     /// Time after which another upstream is looked for again.
     Duration retryInterval = std::chrono::milliseconds(200);
-    /// Time for which the silent upstream goes on beside the other one, unless that one has
-    /// answered or refused before: an upstream that lets it pass has queued the request.
+    /// Time for which a stream that has begun may go on at its silent upstream while the other one
+    /// has neither answered nor refused. A request without a part of its answer waits for the first
+    /// of the two that answers.
     Duration acceptTime = std::chrono::milliseconds(300);
     auto operator<=>(const SilenceLimits &) const = default;
 };
@@ -35,10 +36,11 @@
     SilenceWatch(const SilenceLimits &limits, Duration objective, Duration maxEventGap,
                  TimePoint now);
 
-    /// @brief Records bytes of an answer that is not a stream, or the head of a stream.
+    /// @brief Records bytes of the answer.
     void recordBytes(TimePoint now);
 
-    /// @brief Records whole events of a stream.
+    /// @brief Records whole events of a stream; from the first one on, the objective for gaps
+    /// counts.
     void recordEvents(TimePoint now);
 
     /// @brief Records that no other upstream has taken the request.
@@ -50,8 +52,9 @@
 
 private:
     Duration retryInterval{};
-    Duration answerLimit{};
-    /// Zero when the route has no objective for gaps.
+    /// Time without bytes; zero for no limit.
+    Duration limit{};
+    /// The same from the first event on.
     Duration eventLimit{};
     TimePoint checkAt = TimePoint::max();
 };
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -245,10 +245,16 @@
     this->stream->readAhead();
 }
 
-bool UpstreamCall::hasInput() const
+PeerActivity UpstreamCall::activity() const
 {
-    return this->stream->unread().size() > this->bytesBeforeReadAhead.value_or(0)
-           || this->stream->isPeerClosed();
+    if (this->stream->unread().size() > this->bytesBeforeReadAhead.value_or(0)
+        || this->stream->hasArrivedBytes())
+        return PeerActivity::GoesOn;
+    if (!this->stream->isPeerClosed())
+        return PeerActivity::Silent;
+    const bool isEnd = this->stream->isClosedInOrder() && this->parser->is_header_done()
+                       && this->parser->need_eof();
+    return isEnd ? PeerActivity::GoesOn : PeerActivity::Lost;
 }
 
 /// Waits until there are more bytes than when the parser last needed them.
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -88,6 +88,15 @@
     Fresh
 };
 
+/// @brief What an upstream has done since UpstreamCall::readAhead().
+enum class PeerActivity {
+    Silent,
+    /// It has sent bytes, or ended an answer whose end is that of its connection.
+    GoesOn,
+    /// Its connection has ended before the answer was complete.
+    Lost
+};
+
 /// @brief An answer with its complete body.
 struct WholeAnswer
 {
@@ -149,13 +158,12 @@
     /// @return nothing before the headers are complete
     std::optional<AnswerEnd> answerEnd() const;
 
-    /// @brief Starts to read, so that hasInput() tells whether there is something new.
+    /// @brief Starts to read, so that activity() tells whether there is something new.
     /// @note Only after readHead() or readBody() has ended with TimedOut.
     void readAhead();
 
-    /// @brief Whether bytes have arrived since readAhead(), or the upstream has closed the
-    /// connection.
-    bool hasInput() const;
+    /// @brief What the upstream has done since readAhead().
+    PeerActivity activity() const;
 
     /// @brief Whether bytes of the request were handed to the kernel.
     bool isAnythingWritten() const;
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -250,6 +250,10 @@
             std::this_thread::sleep_for(script.delayBeforeRest.value_or(script.delay));
             asio::write(socket, asio::buffer(insertRequestId(script.rest, text)), error);
         }
+        for (const std::string &piece : script.pieces) {
+            std::this_thread::sleep_for(script.pieceDelay);
+            asio::write(socket, asio::buffer(piece), error);
+        }
         constexpr std::size_t maxEndlessBytes = 256 << 20;
         const std::size_t alreadySent = this->endlessCount;
         while (!script.endless.empty() && !error
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -35,6 +35,9 @@
     Duration endlessPause{};
     /// Keeps the connection open after the answer until the peer closes it.
     bool isSilentAfterwards = false;
+    /// Parts that follow the answer, each after a pause.
+    std::vector<std::string> pieces = {};
+    Duration pieceDelay{};
     /// Pause between the answer and its rest, in place of `delay`.
     std::optional<Duration> delayBeforeRest{};
 };
--- a/tests/gateway/unit-request_ends.cpp
+++ b/tests/gateway/unit-request_ends.cpp
@@ -99,6 +99,21 @@
     }
 }
 
+// Guards against requests that are sent when they can't be answered any more.
+TEST_CASE("a request that is read when an instance stops is refused as not run")
+{
+    ScriptedUpstream upstream({{answer(200, "late")}});
+    RelayFixture fixture({&upstream});
+    KeptConnection connection(fixture);
+    const std::string whole = keptRequest("/plain/", "body");
+    connection.send(whole.substr(0, whole.size() - 2));
+    std::this_thread::sleep_for(50ms);
+    fixture.runOnLoop([](gateway::Gateway &gateway) { gateway.endOpenRequests(); });
+    connection.send(whole.substr(whole.size() - 2));
+    CHECK(connection.readAnswer().starts_with("HTTP/1.1 503 "));
+    CHECK(upstream.requests().empty());
+}
+
 // Guards against a refusal that is lost because the request's deadline has passed before the
 // caller has read what was sent to it.
 TEST_CASE("an answer is written although the deadline has passed and the caller reads slowly")
--- a/tests/gateway/unit-silence_watch.cpp
+++ b/tests/gateway/unit-silence_watch.cpp
@@ -22,6 +22,12 @@
         watch.recordBytes(sent + 500ms);
         CHECK(watch.nextCheck() == sent + 1100ms);
     }
+    SUBCASE("a part of an event begins the time between events anew")
+    {
+        watch.recordEvents(sent + 500ms);
+        watch.recordBytes(sent + 700ms);
+        CHECK(watch.nextCheck() == sent + 1450ms);
+    }
     SUBCASE("between events the objective for gaps counts")
     {
         watch.recordEvents(sent + 500ms);
--- a/tests/gateway/unit-silent_upstreams.cpp
+++ b/tests/gateway/unit-silent_upstreams.cpp
@@ -169,6 +169,90 @@
     CHECK(wholeBody(fixture.call(request("/quick/"))) == "first");
 }
 
+// Guards against a request that is lost because its first upstream ends while another one is asked.
+TEST_CASE("an upstream that ends while another one is asked leaves the request to it")
+{
+    Script ends;
+    ends.delay = 250ms;
+    ends.isReset = true;
+    Script slow;
+    slow.delay = silence;
+    slow.answer = answer(200, "second");
+    ScriptedUpstream silent({ends});
+    ScriptedUpstream other({slow});
+    RelayFixture fixture({&silent, &other});
+    CHECK(wholeBody(fixture.call(request("/quick/"))) == "second");
+}
+
+// Guards against an answer that is given up for an upstream that takes the bytes of the request and
+// says nothing either.
+TEST_CASE("an upstream that goes on is not given up for another one that is silent as well")
+{
+    Script late = fallsSilent("", answer(200, "first"));
+    late.delayBeforeRest = 900ms;
+    std::string path = "/quick/";
+    std::string expected = "first";
+    SUBCASE("a plain answer") {}
+    SUBCASE("a stream that has not begun")
+    {
+        path = "/talk/";
+        expected = firstEvent + secondEvent;
+        late.rest = streamAnswer(expected, true);
+    }
+    ScriptedUpstream silent({late});
+    ScriptedUpstream other({staysSilent()});
+    RelayFixture fixture({&silent, &other});
+    CHECK(wholeBody(fixture.call(request(path))) == expected);
+}
+
+// Guards against work that goes on for a caller that has left while another upstream was asked.
+TEST_CASE("both upstreams are told when the caller leaves while another one is asked")
+{
+    ScriptedUpstream silent({staysSilent()});
+    ScriptedUpstream other({staysSilent()});
+    RelayFixture fixture({&silent, &other});
+    SUBCASE("the caller disconnects")
+    {
+        fixture.callAndDisconnect(request("/quick/"), 300ms);
+    }
+    SUBCASE("the process stops")
+    {
+        CHECK(fixture.callAndStop(request("/quick/"), 300ms).starts_with("HTTP/1.1 502 "));
+    }
+    const TimePoint ended = SteadyClock().now();
+    fixture.waitForIdle();
+    CHECK(SteadyClock().now() - ended < 500ms);
+    CHECK(silent.abandonedConnections() == 1);
+    CHECK(other.abandonedConnections() == 1);
+}
+
+// Guards against an upstream that is taken for silent while the bytes of a long event arrive.
+TEST_CASE("an upstream that sends a long event slowly is not silent")
+{
+    Script slow;
+    slow.answer = streamHead() + chunk(firstEvent);
+    slow.pieces = {chunk("id: 2"), chunk("\nda"), chunk("ta: "), chunk("b\n\n") + lastChunk};
+    slow.pieceDelay = 100ms;
+    ScriptedUpstream upstream({slow});
+    ScriptedUpstream other({{streamAnswer(secondEvent, true)}});
+    RelayFixture fixture({&upstream, &other});
+    CHECK(wholeBody(fixture.call(request("/talk/"))) == firstEvent + secondEvent);
+    CHECK(other.requests().empty());
+}
+
+// Guards against one silent request that uses up the retries of a service.
+TEST_CASE("an upstream that refuses the request of a silent one is not asked for it again")
+{
+    Script late = fallsSilent("", answer(200, "status"));
+    late.delayBeforeRest = 1200ms;
+    ScriptedUpstream silent({late});
+    ScriptedUpstream full(std::vector<Script>(
+            8, Script{answer(503, "full", "test-not-run: 1\r\ntest-pause-ms: 1\r\n")}));
+    RelayFixture fixture({&silent, &full});
+    CHECK(wholeBody(fixture.call(request("/quick/"))) == "status");
+    CHECK(full.requests().size() == 1);
+}
+
 TEST_CASE("a request that may run once stays at its silent upstream")
 {
     ScriptedUpstream silent({fallsSilent("", answer(200, "booked"))});
--- a/tests/platform/adapter/unit-settings_file.cpp
+++ b/tests/platform/adapter/unit-settings_file.cpp
@@ -94,6 +94,11 @@
     CHECK(settings.value().silence.acceptTime == 100ms);
     CHECK(settings.value().silence.retryInterval == gateway::SilenceLimits().retryInterval);
 
+    SUBCASE("a stream may not run at two upstreams for longer than the platform lets it")
+    {
+        CHECK(parseSettings(completeSettings + "silence.accept_time_ms=500\n").error().field()
+              == "silence.accept_time_ms");
+    }
     SUBCASE("an interval that would ask without pause is refused")
     {
         CHECK(parseSettings(completeSettings + "silence.retry_interval_ms=0\n").error().field()
