Let requests that arrive with the end of the idle time be answered

What callers could have seen: a request that was just read when its connection was closed as idle, or by a stop, was passed on to an upstream, and its answer could not be written. Found by review, not seen.

Cause: the connection was closed at once, while a read that had ended was still to be handled.

Change: its time limit ends instead, which a read that has ended comes before. Callers that don't read in time are counted apart (unread) from requests that end without an answer.

--- a/src/caller/caller_request.cpp
+++ b/src/caller/caller_request.cpp
@@ -194,11 +194,12 @@
     if (!stream.unread().empty())
         co_return true;
     StreamStatus status = co_await stream.readMore();
-    if (status == StreamStatus::Expired && stream.hasArrivedBytes()) {
-        // They arrived while this thread was busy or paused.
+    // Bytes may arrive while this thread is busy or paused, or together with the end of the time.
+    const bool haveArrived = status == StreamStatus::Ok || stream.hasArrivedBytes();
+    if (haveArrived && stream.isExpired())
         stream.expireAt(SteadyClock().now() + arrivedBytesReadTime);
+    if (haveArrived && status == StreamStatus::Expired)
         status = co_await stream.readMore();
-    }
     co_return status == StreamStatus::Ok;
 }
 
--- a/src/gateway/request_ends.cpp
+++ b/src/gateway/request_ends.cpp
@@ -6,8 +6,8 @@
 
 std::string_view requestEndName(RequestEnd end) noexcept
 {
-    constexpr std::array<std::string_view, 5> names{"answered", "refused", "cut", "caller_gone",
-                                                    "unanswered"};
+    constexpr std::array<std::string_view, 6> names{"answered",    "refused", "cut",
+                                                    "caller_gone", "unread",  "unanswered"};
     return names[static_cast<std::size_t>(end)];
 }
 
--- a/src/gateway/request_ends.hpp
+++ b/src/gateway/request_ends.hpp
@@ -20,6 +20,8 @@
     Cut,
     /// Nothing that it has read: it closed its connection first.
     CallerGone,
+    /// Less than was written: it did not read in time.
+    Unread,
     /// Nothing, although it waited.
     Unanswered
 };
@@ -40,7 +42,7 @@
     void recordEnd(RequestEnd end) { this->endCounts[static_cast<std::size_t>(end)]->add(); }
 
 private:
-    static constexpr std::size_t endKinds = 5;
+    static constexpr std::size_t endKinds = 6;
 
     Counter &readCount;
     std::array<Counter *, endKinds> endCounts{};
