Let a stream pause as long as its deadline allows

What callers saw: a stream whose upstream said nothing for streamIdleTimeout ended with an error event, however much of its deadline was left; a broken stream whose upstream was slow to resume it ended likewise.

Cause: the limit of each read of a stream was the longest pause alone.

Change: the limit is the later of the request's deadline and the longest pause, also for a resumption.

Evidence: unit-exits.cpp with a pause of 600 ms, a longest pause of 100 ms and a deadline of 20 s, before the first event, between two, inside one, before the end, and before a resumption. A third test keeps the limit: beyond both times the stream ends as incomplete.

--- a/src/caller/relay.cpp
+++ b/src/caller/relay.cpp
@@ -4,6 +4,8 @@
 #include "caller/upstream_request.hpp"
 #include "upstream/dialects.hpp"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 namespace bamboochute::caller {
@@ -76,13 +78,20 @@
                           "the caller disconnected in the middle of the stream");
 }
 
+/// Latest time of the upstream's next piece. A pause ends no stream that the caller's deadline
+/// still has time for.
+TimePoint readDeadline(const StreamRelay &relay)
+{
+    const ServerLimits &limits = relay.exchange.thread.server.settings.limits;
+    return std::max(relay.request.deadline, SteadyClock().now() + limits.streamIdleTimeout);
+}
+
 /// Relays until the current upstream call ends.
 Awaitable<PartResult> relayPart(StreamRelay &relay)
 {
     upstream::UpstreamCall &call = *relay.source.call;
-    const ServerLimits &limits = relay.exchange.thread.server.settings.limits;
     while (true) {
-        call.setDeadline(SteadyClock().now() + limits.streamIdleTimeout);
+        call.setDeadline(readDeadline(relay));
         const upstream::CallResult<bool> more = co_await call.readBody();
         if (!more)
             co_return PartResult{readError(relay, more.error()), true};
@@ -119,8 +128,7 @@
     if (!control.acquireSlotAgain(relay.admission, failedUpstream))
         co_return false;
     ClassifiedRequest resumedRequest = relay.request;
-    resumedRequest.deadline
-            = SteadyClock().now() + relay.exchange.thread.server.settings.limits.streamIdleTimeout;
+    resumedRequest.deadline = readDeadline(relay);
     Attempt attempt = co_await attemptCall(relay.exchange, resumedRequest, relay.admission,
                                            failedUpstream, relay.events.lastEventId());
     if (attempt.failure || !attempt.result.isStream)
--- a/src/caller/server_settings.hpp
+++ b/src/caller/server_settings.hpp
@@ -31,7 +31,7 @@
     std::size_t maxAnswerBytes = 8 << 20;
     /// Bytes of one stream that this instance buffers.
     std::size_t maxStreamBytes = 64 << 10;
-    /// How long an upstream may pause between two pieces of a stream.
+    /// How long an upstream may pause between two pieces of a stream after the request's deadline.
     Duration streamIdleTimeout = std::chrono::minutes(2);
     Duration connectTimeout = std::chrono::seconds(1);
     /// Idle connections that each traffic thread keeps to each upstream.
--- a/tests/caller/test_bed.cpp
+++ b/tests/caller/test_bed.cpp
@@ -69,6 +69,13 @@
                         const caller::ClaimCallback &decided)
 {
     const std::lock_guard lock(this->mutex);
+    if (this->throwsOnClaim)
+        throw std::runtime_error("the claim fails");
+    if (this->holdsClaims) {
+        this->tickets[ticket] = request.key;
+        this->heldClaims.push_back(decided);
+        return;
+    }
     if (this->isUnavailable)
         return decided(Error(ErrorKind::ClaimUnavailable, "the key-value service is unavailable"));
     const auto found = this->records.find(request.key);
@@ -88,12 +95,16 @@
     decided(Error(ErrorKind::OperationOutcomeUnknown));
 }
 
-void FakeControl::abandon(caller::Ticket) {}
+void FakeControl::abandon(caller::Ticket)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->abandonedCount;
+}
 
 void FakeControl::settle(caller::Ticket ticket, admission::Settlement settlement)
 {
     const std::lock_guard lock(this->mutex);
-    admission::OperationState &state = this->records.at(this->tickets.at(ticket));
+    admission::OperationState &state = this->records[this->tickets.at(ticket)];
     std::visit([&state](auto &settled) { state = std::move(settled); }, settlement);
 }
 
@@ -123,6 +134,11 @@
     this->descriptor = -1;
 }
 
+void Client::finishSending()
+{
+    ::shutdown(this->descriptor, SHUT_WR);
+}
+
 void Client::send(std::string_view bytes)
 {
     while (!bytes.empty()) {
@@ -283,4 +299,22 @@
     this->server->publish(snapshot);
 }
 
+CustomEngineBed::CustomEngineBed(fakes::FakeHandler handler, caller::ServerLimits limits)
+    : TestBed(limits)
+    , engine(this->loop.context, std::move(handler))
+{
+    UpstreamSpec spec;
+    spec.id = UpstreamId("odd");
+    this->loop.run([&] { spec.endpoint = this->engine.listen({"127.0.0.1", 0}).value(); });
+    this->routing.upstreams[spec.id] = UpstreamState{spec};
+    this->routing.replicas[{ModelId("small"), AdapterId()}].push_back(spec.id);
+    this->publish();
+}
+
+CustomEngineBed::~CustomEngineBed()
+{
+    this->server->stop();
+    this->loop.run([this] { this->engine.close(); });
+}
+
 } // namespace bamboochute::test
--- a/tests/caller/test_bed.hpp
+++ b/tests/caller/test_bed.hpp
@@ -51,6 +51,12 @@
     std::size_t demandCount = 0;
     std::size_t withdrawnCount = 0;
     bool isUnavailable = false;
+    /// Claims are kept undecided.
+    bool holdsClaims = false;
+    /// A claim ends with an exception.
+    bool throwsOnClaim = false;
+    std::vector<caller::ClaimCallback> heldClaims;
+    std::size_t abandonedCount = 0;
     std::map<std::string, admission::OperationState> records;
     std::map<std::string, std::string> fingerprints;
     std::map<caller::Ticket, std::string> tickets;
@@ -90,6 +96,9 @@
 
     void close();
 
+    /// @brief Closes the sending side only; answers can still be read.
+    void finishSending();
+
 private:
     bool receive();
 
@@ -136,4 +145,17 @@
     std::vector<std::unique_ptr<fakes::FakeEngine>> engines;
 };
 
+/// @brief A test bed whose only engine is an HTTP server with a handler of the test.
+class CustomEngineBed : public TestBed
+{
+public:
+    /// @param handler of the engine "odd", which has "small" loaded
+    explicit CustomEngineBed(fakes::FakeHandler handler, caller::ServerLimits limits = {});
+    ~CustomEngineBed();
+    CustomEngineBed(const CustomEngineBed &) = delete;
+    CustomEngineBed &operator=(const CustomEngineBed &) = delete;
+
+    fakes::FakeHttpServer engine;
+};
+
 } // namespace bamboochute::test
--- /dev/null
+++ b/tests/caller/unit-exits.cpp
@@ -0,0 +1,155 @@
+#include "test_bed.hpp"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+using namespace bamboochute;
+using namespace std::chrono_literals;
+using test::chatBody;
+using test::Client;
+using test::ClientAnswer;
+using test::CustomEngineBed;
+using test::TestBed;
+
+namespace {
+
+constexpr std::string_view streamHead = "HTTP/1.1 200 OK\r\nContent-Type: "
+                                        "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::string_view event = "data: {\"choices\":[]}\n\n";
+constexpr std::string_view endMarker = "data: [DONE]\n\n";
+
+std::string codeOf(const ClientAnswer &answer)
+{
+    return nlohmann::json::parse(answer.body).at("error").at("code").get<std::string>();
+}
+
+std::string chunk(std::string_view text)
+{
+    return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
+upstream::Awaitable<void> writeRaw(fakes::FakeCall &call, std::string text)
+{
+    const std::array<upstream::asio::const_buffer, 1> buffers{
+            upstream::asio::buffer(text.data(), text.size())};
+    co_await call.stream.write(buffers);
+}
+
+upstream::Awaitable<void> pauseFor(Duration duration)
+{
+    upstream::asio::basic_waitable_timer<std::chrono::steady_clock,
+                                         upstream::asio::wait_traits<std::chrono::steady_clock>,
+                                         upstream::Executor>
+            timer(co_await upstream::asio::this_coro::executor);
+    timer.expires_after(duration);
+    upstream::error_code ignored;
+    co_await timer.async_wait(upstream::asio::redirect_error(upstream::UseAwaitable(), ignored));
+}
+
+/// Waits until the caller of a fake engine has closed its connection.
+upstream::Awaitable<void> waitForClose(fakes::FakeCall &call)
+{
+    while (true) {
+        const upstream::StreamStatus status = co_await call.stream.readMore();
+        if (status != upstream::StreamStatus::Ok)
+            break;
+        call.stream.consume(call.stream.unread().size());
+    }
+    call.writer.closeAfterAnswer();
+}
+
+} // namespace
+
+// Guards against ending a stream for silence that the caller's deadline still has time for.
+TEST_CASE("a stream whose upstream is silent for a while goes on within its deadline")
+{
+    std::vector<std::string> parts;
+    SUBCASE("before its first event")
+    {
+        parts = {std::string(streamHead), chunk(event)};
+    }
+    SUBCASE("between two events")
+    {
+        parts = {std::string(streamHead) + chunk(event), chunk(event)};
+    }
+    SUBCASE("inside an event")
+    {
+        parts = {std::string(streamHead) + chunk(event.substr(0, 9)), chunk(event.substr(9))};
+    }
+    SUBCASE("before its end")
+    {
+        parts = {std::string(streamHead) + chunk(event), ""};
+    }
+    caller::ServerLimits limits;
+    limits.streamIdleTimeout = 100ms;
+    CustomEngineBed bed(
+            [&parts](fakes::FakeCall &call) -> upstream::Awaitable<void> {
+                co_await writeRaw(call, parts[0]);
+                co_await pauseFor(600ms);
+                co_await writeRaw(call, parts[1] + chunk(endMarker) + "0\r\n\r\n");
+            },
+            limits);
+    Client client(bed.endpoint);
+    const ClientAnswer answer = client.call("POST", "/v1/chat/completions", chatBody("small", true),
+                                            "x-request-deadline-ms: 20000\r\n");
+    CHECK(answer.status == 200);
+    CHECK(answer.isWhole);
+    CHECK(answer.body.ends_with(endMarker));
+}
+
+// Guards against giving up the resumption of a stream because the upstream is silent before it.
+TEST_CASE("a broken stream is resumed although the upstream is silent for a while")
+{
+    caller::ServerLimits limits;
+    limits.streamIdleTimeout = 100ms;
+    int calls = 0;
+    CustomEngineBed bed(
+            [&calls](fakes::FakeCall &call) -> upstream::Awaitable<void> {
+                if (calls++ == 0) {
+                    co_await writeRaw(call, std::string(streamHead)
+                                                    + chunk("id: 1\n" + std::string(event)));
+                    call.writer.closeAfterAnswer();
+                    co_return;
+                }
+                co_await pauseFor(600ms);
+                co_await writeRaw(call, std::string(streamHead) + chunk(endMarker) + "0\r\n\r\n");
+            },
+            limits);
+    bed.routing.upstreams.at(UpstreamId("odd")).spec.vendor = Vendor::Bromelia;
+    bed.publish();
+    Client client(bed.endpoint);
+    const ClientAnswer answer = client.call("POST", "/v1/chat/completions", chatBody("small", true),
+                                            "x-request-deadline-ms: 20000\r\n");
+    CHECK(answer.isWhole);
+    CHECK(answer.body.ends_with(endMarker));
+}
+
+TEST_CASE("a stream that is silent beyond its deadline and the longest pause ends as incomplete")
+{
+    caller::ServerLimits limits;
+    limits.streamIdleTimeout = 100ms;
+    CustomEngineBed bed(
+            [](fakes::FakeCall &call) -> upstream::Awaitable<void> {
+                co_await writeRaw(call, std::string(streamHead) + chunk(event));
+                co_await waitForClose(call);
+            },
+            limits);
+    Client client(bed.endpoint);
+    const ClientAnswer answer = client.call("POST", "/v1/chat/completions", chatBody("small", true),
+                                            "x-request-deadline-ms: 300\r\n");
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.isWhole);
+    CHECK(answer.body.find("\"code\":\"upstream_timed_out\"") != std::string::npos);
+}
--- a/tests/caller/unit-faults.cpp
+++ b/tests/caller/unit-faults.cpp
@@ -11,6 +11,7 @@
 using test::chatBody;
 using test::Client;
 using test::ClientAnswer;
+using test::CustomEngineBed;
 using test::TestBed;
 
 namespace {
@@ -27,29 +28,6 @@
     co_await call.stream.write(buffers);
 }
 
-/// A test bed whose only engine is an HTTP server with a handler of the test.
-struct CustomEngineBed : TestBed
-{
-    explicit CustomEngineBed(fakes::FakeHandler handler, caller::ServerLimits limits = {})
-        : TestBed(limits)
-        , engine(this->loop.context, std::move(handler))
-    {
-        UpstreamSpec spec;
-        spec.id = UpstreamId("odd");
-        this->loop.run([&] { spec.endpoint = this->engine.listen({"127.0.0.1", 0}).value(); });
-        this->routing.upstreams[spec.id] = UpstreamState{spec};
-        this->routing.replicas[{ModelId("small"), AdapterId()}].push_back(spec.id);
-        this->publish();
-    }
-    ~CustomEngineBed()
-    {
-        this->server->stop();
-        this->loop.run([this] { this->engine.close(); });
-    }
-
-    fakes::FakeHttpServer engine;
-};
-
 /// Waits until a condition, checked on the thread of the loop, holds; false after 2000 checks.
 template<typename Condition>
 bool eventually(TestBed &bed, Condition condition)
