Answer a stream that fails before its first event with its error

What callers saw: a caller that closed its sending side before the first event got nothing at all. Otherwise such a stream got status 200 and an error event, though nothing had been sent and the true status was known.

Cause: the end of a stream only knew how to end one that has begun, and wrote nothing to a caller that was gone.

Change: while nothing was written, the caller gets the error answer: 499, 502 or 504, with its run state.

Evidence: "a stream that ends before its first event gets an answer with the status of its error".

--- a/src/caller/relay.cpp
+++ b/src/caller/relay.cpp
@@ -152,14 +152,16 @@
         co_await relay.exchange.writer.endStream();
         co_return;
     }
-    relay.exchange.writer.closeAfterAnswer();
-    relay.exchange.reportError(*end.error);
     relay.source.call->cancel();
     const bool mayStillRun = !end.isUpstreamFault || relay.exchange.isCancelled();
     if (mayStillRun)
         cancelUpstream(relay.exchange, relay.source.slot->upstream());
     else
         relay.source.slot->recordOutcome(CallOutcome::Failed);
+    if (!relay.exchange.writer.isBegun())
+        co_return co_await relay.exchange.answerError(*end.error);
+    relay.exchange.writer.closeAfterAnswer();
+    relay.exchange.reportError(*end.error);
     if (!relay.exchange.isCallerGone() && end.isUpstreamFault)
         co_await relay.exchange.writer.endStreamWithError(*end.error);
 }
--- a/src/caller/relay.hpp
+++ b/src/caller/relay.hpp
@@ -12,7 +12,8 @@
 
 /// @brief Relays a stream to its end, and resumes it if it breaks and the upstream can resume.
 ///
-/// A stream that stays broken ends with an error event and without its final chunk.
+/// A stream that stays broken ends with an error event and without its final chunk. If none of its
+/// events has been written, the caller gets an error answer instead.
 /// @param exchange request and connection of the caller
 /// @param request as it was classified
 /// @param admission as the request was admitted
--- a/tests/caller/unit-exits.cpp
+++ b/tests/caller/unit-exits.cpp
@@ -153,3 +153,59 @@
     CHECK_FALSE(answer.isWhole);
     CHECK(answer.body.find("\"code\":\"upstream_timed_out\"") != std::string::npos);
 }
+
+// Guards against a success status for a stream that failed before its first event, and against
+// closing the connection without an answer when the caller has closed its sending side.
+TEST_CASE("a stream that ends before its first event gets an answer with the status of its error")
+{
+    std::atomic<bool> hasBegun = false;
+    std::string reply = std::string(streamHead);
+    bool isBroken = false;
+    int status = 0;
+    std::string code;
+    SUBCASE("the caller closes its sending side")
+    {
+        status = 499;
+        code = "caller_gone";
+    }
+    SUBCASE("the upstream breaks the connection")
+    {
+        isBroken = true;
+        status = 502;
+        code = "stream_broken";
+    }
+    SUBCASE("the upstream ends the stream without its end marker")
+    {
+        reply += "0\r\n\r\n";
+        status = 502;
+        code = "stream_broken";
+    }
+    SUBCASE("the event is larger than the buffer")
+    {
+        reply += chunk("data: " + std::string(100000, 'a'));
+        status = 502;
+        code = "upstream_oversized";
+    }
+    CustomEngineBed bed([&](fakes::FakeCall &call) -> upstream::Awaitable<void> {
+        co_await writeRaw(call, reply);
+        hasBegun = true;
+        if (isBroken)
+            call.writer.closeAfterAnswer();
+        else
+            co_await waitForClose(call);
+    });
+    Client client(bed.endpoint);
+    client.send(test::requestText("POST", "/v1/chat/completions", chatBody("small", true)));
+    if (status == 499) {
+        while (!hasBegun)
+            std::this_thread::sleep_for(1ms);
+        std::this_thread::sleep_for(50ms);
+        client.finishSending();
+    }
+    const ClientAnswer answer = client.read();
+    CHECK(answer.isWhole);
+    CHECK(answer.status == status);
+    REQUIRE_FALSE(answer.body.empty());
+    CHECK(codeOf(answer) == code);
+    CHECK(answer.headers.at("x-bamboochute-run-state") == "may-have-run");
+}
