Answer a stream without events by its deadline

What callers saw: an upstream that sent the head of a stream and then nothing left the caller without a byte for two minutes, whatever its deadline.

Cause: the deadline ended with the upstream's head, which callers don't see before the first event.

Change: until something was written to the caller the deadline is the limit.

Evidence: "a stream without an event by its deadline is answered with an error", deadline 300 ms.

--- a/src/caller/relay.cpp
+++ b/src/caller/relay.cpp
@@ -78,12 +78,15 @@
                           "the caller disconnected in the middle of the stream");
 }
 
-/// Latest time of the upstream's next piece. A pause ends no stream that the caller's deadline
-/// still has time for.
+/// Latest time of the upstream's next piece. The caller gets its first event or an error by its
+/// deadline; later, a pause ends no stream that the deadline still has time for.
 TimePoint readDeadline(const StreamRelay &relay)
 {
+    const TimePoint deadline = relay.request.deadline;
+    if (!relay.exchange.writer.isBegun())
+        return deadline;
     const ServerLimits &limits = relay.exchange.thread.server.settings.limits;
-    return std::max(relay.request.deadline, SteadyClock().now() + limits.streamIdleTimeout);
+    return std::max(deadline, SteadyClock().now() + limits.streamIdleTimeout);
 }
 
 /// Relays until the current upstream call ends.
--- a/tests/caller/unit-exits.cpp
+++ b/tests/caller/unit-exits.cpp
@@ -154,6 +154,23 @@
     CHECK(answer.body.find("\"code\":\"upstream_timed_out\"") != std::string::npos);
 }
 
+// Guards against answering a stream without events only when the longest pause has passed.
+TEST_CASE("a stream without an event by its deadline is answered with an error")
+{
+    CustomEngineBed bed([](fakes::FakeCall &call) -> upstream::Awaitable<void> {
+        co_await writeRaw(call, std::string(streamHead));
+        co_await waitForClose(call);
+    });
+    Client client(bed.endpoint);
+    const auto begin = std::chrono::steady_clock::now();
+    const ClientAnswer answer = client.call("POST", "/v1/chat/completions", chatBody("small", true),
+                                            "x-request-deadline-ms: 300\r\n");
+    CHECK(std::chrono::steady_clock::now() - begin < 5s);
+    CHECK(answer.isWhole);
+    CHECK(answer.status == 504);
+    CHECK(codeOf(answer) == "upstream_timed_out");
+}
+
 // Guards against a success status for a stream that failed before its first event, and against
 // closing the connection without an answer when the caller has closed its sending side.
 TEST_CASE("a stream that ends before its first event gets an answer with the status of its error")
