Answer a request whose handling throws

What callers saw: the connection closed without an answer, and the request was counted by no metric of errors.

Cause: an exception ended the coroutine of the connection, whose completion ignored it.

Change: the request gets 500 "internal"; a stream that has begun is closed without its end.

Evidence: "a request whose handling throws is answered with an internal error".

--- a/src/caller/session.cpp
+++ b/src/caller/session.cpp
@@ -3,6 +3,10 @@
 #include "caller/classification.hpp"
 #include "caller/request_steps.hpp"
 
+#include <exception>
+#include <optional>
+#include <string>
+
 namespace bamboochute::caller {
 
 namespace {
@@ -39,6 +43,18 @@
     co_await exchange.answerError(*readFailure.error);
 }
 
+/// Answers a request whose handling ended with an exception.
+Awaitable<void> answerInternalError(Exchange &exchange, const std::string &detail)
+{
+    // The handler may refer to objects that the exception has destroyed.
+    exchange.onCancel(nullptr);
+    const Error error(ErrorKind::Internal, detail);
+    if (!exchange.writer.isBegun())
+        co_return co_await exchange.answerError(error);
+    exchange.writer.closeAfterAnswer();
+    exchange.reportError(error);
+}
+
 Awaitable<void> answerRequest(ThreadContext &thread, upstream::HttpStream &stream,
                               const CallerRequest &request, AnswerWriter &writer)
 {
@@ -48,7 +64,14 @@
                                       thread.server.settings.seed, requestNumber);
     writer.begin(id.value(), request.isKeepAlive && !thread.server.isDraining);
     Exchange exchange(thread, stream, request, writer);
-    co_await runRequest(exchange);
+    std::optional<std::string> exceptionText;
+    try {
+        co_await runRequest(exchange);
+    } catch (const std::exception &exception) {
+        exceptionText = exception.what();
+    }
+    if (exceptionText)
+        co_await answerInternalError(exchange, *exceptionText);
     thread.server.requestMetrics.answers.add();
     thread.server.requestMetrics.latency.record(SteadyClock().now() - request.arrival);
 }
--- a/tests/caller/unit-exits.cpp
+++ b/tests/caller/unit-exits.cpp
@@ -226,3 +226,20 @@
     CHECK(codeOf(answer) == code);
     CHECK(answer.headers.at("x-bamboochute-run-state") == "may-have-run");
 }
+
+// Guards against closing a connection without an answer when a step of a request fails.
+TEST_CASE("a request whose handling throws is answered with an internal error")
+{
+    TestBed bed;
+    bed.addService({"127.0.0.1", 1});
+    bed.publish();
+    bed.control.throwsOnClaim = true;
+    Client client(bed.endpoint);
+    const ClientAnswer answer
+            = client.call("POST", "/reservations/book", "{}", "idempotency-key: one\r\n");
+    CHECK(answer.isWhole);
+    CHECK(answer.status == 500);
+    REQUIRE_FALSE(answer.body.empty());
+    CHECK(codeOf(answer) == "internal");
+    CHECK(bed.server->openRequestCount() == 0);
+}
