Refuse an operation whose claim is undecided at a stop

What callers saw: a stop that found an operation waiting for its claim never ended, and the caller got no answer.

Cause: nothing cancelled the wait for the claim. Server::stop() is called on the control thread, which alone can decide claims, and waits for the traffic threads.

Change: a stop ends the wait with "draining", not run, and abandons the claim. If the claim is granted nevertheless, it is released, as nothing will be sent.

Evidence: "a stop refuses an operation whose claim is not decided". Before: the test hung and was ended by its time limit; after: passes.

--- a/src/caller/claim.cpp
+++ b/src/caller/claim.cpp
@@ -3,6 +3,7 @@
 #include "core/overloaded.hpp"
 
 #include <algorithm>
+#include <atomic>
 
 #include <fmt/format.h>
 
@@ -116,20 +117,35 @@
     const Ticket ticket = server.admission->newTicket();
     const auto pendingDecision
             = std::make_shared<OneShotChannel<admission::ClaimDecision>>(exchange.thread.ioContext);
-    // Not cancelled when the caller disconnects: its repeat must find what this request did.
+    // Whether the decision or a stop came first.
+    const auto isEnded = std::make_shared<std::atomic<bool>>(false);
     server.ports.claim(ticket, claimRequest(exchange, request),
-                       [pendingDecision](admission::ClaimDecision decision) {
-                           pendingDecision->complete(std::move(decision));
+                       [pendingDecision, isEnded, ticket,
+                        settle = server.ports.settleClaim](admission::ClaimDecision decision) {
+                           if (!isEnded->exchange(true))
+                               pendingDecision->complete(std::move(decision));
+                           else if (std::holds_alternative<admission::Dispatch>(decision))
+                               settle(ticket, admission::Released());
                        });
+    // Not cancelled when the caller disconnects: its repeat must find what this request did.
+    exchange.onStop([&server, &exchange, pendingDecision, isEnded, ticket] {
+        if (isEnded->exchange(true))
+            return;
+        server.ports.abandonClaim(ticket);
+        pendingDecision->complete(exchange.cancelReason());
+    });
     admission::ClaimDecision decision = co_await pendingDecision->wait();
+    exchange.onStop(nullptr);
     if (const auto *error = std::get_if<Error>(&decision))
         co_return *error;
     if (const auto *replay = std::get_if<admission::Replay>(&decision)) {
         server.requestMetrics.replayedOperations.add();
         co_return ClaimedOrReplayed(replayedAnswer(replay->outcome));
     }
-    const TimePoint expires = std::get<admission::Dispatch>(decision).expires;
-    co_return ClaimedOrReplayed(Claim(server, ticket, expires));
+    Claim claim(server, ticket, std::get<admission::Dispatch>(decision).expires);
+    if (exchange.isStopping())
+        co_return exchange.cancelReason();
+    co_return ClaimedOrReplayed(std::move(claim));
 }
 
 } // namespace bamboochute::caller
--- a/src/caller/ports.hpp
+++ b/src/caller/ports.hpp
@@ -60,7 +60,8 @@
 {
     // The callback is called exactly once, unless the ticket is abandoned before.
     port.claim(ticket, std::move(request), std::move(decided));
-    // The caller disconnected before the claim was decided.
+    // The server stops before the claim was decided; a claim that is granted nevertheless is
+    // settled.
     port.abandon(ticket);
     // Reports the result of an operation whose claim was granted; called exactly once for each.
     port.settle(ticket, std::move(settlement));
--- a/tests/caller/unit-exits.cpp
+++ b/tests/caller/unit-exits.cpp
@@ -243,3 +243,36 @@
     CHECK(codeOf(answer) == "internal");
     CHECK(bed.server->openRequestCount() == 0);
 }
+
+// Guards against closing the connection of a request without an answer when a stop finds it
+// between two steps.
+TEST_CASE("a stop refuses an operation whose claim is not decided")
+{
+    TestBed bed;
+    bed.addService({"127.0.0.1", 1});
+    bed.publish();
+    bed.control.holdsClaims = true;
+    const auto heldCount = [&bed] {
+        const std::lock_guard lock(bed.control.mutex);
+        return bed.control.heldClaims.size();
+    };
+    Client client(bed.endpoint);
+    client.send(test::requestText("POST", "/reservations/book", "{}", "idempotency-key: one\r\n"));
+    while (heldCount() == 0)
+        std::this_thread::sleep_for(1ms);
+    bed.server->stop();
+    const ClientAnswer answer = client.read();
+    CHECK(answer.isWhole);
+    CHECK(answer.status == 503);
+    REQUIRE_FALSE(answer.body.empty());
+    CHECK(codeOf(answer) == "draining");
+    CHECK(answer.headers.at("x-bamboochute-run-state") == "not-run");
+    CHECK(bed.control.abandonedCount == 1);
+
+    SUBCASE("and releases the claim if it is granted afterwards")
+    {
+        bed.control.heldClaims[0](admission::Dispatch{SteadyClock().now() + 60s});
+        REQUIRE(bed.control.records.size() == 1);
+        CHECK(std::holds_alternative<admission::Released>(bed.control.records.begin()->second));
+    }
+}
