Refuse requests that arrive while the server stops

What callers saw: a request on a kept connection that arrived while a stop waited for other answers was admitted, and its connection closed without an answer.

Cause: a stop ended only the requests that it found. Reads that had ended when the connections were closed went on to answer on a closed socket.

Change: requests that begin during a stop are refused with "draining"; what was read already is refused too. Pending reads end before the connections close, so that a read that has ended is followed by its answer.

Evidence: "a stop refuses the requests that arrive while it waits for others".

--- a/src/caller/exchange.cpp
+++ b/src/caller/exchange.cpp
@@ -11,6 +11,7 @@
     , request(request)
     , writer(writer)
     , snapshot(thread.snapshot.get())
+    , isStopped(thread.server.isStopping)
 {
     this->thread.exchanges.insert(this);
     this->stream.setPeerClosedHandler([this] { this->handleCallerGone(); });
--- a/src/caller/exchange.hpp
+++ b/src/caller/exchange.hpp
@@ -40,7 +40,7 @@
     /// @brief Whether the caller has disconnected or the server ends all requests.
     bool isCancelled() const noexcept { return this->hasCallerGone || this->isStopped; }
 
-    /// @brief Whether stop() was called.
+    /// @brief Whether stop() was called, or the server was stopping when the request arrived.
     bool isStopping() const noexcept { return this->isStopped; }
 
     /// @brief The error of a cancelled request: Draining after stop(), else CallerGone.
--- a/src/caller/request_steps.cpp
+++ b/src/caller/request_steps.cpp
@@ -69,6 +69,8 @@
 Awaitable<void> runRequest(Exchange &exchange)
 {
     exchange.thread.server.requestMetrics.requests.add();
+    if (exchange.isStopping())
+        co_return co_await exchange.answerError(exchange.cancelReason());
     if (!exchange.snapshot)
         co_return co_await answerWithoutSnapshot(exchange);
     const Result<Classification> classified = classify(exchange.request, *exchange.snapshot,
--- a/src/caller/session.cpp
+++ b/src/caller/session.cpp
@@ -82,7 +82,8 @@
 {
     CallerRequest request;
     AnswerWriter writer(*stream, thread.server.settings.limits);
-    while (!thread.server.isStopping) {
+    // Requests that have arrived are refused by a stop, and not left without an answer.
+    while (!thread.server.isStopping || !stream->unread().empty()) {
         const OptionalReadFailure readFailure
                 = co_await readRequest(*stream, thread.server.settings.limits, request);
         if (readFailure) {
--- a/src/caller/traffic_thread.cpp
+++ b/src/caller/traffic_thread.cpp
@@ -92,15 +92,23 @@
     for (Exchange *exchange : openExchanges)
         exchange->stop();
     const TimePoint deadline = SteadyClock().now() + maxStopTime;
-    while (!this->thread.exchanges.empty() && SteadyClock().now() < deadline) {
-        Timer pause(*this->ioContext);
-        pause.expires_after(queueCheckInterval);
-        error_code ignored;
-        co_await pause.async_wait(asio::redirect_error(upstream::UseAwaitable(), ignored));
-    }
+    while (!this->thread.exchanges.empty() && SteadyClock().now() < deadline)
+        co_await this->pauseFor(queueCheckInterval);
+    // A read that has ended already is followed by the answer to its request.
+    for (const upstream::HttpStreamPointer &connection : this->openConnections)
+        connection->expireAt(SteadyClock().now());
+    co_await this->pauseFor(2 * upstream::DeadlineWatch::tickInterval);
     this->closeConnections();
 }
 
+Awaitable<void> TrafficThread::pauseFor(Duration duration)
+{
+    Timer timer(*this->ioContext);
+    timer.expires_after(duration);
+    error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(upstream::UseAwaitable(), ignored));
+}
+
 void TrafficThread::closeConnections()
 {
     this->thread.connectionPool.shutdown();
--- a/src/caller/traffic_thread.hpp
+++ b/src/caller/traffic_thread.hpp
@@ -39,6 +39,7 @@
     upstream::Awaitable<void> acceptConnections();
     upstream::Awaitable<void> checkQueuesPeriodically();
     upstream::Awaitable<void> endRequestsAndClose();
+    upstream::Awaitable<void> pauseFor(Duration duration);
     void serveConnection(upstream::Socket socket);
     void stopAccepting();
     void closeConnections();
--- a/tests/caller/unit-exits.cpp
+++ b/tests/caller/unit-exits.cpp
@@ -276,3 +276,40 @@
         CHECK(std::holds_alternative<admission::Released>(bed.control.records.begin()->second));
     }
 }
+
+// Guards against closing the connection of a request without an answer when it arrives while a
+// stop waits for other requests.
+TEST_CASE("a stop refuses the requests that arrive while it waits for others")
+{
+    CustomEngineBed bed([](fakes::FakeCall &call) -> upstream::Awaitable<void> {
+        co_await call.writer.write(fakes::jsonAnswer(200, std::string(6 << 20, 'a')));
+    });
+    Client idle(bed.endpoint);
+    Client pipelining(bed.endpoint);
+    // The server has accepted both connections.
+    CHECK(idle.call("GET", "/healthz").status == 200);
+    CHECK(pipelining.call("GET", "/healthz").status == 200);
+    // Two slow readers delay the stop of both threads; which thread accepts is up to the kernel.
+    std::vector<std::unique_ptr<Client>> slowReaders;
+    for (int i = 0; i < 16; ++i) {
+        slowReaders.push_back(std::make_unique<Client>(bed.endpoint));
+        slowReaders.back()->send(
+                test::requestText("POST", "/v1/chat/completions", chatBody("small")));
+    }
+    while (bed.server->openRequestCount() < 16)
+        std::this_thread::sleep_for(1ms);
+    std::this_thread::sleep_for(300ms);
+    const auto stopping = std::async(std::launch::async, [&bed] { bed.server->stop(); });
+    std::this_thread::sleep_for(200ms);
+    idle.send(test::requestText("POST", "/v1/chat/completions", chatBody("cold")));
+    const std::string one = test::requestText("POST", "/v1/chat/completions", chatBody("cold"));
+    pipelining.send(one + one);
+    for (Client *client : {&idle, &pipelining}) {
+        const ClientAnswer answer = client->read();
+        CHECK(answer.isWhole);
+        CHECK(answer.status == 503);
+        REQUIRE_FALSE(answer.body.empty());
+        CHECK(codeOf(answer) == "draining");
+        CHECK(answer.headers.at("connection") == "close");
+    }
+}
