Make no attempt after a stop or for a caller that left

What callers saw: a request that paused before a retry when the server stopped was sent to an upstream again, and its connection closed without an answer. For a caller that had left, the retry was sent for nothing.

Cause: the reason to stop was asked before the pause, not after it.

Change: it is asked after the pause too, and the slot is given back.

Evidence: "a stop ends the requests that pause before a retry". How many are in their pause depends on chance.

--- a/src/caller/dispatch.cpp
+++ b/src/caller/dispatch.cpp
@@ -32,6 +32,12 @@
     return attempt.error;
 }
 
+/// Whether no further attempt is made, because the server stops or nobody needs the answer.
+bool isAbandoned(const Exchange &exchange, const ClassifiedRequest &request)
+{
+    return exchange.isStopping() || (exchange.isCallerGone() && request.isIdempotent());
+}
+
 /// Whether the attempt failed with a server error of a plain service; the caller gets it unchanged.
 bool isServiceAnswer(const ClassifiedRequest &request, const Attempt &attempt)
 {
@@ -54,8 +60,7 @@
         if (!attempt.failure)
             co_return std::move(attempt.result);
         attempt.result.slot->release();
-        const bool isAbandoned = exchange.isCallerGone() && request.isIdempotent();
-        if (isAbandoned || exchange.isStopping())
+        if (isAbandoned(exchange, request))
             co_return exchange.cancelReason();
         admission::FailedAttempt failed;
         failed.reason = *attempt.failure;
@@ -71,6 +76,10 @@
         }
         const auto &grant = std::get<RetryGrant>(decision);
         co_await waitFor(exchange, grant.delay);
+        if (isAbandoned(exchange, request)) {
+            const UpstreamSlot unused(control, admission, grant.upstream);
+            co_return exchange.cancelReason();
+        }
         next = grant.upstream;
     }
 }
--- a/tests/caller/unit-exits.cpp
+++ b/tests/caller/unit-exits.cpp
@@ -313,3 +313,35 @@
         CHECK(answer.headers.at("connection") == "close");
     }
 }
+
+// Guards against another attempt after a stop, which nothing ended before the connection closed.
+TEST_CASE("a stop ends the requests that pause before a retry")
+{
+    std::atomic<bool> mayFail = false;
+    std::atomic<int> calls = 0;
+    constexpr int requests = 12;
+    CustomEngineBed bed([&](fakes::FakeCall &call) -> upstream::Awaitable<void> {
+        if (++calls > requests) {
+            co_await waitForClose(call);
+            co_return;
+        }
+        while (!mayFail)
+            co_await pauseFor(1ms);
+        co_await call.writer.write(fakes::jsonAnswer(500, "{}"));
+    });
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < requests; ++i) {
+        clients.push_back(std::make_unique<Client>(bed.endpoint));
+        clients.back()->send(test::requestText("POST", "/v1/chat/completions", chatBody("small")));
+    }
+    while (calls < requests)
+        std::this_thread::sleep_for(1ms);
+    mayFail = true;
+    std::this_thread::sleep_for(3ms);
+    bed.server->stop();
+    for (const auto &client : clients) {
+        const ClientAnswer answer = client->read();
+        CHECK(answer.isWhole);
+        CHECK(answer.status >= 500);
+    }
+}
