Count requests read against answers written over all exits

bamboochute_answers_total counted each request that ended, answered or not. Now it counts those to which something was written, and bamboochute_unanswered_requests_total the others; it stays at zero.

The test "every request that was read is answered, over all exits" sends 14 kinds of requests and lets them end by their deadline, a half-close, a new configuration that has none of their class, route, model and upstreams, and a stop, alone and beside the others, and compares requests, answers and what callers read.

--- a/src/caller/request_metrics.hpp
+++ b/src/caller/request_metrics.hpp
@@ -17,6 +17,7 @@
     explicit RequestMetrics(Metrics &metrics)
         : requests(metrics.counter("bamboochute_requests_total"))
         , answers(metrics.counter("bamboochute_answers_total"))
+        , unanswered(metrics.counter("bamboochute_unanswered_requests_total"))
         , connections(metrics.gauge("bamboochute_caller_connections"))
         , refusedConnections(metrics.counter("bamboochute_refused_connections_total"))
         , cancelledUpstream(metrics.counter("bamboochute_upstream_cancels_total"))
@@ -34,6 +35,7 @@
 
     Counter &requests;
     Counter &answers;
+    Counter &unanswered;
     Gauge &connections;
     Counter &refusedConnections;
     Counter &cancelledUpstream;
--- a/src/caller/session.cpp
+++ b/src/caller/session.cpp
@@ -72,8 +72,9 @@
     }
     if (exceptionText)
         co_await answerInternalError(exchange, *exceptionText);
-    thread.server.requestMetrics.answers.add();
-    thread.server.requestMetrics.latency.record(SteadyClock().now() - request.arrival);
+    RequestMetrics &metrics = thread.server.requestMetrics;
+    (writer.isBegun() ? metrics.answers : metrics.unanswered).add();
+    metrics.latency.record(SteadyClock().now() - request.arrival);
 }
 
 } // namespace
--- a/tests/caller/unit-exits.cpp
+++ b/tests/caller/unit-exits.cpp
@@ -345,3 +345,210 @@
         CHECK(answer.status >= 500);
     }
 }
+
+namespace {
+
+/// How the engine answers, by the request's identifier.
+upstream::Awaitable<void> answerById(fakes::FakeCall &call)
+{
+    const std::string id(call.request.headers().find("x-request-id"));
+    if (id == "whole" || id == "error") {
+        co_await call.writer.write(fakes::jsonAnswer(id == "whole" ? 200 : 500, "{}"));
+        co_return;
+    }
+    if (id == "begun" || id == "lost")
+        co_await writeRaw(call, std::string(streamHead) + chunk(event));
+    else if (id == "head")
+        co_await writeRaw(call, std::string(streamHead));
+    else if (id == "garbage")
+        co_await writeRaw(call, "220 smtp ready\r\n\r\n");
+    else if (id == "endless")
+        co_await writeRaw(call, std::string(streamHead) + chunk(std::string(100000, 'a')));
+    else if (id == "whole-stream")
+        co_await writeRaw(call,
+                          std::string(streamHead) + chunk(event) + chunk(endMarker) + "0\r\n\r\n");
+    if (id == "lost" || id == "whole-stream" || id == "closed")
+        call.writer.closeAfterAnswer();
+    else
+        co_await waitForClose(call);
+}
+
+struct ExitCase
+{
+    std::string id;
+    std::string model;
+    bool isStream = false;
+};
+
+/// Requests to the engine, by all the ways in which they end.
+const std::vector<ExitCase> exitCases{
+        {"whole", "small", false},   {"error", "small", false},  {"silent", "small", false},
+        {"garbage", "small", false}, {"closed", "small", false}, {"whole-stream", "small", true},
+        {"begun", "small", true},    {"head", "small", true},    {"lost", "small", true},
+        {"endless", "small", true},  {"waiting", "cold", false}, {"unknown", "none", false},
+};
+
+/// Sends requests, each on a connection of its own, and counts those without an answer.
+class Callers
+{
+public:
+    explicit Callers(TestBed &bed)
+        : bed(bed)
+    {}
+
+    Client &send(const std::string &id, std::string_view path, std::string_view body, int deadline)
+    {
+        this->clients.emplace_back(id, std::make_unique<Client>(this->bed.endpoint));
+        this->clients.back().second->send(
+                test::requestText("POST", path, body,
+                                  fmt::format("x-request-id: {}\r\nidempotency-key: {}-{}\r\n"
+                                              "x-request-deadline-ms: {}\r\n",
+                                              id, id, this->sent, deadline)));
+        ++this->sent;
+        return *this->clients.back().second;
+    }
+
+    void sendAll(int deadline)
+    {
+        for (const ExitCase &exitCase : exitCases)
+            this->send(exitCase.id, "/v1/chat/completions",
+                       chatBody(exitCase.model, exitCase.isStream), deadline);
+        this->send("operation", "/reservations/book", "{}", deadline);
+        this->send("unknown-path", "/nowhere", "{}", deadline);
+    }
+
+    void finishSending()
+    {
+        for (const auto &[id, client] : this->clients)
+            client->finishSending();
+    }
+
+    /// A stream that has begun may end without its end; every other answer is whole.
+    void checkAnswers()
+    {
+        for (const auto &[id, client] : this->clients) {
+            CAPTURE(id);
+            const ClientAnswer answer = client->read();
+            const bool isBegunStream = answer.status == 200 && answer.body.starts_with(event);
+            CHECK((answer.isWhole || isBegunStream));
+        }
+        this->clients.clear();
+    }
+
+    std::uint64_t sentCount() const { return this->sent; }
+
+private:
+    TestBed &bed;
+    std::vector<std::pair<std::string, std::unique_ptr<Client>>> clients;
+    std::uint64_t sent = 0;
+};
+
+} // namespace
+
+// Guards against a way out that closes the connection of a request without an answer.
+TEST_CASE("every request that was read is answered, over all exits")
+{
+    caller::ServerLimits limits;
+    limits.streamIdleTimeout = 100ms;
+    CustomEngineBed bed(answerById, limits);
+    bed.addService({"127.0.0.1", 1});
+    bed.publish();
+    Callers callers(bed);
+    Counter &requests = bed.metrics.counter("bamboochute_requests_total");
+    const auto waitUntilRead = [&] {
+        while (requests.value() < callers.sentCount())
+            std::this_thread::sleep_for(1ms);
+    };
+    SUBCASE("by their deadline")
+    {
+        callers.sendAll(300);
+    }
+    SUBCASE("when the caller closes its sending side")
+    {
+        callers.sendAll(5000);
+        waitUntilRead();
+        callers.finishSending();
+    }
+    SUBCASE("when a new configuration has none of their class, route, model and upstreams")
+    {
+        callers.sendAll(1000);
+        waitUntilRead();
+        bed.configuration.deployments[0].callerClasses.pop_back();
+        bed.configuration.deployments[0].models.clear();
+        bed.configuration.deployments[0].adapters.clear();
+        bed.configuration.deployments[0].routes.clear();
+        bed.configuration.revision = Revision(2);
+        bed.routing = RoutingTable();
+        bed.publish();
+    }
+    SUBCASE("when the server stops")
+    {
+        callers.sendAll(5000);
+        waitUntilRead();
+        bed.server->stop();
+    }
+    SUBCASE("when the server stops while claims are undecided")
+    {
+        bed.control.holdsClaims = true;
+        callers.sendAll(5000);
+        waitUntilRead();
+        bed.server->stop();
+    }
+    SUBCASE("when the caller closes its sending side and the server stops")
+    {
+        callers.sendAll(5000);
+        waitUntilRead();
+        callers.finishSending();
+        bed.server->stop();
+    }
+    SUBCASE("when the server stops beside a new configuration")
+    {
+        callers.sendAll(5000);
+        waitUntilRead();
+        bed.routing = RoutingTable();
+        bed.publish();
+        bed.server->stop();
+    }
+    callers.checkAnswers();
+    bed.server->stop();
+    CHECK(requests.value() == callers.sentCount());
+    CHECK(bed.metrics.counter("bamboochute_answers_total").value() == requests.value());
+    CHECK(bed.metrics.counter("bamboochute_unanswered_requests_total").value() == 0);
+}
+
+// Guards against closing the connection of a request that is read at the instant of a stop.
+TEST_CASE("every request that is read while the server stops is answered")
+{
+    for (int round = 0; round < 10; ++round) {
+        CAPTURE(round);
+        CustomEngineBed bed(answerById);
+        std::vector<std::thread> threads;
+        std::atomic<int> answered = 0;
+        const std::string request = test::requestText("POST", "/v1/chat/completions",
+                                                      chatBody("small"), "x-request-id: whole\r\n");
+        std::vector<std::unique_ptr<Client>> clients;
+        for (int i = 0; i < 8; ++i)
+            clients.push_back(std::make_unique<Client>(bed.endpoint));
+        for (const auto &client : clients) {
+            threads.emplace_back([&client = *client, &answered, &request] {
+                while (true) {
+                    client.send(request);
+                    const ClientAnswer answer = client.read();
+                    if (!answer.isWhole)
+                        return;
+                    ++answered;
+                    if (answer.headers.contains("connection"))
+                        return;
+                }
+            });
+        }
+        std::this_thread::sleep_for(50ms);
+        bed.server->stop();
+        for (std::thread &thread : threads)
+            thread.join();
+        // A request that the kernel had, and the server had not read, isn't counted.
+        const std::uint64_t requests = bed.metrics.counter("bamboochute_requests_total").value();
+        CHECK(requests > 0);
+        CHECK(requests == static_cast<std::uint64_t>(answered));
+    }
+}
