Don't answer 503 to a request that may have run

What callers saw: a request ended by a stop, or out of its retry budget, after it had been sent to an upstream got 503 with Retry-After beside x-bamboochute-run-state: may-have-run. Callers and balancers take 503 for "not run" and send it again.

Cause: the status came from the kind of the error alone; only the header knew of earlier attempts.

Change: an error of a "not run" kind whose request may have run has 502 instead of 503 and no Retry-After. The body keeps the code, such as "draining".

Evidence: "an immediate stop ends every request in flight with an error" checks the status. Before: 2 of its checks failed (503 and Retry-After); after: passes.

--- a/src/caller/answer.cpp
+++ b/src/caller/answer.cpp
@@ -17,6 +17,8 @@
 namespace asio = upstream::asio;
 
 constexpr std::string_view requestIdHeader = "x-request-id";
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
 constexpr std::string_view runStateHeader = "x-bamboochute-run-state";
 
 asio::const_buffer toBuffer(std::string_view text)
@@ -60,11 +62,15 @@
 Answer errorAnswer(const Error &error, RunState minimumRunState)
 {
     Answer answer;
+    const RunState runState = std::max(error.row().runState, minimumRunState);
+    const bool isRaised = runState > error.row().runState;
     answer.status = error.row().httpStatus;
+    // Callers take 503 for "not run" and send the request again.
+    if (isRaised && answer.status == statusUnavailable)
+        answer.status = statusBadGateway;
     answer.body = errorBody(error);
-    appendHeader(answer.extraHeaders, runStateHeader,
-                 runStateName(std::max(error.row().runState, minimumRunState)));
-    if (const auto delay = error.retryAfter())
+    appendHeader(answer.extraHeaders, runStateHeader, runStateName(runState));
+    if (const auto delay = error.retryAfter(); delay && !isRaised)
         appendHeader(answer.extraHeaders, "Retry-After", std::to_string(delay->count()));
     return answer;
 }
--- a/tests/caller/unit-waiting.cpp
+++ b/tests/caller/unit-waiting.cpp
@@ -242,6 +242,9 @@
     }));
     bed.server->stop();
     const ClientAnswer answer = plain.read();
+    // 503 would say that the request did not run.
+    CHECK(answer.status == 502);
+    CHECK_FALSE(answer.headers.contains("retry-after"));
     CHECK(codeOf(answer) == "draining");
     CHECK(answer.headers.at("x-bamboochute-run-state") == "may-have-run");
     const ClientAnswer cut = stream.read();
