Make sure that a stop has something to wait for in its test

Those still at their upstream are ended by the stop at once, which then waits for nobody, and the request sent 200 ms later finds its connection closed.

The test now waits until each slow reader has the head of its answer.

--- a/tests/caller/unit-exits.cpp
+++ b/tests/caller/unit-exits.cpp
@@ -296,9 +296,10 @@
         slowReaders.back()->send(
                 test::requestText("POST", "/v1/chat/completions", chatBody("small")));
     }
-    while (bed.server->openRequestCount() < 16)
-        std::this_thread::sleep_for(1ms);
-    std::this_thread::sleep_for(300ms);
+    // The answers are being written; a request that is still at its upstream would not delay the
+    // stop.
+    for (const auto &slowReader : slowReaders)
+        CHECK(slowReader->readUntil("\r\n\r\n").starts_with("HTTP/1.1 200"));
     const auto stopping = std::async(std::launch::async, [&bed] { bed.server->stop(); });
     std::this_thread::sleep_for(200ms);
     idle.send(test::requestText("POST", "/v1/chat/completions", chatBody("cold")));
