--- a/src/caller/caller_request.cpp
+++ b/src/caller/caller_request.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::size_t maxTargetBytes = 4 << 10;
 constexpr int http11 = 11;
+/// Time to read bytes that the kernel already has.
+constexpr Duration arrivedBytesReadTime = std::chrono::seconds(1);
 
 /// Headers that decide what a request means. With a repeated one, a proxy or an upstream could pick
 /// another value than this server does.
@@ -133,15 +135,6 @@
     return RequestReadFailure{};
 }
 
-Awaitable<OptionalReadFailure> waitForFirstByte(RequestReader &reader)
-{
-    reader.stream.expireAt(SteadyClock().now() + reader.limits.idleTimeout);
-    const StreamStatus status = co_await reader.stream.readMore();
-    if (status != StreamStatus::Ok)
-        co_return RequestReadFailure{};
-    co_return std::nullopt;
-}
-
 Awaitable<OptionalReadFailure> readHeader(RequestReader &reader)
 {
     reader.stream.expireAt(reader.request.arrival + reader.limits.headerTimeout);
@@ -196,18 +189,32 @@
     return target.substr(0, target.find('?'));
 }
 
+Awaitable<bool> waitForRequest(HttpStream &stream)
+{
+    if (!stream.unread().empty())
+        co_return true;
+    StreamStatus status = co_await stream.readMore();
+    if (status == StreamStatus::Expired && stream.hasArrivedBytes()) {
+        // They arrived while this thread was busy or paused.
+        stream.expireAt(SteadyClock().now() + arrivedBytesReadTime);
+        status = co_await stream.readMore();
+    }
+    co_return status == StreamStatus::Ok;
+}
+
 Awaitable<OptionalReadFailure> readRequest(HttpStream &stream, const ServerLimits &limits,
                                            CallerRequest &request)
 {
     request.body.clear();
     RequestReader reader(stream, limits, request);
-    OptionalReadFailure failure;
-    if (stream.unread().empty())
-        failure = co_await waitForFirstByte(reader);
-    if (failure)
-        co_return failure;
+    if (stream.unread().empty()) {
+        stream.expireAt(SteadyClock().now() + limits.idleTimeout);
+        const bool hasRequest = co_await waitForRequest(stream);
+        if (!hasRequest)
+            co_return RequestReadFailure{};
+    }
     request.arrival = SteadyClock().now();
-    failure = parseUnread(reader);
+    OptionalReadFailure failure = parseUnread(reader);
     // Most requests arrive in one read; calling a coroutine for each step would allocate its frame.
     if (!failure && !reader.parser.is_header_done())
         failure = co_await readHeader(reader);
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -92,7 +92,9 @@
 {
     this->isReading = false;
     this->end += count;
-    if (error && !this->hasExpired) {
+    // A read that a former time limit has cancelled says nothing about the connection.
+    const bool isCancelled = error == asio::error::operation_aborted && this->socket.is_open();
+    if (error && !this->hasExpired && !isCancelled) {
         this->isReadClosed = true;
         this->wasClosedInOrder = error == asio::error::eof;
     }
@@ -134,6 +136,12 @@
     return {this->buffer.data() + this->begin, this->end - this->begin};
 }
 
+bool HttpStream::hasArrivedBytes() const
+{
+    error_code error;
+    return this->socket.is_open() && this->socket.available(error) > 0 && !error;
+}
+
 void HttpStream::consume(std::size_t count)
 {
     BC_INVARIANT(count <= this->end - this->begin, "more bytes are consumed than were read");
