Know no version of a process whose registration is not read yet

Cause: the placement owner asks engines for reports, and so knows of a process that started again before its registration is read, by itself or by anyone else. It orders loads there, and its residency sends the instances' streams there, but with the software version of the former registration. Such a stream went on at upstreams of the former version when it broke. The same process also counted as the former one for pauses, limits and its leaving.

The change: the process of an upstream is the latest that is known, by registration or report, and has no version until its registration is read. A stream that it begins goes on nowhere until then; if the registration comes while the stream runs, it goes on at that version. Loads that are wanted at a version are not ordered there either.

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -204,14 +204,15 @@
 /// Binds the stream to the version of the current upstream, once a part of it was received; returns
 /// false if the stream began at another version.
 ///
-/// If the upstream has started again with another version since the request was sent, either of the
-/// two processes may have sent the part, so that the version is not known any more.
+/// If the upstream has started again since the request was sent, and not with the same version,
+/// either of the two processes may have sent the part, so that the version is not known any more.
 bool RequestExchange::bindStreamVersion()
 {
     const UpstreamTable::Entry *entry = this->gateway.table.find(this->currentUpstream);
-    const bool isAmbiguous = entry != nullptr && entry->process() != this->currentProcess
-                             && entry->registered.softwareVersion != this->currentVersion;
-    const SoftwareVersion version = isAmbiguous ? SoftwareVersion() : this->currentVersion;
+    SoftwareVersion version = this->currentVersion;
+    if (entry != nullptr && entry->softwareVersion() != version)
+        version = entry->process() == this->currentProcess ? entry->softwareVersion()
+                                                           : SoftwareVersion();
     if (this->requiredVersion == version)
         return true;
     if (this->requiredVersion && this->beginSend != this->sends)
@@ -330,7 +331,7 @@
     if (entry == nullptr)
         co_return AttemptOutcome::NotRun;
     this->currentUpstream = id;
-    this->currentVersion = entry->registered.softwareVersion;
+    this->currentVersion = entry->softwareVersion();
     this->currentProcess = entry->process();
     this->currentEndpoint = entry->registered.endpoint;
     this->sentAt = this->now();
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -63,7 +63,8 @@
     if (!this->requiredVersion)
         return;
     std::erase_if(entries, [this](const UpstreamTable::Entry *entry) {
-        return entry->registered.softwareVersion != *this->requiredVersion;
+        const SoftwareVersion version = entry->softwareVersion();
+        return version.isEmpty() || version != *this->requiredVersion;
     });
 }
 
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -9,6 +9,7 @@
 #include "gateway/routing_configuration.hpp"
 #include "gateway/upstream_process.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -119,9 +120,18 @@
         {
             return this->registered.isLeaving || this->leavingStart == this->process().startedAt;
         }
+        /// The latest process that is known, by its registration or by a report of the owner.
         UpstreamProcess process() const
         {
-            return {this->registered.id, this->registered.residency.version.startedAt};
+            return {this->registered.id, std::max(this->registered.residency.version.startedAt,
+                                                  this->residency.version.startedAt)};
+        }
+        /// Software version of that process; empty while its registration has not been read.
+        SoftwareVersion softwareVersion() const
+        {
+            const bool isRegistered
+                    = this->process().startedAt == this->registered.residency.version.startedAt;
+            return isRegistered ? this->registered.softwareVersion : SoftwareVersion();
         }
     };
 
@@ -133,7 +143,7 @@
     bool applyRegistration(RegisteredUpstream upstream, TimePoint now);
 
     /// @brief Records that a process said that it is shutting down.
-    /// @return whether that is new; false for a process that is not the registered one
+    /// @return whether that is new; false for a process that is not the latest known one
     bool recordLeaving(const UpstreamProcess &process);
 
     /// @brief Removes an upstream.
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -192,7 +192,7 @@
 {
     UpstreamSnapshot snapshot;
     snapshot.id = entry.registered.id;
-    snapshot.softwareVersion = entry.registered.softwareVersion;
+    snapshot.softwareVersion = entry.softwareVersion();
     snapshot.residency = engine.report.residency;
     snapshot.copies = engine.report.copies;
     snapshot.pendingAdapters = engine.report.pendingAdapters;
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -286,6 +286,19 @@
     registered.get_future().wait();
 }
 
+void RelayFixture::reportRestart(std::size_t index)
+{
+    std::promise<void> reported;
+    asio::post(this->loop, [&] {
+        const UpstreamId id(fmt::format("u{}", index));
+        gateway::Residency residency = this->gateway->table.find(id)->registered.residency;
+        ++residency.version.startedAt;
+        this->gateway->table.updateResidency(id, residency, SteadyClock().now());
+        reported.set_value();
+    });
+    reported.get_future().wait();
+}
+
 void RelayFixture::markLeaving(std::size_t index)
 {
     std::promise<void> recorded;
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -93,6 +93,10 @@
     /// @param index position among the constructor's upstreams
     void restartUpstream(std::size_t index, const std::string &version);
 
+    /// @brief Reports that an upstream runs as a later process, whose registration is not read yet.
+    /// @param index position among the constructor's upstreams
+    void reportRestart(std::size_t index);
+
     /// @brief Records that an upstream said that it leaves.
     /// @param index position among the constructor's upstreams
     void markLeaving(std::size_t index);
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -478,6 +478,52 @@
     CHECK(newVersion.requests().empty());
 }
 
+// Guards against a stream that counts as one of the software version that its upstream had before
+// the start that so far only the placement owner has reported.
+TEST_CASE("a stream of a process whose registration is not read yet has no known version")
+{
+    const std::string firstEvent = streamAnswer("id: 1\ndata: a\n\n", false);
+    const std::string rest = streamAnswer("id: 2\ndata: b\n\n", true);
+    Script begun{firstEvent, true};
+    begun.delay = 100ms;
+    ScriptedUpstream formerVersion({{rest}, {rest}});
+    SUBCASE("it goes on nowhere")
+    {
+        ScriptedUpstream restarted({begun});
+        RelayFixture fixture({&restarted, &formerVersion}, {"v1", "v1"});
+        fixture.reportRestart(0);
+        const std::string got = fixture.call(request("/stream/"));
+        CHECK(containsText(got, "id: 1\n"));
+        CHECK_FALSE(got.ends_with("0\r\n\r\n"));
+        CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with("HTTP/1.1 503 "));
+        CHECK(formerVersion.requests().empty());
+    }
+    SUBCASE("it goes on at the version of the registration that is read while it runs")
+    {
+        ScriptedUpstream restarted({begun});
+        ScriptedUpstream newVersion({{rest}});
+        RelayFixture fixture({&restarted, &formerVersion, &newVersion}, {"v1", "v1", "v2"});
+        fixture.reportRestart(0);
+        std::future<std::string> answer
+                = std::async(std::launch::async, [&] { return fixture.call(request("/stream/")); });
+        std::this_thread::sleep_for(50ms);
+        fixture.restartUpstream(0, "v2");
+        CHECK(answer.get().ends_with("0\r\n\r\n"));
+        CHECK(formerVersion.requests().empty());
+        CHECK(newVersion.requests().size() == 1);
+    }
+    SUBCASE("another stream does not go on there, even if its version is not known either")
+    {
+        ScriptedUpstream first({begun});
+        ScriptedUpstream restarted({{rest}});
+        RelayFixture fixture({&first, &restarted}, {"v1", "v1"});
+        fixture.reportRestart(0);
+        fixture.reportRestart(1);
+        CHECK_FALSE(fixture.call(request("/stream/")).ends_with("0\r\n\r\n"));
+        CHECK(restarted.requests().empty());
+    }
+}
+
 // Guards against events of another version at an upstream that was to go on with a stream.
 TEST_CASE("a stream is cut if the upstream that goes on with it started again meanwhile")
 {
--- a/tests/gateway/unit-upstream_table.cpp
+++ b/tests/gateway/unit-upstream_table.cpp
@@ -73,6 +73,41 @@
         }
     }
 
+    // Guards against a process that is known by a report only counting as the registered one.
+    SUBCASE("a process that only the placement owner has reported is another one")
+    {
+        RegisteredUpstream former = makeRegistration(5, 2, {"chat"});
+        former.softwareVersion = SoftwareVersion("v1");
+        REQUIRE(table.applyRegistration(former, now));
+        CHECK(table.find(worker)->softwareVersion() == SoftwareVersion("v1"));
+        REQUIRE(table.updateResidency(worker, makeResidency(6, 1, {"chat"}), now));
+        CHECK(table.find(worker)->process() == UpstreamProcess{worker, 6});
+        CHECK(table.find(worker)->softwareVersion().isEmpty());
+
+        SUBCASE("its version is that of its registration")
+        {
+            RegisteredUpstream later = makeRegistration(6, 1, {});
+            later.softwareVersion = SoftwareVersion("v2");
+            REQUIRE(table.applyRegistration(later, now + 1s));
+            CHECK(table.find(worker)->process() == UpstreamProcess{worker, 6});
+            CHECK(table.find(worker)->softwareVersion() == SoftwareVersion("v2"));
+        }
+        SUBCASE("a late registration of the former process does not count for it")
+        {
+            former.heartbeat = 3;
+            REQUIRE(table.applyRegistration(former, now + 1s));
+            CHECK(table.find(worker)->process() == UpstreamProcess{worker, 6});
+            CHECK(table.find(worker)->softwareVersion().isEmpty());
+        }
+        SUBCASE("what the former one said of its end does not hold for it")
+        {
+            CHECK_FALSE(table.recordLeaving({worker, 5}));
+            CHECK(table.findServing(assistant).size() == 1);
+            CHECK(table.recordLeaving({worker, 6}));
+            CHECK(table.findServing(assistant).empty());
+        }
+    }
+
     SUBCASE("a report of the placement owner takes precedence over registrations for some seconds")
     {
         REQUIRE(table.updateResidency(worker, makeResidency(5, 1, {"lease"}), now));
