Remember that an upstream leaves until its registration is read, or read again

What callers could have seen: requests at an upstream long after it had said that it leaves. Found by reading, not seen.

Cause: what an upstream says of its end was kept with its registration. Where the registration of the process that said so was not read yet, the message of another instance was dropped; where it vanished and came back, as it does when it expires during an outage of the store, the statement was lost with it.

The change: the start of the latest process that said so is remembered for each upstream, whether it is known or not, for 4,096 upstreams at most. A process without a start is remembered only while it is registered, as a later one could not be told from it.

Evidence: "an upstream that says that it leaves gets none, whenever its registration is read", 5 failed assertions before, all pass.

--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -39,6 +39,9 @@
         entry.refusedTargets.clear();
     }
     entry.missingSince.reset();
+    const auto leaving = this->leavingStarts.find(upstream.id);
+    if (leaving != this->leavingStarts.end())
+        entry.leavingStart = leaving->second;
     entry.registered = std::move(upstream);
     this->seenVersions[entry.registered.service].insert(entry.registered.softwareVersion);
     const bool isOwnerReportFresh = entry.residency.version.startedAt >= start
@@ -52,10 +55,31 @@
 bool UpstreamTable::recordLeaving(const UpstreamProcess &process)
 {
     const auto found = this->byId.find(process.upstream);
-    if (found == this->byId.end() || found->second.process() != process
-        || found->second.isLeaving())
+    if (found != this->byId.end()) {
+        const UpstreamProcess latest = found->second.process();
+        if (process.startedAt < latest.startedAt
+            || (process == latest && found->second.isLeaving()))
+            return false;
+    }
+    // Without a start, a later process could not be told from this one.
+    if (process.startedAt > 0 && !this->rememberLeaving(process))
+        return false;
+    if (found != this->byId.end())
+        found->second.leavingStart = process.startedAt;
+    return found != this->byId.end() || process.startedAt > 0;
+}
+
+/// Returns whether the statement is new.
+bool UpstreamTable::rememberLeaving(const UpstreamProcess &process)
+{
+    const auto known = this->leavingStarts.find(process.upstream);
+    if (known != this->leavingStarts.end() && known->second >= process.startedAt)
         return false;
-    found->second.leavingStart = process.startedAt;
+    if (known == this->leavingStarts.end() && this->leavingStarts.size() >= maxLeavingUpstreams)
+        this->leavingStarts.erase(
+                std::min_element(this->leavingStarts.begin(), this->leavingStarts.end(),
+                                 [](const auto &a, const auto &b) { return a.second < b.second; }));
+    this->leavingStarts[process.upstream] = process.startedAt;
     return true;
 }
 
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -10,6 +10,7 @@
 #include "gateway/upstream_process.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -142,8 +143,12 @@
     /// @return false when the registration is older than the known one; it is ignored
     bool applyRegistration(RegisteredUpstream upstream, TimePoint now);
 
-    /// @brief Records that a process said that it is shutting down.
-    /// @return whether that is new; false for a process that is not the latest known one
+    /// Upstreams whose leaving is remembered; the one that started first is forgotten first.
+    static constexpr std::size_t maxLeavingUpstreams = 4096;
+
+    /// @brief Records that a process said that it is shutting down, also one whose registration
+    /// has not been read yet.
+    /// @return whether that is new; false for a process that is earlier than the latest known one
     bool recordLeaving(const UpstreamProcess &process);
 
     /// @brief Removes an upstream.
@@ -189,8 +194,13 @@
     const std::map<UpstreamId, Entry> &entries() const noexcept { return this->byId; }
 
 private:
+    bool rememberLeaving(const UpstreamProcess &process);
+
     std::map<UpstreamId, Entry> byId;
     std::map<ServiceId, std::set<SoftwareVersion>> seenVersions;
+    /// Start of the latest process of each upstream that said that it is shutting down, also of
+    /// those that are not known, or not any more.
+    std::map<UpstreamId, std::uint64_t> leavingStarts;
 };
 
 } // namespace bamboochute::gateway
--- a/tests/gateway/unit-upstream_table.cpp
+++ b/tests/gateway/unit-upstream_table.cpp
@@ -138,6 +138,40 @@
         CHECK(table.findServing(assistant).empty());
     }
 
+    // Guards against requests to an upstream that has said that it leaves, at an instance that
+    // reads its registration only afterwards.
+    SUBCASE("an upstream that says that it leaves gets none, whenever its registration is read")
+    {
+        SUBCASE("it says so before the registration of its process is read")
+        {
+            CHECK(table.recordLeaving({worker, 6}));
+            CHECK_FALSE(table.recordLeaving({worker, 6}));
+            CHECK(table.findServing(assistant).size() == 1);
+            REQUIRE(table.applyRegistration(makeRegistration(6, 1, {}), now + 1s));
+            CHECK(table.findServing(assistant).empty());
+        }
+        SUBCASE("its registration vanishes and comes back")
+        {
+            CHECK(table.recordLeaving({worker, 5}));
+            CHECK(table.remove(worker));
+            REQUIRE(table.applyRegistration(makeRegistration(5, 2, {}), now + 1s));
+            CHECK(table.findServing(assistant).empty());
+
+            SUBCASE("a process that starts later gets requests")
+            {
+                REQUIRE(table.applyRegistration(makeRegistration(6, 1, {}), now + 2s));
+                CHECK(table.findServing(assistant).size() == 1);
+            }
+        }
+        SUBCASE("it is not known at all")
+        {
+            CHECK(table.remove(worker));
+            CHECK(table.recordLeaving({worker, 6}));
+            REQUIRE(table.applyRegistration(makeRegistration(6, 1, {}), now + 1s));
+            CHECK(table.findServing(assistant).empty());
+        }
+    }
+
     SUBCASE("an upstream that is marked as missing is removed unless it registers again")
     {
         table.markMissing(worker, now);
