Tell other instances of a registration that is back after an outage

What callers could have seen: less capacity for up to 30 s after an outage of the store, as instances use none of the upstreams whose registration expired and came back. Found by reading, not seen.

Cause: a registration that vanishes in the first result after an outage is kept for 2.3 s as doubtful, at the owner and at all instances, which it tells. When the upstream registers again in that time, the registration says nothing new at the owner, so it was not passed on, and instances that rely on the owner read nothing from the store meanwhile. They removed the upstream.

The change: a registration that ends a doubt is relevant to other instances.

--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -52,6 +52,15 @@
     return true;
 }
 
+bool UpstreamTable::isRelevantToOthers(const RegisteredUpstream &upstream) const
+{
+    const auto known = this->byId.find(upstream.id);
+    return known == this->byId.end() || known->second.missingSince.has_value()
+           || known->second.registered.isLeaving != upstream.isLeaving
+           || known->second.registered.residency.version.startedAt
+                      != upstream.residency.version.startedAt;
+}
+
 bool UpstreamTable::recordLeaving(const UpstreamProcess &process)
 {
     const auto found = this->byId.find(process.upstream);
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -143,6 +143,11 @@
     /// @return false when the registration is older than the known one; it is ignored
     bool applyRegistration(RegisteredUpstream upstream, TimePoint now);
 
+    /// @brief Whether other instances need a registration that was just read: the upstream is new
+    /// or restarted, or began or stopped leaving. One that only says otherwise what it holds is not
+    /// relevant to them.
+    bool isRelevantToOthers(const RegisteredUpstream &upstream) const;
+
     /// Upstreams whose leaving is remembered; the one that started first is forgotten first.
     static constexpr std::size_t maxLeavingUpstreams = 4096;
 
--- a/tests/gateway/unit-upstream_table.cpp
+++ b/tests/gateway/unit-upstream_table.cpp
@@ -172,6 +172,22 @@
         }
     }
 
+    // Guards against an instance that removes an upstream as missing although it is back, as only
+    // the owner was told.
+    SUBCASE("other instances need a registration that ends the doubt about an upstream")
+    {
+        const RegisteredUpstream heartbeat = makeRegistration(5, 2, {"chat"});
+        CHECK_FALSE(table.isRelevantToOthers(heartbeat));
+        RegisteredUpstream leaving = heartbeat;
+        leaving.isLeaving = true;
+        CHECK(table.isRelevantToOthers(leaving));
+        CHECK(table.isRelevantToOthers(makeRegistration(6, 1, {"chat"})));
+        table.markMissing(worker, now);
+        CHECK(table.isRelevantToOthers(heartbeat));
+        CHECK(table.remove(worker));
+        CHECK(table.isRelevantToOthers(heartbeat));
+    }
+
     SUBCASE("an upstream that is marked as missing is removed unless it registers again")
     {
         table.markMissing(worker, now);
