--- a/tests/platform/adapter/unit-store_mirror.cpp
+++ b/tests/platform/adapter/unit-store_mirror.cpp
@@ -29,6 +29,8 @@
     std::string body;
     /// The store takes the call and never answers.
     bool isSilent = false;
+    /// Time before the answer.
+    Duration delay{};
 };
 
 /// HTTP server that answers each call with the next scripted reply, one connection per call, and
@@ -85,6 +87,7 @@
             const std::string text = fmt::format("HTTP/1.1 {} Status\r\nConnection: close\r\n"
                                                  "Content-Length: {}\r\n\r\n{}",
                                                  reply.status, reply.body.size(), reply.body);
+            std::this_thread::sleep_for(reply.delay);
             asio::write(socket, asio::buffer(text), error);
         }
     }
@@ -261,6 +264,32 @@
     CHECK_FALSE(fixture.removed[0].second);
 }
 
+// Guards against an owner that reports its progress as newer than it is, so that the other
+// instances rely on it for too long.
+TEST_CASE("the time of a delay between two watches counts for the age of what is known")
+{
+    MirrorSettings settings;
+    settings.batchDelay = 300ms;
+    ScriptedStore scriptedStore(
+            {page(item("servers/a", "1", 5), false, 10), changes(item("servers/a", "2", 12), 12)});
+    MirrorFixture fixture(scriptedStore, settings);
+    fixture.runUntil(scriptedStore, 3);
+    CHECK(fixture.items["servers/a"] == "2");
+    CHECK(fixture.mirror.age() >= 300ms);
+}
+
+// Guards against the same for a list, which is as old as its first page.
+TEST_CASE("a list is as old as its first page")
+{
+    Reply slowPage = page(item("servers/b", "1", 6), false, 10);
+    slowPage.delay = 300ms;
+    ScriptedStore scriptedStore({page(item("servers/a", "1", 5), true, 10), slowPage});
+    MirrorFixture fixture(scriptedStore);
+    fixture.runUntil(scriptedStore, 3);
+    CHECK(fixture.items.size() == 2);
+    CHECK(fixture.mirror.age() >= 300ms);
+}
+
 TEST_CASE("a list older than the known state is ignored")
 {
     ScriptedStore scriptedStore({page(item("servers/a", "1", 5), false, 10),
