--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -6,6 +6,7 @@
 #include "caller/event_stream.hpp"
 #include "core/log.hpp"
 #include "gateway/gateway.hpp"
+#include "gateway/silence_watch.hpp"
 #include "upstream/upstream_call.hpp"
 
 #include <optional>
@@ -24,6 +25,8 @@
     MayHaveRun,
     /// A stream broke after some of its events were sent to the caller.
     StreamBroken,
+    /// Another upstream has taken the request; the current attempt is that of the other one.
+    Replaced,
 };
 
 /// @brief Handles one request from its routing to the end of its answer; lives as long as the
@@ -43,9 +46,20 @@
     /// @brief Answers bytes that could not be parsed as a request with an error.
     upstream::Awaitable<void> refuseUnread(const Error &error);
 
+    /// @brief Ends the request because the process stops: it is answered if it has no answer yet,
+    /// and its stream is cut if that has begun.
+    void abort();
+
     /// @brief Whether the caller's connection may be used for another request.
     bool isKeepAlive() const noexcept { return this->keepAlive; }
 
+    /// @brief What the caller has got, once run() or refuseUnread() has returned.
+    RequestEnd requestEnd() const noexcept
+    {
+        return this->end.value_or(this->isCallerGone ? RequestEnd::CallerGone
+                                                     : RequestEnd::Unanswered);
+    }
+
 private:
     using HeadText = std::string;
 
@@ -58,6 +72,27 @@
         Duration retryAfter{};
     };
 
+    /// A request that was sent, or is being sent, to one upstream.
+    struct Attempt
+    {
+        UpstreamId upstream;
+        SoftwareVersion version;
+        UpstreamProcess process;
+        Endpoint endpoint;
+        /// Number of the attempt within the request, from one.
+        std::uint32_t number = 0;
+        TimePoint sentAt{};
+        /// When the last bytes of the answer were read; zero before.
+        TimePoint heardAt{};
+        /// Requests that waited at the upstream when this one was sent to it.
+        std::uint32_t waitingAhead = 0;
+        std::unique_ptr<upstream::UpstreamCall> call;
+        /// Where the reading of the answer ended; unset while no head was read.
+        std::optional<upstream::AnswerEnd> answerEnd;
+        /// Requests per second that the answer said the upstream takes.
+        std::optional<double> upstreamLimit;
+    };
+
     bool selectService();
     const Service *pickService();
     upstream::Awaitable<void> findStreamOrigin();
@@ -69,6 +104,7 @@
     TimePoint now() const { return SteadyClock().now(); }
     Duration timeLeft() const { return this->deadline - this->now(); }
 
+    upstream::Awaitable<void> runRouted();
     upstream::Awaitable<void> runAttempts();
     bool isPromptQuarantined() const;
     bool admitPrompt();
@@ -92,11 +128,14 @@
     bool isTargetReported() const;
     bool isTargetHeldOnlyByExcluded() const;
     std::optional<Duration> computeQueueRetryAfter(const UpstreamId &id) const;
-    bool hasAlternative() const;
     bool acquireRetry(AttemptOutcome outcome);
 
     upstream::Awaitable<AttemptOutcome> runAttempt(const UpstreamId &id);
-    upstream::Awaitable<AttemptOutcome> callUpstream(const UpstreamTable::Entry &entry);
+    HeadText beginAttempt(const UpstreamTable::Entry &entry);
+    void endAttempt();
+    upstream::Awaitable<AttemptOutcome> sendAndReceive(HeadText head);
+    upstream::Awaitable<AttemptOutcome> receiveAnswer();
+    upstream::Awaitable<std::optional<upstream::CallResult<bool>>> readMoreBody();
     upstream::Awaitable<AttemptOutcome> relayAnswer();
     upstream::Awaitable<AttemptOutcome> relayWholeAnswer();
     upstream::Awaitable<AttemptOutcome> relayEventStream();
@@ -108,8 +147,19 @@
     AttemptOutcome handleUpstreamRefusal(const AnswerAttributes &attributes, int status);
     HeadText buildUpstreamHead(const UpstreamTable::Entry &entry) const;
     const std::string &resumePoint() const;
-    TimePoint firstEventDeadline() const;
-    TimePoint nextEventDeadline() const;
+
+    TimePoint silenceDeadline() const;
+    bool mayReplaceUpstream() const;
+    bool isSilence(const upstream::CallError &error) const;
+    upstream::Awaitable<bool> replaceSilentUpstream();
+    upstream::Awaitable<bool> askReplacement();
+    upstream::Awaitable<std::optional<UpstreamId>> selectReplacement();
+    upstream::Awaitable<bool> sendToReplacement(const HeadText &head,
+                                                const upstream::UpstreamCall &silent);
+    bool isAcceptance();
+    void recordReplacementFailure(const upstream::CallError &error);
+    SilenceWatch makeSilenceWatch() const;
+
     void recordFault(UpstreamFault fault, std::string_view reason);
     void recordSuccess();
     void recordCompletion();
@@ -118,12 +168,16 @@
     void recordLatencies() const;
 
     upstream::Awaitable<void> finishFailedRequest();
+    upstream::Awaitable<void> answerDepartedCaller();
     upstream::Awaitable<void> refuse(const Error &error, std::optional<Duration> retryAfter);
+    upstream::Awaitable<bool> writeRefusal(const Error &error, std::optional<Duration> retryAfter);
     upstream::Awaitable<bool> writeToCaller(std::string_view head, std::string_view body);
-    std::string buildAnswerHead(int status, const upstream::HeaderList &headers) const;
+    std::string buildAnswerHead(int status, const upstream::HeaderList &headers);
+    void appendConnectionHeader(HeadText &head);
     void log(LogLevel level, std::string_view message, std::string_view reason,
              const LogField &extra) const;
     LogField durationField() const;
+    Duration upstreamSilence() const;
 
     Gateway &gateway;
     upstream::HttpStream &caller;
@@ -137,6 +191,10 @@
     TimePoint deadline{};
     bool keepAlive = false;
     bool isCallerGone = false;
+    /// The process stops; no further upstream is asked.
+    bool isAborted = false;
+    /// What the caller has got; unset while that is open.
+    std::optional<RequestEnd> end;
     /// Upstreams that are not selected again for this request.
     std::vector<UpstreamId> triedUpstreams;
     /// Upstreams that had no permit within their limit for the next attempt.
@@ -149,26 +207,16 @@
     std::uint32_t sends = 0;
     /// Number of candidates in the last selection.
     std::size_t candidateCount = 0;
-    /// Upstream of the last attempt, its version, and when the attempt began.
-    UpstreamId currentUpstream;
-    SoftwareVersion currentVersion;
-    /// Its process and address.
-    UpstreamProcess currentProcess;
-    Endpoint currentEndpoint;
+    /// The last attempt.
+    Attempt attempt;
+    /// How long its upstream has been silent.
+    SilenceWatch silence;
     /// Version that began the stream, once it has begun; the stream goes on at no other one.
     std::optional<SoftwareVersion> requiredVersion;
     /// Attempt that brought the first event, counted from one; zero while there is none.
     std::uint32_t beginSend = 0;
     /// Times that the announced version of the stream was corrected.
     std::uint32_t originCorrections = 0;
-    TimePoint sentAt{};
-    /// Requests that waited at the upstream when this one was sent to it.
-    std::uint32_t waitingAhead = 0;
-    std::optional<upstream::UpstreamCall> call;
-    /// Where the reading of the last attempt's answer ended; unset while no head was read.
-    std::optional<upstream::AnswerEnd> answerEnd;
-    /// Requests per second that the last answer said the upstream takes.
-    std::optional<double> upstreamLimit;
     caller::EventStream events;
     /// A part of an answer was sent to the caller.
     bool isAnswerBegun = false;
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -75,27 +75,36 @@
     return route;
 }
 
-gateway::RouteIndexPointer makeRoutes()
+gateway::RouteIndexPointer makeRoutes(const gateway::CallerLimits &limits = {})
 {
     gateway::RoutingConfiguration configuration;
+    configuration.limits = limits;
     configuration.version = 1;
     configuration.routes = {makeRoute("/plain/", gateway::RequestKind::Idempotent, false),
                             makeRoute("/once/", gateway::RequestKind::NonIdempotent, false),
                             makeRoute("/stream/", gateway::RequestKind::Stream, true),
                             makeRoute("/fragile/", gateway::RequestKind::Stream, false)};
+    for (const auto &[prefix, kind] : {std::pair("/quick/", gateway::RequestKind::Idempotent),
+                                       std::pair("/talk/", gateway::RequestKind::Stream)}) {
+        gateway::Route route = makeRoute(prefix, kind, kind == gateway::RequestKind::Stream);
+        route.objective = 100ms;
+        route.maxEventGap = 50ms;
+        configuration.routes.push_back(route);
+    }
     configuration.services = {{service, 100, std::nullopt}};
     return std::make_shared<gateway::RouteIndex>(configuration);
 }
 
-/// Reads one request: its head, and a body of the length that the head states.
-std::string readRequest(Tcp::socket &socket)
+/// Reads one message: its head, and a body of the length that the head states.
+std::string readMessage(Tcp::socket &socket)
 {
     std::string text;
     boost::system::error_code error;
     while (text.find("\r\n\r\n") == std::string::npos && !error) {
         char byte = 0;
         asio::read(socket, asio::buffer(&byte, 1), error);
-        text += byte;
+        if (!error)
+            text += byte;
     }
     const std::size_t position = text.find("Content-Length: ");
     if (position != std::string::npos) {
@@ -106,6 +115,15 @@
     return text;
 }
 
+/// Reads until the peer closes the connection.
+std::string readToEnd(Tcp::socket &socket)
+{
+    std::string text;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(text), error);
+    return text;
+}
+
 std::string headerValue(const std::string &request, const std::string &name)
 {
     const std::size_t position = request.find(name + ": ");
@@ -115,8 +133,56 @@
     return request.substr(begin, request.find("\r\n", begin) - begin);
 }
 
+/// Replaces "{id}" in an answer by the id of the request.
+std::string insertRequestId(std::string answer, const std::string &request)
+{
+    const std::size_t position = answer.find("{id}");
+    if (position != std::string::npos)
+        answer.replace(position, 4, headerValue(request, "test-id"));
+    return answer;
+}
+
 } // namespace
 
+struct KeptConnection::Socket
+{
+    asio::io_context context;
+    Tcp::socket socket{context};
+};
+
+KeptConnection::KeptConnection(const RelayFixture &fixture)
+    : socket(std::make_unique<Socket>())
+{
+    this->socket->socket.connect(
+            {asio::ip::make_address(fixture.endpoint().address), fixture.endpoint().port});
+}
+
+KeptConnection::~KeptConnection() = default;
+
+void KeptConnection::send(const std::string &bytes)
+{
+    boost::system::error_code ignored;
+    asio::write(this->socket->socket, asio::buffer(bytes), ignored);
+}
+
+std::string KeptConnection::readAnswer()
+{
+    return readMessage(this->socket->socket);
+}
+
+std::string KeptConnection::call(const std::string &text)
+{
+    this->send(text);
+    return this->readAnswer();
+}
+
+std::string keptRequest(const std::string &path, const std::string &body)
+{
+    std::string text = request(path, body);
+    const std::string close = "Connection: close\r\n";
+    return text.erase(text.find(close), close.size());
+}
+
 struct ScriptedUpstream::Sockets
 {
     asio::io_context context;
@@ -161,7 +227,7 @@
         this->sockets->acceptor.accept(socket, error);
         if (error || this->scripts.empty())
             return;
-        const std::string text = readRequest(socket);
+        const std::string text = readMessage(socket);
         {
             const std::lock_guard lock(this->mutex);
             this->received.push_back(text);
@@ -177,15 +243,12 @@
             ++this->abandonedCount;
             continue;
         }
-        std::string bytes = script.answer;
-        const std::size_t position = bytes.find("{id}");
-        if (position != std::string::npos)
-            bytes.replace(position, 4, headerValue(text, "test-id"));
+        const std::string bytes = insertRequestId(script.answer, text);
         std::this_thread::sleep_for(script.delay);
         asio::write(socket, asio::buffer(bytes), error);
         if (!script.rest.empty()) {
-            std::this_thread::sleep_for(script.delay);
-            asio::write(socket, asio::buffer(script.rest), error);
+            std::this_thread::sleep_for(script.delayBeforeRest.value_or(script.delay));
+            asio::write(socket, asio::buffer(insertRequestId(script.rest, text)), error);
         }
         constexpr std::size_t maxEndlessBytes = 256 << 20;
         const std::size_t alreadySent = this->endlessCount;
@@ -248,10 +311,7 @@
     Tcp::socket socket(context);
     socket.connect({asio::ip::make_address(this->listen.address), this->listen.port});
     asio::write(socket, asio::buffer(text));
-    std::string answer;
-    boost::system::error_code error;
-    asio::read(socket, asio::dynamic_buffer(answer), error);
-    return answer;
+    return readToEnd(socket);
 }
 
 void RelayFixture::answerOriginQuery(const RequestId &request, bool isRepeated)
@@ -310,6 +370,76 @@
     recorded.get_future().wait();
 }
 
+std::string RelayFixture::callAndCloseSending(const std::string &text, Duration after) const
+{
+    asio::io_context context;
+    Tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(this->listen.address), this->listen.port});
+    asio::write(socket, asio::buffer(text));
+    std::this_thread::sleep_for(after);
+    socket.shutdown(Tcp::socket::shutdown_send);
+    return readToEnd(socket);
+}
+
+std::string RelayFixture::callAndStop(const std::string &text, Duration after) const
+{
+    asio::io_context context;
+    Tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(this->listen.address), this->listen.port});
+    asio::write(socket, asio::buffer(text));
+    std::this_thread::sleep_for(after);
+    this->runOnLoop([](gateway::Gateway &gateway) { gateway.endOpenRequests(); });
+    return readToEnd(socket);
+}
+
+std::string RelayFixture::callAndReadLate(const std::string &text, Duration after) const
+{
+    constexpr int receiveBufferBytes = 4096;
+    asio::io_context context;
+    Tcp::socket socket(context, Tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+    socket.connect({asio::ip::make_address(this->listen.address), this->listen.port});
+    asio::write(socket, asio::buffer(text));
+    std::this_thread::sleep_for(after);
+    return readToEnd(socket);
+}
+
+void RelayFixture::publishLimits(const gateway::CallerLimits &limits)
+{
+    this->runOnLoop([&limits](gateway::Gateway &gateway) { gateway.publish(makeRoutes(limits)); });
+}
+
+void RelayFixture::runOnLoop(const std::function<void(gateway::Gateway &)> &function) const
+{
+    std::promise<void> done;
+    asio::post(this->loop, [&] {
+        function(*this->gateway);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void RelayFixture::waitForIdle() const
+{
+    std::size_t open = 1;
+    while (open > 0) {
+        std::this_thread::sleep_for(10ms);
+        this->runOnLoop([&open](gateway::Gateway &gateway) { open = gateway.openRequests(); });
+    }
+}
+
+std::uint64_t RelayFixture::requestsRead()
+{
+    return this->metrics.counter("bamboochute_requests_read_total").value();
+}
+
+std::uint64_t RelayFixture::requestEnds(const std::string &end)
+{
+    // What the gateway does after it has closed a connection is done then.
+    this->runOnLoop([](gateway::Gateway &) {});
+    return this->metrics.counter("bamboochute_request_ends_total", "end=\"" + end + "\"").value();
+}
+
 void RelayFixture::callAndDisconnect(const std::string &text, Duration after) const
 {
     asio::io_context context;
@@ -329,6 +459,27 @@
     return text + "\r\n" + body;
 }
 
+std::string streamHead()
+{
+    return "HTTP/1.1 200 OK\r\ntest-id: {id}\r\ntest-signature: s\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string &text)
+{
+    return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
+std::string streamAnswer(const std::string &text, bool isWhole)
+{
+    return streamHead() + chunk(text) + (isWhole ? "0\r\n\r\n" : "");
+}
+
+bool containsText(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
 std::string answer(int status, const std::string &body, const std::string &headers)
 {
     return fmt::format("HTTP/1.1 {} Status\r\ntest-id: {{id}}\r\ntest-signature: s\r\n{}"
