--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -208,14 +208,15 @@
 /// Binds the stream to the version of the current upstream, once a part of it was received; returns
 /// false if the stream began at another version.
 ///
-/// If the upstream has started again with another version since the request was sent, either of the
-/// two processes may have sent the part, so that the version is not known any more.
+/// If the upstream has started again since the request was sent, and not with the same version,
+/// either of the two processes may have sent the part, so that the version is not known any more.
 bool RequestExchange::bindStreamVersion()
 {
     const UpstreamTable::Entry *entry = this->gateway.table.find(this->attempt.upstream);
-    const bool isAmbiguous = entry != nullptr && entry->process() != this->attempt.process
-                             && entry->registered.softwareVersion != this->attempt.version;
-    const SoftwareVersion version = isAmbiguous ? SoftwareVersion() : this->attempt.version;
+    SoftwareVersion version = this->attempt.version;
+    if (entry != nullptr && entry->softwareVersion() != version)
+        version = entry->process() == this->attempt.process ? entry->softwareVersion()
+                                                            : SoftwareVersion();
     if (this->requiredVersion == version)
         return true;
     if (this->requiredVersion && this->beginSend != this->attempt.number)
@@ -370,7 +371,7 @@
 {
     this->attempt = Attempt();
     this->attempt.upstream = entry.registered.id;
-    this->attempt.version = entry.registered.softwareVersion;
+    this->attempt.version = entry.softwareVersion();
     this->attempt.process = entry.process();
     this->attempt.endpoint = entry.registered.endpoint;
     this->attempt.number = ++this->sends;
--- a/tests/gateway/unit-upstream_table.cpp
+++ b/tests/gateway/unit-upstream_table.cpp
@@ -73,6 +73,41 @@
         }
     }
 
+    // Guards against a process that is known by a report only counting as the registered one.
+    SUBCASE("a process that only the placement owner has reported is another one")
+    {
+        RegisteredUpstream former = makeRegistration(5, 2, {"chat"});
+        former.softwareVersion = SoftwareVersion("v1");
+        REQUIRE(table.applyRegistration(former, now));
+        CHECK(table.find(worker)->softwareVersion() == SoftwareVersion("v1"));
+        REQUIRE(table.updateResidency(worker, makeResidency(6, 1, {"chat"}), now));
+        CHECK(table.find(worker)->process() == UpstreamProcess{worker, 6});
+        CHECK(table.find(worker)->softwareVersion().isEmpty());
+
+        SUBCASE("its version is that of its registration")
+        {
+            RegisteredUpstream later = makeRegistration(6, 1, {});
+            later.softwareVersion = SoftwareVersion("v2");
+            REQUIRE(table.applyRegistration(later, now + 1s));
+            CHECK(table.find(worker)->process() == UpstreamProcess{worker, 6});
+            CHECK(table.find(worker)->softwareVersion() == SoftwareVersion("v2"));
+        }
+        SUBCASE("a late registration of the former process does not count for it")
+        {
+            former.heartbeat = 3;
+            REQUIRE(table.applyRegistration(former, now + 1s));
+            CHECK(table.find(worker)->process() == UpstreamProcess{worker, 6});
+            CHECK(table.find(worker)->softwareVersion().isEmpty());
+        }
+        SUBCASE("what the former one said of its end does not hold for it")
+        {
+            CHECK_FALSE(table.recordLeaving({worker, 5}));
+            CHECK(table.findServing(assistant).size() == 1);
+            CHECK(table.recordLeaving({worker, 6}));
+            CHECK(table.findServing(assistant).empty());
+        }
+    }
+
     SUBCASE("a report of the placement owner takes precedence over registrations for some seconds")
     {
         REQUIRE(table.updateResidency(worker, makeResidency(5, 1, {"lease"}), now));
@@ -103,6 +138,56 @@
         CHECK(table.findServing(assistant).empty());
     }
 
+    // Guards against requests to an upstream that has said that it leaves, at an instance that
+    // reads its registration only afterwards.
+    SUBCASE("an upstream that says that it leaves gets none, whenever its registration is read")
+    {
+        SUBCASE("it says so before the registration of its process is read")
+        {
+            CHECK(table.recordLeaving({worker, 6}));
+            CHECK_FALSE(table.recordLeaving({worker, 6}));
+            CHECK(table.findServing(assistant).size() == 1);
+            REQUIRE(table.applyRegistration(makeRegistration(6, 1, {}), now + 1s));
+            CHECK(table.findServing(assistant).empty());
+        }
+        SUBCASE("its registration vanishes and comes back")
+        {
+            CHECK(table.recordLeaving({worker, 5}));
+            CHECK(table.remove(worker));
+            REQUIRE(table.applyRegistration(makeRegistration(5, 2, {}), now + 1s));
+            CHECK(table.findServing(assistant).empty());
+
+            SUBCASE("a process that starts later gets requests")
+            {
+                REQUIRE(table.applyRegistration(makeRegistration(6, 1, {}), now + 2s));
+                CHECK(table.findServing(assistant).size() == 1);
+            }
+        }
+        SUBCASE("it is not known at all")
+        {
+            CHECK(table.remove(worker));
+            CHECK(table.recordLeaving({worker, 6}));
+            REQUIRE(table.applyRegistration(makeRegistration(6, 1, {}), now + 1s));
+            CHECK(table.findServing(assistant).empty());
+        }
+    }
+
+    // Guards against an instance that removes an upstream as missing although it is back, as only
+    // the owner was told.
+    SUBCASE("other instances need a registration that ends the doubt about an upstream")
+    {
+        const RegisteredUpstream heartbeat = makeRegistration(5, 2, {"chat"});
+        CHECK_FALSE(table.isRelevantToOthers(heartbeat));
+        RegisteredUpstream leaving = heartbeat;
+        leaving.isLeaving = true;
+        CHECK(table.isRelevantToOthers(leaving));
+        CHECK(table.isRelevantToOthers(makeRegistration(6, 1, {"chat"})));
+        table.markMissing(worker, now);
+        CHECK(table.isRelevantToOthers(heartbeat));
+        CHECK(table.remove(worker));
+        CHECK(table.isRelevantToOthers(heartbeat));
+    }
+
     SUBCASE("an upstream that is marked as missing is removed unless it registers again")
     {
         table.markMissing(worker, now);
