Log what identifies a request, and whether a broken one ended its upstream

When all upstreams of a service ended under requests of one route, no line could tell whether these were the same request: neither its caller nor anything of its body was logged. For requests without a prompt, no line said either whether the process at the upstream's address had ended or only the connection.

- Lines of a request have `caller`, the address of the caller's connection, and `fingerprint`, a hash of method, host, path, query, caller, body and the headers that say what is asked for.
A codec may take the caller from headers; the platform has none for it.
- "upstream process ended under a request" is written for all broken requests, with the fingerprint and the time since the request was sent.
- "upstream of a broken request not seen to end" is new.

--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -66,6 +66,8 @@
 using RequestId = Id<struct RequestTag>;
 /// Part of a prompt, such as an instruction or a document, that several requests may share.
 using PromptPartId = Id<struct PromptPartTag>;
+/// Hash that requests share which ask the same for the same caller.
+using RequestFingerprint = Id<struct RequestFingerprintTag>;
 
 /// Fencing number of an owner; each successor's is higher.
 using Fence = Number<struct FenceTag>;
--- a/src/gateway/call_codec.hpp
+++ b/src/gateway/call_codec.hpp
@@ -36,6 +36,11 @@
     /// Request that brought the first event of a stream that is resumed; empty when the request
     /// does not state it.
     RequestId resumedRequest;
+    /// Identity of the caller; empty to go by the address of its connection.
+    std::string caller;
+    /// Hash of the headers that are part of what the request asks for, beside its target and body;
+    /// the same in each attempt.
+    std::uint64_t contentHash = 0;
     auto operator<=>(const RequestAttributes &) const = default;
 };
 
--- a/src/gateway/crash_detector.cpp
+++ b/src/gateway/crash_detector.cpp
@@ -40,8 +40,13 @@
     const auto found = this->pending.find(process);
     const std::vector<BrokenRequest> broken = std::move(found->second);
     this->pending.erase(found);
-    if (status != upstream::StreamStatus::Refused)
+    if (status != upstream::StreamStatus::Refused) {
+        for (const BrokenRequest &request : broken) {
+            if (this->onAlive)
+                this->onAlive(request);
+        }
         co_return;
+    }
     this->ended.push_back(process);
     if (this->ended.size() > this->limits.maxEndedProcesses)
         this->ended.pop_front();
--- a/src/gateway/crash_detector.hpp
+++ b/src/gateway/crash_detector.hpp
@@ -24,6 +24,9 @@
     ServiceId service;
     RequestId request;
     std::vector<PromptPartId> promptParts;
+    RequestFingerprint fingerprint;
+    /// From the sending of the request to the end of its connection.
+    Duration ranFor{};
     auto operator<=>(const BrokenRequest &) const = default;
 };
 
@@ -54,6 +57,9 @@
     /// @brief Called for each broken request whose upstream's process has ended.
     std::function<void(const BrokenRequest &)> onCrash;
 
+    /// @brief Called for each broken request whose upstream's host did not refuse the connection.
+    std::function<void(const BrokenRequest &)> onAlive;
+
 private:
     upstream::Awaitable<void> probe(UpstreamProcess process, Endpoint endpoint);
     bool hasEnded(const UpstreamProcess &process) const;
--- a/src/gateway/quarantine_driver.cpp
+++ b/src/gateway/quarantine_driver.cpp
@@ -29,6 +29,14 @@
     , timer(loop)
 {
     this->detector.onCrash = [this](const BrokenRequest &broken) { this->handleCrash(broken); };
+    this->detector.onAlive = [](const BrokenRequest &broken) {
+        logEvent(LogLevel::Info, "upstream of a broken request not seen to end",
+                 {{"request", broken.request.value()},
+                  {"upstream", broken.process.upstream.value()},
+                  {"started_at", std::to_string(broken.process.startedAt)},
+                  {"fingerprint", broken.fingerprint.value()},
+                  {"ran_ms", formatMilliseconds(broken.ranFor)}});
+    };
     this->quarantine.onChange = [this](const QuarantineEntry &entry, QuarantineCause cause) {
         this->handleChange(entry, cause);
     };
@@ -36,8 +44,7 @@
 
 void QuarantineDriver::checkForCrash(const BrokenRequest &broken)
 {
-    if (!broken.promptParts.empty())
-        this->detector.check(broken);
+    this->detector.check(broken);
 }
 
 void QuarantineDriver::recordCompletion(const ServiceId &service,
@@ -89,7 +96,11 @@
               {"upstream", broken.process.upstream.value()},
               {"started_at", std::to_string(broken.process.startedAt)},
               {"service", broken.service.value()},
-              {"prompt_parts", formatPromptParts(broken.promptParts)}});
+              {"prompt_parts", formatPromptParts(broken.promptParts)},
+              {"fingerprint", broken.fingerprint.value()},
+              {"ran_ms", formatMilliseconds(broken.ranFor)}});
+    if (broken.promptParts.empty())
+        return;
     const CrashReport report = this->quarantine.makeReport(broken, now());
     this->addReport(report);
     if (this->onReport)
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -4,6 +4,7 @@
 #include "core/log.hpp"
 #include "gateway/exchange_limits.hpp"
 #include "gateway/log_fields.hpp"
+#include "gateway/request_fingerprint.hpp"
 
 #include <algorithm>
 #include <array>
@@ -85,6 +86,12 @@
 {
     this->keepAlive = this->request.isKeepAlive && !this->gateway.isDraining();
     this->attributes = this->gateway.codec.readRequest(this->request.headers());
+    this->callerIdentity = this->attributes.caller.empty() ? this->caller.peerAddress()
+                                                           : this->attributes.caller;
+    this->fingerprint = computeFingerprint({this->request.message.method,
+                                            this->request.headers().find("host"),
+                                            this->request.message.target, this->callerIdentity,
+                                            this->request.body, this->attributes.contentHash});
     if (!this->index) {
         co_await this->refuse(
                 Error(ErrorKind::NotReady, "no routing configuration has been received yet"),
@@ -581,9 +588,9 @@
     const UpstreamTable::Entry *entry = this->gateway.table.find(this->currentUpstream);
     if (entry == nullptr || entry->isLeaving())
         return;
-    this->gateway.quarantine.checkForCrash({this->currentProcess, this->currentEndpoint,
-                                            this->service->id, this->attributes.id,
-                                            this->attributes.promptParts});
+    this->gateway.quarantine.checkForCrash(
+            {this->currentProcess, this->currentEndpoint, this->service->id, this->attributes.id,
+             this->attributes.promptParts, this->fingerprint, this->now() - this->sentAt});
 }
 
 /// Returns the id of the last event that the caller has; empty when the stream begins.
@@ -823,6 +830,8 @@
               {"resumes", this->attributes.resumedRequest.value()},
               {"resumed_after", this->attributes.lastEventId},
               {"prompt_parts", formatPromptParts(this->attributes.promptParts)},
+              {"caller", this->callerIdentity},
+              {"fingerprint", this->fingerprint.value()},
               {"model", this->attributes.target.model.value()},
               {"adapter", this->attributes.target.adapter.value()},
               {"sends", std::to_string(this->sends)},
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -129,6 +129,9 @@
     upstream::HttpStream &caller;
     const caller::CallerRequest &request;
     RequestAttributes attributes;
+    /// Address of the caller's connection, unless the request names its caller.
+    std::string callerIdentity;
+    RequestFingerprint fingerprint;
     RouteIndexPointer index;
     const Route *route = nullptr;
     const Service *service = nullptr;
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -59,6 +59,13 @@
     co_return StreamStatus::Ok;
 }
 
+std::string HttpStream::peerAddress() const
+{
+    error_code error;
+    const asio::ip::tcp::endpoint peer = this->socket.remote_endpoint(error);
+    return error ? std::string() : peer.address().to_string();
+}
+
 Awaitable<StreamStatus> HttpStream::readMore()
 {
     if (this->hasExpired || this->isReadClosed || !this->socket.is_open())
--- a/src/upstream/http_stream.hpp
+++ b/src/upstream/http_stream.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -96,6 +97,9 @@
         this->peerClosedHandler = std::move(handler);
     }
 
+    /// @brief Address of the peer without its port; empty when it is not known any more.
+    std::string peerAddress() const;
+
     bool isOpen() const { return this->socket.is_open(); }
     bool isPeerClosed() const noexcept { return this->isReadClosed; }
     /// @brief Whether the peer closed its side in order, and not by a reset.
--- a/tests/gateway/unit-prompt_quarantine.cpp
+++ b/tests/gateway/unit-prompt_quarantine.cpp
@@ -45,7 +45,9 @@
                                    {"127.0.0.1", 1},
                                    service,
                                    RequestId(request),
-                                   makeParts(parts)};
+                                   makeParts(parts),
+                                   {},
+                                   {}};
         this->quarantine.recordCrash(this->quarantine.makeReport(broken, this->now), this->now);
     }
 
