Test that a request that crashes upstreams is refused

Callers of a service whose upstreams a single request had crashed got 503, and the request itself was sent to every upstream that came back. Two test cases play this with real connections: upstreams that refuse connections after a crash, and upstreams that are back at once as another process. They also ask that other requests of the path, and the same one of another caller, are sent, and that cut connections and upstreams that leave are no crashes.

--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -34,6 +34,7 @@
             attributes.promptParts.emplace_back(part);
         attributes.lastEventId = headers.find("test-last-event");
         attributes.resumedRequest = RequestId(std::string(headers.find("test-resumes")));
+        attributes.caller = headers.find("test-caller");
         return attributes;
     };
     codec.isForwardedHeader = [](std::string_view name) {
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -40,6 +40,24 @@
     return text.replace(text.find("test-id: r1"), 11, "test-id: " + id);
 }
 
+/// A request of a caller that names itself.
+std::string callerRequest(const std::string &id, const std::string &caller,
+                          const std::string &path, const std::string &body)
+{
+    std::string text = request(path, body, "test-caller: " + caller + "\r\n");
+    return text.replace(text.find("test-id: r1"), 11, "test-id: " + id);
+}
+
+/// Waits until the reports of crashes have been evaluated, or for a second.
+void waitForQuarantine(RelayFixture &fixture)
+{
+    for (int i = 0; i < 100; ++i) {
+        if (fixture.metrics.gauge("bamboochute_quarantined_requests").value() > 0)
+            return;
+        std::this_thread::sleep_for(10ms);
+    }
+}
+
 bool containsText(const std::string &text, const std::string &part)
 {
     return text.find(part) != std::string::npos;
@@ -572,6 +590,114 @@
     CHECK(fixture.metrics.counter("bamboochute_crash_broken_requests_total").value() == expected);
 }
 
+// Guards against a whole request crashing upstream after upstream, though nothing but itself is to
+// blame and it has no prompt.
+TEST_CASE("a request that crashes upstreams is refused after three crashes")
+{
+    const Script script{answer(200, "sound"), false, false, "test-caller: bad"};
+    std::vector<std::unique_ptr<ScriptedUpstream>> owned;
+    std::vector<ScriptedUpstream *> upstreams;
+    for (int i = 0; i < 12; ++i) {
+        owned.push_back(std::make_unique<ScriptedUpstream>(std::vector<Script>(20, script)));
+        upstreams.push_back(owned.back().get());
+    }
+    RelayFixture fixture(upstreams);
+    const auto countSends = [&] {
+        std::size_t sends = 0;
+        for (const ScriptedUpstream *upstream : upstreams) {
+            for (const std::string &received : upstream->requests())
+                sends += containsText(received, "test-caller: bad");
+        }
+        return sends;
+    };
+    for (int i = 0; i < 2; ++i)
+        CHECK(fixture.call(callerRequest("r" + std::to_string(i), "bad", "/plain/a", "body"))
+                      .starts_with("HTTP/1.1 502 "));
+    const std::size_t sends = countSends();
+    CHECK(sends == 4);
+    waitForQuarantine(fixture);
+
+    SUBCASE("further ones are refused as not run, with Retry-After")
+    {
+        for (int i = 0; i < 8; ++i) {
+            const std::string got = fixture.call(
+                    callerRequest("s" + std::to_string(i), "bad", "/plain/a", "body"));
+            CHECK(got.starts_with("HTTP/1.1 503 "));
+            CHECK(containsText(got, "Retry-After: "));
+        }
+        CHECK(countSends() == sends);
+    }
+    SUBCASE("other requests of the same path and caller are sent")
+    {
+        CHECK_FALSE(fixture.call(callerRequest("s1", "bad", "/plain/a", "other"))
+                            .starts_with("HTTP/1.1 503 "));
+        CHECK(countSends() > sends);
+    }
+    SUBCASE("the same request of another caller is served")
+    {
+        CHECK(fixture.call(callerRequest("s1", "good", "/plain/a", "body"))
+                      .starts_with("HTTP/1.1 200 "));
+    }
+}
+
+// Guards against crashes that are missed because the upstream is back before a connection to it is
+// refused.
+TEST_CASE("a request that crashes upstreams is refused although they are back at once")
+{
+    const Script ending{"", true};
+    ScriptedUpstream first(std::vector<Script>(20, ending));
+    ScriptedUpstream second(std::vector<Script>(20, ending));
+    RelayFixture fixture({&first, &second});
+    const auto crashBoth = [&](const std::string &id, bool isRestarted) {
+        CHECK(fixture.call(callerRequest(id, "bad", "/plain/a", "body"))
+                      .starts_with("HTTP/1.1 502 "));
+        for (std::size_t i = 0; i < 2 && isRestarted; ++i)
+            fixture.restartUpstream(i, "v1");
+    };
+    const auto countSends = [&] {
+        std::size_t sends = 0;
+        for (const ScriptedUpstream *upstream : {&first, &second}) {
+            for (const std::string &received : upstream->requests())
+                sends += containsText(received, "test-caller: bad");
+        }
+        return sends;
+    };
+
+    SUBCASE("each registers as another process after the request has broken")
+    {
+        crashBoth("r1", true);
+        std::this_thread::sleep_for(300ms);
+        crashBoth("r2", true);
+        waitForQuarantine(fixture);
+        CHECK(fixture.call(callerRequest("r3", "bad", "/plain/a", "body"))
+                      .starts_with("HTTP/1.1 503 "));
+        CHECK(countSends() == 4);
+    }
+    SUBCASE("connections that were only cut are no crashes")
+    {
+        for (int i = 0; i < 3; ++i)
+            crashBoth("r" + std::to_string(i), false);
+        std::this_thread::sleep_for(300ms);
+        crashBoth("r3", false);
+        CHECK(countSends() == 8);
+    }
+    SUBCASE("an upstream that says that it leaves ends without a crash")
+    {
+        for (int i = 0; i < 3; ++i) {
+            CHECK(fixture.call(callerRequest("r" + std::to_string(i), "bad", "/plain/a", "body"))
+                          .starts_with("HTTP/1.1 502 "));
+            fixture.markLeaving(0);
+            fixture.markLeaving(1);
+            std::this_thread::sleep_for(300ms);
+            fixture.restartUpstream(0, "v1");
+            fixture.restartUpstream(1, "v1");
+        }
+        CHECK(fixture.call(callerRequest("r3", "bad", "/plain/a", "body"))
+                      .starts_with("HTTP/1.1 502 "));
+        CHECK(countSends() == 8);
+    }
+}
+
 // Guards against an upstream getting more requests a second than it takes from all instances.
 TEST_CASE("an upstream that names a limit gets no more requests than that")
 {
