--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,9 +10,11 @@
 #include "gateway/limit_driver.hpp"
 #include "gateway/quarantine_driver.hpp"
 #include "gateway/queue_forecast.hpp"
+#include "gateway/request_ends.hpp"
 #include "gateway/request_metrics.hpp"
 #include "gateway/retry_budget.hpp"
 #include "gateway/routing_configuration.hpp"
+#include "gateway/silence_watch.hpp"
 #include "gateway/stream_origins.hpp"
 #include "gateway/upstream_pauses.hpp"
 #include "gateway/upstream_selector.hpp"
@@ -41,6 +43,7 @@
     QuarantineLimits quarantine;
     LimitSettings upstreamLimits;
     PauseLimits pauses;
+    SilenceLimits silence;
     /// Callers' connections that may be open at a time.
     std::size_t maxConnections = 2000;
 };
@@ -138,6 +141,7 @@
     CallCodec codec;
     Metrics &metrics;
     RequestMetrics requestMetrics;
+    RequestEnds requestEnds;
     upstream::DeadlineWatch deadlineWatch;
     upstream::ConnectionPool pool;
     QuarantineDriver quarantine;
