--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -43,6 +43,7 @@
     Draining,
     NotReady,
     PromptQuarantined,
+    RequestQuarantined,
     // The request was sent; it failed, or its outcome is unknown.
     UpstreamFailed,
     UpstreamTimedOut,
--- a/src/gateway/crash_detector.cpp
+++ b/src/gateway/crash_detector.cpp
@@ -1,68 +1,160 @@
 #include "gateway/crash_detector.hpp"
 
 #include <algorithm>
+#include <array>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 namespace bamboochute::gateway {
 
+std::string_view processEndName(ProcessEnd end) noexcept
+{
+    constexpr std::array<std::string_view, 4> names{"refused", "replaced", "removed", "reported"};
+    return names[static_cast<std::size_t>(end)];
+}
+
 CrashDetector::CrashDetector(boost::asio::io_context &loop, upstream::ConnectionPool &pool,
-                             CrashDetectorLimits limits)
+                             const UpstreamTable &table, CrashDetectorLimits limits)
     : loop(loop)
     , pool(pool)
+    , table(table)
     , limits(limits)
     , timer(loop)
 {}
 
 void CrashDetector::check(const BrokenRequest &broken)
 {
-    if (this->hasEnded(broken.process)) {
-        this->report(broken);
+    const auto known = std::find_if(this->ended.begin(), this->ended.end(),
+                                    [&](const auto &item) { return item.first == broken.process; });
+    if (known != this->ended.end()) {
+        if (this->onCrash)
+            this->onCrash(broken, known->second);
+        return;
+    }
+    const auto found = this->watched.find(broken.process);
+    const bool isNew = found == this->watched.end();
+    if (isNew ? this->watched.size() >= this->limits.maxWatchedProcesses
+              : found->second.requests.size() >= this->limits.maxPendingRequests)
         return;
+    const TimePoint now = SteadyClock().now();
+    Watched &watched = this->watched[broken.process];
+    watched.requests.emplace_back(now, broken);
+    watched.lastBrokeAt = now;
+    if (isNew || watched.connects >= this->limits.maxConnects) {
+        watched.connects = 0;
+        watched.nextConnectAt = now + this->limits.connectDelay;
     }
-    std::vector<BrokenRequest> &waiting = this->pending[broken.process];
-    if (waiting.size() >= this->limits.maxPendingRequests)
+    if (!isNew)
         return;
-    waiting.push_back(broken);
-    if (waiting.size() == 1)
-        boost::asio::co_spawn(this->loop, this->probe(broken.process, broken.endpoint),
-                              boost::asio::detached);
+    watched.endpoint = broken.endpoint;
+    watched.neighbours = this->registeredAt(broken.endpoint);
+    boost::asio::co_spawn(this->loop, this->watch(broken.process), boost::asio::detached);
 }
 
-upstream::Awaitable<void> CrashDetector::probe(UpstreamProcess process, Endpoint endpoint)
+void CrashDetector::recordEnd(const UpstreamProcess &process, ProcessEnd end)
+{
+    const auto found = this->watched.find(process);
+    if (found == this->watched.end())
+        return;
+    const Watched watched = std::move(found->second);
+    this->watched.erase(found);
+    this->ended.emplace_back(process, end);
+    if (this->ended.size() > this->limits.maxEndedProcesses)
+        this->ended.pop_front();
+    const TimePoint oldest = SteadyClock().now() - this->limits.confirmationTime;
+    for (const auto &[brokeAt, broken] : watched.requests) {
+        if (brokeAt >= oldest && this->onCrash)
+            this->onCrash(broken, end);
+    }
+}
+
+/// Connects and looks at the registrations until the process is known to have ended or to leave, or
+/// the time for it is over.
+upstream::Awaitable<void> CrashDetector::watch(UpstreamProcess process)
+{
+    while (true) {
+        auto found = this->watched.find(process);
+        if (found == this->watched.end())
+            co_return;
+        TimePoint next = SteadyClock().now() + this->limits.lookInterval;
+        if (found->second.connects < this->limits.maxConnects)
+            next = std::min(next, found->second.nextConnectAt);
+        co_await this->timer.wait(next);
+        found = this->watched.find(process);
+        if (found == this->watched.end())
+            co_return;
+        const TimePoint now = SteadyClock().now();
+        std::optional<ProcessEnd> end = this->findEnd(process, found->second);
+        if (!end && found->second.connects < this->limits.maxConnects
+            && found->second.nextConnectAt <= now) {
+            Duration delay = this->limits.connectDelay;
+            for (int i = 0; i <= found->second.connects; ++i)
+                delay *= this->limits.connectDelayFactor;
+            found->second.nextConnectAt = now + delay;
+            ++found->second.connects;
+            if (co_await this->isRefused(found->second.endpoint))
+                end = ProcessEnd::Refused;
+            found = this->watched.find(process);
+            if (found == this->watched.end())
+                co_return;
+        }
+        const bool isOver = now >= found->second.lastBrokeAt + this->limits.confirmationTime;
+        if (end && !this->isLeaving(process)) {
+            this->recordEnd(process, *end);
+            co_return;
+        }
+        if (!isOver && !this->isLeaving(process))
+            continue;
+        const Watched given = std::move(found->second);
+        this->watched.erase(found);
+        for (const auto &[brokeAt, broken] : given.requests) {
+            if (this->onAlive)
+                this->onAlive(broken);
+        }
+        co_return;
+    }
+}
+
+upstream::Awaitable<bool> CrashDetector::isRefused(Endpoint endpoint)
 {
-    co_await this->timer.wait(SteadyClock().now() + this->limits.connectDelay);
     const upstream::HttpStreamPointer stream = this->pool.makeStream();
     const TimePoint deadline = SteadyClock().now() + this->pool.poolLimits().connectTimeout;
     const upstream::StreamStatus status = co_await this->pool.connect(*stream, endpoint, deadline);
     stream->close();
-    const auto found = this->pending.find(process);
-    const std::vector<BrokenRequest> broken = std::move(found->second);
-    this->pending.erase(found);
-    if (status != upstream::StreamStatus::Refused) {
-        for (const BrokenRequest &request : broken) {
-            if (this->onAlive)
-                this->onAlive(request);
-        }
-        co_return;
+    co_return status == upstream::StreamStatus::Refused;
+}
+
+std::set<UpstreamProcess> CrashDetector::registeredAt(const Endpoint &endpoint) const
+{
+    std::set<UpstreamProcess> processes;
+    for (const auto &[id, entry] : this->table.entries()) {
+        if (entry.registered.endpoint == endpoint)
+            processes.insert(entry.process());
     }
-    this->ended.push_back(process);
-    if (this->ended.size() > this->limits.maxEndedProcesses)
-        this->ended.pop_front();
-    for (const BrokenRequest &request : broken)
-        this->report(request);
+    return processes;
 }
 
-bool CrashDetector::hasEnded(const UpstreamProcess &process) const
+/// Returns what the registrations tell about the end of a process.
+std::optional<ProcessEnd> CrashDetector::findEnd(const UpstreamProcess &process,
+                                                 const Watched &watched) const
 {
-    return std::find(this->ended.begin(), this->ended.end(), process) != this->ended.end();
+    const UpstreamTable::Entry *entry = this->table.find(process.upstream);
+    if (entry == nullptr)
+        return ProcessEnd::Removed;
+    if (entry->process() != process)
+        return ProcessEnd::Replaced;
+    const std::set<UpstreamProcess> registered = this->registeredAt(watched.endpoint);
+    const bool hasNew = std::any_of(registered.begin(), registered.end(), [&](const auto &other) {
+        return other.upstream != process.upstream && !watched.neighbours.contains(other);
+    });
+    return hasNew ? std::optional(ProcessEnd::Replaced) : std::nullopt;
 }
 
-void CrashDetector::report(const BrokenRequest &broken) const
+bool CrashDetector::isLeaving(const UpstreamProcess &process) const
 {
-    if (this->onCrash)
-        this->onCrash(broken);
+    const UpstreamTable::Entry *entry = this->table.find(process.upstream);
+    return entry != nullptr && entry->process() == process && entry->isLeaving();
 }
 
 } // namespace bamboochute::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,7 +53,7 @@
     , requestEnds(metrics)
     , deadlineWatch(loop)
     , pool(loop, this->deadlineWatch, poolLimits())
-    , quarantine(loop, this->pool, metrics)
+    , quarantine(loop, this->pool, this->table, metrics)
     , acceptor(loop)
     , change(loop)
     , random(this->settings.seed)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -125,8 +125,8 @@
     /// Called when a failed call of this instance makes it begin to avoid an upstream.
     std::function<void(const UpstreamId &, UpstreamFault)> onUpstreamAvoided;
 
-    /// @brief The quarantine of prompt parts that crash upstreams.
-    QuarantineDriver &promptQuarantine() noexcept { return this->quarantine; }
+    /// @brief The quarantine of requests and prompt parts that crash upstreams.
+    QuarantineDriver &quarantineDriver() noexcept { return this->quarantine; }
 
 private:
     friend class RequestExchange;
--- a/src/gateway/prompt_quarantine.hpp
+++ b/src/gateway/quarantine.hpp
@@ -1,8 +1,11 @@
 /// @file
-/// @brief Finds the parts of prompts whose requests crash upstreams, and keeps them from upstreams.
+/// @brief Finds the requests and parts of prompts that crash upstreams, and keeps them from
+/// upstreams.
 #pragma once
 
 #include "gateway/crash_detector.hpp"
+#include "gateway/quarantine_subject.hpp"
+#include "gateway/recent_completions.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -16,21 +19,21 @@
 
 namespace bamboochute::gateway {
 
-/// @brief A part of the prompts of one service's requests.
-struct ServicePromptPart
+/// @brief A subject at one service.
+struct ServiceSubject
 {
     ServiceId service;
-    PromptPartId part;
-    auto operator<=>(const ServicePromptPart &) const = default;
+    QuarantineSubject subject;
+    auto operator<=>(const ServiceSubject &) const = default;
 };
 
-/// @brief A part of a request that broke in a crash.
-struct ReportedPart
+/// @brief A subject of a request that broke in a crash.
+struct ReportedSubject
 {
-    PromptPartId part;
-    /// Requests with the part that the reporting instance has recently seen answered in full.
+    QuarantineSubject subject;
+    /// Requests with the subject that the reporting instance has recently seen answered in full.
     std::uint32_t completions = 0;
-    auto operator<=>(const ReportedPart &) const = default;
+    auto operator<=>(const ReportedSubject &) const = default;
 };
 
 /// @brief A request that broke because the process of its upstream ended; instances exchange these.
@@ -38,26 +41,29 @@
 {
     UpstreamProcess process;
     ServiceId service;
+    /// Id of the attempt that the caller made.
     RequestId request;
-    std::vector<ReportedPart> parts;
+    std::vector<ReportedSubject> subjects;
     auto operator<=>(const CrashReport &) const = default;
 };
 
-/// @brief State of a part that is or was quarantined; instances exchange these.
+/// @brief State of a subject that is or was quarantined; instances exchange these.
 struct QuarantineEntry
 {
-    ServicePromptPart key;
+    ServiceSubject key;
     /// Increases with each change of the state; the higher one is newer.
     std::uint32_t generation = 0;
     bool isQuarantined = false;
-    /// Time until a request with the part may be tried again.
+    /// Time until a request with the subject may be tried again.
     Duration remaining{};
     /// Crashes that the decision was based on.
     std::uint32_t crashes = 0;
+    /// Trials of a whole request so far, by all instances.
+    std::uint32_t trials = 0;
     auto operator<=>(const QuarantineEntry &) const = default;
 };
 
-/// @brief How much evidence quarantines a part, and for how long.
+/// @brief How much evidence quarantines a subject, and for how long.
 struct QuarantineLimits
 {
     /// Crashes with a request with the part in progress.
@@ -66,6 +72,14 @@
     std::uint32_t minRequests = 2;
     /// While several parts are in equally many crashes, this number is needed to decide.
     std::uint32_t minAmbiguousCrashes = 5;
+    /// Crashes of processes with a whole request in progress, and attempts of callers among them.
+    std::uint32_t requestMinCrashes = 3;
+    std::uint32_t requestMinAttempts = 2;
+    /// While several requests are in the same crashes, this number is needed to decide; all of
+    /// them are quarantined then.
+    std::uint32_t requestMinAmbiguousCrashes = 4;
+    /// Trials of a quarantined request, by all instances together, until it is answered in full.
+    std::uint32_t requestMaxTrials = 2;
     /// Crashes closer together count as one: in a loss of many upstreams at a time, prompts play no
     /// role.
     Duration minCrashInterval = std::chrono::milliseconds(50);
@@ -85,30 +99,37 @@
     Duration trialTimeout = std::chrono::seconds(30);
     /// Retry-After of a request that has to wait for the result of a trial.
     Duration trialRetryAfter = std::chrono::seconds(2);
-    /// Time for which a released part is remembered, so that older states don't return.
+    /// Time for which a released subject is remembered, so that older states don't return.
     Duration releaseAge = std::chrono::seconds(600);
     /// A remaining time from another instance that ends later by up to this is the same one: it
     /// has aged on its way.
     Duration maxMessageDelay = std::chrono::seconds(1);
-    /// Bounds of what is remembered.
+    /// Time after a request broke within which the end of its upstream's process is a crash.
+    Duration confirmationTime = CrashDetectorLimits().confirmationTime;
+    /// Bounds of what is remembered; those of entries hold for each kind of subject.
     std::size_t maxEntries = 256;
     std::size_t maxCrashes = 128;
     std::size_t maxRequestsPerCrash = 512;
+    std::size_t maxSubjectsPerCrash = 2048;
     std::size_t maxCompletions = 60000;
+    std::size_t maxRequestCompletions = 20000;
+    std::size_t maxReportedCompletions = 4096;
     /// Longer ids of requests are cut in reports, so that these fit into a datagram.
     std::size_t maxRequestIdBytes = 128;
     auto operator<=>(const QuarantineLimits &) const = default;
 };
 
-/// @brief Why a part's state changed.
+/// @brief Why a subject's state changed.
 enum class QuarantineCause {
     /// Enough crashes.
     Crashes,
-    /// A trial crashed its upstream.
+    /// A request is sent to find out whether it still crashes its upstream.
+    Trial,
+    /// A trial of a prompt part crashed its upstream.
     TrialFailed,
-    /// Requests with the part were answered in full.
+    /// Requests with the subject were answered in full.
     Completed,
-    /// All of its crashes are explained by another part.
+    /// All of its crashes are explained by another subject.
     Explained,
     /// Another instance, or the platform's store, knew a newer state.
     Learned
@@ -122,24 +143,24 @@
 {
     enum class Kind { Allowed, Trial, Refused };
     Kind kind = Kind::Allowed;
-    /// The quarantined part; empty if the request is allowed.
-    PromptPartId part;
+    /// The quarantined subject; its id is empty if the request is allowed.
+    QuarantineSubject subject;
     /// When a refused request may be sent again.
     Duration retryAfter{};
     auto operator<=>(const QuarantineDecision &) const = default;
 };
 
-/// @brief Collects crashes and complete answers by the parts of the requests' prompts; not
-/// thread-safe.
+/// @brief Collects crashes and complete answers by the subjects of requests; not thread-safe.
 ///
-/// A part is quarantined when requests with it broke in several crashes and hardly any was answered
-/// in full. Crashes with a part that is already quarantined don't count for other parts. When the
-/// quarantine has lasted for its time, one instance tries a single request: a complete answer
-/// releases the part, a crash begins a longer quarantine.
-class PromptQuarantine
+/// A subject is quarantined when requests with it broke in several crashes and hardly any was
+/// answered in full. Crashes with a subject that is already quarantined don't count for others.
+/// When the quarantine has lasted for its time, one instance tries a single request: a complete
+/// answer releases the subject, a crash begins a longer quarantine. The trials of a whole request
+/// are bounded over all instances; it then stays quarantined.
+class Quarantine
 {
 public:
-    explicit PromptQuarantine(QuarantineLimits limits = {})
+    explicit Quarantine(QuarantineLimits limits = {})
         : limits(limits)
     {}
 
@@ -149,7 +170,7 @@
     const QuarantineLimits &currentLimits() const noexcept { return this->limits; }
 
     /// @brief Counts a request that was answered in full.
-    void recordCompletion(const ServiceId &service, const std::vector<PromptPartId> &parts,
+    void recordCompletion(const ServiceId &service, const std::vector<QuarantineSubject> &subjects,
                           TimePoint now);
 
     /// @brief Builds the report of a request of this instance that broke in a crash.
@@ -158,18 +179,20 @@
     /// @brief Adds a report of this or another instance; repeated reports have no effect.
     void recordCrash(const CrashReport &report, TimePoint now);
 
-    /// @brief Quarantines the parts that there is enough evidence against.
+    /// @brief Quarantines the subjects that there is enough evidence against.
     void evaluate(TimePoint now);
 
     /// @brief Decides whether a request may be sent.
-    /// @param mayTry whether this instance may try requests with a part whose time is over
-    /// @note A decision Trial has to be followed by sending the request.
-    QuarantineDecision admit(const ServiceId &service, const std::vector<PromptPartId> &parts,
-                             bool mayTry, TimePoint now);
+    /// @param mayTry whether this instance may try requests with a subject whose time is over
+    /// @note A decision Trial has to be followed by sending the request. The change of state that
+    /// counts the trial of a whole request is announced before it returns.
+    QuarantineDecision admit(const ServiceId &service,
+                             const std::vector<QuarantineSubject> &subjects, bool mayTry,
+                             TimePoint now);
 
     /// @brief Whether admit() would refuse a request now.
-    bool isRefused(const ServiceId &service, const std::vector<PromptPartId> &parts, bool mayTry,
-                   TimePoint now) const;
+    bool isRefused(const ServiceId &service, const std::vector<QuarantineSubject> &subjects,
+                   bool mayTry, TimePoint now) const;
 
     /// @brief Applies a state that another instance knows, if it is newer.
     void merge(const QuarantineEntry &entry, TimePoint now);
@@ -190,19 +213,23 @@
         /// Until when the result of a trial is waited for; zero when there is none.
         TimePoint trialUntil{};
         std::uint32_t crashes = 0;
+        std::uint32_t trials = 0;
         std::vector<UpstreamProcess> processes;
+        /// When a request with the subject was last refused, or the state was made.
+        TimePoint lastRefusedAt{};
     };
-    /// One process that ended, with the requests that broke by the parts of their prompts.
+    /// One process that ended, with the requests that broke by their subjects.
     struct Crash
     {
         UpstreamProcess process;
         TimePoint at{};
-        std::map<PromptPartId, std::set<RequestId>> requests;
+        std::map<QuarantineSubject, std::set<RequestId>> requests;
     };
-    /// Evidence against one part.
+    /// Evidence against one subject.
     struct Suspect
     {
-        PromptPartId part;
+        QuarantineSubject subject;
+        /// Crashes that are not close together.
         std::uint32_t crashes = 0;
         std::uint32_t completions = 0;
         std::size_t requests = 0;
@@ -214,29 +241,44 @@
         TimePoint at{};
     };
 
-    static QuarantineEntry makeEntry(const ServicePromptPart &key, const State &state,
-                                     TimePoint now);
+    static QuarantineEntry makeEntry(const ServiceSubject &key, const State &state, TimePoint now);
+    static std::uint64_t hashOf(const ServiceSubject &key);
     void expire(TimePoint now);
-    std::uint32_t completionsOf(const ServicePromptPart &key) const;
-    bool isBlameless(const ServicePromptPart &key, std::uint32_t crashes) const;
-    bool isQuarantined(const ServicePromptPart &key) const;
-    bool isExplained(const ServiceId &service, const Crash &crash) const;
-    std::optional<Suspect> findCulprit(const ServiceId &service, TimePoint now) const;
-    std::map<PromptPartId, Suspect>
-    collectSuspects(const std::vector<const Crash *> &crashes) const;
-    double crashShare(const Suspect &suspect, const std::vector<const Crash *> &crashes) const;
-    void quarantine(const ServicePromptPart &key, const Suspect &evidence, QuarantineCause cause,
+    std::uint32_t ownCompletionsOf(const ServiceSubject &key) const;
+    std::uint32_t completionsOf(const ServiceSubject &key) const;
+    bool isBlameless(const ServiceSubject &key, std::uint32_t crashes) const;
+    bool isQuarantined(const ServiceSubject &key) const;
+    bool isExplained(const ServiceId &service, const Crash &crash,
+                     const QuarantineSubject &suspect) const;
+    bool quarantineCulprits(const ServiceId &service, TimePoint now);
+    std::vector<const Crash *> findSettled(const ServiceId &service, TimePoint now) const;
+    std::optional<Suspect> findPromptPart(const ServiceId &service, TimePoint now) const;
+    bool isOneOfMany(const Suspect &suspect, const std::vector<const Crash *> &crashes) const;
+    std::vector<Suspect> findRequests(const ServiceId &service, TimePoint now) const;
+    std::map<QuarantineSubject, Suspect>
+    collectSuspects(const ServiceId &service, SubjectKind kind,
+                    const std::vector<const Crash *> &crashes) const;
+    double crashShare(const ServiceId &service, const Suspect &suspect,
+                      const std::vector<const Crash *> &crashes) const;
+    std::size_t countEntries(SubjectKind kind) const;
+    bool reservePlace(SubjectKind kind, bool mayEvictQuarantined);
+    Duration nextPause(const State &state) const;
+    void quarantine(const ServiceSubject &key, const Suspect &evidence, QuarantineCause cause,
                     TimePoint now);
-    void release(const ServicePromptPart &key, QuarantineCause cause, TimePoint now);
-    void forgetCrashes(const ServicePromptPart &key);
-    void releaseExplained(const ServiceId &service, const PromptPartId &culprit, TimePoint now);
+    void startTrial(const ServiceSubject &key, State &state, TimePoint now);
+    void release(const ServiceSubject &key, QuarantineCause cause, TimePoint now);
+    void forgetCrashes(const ServiceSubject &key);
+    void releaseExplained(const ServiceId &service, const std::vector<QuarantineSubject> &culprits,
+                          TimePoint now);
 
     QuarantineLimits limits;
-    std::map<ServicePromptPart, State> states;
+    std::map<ServiceSubject, State> states;
     std::map<ServiceId, std::deque<Crash>> crashesByService;
-    std::map<ServicePromptPart, std::uint32_t> completions;
-    std::deque<std::pair<TimePoint, ServicePromptPart>> completionTimes;
-    std::map<ServicePromptPart, ReportedCompletions> reportedCompletions;
+    std::map<ServiceSubject, std::uint32_t> completions;
+    std::deque<std::pair<TimePoint, ServiceSubject>> completionTimes;
+    /// Those of whole requests, so that many different ones don't push out those of prompt parts.
+    RecentCompletions requestCompletions;
+    std::map<ServiceSubject, ReportedCompletions> reportedCompletions;
 };
 
 } // namespace bamboochute::gateway
--- a/src/gateway/quarantine_driver.cpp
+++ b/src/gateway/quarantine_driver.cpp
@@ -22,19 +22,21 @@
 } // namespace
 
 QuarantineDriver::QuarantineDriver(boost::asio::io_context &loop, upstream::ConnectionPool &pool,
-                                   Metrics &metrics)
+                                   const UpstreamTable &table, Metrics &metrics)
     : loop(loop)
     , metrics(metrics)
-    , detector(loop, pool)
+    , detector(loop, pool, table)
     , timer(loop)
 {
-    this->detector.onCrash = [this](const BrokenRequest &broken) { this->handleCrash(broken); };
+    this->detector.onCrash = [this](const BrokenRequest &broken, ProcessEnd end) {
+        this->handleCrash(broken, end);
+    };
     this->detector.onAlive = [](const BrokenRequest &broken) {
         logEvent(LogLevel::Info, "upstream of a broken request not seen to end",
                  {{"request", broken.request.value()},
                   {"upstream", broken.process.upstream.value()},
                   {"started_at", std::to_string(broken.process.startedAt)},
-                  {"fingerprint", broken.fingerprint.value()},
+                  {"fingerprint", formatSubjects(broken.subjects, SubjectKind::Request)},
                   {"ran_ms", formatMilliseconds(broken.ranFor)}});
     };
     this->quarantine.onChange = [this](const QuarantineEntry &entry, QuarantineCause cause) {
@@ -42,39 +44,51 @@
     };
 }
 
+void QuarantineDriver::configure(const QuarantineLimits &limits)
+{
+    this->quarantine.configure(limits);
+    this->detector.setConfirmationTime(limits.confirmationTime);
+}
+
 void QuarantineDriver::checkForCrash(const BrokenRequest &broken)
 {
     this->detector.check(broken);
 }
 
 void QuarantineDriver::recordCompletion(const ServiceId &service,
-                                        const std::vector<PromptPartId> &parts)
+                                        const std::vector<QuarantineSubject> &subjects)
 {
-    if (!parts.empty())
-        this->quarantine.recordCompletion(service, parts, now());
+    this->quarantine.recordCompletion(service, subjects, now());
 }
 
 QuarantineDecision QuarantineDriver::admit(const ServiceId &service,
-                                           const std::vector<PromptPartId> &parts)
+                                           const std::vector<QuarantineSubject> &subjects)
 {
-    QuarantineDecision decision = this->quarantine.admit(service, parts, this->isTrying(), now());
+    QuarantineDecision decision
+            = this->quarantine.admit(service, subjects, this->isTrying(), now());
     if (decision.kind == QuarantineDecision::Kind::Trial) {
-        this->metrics.counter("bamboochute_quarantine_trials_total").add();
-        logEvent(LogLevel::Info, "quarantined prompt part tried",
-                 {{"service", service.value()}, {"part", decision.part.value()}});
+        const std::string_view kind = subjectKindName(decision.subject.kind);
+        this->metrics
+                .counter("bamboochute_quarantine_trials_total", fmt::format("kind=\"{}\"", kind))
+                .add();
+        logEvent(LogLevel::Info, "quarantined request tried",
+                 {{"service", service.value()},
+                  {std::string(kind), decision.subject.id},
+                  {"fingerprint", formatSubjects(subjects, SubjectKind::Request)}});
     }
     return decision;
 }
 
 bool QuarantineDriver::isRefused(const ServiceId &service,
-                                 const std::vector<PromptPartId> &parts) const
+                                 const std::vector<QuarantineSubject> &subjects) const
 {
-    return this->quarantine.isRefused(service, parts, this->isTrying(), now());
+    return this->quarantine.isRefused(service, subjects, this->isTrying(), now());
 }
 
 void QuarantineDriver::receiveReport(const CrashReport &report)
 {
     this->addReport(report);
+    this->detector.recordEnd(report.process, ProcessEnd::Reported);
 }
 
 void QuarantineDriver::receiveEntries(const std::vector<QuarantineEntry> &entries)
@@ -88,7 +102,7 @@
     return this->quarantine.entries(now());
 }
 
-void QuarantineDriver::handleCrash(const BrokenRequest &broken)
+void QuarantineDriver::handleCrash(const BrokenRequest &broken, ProcessEnd end)
 {
     this->metrics.counter("bamboochute_crash_broken_requests_total").add();
     logEvent(LogLevel::Warning, "upstream process ended under a request",
@@ -96,11 +110,10 @@
               {"upstream", broken.process.upstream.value()},
               {"started_at", std::to_string(broken.process.startedAt)},
               {"service", broken.service.value()},
-              {"prompt_parts", formatPromptParts(broken.promptParts)},
-              {"fingerprint", broken.fingerprint.value()},
+              {"found_by", std::string(processEndName(end))},
+              {"prompt_parts", formatSubjects(broken.subjects, SubjectKind::PromptPart)},
+              {"fingerprint", formatSubjects(broken.subjects, SubjectKind::Request)},
               {"ran_ms", formatMilliseconds(broken.ranFor)}});
-    if (broken.promptParts.empty())
-        return;
     const CrashReport report = this->quarantine.makeReport(broken, now());
     this->addReport(report);
     if (this->onReport)
@@ -129,24 +142,45 @@
 void QuarantineDriver::handleChange(const QuarantineEntry &entry, QuarantineCause cause)
 {
     const std::vector<QuarantineEntry> all = this->entries();
-    const auto count = std::count_if(all.begin(), all.end(), [](const QuarantineEntry &known) {
-        return known.isQuarantined;
-    });
-    this->metrics.gauge("bamboochute_quarantined_parts").set(count);
+    const auto count = [&all](SubjectKind kind) {
+        return std::count_if(all.begin(), all.end(), [kind](const QuarantineEntry &known) {
+            return known.isQuarantined && known.key.subject.kind == kind;
+        });
+    };
+    this->metrics.gauge("bamboochute_quarantined_parts").set(count(SubjectKind::PromptPart));
+    this->metrics.gauge("bamboochute_quarantined_requests").set(count(SubjectKind::Request));
     this->metrics
             .counter("bamboochute_quarantine_changes_total",
-                     fmt::format("cause=\"{}\"", quarantineCauseName(cause)))
+                     fmt::format("kind=\"{}\",cause=\"{}\"",
+                                 subjectKindName(entry.key.subject.kind),
+                                 quarantineCauseName(cause)))
             .add();
-    logEvent(entry.isQuarantined ? LogLevel::Warning : LogLevel::Info,
-             entry.isQuarantined ? "prompt part quarantined" : "prompt part released",
-             {{"service", entry.key.service.value()},
-              {"part", entry.key.part.value()},
-              {"cause", std::string(quarantineCauseName(cause))},
-              {"generation", std::to_string(entry.generation)},
-              {"crashes", std::to_string(entry.crashes)},
-              {"remaining_ms", formatMilliseconds(entry.remaining)}});
+    logChange(entry, cause);
     if (this->onChange)
         this->onChange(entry);
 }
 
+void QuarantineDriver::logChange(const QuarantineEntry &entry, QuarantineCause cause)
+{
+    const LogLevel level = entry.isQuarantined ? LogLevel::Warning : LogLevel::Info;
+    const std::string causeName(quarantineCauseName(cause));
+    if (entry.key.subject.kind == SubjectKind::PromptPart)
+        logEvent(level, entry.isQuarantined ? "prompt part quarantined" : "prompt part released",
+                 {{"service", entry.key.service.value()},
+                  {"part", entry.key.subject.id},
+                  {"cause", causeName},
+                  {"generation", std::to_string(entry.generation)},
+                  {"crashes", std::to_string(entry.crashes)},
+                  {"remaining_ms", formatMilliseconds(entry.remaining)}});
+    else
+        logEvent(level, entry.isQuarantined ? "request quarantined" : "request released",
+                 {{"service", entry.key.service.value()},
+                  {"fingerprint", entry.key.subject.id},
+                  {"cause", causeName},
+                  {"generation", std::to_string(entry.generation)},
+                  {"crashes", std::to_string(entry.crashes)},
+                  {"trials", std::to_string(entry.trials)},
+                  {"remaining_ms", formatMilliseconds(entry.remaining)}});
+}
+
 } // namespace bamboochute::gateway
--- a/src/gateway/quarantine_driver.hpp
+++ b/src/gateway/quarantine_driver.hpp
@@ -1,37 +1,38 @@
 /// @file
-/// @brief Connects the quarantine of prompt parts with requests, other instances, log and metrics.
+/// @brief Connects the quarantine with requests, other instances, log and metrics.
 #pragma once
 
 #include "core/metrics.hpp"
-#include "gateway/prompt_quarantine.hpp"
+#include "gateway/quarantine.hpp"
 
 #include <functional>
 #include <vector>
 
 namespace bamboochute::gateway {
 
-/// @brief Feeds a PromptQuarantine with the crashes that requests of this and other instances met;
+/// @brief Feeds a Quarantine with the crashes that requests of this and other instances met;
 /// used on the event loop's thread only.
 class QuarantineDriver
 {
 public:
     QuarantineDriver(boost::asio::io_context &loop, upstream::ConnectionPool &pool,
-                     Metrics &metrics);
+                     const UpstreamTable &table, Metrics &metrics);
 
     /// @brief Replaces the limits.
-    void configure(const QuarantineLimits &limits) { this->quarantine.configure(limits); }
+    void configure(const QuarantineLimits &limits);
 
     /// @brief Finds out whether the upstream of a broken request has crashed, and if so reports it.
     void checkForCrash(const BrokenRequest &broken);
 
     /// @brief Counts a request that was answered in full.
-    void recordCompletion(const ServiceId &service, const std::vector<PromptPartId> &parts);
+    void recordCompletion(const ServiceId &service, const std::vector<QuarantineSubject> &subjects);
 
     /// @brief Decides whether a request may be sent; it has to be sent if the decision is Trial.
-    QuarantineDecision admit(const ServiceId &service, const std::vector<PromptPartId> &parts);
+    QuarantineDecision admit(const ServiceId &service,
+                             const std::vector<QuarantineSubject> &subjects);
 
     /// @brief Whether admit() would refuse a request now.
-    bool isRefused(const ServiceId &service, const std::vector<PromptPartId> &parts) const;
+    bool isRefused(const ServiceId &service, const std::vector<QuarantineSubject> &subjects) const;
 
     /// @brief Adds a crash report of another instance.
     void receiveReport(const CrashReport &report);
@@ -48,20 +49,21 @@
     /// @brief Called with each state that changed at this instance.
     std::function<void(const QuarantineEntry &)> onChange;
 
-    /// @brief Whether this instance may try parts whose quarantine has lasted for its time; of all
-    /// instances at most one should. None does while this is not set.
+    /// @brief Whether this instance may try subjects whose quarantine has lasted for its time; of
+    /// all instances at most one should. None does while this is not set.
     std::function<bool()> mayTry;
 
 private:
-    void handleCrash(const BrokenRequest &broken);
+    void handleCrash(const BrokenRequest &broken, ProcessEnd end);
     void handleChange(const QuarantineEntry &entry, QuarantineCause cause);
+    static void logChange(const QuarantineEntry &entry, QuarantineCause cause);
     void addReport(const CrashReport &report);
     upstream::Awaitable<void> evaluateReports();
     bool isTrying() const { return this->mayTry && this->mayTry(); }
 
     boost::asio::io_context &loop;
     Metrics &metrics;
-    PromptQuarantine quarantine;
+    Quarantine quarantine;
     CrashDetector detector;
     /// Never notified.
     ChangeSignal timer;
--- /dev/null
+++ b/src/gateway/quarantine_subject.cpp
@@ -0,0 +1,32 @@
+#include "gateway/quarantine_subject.hpp"
+
+namespace bamboochute::gateway {
+
+std::string_view subjectKindName(SubjectKind kind) noexcept
+{
+    return kind == SubjectKind::Request ? "request" : "prompt_part";
+}
+
+std::vector<QuarantineSubject> makeSubjects(const std::vector<PromptPartId> &promptParts,
+                                            const RequestFingerprint &fingerprint)
+{
+    std::vector<QuarantineSubject> subjects;
+    subjects.reserve(promptParts.size() + 1);
+    for (const PromptPartId &part : promptParts)
+        subjects.push_back({SubjectKind::PromptPart, part.value()});
+    if (!fingerprint.isEmpty())
+        subjects.push_back({SubjectKind::Request, fingerprint.value()});
+    return subjects;
+}
+
+std::string formatSubjects(const std::vector<QuarantineSubject> &subjects, SubjectKind kind)
+{
+    std::string text;
+    for (const QuarantineSubject &subject : subjects) {
+        if (subject.kind == kind)
+            text += (text.empty() ? "" : " ") + subject.id;
+    }
+    return text;
+}
+
+} // namespace bamboochute::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -88,6 +88,7 @@
                                             this->request.headers().find("host"),
                                             this->request.message.target, this->callerIdentity,
                                             this->request.body, this->attributes.contentHash});
+    this->subjects = makeSubjects(this->attributes.promptParts, this->fingerprint);
     if (!this->index) {
         co_await this->refuse(
                 Error(ErrorKind::NotReady, "no routing configuration has been received yet"),
@@ -105,7 +106,7 @@
                      + std::min(this->attributes.callerTimeout.value_or(this->route->timeout),
                                 this->route->timeout);
     this->watchCaller();
-    if (this->isResumption() && !this->isPromptQuarantined())
+    if (this->isResumption() && !this->isQuarantined())
         co_await this->findStreamOrigin();
     if (!this->selectService()) {
         co_await this->refuse(
@@ -260,34 +261,36 @@
     return this->service->engine.has_value() && !this->target.target.model.isEmpty();
 }
 
-/// Whether none of the route's services would get the request because of its prompt.
-bool RequestExchange::isPromptQuarantined() const
+/// Whether none of the route's services would get the request because of the quarantine.
+bool RequestExchange::isQuarantined() const
 {
     const auto &services = this->route->services;
     return std::all_of(services.begin(), services.end(), [this](const WeightedService &weighted) {
-        return this->gateway.quarantine.isRefused(weighted.service, this->attributes.promptParts);
+        return this->gateway.quarantine.isRefused(weighted.service, this->subjects);
     });
 }
 
 /// Returns whether the quarantine lets the request be sent; if not, keeps the refusal.
-bool RequestExchange::admitPrompt()
+bool RequestExchange::admitByQuarantine()
 {
     const QuarantineDecision decision
-            = this->gateway.quarantine.admit(this->service->id, this->attributes.promptParts);
+            = this->gateway.quarantine.admit(this->service->id, this->subjects);
     if (decision.kind != QuarantineDecision::Kind::Refused)
         return true;
     this->quarantineRefusal = decision;
-    this->lastFault = fmt::format("requests with the prompt part \"{}\" crash upstreams",
-                                  decision.part.value());
+    this->lastFault = decision.subject.kind == SubjectKind::Request
+                              ? std::string("this request crashes upstreams")
+                              : fmt::format("requests with the prompt part \"{}\" crash upstreams",
+                                            decision.subject.id);
     return false;
 }
 
 Awaitable<void> RequestExchange::runAttempts()
 {
     while (!this->isCallerGone) {
-        const bool isRefused = this->gateway.quarantine.isRefused(this->service->id,
-                                                                  this->attributes.promptParts);
-        if (isRefused && !this->admitPrompt())
+        const bool isRefused
+                = this->gateway.quarantine.isRefused(this->service->id, this->subjects);
+        if (isRefused && !this->admitByQuarantine())
             break;
         UpstreamSelection selection = co_await this->selectPermittedUpstream();
         if (this->isCallerGone)
@@ -296,8 +299,8 @@
             co_await this->refuse(*selection.refusal, selection.retryAfter);
             co_return;
         }
-        // The part may have been quarantined while the request waited for an upstream.
-        if (!selection.upstream || !this->admitPrompt())
+        // The request may have been quarantined while it waited for an upstream.
+        if (!selection.upstream || !this->admitByQuarantine())
             break;
         const AttemptOutcome outcome = co_await this->runAttempt(*selection.upstream);
         if (outcome == AttemptOutcome::Finished || this->isCallerGone)
@@ -652,9 +655,9 @@
     const UpstreamTable::Entry *entry = this->gateway.table.find(this->attempt.upstream);
     if (entry == nullptr || entry->isLeaving())
         return;
-    this->gateway.quarantine.checkForCrash(
-            {this->attempt.process, this->attempt.endpoint, this->service->id, this->attributes.id,
-             this->attributes.promptParts, this->fingerprint, this->now() - this->attempt.sentAt});
+    this->gateway.quarantine.checkForCrash({this->attempt.process, this->attempt.endpoint,
+                                            this->service->id, this->attributes.id, this->subjects,
+                                            this->now() - this->attempt.sentAt});
 }
 
 /// Returns the id of the last event that the caller has; empty when the stream begins.
@@ -717,12 +720,12 @@
                                                 latency);
 }
 
-/// Counts an answer whose end the upstream has stated as evidence that the prompt is sound.
+/// Counts an answer whose end the upstream has stated as evidence that the request is sound.
 void RequestExchange::recordCompletion()
 {
     if (this->attempt.answerEnd
         && this->attempt.answerEnd->framing != upstream::BodyFraming::ConnectionClose)
-        this->gateway.quarantine.recordCompletion(this->service->id, this->attributes.promptParts);
+        this->gateway.quarantine.recordCompletion(this->service->id, this->subjects);
 }
 
 void RequestExchange::recordEventTime()
@@ -782,8 +785,11 @@
         co_return;
     }
     if (this->quarantineRefusal && this->possibleRuns == 0) {
-        co_await this->refuse(Error(ErrorKind::PromptQuarantined, this->lastFault),
-                              this->quarantineRefusal->retryAfter);
+        const bool isRequest = this->quarantineRefusal->subject.kind == SubjectKind::Request;
+        co_await this->refuse(
+                Error(isRequest ? ErrorKind::RequestQuarantined : ErrorKind::PromptQuarantined,
+                      this->lastFault),
+                this->quarantineRefusal->retryAfter);
         co_return;
     }
     if (this->possibleRuns > 0) {
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -102,8 +102,8 @@
 
     upstream::Awaitable<void> runRouted();
     upstream::Awaitable<void> runAttempts();
-    bool isPromptQuarantined() const;
-    bool admitPrompt();
+    bool isQuarantined() const;
+    bool admitByQuarantine();
     upstream::Awaitable<UpstreamSelection> selectPermittedUpstream();
     upstream::Awaitable<UpstreamSelection> selectUpstream();
     upstream::Awaitable<UpstreamSelection> waitForTarget();
@@ -179,6 +179,8 @@
     /// Address of the caller's connection, unless the request names its caller.
     std::string callerIdentity;
     RequestFingerprint fingerprint;
+    /// What may be to blame if the request crashes an upstream.
+    std::vector<QuarantineSubject> subjects;
     RouteIndexPointer index;
     const Route *route = nullptr;
     const Service *service = nullptr;
@@ -222,7 +224,7 @@
     /// Head and body of an upstream's error answer, relayed if no further attempt succeeds.
     std::optional<std::pair<std::string, std::string>> upstreamErrorAnswer;
     std::string lastFault;
-    /// Set when a part of the prompt is quarantined.
+    /// Set when the request or a part of its prompt is quarantined.
     std::optional<QuarantineDecision> quarantineRefusal;
 };
 
--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -58,10 +58,10 @@
 {
     const std::optional<UpstreamId> id = co_await this->selectReplacement();
     const UpstreamTable::Entry *entry = id ? this->gateway.table.find(*id) : nullptr;
-    const bool isRefused
-            = this->gateway.quarantine.isRefused(this->service->id, this->attributes.promptParts);
+    const bool isRefused = this->gateway.quarantine.isRefused(this->service->id, this->subjects);
     if (entry == nullptr || isRefused || this->isCallerGone || this->attempt.call->hasInput()
-        || !this->gateway.budget.takeRetry(this->service->id, this->now()) || !this->admitPrompt())
+        || !this->gateway.budget.takeRetry(this->service->id, this->now())
+        || !this->admitByQuarantine())
         co_return false;
     Attempt silent = std::exchange(this->attempt, Attempt());
     const HeadText head = this->beginAttempt(*entry);
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -135,9 +135,9 @@
     else if (const auto *query = std::get_if<StreamOriginQuery>(&message.value()))
         this->answerOriginQuery(*query, from);
     else if (const auto *crash = std::get_if<CrashReportMessage>(&message.value()))
-        this->gateway.promptQuarantine().receiveReport(crash->report);
+        this->gateway.quarantineDriver().receiveReport(crash->report);
     else if (const auto *quarantine = std::get_if<QuarantineMessage>(&message.value()))
-        this->gateway.promptQuarantine().receiveEntries(quarantine->entries);
+        this->gateway.quarantineDriver().receiveEntries(quarantine->entries);
     else if (const auto *limits = std::get_if<LimitMessage>(&message.value()))
         this->learnLimits(*limits);
     else if (const auto *leaving = std::get_if<LeavingMessage>(&message.value()))
@@ -159,7 +159,7 @@
 
 void PeerLink::connectQuarantine()
 {
-    gateway::QuarantineDriver &quarantine = this->gateway.promptQuarantine();
+    gateway::QuarantineDriver &quarantine = this->gateway.quarantineDriver();
     // Ownership is exclusive, so at most one instance tries a part whose time is over.
     quarantine.mayTry = [this] { return this->election.isOwner(); };
     quarantine.onReport = [this](const gateway::CrashReport &report) {
@@ -209,7 +209,7 @@
         for (const auto &part : splitMessage(message, maxPartBytes))
             this->sendToReceivers(key, this->settings.stateReceivers, part);
     };
-    const QuarantineMessage quarantine{this->gateway.promptQuarantine().entries()};
+    const QuarantineMessage quarantine{this->gateway.quarantineDriver().entries()};
     if (!quarantine.entries.empty())
         spread(quarantine);
     const LimitMessage limits{this->gateway.upstreamLimits.reports()};
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -29,6 +29,9 @@
 constexpr std::size_t demandVersionIndex = 6;
 constexpr std::size_t promiseVersionIndex = 3;
 constexpr std::size_t originCorrectionIndex = 4;
+/// The same of a crash report and of states of the quarantine: those of whole requests.
+constexpr std::size_t reportedRequestsIndex = 6;
+constexpr std::size_t requestEntriesIndex = 2;
 /// Cache use is sent in thousandths.
 constexpr double cacheUseScale = 1000;
 
@@ -176,15 +179,15 @@
     return UpstreamId(value.get<std::string>());
 }
 
-Json toJson(const gateway::ReportedPart &part)
+Json toJson(const gateway::ReportedSubject &reported)
 {
-    return Json::array({part.part.value(), part.completions});
+    return Json::array({reported.subject.id, reported.completions});
 }
 
-gateway::ReportedPart decodeReportedPart(const Json &value)
+gateway::ReportedSubject decodeReported(const Json &value, gateway::SubjectKind kind)
 {
-    return gateway::ReportedPart{PromptPartId(value.at(0).get<std::string>()),
-                                 value.at(1).get<std::uint32_t>()};
+    return gateway::ReportedSubject{{kind, value.at(0).get<std::string>()},
+                                    value.at(1).get<std::uint32_t>()};
 }
 
 Json toJson(const gateway::LimitReport &report)
@@ -207,18 +210,33 @@
 
 Json toJson(const gateway::QuarantineEntry &entry)
 {
-    return Json::array({entry.key.service.value(), entry.key.part.value(), entry.generation,
-                        entry.isQuarantined, toMillis(entry.remaining), entry.crashes});
+    Json value = Json::array({entry.key.service.value(), entry.key.subject.id, entry.generation,
+                              entry.isQuarantined, toMillis(entry.remaining), entry.crashes});
+    if (entry.key.subject.kind == gateway::SubjectKind::Request)
+        value.push_back(entry.trials);
+    return value;
 }
 
-gateway::QuarantineEntry decodeQuarantineEntry(const Json &value)
+gateway::QuarantineEntry decodeQuarantineEntry(const Json &value, gateway::SubjectKind kind)
 {
+    const bool isRequest = kind == gateway::SubjectKind::Request;
     return gateway::QuarantineEntry{{gateway::ServiceId(value.at(0).get<std::string>()),
-                                     PromptPartId(value.at(1).get<std::string>())},
+                                     {kind, value.at(1).get<std::string>()}},
                                     value.at(2).get<std::uint32_t>(),
                                     value.at(3).get<bool>(),
                                     fromMillis(value.at(4)),
-                                    value.at(5).get<std::uint32_t>()};
+                                    value.at(5).get<std::uint32_t>(),
+                                    isRequest ? value.at(6).get<std::uint32_t>() : 0};
+}
+
+gateway::SubjectKind kindOf(const gateway::ReportedSubject &reported)
+{
+    return reported.subject.kind;
+}
+
+gateway::SubjectKind kindOf(const gateway::QuarantineEntry &entry)
+{
+    return entry.key.subject.kind;
 }
 
 template<typename T>
@@ -230,6 +248,18 @@
     return array;
 }
 
+/// Encodes the items of one kind; earlier releases read only those of prompt parts.
+template<typename T>
+Json toArray(const std::vector<T> &items, gateway::SubjectKind kind)
+{
+    Json array = Json::array();
+    for (const T &item : items) {
+        if (kindOf(item) == kind)
+            array.push_back(toJson(item));
+    }
+    return array;
+}
+
 template<typename T, typename Read>
 std::vector<T> decodeArray(const Json &array, const Read &read)
 {
@@ -239,6 +269,21 @@
     return items;
 }
 
+/// Decodes an array of prompt parts, and one of whole requests, which may be missing.
+template<typename T, typename Read>
+std::vector<T> decodeKinds(const Json &value, std::size_t partsIndex, std::size_t requestsIndex,
+                           const Read &read)
+{
+    std::vector<T> items;
+    for (const Json &item : value.at(partsIndex))
+        items.push_back(read(item, gateway::SubjectKind::PromptPart));
+    if (value.size() <= requestsIndex)
+        return items;
+    for (const Json &item : value.at(requestsIndex))
+        items.push_back(read(item, gateway::SubjectKind::Request));
+    return items;
+}
+
 Json toJson(const DemandMessage &message)
 {
     return Json::array({demandKind, message.sender.value(), message.isContinuation,
@@ -274,12 +319,15 @@
 {
     const gateway::CrashReport &report = message.report;
     return Json::array({crashReportKind, report.process.upstream.value(), report.process.startedAt,
-                        report.service.value(), report.request.value(), toArray(report.parts)});
+                        report.service.value(), report.request.value(),
+                        toArray(report.subjects, gateway::SubjectKind::PromptPart),
+                        toArray(report.subjects, gateway::SubjectKind::Request)});
 }
 
 Json toJson(const QuarantineMessage &message)
 {
-    return Json::array({quarantineKind, toArray(message.entries)});
+    return Json::array({quarantineKind, toArray(message.entries, gateway::SubjectKind::PromptPart),
+                        toArray(message.entries, gateway::SubjectKind::Request)});
 }
 
 Json toJson(const LimitMessage &message)
@@ -309,7 +357,8 @@
             {{UpstreamId(value.at(1).get<std::string>()), value.at(2).get<std::uint64_t>()},
              gateway::ServiceId(value.at(3).get<std::string>()),
              RequestId(value.at(4).get<std::string>()),
-             decodeArray<gateway::ReportedPart>(value.at(5), decodeReportedPart)}};
+             decodeKinds<gateway::ReportedSubject>(value, 5, reportedRequestsIndex,
+                                                   decodeReported)}};
 }
 
 StreamOriginMessage decodeStreamOrigin(const Json &value)
@@ -364,8 +413,8 @@
     case crashReportKind:
         return PeerMessage(decodeCrashReport(value));
     case quarantineKind:
-        return PeerMessage(QuarantineMessage{
-                decodeArray<gateway::QuarantineEntry>(value.at(1), decodeQuarantineEntry)});
+        return PeerMessage(QuarantineMessage{decodeKinds<gateway::QuarantineEntry>(
+                value, 1, requestEntriesIndex, decodeQuarantineEntry)});
     case limitKind:
         return PeerMessage(
                 LimitMessage{decodeArray<gateway::LimitReport>(value.at(1), decodeLimitReport)});
@@ -456,11 +505,11 @@
                                              std::size_t maxBytes)
 {
     CrashReportMessage emptyPart = message;
-    emptyPart.report.parts.clear();
+    emptyPart.report.subjects.clear();
     std::vector<CrashReportMessage> parts{emptyPart};
     distribute(
-            parts, emptyPart, message.report.parts,
-            [](CrashReportMessage & part) -> auto & { return part.report.parts; }, maxBytes);
+            parts, emptyPart, message.report.subjects,
+            [](CrashReportMessage & part) -> auto & { return part.report.subjects; }, maxBytes);
     return parts;
 }
 
--- a/src/residency/peer_messages.hpp
+++ b/src/residency/peer_messages.hpp
@@ -5,7 +5,7 @@
 #include "core/error.hpp"
 #include "gateway/demand_tracker.hpp"
 #include "gateway/limit_driver.hpp"
-#include "gateway/prompt_quarantine.hpp"
+#include "gateway/quarantine.hpp"
 #include "gateway/stream_origins.hpp"
 #include "gateway/upstream_table.hpp"
 
@@ -136,7 +136,7 @@
     auto operator<=>(const CrashReportMessage &) const = default;
 };
 
-/// @brief Tells another instance which parts of prompts are or were quarantined.
+/// @brief Tells another instance which requests and parts of prompts are or were quarantined.
 struct QuarantineMessage
 {
     std::vector<gateway::QuarantineEntry> entries;
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -31,8 +31,8 @@
 }
 
 /// A request of a caller that names itself.
-std::string callerRequest(const std::string &id, const std::string &caller,
-                          const std::string &path, const std::string &body)
+std::string callerRequest(const std::string &id, const std::string &caller, const std::string &path,
+                          const std::string &body)
 {
     std::string text = request(path, body, "test-caller: " + caller + "\r\n");
     return text.replace(text.find("test-id: r1"), 11, "test-id: " + id);
@@ -609,6 +609,7 @@
                     callerRequest("s" + std::to_string(i), "bad", "/plain/a", "body"));
             CHECK(got.starts_with("HTTP/1.1 503 "));
             CHECK(containsText(got, "Retry-After: "));
+            CHECK(containsText(got, "request_quarantined"));
         }
         CHECK(countSends() == sends);
     }
@@ -683,6 +684,36 @@
     }
 }
 
+// Guards against crashes that are missed because upstreams keep accepting connections until their
+// registration is removed.
+TEST_CASE("a process whose registration is removed after it broke a request has crashed")
+{
+    const Script ending{"", true};
+    std::vector<std::unique_ptr<ScriptedUpstream>> owned;
+    std::vector<ScriptedUpstream *> upstreams;
+    for (int i = 0; i < 4; ++i) {
+        owned.push_back(std::make_unique<ScriptedUpstream>(std::vector<Script>(20, ending)));
+        upstreams.push_back(owned.back().get());
+    }
+    RelayFixture fixture(upstreams);
+    const auto call = [&](const std::string &id) {
+        return fixture.call(callerRequest(id, "bad", "/plain/a", "body"));
+    };
+    const auto removeBroken = [&] {
+        for (std::size_t i = 0; i < upstreams.size(); ++i) {
+            if (!upstreams[i]->requests().empty())
+                fixture.removeUpstream(i);
+        }
+    };
+    CHECK(call("r1").starts_with("HTTP/1.1 502 "));
+    removeBroken();
+    std::this_thread::sleep_for(300ms);
+    CHECK(call("r2").starts_with("HTTP/1.1 502 "));
+    removeBroken();
+    waitForQuarantine(fixture);
+    CHECK(containsText(call("r3"), "request_quarantined"));
+}
+
 // Guards against an upstream getting more requests a second than it takes from all instances.
 TEST_CASE("an upstream that names a limit gets no more requests than that")
 {
--- a/tests/platform/adapter/unit-settings_file.cpp
+++ b/tests/platform/adapter/unit-settings_file.cpp
@@ -59,12 +59,20 @@
 
 TEST_CASE("the limits of the quarantine may be set")
 {
-    const auto settings = parseSettings(
-            completeSettings + "quarantine.min_crashes=4\nquarantine.first_pause_s=30\n");
+    const auto settings = parseSettings(completeSettings
+                                        + "quarantine.min_crashes=4\nquarantine.first_pause_s=30\n"
+                                          "quarantine.request_min_crashes=2\n"
+                                          "quarantine.request_max_trials=0\n"
+                                          "quarantine.confirmation_time_s=9\n");
     REQUIRE(settings);
     CHECK(settings.value().quarantine.minCrashes == 4);
     CHECK(settings.value().quarantine.firstPause == 30s);
     CHECK(settings.value().quarantine.longestPause == 3600s);
+    CHECK(settings.value().quarantine.requestMinCrashes == 2);
+    CHECK(settings.value().quarantine.requestMaxTrials == 0);
+    CHECK(settings.value().quarantine.confirmationTime == 9s);
+    CHECK(parseSettings(completeSettings + "quarantine.request_min_attempts=0\n").error().field()
+          == "quarantine.request_min_attempts");
     CHECK(parseSettings(completeSettings + "quarantine.min_crashes=0\n").error().field()
           == "quarantine.min_crashes");
     CHECK(parseSettings(completeSettings + "quarantine.evidence_age_s=x\n").error().field()
--- a/tests/residency/unit-peer_messages.cpp
+++ b/tests/residency/unit-peer_messages.cpp
@@ -1,10 +1,12 @@
 #include "residency/peer_messages.hpp"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace bamboochute;
 using namespace bamboochute::residency;
 using namespace std::chrono_literals;
+using gateway::SubjectKind;
 
 namespace {
 
@@ -37,7 +39,9 @@
     return {{{UpstreamId("w1"), 1700000000000},
              target.service,
              RequestId("9c41"),
-             {{PromptPartId("5c1e"), 7}, {PromptPartId("91bd"), 0}}}};
+             {{{SubjectKind::PromptPart, "5c1e"}, 7},
+              {{SubjectKind::PromptPart, "91bd"}, 0},
+              {{SubjectKind::Request, "00c0ffee00c0ffee"}, 1}}}};
 }
 
 } // namespace
@@ -46,16 +50,50 @@
 {
     CrashReportMessage manyParts = crashMessage();
     for (int i = 0; i < 30; ++i)
-        manyParts.report.parts.push_back(
-                {PromptPartId(std::string(60, 'a') + std::to_string(i)), 0});
+        manyParts.report.subjects.push_back(
+                {{SubjectKind::PromptPart, std::string(60, 'a') + std::to_string(i)}, 0});
     std::size_t partCount = 0;
     for (const CrashReportMessage &part : splitMessage(manyParts, 1000)) {
         CHECK(encodePeerMessage(part).size() <= 1000);
         CHECK(part.report.process == manyParts.report.process);
         CHECK(part.report.request == manyParts.report.request);
-        partCount += part.report.parts.size();
+        partCount += part.report.subjects.size();
+    }
+    CHECK(partCount == 33);
+}
+
+TEST_CASE("messages about crashes are exchanged with instances that know no whole requests")
+{
+    using Json = nlohmann::json;
+    const auto encode = [](const Json &value) {
+        const std::vector<std::uint8_t> bytes = Json::to_cbor(value);
+        return std::string(bytes.begin(), bytes.end());
+    };
+    const auto decodeJson
+            = [](const std::string &bytes) { return Json::from_cbor(bytes.begin(), bytes.end()); };
+
+    SUBCASE("what they send is about prompt parts")
+    {
+        const auto report = decodePeerMessage(encode({5, "w1", 1700000000000, "assistant", "9c41",
+                                                      Json::array({Json::array({"5c1e", 7})})}));
+        REQUIRE(report);
+        CHECK(std::get<CrashReportMessage>(report.value()).report.subjects
+              == std::vector<gateway::ReportedSubject>{{{SubjectKind::PromptPart, "5c1e"}, 7}});
+        const auto states = decodePeerMessage(
+                encode({6, Json::array({{"assistant", "91bd", 3, true, 90000, 4}})}));
+        REQUIRE(states);
+        CHECK(std::get<QuarantineMessage>(states.value()).entries
+              == std::vector<gateway::QuarantineEntry>{
+                      {{target.service, {SubjectKind::PromptPart, "91bd"}}, 3, true, 90s, 4, 0}});
+    }
+    SUBCASE("the places that they read have only prompt parts")
+    {
+        CHECK(decodeJson(encodePeerMessage(crashMessage())).at(5)
+              == Json::array({{"5c1e", 7}, {"91bd", 0}}));
+        const QuarantineMessage states{
+                {{{target.service, {SubjectKind::Request, "00c0ffee"}}, 2, true, 9s, 3, 1}}};
+        CHECK(decodeJson(encodePeerMessage(states)).at(1) == Json::array());
     }
-    CHECK(partCount == 32);
 }
 
 TEST_CASE("decoding restores an encoded message")
@@ -82,8 +120,10 @@
     const auto decodedCrash = decodePeerMessage(encodePeerMessage(crashMessage()));
     REQUIRE(decodedCrash);
     CHECK(std::get<CrashReportMessage>(decodedCrash.value()) == crashMessage());
-    const QuarantineMessage quarantine{{{{target.service, PromptPartId("91bd")}, 3, true, 90s, 4},
-                                        {{target.service, PromptPartId("5c1e")}, 2, false, 1s, 0}}};
+    const QuarantineMessage quarantine{
+            {{{target.service, {SubjectKind::PromptPart, "91bd"}}, 3, true, 90s, 4, 0},
+             {{target.service, {SubjectKind::PromptPart, "5c1e"}}, 2, false, 1s, 0, 0},
+             {{target.service, {SubjectKind::Request, "00c0ffee00c0ffee"}}, 2, true, 9s, 3, 1}}};
     const auto decodedQuarantine = decodePeerMessage(encodePeerMessage(quarantine));
     REQUIRE(decodedQuarantine);
     CHECK(std::get<QuarantineMessage>(decodedQuarantine.value()) == quarantine);
