--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 /// @brief Accepts callers' connections and relays their requests to upstreams by route.
 #pragma once
 
+#include "caller/caller_request.hpp"
 #include "caller/server_settings.hpp"
 #include "core/metrics.hpp"
 #include "gateway/call_codec.hpp"
@@ -29,6 +30,8 @@
 
 namespace bamboochute::gateway {
 
+class RequestExchange;
+
 /// @brief Settings of the process that a gateway runs in.
 struct GatewaySettings
 {
@@ -74,6 +77,10 @@
     /// @brief Refuses the requests that wait for a target, and those that would begin to wait.
     void refuseWaitingRequests();
 
+    /// @brief Ends the open requests: those without an answer get one, streams are cut.
+    /// @note Their connections take a turn of the event loop to close.
+    void endOpenRequests();
+
     /// @brief Aborts the open requests and closes all connections.
     void stop();
 
@@ -98,7 +105,7 @@
     /// @brief Wakes the waiting requests after a change of upstreams, their residency or promises.
     void notifyChange() { this->change.notifyAll(); }
 
-    /// @brief Number of requests that have been read and not yet been answered.
+    /// @brief Number of requests that have begun to arrive and are not answered.
     std::size_t openRequests() const noexcept { return this->openRequestCount; }
     bool isDraining() const noexcept { return this->draining; }
 
@@ -133,6 +140,9 @@
 
     upstream::Awaitable<void> accept();
     upstream::Awaitable<void> serve(upstream::HttpStreamPointer stream);
+    upstream::Awaitable<bool> waitForRequest(upstream::HttpStream &stream);
+    upstream::Awaitable<bool> serveRequest(upstream::HttpStream &stream,
+                                           caller::CallerRequest &request);
     caller::ServerLimits limits() const;
     void recordInvalidHeader(std::string_view header, const UpstreamProcess &process);
 
@@ -149,9 +159,11 @@
     ChangeSignal change;
     Random random;
     std::set<upstream::HttpStreamPointer> streams;
-    /// Connections without a request.
-    std::set<upstream::HttpStream *> idleStreams;
+    /// Connections without a request, and since when.
+    std::map<upstream::HttpStream *, TimePoint> idleStreams;
+    /// Requests of which a part has arrived and that are not answered.
     std::size_t openRequestCount = 0;
+    std::set<RequestExchange *> exchanges;
     bool draining = false;
     /// No connection is accepted or read from any more.
     bool closing = false;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -33,6 +33,8 @@
 constexpr Duration notReadyRetryAfter = std::chrono::milliseconds(500);
 /// Time for a caller to read the answer to a request that was not routed and so has no deadline.
 constexpr Duration refusalWriteTimeout = std::chrono::seconds(5);
+/// Least time for a caller to read what is written to it, also when its deadline has passed.
+constexpr Duration minWriteTime = std::chrono::seconds(1);
 
 asio::const_buffer toBuffer(std::string_view text)
 {
@@ -56,11 +58,14 @@
     , request(request)
     , index(gateway.index)
     , events(maxEventBytes, true)
-{}
+{
+    this->gateway.exchanges.insert(this);
+}
 
 RequestExchange::~RequestExchange()
 {
     this->caller.setPeerClosedHandler(nullptr);
+    this->gateway.exchanges.erase(this);
 }
 
 Awaitable<void> RequestExchange::refuseUnread(const Error &error)
@@ -126,6 +131,8 @@
     if (this->isCallerGone) {
         this->keepAlive = false;
         this->log(LogLevel::Info, "caller disconnected", "caller_gone", this->durationField());
+        if (!this->end && !this->isAnswerBegun)
+            co_await this->answerDepartedCaller();
     }
 }
 
@@ -256,6 +263,15 @@
     this->gateway.notifyChange();
 }
 
+void RequestExchange::abort()
+{
+    this->isAborted = true;
+    this->keepAlive = false;
+    if (this->attempt.call)
+        this->attempt.call->cancel();
+    this->gateway.notifyChange();
+}
+
 bool RequestExchange::isEngineTarget() const
 {
     return this->service->engine.has_value() && !this->target.target.model.isEmpty();
@@ -315,6 +331,8 @@
 /// Returns whether the request may be sent again, and takes the retry from the budget.
 bool RequestExchange::acquireRetry(AttemptOutcome outcome)
 {
+    if (this->isAborted)
+        return false;
     if (this->timeLeft() < minSendTime) {
         this->hasTimedOut = true;
         return false;
@@ -491,6 +509,12 @@
 AttemptOutcome RequestExchange::handleCallFailure(const upstream::CallError &error)
 {
     using upstream::CallFailure;
+    if (error.failure == CallFailure::Cancelled && this->isAborted && !this->isCallerGone) {
+        this->lastFault = "this instance is shutting down";
+        if (!error.isAnythingWritten)
+            return AttemptOutcome::NotRun;
+        return this->isAnswerBegun ? AttemptOutcome::StreamBroken : AttemptOutcome::MayHaveRun;
+    }
     if (error.failure == CallFailure::Cancelled)
         return AttemptOutcome::Finished;
     this->recordAnswerEnd();
@@ -798,11 +822,37 @@
         co_await this->refuse(Error(kind, this->lastFault), std::nullopt);
         co_return;
     }
-    co_await this->refuse(Error(ErrorKind::UpstreamUnavailable, this->lastFault),
-                          noUpstreamRetryAfter);
+    co_await this->refuse(
+            Error(this->isAborted ? ErrorKind::Draining : ErrorKind::UpstreamUnavailable,
+                  this->lastFault),
+            noUpstreamRetryAfter);
+}
+
+/// Answers a caller that has closed its sending side: it may still read.
+Awaitable<void> RequestExchange::answerDepartedCaller()
+{
+    const std::string reason = "the caller closed its side of the connection";
+    if (this->sends == 0)
+        co_await this->writeRefusal(Error(ErrorKind::UpstreamUnavailable, reason),
+                                    noUpstreamRetryAfter);
+    else
+        co_await this->writeRefusal(Error(ErrorKind::UpstreamFailed, reason), std::nullopt);
 }
 
 Awaitable<void> RequestExchange::refuse(const Error &error, std::optional<Duration> retryAfter)
+{
+    const ErrorRow &row = error.row();
+    this->gateway.metrics.errors(error.kind()).add();
+    this->log(LogLevel::Warning,
+              row.httpStatus >= firstServerError ? "request failed" : "request refused", row.code,
+              {"detail", error.message()});
+    if (co_await this->writeRefusal(error, retryAfter))
+        this->end = RequestEnd::Refused;
+}
+
+/// Writes this instance's own answer; returns whether the connection has taken it.
+Awaitable<bool> RequestExchange::writeRefusal(const Error &error,
+                                              std::optional<Duration> retryAfter)
 {
     const ErrorRow &row = error.row();
     const std::string body = caller::errorBody(error);
@@ -811,15 +861,10 @@
     appendHeader(head, "Content-Length", std::to_string(body.size()));
     if (retryAfter)
         appendHeader(head, "Retry-After", fmt::format("{:.2f}", toSeconds(*retryAfter)));
-    if (!this->keepAlive)
-        appendHeader(head, "Connection", "close");
+    this->appendConnectionHeader(head);
     head += "\r\n";
-    this->gateway.metrics.errors(error.kind()).add();
-    this->log(LogLevel::Warning,
-              row.httpStatus >= firstServerError ? "request failed" : "request refused", row.code,
-              {"detail", error.message()});
-    if (co_await this->writeToCaller(head, body))
-        this->end = RequestEnd::Refused;
+    const bool isWritten = co_await this->writeToCaller(head, body);
+    co_return isWritten;
 }
 
 /// Writes to the caller; returns false when it has disconnected or does not read in time.
@@ -828,9 +873,8 @@
     const std::array<asio::const_buffer, 2> parts{toBuffer(head), toBuffer(body)};
     std::optional<StreamStatus> status = this->caller.tryWrite(parts);
     if (!status) {
-        const TimePoint fallback = this->now() + refusalWriteTimeout;
-        this->caller.expireAt(
-                this->deadline == TimePoint() ? fallback : std::max(this->deadline, this->now()));
+        const Duration least = this->deadline == TimePoint() ? refusalWriteTimeout : minWriteTime;
+        this->caller.expireAt(std::max(this->deadline, this->now() + least));
         status = co_await this->caller.writeRest(parts);
         this->caller.neverExpire();
     }
@@ -846,12 +890,21 @@
     return since == TimePoint() ? Duration(0) : this->now() - since;
 }
 
+/// Tells the caller if its connection is closed after the answer; the process may have begun to
+/// stop since the request arrived.
+void RequestExchange::appendConnectionHeader(HeadText &head)
+{
+    this->keepAlive = this->keepAlive && !this->gateway.isDraining();
+    if (!this->keepAlive)
+        appendHeader(head, "Connection", "close");
+}
+
 LogField RequestExchange::durationField() const
 {
     return {"took_ms", formatMilliseconds(this->now() - this->request.arrival)};
 }
 
-std::string RequestExchange::buildAnswerHead(int status, const upstream::HeaderList &headers) const
+std::string RequestExchange::buildAnswerHead(int status, const upstream::HeaderList &headers)
 {
     std::string head = statusLine(status);
     for (std::size_t i = 0; i < headers.size(); ++i) {
@@ -859,8 +912,7 @@
         if (!sameHeaderName(header.name, "content-length") && !upstream::isHopByHop(header.name))
             appendHeader(head, header.name, header.value);
     }
-    if (!this->keepAlive)
-        appendHeader(head, "Connection", "close");
+    this->appendConnectionHeader(head);
     return head;
 }
 
