--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -57,16 +57,17 @@
 
 Awaitable<bool> RequestExchange::askReplacement()
 {
-    const auto isPromptRefused = [this] {
-        return this->gateway.quarantine.isRefused(this->service->id, this->attributes.promptParts);
+    const auto isQuarantined = [this] {
+        return this->gateway.quarantine.isRefused(this->service->id, this->subjects);
     };
-    if (isPromptRefused())
+    if (isQuarantined())
         co_return false;
     const std::optional<UpstreamId> id = co_await this->selectReplacement();
     const UpstreamTable::Entry *entry = id ? this->gateway.table.find(*id) : nullptr;
-    if (entry == nullptr || isPromptRefused() || this->isEnding()
+    if (entry == nullptr || isQuarantined() || this->isEnding()
         || this->attempt.call->activity() != PeerActivity::Silent
-        || !this->gateway.budget.takeRetry(this->service->id, this->now()) || !this->admitPrompt())
+        || !this->gateway.budget.takeRetry(this->service->id, this->now())
+        || !this->admitByQuarantine())
         co_return false;
     Attempt silent = std::exchange(this->attempt, Attempt());
     this->silentCall = silent.call.get();
