Let the soak's upstreams fall silent, and count requests read against answers (fails)

The soak had no silent upstreams and took no notice of a connection that closed without an answer.

Upstreams say nothing for 0.8 to 1.8 s and go on: before the first byte, between head and body, inside an event, between two events, or everywhere at once, while they answer reports or don't, several at a time. A closed connection doesn't end the run of a stand-in, so that it is known whether it would have finished.

Checks: a whole request ends with a whole answer or a refusal, and no 502 or 504 replaces an answer that its upstream gave in time, unless the instance was stopped, paused or killed, the upstream broke the answer, the time was over or the last sixth of the grace had begun. The ends are counted by cause. A connection that closes within 0.2 s of a request that no upstream got counts as crossed only if it had been idle, was reset or belonged to a stopping process. A stream that is given up for an upstream which then breaks is counted by itself and is no violation.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -14,9 +14,13 @@
 - an upstream that turns requests away with a pause gets hardly any until its end from an instance that it
   told, unless the instance was just disturbed;
 - an upstream that names a limit gets hardly more requests than that in any four seconds, from instances
-  that were not just disturbed.
+  that were not just disturbed;
+- a whole request ends with a whole answer or a refusal, unless the instance was just disturbed or at the end
+  of its grace, the upstream broke the answer, or the time for the request was over;
+- an answer that its upstream gave in full and in time, if after a silence, is not replaced by 502 or 504.
 
-Prints one JSON line; the exit code is 1 when a check failed.
+Prints one JSON line; the exit code is 1 when a check failed. The entry "ends" counts the requests without a
+whole answer by cause, and 502 and 504 with time left.
 """
 
 import argparse
@@ -36,7 +40,21 @@
 CAPACITY_MB = 200
 MODEL_MB = 70
 MODELS = [f"m{i}" for i in range(8)]
-DEADLINE_S = 4.0
+DEADLINE_S = 6.0
+GRACE_S = 8.0
+# Kinds of requests that are answered with event streams: those for one model, and those for any upstream.
+STREAM_KINDS = ("talk", "listen")
+# Settings of the retry budget, of which SIGHUP brings one into force.
+BUDGET_SLACKS = (10, 40, 104)
+# Timeouts of the routes, of which each configuration has one.
+TIMEOUTS_MS = (3500, 5000, 6000)
+# A connection that ends so soon after a request may have crossed it, if no upstream has got it.
+LOSS_SLACK_S = 0.2
+# Idle timeouts of the configurations, and the time from which on an idle connection may just be closed.
+IDLE_TIMEOUTS_MS, MIN_IDLE_S = (700, 5000, 15000), 0.5
+# How much less than its time a request may have had for its time to count as over, and the time that has to
+# be left when a 502 or 504 counts as too early.
+TIMER_SLACK_S, TIME_LEFT_S = 0.1, 0.5
 # Requests with the crashing part that may still reach engines after this time from the fifth crash on, and
 # the time for which an instance has to have been undisturbed.
 MAX_CRASHING_SENDS = 3
@@ -52,7 +70,10 @@
 FAULTS = ("pause", "kill", "terminate", "store_busy", "store_silent", "store_reset", "store_loses",
           "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact", "worker_crash",
           "worker_leaves", "worker_says_leaving", "worker_pauses",
-          "engine_released", "answers_lost", "workers_refuse", "hangup", "configure")
+          "engine_released", "answers_lost", "workers_refuse", "hangup", "configure", "silence")
+# Faults that last for the whole run: streams that break, requests that crash an engine,
+# limits of upstreams, callers that close their side, and in every other run a configuration each second.
+LASTING_FAULTS = ("breaks", "crashing", "limits", "half_close", "configure_steadily")
 
 
 def known_violations():
@@ -64,23 +85,29 @@
 class Instance:
     """One instance as a process, with a settings file and a proxy to the store of its own."""
 
-    def __init__(self, program, number, directory, proxy):
+    def __init__(self, program, number, directory, proxy, budget_slack):
         self.program, self.number, self.proxy = program, number, proxy
         self.path = directory / f"instance-{number}.conf"
         self.log = open(directory / f"instance-{number}.log", "ab")
-        ports = [stand_ins.free_port() for _ in range(3)]
-        self.port, self.ready_port = ports[0], ports[1]
-        self.path.write_text(
-            f"node_name=edge-{number}\nzone=norte\nip=127.0.0.1\n"
-            f"listen.frontend=127.0.0.1:{ports[0]}\nlisten.readiness=127.0.0.1:{ports[1]}\n"
-            f"internal_ports={ports[2]},{ports[2]}\nplatform.address=127.0.0.1:{proxy.port}\n"
-            "bounds.grace_s=8\nbounds.lease_ms=3000\nbounds.retry_budget_ratio=0.2\n"
-            "bounds.budget_slack=104\nbounds.budget_window_s=10\nbounds.fencing_enforced=true\n")
+        self.port, self.ready_port, self.internal_port = [stand_ins.free_port() for _ in range(3)]
+        self.write_settings(budget_slack)
         self.child, self.generation, self.newest = None, 0, 0
         # Times at which the process was signalled or started.
         self.disturbed = []
+        # Times at which a process was stopped, continued or killed, and of SIGTERM by generation.
+        self.harmed, self.terminated, self.is_stopped = [], {}, False
         self.start()
 
+    def write_settings(self, budget_slack):
+        self.path.write_text(
+            f"node_name=edge-{self.number}\nzone=norte\nip=127.0.0.1\n"
+            f"listen.frontend=127.0.0.1:{self.port}\nlisten.readiness=127.0.0.1:{self.ready_port}\n"
+            f"internal_ports={self.internal_port},{self.internal_port}\n"
+            f"platform.address=127.0.0.1:{self.proxy.port}\n"
+            f"bounds.grace_s={GRACE_S:.0f}\nbounds.lease_ms=3000\nbounds.retry_budget_ratio=0.2\n"
+            f"bounds.budget_slack={budget_slack}\nbounds.budget_window_s=10\n"
+            "bounds.fencing_enforced=true\n")
+
     def start(self):
         self.generation += 1
         self.newest = 0
@@ -90,6 +117,15 @@
 
     def send(self, signal_number):
         self.disturbed.append(time.monotonic())
+        if signal_number == signal.SIGSTOP:
+            self.is_stopped = True
+        ends_pause = signal_number == signal.SIGCONT and self.is_stopped
+        if signal_number in (signal.SIGSTOP, signal.SIGKILL) or ends_pause:
+            self.harmed.append(time.monotonic())
+        if signal_number in (signal.SIGCONT, signal.SIGKILL):
+            self.is_stopped = False
+        elif signal_number == signal.SIGTERM:
+            self.terminated.setdefault(self.generation, time.monotonic())
         if self.child.poll() is None:
             self.child.send_signal(signal_number)
 
@@ -113,8 +149,8 @@
 class Stream:
     """An event stream as its caller gets it, over one request or several."""
 
-    def __init__(self, begun_by, model, prompt):
-        self.begun_by, self.model, self.prompt = begun_by, model, prompt
+    def __init__(self, begun_by, kind, model, prompt):
+        self.begun_by, self.kind, self.model, self.prompt = begun_by, kind, model, prompt
         self.text, self.requests = b"", 1
 
     def events(self):
@@ -134,9 +170,81 @@
         return None
 
 
+class Exchange:
+    """A whole request as its caller sent it on an open connection, and how it ended.
+
+    status is unset until the head of an answer is there; failure names the exception that ended the wait for
+    the answer.
+    """
+
+    def __init__(self, attempt, kind, connection, limit_s):
+        self.attempt, self.kind = attempt, kind
+        self.instance, self.generation = connection[:2]
+        self.limit_s, self.sent_at, self.ended_at = limit_s, time.monotonic(), None
+        self.written_at = self.sent_at
+        self.status, self.failure = None, None
+        # Time since the former answer on the connection.
+        self.idle_s, self.is_half_closed = 0.0, False
+
+    def finish(self, failure=None):
+        self.failure, self.ended_at = failure, time.monotonic()
+
+    def took_s(self):
+        return self.ended_at - self.sent_at
+
+    def excuse(self, sends):
+        """Returns why the request may have ended without a whole answer; None if there is no reason."""
+        terminated_at = self.instance.terminated.get(self.generation, self.ended_at)
+        if any(self.sent_at - STABLE_S <= moment <= self.ended_at for moment in self.instance.harmed):
+            return "instance disturbed"
+        if self.took_s() >= self.limit_s - TIMER_SLACK_S:
+            return "time over"
+        if self.ended_at - terminated_at >= GRACE_S * 5 / 6:
+            return "end of grace"
+        if any(send.is_broken() for send in sends):
+            is_given_up = any(send.left_at and send.end == "finished" for send in sends)
+            return "upstream broke it" + (", another was given up" if is_given_up else "")
+        # Whoever closes a connection with unread bytes resets it.
+        may_cross = (self.idle_s > MIN_IDLE_S or self.failure == "ConnectionResetError"
+                     or self.generation in self.instance.terminated and terminated_at < self.ended_at)
+        if self.status is None and not sends and may_cross and \
+                self.ended_at - self.written_at <= LOSS_SLACK_S:
+            return "crossed the close"
+        if self.is_half_closed and self.status is not None:
+            return "caller closed its side"
+        return None
+
+    def violation(self, sends):
+        """Returns how the request ended, with the cause, and whether that is a violation."""
+        if self.failure:
+            name = "stream cut" if self.status == 200 and self.kind in STREAM_KINDS else \
+                "answer cut" if self.status else "no answer"
+            name += ", half-closed" if self.is_half_closed else ""
+            excuse = self.excuse(sends)
+            return f"{name}, {excuse or 'without cause'}", excuse is None
+        if self.status not in (502, 504) or self.took_s() > self.limit_s - TIME_LEFT_S:
+            return None, False
+        is_given_up = any(send.end == "finished" and send.ended_at < self.sent_at + self.limit_s
+                          for send in sends)
+        if not is_given_up:
+            return f"{self.status}", False
+        excuse = self.excuse(sends)
+        return f"{self.status} though an upstream finished, {excuse or 'without cause'}", excuse is None
+
+    def text(self, sends):
+        return (f"{self.attempt} to instance {self.instance.number}.{self.generation}, {self.took_s():.2f} of "
+                f"{self.limit_s} s, sends: {[send.text(self.sent_at) for send in sends]}")
+
+
 class Soak:
     def __init__(self, options, directory):
         self.options, self.directory = options, directory
+        self.kinds = set(options.faults.split(",")) if options.faults else {*FAULTS, *LASTING_FAULTS}
+        unknown = self.kinds - {*FAULTS, *LASTING_FAULTS}
+        if unknown:
+            raise ValueError(f"unknown faults: {sorted(unknown)}")
+        # Exchanges in the order of their sends, and the timeout in each configuration with its time.
+        self.exchanges, self.timeouts_s = [], []
         self.random = random.Random(options.seed)
         self.record = stand_ins.Record()
         self.counts, self.outcomes, self.version, self.faults = {}, {}, 0, []
@@ -153,21 +261,36 @@
     async def configure(self):
         """Writes the next configuration: the route of its version replaces that of the version before."""
         self.version += 1
-        route = {"hostname": "desk.example", "target_latency_ms": 300, "timeout_ms": 4000}
+        is_first = self.version == 1
+        timeout_ms = self.random.choice(TIMEOUTS_MS)
+        self.timeouts_s.append((time.monotonic(), timeout_ms / 1000))
+        route = {"hostname": "desk.example", "target_latency_ms": 300, "timeout_ms": timeout_ms}
+        weights = [{"service": "rooms", "weight": self.random.randint(1, 4)},
+                   {"service": "stock", "weight": self.random.randint(0, 4)}]
+        limits = {"idle_timeout_ms": self.random.choice(IDLE_TIMEOUTS_MS)}
+        if not is_first and self.random.random() < 0.3:
+            limits.update({"max_body_bytes": 1000, "max_header_bytes": 250, "header_timeout_ms": 500})
         routes = [
             {**route, "name": "once", "path_prefix": "/once/", "type": "non_idempotent",
              "service": "rooms", "max_attempts": 1},
             {**route, "name": "any", "path_prefix": "/any/", "type": "idempotent",
-             "service": "rooms", "max_attempts": 2},
+             "backends": weights, "max_attempts": self.random.randint(2, 3)},
             {**route, "name": "talk", "path_prefix": "/talk/", "type": "stream",
              "service": "chat", "max_attempts": 2, "resumable": True, "gap_target_ms": 250},
+            {**route, "name": "listen", "path_prefix": "/listen/", "type": "stream",
+             "service": "events", "max_attempts": self.random.randint(2, 3), "resumable": True,
+             "gap_target_ms": 250},
             {**route, "name": "new", "path_prefix": f"/v{self.version}/", "type": "idempotent",
              "service": "rooms", "max_attempts": 2}]
+        if not is_first and self.random.random() < 0.25:
+            routes.pop(self.random.randrange(len(routes) - 1))
         engine = {"slots": 8, "kv_cache_tokens": 1000, "weights_mb": CAPACITY_MB, "adapter_slots": 2,
                   "loads_per_s": 4, "models": [{"name": m, "weights_mb": MODEL_MB, "load_s": 0.8,
                                                 "disk_s": 0.15, "warm_s": 0.1} for m in MODELS]}
-        value = {"version": self.version, "routes": routes, "limits": {},
+        value = {"version": self.version, "routes": routes, "limits": limits,
                  "services": [{"name": "rooms", "max_connections": 100},
+                              {"name": "stock", "max_connections": 100},
+                              {"name": "events", "max_connections": 100},
                               {"name": "chat", "max_connections": 100, "engine": engine}]}
         await self.store.put("op/config", json.dumps(value).encode())
 
@@ -181,17 +304,24 @@
         self.engines = [stand_ins.Engine(f"engine-{i}", "chat", *shared_arguments,
                                          models=MODELS[2 * i:2 * i + 2], sizes=model_sizes_mb,
                                          capacity=CAPACITY_MB) for i in range(3)]
+        self.stock = [stand_ins.Service(f"stock-{i}", "stock", *shared_arguments) for i in range(3)]
+        # Any of these may go on with the streams of another one.
+        self.broadcasters = [stand_ins.Engine(f"events-{i}", "events", *shared_arguments) for i in range(3)]
         for engine in self.engines:
             engine.disk |= set(MODELS[:6])
-        for worker in self.services + self.engines:
+        for engine in self.engines + self.broadcasters:
+            engine.breaks = engine.BREAKS if "breaks" in self.kinds else 0.0
+        for worker in self.services + self.engines + self.broadcasters + self.stock:
             await worker.start()
             await worker.register()
         await self.configure()
         self.instances = []
+        budget_slack = self.random.choice(BUDGET_SLACKS)
         for number in range(self.options.instances):
             proxy = stand_ins.Proxy(self.store.port)
             await proxy.start()
-            self.instances.append(Instance(self.options.program, number, self.directory, proxy))
+            self.instances.append(Instance(self.options.program, number, self.directory, proxy,
+                                           budget_slack))
         for instance in self.instances:
             while not await self.is_ready(instance):
                 if instance.child.poll() is not None:
@@ -212,26 +342,31 @@
 
     async def caller(self, number):
         """Sends requests to random instances until the run ends."""
-        connection, broken_stream = None, None
+        connection, broken_stream, idle_since = None, None, None
         sent = 0
         while not self.is_over:
             instance = self.random.choice(self.instances)
             sent += 1
             attempt = f"{number}-{sent}"
-            kind = self.random.choice(("once", "any", "talk", "new"))
+            kind = self.random.choice(("once", "any", "talk", "listen", "new"))
             stream = None
             if broken_stream:
-                kind, stream = "talk", broken_stream
+                kind, stream = broken_stream.kind, broken_stream
                 stream.requests += 1
-            elif kind == "talk":
-                stream = Stream(attempt, self.random.choice(MODELS), self.prompt(attempt))
+            elif kind in STREAM_KINDS:
+                stream = Stream(attempt, kind, self.random.choice(MODELS), self.prompt(attempt))
             broken_stream = None
             try:
-                if connection is None or self.random.random() < 0.3:
+                # Every other caller keeps its connection until the instance closes it.
+                if connection is None or (number % 2 and self.random.random() < 0.3):
+                    idle_since = None
                     connection = (instance, instance.generation,
                                   *await asyncio.open_connection("127.0.0.1", instance.port))
-                is_reusable = await asyncio.wait_for(self.ask(connection, attempt, kind, stream),
-                                                    DEADLINE_S + 4)
+                is_half_closing = "half_close" in self.kinds and self.random.random() < 0.05
+                is_reusable = await asyncio.wait_for(
+                    self.ask(connection, attempt, kind, stream, idle_since=idle_since,
+                             is_half_closing=is_half_closing), DEADLINE_S + 4)
+                idle_since = time.monotonic()
                 if not is_reusable:
                     connection[3].close()
                     connection = None
@@ -244,7 +379,10 @@
                     self.record.rule(f"{stream.begun_by} got a stream with {stream.violation(False)}")
                 elif stream and stream.events() and stream.requests < 3:
                     broken_stream = stream
-            await asyncio.sleep(self.random.uniform(0.01, 0.08))
+            # A few requests come when the shortest idle timeout ends.
+            idles_long = self.random.random() < 0.02
+            await asyncio.sleep(self.random.uniform(0.69, 0.71) if idles_long else
+                                self.random.uniform(0.01, 0.08))
 
     def prompt(self, own_part, shared_part=None):
         """Returns the parts of a prompt: two that requests share, and the request's own one."""
@@ -265,7 +403,7 @@
 
     async def ask_to_crash(self, instance, attempt):
         part = stand_ins.Engine.CRASHING_PART
-        stream = Stream(attempt, self.random.choice(MODELS), self.prompt(attempt, part))
+        stream = Stream(attempt, "talk", self.random.choice(MODELS), self.prompt(attempt, part))
         try:
             connection = (instance, instance.generation,
                           *await asyncio.open_connection("127.0.0.1", instance.port))
@@ -274,43 +412,70 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             self.count("no answer to a request that crashes engines")
 
-    async def ask(self, connection, attempt, kind, stream):
+    def request_limit_s(self):
+        """Returns the least time that a request sent now has, by a configuration that may be in force."""
+        is_old = [moment < time.monotonic() - STABLE_S - 2 for moment, _ in self.timeouts_s]
+        first = max(sum(is_old) - 1, 0)
+        return min(DEADLINE_S, *(timeout_s for _, timeout_s in self.timeouts_s[first:]))
+
+    async def ask(self, connection, attempt, kind, stream, idle_since=None,
+                  is_half_closing=False):
         """Sends one request, checks the response, and returns whether the connection can be reused."""
+        exchange = Exchange(attempt, kind, connection, self.request_limit_s())
+        exchange.idle_s = exchange.sent_at - idle_since if idle_since else 0.0
+        exchange.is_half_closed = is_half_closing
+        self.exchanges.append(exchange)
+        try:
+            return await self.send_and_read(exchange, connection, stream)
+        except BaseException as failure:
+            exchange.finish(type(failure).__name__)
+            raise
+
+    async def send_and_read(self, exchange, connection, stream):
         instance, generation, reader, writer = connection
+        attempt, kind = exchange.attempt, exchange.kind
         self.askers[attempt] = instance
         version = self.version
+        method = "POST" if kind in ("once", "talk", "listen") else "GET"
+        # The limits of some configurations refuse the longer bodies.
+        body = ("pay" * self.random.choice((1, 1, 1, 1000))) if method == "POST" else ""
         path = {"new": f"/v{version}/"}.get(kind, f"/{kind}/") + attempt
-        method = "POST" if kind in ("once", "talk") else "GET"
-        body = "pay" if method == "POST" else ""
         request_lines = [f"{method} {path} HTTP/1.1", "Host: desk.example", f"X-Attempt-Id: {attempt}",
                  f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}"]
-        if stream:
+        if kind == "talk":
             request_lines += [f"X-Model: {stream.model}", f"X-Prompt-Prefix: {stream.prompt}"]
         if stream and stream.events():
             request_lines += [f"Last-Event-Id: {len(stream.events())}", f"Resumes: {stream.begun_by}"]
         if body:
             request_lines.append(f"Content-Length: {len(body)}")
         self.outcomes[attempt] = (kind, None)
-        writer.write("\r\n".join(request_lines).encode() + b"\r\n\r\n" + body.encode())
+        writer.write("\r\n".join(request_lines).encode() + b"\r\n\r\n")
+        if body and self.random.random() < 0.05:
+            await asyncio.sleep(self.random.uniform(0.05, 0.3))
+        writer.write(body.encode())
+        exchange.written_at = time.monotonic()
+        if exchange.is_half_closed:
+            writer.write_eof()
         status_line, headers = await stand_ins.read_head(reader)
-        status = int(status_line.split(" ")[1])
+        status = exchange.status = int(status_line.split(" ")[1])
         is_signed = stand_ins.SIGNATURE.lower() in headers
         if headers.get("transfer-encoding") == "chunked":
             self.count(f"stream taken up {stream.requests - 1} times")
             await self.check_events(stream, reader)
         else:
             text = await reader.readexactly(int(headers.get("content-length", "0")))
-            if status == 200 and kind == "talk":
+            if status == 200 and kind in STREAM_KINDS:
                 self.record.rule(f"{attempt} asked for an event stream but got a 200 response "
                                  "with a plain body")
             if status == 200 and not text.decode().startswith(f"{attempt} at "):
                 self.record.rule(f"{attempt} got the response of another request: {text[:60]}")
         if status == 200 and (not is_signed or headers.get("x-attempt-id") != attempt):
             self.record.rule(f"{attempt} got a 200 response without a signature or with another attempt id")
+        exchange.finish()
         self.check_version(instance, generation, version, kind, status)
         self.outcomes[attempt] = (kind, None if is_signed else status)
         self.count(f"{kind} {status}")
-        return headers.get("connection", "") != "close"
+        return headers.get("connection", "") != "close" and not exchange.is_half_closed
 
     async def check_events(self, stream, reader):
         """Reads a chunked event stream and checks that it has exactly the expected events."""
@@ -335,12 +500,31 @@
 
     async def disturb(self):
         """Injects random faults until the run ends."""
-        while not self.is_over:
+        kinds = [kind for kind in FAULTS if kind in self.kinds]
+        while kinds and not self.is_over:
             await asyncio.sleep(self.random.uniform(0.1, 0.9))
-            kind = self.random.choice(FAULTS)
+            kind = self.random.choice(kinds)
             self.faults.append(kind)
             asyncio.get_running_loop().create_task(self.fault(kind))
 
+    async def configure_steadily(self):
+        while True:
+            await asyncio.sleep(1)
+            await self.configure()
+
+    async def silence(self, duration_s):
+        """Lets one or several upstreams say nothing for a while, in some answers or at all."""
+        workers = self.services + self.engines + self.broadcasters + self.stock
+        for worker in self.random.sample(workers, self.random.choice((1, 2, 4, 6))):
+            if self.random.random() < 0.5:
+                worker.silence = 0.5
+            else:
+                worker.silent_until = time.monotonic() + self.random.uniform(*worker.SILENCE_S)
+                worker.answers_reports = self.random.random() < 0.5
+        await asyncio.sleep(duration_s)
+        for worker in workers:
+            worker.silence = 0.0
+
     async def fault(self, kind):
         """Injects one fault and ends it after a random time."""
         duration_s = self.random.uniform(0.3, 2.5)
@@ -397,7 +581,10 @@
             await asyncio.sleep(duration_s)
             worker.refuse = 0.0
         elif kind == "hangup":
+            instance.write_settings(self.random.choice(BUDGET_SLACKS))
             instance.send(signal.SIGHUP)
+        elif kind == "silence":
+            await self.silence(duration_s)
         else:
             await self.configure()
 
@@ -457,6 +644,20 @@
             self.record.rule(f"{len(late)} requests with a part that had crashed engines reached engines "
                              f"long after the fifth crash: {late[:5]}")
 
+    def check_ends(self):
+        """Checks that whole requests ended with an answer or a refusal; returns how many ended otherwise."""
+        ends = {}
+        for exchange in self.exchanges:
+            if exchange.ended_at is None:
+                continue
+            sends = self.record.sends.get(exchange.attempt, [])
+            name, is_violation = exchange.violation(sends)
+            if name:
+                ends[name] = ends.get(name, 0) + 1
+            if is_violation:
+                self.record.rule(f"{name}: {exchange.text(sends)}")
+        return ends
+
     async def limit_workers(self):
         """Lets a service and an engine name limits that change."""
         for pause_s, room_limit, engine_limit in ((1.5, 2.0, 3.0), (6.0, 1.0, None), (60.0, None, 4.0)):
@@ -485,18 +686,23 @@
         await self.start()
         loop = asyncio.get_running_loop()
         callers = [loop.create_task(self.caller(n)) for n in range(self.options.callers)]
-        callers.append(loop.create_task(self.crashing_caller()))
-        limit_task = loop.create_task(self.limit_workers())
-        fault_task = loop.create_task(self.disturb())
+        if "crashing" in self.kinds:
+            callers.append(loop.create_task(self.crashing_caller()))
+        fault_tasks = [loop.create_task(self.disturb())]
+        if "limits" in self.kinds:
+            fault_tasks.append(loop.create_task(self.limit_workers()))
+        if "configure_steadily" in self.kinds and (self.options.faults or self.options.seed % 2):
+            fault_tasks.append(loop.create_task(self.configure_steadily()))
         await asyncio.sleep(self.options.seconds)
         self.is_over = True
         await asyncio.wait(callers, timeout=DEADLINE_S + 6)
-        fault_task.cancel()
-        limit_task.cancel()
+        for task in fault_tasks:
+            task.cancel()
         # A request whose caller has given up may still reach an upstream.
         await asyncio.sleep(0.5)
         self.check_runs()
         self.check_crashing_sends()
+        self.ends = self.check_ends()
         for worker in self.services + self.engines:
             self.check_limit(worker)
         remaining_tasks = asyncio.all_tasks() - {asyncio.current_task()}
@@ -516,6 +722,8 @@
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--faults", help="kinds of faults, separated by commas, instead of all: "
+                        + ", ".join(FAULTS + LASTING_FAULTS))
     parser.add_argument("--keep-logs", help="directory in which the settings files and logs are kept")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary:
@@ -532,7 +740,8 @@
         violations = [violation for violation in found if violation not in known]
         print(json.dumps({"seed": options.seed, "seconds": round(time.monotonic() - started, 1),
                           "requests": len(soak.outcomes), "answers": soak.counts,
-                          "faults": len(soak.faults), "crashing_sends": len(soak.record.crashing_sends), "broken": violations, "known_red": known}))
+                          "faults": len(soak.faults), "crashing_sends": len(soak.record.crashing_sends),
+                          "ends": soak.ends, "broken": violations, "known_red": known}))
     sys.exit(1 if violations else 0)
 
 
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -98,6 +98,9 @@
         try:
             while True:
                 request = await read_request(reader)
+                # The process that the connection belonged to has ended.
+                if writer.is_closing():
+                    break
                 await self.handle(request, reader, writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
@@ -245,11 +248,40 @@
         return 200, {"revision": self.revision}
 
 
+class Send:
+    """One request as an upstream got it: where the upstream was silent, and how its answer ended.
+
+    end is "finished" also when the instance has closed the connection before; the upstream then goes on to
+    the end without a connection. It is "lost", "cut short" or "crashed" when the upstream itself broke it.
+    """
+
+    def __init__(self, worker, silent_place):
+        self.worker, self.process, self.silent_place = worker.name, worker.process, silent_place
+        self.began_at, self.ended_at, self.end = time.monotonic(), None, None
+        self.silences, self.left_at = [], None
+
+    def finish(self, end):
+        self.end, self.ended_at = end, time.monotonic()
+
+    def is_broken(self):
+        return self.end not in (None, "finished")
+
+    def text(self, origin):
+        """Describes the send, with times in seconds from a moment."""
+        parts = [f"{self.worker} from {self.began_at - origin:.2f}"]
+        parts += [f"silent {place} for {duration_s:.2f} at {begun_at - origin:.2f}"
+                  for place, begun_at, duration_s in self.silences]
+        if self.left_at:
+            parts.append(f"its connection closed at {self.left_at - origin:.2f}")
+        parts.append(f"{self.end} at {self.ended_at - origin:.2f}" if self.end else "unfinished")
+        return ", ".join(parts)
+
+
 class Record:
     """What the upstreams observed: the runs of each request, load orders, and violations of checks."""
 
     def __init__(self):
-        self.runs = {}
+        self.runs, self.sends = {}, {}
         self.crashing_sends = []
         self.broken = []
         self.loads = []
@@ -272,9 +304,13 @@
 
     lose and refuse are the shares (0 to 1) of requests whose response is lost and that are refused with
     status 503 before they run. unframed is the share of responses without a length or chunks, which end
-    with their connection.
+    with their connection. silence is the share of requests in whose answers the worker says nothing for
+    SILENCE_S at one of PLACES; until silent_until it says nothing at all, but reports if answers_reports.
     """
 
+    SILENCE_S = (0.8, 1.8)
+    PLACES = ("before the first byte", "between head and body")
+
     def __init__(self, name, service, store, record, random):
         super().__init__()
         self.name, self.service, self.store, self.record = name, service, store, record
@@ -282,6 +318,9 @@
         self.state, self.report_sequence, self.started_at_ms = "ready", 0, int(time.time() * 1000)
         self.lose, self.refuse, self.unframed = 0.0, 0.0, 0.2
         self.version = "v1"
+        self.silence, self.silent_until, self.answers_reports = 0.0, 0.0, True
+        # Counts the processes of the worker that have ended.
+        self.process = 0
         # Requests a second that the worker takes from all instances, while it names such a limit.
         self.limit, self.limited_since, self.limited_sends = None, None, []
         # Whether the worker says in its answers that it leaves, and the requests that it gets meanwhile.
@@ -289,6 +328,52 @@
         # Until when the worker turns requests away and asks for a pause, and those that it gets meanwhile.
         self.paused_until, self.paused_sends = 0.0, []
 
+    def crash(self):
+        self.process += 1
+        super().crash()
+
+    async def begin_send(self, request, reader):
+        """Records a request that the worker begins to run, and is silent if that is its place."""
+        place = self.random.choice(self.PLACES) if self.random.random() < self.silence else ""
+        send = Send(self, place)
+        self.record.sends.setdefault(request.header("X-Attempt-Id"), []).append(send)
+        await self.silent(send, "before the first byte", reader)
+        return send
+
+    async def silent(self, send, place, reader):
+        """Says nothing for a while if the worker does so now, or at this place of the answer."""
+        silent_s = self.silent_until - time.monotonic()
+        if send.silent_place == place:
+            send.silent_place = ""
+            silent_s = max(silent_s, self.random.uniform(*self.SILENCE_S))
+        if silent_s > 0:
+            send.silences.append((place, time.monotonic(), silent_s))
+            await asyncio.sleep(silent_s)
+        self.check_process(send)
+        self.check_connection(send, reader)
+
+    def check_process(self, send):
+        """Ends the run of a request whose process has ended."""
+        if send.process != self.process:
+            send.finish("crashed")
+            raise ConnectionAbortedError
+
+    def check_connection(self, send, reader):
+        if send.left_at is None and reader.at_eof():
+            send.left_at = time.monotonic()
+
+    async def put(self, send, reader, writer, data):
+        """Writes a part of an answer; nothing once the connection is closed."""
+        self.check_process(send)
+        self.check_connection(send, reader)
+        if send.left_at:
+            return
+        try:
+            writer.write(data)
+            await writer.drain()
+        except ConnectionError:
+            send.left_at = time.monotonic()
+
     def name_limit(self, limit):
         """Names a limit from now on; None: no limit any more."""
         self.limit, self.limited_since, self.limited_sends = limit, time.monotonic(), []
@@ -327,6 +412,9 @@
         pass
 
     async def handle(self, request, reader, writer):
+        is_report = request.path in ("/report", "/order")
+        if is_report and not self.answers_reports:
+            await asyncio.sleep(max(0, self.silent_until - time.monotonic()))
         expected = request.header("X-Expect-Instance")
         if expected and expected != self.name:
             writer.write(answer_bytes(421, headers=[("X-Instance-Id", self.name)]))
@@ -375,12 +463,20 @@
     async def work(self, request, reader, writer):
         attempt = request.header("X-Attempt-Id")
         self.record.ran(attempt, self.name)
+        send = await self.begin_send(request, reader)
         await asyncio.sleep(self.random.uniform(0.005, 0.03))
+        self.check_process(send)
         if self.random.random() < self.lose:
+            send.finish("lost")
             raise ConnectionResetError
         is_unframed = self.random.random() < self.unframed
-        writer.write(answer_bytes(200, f"{attempt} at {self.name}".encode(), self.headers(request),
-                                  is_unframed))
+        body = f"{attempt} at {self.name}".encode()
+        answer = answer_bytes(200, body, self.headers(request), is_unframed)
+        head = answer[:-len(body)]
+        await self.put(send, reader, writer, head)
+        await self.silent(send, "between head and body", reader)
+        await self.put(send, reader, writer, body)
+        send.finish("finished")
         if is_unframed:
             await self.close_in_order(writer)
 
@@ -389,9 +485,10 @@
     """An inference engine that streams events for its loaded models and executes load and unload orders.
 
     disk names the models whose weights are on the local disk; they load in LOAD_FROM_DISK_S, others in
-    LOAD_S.
+    LOAD_S. A request that names no model gets its events from any engine.
     """
 
+    PLACES = Worker.PLACES + ("inside an event", "between two events")
     EVENTS = 12
     # An engine ends when it begins to answer a request whose prompt has this part, and is back after a while.
     CRASHING_PART = "bad0"
@@ -404,6 +501,7 @@
         super().__init__(*args)
         self.models, self.sizes, self.capacity = list(models), sizes, capacity
         self.disk, self.accepted_orders, self.highest_fence, self.busy = set(models), 0, 0, False
+        self.breaks = self.BREAKS
 
     def forget(self):
         self.models, self.accepted_orders, self.highest_fence, self.busy = [], 0, 0, False
@@ -462,7 +560,8 @@
             await self.register()
 
     async def work(self, request, reader, writer):
-        if request.header("X-Model") not in self.models:
+        model = request.header("X-Model")
+        if model and model not in self.models:
             writer.write(answer_bytes(421, headers=[("X-Instance-Id", self.name)]))
             return
         attempt = request.header("X-Attempt-Id")
@@ -473,26 +572,40 @@
             await asyncio.sleep(0.03)
             self.end_for_a_while()
             raise ConnectionAbortedError
+        send = await self.begin_send(request, reader)
         begun_by = request.header("Resumes") or attempt
         first = int(request.header("Last-Event-Id") or 0) + 1
+        silent_number = self.random.randint(min(first + 1, self.EVENTS), self.EVENTS)
         is_unframed = self.random.random() < self.unframed
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         if not is_unframed:
             lines.append("Transfer-Encoding: chunked")
         lines += [f"{name}: {value}" for name, value in self.headers(request)]
-        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        await self.put(send, reader, writer, "\r\n".join(lines).encode() + b"\r\n\r\n")
+        await self.silent(send, "between head and body", reader)
         for number in range(first, self.EVENTS + 1):
             await asyncio.sleep(0.01)
             event = f"id: {number}\ndata: {begun_by} {self.version} {number}\n\n".encode()
             chunk_head, chunk_end = (b"", b"") if is_unframed else (f"{len(event):x}\r\n".encode(), b"\r\n")
-            if self.random.random() < max(self.lose, self.BREAKS) / self.EVENTS:
-                writer.write(chunk_head + event[:-self.random.randint(1, len(event) - 1)])
+            if self.random.random() < max(self.lose, self.breaks) / self.EVENTS:
+                data = chunk_head + event[:-self.random.randint(1, len(event) - 1)]
+                await self.put(send, reader, writer, data)
+                send.finish("cut short")
                 await self.close_in_order(writer)
-            writer.write(chunk_head + event + chunk_end)
-            await writer.drain()
+            place = "between two events" if number == silent_number else "in the stream"
+            await self.silent(send, place, reader)
+            # Half of the event comes before the silence inside it.
+            data, silent_at = chunk_head + event + chunk_end, len(chunk_head) + len(event) // 2
+            if number == silent_number and send.silent_place == "inside an event":
+                await self.put(send, reader, writer, data[:silent_at])
+                await self.silent(send, "inside an event", reader)
+                data = data[silent_at:]
+            await self.put(send, reader, writer, data)
+        send.finish("finished")
         if is_unframed:
             await self.close_in_order(writer)
-        writer.write(b"0\r\n\r\n")
+        if not send.left_at:
+            writer.write(b"0\r\n\r\n")
 
 
 class Proxy:
