--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -17,7 +17,10 @@
   that were not just disturbed;
 - a whole request ends with a whole answer or a refusal, unless the instance was just disturbed or at the end
   of its grace, the upstream broke the answer, or the time for the request was over;
-- an answer that its upstream gave in full and in time, if after a silence, is not replaced by 502 or 504.
+- an answer that its upstream gave in full and in time, if after a silence, is not replaced by 502 or 504;
+- a request without a prompt that ends its upstream hardly reaches any once three ends are some seconds old,
+  but from instances that were just disturbed; requests beside it, of the same path, caller or body, are not
+  refused because of it.
 
 Prints one JSON line; the exit code is 1 when a check failed. The entry "ends" counts the requests without a
 whole answer by cause, and 502 and 504 with time left.
@@ -66,14 +69,21 @@
 # Time over which the requests to an upstream that names a limit are counted, and the excess allowed.
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
+# Sends of the request that ends its upstream, long after the third end; the share of the sound requests beside
+# it that are served then, at instances that were not just disturbed, and how many are needed to tell.
+MAX_FATAL_SENDS, SOUND_SHARE, MIN_SOUND = 3, 0.9, 20
+QUARANTINE_CODES = {"request_quarantined", "prompt_quarantined"}
+# Faults of the instances or the store, beside which fewer of the sound requests may be served.
+OUTAGES = {"pause", "kill", "terminate", "store_busy", "store_silent", "store_reset", "store_loses",
+           "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact"}
 # Kinds of faults. A run injects several of them at random; they may overlap in time.
 FAULTS = ("pause", "kill", "terminate", "store_busy", "store_silent", "store_reset", "store_loses",
           "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact", "worker_crash",
           "worker_leaves", "worker_says_leaving", "worker_pauses",
           "engine_released", "answers_lost", "workers_refuse", "hangup", "configure", "silence")
-# Faults that last for the whole run: streams that break, requests that crash an engine,
+# Faults that last for the whole run: streams that break, requests that crash an engine or end a service,
 # limits of upstreams, callers that close their side, and in every other run a configuration each second.
-LASTING_FAULTS = ("breaks", "crashing", "limits", "half_close", "configure_steadily")
+LASTING_FAULTS = ("breaks", "crashing", "fatal", "limits", "half_close", "configure_steadily")
 
 
 def known_violations():
@@ -182,7 +192,7 @@
         self.instance, self.generation = connection[:2]
         self.limit_s, self.sent_at, self.ended_at = limit_s, time.monotonic(), None
         self.written_at = self.sent_at
-        self.status, self.failure = None, None
+        self.status, self.failure, self.code = None, None, ""
         # Time since the former answer on the connection.
         self.idle_s, self.is_half_closed = 0.0, False
 
@@ -275,6 +285,10 @@
              "service": "rooms", "max_attempts": 1},
             {**route, "name": "any", "path_prefix": "/any/", "type": "idempotent",
              "backends": weights, "max_attempts": self.random.randint(2, 3)},
+            {**route, "name": "stock", "path_prefix": "/stock/", "type": "idempotent",
+             "service": "stock", "max_attempts": 3},
+            {**route, "name": "order", "path_prefix": "/order/", "type": "non_idempotent",
+             "service": "stock", "max_attempts": 1},
             {**route, "name": "talk", "path_prefix": "/talk/", "type": "stream",
              "service": "chat", "max_attempts": 2, "resumable": True, "gap_target_ms": 250},
             {**route, "name": "listen", "path_prefix": "/listen/", "type": "stream",
@@ -304,7 +318,7 @@
         self.engines = [stand_ins.Engine(f"engine-{i}", "chat", *shared_arguments,
                                          models=MODELS[2 * i:2 * i + 2], sizes=model_sizes_mb,
                                          capacity=CAPACITY_MB) for i in range(3)]
-        self.stock = [stand_ins.Service(f"stock-{i}", "stock", *shared_arguments) for i in range(3)]
+        self.stock = [stand_ins.FragileService(f"stock-{i}", "stock", *shared_arguments) for i in range(3)]
         # Any of these may go on with the streams of another one.
         self.broadcasters = [stand_ins.Engine(f"events-{i}", "events", *shared_arguments) for i in range(3)]
         for engine in self.engines:
@@ -412,13 +426,44 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             self.count("no answer to a request that crashes engines")
 
+    async def fatal_caller(self):
+        """Sends the request that ends its upstream, and sound ones beside it, to random instances."""
+        await asyncio.sleep(1)
+        kind = self.random.choice(("stock", "stock", "order"))
+        pause_s = 1 / self.random.uniform(2, 6)
+        sent = 0
+        while not self.is_over:
+            await asyncio.sleep(pause_s * self.random.uniform(0.5, 1.5))
+            sent += 1
+            prefix = stand_ins.FragileService.FATAL_PREFIX
+            for name, path, body, address in (
+                    (f"{prefix}{sent}", "item", "one", "127.0.0.2"),
+                    (f"sound-caller-{sent}", "item", "one", f"127.0.0.{self.random.randint(3, 5)}"),
+                    (f"sound-body-{sent}", "item", f"one of {sent}", "127.0.0.2"),
+                    (f"sound-path-{sent}", "other", "one", "127.0.0.2")):
+                asyncio.get_running_loop().create_task(
+                    self.ask_once(name, kind, (f"/{kind}/{path}", body), address))
+
+    async def ask_once(self, attempt, kind, target, address):
+        """Sends one request from an address, on a connection of its own."""
+        instance = self.random.choice(self.instances)
+        try:
+            connection = (instance, instance.generation, *await asyncio.open_connection(
+                "127.0.0.1", instance.port, local_addr=(address, 0)))
+            try:
+                await asyncio.wait_for(self.ask(connection, attempt, kind, None, target), DEADLINE_S + 4)
+            finally:
+                connection[3].close()
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            pass
+
     def request_limit_s(self):
         """Returns the least time that a request sent now has, by a configuration that may be in force."""
         is_old = [moment < time.monotonic() - STABLE_S - 2 for moment, _ in self.timeouts_s]
         first = max(sum(is_old) - 1, 0)
         return min(DEADLINE_S, *(timeout_s for _, timeout_s in self.timeouts_s[first:]))
 
-    async def ask(self, connection, attempt, kind, stream, idle_since=None,
+    async def ask(self, connection, attempt, kind, stream, target=None, idle_since=None,
                   is_half_closing=False):
         """Sends one request, checks the response, and returns whether the connection can be reused."""
         exchange = Exchange(attempt, kind, connection, self.request_limit_s())
@@ -426,20 +471,20 @@
         exchange.is_half_closed = is_half_closing
         self.exchanges.append(exchange)
         try:
-            return await self.send_and_read(exchange, connection, stream)
+            return await self.send_and_read(exchange, connection, stream, target)
         except BaseException as failure:
             exchange.finish(type(failure).__name__)
             raise
 
-    async def send_and_read(self, exchange, connection, stream):
+    async def send_and_read(self, exchange, connection, stream, target):
         instance, generation, reader, writer = connection
         attempt, kind = exchange.attempt, exchange.kind
         self.askers[attempt] = instance
         version = self.version
-        method = "POST" if kind in ("once", "talk", "listen") else "GET"
+        method = "POST" if target or kind in ("once", "talk", "listen") else "GET"
         # The limits of some configurations refuse the longer bodies.
         body = ("pay" * self.random.choice((1, 1, 1, 1000))) if method == "POST" else ""
-        path = {"new": f"/v{version}/"}.get(kind, f"/{kind}/") + attempt
+        path, body = target or ({"new": f"/v{version}/"}.get(kind, f"/{kind}/") + attempt, body)
         request_lines = [f"{method} {path} HTTP/1.1", "Host: desk.example", f"X-Attempt-Id: {attempt}",
                  f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}"]
         if kind == "talk":
@@ -464,6 +509,8 @@
             await self.check_events(stream, reader)
         else:
             text = await reader.readexactly(int(headers.get("content-length", "0")))
+            if status >= 400 and not is_signed and text:
+                exchange.code = json.loads(text).get("error", {}).get("code", "")
             if status == 200 and kind in STREAM_KINDS:
                 self.record.rule(f"{attempt} asked for an event stream but got a 200 response "
                                  "with a plain body")
@@ -658,6 +705,30 @@
                 self.record.rule(f"{name}: {exchange.text(sends)}")
         return ends
 
+    def check_fatal_sends(self):
+        """Checks that a request which ends its upstream is kept from them, and sound ones aren't.
+
+        Returns the numbers of ends and late sends, and of the sound requests long after and those served.
+        """
+        sound = [e for e in self.exchanges if e.attempt.startswith("sound-")]
+        for exchange in sound:
+            if exchange.code in QUARANTINE_CODES:
+                self.record.rule(f"{exchange.attempt} was refused because of another request")
+        third_at = self.record.ends[2] if len(self.record.ends) > 2 else time.monotonic()
+        late = [attempt for moment, attempt in self.record.fatal_sends
+                if moment > third_at + STABLE_S and self.askers[attempt].was_undisturbed(moment)]
+        if len(late) > MAX_FATAL_SENDS:
+            self.record.rule(f"a request that had ended three upstreams reached upstreams {len(late)} times "
+                             f"long after: {late[:5]}")
+        # By then the upstreams of the first ends are back.
+        since = third_at + STABLE_S + stand_ins.FragileService.DOWN_S[1]
+        counted = [e for e in sound if e.sent_at > since and e.instance.was_undisturbed(e.sent_at)]
+        served = sum(e.status == 200 and not e.failure for e in counted)
+        if not self.kinds & OUTAGES and len(counted) >= MIN_SOUND and served < SOUND_SHARE * len(counted):
+            self.record.rule(f"of {len(counted)} sound requests {served} were served long after three ends")
+        return {"ends": len(self.record.ends), "late_sends": len(late), "sound": len(counted),
+                "served": served}
+
     async def limit_workers(self):
         """Lets a service and an engine name limits that change."""
         for pause_s, room_limit, engine_limit in ((1.5, 2.0, 3.0), (6.0, 1.0, None), (60.0, None, 4.0)):
@@ -688,6 +759,8 @@
         callers = [loop.create_task(self.caller(n)) for n in range(self.options.callers)]
         if "crashing" in self.kinds:
             callers.append(loop.create_task(self.crashing_caller()))
+        if "fatal" in self.kinds:
+            callers.append(loop.create_task(self.fatal_caller()))
         fault_tasks = [loop.create_task(self.disturb())]
         if "limits" in self.kinds:
             fault_tasks.append(loop.create_task(self.limit_workers()))
@@ -702,7 +775,7 @@
         await asyncio.sleep(0.5)
         self.check_runs()
         self.check_crashing_sends()
-        self.ends = self.check_ends()
+        self.ends, self.fatal = self.check_ends(), self.check_fatal_sends()
         for worker in self.services + self.engines:
             self.check_limit(worker)
         remaining_tasks = asyncio.all_tasks() - {asyncio.current_task()}
@@ -741,7 +814,7 @@
         print(json.dumps({"seed": options.seed, "seconds": round(time.monotonic() - started, 1),
                           "requests": len(soak.outcomes), "answers": soak.counts,
                           "faults": len(soak.faults), "crashing_sends": len(soak.record.crashing_sends),
-                          "ends": soak.ends, "broken": violations, "known_red": known}))
+                          "ends": soak.ends, "fatal": soak.fatal, "broken": violations, "known_red": known}))
     sys.exit(1 if violations else 0)
 
 
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -283,6 +283,8 @@
     def __init__(self):
         self.runs, self.sends = {}, {}
         self.crashing_sends = []
+        # Times and attempts of the sends of the request that ends its upstream, and the times of the ends.
+        self.fatal_sends, self.ends = [], []
         self.broken = []
         self.loads = []
 
@@ -481,6 +483,40 @@
             await self.close_in_order(writer)
 
 
+class FragileService(Service):
+    """A service whose process ends under one request, and comes back under a new id after DOWN_S.
+
+    It does so at the same address or at another one.
+    """
+
+    FATAL_PREFIX = "fatal-"
+    DOWN_S = (0.3, 4.0)
+
+    async def work(self, request, reader, writer):
+        attempt = request.header("X-Attempt-Id")
+        if not attempt.startswith(self.FATAL_PREFIX):
+            await super().work(request, reader, writer)
+            return
+        self.record.ran(attempt, self.name)
+        self.record.fatal_sends.append((time.monotonic(), attempt))
+        send = await self.begin_send(request, reader)
+        await asyncio.sleep(self.random.uniform(0.005, 0.1))
+        send.finish("crashed")
+        if send.process == self.process:
+            self.record.ends.append(time.monotonic())
+            self.crash()
+            asyncio.get_running_loop().create_task(self.come_back())
+        raise ConnectionAbortedError
+
+    async def come_back(self):
+        await asyncio.sleep(self.random.uniform(*self.DOWN_S))
+        former = f"servers/{self.name}"
+        self.name = f"{self.name.partition('.')[0]}.{self.process}"
+        self.port = self.port if self.random.random() < 0.5 else free_port()
+        await self.begin_again()
+        await self.store.remove(former)
+
+
 class Engine(Worker):
     """An inference engine that streams events for its loaded models and executes load and unload orders.
 
