Wait for the end of a request before its test counts open requests

"a request whose handling throws is answered with an internal error" failed in 2 of 4 runs of test-caller: it looked at the number of open requests as soon as it had read the answer, and the server counts a request as ended after it has written the answer.

--- a/tests/caller/unit-exits.cpp
+++ b/tests/caller/unit-exits.cpp
@@ -241,6 +241,10 @@
     CHECK(answer.status == 500);
     REQUIRE_FALSE(answer.body.empty());
     CHECK(codeOf(answer) == "internal");
+    // The count falls after the answer was written.
+    const auto begin = std::chrono::steady_clock::now();
+    while (bed.server->openRequestCount() > 0 && std::chrono::steady_clock::now() - begin < 5s)
+        std::this_thread::sleep_for(1ms);
     CHECK(bed.server->openRequestCount() == 0);
 }
 
@@ -427,9 +431,9 @@
     /// A stream that has begun may end without its end; every other answer is whole.
     void checkAnswers()
     {
-        for (const auto &[id, client] : this->clients) {
-            CAPTURE(id);
-            const ClientAnswer answer = client->read();
+        for (const auto &caller : this->clients) {
+            CAPTURE(caller.first);
+            const ClientAnswer answer = caller.second->read();
             const bool isBegunStream = answer.status == 200 && answer.body.starts_with(event);
             CHECK((answer.isWhole || isBegunStream));
         }
