--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -56,6 +56,8 @@
 LOSS_SLACK_S = 0.2
 # Idle timeouts of the configurations, and the time from which on an idle connection may just be closed.
 IDLE_TIMEOUTS_MS, MIN_IDLE_S = (700, 5000, 15000), 0.5
+# Marks requests that were taken from an upstream which went on to the end, and broken by the next one.
+GIVEN_UP = ", another was given up"
 # How much less than its time a request may have had for its time to count as over, and the time that has to
 # be left when a 502 or 504 counts as too early.
 TIMER_SLACK_S, TIME_LEFT_S = 0.1, 0.5
@@ -215,7 +217,7 @@
             return "end of grace"
         if any(send.is_broken() for send in sends):
             is_given_up = any(send.left_at and send.end == "finished" for send in sends)
-            return "upstream broke it" + (", another was given up" if is_given_up else "")
+            return "upstream broke it" + (GIVEN_UP if is_given_up else "")
         if self.status is None and not sends and self.ended_at - self.written_at <= LOSS_SLACK_S:
             if self.idle_s > MIN_IDLE_S:
                 return "crossed the close when idle"
@@ -258,7 +260,7 @@
         if unknown:
             raise ValueError(f"unknown faults: {sorted(unknown)}")
         # Exchanges in the order of their sends, and the timeout in each configuration with its time.
-        self.exchanges, self.timeouts_s = [], []
+        self.exchanges, self.timeouts_s, self.given_up = [], [], []
         self.random = random.Random(options.seed)
         self.record = stand_ins.Record()
         self.counts, self.outcomes, self.version, self.faults = {}, {}, 0, []
@@ -709,6 +711,8 @@
                 ends[name] = ends.get(name, 0) + 1
             if is_violation:
                 self.record.rule(f"{name}: {exchange.text(sends)}")
+            elif name and GIVEN_UP in name:
+                self.given_up.append(f"{name}: {exchange.text(sends)}")
         return ends
 
     def check_fatal_sends(self):
@@ -820,7 +824,7 @@
         print(json.dumps({"seed": options.seed, "seconds": round(time.monotonic() - started, 1),
                           "requests": len(soak.outcomes), "answers": soak.counts,
                           "faults": len(soak.faults), "crashing_sends": len(soak.record.crashing_sends),
-                          "ends": soak.ends, "fatal": soak.fatal, "broken": violations, "known_red": known}))
+                          "ends": soak.ends, "fatal": soak.fatal, "given_up": soak.given_up, "broken": violations, "known_red": known}))
     sys.exit(1 if violations else 0)
 
 
