--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -248,8 +248,9 @@
         return f"{self.status} though an upstream finished, {excuse or 'without cause'}", excuse is None
 
     def text(self, sends):
-        return (f"{self.attempt} ({self.kind}) to instance {self.instance.number}.{self.generation}, {self.took_s():.2f} of "
-                f"{self.limit_s} s, {self.failure}, body {self.body_bytes}, idle {self.idle_s:.2f} s, sends: {[send.text(self.sent_at) for send in sends]}")
+        return (f"{self.attempt} ({self.kind}) to instance {self.instance.number}.{self.generation}, "
+                f"{self.took_s():.2f} of {self.limit_s} s, {self.failure}, body {self.body_bytes}, "
+                f"idle {self.idle_s:.2f} s, sends: {[send.text(self.sent_at) for send in sends]}")
 
 
 class Soak:
@@ -824,7 +825,8 @@
         print(json.dumps({"seed": options.seed, "seconds": round(time.monotonic() - started, 1),
                           "requests": len(soak.outcomes), "answers": soak.counts,
                           "faults": len(soak.faults), "crashing_sends": len(soak.record.crashing_sends),
-                          "ends": soak.ends, "fatal": soak.fatal, "given_up": soak.given_up, "broken": violations, "known_red": known}))
+                          "ends": soak.ends, "fatal": soak.fatal,
+                          "given_up": soak.given_up, "broken": violations, "known_red": known}))
     sys.exit(1 if violations else 0)
 
 
