--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -4,6 +4,7 @@
 #include "core/log.hpp"
 #include "gateway/exchange_limits.hpp"
 #include "gateway/log_fields.hpp"
+#include "gateway/request_fingerprint.hpp"
 
 #include <algorithm>
 #include <array>
@@ -87,6 +88,13 @@
 {
     this->keepAlive = this->request.isKeepAlive && !this->gateway.isDraining();
     this->attributes = this->gateway.codec.readRequest(this->request.headers());
+    this->callerIdentity = this->attributes.caller.empty() ? this->caller.peerAddress()
+                                                           : this->attributes.caller;
+    this->fingerprint = computeFingerprint({this->request.message.method,
+                                            this->request.headers().find("host"),
+                                            this->request.message.target, this->callerIdentity,
+                                            this->request.body, this->attributes.contentHash});
+    this->subjects = makeSubjects(this->attributes.promptParts, this->fingerprint);
     if (!this->index) {
         co_await this->refuse(
                 Error(ErrorKind::NotReady, "no routing configuration has been received yet"),
@@ -104,7 +112,7 @@
                      + std::min(this->attributes.callerTimeout.value_or(this->route->timeout),
                                 this->route->timeout);
     this->watchCaller();
-    if (this->isResumption() && !this->isPromptQuarantined())
+    if (this->isResumption() && !this->isQuarantined())
         co_await this->findStreamOrigin();
     if (!this->selectService()) {
         co_await this->refuse(
@@ -208,14 +216,15 @@
 /// Binds the stream to the version of the current upstream, once a part of it was received; returns
 /// false if the stream began at another version.
 ///
-/// If the upstream has started again with another version since the request was sent, either of the
-/// two processes may have sent the part, so that the version is not known any more.
+/// If the upstream has started again since the request was sent, and not with the same version,
+/// either of the two processes may have sent the part, so that the version is not known any more.
 bool RequestExchange::bindStreamVersion()
 {
     const UpstreamTable::Entry *entry = this->gateway.table.find(this->attempt.upstream);
-    const bool isAmbiguous = entry != nullptr && entry->process() != this->attempt.process
-                             && entry->registered.softwareVersion != this->attempt.version;
-    const SoftwareVersion version = isAmbiguous ? SoftwareVersion() : this->attempt.version;
+    SoftwareVersion version = this->attempt.version;
+    if (entry != nullptr && entry->softwareVersion() != version)
+        version = entry->process() == this->attempt.process ? entry->softwareVersion()
+                                                            : SoftwareVersion();
     if (this->requiredVersion == version)
         return true;
     if (this->requiredVersion && this->beginSend != this->attempt.number)
@@ -274,34 +283,36 @@
     return this->service->engine.has_value() && !this->target.target.model.isEmpty();
 }
 
-/// Whether none of the route's services would get the request because of its prompt.
-bool RequestExchange::isPromptQuarantined() const
+/// Whether none of the route's services would get the request because of the quarantine.
+bool RequestExchange::isQuarantined() const
 {
     const auto &services = this->route->services;
     return std::all_of(services.begin(), services.end(), [this](const WeightedService &weighted) {
-        return this->gateway.quarantine.isRefused(weighted.service, this->attributes.promptParts);
+        return this->gateway.quarantine.isRefused(weighted.service, this->subjects);
     });
 }
 
 /// Returns whether the quarantine lets the request be sent; if not, keeps the refusal.
-bool RequestExchange::admitPrompt()
+bool RequestExchange::admitByQuarantine()
 {
     const QuarantineDecision decision
-            = this->gateway.quarantine.admit(this->service->id, this->attributes.promptParts);
+            = this->gateway.quarantine.admit(this->service->id, this->subjects);
     if (decision.kind != QuarantineDecision::Kind::Refused)
         return true;
     this->quarantineRefusal = decision;
-    this->lastFault = fmt::format("requests with the prompt part \"{}\" crash upstreams",
-                                  decision.part.value());
+    this->lastFault = decision.subject.kind == SubjectKind::Request
+                              ? std::string("this request crashes upstreams")
+                              : fmt::format("requests with the prompt part \"{}\" crash upstreams",
+                                            decision.subject.id);
     return false;
 }
 
 Awaitable<void> RequestExchange::runAttempts()
 {
     while (!this->isCallerGone) {
-        const bool isRefused = this->gateway.quarantine.isRefused(this->service->id,
-                                                                  this->attributes.promptParts);
-        if (isRefused && !this->admitPrompt())
+        const bool isRefused
+                = this->gateway.quarantine.isRefused(this->service->id, this->subjects);
+        if (isRefused && !this->admitByQuarantine())
             break;
         UpstreamSelection selection = co_await this->selectPermittedUpstream();
         if (this->isCallerGone)
@@ -316,8 +327,8 @@
             this->lastFault = stoppingReason;
             break;
         }
-        // The part may have been quarantined while the request waited for an upstream.
-        if (!this->admitPrompt())
+        // The request may have been quarantined while it waited for an upstream.
+        if (!this->admitByQuarantine())
             break;
         const AttemptOutcome outcome = co_await this->runAttempt(*selection.upstream);
         if (outcome == AttemptOutcome::Finished || this->isCallerGone)
@@ -370,7 +381,7 @@
 {
     this->attempt = Attempt();
     this->attempt.upstream = entry.registered.id;
-    this->attempt.version = entry.registered.softwareVersion;
+    this->attempt.version = entry.softwareVersion();
     this->attempt.process = entry.process();
     this->attempt.endpoint = entry.registered.endpoint;
     this->attempt.number = ++this->sends;
@@ -682,8 +693,8 @@
     if (entry == nullptr || entry->isLeaving())
         return;
     this->gateway.quarantine.checkForCrash({this->attempt.process, this->attempt.endpoint,
-                                            this->service->id, this->attributes.id,
-                                            this->attributes.promptParts});
+                                            this->service->id, this->attributes.id, this->subjects,
+                                            this->now() - this->attempt.sentAt});
 }
 
 /// Returns the id of the last event that the caller has; empty when the stream begins.
@@ -746,12 +757,12 @@
                                                 latency);
 }
 
-/// Counts an answer whose end the upstream has stated as evidence that the prompt is sound.
+/// Counts an answer whose end the upstream has stated as evidence that the request is sound.
 void RequestExchange::recordCompletion()
 {
     if (this->attempt.answerEnd
         && this->attempt.answerEnd->framing != upstream::BodyFraming::ConnectionClose)
-        this->gateway.quarantine.recordCompletion(this->service->id, this->attributes.promptParts);
+        this->gateway.quarantine.recordCompletion(this->service->id, this->subjects);
 }
 
 void RequestExchange::recordEventTime()
@@ -811,8 +822,11 @@
         co_return;
     }
     if (this->quarantineRefusal && this->possibleRuns == 0) {
-        co_await this->refuse(Error(ErrorKind::PromptQuarantined, this->lastFault),
-                              this->quarantineRefusal->retryAfter);
+        const bool isRequest = this->quarantineRefusal->subject.kind == SubjectKind::Request;
+        co_await this->refuse(
+                Error(isRequest ? ErrorKind::RequestQuarantined : ErrorKind::PromptQuarantined,
+                      this->lastFault),
+                this->quarantineRefusal->retryAfter);
         co_return;
     }
     if (this->possibleRuns > 0) {
@@ -936,6 +950,8 @@
               {"resumes", this->attributes.resumedRequest.value()},
               {"resumed_after", this->attributes.lastEventId},
               {"prompt_parts", formatPromptParts(this->attributes.promptParts)},
+              {"caller", this->callerIdentity},
+              {"fingerprint", this->fingerprint.value()},
               {"model", this->attributes.target.model.value()},
               {"adapter", this->attributes.target.adapter.value()},
               {"sends", std::to_string(this->sends)},
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -9,6 +9,8 @@
 #include "gateway/routing_configuration.hpp"
 #include "gateway/upstream_process.hpp"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -119,9 +121,18 @@
         {
             return this->registered.isLeaving || this->leavingStart == this->process().startedAt;
         }
+        /// The latest process that is known, by its registration or by a report of the owner.
         UpstreamProcess process() const
         {
-            return {this->registered.id, this->registered.residency.version.startedAt};
+            return {this->registered.id, std::max(this->registered.residency.version.startedAt,
+                                                  this->residency.version.startedAt)};
+        }
+        /// Software version of that process; empty while its registration has not been read.
+        SoftwareVersion softwareVersion() const
+        {
+            const bool isRegistered
+                    = this->process().startedAt == this->registered.residency.version.startedAt;
+            return isRegistered ? this->registered.softwareVersion : SoftwareVersion();
         }
     };
 
@@ -132,8 +143,17 @@
     /// @return false when the registration is older than the known one; it is ignored
     bool applyRegistration(RegisteredUpstream upstream, TimePoint now);
 
-    /// @brief Records that a process said that it is shutting down.
-    /// @return whether that is new; false for a process that is not the registered one
+    /// @brief Whether other instances need a registration that was just read: the upstream is new
+    /// or restarted, or began or stopped leaving. One that only says otherwise what it holds is not
+    /// relevant to them.
+    bool isRelevantToOthers(const RegisteredUpstream &upstream) const;
+
+    /// Upstreams whose leaving is remembered; the one that started first is forgotten first.
+    static constexpr std::size_t maxLeavingUpstreams = 4096;
+
+    /// @brief Records that a process said that it is shutting down, also one whose registration
+    /// has not been read yet.
+    /// @return whether that is new; false for a process that is earlier than the latest known one
     bool recordLeaving(const UpstreamProcess &process);
 
     /// @brief Removes an upstream.
@@ -179,8 +199,13 @@
     const std::map<UpstreamId, Entry> &entries() const noexcept { return this->byId; }
 
 private:
+    bool rememberLeaving(const UpstreamProcess &process);
+
     std::map<UpstreamId, Entry> byId;
     std::map<ServiceId, std::set<SoftwareVersion>> seenVersions;
+    /// Start of the latest process of each upstream that said that it is shutting down, also of
+    /// those that are not known, or not any more.
+    std::map<UpstreamId, std::uint64_t> leavingStarts;
 };
 
 } // namespace bamboochute::gateway
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -30,6 +30,24 @@
     return text.replace(text.find("test-id: r1"), 11, "test-id: " + id);
 }
 
+/// A request of a caller that names itself.
+std::string callerRequest(const std::string &id, const std::string &caller, const std::string &path,
+                          const std::string &body)
+{
+    std::string text = request(path, body, "test-caller: " + caller + "\r\n");
+    return text.replace(text.find("test-id: r1"), 11, "test-id: " + id);
+}
+
+/// Waits until the reports of crashes have been evaluated, or for a second.
+void waitForQuarantine(RelayFixture &fixture)
+{
+    for (int i = 0; i < 100; ++i) {
+        if (fixture.metrics.gauge("bamboochute_quarantined_requests").value() > 0)
+            return;
+        std::this_thread::sleep_for(10ms);
+    }
+}
+
 } // namespace
 
 TEST_CASE("a request and its answer are relayed unchanged but for headers that are not forwarded")
@@ -463,6 +481,52 @@
     CHECK(newVersion.requests().empty());
 }
 
+// Guards against a stream that counts as one of the software version that its upstream had before
+// the start that so far only the placement owner has reported.
+TEST_CASE("a stream of a process whose registration is not read yet has no known version")
+{
+    const std::string firstEvent = streamAnswer("id: 1\ndata: a\n\n", false);
+    const std::string rest = streamAnswer("id: 2\ndata: b\n\n", true);
+    Script begun{firstEvent, true};
+    begun.delay = 100ms;
+    ScriptedUpstream formerVersion({{rest}, {rest}});
+    SUBCASE("it goes on nowhere")
+    {
+        ScriptedUpstream restarted({begun});
+        RelayFixture fixture({&restarted, &formerVersion}, {"v1", "v1"});
+        fixture.reportRestart(0);
+        const std::string got = fixture.call(request("/stream/"));
+        CHECK(containsText(got, "id: 1\n"));
+        CHECK_FALSE(got.ends_with("0\r\n\r\n"));
+        CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with("HTTP/1.1 503 "));
+        CHECK(formerVersion.requests().empty());
+    }
+    SUBCASE("it goes on at the version of the registration that is read while it runs")
+    {
+        ScriptedUpstream restarted({begun});
+        ScriptedUpstream newVersion({{rest}});
+        RelayFixture fixture({&restarted, &formerVersion, &newVersion}, {"v1", "v1", "v2"});
+        fixture.reportRestart(0);
+        std::future<std::string> answer
+                = std::async(std::launch::async, [&] { return fixture.call(request("/stream/")); });
+        std::this_thread::sleep_for(50ms);
+        fixture.restartUpstream(0, "v2");
+        CHECK(answer.get().ends_with("0\r\n\r\n"));
+        CHECK(formerVersion.requests().empty());
+        CHECK(newVersion.requests().size() == 1);
+    }
+    SUBCASE("another stream does not go on there, even if its version is not known either")
+    {
+        ScriptedUpstream first({begun});
+        ScriptedUpstream restarted({{rest}});
+        RelayFixture fixture({&first, &restarted}, {"v1", "v1"});
+        fixture.reportRestart(0);
+        fixture.reportRestart(1);
+        CHECK_FALSE(fixture.call(request("/stream/")).ends_with("0\r\n\r\n"));
+        CHECK(restarted.requests().empty());
+    }
+}
+
 // Guards against events of another version at an upstream that was to go on with a stream.
 TEST_CASE("a stream is cut if the upstream that goes on with it started again meanwhile")
 {
@@ -557,6 +621,145 @@
     CHECK(fixture.metrics.counter("bamboochute_crash_broken_requests_total").value() == expected);
 }
 
+// Guards against a whole request crashing upstream after upstream, though nothing but itself is to
+// blame and it has no prompt.
+TEST_CASE("a request that crashes upstreams is refused after three crashes")
+{
+    const Script script{answer(200, "sound"), false, false, "test-caller: bad"};
+    std::vector<std::unique_ptr<ScriptedUpstream>> owned;
+    std::vector<ScriptedUpstream *> upstreams;
+    for (int i = 0; i < 12; ++i) {
+        owned.push_back(std::make_unique<ScriptedUpstream>(std::vector<Script>(20, script)));
+        upstreams.push_back(owned.back().get());
+    }
+    RelayFixture fixture(upstreams);
+    const auto countSends = [&] {
+        std::size_t sends = 0;
+        for (const ScriptedUpstream *upstream : upstreams) {
+            for (const std::string &received : upstream->requests())
+                sends += containsText(received, "test-caller: bad");
+        }
+        return sends;
+    };
+    for (int i = 0; i < 2; ++i)
+        CHECK(fixture.call(callerRequest("r" + std::to_string(i), "bad", "/plain/a", "body"))
+                      .starts_with("HTTP/1.1 502 "));
+    const std::size_t sends = countSends();
+    CHECK(sends == 4);
+    waitForQuarantine(fixture);
+
+    SUBCASE("further ones are refused as not run, with Retry-After")
+    {
+        for (int i = 0; i < 8; ++i) {
+            const std::string got = fixture.call(
+                    callerRequest("s" + std::to_string(i), "bad", "/plain/a", "body"));
+            CHECK(got.starts_with("HTTP/1.1 503 "));
+            CHECK(containsText(got, "Retry-After: "));
+            CHECK(containsText(got, "request_quarantined"));
+        }
+        CHECK(countSends() == sends);
+    }
+    SUBCASE("other requests of the same path and caller are sent")
+    {
+        CHECK_FALSE(fixture.call(callerRequest("s1", "bad", "/plain/a", "other"))
+                            .starts_with("HTTP/1.1 503 "));
+        CHECK(countSends() > sends);
+    }
+    SUBCASE("the same request of another caller is served")
+    {
+        CHECK(fixture.call(callerRequest("s1", "good", "/plain/a", "body"))
+                      .starts_with("HTTP/1.1 200 "));
+    }
+}
+
+// Guards against crashes that are missed because the upstream is back before a connection to it is
+// refused.
+TEST_CASE("a request that crashes upstreams is refused although they are back at once")
+{
+    const Script ending{"", true};
+    ScriptedUpstream first(std::vector<Script>(20, ending));
+    ScriptedUpstream second(std::vector<Script>(20, ending));
+    RelayFixture fixture({&first, &second});
+    const auto crashBoth = [&](const std::string &id, bool isRestarted) {
+        CHECK(fixture.call(callerRequest(id, "bad", "/plain/a", "body"))
+                      .starts_with("HTTP/1.1 502 "));
+        for (std::size_t i = 0; i < 2 && isRestarted; ++i)
+            fixture.restartUpstream(i, "v1");
+    };
+    const auto countSends = [&] {
+        std::size_t sends = 0;
+        for (const ScriptedUpstream *upstream : {&first, &second}) {
+            for (const std::string &received : upstream->requests())
+                sends += containsText(received, "test-caller: bad");
+        }
+        return sends;
+    };
+
+    SUBCASE("each registers as another process after the request has broken")
+    {
+        crashBoth("r1", true);
+        std::this_thread::sleep_for(300ms);
+        crashBoth("r2", true);
+        waitForQuarantine(fixture);
+        CHECK(fixture.call(callerRequest("r3", "bad", "/plain/a", "body"))
+                      .starts_with("HTTP/1.1 503 "));
+        CHECK(countSends() == 4);
+    }
+    SUBCASE("connections that were only cut are no crashes")
+    {
+        for (int i = 0; i < 3; ++i)
+            crashBoth("r" + std::to_string(i), false);
+        std::this_thread::sleep_for(300ms);
+        crashBoth("r3", false);
+        CHECK(countSends() == 8);
+    }
+    SUBCASE("an upstream that says that it leaves ends without a crash")
+    {
+        for (int i = 0; i < 3; ++i) {
+            CHECK(fixture.call(callerRequest("r" + std::to_string(i), "bad", "/plain/a", "body"))
+                          .starts_with("HTTP/1.1 502 "));
+            fixture.markLeaving(0);
+            fixture.markLeaving(1);
+            std::this_thread::sleep_for(300ms);
+            fixture.restartUpstream(0, "v1");
+            fixture.restartUpstream(1, "v1");
+        }
+        CHECK(fixture.call(callerRequest("r3", "bad", "/plain/a", "body"))
+                      .starts_with("HTTP/1.1 502 "));
+        CHECK(countSends() == 8);
+    }
+}
+
+// Guards against crashes that are missed because upstreams keep accepting connections until their
+// registration is removed.
+TEST_CASE("a process whose registration is removed after it broke a request has crashed")
+{
+    const Script ending{"", true};
+    std::vector<std::unique_ptr<ScriptedUpstream>> owned;
+    std::vector<ScriptedUpstream *> upstreams;
+    for (int i = 0; i < 4; ++i) {
+        owned.push_back(std::make_unique<ScriptedUpstream>(std::vector<Script>(20, ending)));
+        upstreams.push_back(owned.back().get());
+    }
+    RelayFixture fixture(upstreams);
+    const auto call = [&](const std::string &id) {
+        return fixture.call(callerRequest(id, "bad", "/plain/a", "body"));
+    };
+    const auto removeBroken = [&] {
+        for (std::size_t i = 0; i < upstreams.size(); ++i) {
+            if (!upstreams[i]->requests().empty())
+                fixture.removeUpstream(i);
+        }
+    };
+    CHECK(call("r1").starts_with("HTTP/1.1 502 "));
+    removeBroken();
+    std::this_thread::sleep_for(300ms);
+    CHECK(call("r2").starts_with("HTTP/1.1 502 "));
+    removeBroken();
+    waitForQuarantine(fixture);
+    CHECK(containsText(call("r3"), "request_quarantined"));
+}
+
 // Guards against an upstream getting more requests a second than it takes from all instances.
 TEST_CASE("an upstream that names a limit gets no more requests than that")
 {
