--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -17,6 +17,8 @@
 LOWEST_PORT = 10000
 SIGNATURE = "X-Server-Signature"
 MAX_STORED_EVENTS = 2000
+# Ports that free_port() has returned; some are bound only later.
+given_ports = set()
 
 
 def free_port():
@@ -27,10 +29,13 @@
     ephemeral = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()
     while True:
         port = random.SystemRandom().randrange(LOWEST_PORT, int(ephemeral[0]))
+        if port in given_ports:
+            continue
         try:
             with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
                 tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
+            given_ports.add(port)
             return port
         except OSError:
             continue
