--- a/tests/gateway/unit-request_fingerprint.cpp
+++ b/tests/gateway/unit-request_fingerprint.cpp
@@ -13,12 +13,30 @@
     CHECK(computeFingerprint(content) == fingerprint);
 
     RequestContent other = content;
-    SUBCASE("method") { other.method = "PUT"; }
-    SUBCASE("host") { other.host = "lobby"; }
-    SUBCASE("path and query") { other.target = "/plain/a?b=d"; }
-    SUBCASE("caller") { other.caller = "10.0.0.2"; }
-    SUBCASE("body") { other.body = "Body"; }
-    SUBCASE("headers") { other.headerHash = 8; }
+    SUBCASE("method")
+    {
+        other.method = "PUT";
+    }
+    SUBCASE("host")
+    {
+        other.host = "lobby";
+    }
+    SUBCASE("path and query")
+    {
+        other.target = "/plain/a?b=d";
+    }
+    SUBCASE("caller")
+    {
+        other.caller = "10.0.0.2";
+    }
+    SUBCASE("body")
+    {
+        other.body = "Body";
+    }
+    SUBCASE("headers")
+    {
+        other.headerHash = 8;
+    }
     SUBCASE("bytes that move from one part to the next")
     {
         other.method = "POSTd";
