Recognise a request that crashes upstreams whoever sends it

Cause: the fingerprint of a request has the caller, and that is the address of its connection.

Change: a request has a second fingerprint without its caller. The one of a caller is judged first. That of any caller is quarantined if it was in three crashes of two attempts, came from at least two callers and was not answered in full for any of them; crashes that are explained by one caller's fingerprint count for it. So the same request of another caller is sent as long as one caller alone crashes upstreams with it.

--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/quarantine.cpp
@@ -102,7 +102,9 @@
     // Both kinds are found before either is quarantined, because a request explains no crash for
     // the parts of its own prompt.
     const std::optional<Suspect> part = this->findPromptPart(service, now);
-    const std::vector<Suspect> requests = this->findRequests(service, now);
+    std::vector<Suspect> requests = this->findRequests(service, false, now);
+    if (requests.empty())
+        requests = this->findRequests(service, true, now);
     bool isAnyNew = false;
     if (part && this->reservePlace(SubjectKind::PromptPart, false)) {
         this->quarantine({service, part->subject}, *part, QuarantineCause::Crashes, now);
@@ -168,14 +170,19 @@
 
 /// Finds the requests that are in most of the crashes which no quarantined subject explains: one,
 /// or several that were in the same crashes.
+/// @param isAnyCaller whether they are to blame whoever sends them
 std::vector<Quarantine::Suspect> Quarantine::findRequests(const ServiceId &service,
-                                                          TimePoint now) const
+                                                          bool isAnyCaller, TimePoint now) const
 {
     const std::vector<const Crash *> crashes = this->findSettled(service, now);
     std::vector<Suspect> suspects;
     for (auto &[subject, suspect] : this->collectSuspects(service, SubjectKind::Request, crashes)) {
+        if (isOfAnyCaller(subject.id) != isAnyCaller)
+            continue;
         const bool isWave = suspect.crashes == 1 && this->isOneOfMany(suspect, crashes);
         suspect.crashes = static_cast<std::uint32_t>(suspect.processes.size());
+        if (isAnyCaller && isOfOneCaller(suspect, crashes))
+            continue;
         if (suspect.crashes >= this->limits.requestMinCrashes && !isWave
             && suspect.requests >= this->limits.requestMinAttempts
             && !this->isBlameless({service, subject}, suspect.crashes))
@@ -194,6 +201,27 @@
     return {};
 }
 
+/// Whether a request came from one caller in all crashes that it was in.
+bool Quarantine::isOfOneCaller(const Suspect &suspect, const std::vector<const Crash *> &crashes)
+{
+    std::optional<std::set<QuarantineSubject>> candidates;
+    for (const Crash *crash : crashes) {
+        const auto broken = crash->requests.find(suspect.subject);
+        if (broken == crash->requests.end())
+            continue;
+        std::set<QuarantineSubject> here;
+        for (const auto &[subject, requests] : crash->requests) {
+            const bool isCandidate = subject.kind == SubjectKind::Request
+                                     && !isOfAnyCaller(subject.id) && requests == broken->second
+                                     && (!candidates || candidates->contains(subject));
+            if (isCandidate)
+                here.insert(subject);
+        }
+        candidates = std::move(here);
+    }
+    return candidates && !candidates->empty();
+}
+
 /// Whether a process without the suspect ended at about the same time as those with it, as in a
 /// loss of many upstreams.
 bool Quarantine::isOneOfMany(const Suspect &suspect,
@@ -257,7 +285,8 @@
 }
 
 /// Whether a quarantined subject explains a crash. A quarantined request does not for the parts of
-/// its own prompt, each of which may be what makes it crash.
+/// its own prompt, each of which may be what makes it crash, nor that of one caller for the same
+/// one of any caller.
 bool Quarantine::isExplained(const ServiceId &service, const Crash &crash,
                              const QuarantineSubject &suspect) const
 {
@@ -269,7 +298,9 @@
         const auto &[subject, requests] = item;
         if (!this->isQuarantined({service, subject}))
             return false;
-        return subject.kind == suspect.kind || subject.kind == SubjectKind::PromptPart
+        const bool isNarrower = isOfAnyCaller(suspect.id) && !isOfAnyCaller(subject.id);
+        return (subject.kind == suspect.kind && !isNarrower)
+               || subject.kind == SubjectKind::PromptPart
                || std::none_of(requests.begin(), requests.end(), isOfSuspect);
     });
 }
--- a/src/gateway/quarantine.hpp
+++ b/src/gateway/quarantine.hpp
@@ -253,8 +253,10 @@
     bool quarantineCulprits(const ServiceId &service, TimePoint now);
     std::vector<const Crash *> findSettled(const ServiceId &service, TimePoint now) const;
     std::optional<Suspect> findPromptPart(const ServiceId &service, TimePoint now) const;
+    static bool isOfOneCaller(const Suspect &suspect, const std::vector<const Crash *> &crashes);
     bool isOneOfMany(const Suspect &suspect, const std::vector<const Crash *> &crashes) const;
-    std::vector<Suspect> findRequests(const ServiceId &service, TimePoint now) const;
+    std::vector<Suspect> findRequests(const ServiceId &service, bool isAnyCaller,
+                                      TimePoint now) const;
     std::map<QuarantineSubject, Suspect>
     collectSuspects(const ServiceId &service, SubjectKind kind,
                     const std::vector<const Crash *> &crashes) const;
--- a/src/gateway/quarantine_subject.cpp
+++ b/src/gateway/quarantine_subject.cpp
@@ -8,14 +8,17 @@
 }
 
 std::vector<QuarantineSubject> makeSubjects(const std::vector<PromptPartId> &promptParts,
-                                            const RequestFingerprint &fingerprint)
+                                            const RequestFingerprints &fingerprints)
 {
     std::vector<QuarantineSubject> subjects;
-    subjects.reserve(promptParts.size() + 1);
+    subjects.reserve(promptParts.size() + 2);
     for (const PromptPartId &part : promptParts)
         subjects.push_back({SubjectKind::PromptPart, part.value()});
-    if (!fingerprint.isEmpty())
-        subjects.push_back({SubjectKind::Request, fingerprint.value()});
+    for (const RequestFingerprint &fingerprint :
+         {fingerprints.ofCaller, fingerprints.ofAnyCaller}) {
+        if (!fingerprint.isEmpty())
+            subjects.push_back({SubjectKind::Request, fingerprint.value()});
+    }
     return subjects;
 }
 
--- a/src/gateway/quarantine_subject.hpp
+++ b/src/gateway/quarantine_subject.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/ids.hpp"
+#include "gateway/request_fingerprint.hpp"
 
 #include <cstdint>
 #include <string>
@@ -16,7 +17,7 @@
 enum class SubjectKind : std::uint8_t {
     /// A part that the prompts of several requests may share.
     PromptPart,
-    /// A whole request, in all of its attempts.
+    /// A whole request, in all of its attempts, of one caller or of any.
     Request
 };
 
@@ -34,7 +35,7 @@
 
 /// @brief Returns the subjects of one request.
 std::vector<QuarantineSubject> makeSubjects(const std::vector<PromptPartId> &promptParts,
-                                            const RequestFingerprint &fingerprint);
+                                            const RequestFingerprints &fingerprints);
 
 /// @brief Formats the ids of the subjects of one kind, separated by spaces.
 std::string formatSubjects(const std::vector<QuarantineSubject> &subjects, SubjectKind kind);
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -90,11 +90,11 @@
     this->attributes = this->gateway.codec.readRequest(this->request.headers());
     this->callerIdentity = this->attributes.caller.empty() ? this->caller.peerAddress()
                                                            : this->attributes.caller;
-    this->fingerprint = computeFingerprint({this->request.message.method,
-                                            this->request.headers().find("host"),
-                                            this->request.message.target, this->callerIdentity,
-                                            this->request.body, this->attributes.contentHash});
-    this->subjects = makeSubjects(this->attributes.promptParts, this->fingerprint);
+    this->fingerprints = computeFingerprints({this->request.message.method,
+                                              this->request.headers().find("host"),
+                                              this->request.message.target, this->callerIdentity,
+                                              this->request.body, this->attributes.contentHash});
+    this->subjects = makeSubjects(this->attributes.promptParts, this->fingerprints);
     if (!this->index) {
         co_await this->refuse(
                 Error(ErrorKind::NotReady, "no routing configuration has been received yet"),
@@ -951,7 +951,7 @@
               {"resumed_after", this->attributes.lastEventId},
               {"prompt_parts", formatPromptParts(this->attributes.promptParts)},
               {"caller", this->callerIdentity},
-              {"fingerprint", this->fingerprint.value()},
+              {"fingerprint", formatSubjects(this->subjects, SubjectKind::Request)},
               {"model", this->attributes.target.model.value()},
               {"adapter", this->attributes.target.adapter.value()},
               {"sends", std::to_string(this->sends)},
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -188,7 +188,7 @@
     RequestAttributes attributes;
     /// Address of the caller's connection, unless the request names its caller.
     std::string callerIdentity;
-    RequestFingerprint fingerprint;
+    RequestFingerprints fingerprints;
     /// What may be to blame if the request crashes an upstream.
     std::vector<QuarantineSubject> subjects;
     RouteIndexPointer index;
--- a/src/gateway/request_fingerprint.hpp
+++ b/src/gateway/request_fingerprint.hpp
@@ -24,7 +24,19 @@
     std::uint64_t headerHash = 0;
 };
 
-/// @brief Computes the fingerprint of a request; takes a time that is proportional to its length.
-RequestFingerprint computeFingerprint(const RequestContent &content);
+/// @brief What identifies a request: with its caller, and as the same request of any caller, as one
+/// caller may come from several addresses.
+struct RequestFingerprints
+{
+    RequestFingerprint ofCaller;
+    RequestFingerprint ofAnyCaller;
+    auto operator<=>(const RequestFingerprints &) const = default;
+};
+
+/// @brief Computes the fingerprints of a request; takes a time that is proportional to its length.
+RequestFingerprints computeFingerprints(const RequestContent &content);
+
+/// @brief Whether a fingerprint is RequestFingerprints::ofAnyCaller of a request.
+bool isOfAnyCaller(std::string_view fingerprint) noexcept;
 
 } // namespace bamboochute::gateway
--- a/tests/gateway/unit-quarantine.cpp
+++ b/tests/gateway/unit-quarantine.cpp
@@ -336,11 +336,15 @@
     std::string id;
     std::string fingerprint;
     std::vector<std::string> parts = {};
+    /// Fingerprint of the same request of any caller.
+    std::string ofAnyCaller = {};
 
     std::vector<QuarantineSubject> subjects() const
     {
         std::vector<QuarantineSubject> subjects = makeParts(this->parts);
         subjects.push_back({SubjectKind::Request, this->fingerprint});
+        if (!this->ofAnyCaller.empty())
+            subjects.push_back({SubjectKind::Request, this->ofAnyCaller});
         return subjects;
     }
 };
@@ -442,6 +446,50 @@
     }
 }
 
+TEST_CASE("a request that crashes upstreams for several callers is quarantined for all of them")
+{
+    RequestScene scene;
+    const std::string bad = "any-bad";
+    const auto attempt = [&bad](const std::string &id, const std::string &caller) {
+        return Attempt{id, caller, {}, bad};
+    };
+    const auto refuses = [&](const std::string &caller) {
+        return scene.quarantine.isRefused(service, attempt("", caller).subjects(), false,
+                                          scene.now);
+    };
+
+    SUBCASE("after three crashes of two callers")
+    {
+        scene.crash({attempt("a1", "c1"), {"x", "beside"}});
+        scene.crash({attempt("a1", "c1"), {"x", "beside"}});
+        CHECK_FALSE(refuses("c3"));
+        scene.crash({attempt("a2", "c2")});
+        CHECK(refuses("c3"));
+        CHECK_FALSE(scene.refuses("beside"));
+    }
+    SUBCASE("one caller's request alone leaves the same one of others alone")
+    {
+        scene.crash({attempt("a1", "c1")});
+        scene.crash({attempt("a1", "c1")});
+        scene.crash({attempt("a2", "c1")});
+        CHECK(refuses("c1"));
+        CHECK_FALSE(refuses("c3"));
+
+        SUBCASE("until it crashes an upstream for one of them too")
+        {
+            scene.crash({attempt("a3", "c2")});
+            CHECK(refuses("c3"));
+        }
+        SUBCASE("and one that is answered in full clears it for all but the first")
+        {
+            scene.quarantine.recordCompletion(service, attempt("b1", "c2").subjects(), scene.now);
+            scene.crash({attempt("a3", "c2")});
+            CHECK(refuses("c1"));
+            CHECK_FALSE(refuses("c3"));
+        }
+    }
+}
+
 TEST_CASE("a request that crashes three processes within milliseconds is quarantined")
 {
     RequestScene scene;
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -672,6 +672,40 @@
     }
 }
 
+// Guards against a request that goes on crashing upstreams because each of its attempts comes from
+// another address.
+TEST_CASE("a request that crashes upstreams for several callers is refused to all of them")
+{
+    const Script script{answer(200, "sound"), false, false, "fatal"};
+    std::vector<std::unique_ptr<ScriptedUpstream>> owned;
+    std::vector<ScriptedUpstream *> upstreams;
+    for (int i = 0; i < 12; ++i) {
+        owned.push_back(std::make_unique<ScriptedUpstream>(std::vector<Script>(20, script)));
+        upstreams.push_back(owned.back().get());
+    }
+    RelayFixture fixture(upstreams);
+    for (int i = 0; i < 2; ++i) {
+        const std::string number = std::to_string(i);
+        CHECK(fixture.call(callerRequest("r" + number, "c" + number, "/plain/a", "fatal"))
+                      .starts_with("HTTP/1.1 502 "));
+    }
+    waitForQuarantine(fixture);
+
+    SUBCASE("further ones are refused as not run")
+    {
+        const std::string got = fixture.call(callerRequest("s1", "c9", "/plain/a", "fatal"));
+        CHECK(got.starts_with("HTTP/1.1 503 "));
+        CHECK(containsText(got, "request_quarantined"));
+    }
+    SUBCASE("other requests of their callers are served")
+    {
+        CHECK(fixture.call(callerRequest("s1", "c1", "/plain/a", "other"))
+                      .starts_with("HTTP/1.1 200 "));
+        CHECK(fixture.call(callerRequest("s2", "c1", "/plain/b", "body"))
+                      .starts_with("HTTP/1.1 200 "));
+    }
+}
+
 // Guards against crashes that are missed because the upstream is back before a connection to it is
 // refused.
 TEST_CASE("a request that crashes upstreams is refused although they are back at once")
