--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -38,6 +38,33 @@
     return text.replace(text.find("test-id: r1"), 11, "test-id: " + id);
 }
 
+/// Twelve upstreams that follow the same script for each of their requests.
+struct Fleet
+{
+    explicit Fleet(const Script &script)
+    {
+        for (int i = 0; i < 12; ++i) {
+            this->owned.push_back(
+                    std::make_unique<ScriptedUpstream>(std::vector<Script>(20, script)));
+            this->upstreams.push_back(this->owned.back().get());
+        }
+    }
+
+    /// Number of requests that the upstreams have received with a text.
+    std::size_t countRequests(const std::string &text) const
+    {
+        std::size_t count = 0;
+        for (const ScriptedUpstream *upstream : this->upstreams) {
+            for (const std::string &received : upstream->requests())
+                count += containsText(received, text);
+        }
+        return count;
+    }
+
+    std::vector<std::unique_ptr<ScriptedUpstream>> owned;
+    std::vector<ScriptedUpstream *> upstreams;
+};
+
 /// Waits until the reports of crashes have been evaluated, or for a second.
 void waitForQuarantine(RelayFixture &fixture)
 {
@@ -549,16 +576,11 @@
 TEST_CASE("requests with a prompt part that crashes upstreams are refused after three crashes")
 {
     const Script script{streamAnswer(events, true), false, false, "bad"};
-    std::vector<std::unique_ptr<ScriptedUpstream>> owned;
-    std::vector<ScriptedUpstream *> upstreams;
-    for (int i = 0; i < 12; ++i) {
-        owned.push_back(std::make_unique<ScriptedUpstream>(std::vector<Script>(20, script)));
-        upstreams.push_back(owned.back().get());
-    }
-    RelayFixture fixture(upstreams);
+    const Fleet fleet(script);
+    RelayFixture fixture(fleet.upstreams);
     const auto countCrashes = [&] {
         std::size_t crashes = 0;
-        for (const ScriptedUpstream *upstream : upstreams) {
+        for (const ScriptedUpstream *upstream : fleet.upstreams) {
             const std::vector<std::string> requests = upstream->requests();
             crashes += !requests.empty() && containsText(requests.back(), "bad");
         }
@@ -626,21 +648,9 @@
 TEST_CASE("a request that crashes upstreams is refused after three crashes")
 {
     const Script script{answer(200, "sound"), false, false, "test-caller: bad"};
-    std::vector<std::unique_ptr<ScriptedUpstream>> owned;
-    std::vector<ScriptedUpstream *> upstreams;
-    for (int i = 0; i < 12; ++i) {
-        owned.push_back(std::make_unique<ScriptedUpstream>(std::vector<Script>(20, script)));
-        upstreams.push_back(owned.back().get());
-    }
-    RelayFixture fixture(upstreams);
-    const auto countSends = [&] {
-        std::size_t sends = 0;
-        for (const ScriptedUpstream *upstream : upstreams) {
-            for (const std::string &received : upstream->requests())
-                sends += containsText(received, "test-caller: bad");
-        }
-        return sends;
-    };
+    const Fleet fleet(script);
+    RelayFixture fixture(fleet.upstreams);
+    const auto countSends = [&fleet] { return fleet.countRequests("test-caller: bad"); };
     for (int i = 0; i < 2; ++i)
         CHECK(fixture.call(callerRequest("r" + std::to_string(i), "bad", "/plain/a", "body"))
                       .starts_with("HTTP/1.1 502 "));
@@ -677,13 +687,8 @@
 TEST_CASE("a request that crashes upstreams for several callers is refused to all of them")
 {
     const Script script{answer(200, "sound"), false, false, "fatal"};
-    std::vector<std::unique_ptr<ScriptedUpstream>> owned;
-    std::vector<ScriptedUpstream *> upstreams;
-    for (int i = 0; i < 12; ++i) {
-        owned.push_back(std::make_unique<ScriptedUpstream>(std::vector<Script>(20, script)));
-        upstreams.push_back(owned.back().get());
-    }
-    RelayFixture fixture(upstreams);
+    const Fleet fleet(script);
+    RelayFixture fixture(fleet.upstreams);
     for (int i = 0; i < 2; ++i) {
         const std::string number = std::to_string(i);
         CHECK(fixture.call(callerRequest("r" + number, "c" + number, "/plain/a", "fatal"))
