--- a/tests/caller/unit-exits.cpp
+++ b/tests/caller/unit-exits.cpp
@@ -531,8 +531,11 @@
         std::atomic<int> answered = 0;
         const std::string request = test::requestText("POST", "/v1/chat/completions",
                                                       chatBody("small"), "x-request-id: whole\r\n");
+        constexpr int clientCount = 8;
         std::vector<std::unique_ptr<Client>> clients;
-        for (int i = 0; i < 8; ++i)
+        clients.reserve(clientCount);
+        threads.reserve(clientCount);
+        for (int i = 0; i < clientCount; ++i)
             clients.push_back(std::make_unique<Client>(bed.endpoint));
         for (const auto &client : clients) {
             threads.emplace_back([&client = *client, &answered, &request] {
