Know which software versions may have begun streams

What callers saw: after the end of all instances beside a release, streams of the former version were joined with events of the new one, or refused although upstreams of their version served. Cause: an instance takes the only version it has seen since its start for the only one there was.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -21,6 +21,7 @@
 #include "gateway/stream_origins.hpp"
 #include "gateway/upstream_pauses.hpp"
 #include "gateway/upstream_selector.hpp"
+#include "gateway/version_history.hpp"
 #include "upstream/connection_pool.hpp"
 
 #include <cstdint>
@@ -143,6 +144,7 @@
     QueueForecast forecast;
     DemandTracker demand;
     StreamOrigins origins;
+    VersionHistory versions;
     LimitDriver upstreamLimits;
     UpstreamPauses pauses;
     BrittleUpstreams brittle;
