Take the versions before an instance's start from a record in the store

Cause: where nobody remembered the origin of a stream, it went on at the only version that the instance had seen since its start (UpstreamTable::onlyVersion). Of a process that is a second old this says nothing of the time before. Change: the record bamboochute/versions in the store holds the versions of each service that may have begun streams, and whether it is complete; one write when a version appears and one when its last upstream has been gone for the life of a stream. A stream of unknown origin goes on only if record and registrations together have one version, and the record is complete and of the store's present era, or the instance has followed the registrations for the life of a stream. Until the store holds a version, resumable streams begin at recorded ones if these can take them, for at most 2 s. Instances know by the setting bootstrap that there was no time before. New: "streams begin at recorded versions as long as there are any", unit-version_store.cpp, a case for the setting.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -158,6 +158,13 @@
         this->notifyChange();
 }
 
+void Gateway::observeVersions()
+{
+    const TimePoint now = SteadyClock().now();
+    for (const auto &[id, entry] : this->table.entries())
+        this->versions.observe(entry.registered.service, entry.registered.softwareVersion, now);
+}
+
 void Gateway::recordAnswer(const UpstreamProcess &process, const AnswerAttributes &answer)
 {
     const bool isBrittle = answer.maxRejectionsPerSecond.has_value();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -103,6 +103,9 @@
     /// @brief Remembers the origin of a stream that another instance began.
     void learnOrigin(const StreamOrigin &origin);
 
+    /// @brief Notes the software versions of all registered upstreams in the version history.
+    void observeVersions();
+
     /// @brief Takes over what an answer says about its upstream beside the request.
     /// @param process that answered
     void recordAnswer(const UpstreamProcess &process, const AnswerAttributes &answer);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -125,6 +125,7 @@
     const Service *pickService();
     upstream::Awaitable<void> findStreamOrigin();
     bool applyStreamOrigin();
+    std::optional<SoftwareVersion> findSoleVersion() const;
     bool bindStreamVersion();
     void announceVersion(const SoftwareVersion &version);
     void watchCaller();
@@ -156,6 +157,7 @@
     {
         return this->route->kind == RequestKind::Stream && !this->attributes.lastEventId.empty();
     }
+    void passOverUnrecorded(std::vector<const UpstreamTable::Entry *> &entries) const;
     bool isReplaceable(const UpstreamId &id) const;
     bool isTargetReported() const;
     bool isTargetHeldOnlyByExcluded() const;
--- a/src/gateway/request_stream_origin.cpp
+++ b/src/gateway/request_stream_origin.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace bamboochute::gateway {
 
 using upstream::Awaitable;
@@ -45,11 +47,26 @@
     // Another service than the one that began it may follow only where the route has changed.
     if (origin && origin->service != this->service->id)
         return true;
-    this->requiredVersion
-            = origin ? origin->version : this->gateway.table.onlyVersion(this->service->id);
+    this->requiredVersion = origin ? origin->version : this->findSoleVersion();
     return this->requiredVersion.has_value();
 }
 
+/// The version of the stream if only one may have begun it; it is asked for when nobody remembers
+/// the stream.
+std::optional<SoftwareVersion> RequestExchange::findSoleVersion() const
+{
+    this->gateway.observeVersions();
+    const SoleVersion sole = this->gateway.versions.soleVersion(this->service->id, this->now());
+    const std::string reason(kindName(sole.kind));
+    this->gateway.metrics
+            .counter("bamboochute_streams_of_unknown_origin_total",
+                     fmt::format("version=\"{}\"", reason))
+            .add();
+    this->log(LogLevel::Info, "nobody remembers the origin of a stream", reason,
+              {"sole_version", sole.version ? sole.version->value() : std::string()});
+    return sole.version;
+}
+
 /// Binds the stream to the version of the current upstream, once a part of it was received; returns
 /// false if the stream began at another version.
 ///
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -42,6 +42,7 @@
     query.excluded = this->triedUpstreams;
     query.excluded.insert(query.excluded.end(), this->exhaustedUpstreams.begin(),
                           this->exhaustedUpstreams.end());
+    this->passOverUnrecorded(query.candidates);
     if (this->isEngineTarget()) {
         query.affinityKey = this->attributes.sharedPromptHash;
         // The placement owner can have the target loaded at another upstream.
@@ -70,6 +71,27 @@
     });
 }
 
+/// Removes the upstreams of versions that the store does not hold yet if others can take a stream
+/// that begins: an instance that starts must know of the version when the caller takes it up.
+void RequestExchange::passOverUnrecorded(std::vector<const UpstreamTable::Entry *> &entries) const
+{
+    if (!this->route->isResumable || this->requiredVersion)
+        return;
+    const auto isUnrecorded = [this](const UpstreamTable::Entry *entry) {
+        const SoftwareVersion version = entry->softwareVersion();
+        return !version.isEmpty()
+               && this->gateway.versions.isUnrecorded(this->service->id, version, this->now());
+    };
+    const bool hasOthers
+            = std::any_of(entries.begin(), entries.end(), [&](const UpstreamTable::Entry *entry) {
+                  const UpstreamId &id = entry->registered.id;
+                  return !isUnrecorded(entry) && !this->isExcluded(id)
+                         && !this->gateway.health.isAvoided(id, this->now());
+              });
+    if (hasOthers)
+        std::erase_if(entries, isUnrecorded);
+}
+
 /// Time until an upstream takes requests again from this instance; unset when it does.
 std::optional<Duration> RequestExchange::pauseOf(const UpstreamTable::Entry &entry) const
 {
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -49,7 +49,6 @@
     if (leaving != this->leavingStarts.end())
         entry.leavingStart = leaving->second;
     entry.registered = std::move(upstream);
-    this->seenVersions[entry.registered.service].insert(entry.registered.softwareVersion);
     const bool isOwnerReportFresh = entry.residency.version.startedAt >= start
                                     && entry.ownerReportedAt != TimePoint()
                                     && now < entry.ownerReportedAt + ownerReportMaxAge;
@@ -175,14 +174,6 @@
         found->second.refusedTargets[target] = until;
 }
 
-std::optional<SoftwareVersion> UpstreamTable::onlyVersion(const ServiceId &service) const
-{
-    const auto found = this->seenVersions.find(service);
-    if (found == this->seenVersions.end() || found->second.size() != 1)
-        return std::nullopt;
-    return *found->second.begin();
-}
-
 const UpstreamTable::Entry *UpstreamTable::find(const UpstreamId &id) const
 {
     const auto found = this->byId.find(id);
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -14,7 +14,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -198,10 +197,6 @@
     std::vector<const Entry *> findHolding(const ServiceId &service, const Target &target,
                                            TimePoint now) const;
 
-    /// @brief The only software version of a service that this instance has ever seen.
-    /// @return unset when there were none or several
-    std::optional<SoftwareVersion> onlyVersion(const ServiceId &service) const;
-
     /// @brief All known upstreams.
     const std::map<UpstreamId, Entry> &entries() const noexcept { return this->byId; }
 
@@ -219,7 +214,6 @@
     std::map<UpstreamId, Entry> byId;
     /// Last registration of each upstream that was removed.
     std::map<UpstreamId, RegistrationOrder> removedRegistrations;
-    std::map<ServiceId, std::set<SoftwareVersion>> seenVersions;
     /// Start of the latest process of each upstream that said that it is shutting down, also of
     /// those that are not known, or not any more.
     std::map<UpstreamId, std::uint64_t> leavingStarts;
--- a/src/gateway/version_history.cpp
+++ b/src/gateway/version_history.cpp
@@ -129,9 +129,9 @@
     if (!this->stored)
         return std::nullopt;
     VersionRecord due{this->knownVersions, this->isComplete, storeEra};
-    const bool isSettledOwner = ownerSince && this->followingSince
-                                && now >= std::max(*ownerSince, *this->followingSince)
-                                                  + this->times.retention;
+    const bool isSettledOwner
+            = ownerSince && this->followingSince
+              && now >= std::max(*ownerSince, *this->followingSince) + this->times.retention;
     if (isSettledOwner) {
         due.isComplete = true;
         due.versions.clear();
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -309,6 +309,7 @@
     this->gateway->onOriginWanted = [this](const RequestId &request, bool isRepeated) {
         this->answerOriginQuery(request, isRepeated);
     };
+    gateway::VersionRecord record{{}, true, 0};
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
         gateway::RegisteredUpstream upstream;
         upstream.id = UpstreamId(fmt::format("u{}", i));
@@ -319,7 +320,9 @@
         upstream.slots = 8;
         upstream.softwareVersion = SoftwareVersion(i < versions.size() ? versions[i] : "v1");
         this->gateway->table.applyRegistration(upstream, SteadyClock().now());
+        record.versions[service].insert(upstream.softwareVersion);
     }
+    this->gateway->versions.apply({0, 1, record});
     this->listen = this->gateway->start().value();
     this->thread = std::thread([this] { this->loop.run(); });
 }
@@ -355,6 +358,15 @@
                 {request, service, SoftwareVersion(this->versionKnownElsewhere), 0});
 }
 
+void RelayFixture::forgetVersions(const std::optional<gateway::VersionRecord> &record)
+{
+    this->runOnLoop([&record](gateway::Gateway &gateway) {
+        gateway.versions = gateway::VersionHistory();
+        gateway.versions.apply({0, record ? 1U : 0U, record});
+        gateway.observeVersions();
+    });
+}
+
 void RelayFixture::removeUpstream(std::size_t index)
 {
     std::promise<void> removed;
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -100,7 +100,8 @@
 public:
     /// @param upstreams servers of the service; the gateway prefers the first one while it is
     /// healthy
-    /// @param versions software versions of the servers; those without one run "v1"
+    /// @param versions software versions of the servers; those without one run "v1". The record in
+    /// the store holds them and is complete.
     explicit RelayFixture(std::vector<ScriptedUpstream *> upstreams,
                           std::vector<std::string> versions = {});
     ~RelayFixture();
@@ -112,6 +113,10 @@
     /// @brief The same at another address.
     static std::string callAt(const Endpoint &endpoint, const std::string &request);
 
+    /// @brief Replaces what the gateway knows of versions, as in a process that has just started.
+    /// @param record the record in the store; unset if there is none
+    void forgetVersions(const std::optional<gateway::VersionRecord> &record);
+
     /// @brief Removes the registration of an upstream.
     /// @param index position among the constructor's upstreams
     void removeUpstream(std::size_t index);
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -426,6 +426,22 @@
             RelayFixture fixture({&first});
             CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with("HTTP/1.1 200 "));
         }
+        // Guards against a stream of a former version going on at the only one that an instance has
+        // seen since all instances started again.
+        SUBCASE("it is refused if the instance does not know the versions before its start")
+        {
+            RelayFixture fixture({&first}, {"v2"});
+            std::optional<gateway::VersionRecord> record;
+            SUBCASE("there is no record") {}
+            SUBCASE("the record names another one")
+            {
+                record = gateway::VersionRecord{
+                        {{gateway::ServiceId("rooms"), {SoftwareVersion("v1")}}}, true, 0};
+            }
+            fixture.forgetVersions(record);
+            CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with("HTTP/1.1 503 "));
+            CHECK(first.requests().empty());
+        }
         SUBCASE("it is refused if several versions serve")
         {
             ScriptedUpstream second({{rest}});
@@ -472,6 +488,44 @@
     }
 }
 
+// Guards against streams of a version that an instance which starts does not know of.
+TEST_CASE("streams begin at recorded versions as long as there are any")
+{
+    const std::string whole = streamAnswer(events, true);
+    ScriptedUpstream unrecorded(std::vector<Script>(3, {whole}));
+    ScriptedUpstream recorded(std::vector<Script>(3, {whole}));
+    RelayFixture fixture({&unrecorded, &recorded}, {"v2", "v1"});
+    gateway::VersionRecord record{
+            {{gateway::ServiceId("rooms"), {SoftwareVersion("v1")}}}, true, 0};
+    fixture.forgetVersions(record);
+    SUBCASE("a resumable stream begins there")
+    {
+        CHECK(fixture.call(request("/stream/")).ends_with("0\r\n\r\n"));
+        CHECK(unrecorded.requests().empty());
+        CHECK(recorded.requests().size() == 1);
+    }
+    SUBCASE("other requests go to any version")
+    {
+        CHECK(fixture.call(request("/fragile/")).ends_with("0\r\n\r\n"));
+        CHECK(unrecorded.requests().size() == 1);
+    }
+    SUBCASE("without a recorded one, a stream begins at the others")
+    {
+        fixture.removeUpstream(1);
+        CHECK(fixture.call(request("/stream/")).ends_with("0\r\n\r\n"));
+        CHECK(unrecorded.requests().size() == 1);
+    }
+    SUBCASE("once the version is recorded, streams begin there as well")
+    {
+        record.versions[gateway::ServiceId("rooms")].insert(SoftwareVersion("v2"));
+        fixture.runOnLoop([&](gateway::Gateway &gateway) {
+            gateway.versions.apply({0, 2, record});
+        });
+        CHECK(fixture.call(request("/stream/")).ends_with("0\r\n\r\n"));
+        CHECK(unrecorded.requests().size() == 1);
+    }
+}
+
 // Guards against a stream counting as one of the software version that its upstream had before it
 // started again, while the new registration was not read yet.
 TEST_CASE("a stream does not go on if its upstream started again with another version meanwhile")
--- a/tests/platform/adapter/unit-settings_file.cpp
+++ b/tests/platform/adapter/unit-settings_file.cpp
@@ -57,6 +57,13 @@
     }
 }
 
+TEST_CASE("the settings say whether the whole system starts for the first time")
+{
+    CHECK_FALSE(parseSettings(completeSettings).value().isFirstStart);
+    CHECK_FALSE(parseSettings(completeSettings + "bootstrap=false\n").value().isFirstStart);
+    CHECK(parseSettings(completeSettings + "bootstrap=true\n").value().isFirstStart);
+}
+
 TEST_CASE("the limits of the quarantine may be set")
 {
     const auto settings = parseSettings(completeSettings
