--- a/src/gateway/request_stream_origin.cpp
+++ b/src/gateway/request_stream_origin.cpp
@@ -55,7 +55,6 @@
 /// the stream.
 std::optional<SoftwareVersion> RequestExchange::findSoleVersion() const
 {
-    this->gateway.observeVersions();
     const SoleVersion sole = this->gateway.versions.soleVersion(this->service->id, this->now());
     const std::string reason(kindName(sole.kind));
     this->gateway.metrics
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -386,6 +386,7 @@
         ++upstream.residency.version.startedAt;
         upstream.softwareVersion = SoftwareVersion(version);
         this->gateway->table.applyRegistration(upstream, SteadyClock().now());
+        this->gateway->observeVersions();
         registered.set_value();
     });
     registered.get_future().wait();
