Give a process that starts no free retries before its count covers a window

What callers saw: nothing directly. When all instances end and start again, each takes its share of the free retries once more, in the same window in which the share had been used before: 80 of 50 allowed in ten seconds (unit test, default limits). Where instances come back one after the other, the first ones also divide by too low a number. Cause: RetryBudget took its own empty count for that of all processes. Change: free retries are there when a process has counted for a whole window, unless the settings say that none has run before. What its own requests add is there at once. Evidence: tests/gateway/unit-retry_budget.cpp, failed before (80 <= 50), passes now: 10 of 10 checks, built alone from the test, retry_budget.cpp and instance_count.cpp.

--- a/src/gateway/retry_budget.cpp
+++ b/src/gateway/retry_budget.cpp
@@ -28,7 +28,9 @@
     const double earned
             = this->limits.retriesPerRequest * static_cast<double>(window.requests.size());
     const std::optional<std::uint32_t> count = this->instances.value(now);
-    const double shared = count ? this->limits.freeRetries / *count : 0;
+    const bool isWholeWindow
+            = !this->countingSince || now >= *this->countingSince + this->limits.window;
+    const double shared = count && isWholeWindow ? this->limits.freeRetries / *count : 0;
     return this->limits.usedShare * (earned + shared) - static_cast<double>(window.retries.size());
 }
 
--- a/src/gateway/retry_budget.hpp
+++ b/src/gateway/retry_budget.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace bamboochute::gateway {
 
@@ -42,6 +43,10 @@
     /// @brief Replaces the limits; counted requests and retries stay.
     void configure(const RetryLimits &changed) { this->limits = changed; }
 
+    /// @brief Notes when this process started, after others that may have used all free retries:
+    /// there are none until its own count covers the whole window.
+    void beginCounting(TimePoint start) { this->countingSince = start; }
+
     /// @brief Takes over the announced number of instances that share the free retries; there are
     /// none while it is not known.
     void setInstanceCount(std::uint32_t count, TimePoint now)
@@ -74,6 +79,8 @@
 
     RetryLimits limits;
     InstanceCount instances;
+    /// Unset if no process has run before.
+    std::optional<TimePoint> countingSince;
     std::map<ServiceId, Window> windows;
 };
 
