Check depth and numbers of messages between instances

A header of a forwarded request that is nested 60,000 deep or more ended the process: the list of tried upstreams is copied, and the copy recurses over the depth (SIGSEGV at 100,000 and at 60,000, none at 30,000). The limit of the header, 16 KiB in the configurations seen, keeps that from being reached. A datagram of 100,000 nested arrays did the same in the recursive CBOR reader; datagrams are cut at 1,401 bytes, which is too short for it. Reachable were numbers: get<uint32_t> truncates to 0 and casts 1e300, infinity and NaN, and milliseconds overflowed as microseconds.

Change: both are parsed by parseBoundedJson; whole numbers are checked against their type, others must be finite; a time beyond a hundred years becomes that. A message with a number that fits no type is dropped as a whole, like every other message that can't be read. What is sent is the same.

--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/forwarded_request.hpp"
 
+#include "core/bounded_duration.hpp"
+#include "core/bounded_json.hpp"
 #include "upstream/header_list.hpp"
 
 #include <algorithm>
@@ -19,6 +21,18 @@
     return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
+template<typename T>
+T readOptional(const Json &json, const char *name, T defaultValue)
+{
+    const auto found = json.find(name);
+    return found == json.end() ? defaultValue : readInteger<T>(*found);
+}
+
+Duration readMilliseconds(const Json &json, const char *name)
+{
+    return toBoundedDuration(milliseconds(readOptional(json, name, std::int64_t(0))));
+}
+
 Json encodeRoute(const ForwardedRoute &route)
 {
     return {{"id", route.id},
@@ -37,11 +51,11 @@
     route.id = json.at("id").get<std::string>();
     route.kind = json.at("kind").get<std::string>();
     route.isResumable = json.value("resumable", false);
-    route.objective = milliseconds(json.value("objective_ms", std::int64_t(0)));
-    route.maxEventGap = milliseconds(json.value("event_gap_ms", std::int64_t(0)));
-    route.maxFirstEventDelay = milliseconds(json.value("first_event_ms", std::int64_t(0)));
-    route.maxUpstreams = json.value("max_upstreams", std::uint32_t(1));
-    route.priority = json.value("priority", std::uint32_t(0));
+    route.objective = readMilliseconds(json, "objective_ms");
+    route.maxEventGap = readMilliseconds(json, "event_gap_ms");
+    route.maxFirstEventDelay = readMilliseconds(json, "first_event_ms");
+    route.maxUpstreams = readOptional(json, "max_upstreams", std::uint32_t(1));
+    route.priority = readOptional(json, "priority", std::uint32_t(0));
     return route;
 }
 
@@ -78,15 +92,16 @@
 Result<ForwardedRequest> decodeForwardedRequest(std::string_view value)
 {
     try {
-        const Json json = Json::parse(value);
+        const Json json = parseBoundedJson(value);
         ForwardedRequest request;
-        request.remaining = milliseconds(json.at("remaining_ms").get<std::int64_t>());
+        request.remaining = toBoundedDuration(
+                milliseconds(readInteger<std::int64_t>(json.at("remaining_ms"))));
         request.service = json.value("service", std::string());
         request.caller = json.value("caller", std::string());
-        request.configuration = json.value("configuration", std::uint64_t(0));
+        request.configuration = readOptional(json, "configuration", std::uint64_t(0));
         if (json.contains("route"))
             request.route = decodeRoute(json.at("route"));
-        request.possibleRuns = json.value("possible_runs", std::uint32_t(0));
+        request.possibleRuns = readOptional(json, "possible_runs", std::uint32_t(0));
         request.isCounted = json.value("counted", false);
         request.lastEventId = json.value("last_event", std::string());
         if (json.contains("version"))
@@ -95,6 +110,8 @@
             request.tried.emplace_back(id.get<std::string>());
         return request;
     } catch (const Json::exception &failure) {
+        return Error(ErrorKind::MalformedRequest, JsonBoundsError(failure.what()).what());
+    } catch (const JsonBoundsError &failure) {
         return Error(ErrorKind::MalformedRequest, failure.what());
     }
 }
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -1,5 +1,8 @@
 #include "residency/peer_messages.hpp"
 
+#include "core/bounded_duration.hpp"
+#include "core/bounded_json.hpp"
+
 #include <algorithm>
 #include <functional>
 
@@ -49,7 +52,7 @@
 
 Duration fromMillis(const Json &value)
 {
-    return std::chrono::milliseconds(value.get<std::int64_t>());
+    return toBoundedDuration(std::chrono::milliseconds(readInteger<std::int64_t>(value)));
 }
 
 Json toJson(const Target &target)
@@ -66,7 +69,7 @@
 /// Decodes a number that earlier releases don't send; zero when it is missing.
 std::uint64_t decodeCount(const Json &value, std::size_t index)
 {
-    return value.size() > index ? value.at(index).get<std::uint64_t>() : 0;
+    return value.size() > index ? readInteger<std::uint64_t>(value.at(index)) : 0;
 }
 
 SoftwareVersion decodeVersion(const Json &value, std::size_t index)
@@ -87,10 +90,10 @@
     return gateway::TargetDemand{{gateway::ServiceId(value.at(0).get<std::string>()),
                                   decodeTarget(value.at(1)),
                                   decodeVersion(value, demandVersionIndex)},
-                                 value.at(2).get<std::uint32_t>(),
-                                 value.at(3).get<std::uint32_t>(),
+                                 readInteger<std::uint32_t>(value.at(2)),
+                                 readInteger<std::uint32_t>(value.at(3)),
                                  fromMillis(value.at(4)),
-                                 value.at(5).get<std::uint32_t>()};
+                                 readInteger<std::uint32_t>(value.at(5))};
 }
 
 Json toJson(const UpstreamResidency &upstreamResidency)
@@ -112,7 +115,7 @@
     UpstreamResidency upstreamResidency;
     upstreamResidency.upstream = UpstreamId(value.at(0).get<std::string>());
     upstreamResidency.residency.version
-            = {value.at(1).get<std::uint64_t>(), value.at(2).get<std::uint64_t>(),
+            = {readInteger<std::uint64_t>(value.at(1)), readInteger<std::uint64_t>(value.at(2)),
                value.at(3).get<bool>()};
     for (const Json &entry : value.at(4)) {
         gateway::ResidentModel model{ModelId(entry.at(0).get<std::string>()), {}};
@@ -132,8 +135,9 @@
 UpstreamLoad decodeLoad(const Json &value)
 {
     return UpstreamLoad{UpstreamId(value.at(0).get<std::string>()),
-                        {value.at(1).get<std::uint32_t>(), value.at(2).get<std::uint32_t>(),
-                         value.at(3).get<double>() / cacheUseScale}};
+                        {readInteger<std::uint32_t>(value.at(1)),
+                         readInteger<std::uint32_t>(value.at(2)),
+                         std::clamp(readFinite(value.at(3)) / cacheUseScale, 0.0, 1.0)}};
 }
 
 Json toJson(const PromisedTarget &promise)
@@ -156,7 +160,8 @@
 
 WatchProgress decodeProgress(const Json &value)
 {
-    return WatchProgress{value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
+    return WatchProgress{readInteger<std::uint64_t>(value.at(0)),
+                         readInteger<std::uint64_t>(value.at(1))};
 }
 
 Json toJson(const ForwardedChange &change)
@@ -167,9 +172,12 @@
 
 ForwardedChange decodeChange(const Json &value)
 {
-    return ForwardedChange{value.at(0).get<std::string>(),    value.at(1).get<std::string>(),
-                           value.at(2).get<std::uint64_t>(),  value.at(3).get<std::uint64_t>(),
-                           value.at(4).get<bool>(),           value.at(5).get<bool>(),
+    return ForwardedChange{value.at(0).get<std::string>(),
+                           value.at(1).get<std::string>(),
+                           readInteger<std::uint64_t>(value.at(2)),
+                           readInteger<std::uint64_t>(value.at(3)),
+                           value.at(4).get<bool>(),
+                           value.at(5).get<bool>(),
                            decodeCount(value, changeEraIndex)};
 }
 
@@ -180,7 +188,7 @@
 
 Endpoint decodeEndpoint(const Json &value)
 {
-    return Endpoint{value.at(0).get<std::string>(), value.at(1).get<std::uint16_t>()};
+    return Endpoint{value.at(0).get<std::string>(), readInteger<std::uint16_t>(value.at(1))};
 }
 
 Json toJson(const UpstreamId &id)
@@ -201,7 +209,7 @@
 gateway::ReportedSubject decodeReported(const Json &value, gateway::SubjectKind kind)
 {
     return gateway::ReportedSubject{{kind, value.at(0).get<std::string>()},
-                                    value.at(1).get<std::uint32_t>()};
+                                    readInteger<std::uint32_t>(value.at(1))};
 }
 
 Json toJson(const gateway::LimitReport &report)
@@ -213,10 +221,10 @@
 gateway::LimitReport decodeLimitReport(const Json &value)
 {
     gateway::LimitReport report{
-            {UpstreamId(value.at(0).get<std::string>()), value.at(1).get<std::uint64_t>()},
+            {UpstreamId(value.at(0).get<std::string>()), readInteger<std::uint64_t>(value.at(1))},
             std::nullopt,
             fromMillis(value.at(3))};
-    const double limit = value.at(2).get<double>();
+    const double limit = readFinite(value.at(2));
     if (limit > 0)
         report.requestsPerSecond = limit;
     return report;
@@ -236,11 +244,11 @@
     const bool isRequest = kind == gateway::SubjectKind::Request;
     return gateway::QuarantineEntry{{gateway::ServiceId(value.at(0).get<std::string>()),
                                      {kind, value.at(1).get<std::string>()}},
-                                    value.at(2).get<std::uint32_t>(),
+                                    readInteger<std::uint32_t>(value.at(2)),
                                     value.at(3).get<bool>(),
                                     fromMillis(value.at(4)),
-                                    value.at(5).get<std::uint32_t>(),
-                                    isRequest ? value.at(6).get<std::uint32_t>() : 0};
+                                    readInteger<std::uint32_t>(value.at(5)),
+                                    isRequest ? readInteger<std::uint32_t>(value.at(6)) : 0};
 }
 
 gateway::SubjectKind kindOf(const gateway::ReportedSubject &reported)
@@ -380,7 +388,7 @@
 CrashReportMessage decodeCrashReport(const Json &value)
 {
     return CrashReportMessage{
-            {{UpstreamId(value.at(1).get<std::string>()), value.at(2).get<std::uint64_t>()},
+            {{UpstreamId(value.at(1).get<std::string>()), readInteger<std::uint64_t>(value.at(2))},
              gateway::ServiceId(value.at(3).get<std::string>()),
              RequestId(value.at(4).get<std::string>()),
              decodeKinds<gateway::ReportedSubject>(value, 5, reportedRequestsIndex,
@@ -392,9 +400,9 @@
     return StreamOriginMessage{{RequestId(value.at(1).get<std::string>()),
                                 gateway::ServiceId(value.at(2).get<std::string>()),
                                 SoftwareVersion(value.at(3).get<std::string>()),
-                                value.size() > originCorrectionIndex
-                                        ? value.at(originCorrectionIndex).get<std::uint32_t>()
-                                        : 0}};
+                                value.size() > originCorrectionIndex ? readInteger<std::uint32_t>(
+                                        value.at(originCorrectionIndex))
+                                                                     : 0}};
 }
 
 DemandMessage decodeDemandMessage(const Json &value)
@@ -412,8 +420,8 @@
                 decodeProgress(encodedProgress.at(0)), decodeProgress(encodedProgress.at(1)),
                 fromMillis(encodedProgress.at(2)), decodeCount(encodedProgress, progressEraIndex),
                 decodeCount(encodedProgress, progressOwnerIndex)};
-    return OwnerMessage{Fence(value.at(1).get<std::uint64_t>()),
-                        value.at(2).get<std::uint32_t>(),
+    return OwnerMessage{Fence(readInteger<std::uint64_t>(value.at(1))),
+                        readInteger<std::uint32_t>(value.at(2)),
                         decodeArray<UpstreamResidency>(value.at(3), decodeResidency),
                         decodeArray<UpstreamLoad>(value.at(4), decodeLoad),
                         decodeArray<PromisedTarget>(value.at(5), decodePromise),
@@ -427,7 +435,7 @@
 
 Result<PeerMessage> decodeMessage(const Json &value)
 {
-    const int kind = value.at(0).get<int>();
+    const int kind = readInteger<int>(value.at(0));
     switch (kind) {
     case demandKind:
         return PeerMessage(decodeDemandMessage(value));
@@ -446,20 +454,20 @@
         return PeerMessage(
                 LimitMessage{decodeArray<gateway::LimitReport>(value.at(1), decodeLimitReport)});
     case permitRequestKind:
-        return PeerMessage(gateway::PermitRequest{value.at(1).get<std::uint64_t>(),
+        return PeerMessage(gateway::PermitRequest{readInteger<std::uint64_t>(value.at(1)),
                                                   decodeLimitReport(value.at(2))});
     case leavingKind:
-        return PeerMessage(LeavingMessage{
-                {UpstreamId(value.at(1).get<std::string>()), value.at(2).get<std::uint64_t>()}});
+        return PeerMessage(LeavingMessage{{UpstreamId(value.at(1).get<std::string>()),
+                                           readInteger<std::uint64_t>(value.at(2))}});
     case helpQueryKind:
         return PeerMessage(HelpQuery{gateway::ServiceId(value.at(1).get<std::string>())});
     case helpOfferKind:
         return PeerMessage(forwarding::HelpOffer{value.at(1).get<std::string>(),
                                                  DataCentreId(value.at(2).get<std::string>()),
-                                                 value.at(3).get<std::uint32_t>()});
+                                                 readInteger<std::uint32_t>(value.at(3))});
     case permitAnswerKind:
         return PeerMessage(
-                gateway::PermitAnswer{value.at(1).get<std::uint64_t>(),
+                gateway::PermitAnswer{readInteger<std::uint64_t>(value.at(1)),
                                       value.at(2).get<bool>(),
                                       {value.at(3).get<bool>(), fromMillis(value.at(4))}});
     default:
@@ -502,9 +510,10 @@
 Result<PeerMessage> decodePeerMessage(std::string_view bytes)
 {
     try {
-        const Json value = Json::from_cbor(bytes.begin(), bytes.end());
-        return decodeMessage(value);
+        return decodeMessage(parseBoundedJson(bytes, {}, Json::input_format_t::cbor));
     } catch (const Json::exception &failure) {
+        return Error(ErrorKind::MalformedRequest, JsonBoundsError(failure.what()).what());
+    } catch (const JsonBoundsError &failure) {
         return Error(ErrorKind::MalformedRequest, failure.what());
     }
 }
--- a/tests/platform/adapter/unit-odd_entries.cpp
+++ b/tests/platform/adapter/unit-odd_entries.cpp
@@ -1,15 +1,22 @@
 #include "call_headers.hpp"
 #include "decoding.hpp"
+#include "forwarding/forwarded_request.hpp"
 #include "owner_store.hpp"
 #include "quarantine_store.hpp"
+#include "residency/peer_messages.hpp"
 #include "settings_file.hpp"
 
+#include <cmath>
+#include <limits>
+
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 using namespace bamboochute;
 using namespace bamboochute::adapter;
 using namespace std::chrono_literals;
+using nlohmann::json;
 
 namespace {
 
@@ -56,6 +63,13 @@
     return text;
 }
 
+std::string cbor(const json &value)
+{
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
 constexpr std::size_t deep = 100'000;
 /// Most bytes of an error that is logged.
 constexpr std::size_t maxErrorBytes = 300;
@@ -175,6 +189,63 @@
     CHECK_FALSE(quarantine("1", nested(deep, '[', ']')));
 }
 
+TEST_CASE("odd messages of other instances are dropped")
+{
+    using residency::decodePeerMessage;
+    const auto load = [](const json &running, const json &use) {
+        return decodePeerMessage(cbor({2,
+                                       41,
+                                       12,
+                                       json::array(),
+                                       {{"w1", running, 0, use}},
+                                       json::array(),
+                                       json::array(),
+                                       json::array(),
+                                       nullptr}));
+    };
+    REQUIRE(load(3, 500));
+    const double infinite = std::numeric_limits<double>::infinity();
+    for (const json &number : {json(4294967296), json(-1), json(1.5), json(1e30), json(infinite),
+                               json(std::nan("")), json("3")}) {
+        CAPTURE(number);
+        CHECK_FALSE(load(number, 500));
+    }
+    CHECK_FALSE(load(3, infinite));
+    CHECK_FALSE(load(3, std::nan("")));
+    CHECK_FALSE(decodePeerMessage(cbor({1e300})));
+    CHECK_FALSE(decodePeerMessage(cbor({4294967297})));
+    // A quarantine's entry: a time that does not fit is as long as can be told.
+    const auto remaining = [](std::int64_t milliseconds) {
+        const auto decoded = decodePeerMessage(
+                cbor({6, {{"chat", "5c1e", 1, true, milliseconds, 3}}, json::array()}));
+        REQUIRE(decoded);
+        return std::get<residency::QuarantineMessage>(decoded.value()).entries.at(0).remaining;
+    };
+    CHECK(remaining(1500) == 1500ms);
+    CHECK(remaining(std::numeric_limits<std::int64_t>::max()) > 24h);
+    CHECK(remaining(std::numeric_limits<std::int64_t>::min()) < -24h);
+    SUBCASE("a message of arrays within arrays")
+    {
+        CHECK_FALSE(decodePeerMessage(std::string(deep, '\x81')));
+        CHECK_FALSE(decodePeerMessage(std::string(deep, '\x81') + '\x01'));
+    }
+}
+
+TEST_CASE("an odd header of a forwarded request is rejected")
+{
+    using forwarding::decodeForwardedRequest;
+    CHECK_FALSE(decodeForwardedRequest(R"({"remaining_ms":1e300})"));
+    CHECK_FALSE(decodeForwardedRequest(R"({"remaining_ms":1.5})"));
+    CHECK_FALSE(decodeForwardedRequest(R"({"remaining_ms":1,"possible_runs":-1})"));
+    CHECK_FALSE(decodeForwardedRequest(R"({"remaining_ms":1,"possible_runs":4294967296})"));
+    CHECK_FALSE(decodeForwardedRequest(R"({"remaining_ms":1,"configuration":1e30})"));
+    CHECK_FALSE(
+            decodeForwardedRequest(R"({"remaining_ms":1,"tried":)" + nested(deep, '[', ']') + "}"));
+    const auto longest = decodeForwardedRequest(R"({"remaining_ms":9223372036854775807})");
+    REQUIRE(longest);
+    CHECK(longest.value().remaining > 24h);
+}
+
 TEST_CASE("odd numbers in headers and settings fit their types")
 {
     const gateway::CallCodec codec = makeCallCodec();
