Bound durations that others write so that their multiples fit

Callers saw nothing: an operator's times of up to a hundred years were accepted, and a route multiplies its objective by four and its gap by eight, which overflows from 36 years on (undefined, and different between the two kinds of machine).

Change: the bound is ten years, asserted against the type's range.

--- a/src/core/bounded_duration.hpp
+++ b/src/core/bounded_duration.hpp
@@ -6,9 +6,10 @@
 
 namespace bamboochute {
 
-/// Longest duration that is read from what others wrote: small multiples of it and points in time
-/// that far away still fit Duration.
-constexpr Duration maxReadDuration = std::chrono::hours(24L * 365 * 100);
+/// Longest duration that is read from what others wrote: ten times it, and a point in time that far
+/// away, still fit Duration.
+constexpr Duration maxReadDuration = std::chrono::hours(24L * 365 * 10);
+static_assert(maxReadDuration < Duration::max() / 20);
 
 /// @brief Converts an amount of time; what is above maxReadDuration, or below its opposite, becomes
 /// that. The amount must be a number.
--- a/tests/platform/adapter/unit-odd_entries.cpp
+++ b/tests/platform/adapter/unit-odd_entries.cpp
@@ -1,4 +1,5 @@
 #include "call_headers.hpp"
+#include "core/bounded_duration.hpp"
 #include "decoding.hpp"
 #include "forwarding/forwarded_request.hpp"
 #include "owner_store.hpp"
@@ -268,3 +269,29 @@
     for (const char *number : {"1e400", "nan", "inf", "-1", "5s"})
         CHECK_FALSE(settings(number));
 }
+
+// Guards against multiples of a route's times that don't fit a duration: they overflow, which is
+// undefined.
+TEST_CASE("the longest times of a route can be multiplied")
+{
+    const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(maxReadDuration);
+    const auto route = [](std::int64_t milliseconds) {
+        return json{{"version", 1},
+                    {"routes",
+                     {{{"name", "talk"},
+                       {"hostname", "desk.example"},
+                       {"path_prefix", "/talk/"},
+                       {"type", "stream"},
+                       {"service", "chat"},
+                       {"timeout_ms", milliseconds},
+                       {"target_latency_ms", milliseconds},
+                       {"gap_target_ms", milliseconds}}}}}
+                .dump();
+    };
+    const auto decoded = decodeConfiguration(route(longest.count()));
+    REQUIRE(decoded);
+    const gateway::Route &read = decoded.value().routes.front();
+    CHECK(read.objective == maxReadDuration);
+    CHECK(read.maxFirstEventDelay == 8 * maxReadDuration);
+    CHECK_FALSE(decodeConfiguration(route(longest.count() + 1)));
+}
