Log store calls that get no answer on a kept connection

Callers saw a change of the configuration in force too late after connections to the store had fallen silent. The log named failed calls, but not which connection they had taken, so it didn't tell a silent kept connection from a store that doesn't answer.

--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -16,21 +16,22 @@
     this->shutdown();
 }
 
-HttpStreamPointer ConnectionPool::takeIdle(const Endpoint &endpoint)
+std::optional<IdleConnection> ConnectionPool::takeIdle(const Endpoint &endpoint)
 {
     const auto found = this->idle.find(endpoint);
     if (found == this->idle.end())
-        return nullptr;
+        return std::nullopt;
     while (!found->second.empty()) {
-        HttpStreamPointer stream = std::move(found->second.back());
+        IdleConnection connection = std::move(found->second.back());
         found->second.pop_back();
-        stream->setPeerClosedHandler(nullptr);
+        HttpStream &stream = *connection.stream;
+        stream.setPeerClosedHandler(nullptr);
         // Bytes received while idle belong to no request; such a connection is not reused.
-        if (stream->isOpen() && !stream->isPeerClosed() && stream->unread().empty())
-            return stream;
-        stream->close();
+        if (stream.isOpen() && !stream.isPeerClosed() && stream.unread().empty())
+            return connection;
+        stream.close();
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 HttpStreamPointer ConnectionPool::makeStream()
@@ -59,8 +60,8 @@
 
 void ConnectionPool::release(const Endpoint &endpoint, HttpStreamPointer stream)
 {
-    std::vector<HttpStreamPointer> &idleStreams = this->idle[endpoint];
-    const bool isFull = idleStreams.size() >= this->limits.maxIdlePerUpstream;
+    std::vector<IdleConnection> &idleConnections = this->idle[endpoint];
+    const bool isFull = idleConnections.size() >= this->limits.maxIdlePerUpstream;
     if (this->isShutDown || isFull || !stream->isOpen() || stream->isPeerClosed()
         || !stream->unread().empty()) {
         stream->close();
@@ -70,7 +71,7 @@
     stream->setPeerClosedHandler(
             [this, endpoint, released = stream.get()] { this->removeClosed(endpoint, released); });
     stream->readAhead();
-    idleStreams.push_back(std::move(stream));
+    idleConnections.push_back({std::move(stream), SteadyClock().now()});
 }
 
 void ConnectionPool::removeClosed(const Endpoint &endpoint, const HttpStream *stream)
@@ -78,22 +79,23 @@
     const auto found = this->idle.find(endpoint);
     if (found == this->idle.end())
         return;
-    const auto isStream
-            = [stream](const HttpStreamPointer &candidate) { return candidate.get() == stream; };
+    const auto isStream = [stream](const IdleConnection &candidate) {
+        return candidate.stream.get() == stream;
+    };
     const auto position = std::find_if(found->second.begin(), found->second.end(), isStream);
     if (position == found->second.end())
         return;
-    (*position)->close();
+    position->stream->close();
     found->second.erase(position);
 }
 
 void ConnectionPool::shutdown()
 {
     this->isShutDown = true;
-    for (auto &[endpoint, streams] : this->idle) {
-        for (const HttpStreamPointer &stream : streams) {
-            stream->setPeerClosedHandler(nullptr);
-            stream->close();
+    for (auto &[endpoint, connections] : this->idle) {
+        for (const IdleConnection &connection : connections) {
+            connection.stream->setPeerClosedHandler(nullptr);
+            connection.stream->close();
         }
     }
     this->idle.clear();
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -6,6 +6,7 @@
 #include "upstream/http_stream.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,14 @@
     std::string sourceAddress = {};
 };
 
+/// @brief A connection that no call uses.
+struct IdleConnection
+{
+    HttpStreamPointer stream;
+    /// End of its last answer, until which the connection is known to have worked.
+    TimePoint idleSince;
+};
+
 /// @brief Keeps idle connections for reuse; a connection in use belongs to its user alone.
 ///
 /// An idle connection is removed as soon as its peer closes it.
@@ -34,8 +43,8 @@
     ConnectionPool &operator=(const ConnectionPool &) = delete;
 
     /// @brief Takes an idle connection out of the pool.
-    /// @return null when there is none
-    HttpStreamPointer takeIdle(const Endpoint &endpoint);
+    /// @return nothing when there is none
+    std::optional<IdleConnection> takeIdle(const Endpoint &endpoint);
 
     /// @brief Creates a stream that is not connected yet.
     HttpStreamPointer makeStream();
@@ -63,7 +72,7 @@
     DeadlineWatch &watch;
     PoolLimits limits;
     bool isShutDown = false;
-    std::map<Endpoint, std::vector<HttpStreamPointer>> idle;
+    std::map<Endpoint, std::vector<IdleConnection>> idle;
 };
 
 } // namespace bamboochute::upstream
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -59,10 +59,14 @@
 Awaitable<CallResult<void>> UpstreamCall::send(std::string_view head, std::string_view body,
                                                TimePoint deadline, ConnectionUse use)
 {
-    if (use == ConnectionUse::Any)
-        this->stream = this->pool.takeIdle(this->endpoint);
-    this->isReused = this->stream != nullptr;
-    if (!this->isReused) {
+    this->idleTime.reset();
+    if (use == ConnectionUse::Any) {
+        if (std::optional<IdleConnection> taken = this->pool.takeIdle(this->endpoint)) {
+            this->stream = std::move(taken->stream);
+            this->idleTime = SteadyClock().now() - taken->idleSince;
+        }
+    }
+    if (!this->stream) {
         const CallResult<void> opened = co_await this->open(deadline);
         if (!opened)
             co_return opened.error();
@@ -301,7 +305,8 @@
 
 CallError UpstreamCall::makeError(CallFailure failure, std::string message) const
 {
-    return CallError{failure, this->isAnythingWritten(), std::move(message), false};
+    return CallError{failure, this->isAnythingWritten(), std::move(message), false,
+                     this->idleTime};
 }
 
 CallError UpstreamCall::makeStreamError(StreamStatus status) const
@@ -313,7 +318,7 @@
     if (status == StreamStatus::BufferFull)
         return this->makeError(CallFailure::Oversized,
                                "a part of the answer exceeds the read buffer");
-    if (this->isReused && !this->hasAnswerStarted)
+    if (this->idleTime && !this->hasAnswerStarted)
         return this->makeError(CallFailure::IdleConnectionClosed,
                                "the upstream had closed the reused connection");
     return this->makeError(CallFailure::ConnectionLost,
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -41,6 +41,8 @@
     std::string message;
     /// The host refused the connection: no process listens at the address.
     bool isRefused = false;
+    /// Time for which the connection had been idle before the call; nothing for a new connection.
+    std::optional<Duration> idleTime = {};
     auto operator<=>(const CallError &) const = default;
 };
 
@@ -200,7 +202,8 @@
     bool hasUnreadPieces = false;
     /// Whether the parser made no progress with the buffered bytes.
     bool needsMoreInput = false;
-    bool isReused = false;
+    /// Time for which the reused connection had been idle; nothing for a new one.
+    std::optional<Duration> idleTime;
     bool hasAnswerStarted = false;
     bool isCancelled = false;
     bool isUnframedAllowed = false;
