Use a new connection after a kept one proved silent

Callers got 404 for new routes later than the configuration's bound allows, after connections to the store had fallen silent for good: a change came into force 2.3 to 3.2 s after its acknowledgement, 2 s are allowed.

Cause: a call takes an idle connection out of the pool and waits for its timeout, and its repetition takes the next one. The pool keeps four, which fell silent together while the mirror made no calls, as it relied on the owner's progress; three or four timeouts of 0.6 s in a row were over the bound. Nothing limited the age of idle connections (22 to 29 s here).

A call that times out now closes the other idle connections to the same endpoint, so the next one is on a new connection.

--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -26,8 +26,10 @@
         found->second.pop_back();
         HttpStream &stream = *connection.stream;
         stream.setPeerClosedHandler(nullptr);
+        const bool isRecent
+                = SteadyClock().now() - connection.idleSince <= this->limits.maxIdleTime;
         // Bytes received while idle belong to no request; such a connection is not reused.
-        if (stream.isOpen() && !stream.isPeerClosed() && stream.unread().empty())
+        if (isRecent && stream.isOpen() && !stream.isPeerClosed() && stream.unread().empty())
             return connection;
         stream.close();
     }
@@ -89,14 +91,28 @@
     found->second.erase(position);
 }
 
+void ConnectionPool::close(const IdleConnection &connection)
+{
+    connection.stream->setPeerClosedHandler(nullptr);
+    connection.stream->close();
+}
+
+void ConnectionPool::closeIdle(const Endpoint &endpoint)
+{
+    const auto found = this->idle.find(endpoint);
+    if (found == this->idle.end())
+        return;
+    for (const IdleConnection &connection : found->second)
+        close(connection);
+    this->idle.erase(found);
+}
+
 void ConnectionPool::shutdown()
 {
     this->isShutDown = true;
     for (auto &[endpoint, connections] : this->idle) {
-        for (const IdleConnection &connection : connections) {
-            connection.stream->setPeerClosedHandler(nullptr);
-            connection.stream->close();
-        }
+        for (const IdleConnection &connection : connections)
+            close(connection);
     }
     this->idle.clear();
 }
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -21,6 +21,8 @@
     std::size_t maxBufferBytes = 64 << 10;
     /// Own address of the connections, on hosts with several; empty to let the kernel choose.
     std::string sourceAddress = {};
+    /// Longest time for which a connection is kept without a call; it may have fallen silent.
+    Duration maxIdleTime = Duration::max();
 };
 
 /// @brief A connection that no call uses.
@@ -43,7 +45,7 @@
     ConnectionPool &operator=(const ConnectionPool &) = delete;
 
     /// @brief Takes an idle connection out of the pool.
-    /// @return nothing when there is none
+    /// @return nothing when there is none that has been idle for less than the limit
     std::optional<IdleConnection> takeIdle(const Endpoint &endpoint);
 
     /// @brief Creates a stream that is not connected yet.
@@ -60,12 +62,16 @@
     /// It is closed instead of kept when the pool is full or the connection can't be reused.
     void release(const Endpoint &endpoint, HttpStreamPointer stream);
 
+    /// @brief Closes the idle connections to an endpoint.
+    void closeIdle(const Endpoint &endpoint);
+
     /// @brief Closes all idle connections; those that are returned later are closed too.
     void shutdown();
 
     const PoolLimits &poolLimits() const noexcept { return this->limits; }
 
 private:
+    static void close(const IdleConnection &connection);
     void removeClosed(const Endpoint &endpoint, const HttpStream *stream);
 
     asio::io_context &context;
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -17,6 +17,24 @@
 constexpr int statusSwitchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
 
+Awaitable<CallResult<WholeAnswer>> exchangeMessages(UpstreamCall &call, std::string_view head,
+                                                    std::string_view body, TimePoint deadline,
+                                                    std::size_t maxAnswerBytes, ConnectionUse use)
+{
+    const CallResult<void> sent = co_await call.send(head, body, deadline, use);
+    if (!sent)
+        co_return sent.error();
+    const CallResult<void> headRead = co_await call.readHead();
+    if (!headRead)
+        co_return headRead.error();
+    CallResult<std::string> answerBody = co_await call.readWholeBody(maxAnswerBytes);
+    if (!answerBody)
+        co_return answerBody.error();
+    WholeAnswer answer{call.answer().status, call.answer().headers, std::move(answerBody).value()};
+    call.finish();
+    co_return answer;
+}
+
 } // namespace
 
 std::string_view bodyFramingName(BodyFraming framing) noexcept
@@ -305,8 +323,7 @@
 
 CallError UpstreamCall::makeError(CallFailure failure, std::string message) const
 {
-    return CallError{failure, this->isAnythingWritten(), std::move(message), false,
-                     this->idleTime};
+    return CallError{failure, this->isAnythingWritten(), std::move(message), false, this->idleTime};
 }
 
 CallError UpstreamCall::makeStreamError(StreamStatus status) const
@@ -330,19 +347,13 @@
                                                      TimePoint deadline, std::size_t maxAnswerBytes,
                                                      ConnectionUse use)
 {
-    UpstreamCall call(pool, std::move(endpoint));
+    UpstreamCall call(pool, endpoint);
     call.allowUnframedAnswer();
-    const CallResult<void> sent = co_await call.send(head, body, deadline, use);
-    if (!sent)
-        co_return sent.error();
-    const CallResult<void> headRead = co_await call.readHead();
-    if (!headRead)
-        co_return headRead.error();
-    CallResult<std::string> answerBody = co_await call.readWholeBody(maxAnswerBytes);
-    if (!answerBody)
-        co_return answerBody.error();
-    WholeAnswer answer{call.answer().status, call.answer().headers, std::move(answerBody).value()};
-    call.finish();
+    CallResult<WholeAnswer> answer
+            = co_await exchangeMessages(call, head, body, deadline, maxAnswerBytes, use);
+    // The other idle connections may have fallen silent together with this one.
+    if (!answer && answer.error().failure == CallFailure::TimedOut)
+        pool.closeIdle(endpoint);
     co_return answer;
 }
 
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -212,6 +212,8 @@
 /// @brief Sends a request and reads its complete answer; the parameters are those of
 /// UpstreamCall::send().
 /// @param maxAnswerBytes largest size of the answer's body
+/// @note When the answer doesn't come in time, the pool's idle connections to the endpoint are
+/// closed as well, so that the next call uses a new one.
 /// @note An answer without a length or chunks is accepted: callers parse the body, which shows
 /// whether it was cut.
 Awaitable<CallResult<WholeAnswer>> sendAndReadAnswer(ConnectionPool &pool, Endpoint endpoint,
--- /dev/null
+++ b/tests/platform/adapter/unit-silent_connections.cpp
@@ -0,0 +1,199 @@
+#include "platform/base64.hpp"
+#include "silent_server.hpp"
+#include "store_mirror.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <optional>
+
+using namespace bamboochute;
+using namespace bamboochute::adapter;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Revision of the watched position, or zero for a list.
+int watchedRevision(const std::string &target)
+{
+    const std::size_t position = target.find("&after=");
+    return target.starts_with("/kv-watch") ? std::stoi(target.substr(position + 7)) : 0;
+}
+
+/// A store with one key, whose watches wait for its next change.
+struct Store
+{
+    std::string answer(const std::string &target) const
+    {
+        const std::string item = fmt::format(
+                R"({{"key":"op/config","value":"{}","revision":{},"created":1,"lease":0}})",
+                platform::encodeBase64(std::to_string(this->revision)), this->revision);
+        if (target.starts_with("/kv-range"))
+            return fmt::format(R"({{"items":[{}],"more_pages":false,"current_rev":{}}})", item,
+                               this->revision);
+        if (target.starts_with("/kv-key"))
+            return item;
+        if (watchedRevision(target) == this->revision)
+            return {};
+        return fmt::format(R"({{"events":[{}],"current_rev":{}}})", item, this->revision);
+    }
+
+    int revision = 10;
+};
+
+struct SilentStoreFixture
+{
+    explicit SilentStoreFixture(Duration maxIdleTime = Duration::max())
+        : client(this->loop, maxIdleTime)
+    {}
+
+    /// Leaves as many idle connections as the client keeps.
+    void fillPool()
+    {
+        int open = 0;
+        for (int i = 0; i < 4; ++i) {
+            ++open;
+            asio::co_spawn(
+                    this->loop,
+                    [&]() -> upstream::Awaitable<void> {
+                        const auto item = co_await this->store.get("op/config");
+                        CHECK(item.has_value());
+                        --open;
+                    },
+                    asio::detached);
+        }
+        while (open > 0)
+            this->loop.run_one();
+    }
+
+    std::uint64_t timeouts()
+    {
+        return this->metrics.counter("bamboochute_store_timeouts_total", "connection=\"kept\"")
+                .value();
+    }
+
+    asio::io_context loop{1};
+    Store state;
+    SilentServer server{this->loop,
+                        [this](const std::string &target) { return this->state.answer(target); }};
+    Metrics metrics;
+    HttpClient client;
+    StoreClient store{this->client, this->server.endpoint(), this->metrics};
+};
+
+} // namespace
+
+// Guards against calls that take one silent connection after the other out of the pool, each to its
+// timeout.
+TEST_CASE("a call that found its kept connection silent is followed by one on a new connection")
+{
+    SilentStoreFixture fixture;
+    fixture.fillPool();
+    fixture.server.silence();
+    std::vector<bool> answered;
+    asio::co_spawn(
+            fixture.loop,
+            [&]() -> upstream::Awaitable<void> {
+                ClientCall call;
+                call.target = "/kv-key?key=op/config";
+                call.timeout = 100ms;
+                call.use = upstream::ConnectionUse::Any;
+                for (int i = 0; i < 3; ++i) {
+                    const auto answer
+                            = co_await fixture.client.call(fixture.server.endpoint(), call);
+                    answered.push_back(answer.has_value());
+                }
+            },
+            asio::detached);
+    while (answered.size() < 3)
+        fixture.loop.run_one();
+    CHECK(answered == std::vector<bool>{false, true, true});
+    CHECK(fixture.server.connections == 5);
+}
+
+// Guards against a change that comes into force too late because the calls that read it wait on
+// kept connections that have fallen silent for good.
+TEST_CASE("a change is seen within its bound although all connections to the store fall silent")
+{
+    constexpr Duration bound = 2000ms;
+    SilentStoreFixture fixture(storeIdleTime);
+    MirrorSettings settings;
+    settings.watchTime = watchTimeWithin(bound);
+    Duration silentFor{};
+    bool isOwnerFollowed = false;
+    std::uint64_t allowedTimeouts = 1;
+    SUBCASE("while a watch waits on one of them") {}
+    SUBCASE("while a watch of the owner waits on one of them")
+    {
+        settings.watchTime = watchTimeAsOwner;
+    }
+    SUBCASE("while the mirror relies on the owner, just after its last call")
+    {
+        isOwnerFollowed = true;
+    }
+    SUBCASE("while the mirror relies on the owner, later")
+    {
+        isOwnerFollowed = true;
+        silentFor = storeIdleTime + 50ms;
+        allowedTimeouts = 0;
+    }
+    StoreMirror mirror(fixture.loop, fixture.store, "op/", settings);
+    std::string seen;
+    mirror.onPut = [&seen](const StoreItem &item, bool) {
+        seen = item.value;
+        return true;
+    };
+    mirror.onRemoved = [](const std::string &, bool) {};
+    const auto runUntilSeen = [&](const std::string &value, TimePoint end) {
+        while (seen != value && SteadyClock().now() < end)
+            fixture.loop.run_one_for(10ms);
+    };
+    if (isOwnerFollowed)
+        mirror.acceptPeerProgress(StoreEra(), StoreRevision(10), StoreRevision(10),
+                                  SteadyClock().now() + 1h);
+    mirror.start();
+    runUntilSeen("10", SteadyClock().now() + bound);
+    fixture.fillPool();
+    const std::uint64_t timeoutsBefore = fixture.timeouts();
+    fixture.server.silence();
+    fixture.loop.run_for(silentFor);
+    const TimePoint changedAt = SteadyClock().now();
+    fixture.state.revision = 11;
+    if (isOwnerFollowed)
+        mirror.acceptPeerProgress(StoreEra(), StoreRevision(11), StoreRevision(11),
+                                  changedAt + peerProgressLifetime(bound));
+    runUntilSeen("11", changedAt + 2 * bound);
+    const Duration missedFor = SteadyClock().now() - changedAt;
+    mirror.stop();
+    fixture.loop.run_for(20ms);
+    CHECK(seen == "11");
+    CHECK(missedFor < bound);
+    CHECK(fixture.timeouts() - timeoutsBefore <= allowedTimeouts);
+}
+
+// Guards against times whose sum is over the bound when a connection falls silent right after the
+// last answer of the store.
+TEST_CASE("the times of a call on a silent connection add up to less than the bound")
+{
+    // Left for the call that is answered on a new connection.
+    constexpr Duration answerTime = 300ms;
+    for (const Duration bound : {2000ms, 3000ms, 5000ms}) {
+        CAPTURE(bound.count());
+        MirrorSettings configuration;
+        configuration.watchTime = watchTimeWithin(bound);
+        MirrorSettings registrations = configuration;
+        registrations.batchDelay = registrationBatchDelay(bound);
+        CHECK(longestSilence(configuration) + answerTime < bound);
+        CHECK(longestSilence(registrations) + answerTime < bound);
+        for (const Duration batchDelay : {Duration(0), Duration(batchDelayAsOwner)}) {
+            const MirrorSettings owner{.watchTime = watchTimeAsOwner, .batchDelay = batchDelay};
+            CHECK(longestSilence(owner) + answerTime < bound);
+        }
+        // An instance that relies on the owner has made no call for longer than connections are
+        // kept, so its own call is on a new one.
+        CHECK(peerProgressLifetime(bound) > storeIdleTime);
+        CHECK(peerProgressLifetime(bound) + answerTime < bound);
+    }
+}
