--- a/tests/platform/adapter/unit-silent_connections.cpp
+++ b/tests/platform/adapter/unit-silent_connections.cpp
@@ -173,6 +173,24 @@
     CHECK(fixture.timeouts() - timeoutsBefore <= allowedTimeouts);
 }
 
+// Guards against an owner that loses its lease because renewals wait on silent connections.
+TEST_CASE("a renewal of a lease finds no connection that fell silent before it")
+{
+    SilentStoreFixture fixture(storeIdleTime);
+    fixture.fillPool();
+    fixture.server.silence();
+    std::optional<bool> isRenewed;
+    asio::co_spawn(
+            fixture.loop,
+            [&]() -> upstream::Awaitable<void> {
+                isRenewed = (co_await fixture.store.renewLease(StoreLease(1))).has_value();
+            },
+            asio::detached);
+    while (!isRenewed)
+        fixture.loop.run_one();
+    CHECK(*isRenewed);
+}
+
 // Guards against times whose sum is over the bound when a connection falls silent right after the
 // last answer of the store.
 TEST_CASE("the times of a call on a silent connection add up to less than the bound")
