--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -17,6 +17,24 @@
 constexpr int statusSwitchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
 
+Awaitable<CallResult<WholeAnswer>> exchangeMessages(UpstreamCall &call, std::string_view head,
+                                                    std::string_view body, TimePoint deadline,
+                                                    std::size_t maxAnswerBytes, ConnectionUse use)
+{
+    const CallResult<void> sent = co_await call.send(head, body, deadline, use);
+    if (!sent)
+        co_return sent.error();
+    const CallResult<void> headRead = co_await call.readHead();
+    if (!headRead)
+        co_return headRead.error();
+    CallResult<std::string> answerBody = co_await call.readWholeBody(maxAnswerBytes);
+    if (!answerBody)
+        co_return answerBody.error();
+    WholeAnswer answer{call.answer().status, call.answer().headers, std::move(answerBody).value()};
+    call.finish();
+    co_return answer;
+}
+
 } // namespace
 
 std::string_view bodyFramingName(BodyFraming framing) noexcept
@@ -59,10 +77,14 @@
 Awaitable<CallResult<void>> UpstreamCall::send(std::string_view head, std::string_view body,
                                                TimePoint deadline, ConnectionUse use)
 {
-    if (use == ConnectionUse::Any)
-        this->stream = this->pool.takeIdle(this->endpoint);
-    this->isReused = this->stream != nullptr;
-    if (!this->isReused) {
+    this->idleTime.reset();
+    if (use == ConnectionUse::Any) {
+        if (std::optional<IdleConnection> taken = this->pool.takeIdle(this->endpoint)) {
+            this->stream = std::move(taken->stream);
+            this->idleTime = SteadyClock().now() - taken->idleSince;
+        }
+    }
+    if (!this->stream) {
         const CallResult<void> opened = co_await this->open(deadline);
         if (!opened)
             co_return opened.error();
@@ -301,7 +323,7 @@
 
 CallError UpstreamCall::makeError(CallFailure failure, std::string message) const
 {
-    return CallError{failure, this->isAnythingWritten(), std::move(message), false};
+    return CallError{failure, this->isAnythingWritten(), std::move(message), false, this->idleTime};
 }
 
 CallError UpstreamCall::makeStreamError(StreamStatus status) const
@@ -313,7 +335,7 @@
     if (status == StreamStatus::BufferFull)
         return this->makeError(CallFailure::Oversized,
                                "a part of the answer exceeds the read buffer");
-    if (this->isReused && !this->hasAnswerStarted)
+    if (this->idleTime && !this->hasAnswerStarted)
         return this->makeError(CallFailure::IdleConnectionClosed,
                                "the upstream had closed the reused connection");
     return this->makeError(CallFailure::ConnectionLost,
@@ -325,19 +347,13 @@
                                                      TimePoint deadline, std::size_t maxAnswerBytes,
                                                      ConnectionUse use)
 {
-    UpstreamCall call(pool, std::move(endpoint));
+    UpstreamCall call(pool, endpoint);
     call.allowUnframedAnswer();
-    const CallResult<void> sent = co_await call.send(head, body, deadline, use);
-    if (!sent)
-        co_return sent.error();
-    const CallResult<void> headRead = co_await call.readHead();
-    if (!headRead)
-        co_return headRead.error();
-    CallResult<std::string> answerBody = co_await call.readWholeBody(maxAnswerBytes);
-    if (!answerBody)
-        co_return answerBody.error();
-    WholeAnswer answer{call.answer().status, call.answer().headers, std::move(answerBody).value()};
-    call.finish();
+    CallResult<WholeAnswer> answer
+            = co_await exchangeMessages(call, head, body, deadline, maxAnswerBytes, use);
+    // The other idle connections may have fallen silent together with this one.
+    if (!answer && answer.error().failure == CallFailure::TimedOut)
+        pool.closeIdle(endpoint);
     co_return answer;
 }
 
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -41,6 +41,8 @@
     std::string message;
     /// The host refused the connection: no process listens at the address.
     bool isRefused = false;
+    /// Time for which the connection had been idle before the call; nothing for a new connection.
+    std::optional<Duration> idleTime = {};
     auto operator<=>(const CallError &) const = default;
 };
 
@@ -200,7 +202,8 @@
     bool hasUnreadPieces = false;
     /// Whether the parser made no progress with the buffered bytes.
     bool needsMoreInput = false;
-    bool isReused = false;
+    /// Time for which the reused connection had been idle; nothing for a new one.
+    std::optional<Duration> idleTime;
     bool hasAnswerStarted = false;
     bool isCancelled = false;
     bool isUnframedAllowed = false;
@@ -209,6 +212,8 @@
 /// @brief Sends a request and reads its complete answer; the parameters are those of
 /// UpstreamCall::send().
 /// @param maxAnswerBytes largest size of the answer's body
+/// @note When the answer doesn't come in time, the pool's idle connections to the endpoint are
+/// closed as well, so that the next call uses a new one.
 /// @note An answer without a length or chunks is accepted: callers parse the body, which shows
 /// whether it was cut.
 Awaitable<CallResult<WholeAnswer>> sendAndReadAnswer(ConnectionPool &pool, Endpoint endpoint,
