Hand the origins of streams to the placement owner

Cause: origins go to five other instances and nowhere else.

Change: the instance that begins a resumable stream hands its origin to the owner as well, with those of the next 20 ms in one datagram of a new kind, and again until the owner acknowledges that they are stored. Batches now time out in the owner's queue, so that a value that the store never takes doesn't hold up the rest for longer than a minute.

Evidence: unit-peer_messages and unit-origin_journal passed with the new cases.

--- a/src/gateway/origin_journal.cpp
+++ b/src/gateway/origin_journal.cpp
@@ -183,7 +183,7 @@
     return count;
 }
 
-OriginQueue::Reception OriginQueue::receive(const OriginReceipt &receipt, const OriginBatch &batch,
+OriginQueue::Reception OriginQueue::receive(const Endpoint &sender, const OriginBatch &batch,
                                             TimePoint now)
 {
     while (!this->writtenAt.empty() && this->writtenAt.front().first + this->limits.memory < now) {
@@ -192,7 +192,7 @@
     }
     if (this->written.contains(batch.number))
         return Reception::Written;
-    QueuedBatch added{receipt, batch.origins, 0};
+    QueuedBatch added{{sender, batch.number}, batch.origins, now, 0};
     for (const StreamOrigin &origin : batch.origins)
         added.bytes += estimateBytes(origin);
     if (this->queuedBytes + added.bytes > this->limits.maxBytes
@@ -203,8 +203,24 @@
     return Reception::Queued;
 }
 
-std::vector<StreamOrigin> OriginQueue::beginSegment()
+void OriginQueue::dropOld(TimePoint now)
 {
+    const auto isOld = [&](const QueuedBatch &batch) {
+        return batch.receivedAt + this->limits.maxWait < now;
+    };
+    std::erase_if(this->segment, [&](const QueuedBatch &batch) {
+        return isOld(batch) && this->open.erase(batch.receipt.batch) > 0;
+    });
+    while (!this->queued.empty() && isOld(this->queued.front())) {
+        this->open.erase(this->queued.front().receipt.batch);
+        this->queuedBytes -= this->queued.front().bytes;
+        this->queued.pop_front();
+    }
+}
+
+std::vector<StreamOrigin> OriginQueue::beginSegment(TimePoint now)
+{
+    this->dropOld(now);
     const bool isBegun = !this->segment.empty();
     std::size_t bytes = 0;
     while (!isBegun && !this->queued.empty()) {
--- a/src/gateway/origin_journal.hpp
+++ b/src/gateway/origin_journal.hpp
@@ -135,6 +135,8 @@
     /// Time for which the numbers of written batches are remembered, so that a batch whose
     /// acknowledgement was lost isn't written again.
     Duration memory = std::chrono::seconds(10);
+    /// Time after which a batch that could not be written is dropped.
+    Duration maxWait = StreamOriginLimits().lifetime;
     auto operator<=>(const OriginQueueLimits &) const = default;
 };
 
@@ -156,11 +158,13 @@
         : limits(limits)
     {}
 
-    Reception receive(const OriginReceipt &receipt, const OriginBatch &batch, TimePoint now);
+    /// @brief Handles a batch of an instance.
+    /// @param sender address to which the acknowledgement goes
+    Reception receive(const Endpoint &sender, const OriginBatch &batch, TimePoint now);
 
     /// @brief Begins a segment with the batches that came first, unless one is begun.
     /// @return the origins of the segment; empty when there is none
-    std::vector<StreamOrigin> beginSegment();
+    std::vector<StreamOrigin> beginSegment(TimePoint now);
 
     /// @brief Records that the segment is written.
     /// @return the batches to acknowledge
@@ -177,9 +181,12 @@
     {
         OriginReceipt receipt;
         std::vector<StreamOrigin> origins;
+        TimePoint receivedAt{};
         std::size_t bytes = 0;
     };
 
+    void dropOld(TimePoint now);
+
     OriginQueueLimits limits;
     std::deque<QueuedBatch> queued;
     std::vector<QueuedBatch> segment;
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -27,7 +27,7 @@
 
 PeerLink::PeerLink(boost::asio::io_context &loop, gateway::Gateway &gateway,
                    OwnerElection &election, PlacementDriver &driver, InstanceId self,
-                   PeerLinkSettings settings)
+                   Metrics &metrics, std::uint64_t seed, PeerLinkSettings settings)
     : loop(loop)
     , gateway(gateway)
     , election(election)
@@ -35,6 +35,7 @@
     , self(std::move(self))
     , settings(settings)
     , wake(loop)
+    , origins(loop, election, metrics, gateway::OriginBatchNumber(Random(seed)()))
     , random(stableHash(this->self.value()))
 {}
 
@@ -58,7 +59,12 @@
     this->gateway.onStreamBegun = [this](const gateway::StreamOrigin &origin) {
         this->sendToHolders(origin.request, this->settings.originHolders,
                             StreamOriginMessage{origin});
+        this->origins.add(origin);
     };
+    this->origins.send = [this](const Endpoint &to, const PeerMessage &message) {
+        this->socket->send(to, encodePeerMessage(message));
+    };
+    this->origins.start(this->socket->localEndpoint());
     this->gateway.onOriginWanted = [this](const RequestId &request, bool isRepeated) {
         this->sendToHolders(request,
                             isRepeated ? this->settings.maxAskedInstances
@@ -87,6 +93,7 @@
 void PeerLink::stop()
 {
     this->isStopped = true;
+    this->origins.stop();
     this->socket->close();
     this->wake.notifyAll();
 }
@@ -158,6 +165,10 @@
         this->socket->send(from, encodePeerMessage(this->gateway.upstreamLimits.answer(*request)));
     else if (const auto *permit = std::get_if<gateway::PermitAnswer>(&message.value()))
         this->gateway.upstreamLimits.receiveAnswer(*permit);
+    else if (const auto *batch = std::get_if<OriginBatchMessage>(&message.value()))
+        this->receiveOrigins(batch->batch, from);
+    else if (const auto *stored = std::get_if<OriginAcknowledgement>(&message.value()))
+        this->origins.receive(*stored);
     else
         this->applyOwnerMessage(std::get<OwnerMessage>(message.value()));
 }
@@ -169,6 +180,12 @@
         this->socket->send(from, encodePeerMessage(StreamOriginMessage{*origin}));
 }
 
+void PeerLink::receiveOrigins(const gateway::OriginBatch &batch, const Endpoint &from)
+{
+    if (this->origins.onBatch)
+        this->origins.onBatch(from, batch);
+}
+
 void PeerLink::connectQuarantine()
 {
     gateway::QuarantineDriver &quarantine = this->gateway.quarantineDriver();
--- a/src/residency/peer_link.hpp
+++ b/src/residency/peer_link.hpp
@@ -5,6 +5,7 @@
 #include "core/random.hpp"
 #include "gateway/gateway.hpp"
 #include "peer/datagram_socket.hpp"
+#include "residency/origin_reporter.hpp"
 #include "residency/owner_election.hpp"
 #include "residency/peer_directory.hpp"
 #include "residency/peer_messages.hpp"
@@ -42,8 +43,10 @@
 class PeerLink
 {
 public:
+    /// @param seed of random choices; has to differ between processes
     PeerLink(boost::asio::io_context &loop, gateway::Gateway &gateway, OwnerElection &election,
-             PlacementDriver &driver, InstanceId self, PeerLinkSettings settings = {});
+             PlacementDriver &driver, InstanceId self, Metrics &metrics, std::uint64_t seed,
+             PeerLinkSettings settings = {});
 
     /// @brief Binds the socket and begins to report demand.
     /// @return the bound address, or the error of the socket
@@ -59,6 +62,9 @@
     /// @brief Called with each registration change that the owner forwards.
     std::function<void(const ForwardedChange &change)> onForwardedChange;
 
+    /// @brief Hands the origins of this instance's streams to the owner.
+    OriginReporter &originReporter() noexcept { return this->origins; }
+
 private:
     upstream::Awaitable<void> run();
     void reportDemand();
@@ -74,6 +80,7 @@
     void learnLimits(const LimitMessage &message);
     void spreadState();
     void answerOriginQuery(const StreamOriginQuery &query, const Endpoint &from);
+    void receiveOrigins(const gateway::OriginBatch &batch, const Endpoint &from);
 
     boost::asio::io_context &loop;
     gateway::Gateway &gateway;
@@ -84,6 +91,7 @@
     gateway::ChangeSignal wake;
     std::unique_ptr<peer::DatagramSocket> socket;
     PeerDirectory directory;
+    OriginReporter origins;
     /// Upstreams that this instance began to avoid since its last report.
     std::vector<UpstreamId> pendingSuspicions;
     bool isAnyWaiting = false;
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -25,6 +25,8 @@
 constexpr int leavingKind = 10;
 constexpr int helpQueryKind = 11;
 constexpr int helpOfferKind = 12;
+constexpr int originBatchKind = 13;
+constexpr int originAcknowledgementKind = 14;
 /// Elements of an owner's message, a demand, a promise and an origin that instances of earlier
 /// releases neither send nor read.
 constexpr std::size_t instancesIndex = 9;
@@ -243,6 +245,20 @@
                                     isRequest ? value.at(6).get<std::uint32_t>() : 0};
 }
 
+Json toJson(const gateway::StreamOrigin &origin)
+{
+    return Json::array({origin.request.value(), origin.service.value(), origin.version.value(),
+                        origin.correction});
+}
+
+gateway::StreamOrigin decodeOrigin(const Json &value)
+{
+    return gateway::StreamOrigin{RequestId(value.at(0).get<std::string>()),
+                                 gateway::ServiceId(value.at(1).get<std::string>()),
+                                 SoftwareVersion(value.at(2).get<std::string>()),
+                                 value.at(3).get<std::uint32_t>()};
+}
+
 gateway::SubjectKind kindOf(const gateway::ReportedSubject &reported)
 {
     return reported.subject.kind;
@@ -325,6 +341,17 @@
                         origin.version.value(), origin.correction});
 }
 
+Json toJson(const OriginBatchMessage &message)
+{
+    return Json::array(
+            {originBatchKind, message.batch.number.value(), toArray(message.batch.origins)});
+}
+
+Json toJson(const OriginAcknowledgement &message)
+{
+    return Json::array({originAcknowledgementKind, message.batch.value()});
+}
+
 Json toJson(const StreamOriginQuery &message)
 {
     return Json::array({streamOriginQueryKind, message.request.value()});
@@ -457,6 +484,13 @@
         return PeerMessage(forwarding::HelpOffer{value.at(1).get<std::string>(),
                                                  DataCentreId(value.at(2).get<std::string>()),
                                                  value.at(3).get<std::uint32_t>()});
+    case originBatchKind:
+        return PeerMessage(OriginBatchMessage{
+                {gateway::OriginBatchNumber(value.at(1).get<std::uint64_t>()),
+                 decodeArray<gateway::StreamOrigin>(value.at(2), decodeOrigin)}});
+    case originAcknowledgementKind:
+        return PeerMessage(OriginAcknowledgement{
+                gateway::OriginBatchNumber(value.at(1).get<std::uint64_t>())});
     case permitAnswerKind:
         return PeerMessage(
                 gateway::PermitAnswer{value.at(1).get<std::uint64_t>(),
--- a/src/residency/peer_messages.hpp
+++ b/src/residency/peer_messages.hpp
@@ -6,6 +6,7 @@
 #include "forwarding/helper_directory.hpp"
 #include "gateway/demand_tracker.hpp"
 #include "gateway/limit_driver.hpp"
+#include "gateway/origin_journal.hpp"
 #include "gateway/quarantine.hpp"
 #include "gateway/stream_origins.hpp"
 #include "gateway/upstream_table.hpp"
@@ -174,10 +175,26 @@
     auto operator<=>(const HelpQuery &) const = default;
 };
 
+/// @brief Hands origins of streams to the owner, which has them stored; instances of earlier
+/// releases drop it.
+struct OriginBatchMessage
+{
+    gateway::OriginBatch batch;
+    auto operator<=>(const OriginBatchMessage &) const = default;
+};
+
+/// @brief Tells the sender of a batch of origins that it is stored.
+struct OriginAcknowledgement
+{
+    gateway::OriginBatchNumber batch;
+    auto operator<=>(const OriginAcknowledgement &) const = default;
+};
+
 using PeerMessage
         = std::variant<DemandMessage, OwnerMessage, StreamOriginMessage, StreamOriginQuery,
                        CrashReportMessage, QuarantineMessage, LimitMessage, gateway::PermitRequest,
-                       gateway::PermitAnswer, LeavingMessage, HelpQuery, forwarding::HelpOffer>;
+                       gateway::PermitAnswer, LeavingMessage, HelpQuery, forwarding::HelpOffer,
+                       OriginBatchMessage, OriginAcknowledgement>;
 
 /// @brief Encodes a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
--- a/tests/gateway/unit-origin_journal.cpp
+++ b/tests/gateway/unit-origin_journal.cpp
@@ -138,34 +138,43 @@
     const OriginReceipt second{{"10.0.0.2", 7380}, OriginBatchNumber(900)};
     OriginQueue queue;
     CHECK(queue.isEmpty());
-    CHECK(queue.beginSegment().empty());
-    CHECK(queue.receive(first, makeBatch(1, "r1"), now) == OriginQueue::Reception::Queued);
-    CHECK(queue.receive(second, makeBatch(900, "r2"), now) == OriginQueue::Reception::Queued);
-    CHECK(queue.receive(first, makeBatch(1, "r1"), now) == OriginQueue::Reception::Dropped);
-    const std::vector<StreamOrigin> segment = queue.beginSegment();
+    CHECK(queue.beginSegment(now).empty());
+    CHECK(queue.receive(first.sender, makeBatch(1, "r1"), now) == OriginQueue::Reception::Queued);
+    CHECK(queue.receive(second.sender, makeBatch(900, "r2"), now)
+          == OriginQueue::Reception::Queued);
+    CHECK(queue.receive(first.sender, makeBatch(1, "r1"), now) == OriginQueue::Reception::Dropped);
+    const std::vector<StreamOrigin> segment = queue.beginSegment(now);
     CHECK(segment == std::vector{makeOrigin("r1"), makeOrigin("r2")});
 
     SUBCASE("a write that failed is repeated as it was")
     {
-        queue.receive(first, makeBatch(2, "r3"), now);
-        CHECK(queue.beginSegment() == segment);
+        queue.receive(first.sender, makeBatch(2, "r3"), now);
+        CHECK(queue.beginSegment(now) == segment);
         CHECK(queue.completeSegment(now) == std::vector{first, second});
-        CHECK(queue.beginSegment() == std::vector{makeOrigin("r3")});
+        CHECK(queue.beginSegment(now) == std::vector{makeOrigin("r3")});
+    }
+    SUBCASE("but not for as long as nobody takes the streams up any more")
+    {
+        queue.receive(first.sender, makeBatch(2, "r3"), now + 30s);
+        CHECK(queue.beginSegment(now + 61s) == std::vector{makeOrigin("r3")});
+        CHECK(queue.beginSegment(now + 91s).empty());
+        CHECK(queue.isEmpty());
     }
     SUBCASE("a batch that comes again after its write is only acknowledged")
     {
         queue.completeSegment(now);
         CHECK(queue.isEmpty());
-        CHECK(queue.receive(first, makeBatch(1, "r1"), now + 10s)
+        CHECK(queue.receive(first.sender, makeBatch(1, "r1"), now + 10s)
               == OriginQueue::Reception::Written);
-        CHECK(queue.receive(first, makeBatch(1, "r1"), now + 11s)
+        CHECK(queue.receive(first.sender, makeBatch(1, "r1"), now + 11s)
               == OriginQueue::Reception::Queued);
     }
     SUBCASE("an instance that is not the owner any more forgets what it has not written")
     {
         queue.clear();
         CHECK(queue.isEmpty());
-        CHECK(queue.receive(first, makeBatch(1, "r1"), now) == OriginQueue::Reception::Queued);
+        CHECK(queue.receive(first.sender, makeBatch(1, "r1"), now)
+              == OriginQueue::Reception::Queued);
     }
 }
 
@@ -179,13 +188,13 @@
     limits.maxSegmentBytes = 2 * bytes;
     OriginQueue queue(limits);
     for (std::uint64_t number = 1; number <= 7; ++number) {
-        const auto reception = queue.receive({{"10.0.0.1", 7380}, OriginBatchNumber(number)},
+        const auto reception = queue.receive({"10.0.0.1", 7380},
                                              {OriginBatchNumber(number), batch.origins}, now);
         CHECK((reception == OriginQueue::Reception::Queued) == (number <= 5));
     }
     std::vector<std::size_t> segments;
     while (!queue.isEmpty()) {
-        segments.push_back(queue.beginSegment().size());
+        segments.push_back(queue.beginSegment(now).size());
         queue.completeSegment(now);
     }
     CHECK(segments == std::vector<std::size_t>{2, 2, 1});
--- a/tests/residency/unit-peer_messages.cpp
+++ b/tests/residency/unit-peer_messages.cpp
@@ -150,6 +150,28 @@
     CHECK(std::get<forwarding::HelpOffer>(decodedOffer.value()) == offer);
 }
 
+TEST_CASE("batches of origins and their acknowledgements are restored from their encoding")
+{
+    const gateway::StreamOrigin origin{RequestId("r1"), target.service, SoftwareVersion("v1"), 0};
+    const OriginBatchMessage message{
+            {gateway::OriginBatchNumber(0xfffffffffffffff0),
+             {origin, {RequestId("r2"), target.service, SoftwareVersion("v2"), 3}}}};
+    CHECK(decodePeerMessage(encodePeerMessage(message)).value() == PeerMessage(message));
+    const OriginAcknowledgement acknowledgement{message.batch.number};
+    CHECK(decodePeerMessage(encodePeerMessage(acknowledgement)).value()
+          == PeerMessage(acknowledgement));
+
+    SUBCASE("a full batch fits into a datagram")
+    {
+        const gateway::OriginOutboxLimits limits;
+        gateway::OriginBatch batch{gateway::OriginBatchNumber(7), {}};
+        for (std::size_t bytes = 0; bytes + estimateBytes(origin) <= limits.maxBatchBytes;
+             bytes += estimateBytes(origin))
+            batch.origins.push_back(origin);
+        CHECK(encodePeerMessage(OriginBatchMessage{batch}).size() <= limits.maxBatchBytes + 64);
+    }
+}
+
 TEST_CASE("the owner's messages are exchanged with instances that know no era of the store")
 {
     using Json = nlohmann::json;
