--- a/src/gateway/exchange_limits.hpp
+++ b/src/gateway/exchange_limits.hpp
@@ -23,6 +23,9 @@
 constexpr Duration originQueryInterval = std::chrono::milliseconds(50);
 /// Time after which the origin of a stream counts as unknown.
 constexpr Duration originQueryTimeout = std::chrono::milliseconds(200);
+/// How long such a request waits beyond that for an instance that has just started to read the
+/// origins in the store.
+constexpr Duration storedOriginsTimeout = std::chrono::milliseconds(1000);
 
 /// Why a request ends while the process stops.
 constexpr std::string_view stoppingReason = "this instance is shutting down";
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -143,6 +143,9 @@
     QueueForecast forecast;
     DemandTracker demand;
     StreamOrigins origins;
+    /// Whether the origins of streams that former processes stored have been read; a request that
+    /// takes a stream up waits for it.
+    bool areStoredOriginsRead = true;
     LimitDriver upstreamLimits;
     UpstreamPauses pauses;
     BrittleUpstreams brittle;
--- a/src/gateway/request_stream_origin.cpp
+++ b/src/gateway/request_stream_origin.cpp
@@ -29,6 +29,10 @@
         while (!isKnown() && !this->isCallerGone && this->now() < askAgainAt)
             co_await this->gateway.change.wait(askAgainAt);
     }
+    const TimePoint readBy = std::min(this->deadline, giveUpAt + storedOriginsTimeout);
+    while (!isKnown() && !this->isCallerGone && !this->gateway.areStoredOriginsRead
+           && this->now() < readBy)
+        co_await this->gateway.change.wait(readBy);
     --this->gateway.originWaits;
     this->log(LogLevel::Info, "asked for the origin of a stream", isKnown() ? "known" : "unknown",
               {"waited_ms", formatMilliseconds(this->now() - begin)});
