--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -21,6 +21,7 @@
 #include "gateway/stream_origins.hpp"
 #include "gateway/upstream_pauses.hpp"
 #include "gateway/upstream_selector.hpp"
+#include "gateway/version_history.hpp"
 #include "upstream/connection_pool.hpp"
 
 #include <cstdint>
@@ -102,6 +103,9 @@
     /// @brief Remembers the origin of a stream that another instance began.
     void learnOrigin(const StreamOrigin &origin);
 
+    /// @brief Notes the software versions of all registered upstreams in the version history.
+    void observeVersions();
+
     /// @brief Takes over what an answer says about its upstream beside the request.
     /// @param process that answered
     void recordAnswer(const UpstreamProcess &process, const AnswerAttributes &answer);
@@ -146,6 +150,7 @@
     /// Whether the origins of streams that former processes stored have been read; a request that
     /// takes a stream up waits for it.
     bool areStoredOriginsRead = true;
+    VersionHistory versions;
     LimitDriver upstreamLimits;
     UpstreamPauses pauses;
     BrittleUpstreams brittle;
