Test that a take-up waits for the stored origins of an instance's start

Change: two cases in unit-relay. A request comes to an instance that has not read the stored origins yet: it waits longer than other instances are asked, goes on at the version that they name, or is refused once they are read and its own is not among them.

--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -460,6 +460,38 @@
             CHECK(first.requests().empty());
             CHECK(second.requests().size() == 1);
         }
+        SUBCASE("it waits until an instance that has just started has read the stored origins")
+        {
+            ScriptedUpstream second({{rest}});
+            RelayFixture fixture({&first, &second}, {"v1", "v2"});
+            fixture.runOnLoop(
+                    [](gateway::Gateway &gateway) { gateway.areStoredOriginsRead = false; });
+            std::future<std::string> answer = std::async(std::launch::async, [&] {
+                return fixture.call(resumeRequest("/stream/", "1"));
+            });
+            SUBCASE("and goes on at the version that they name")
+            {
+                // Longer than other instances are asked.
+                CHECK(answer.wait_for(400ms) == std::future_status::timeout);
+                fixture.runOnLoop([](gateway::Gateway &gateway) {
+                    gateway.learnOrigin({RequestId("r1"), gateway::ServiceId("rooms"),
+                                         SoftwareVersion("v2")});
+                });
+                CHECK(answer.get().starts_with("HTTP/1.1 200 "));
+                CHECK(second.requests().size() == 1);
+            }
+            SUBCASE("and is refused if they don't have its own")
+            {
+                CHECK(answer.wait_for(400ms) == std::future_status::timeout);
+                fixture.runOnLoop([](gateway::Gateway &gateway) {
+                    gateway.areStoredOriginsRead = true;
+                    gateway.notifyChange();
+                });
+                CHECK(answer.get().starts_with("HTTP/1.1 503 "));
+                CHECK(second.requests().empty());
+            }
+            CHECK(first.requests().empty());
+        }
         SUBCASE("other instances are not asked for an id that is too long to be remembered")
         {
             ScriptedUpstream second({{rest}});
