--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -474,8 +474,8 @@
                 // Longer than other instances are asked.
                 CHECK(answer.wait_for(400ms) == std::future_status::timeout);
                 fixture.runOnLoop([](gateway::Gateway &gateway) {
-                    gateway.learnOrigin({RequestId("r1"), gateway::ServiceId("rooms"),
-                                         SoftwareVersion("v2")});
+                    gateway.learnOrigin(
+                            {RequestId("r1"), gateway::ServiceId("rooms"), SoftwareVersion("v2")});
                 });
                 CHECK(answer.get().starts_with("HTTP/1.1 200 "));
                 CHECK(second.requests().size() == 1);
