Don't look for an owner without pause while origins wait for one

While there is no placement owner and a stream's origin is due, the reporter's loop ran without a pause and would have slowed down everything else in the process, for the seconds that a change of owner takes, in every release.

Cause: the loop waited until the next batch is due, but batches are only sent while there is an owner.

Change: without an owner it waits for its check interval.

Evidence: the new test "origins wait for an owner without using the processor" failed before: 8,402 handlers in 200 ms, 50 allowed. It passed three times with the change, and so did the one with two owners.

--- a/src/residency/origin_reporter.cpp
+++ b/src/residency/origin_reporter.cpp
@@ -78,8 +78,9 @@
         this->detectOwnerChange();
         this->sendDue();
         const TimePoint checkAt = now() + checkInterval;
+        const bool canSend = this->election.owner() && this->isStored;
         const TimePoint due
-                = this->isStored ? this->outbox.nextDue(this->isStored).value_or(checkAt) : checkAt;
+                = canSend ? this->outbox.nextDue(this->isStored).value_or(checkAt) : checkAt;
         co_await this->wake.wait(std::min(due, checkAt));
     }
 }
