Test that the report after one on a silent connection uses a new one

The owner asks engines for reports on kept connections. When these fell silent together, each one cost a report its 600 ms, and the engine counted as not answering for as long.

--- a/tests/platform/adapter/unit-silent_connections.cpp
+++ b/tests/platform/adapter/unit-silent_connections.cpp
@@ -1,3 +1,4 @@
+#include "engine_calls.hpp"
 #include "platform/base64.hpp"
 #include "silent_server.hpp"
 #include "store_mirror.hpp"
@@ -27,7 +28,7 @@
 {
     std::string answer(const std::string &target) const
     {
-        const std::string item = fmt::format(
+        std::string item = fmt::format(
                 R"({{"key":"op/config","value":"{}","revision":{},"created":1,"lease":0}})",
                 platform::encodeBase64(std::to_string(this->revision)), this->revision);
         if (target.starts_with("/kv-range"))
@@ -215,3 +216,39 @@
         CHECK(peerProgressLifetime(bound) + answerTime < bound);
     }
 }
+
+// Guards against an engine that counts as not answering for as long as silent connections to it are
+// left.
+TEST_CASE("the report after one on a silent connection uses a new one")
+{
+    asio::io_context loop(1);
+    SilentServer engine(loop, [](const std::string &) { return std::string("{}"); });
+    HttpClient client(loop);
+    int answers = 0;
+    const residency::EnginePort port
+            = makeEnginePort(client, [&answers](const gateway::RegisteredUpstream &,
+                                                const upstream::WholeAnswer &) { ++answers; });
+    gateway::RegisteredUpstream upstream;
+    upstream.id = UpstreamId("engine");
+    upstream.endpoint = engine.endpoint();
+    const auto report = [&](int count) {
+        int open = count;
+        for (int i = 0; i < count; ++i)
+            asio::co_spawn(
+                    loop,
+                    [&]() -> upstream::Awaitable<void> {
+                        co_await port.report(upstream);
+                        --open;
+                    },
+                    asio::detached);
+        while (open > 0)
+            loop.run_one();
+    };
+    report(3);
+    CHECK(answers == 3);
+    engine.silence();
+    report(1);
+    CHECK(answers == 3);
+    report(1);
+    CHECK(answers == 4);
+}
