Close idle connections of the key-value client after a timeout

The client of the control thread had the same fault as that of the platform's store: after a call that timed out on a silent connection, the next one took the next silent one, up to four. It closes its idle connections after a timeout now.

Evidence: "a call of the control thread that timed out is followed by one on a new connection" failed before (0 instead of 1 answer), and passes now.

--- a/src/platform/http_call.cpp
+++ b/src/platform/http_call.cpp
@@ -121,13 +121,13 @@
         co_await http::async_write(connection->stream, message,
                                    asio::redirect_error(asio::use_awaitable, error));
         if (error)
-            co_return outcomeUnknown(call.request, error);
+            co_return this->fail(call.request, error);
         http::response_parser<http::string_body> parser;
         parser.body_limit(this->limits.maxAnswerBytes);
         co_await http::async_read(connection->stream, connection->buffer, parser,
                                   asio::redirect_error(asio::use_awaitable, error));
         if (error)
-            co_return outcomeUnknown(call.request, error);
+            co_return this->fail(call.request, error);
         HttpAnswer answer{static_cast<int>(parser.get().result_int()),
                           std::move(parser.get().body())};
         if (parser.get().keep_alive())
@@ -135,6 +135,14 @@
         co_return answer;
     }
 
+    /// Closes the idle connections after a timeout, as they may have fallen silent as well.
+    Error fail(const HttpRequest &request, const error_code &error)
+    {
+        if (error == beast::error::timeout)
+            this->idle.clear();
+        return outcomeUnknown(request, error);
+    }
+
     /// Returns an idle connection that the peer has not closed, or a new one; null when no endpoint
     /// is reachable.
     asio::awaitable<std::unique_ptr<Connection>> connect(const WaitingCall &call)
--- a/tests/platform/adapter/unit-silent_connections.cpp
+++ b/tests/platform/adapter/unit-silent_connections.cpp
@@ -1,5 +1,6 @@
 #include "engine_calls.hpp"
 #include "platform/base64.hpp"
+#include "platform/http_call.hpp"
 #include "silent_server.hpp"
 #include "store_mirror.hpp"
 
@@ -237,7 +238,8 @@
             asio::co_spawn(
                     loop,
                     [&]() -> upstream::Awaitable<void> {
-                        co_await port.report(upstream);
+                        const auto result = co_await port.report(upstream);
+                        CHECK_FALSE(result);
                         --open;
                     },
                     asio::detached);
@@ -252,3 +254,29 @@
     report(1);
     CHECK(answers == 4);
 }
+
+// Guards against calls to the key-value service that take one silent connection after the other.
+TEST_CASE("a call of the control thread that timed out is followed by one on a new connection")
+{
+    asio::io_context loop(1);
+    SilentServer server(loop, [](const std::string &) { return std::string("{}"); });
+    platform::HttpClientLimits limits;
+    limits.timeout = 100ms;
+    platform::AsyncHttpClient client(loop, {server.endpoint()}, limits);
+    const auto answersTo = [&](int count) {
+        int answers = 0;
+        int open = count;
+        for (int i = 0; i < count; ++i)
+            client.call({"GET", "/", {}, {}}, [&](const Result<platform::HttpAnswer> &answer) {
+                answers += answer ? 1 : 0;
+                --open;
+            });
+        while (open > 0)
+            loop.run_one();
+        return answers;
+    };
+    CHECK(answersTo(3) == 3);
+    server.silence();
+    CHECK(answersTo(1) == 0);
+    CHECK(answersTo(1) == 1);
+}
