--- a/tests/platform/adapter/unit-silent_connections.cpp
+++ b/tests/platform/adapter/unit-silent_connections.cpp
@@ -1,4 +1,6 @@
+#include "engine_calls.hpp"
 #include "platform/base64.hpp"
+#include "platform/http_call.hpp"
 #include "silent_server.hpp"
 #include "store_mirror.hpp"
 
@@ -27,7 +29,7 @@
 {
     std::string answer(const std::string &target) const
     {
-        const std::string item = fmt::format(
+        std::string item = fmt::format(
                 R"({{"key":"op/config","value":"{}","revision":{},"created":1,"lease":0}})",
                 platform::encodeBase64(std::to_string(this->revision)), this->revision);
         if (target.starts_with("/kv-range"))
@@ -215,3 +217,66 @@
         CHECK(peerProgressLifetime(bound) + answerTime < bound);
     }
 }
+
+// Guards against an engine that counts as not answering for as long as silent connections to it are
+// left.
+TEST_CASE("the report after one on a silent connection uses a new one")
+{
+    asio::io_context loop(1);
+    SilentServer engine(loop, [](const std::string &) { return std::string("{}"); });
+    HttpClient client(loop);
+    int answers = 0;
+    const residency::EnginePort port
+            = makeEnginePort(client, [&answers](const gateway::RegisteredUpstream &,
+                                                const upstream::WholeAnswer &) { ++answers; });
+    gateway::RegisteredUpstream upstream;
+    upstream.id = UpstreamId("engine");
+    upstream.endpoint = engine.endpoint();
+    const auto report = [&](int count) {
+        int open = count;
+        for (int i = 0; i < count; ++i)
+            asio::co_spawn(
+                    loop,
+                    [&]() -> upstream::Awaitable<void> {
+                        const auto result = co_await port.report(upstream);
+                        CHECK_FALSE(result);
+                        --open;
+                    },
+                    asio::detached);
+        while (open > 0)
+            loop.run_one();
+    };
+    report(3);
+    CHECK(answers == 3);
+    engine.silence();
+    report(1);
+    CHECK(answers == 3);
+    report(1);
+    CHECK(answers == 4);
+}
+
+// Guards against calls to the key-value service that take one silent connection after the other.
+TEST_CASE("a call of the control thread that timed out is followed by one on a new connection")
+{
+    asio::io_context loop(1);
+    SilentServer server(loop, [](const std::string &) { return std::string("{}"); });
+    platform::HttpClientLimits limits;
+    limits.timeout = 100ms;
+    platform::AsyncHttpClient client(loop, {server.endpoint()}, limits);
+    const auto answersTo = [&](int count) {
+        int answers = 0;
+        int open = count;
+        for (int i = 0; i < count; ++i)
+            client.call({"GET", "/", {}, {}}, [&](const Result<platform::HttpAnswer> &answer) {
+                answers += answer ? 1 : 0;
+                --open;
+            });
+        while (open > 0)
+            loop.run_one();
+        return answers;
+    };
+    CHECK(answersTo(3) == 3);
+    server.silence();
+    CHECK(answersTo(1) == 0);
+    CHECK(answersTo(1) == 1);
+}
