Keep numbers that upstreams report from overflowing in forecasts

A report with waiting made the queue's length plus one zero: the forecast of a service was then a division by zero, infinite from then on, and the cast of it to a duration undefined. A running number near that made an upstream look idle, as the sum with the own requests wrapped.

Change: the sums are computed as floating-point numbers, and durations computed from numbers of others or of the settings go through toBoundedDuration.

Evidence: "the longest queue that can be reported gives a forecast" passes; the test was not run on the earlier code.

--- a/src/gateway/limit_driver.cpp
+++ b/src/gateway/limit_driver.cpp
@@ -1,5 +1,6 @@
 #include "gateway/limit_driver.hpp"
 
+#include "core/bounded_duration.hpp"
 #include "core/log.hpp"
 #include "gateway/log_fields.hpp"
 
@@ -199,8 +200,7 @@
     // The other instances refuse callers as well, and each gets its part of the permits.
     const double ahead = static_cast<double>(this->refusedCallers[process]++)
                          * this->instances.value(now()).value_or(1);
-    const auto wait
-            = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / limit));
+    const Duration wait = toBoundedDuration(std::chrono::duration<double>(ahead / limit));
     return std::min(this->settings.maxPause, nextIn + wait);
 }
 
--- a/src/gateway/queue_forecast.cpp
+++ b/src/gateway/queue_forecast.cpp
@@ -1,5 +1,7 @@
 #include "gateway/queue_forecast.hpp"
 
+#include "core/bounded_duration.hpp"
+
 namespace bamboochute::gateway {
 
 void QueueForecast::recordFirstEvent(const ServiceId &service, std::uint32_t waiting,
@@ -7,7 +9,7 @@
 {
     if (waiting < this->limits.minWaiting)
         return;
-    const double seconds = toSeconds(firstEventDelay) / (waiting + 1);
+    const double seconds = toSeconds(firstEventDelay) / (waiting + 1.0);
     const auto [position, isNew] = this->secondsPerRequest.try_emplace(service, seconds);
     if (!isNew)
         position->second += this->limits.smoothingFactor * (seconds - position->second);
@@ -20,8 +22,7 @@
     const double seconds = found == this->secondsPerRequest.end()
                                    ? toSeconds(this->limits.initialTimePerRequest)
                                    : found->second;
-    return std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(seconds * (waiting + 1)));
+    return toBoundedDuration(std::chrono::duration<double>(seconds * (waiting + 1.0)));
 }
 
 std::optional<Duration> QueueForecast::predictLateness(const ServiceId &service,
--- a/src/gateway/silence_watch.cpp
+++ b/src/gateway/silence_watch.cpp
@@ -1,5 +1,7 @@
 #include "gateway/silence_watch.hpp"
 
+#include "core/bounded_duration.hpp"
+
 #include <algorithm>
 
 namespace bamboochute::gateway {
@@ -8,7 +10,7 @@
 
 Duration multiply(Duration duration, double factor)
 {
-    return std::chrono::duration_cast<Duration>(duration * factor);
+    return toBoundedDuration(duration * factor);
 }
 
 } // namespace
--- a/src/gateway/upstream_limits.cpp
+++ b/src/gateway/upstream_limits.cpp
@@ -1,5 +1,7 @@
 #include "gateway/upstream_limits.hpp"
 
+#include "core/bounded_duration.hpp"
+
 #include <algorithm>
 
 namespace bamboochute::gateway {
@@ -8,7 +10,7 @@
 
 Duration fromSeconds(double seconds)
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return toBoundedDuration(std::chrono::duration<double>(seconds));
 }
 
 /// Makes room for the bucket of a process; one that is dropped begins empty if it is needed again.
--- a/src/gateway/upstream_selector.cpp
+++ b/src/gateway/upstream_selector.cpp
@@ -115,7 +115,7 @@
     std::uint64_t bestScore = 0;
     for (const UpstreamTable::Entry *entry : usable) {
         const UpstreamId &id = entry->registered.id;
-        const double use = (this->inFlight(id) + entry->load.running)
+        const double use = (1.0 * this->inFlight(id) + entry->load.running)
                            / (2.0 * std::max(entry->registered.slots, 1U));
         const bool isBusy = entry->load.waiting > 0 || use > this->limits.affinityMaxSlotUse
                             || entry->load.kvCacheUse > this->limits.affinityMaxKvCacheUse
--- a/tests/gateway/unit-queue_forecast.cpp
+++ b/tests/gateway/unit-queue_forecast.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <limits>
 #include <map>
 
 using namespace bamboochute;
@@ -115,3 +116,14 @@
         CHECK(forecast.predictFirstEventDelay(service, 9) == 2s);
     }
 }
+
+// Guards against a queue that a faulty upstream reports, whose length plus one is zero in its type.
+TEST_CASE("the longest queue that can be reported gives a forecast")
+{
+    QueueForecast forecast;
+    constexpr std::uint32_t waiting = std::numeric_limits<std::uint32_t>::max();
+    CHECK(forecast.predictFirstEventDelay(service, waiting) > 24h);
+    forecast.recordFirstEvent(service, waiting, 10s);
+    CHECK(forecast.predictFirstEventDelay(service, waiting) >= 9s);
+    CHECK(forecast.predictFirstEventDelay(service, 0) < 1s);
+}
