Play silent connections, kills of all, odd entries and repeated refusals in the soak

The soak had no connection that falls silent without a reset, no kill of all instances beside a release, no odd registration, no upstream that accepts and never answers, and no refusal that is written again, so that reports of joined streams and of processes that end by themselves had no check here.

New faults, seeded, in series and overlapping with all others: - silent_conns: open connections to the store, to upstreams and from callers, or a share of these, deliver nothing any more; a socket filter drops what comes, so that nothing is acknowledged and keep-alive probes are not answered. Behind it a route is added, an upstream leaves or an instance is stopped. - herd_kill: all instances are killed at once and start again 0.3 s later, alone or beside a release whose engines have begun, serve beside the former ones, or have replaced them; callers take 36 open streams up. - odd_entries: registrations that are nested, not finite, out of range, no text or long, beside changes. - accepted_silent: at some instances connections to all upstreams are open and nothing comes back. - refusal_again: a worker writes a refusal once more before later answers on the same connection, or unasked.

New checks: a stream that is taken up after a kill of all has the events of one version; nine of ten of these go on where upstreams of their version serve (of a service with several versions those begun more than 0.5 s before); a process ends only when it was told to; odd registrations are not used, and a new upstream behind them is used and left by each instance; shares served where upstreams answer nothing.

The settings file of an instance says bootstrap=true at the first start only, as the platform does.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -25,6 +25,11 @@
 - a whole request ends with a whole answer or a refusal, unless the instance was just disturbed or at the end
   of its grace, the upstream broke the answer, or the time for the request was over;
 - an answer that its upstream gave in full and in time, if after a silence, is not replaced by 502 or 504;
+- after a kill of all instances, nearly all streams that their callers take up go on, where upstreams of their
+  version still serve; of a service that had several versions, those that began in the last moments need not;
+- a process ends only when it was told to;
+- odd registrations are not used, and changes behind them are followed: a new upstream gets requests from each
+  instance;
 - a request without a prompt that ends its upstream hardly reaches any once three ends are some seconds old,
   but from instances that were just disturbed; requests beside it, of the same path, caller or body, are not
   refused because of it.
@@ -97,19 +102,38 @@
 # Time over which the requests to an upstream that names a limit are counted, and the excess allowed.
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
+# Pause between two rounds of silent connections, and the longest one from it to what is changed then.
+SILENT_CONNECTIONS_PAUSE_S, SILENT_CHANGE_S = 6.0, 5.0
+# Streams that are open at a kill of all instances, and the pause between their events.
+HERD_STREAMS, HERD_EVENT_PAUSE_MS = 36, 150
+# Time that a kill of all instances lasts, the pause between two of them, and for how long callers try to take
+# their streams up, how often, and how long they wait after a refusal.
+HERD_DOWN_S, HERD_PAUSE_S = 0.3, 9.0
+TAKE_UP_S, MAX_REFUSED_TAKE_UPS, TAKE_UP_PAUSE_S = 6.0, 4, 0.3
+# Share of the streams that have to go on after such kills, how many are needed to tell, and how long before the
+# kill a stream of a service with several versions has to have begun.
+TAKEN_UP_SHARE, MIN_TAKE_UPS, LAST_MOMENTS_S = 0.9, 10, 0.5
+# Time after which an instance uses an upstream that registered behind odd entries, and requests of its service
+# within that time that are enough to tell.
+FOLLOW_S, MIN_FOLLOWING_SENDS = 5.0, 40
+# Depth of the odd registrations that are nested, and their lengths in bytes.
+ODD_DEPTH, ODD_BYTES = 100_000, 1_000_000
+# How many of those that are so large are left at a time.
+MAX_HEAVY_ENTRIES = 2
 # Sends of the request that ends its upstream, long after the third end; the share of the sound requests beside
 # it that are served then, at instances that were not just disturbed, and how many are needed to tell.
 MAX_FATAL_SENDS, SOUND_SHARE, MIN_SOUND = 3, 0.9, 20
 QUARANTINE_CODES = {"request_quarantined", "prompt_quarantined"}
 # Faults of the instances or the store, beside which fewer of the sound requests may be served.
 OUTAGES = {"pause", "kill", "terminate", "store_busy", "store_silent", "store_reset", "store_loses",
-           "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact", "drill", "upstreams_cut"}
+           "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact", "drill", "upstreams_cut",
+           "accepted_silent", "silent_conns", "herd_kill", "odd_entries"}
 # Kinds of faults. A run injects several of them at random; they may overlap in time.
 FAULTS = ("pause", "kill", "terminate", "store_busy", "store_silent", "store_reset", "store_loses",
           "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact", "worker_crash",
           "worker_leaves", "worker_says_leaving", "worker_pauses",
           "engine_released", "answers_lost", "workers_refuse", "hangup", "configure", "silence", "drill",
-          "upstreams_cut")
+          "upstreams_cut", "accepted_silent", "silent_conns", "herd_kill", "odd_entries", "refusal_again")
 # Faults that last for the whole run: streams that break, requests that crash an engine or end a service,
 # limits of upstreams, callers that close their side, and in every other run a configuration each second.
 LASTING_FAULTS = ("brittle", "breaks", "crashing", "fatal", "limits", "half_close", "configure_steadily")
@@ -129,7 +153,7 @@
         self.path = directory / f"instance-{number}.conf"
         self.log = open(directory / f"instance-{number}.log", "ab")
         self.port, self.ready_port, self.internal_port = [stand_ins.free_port() for _ in range(3)]
-        self.write_settings(budget_slack)
+        self.budget_slack = budget_slack
         self.child, self.generation, self.newest = None, 0, 0
         # Times at which the process was signalled or started, and those of its starts.
         self.disturbed, self.started = [], []
@@ -137,9 +161,12 @@
         self.cuts = []
         # Times at which a process was stopped, continued or killed, and of SIGTERM by generation.
         self.harmed, self.terminated, self.is_stopped = [], {}, False
+        # Processes that were told to end, by generation.
+        self.told_to_end = set()
         self.start()
 
-    def write_settings(self, budget_slack):
+    def write_settings(self, budget_slack, is_first=False):
+        self.budget_slack = budget_slack
         # Upstreams tell instances by the address of their connections.
         self.address = f"127.0.1.{self.number + 1}"
         self.path.write_text(
@@ -150,10 +177,12 @@
             f"upstream.source_address={self.address}\n"
             f"bounds.grace_s={GRACE_S:.0f}\nbounds.lease_ms=3000\nbounds.retry_budget_ratio=0.2\n"
             f"bounds.budget_slack={budget_slack}\nbounds.budget_window_s=10\n"
-            "bounds.fencing_enforced=true\n")
+            f"bounds.fencing_enforced=true\nbootstrap={str(is_first).lower()}\n")
 
     def start(self):
         self.generation += 1
+        # Only the first start of the whole system is a bootstrap.
+        self.write_settings(self.budget_slack, self.generation == 1)
         self.newest = 0
         self.started.append(time.monotonic())
         self.disturbed.append(self.started[-1])
@@ -162,6 +191,8 @@
 
     def send(self, signal_number):
         self.disturbed.append(time.monotonic())
+        if signal_number in (signal.SIGKILL, signal.SIGTERM):
+            self.told_to_end.add(self.generation)
         if signal_number == signal.SIGSTOP:
             self.is_stopped = True
         ends_pause = signal_number == signal.SIGCONT and self.is_stopped
@@ -183,6 +214,14 @@
         generation = sum(started <= moment for started in self.started)
         return self.terminated.get(generation, moment + 1) <= moment
 
+    def own_end(self):
+        """Returns the return code of a process that has ended without being told, or by a fault; else None."""
+        code = self.child.poll()
+        if code is None or (self.generation in self.told_to_end
+                            and code in (0, -signal.SIGTERM, -signal.SIGKILL)):
+            return None
+        return code
+
     async def ended(self):
         """Waits until the process has ended."""
         while self.child.poll() is None:
@@ -202,7 +241,7 @@
 
     def __init__(self, begun_by, kind, model, prompt):
         self.begun_by, self.kind, self.model, self.prompt = begun_by, kind, model, prompt
-        self.text, self.requests = b"", 1
+        self.text, self.requests, self.pause_ms = b"", 1, None
 
     def events(self):
         """Returns the events that are whole."""
@@ -238,7 +277,7 @@
         self.status, self.failure, self.code = None, None, ""
         self.body_bytes = 0
         # Time since the former answer on the connection, or since it was opened.
-        self.idle_s, self.is_half_closed = 0.0, False
+        self.idle_s, self.is_half_closed, self.has_fallen_silent = 0.0, False, False
 
     def finish(self, failure=None):
         self.failure, self.ended_at = failure, time.monotonic()
@@ -249,6 +288,8 @@
     def excuse(self, sends):
         """Returns why the request may have ended without a whole answer; None if there is no reason."""
         terminated_at = self.instance.terminated.get(self.generation, self.ended_at)
+        if self.has_fallen_silent:
+            return "caller fell silent"
         if any(self.sent_at - STABLE_S <= moment <= self.ended_at for moment in self.instance.harmed):
             return "instance disturbed"
         helpers = [i for i in self.peers if i is not self.instance
@@ -317,7 +358,14 @@
         self.config_value, self.drilled_at = None, 0.0
         # Cuts of instances from all upstreams, with their numbers.
         self.upstream_cuts = []
-        self.is_over = False
+        # Connections of callers that wait for an answer, and the time of the last silent ones.
+        self.connections, self.silenced_at = set(), 0.0
+        # The time of the last kill of all instances, how the streams that were open ended, and the number of releases.
+        self.herd_killed_at, self.take_ups, self.releases = 0.0, [], 1
+        self.is_over, self.cut_addresses = False, ()
+
+    def workers(self):
+        return self.services + self.late_services + self.engines + self.broadcasters + self.stock
 
     def count(self, name):
         self.count_by(name, 1)
@@ -378,6 +426,9 @@
             asyncio.get_running_loop().create_task(self.raise_revision())
         model_sizes_mb = {m: MODEL_MB for m in MODELS}
         shared_arguments = (self.store, self.record, self.random)
+        # Upstreams of that service that began later.
+        self.late_services, self.trap = [], stand_ins.Trap(self.record)
+        await self.trap.start()
         self.services = [stand_ins.Service(f"room-{i}", "rooms", *shared_arguments) for i in range(3)]
         self.engines = [stand_ins.Engine(f"engine-{i}", "chat", *shared_arguments,
                                          models=MODELS[2 * i:2 * i + 2], sizes=model_sizes_mb,
@@ -389,7 +440,7 @@
             engine.disk |= set(MODELS[:6])
         for engine in self.engines + self.broadcasters:
             engine.breaks = engine.BREAKS if "breaks" in self.kinds else 0.0
-        for worker in self.services + self.engines + self.broadcasters + self.stock:
+        for worker in self.workers():
             await worker.start()
             await worker.register()
         await self.configure()
@@ -543,11 +594,15 @@
         exchange.idle_s = exchange.sent_at - (idle_since or exchange.sent_at)
         exchange.is_half_closed, exchange.peers = is_half_closing, self.instances
         self.exchanges.append(exchange)
+        self.connections.add(connection)
         try:
             return await self.send_and_read(exchange, connection, stream, target)
         except BaseException as failure:
+            exchange.has_fallen_silent = stand_ins.is_silent(connection[3])
             exchange.finish(type(failure).__name__)
             raise
+        finally:
+            self.connections.discard(connection)
 
     async def send_and_read(self, exchange, connection, stream, target):
         instance, generation, reader, writer = connection
@@ -560,6 +615,8 @@
         path, body = target or ({"new": f"/v{version}/"}.get(kind, f"/{kind}/") + attempt, body)
         request_lines = [f"{method} {path} HTTP/1.1", "Host: desk.example", f"X-Attempt-Id: {attempt}",
                  f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}"]
+        if stream and stream.pause_ms:
+            request_lines.append(f"X-Pause-Ms: {stream.pause_ms}")
         if kind == "talk":
             request_lines += [f"X-Model: {stream.model}", f"X-Prompt-Prefix: {stream.prompt}"]
         if stream and stream.events():
@@ -636,7 +693,7 @@
 
     async def silence(self, duration_s):
         """Lets one or several upstreams say nothing for a while, in some answers or at all."""
-        workers = self.services + self.engines + self.broadcasters + self.stock
+        workers = self.workers()
         for worker in self.random.sample(workers, self.random.choice((1, 2, 4, 6))):
             if self.random.random() < 0.5:
                 worker.silence = 0.5
@@ -671,7 +728,7 @@
         if self.store.mode != "serving" or not self.store.copy or not is_due:
             return
         self.drilled_at = now
-        workers = self.services + self.engines + self.broadcasters + self.stock
+        workers = self.workers()
         with self.span(self.store_faults):
             self.store.mode = self.random.choice(("reset", "busy", "silent"))
             await asyncio.sleep(self.random.uniform(0.3, 1.0))
@@ -735,12 +792,16 @@
         await asyncio.sleep(STABLE_S + DRAIN_S)
         if worker.started_at_ms != started_at_ms:
             return
+        self.check_drained(worker, since)
+        await worker.restart()
+
+    def check_drained(self, worker, since):
+        """Checks that a worker has got no requests long after the moment at which it wrote that it leaves."""
         for moment, attempt in worker.drained_sends:
             instance = self.askers[attempt]
             if moment > since + DRAIN_S + APPLY_SLACK_S and self.is_in_touch(instance, moment):
                 self.record.rule(f"{worker.name} wrote that it leaves and got {attempt} "
                                  f"{moment - since:.2f} s later from instance {instance.number}")
-        await worker.restart()
 
     def is_in_touch(self, instance, moment):
         """Whether an instance and the store were undisturbed, and connected, for STABLE_S before a moment."""
@@ -771,6 +832,7 @@
             instance.send(signal.SIGCONT)
             instance.send(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
             await instance.ended()
+            self.check_own_end(instance)
             await asyncio.sleep(0.1)
             if not self.is_over and instance.child.poll() is not None:
                 instance.start()
@@ -793,8 +855,18 @@
             self.store.compact()
         elif kind == "drill":
             await self.drill()
-        elif kind == "upstreams_cut":
-            await self.cut_upstreams()
+        elif kind in ("upstreams_cut", "accepted_silent"):
+            await self.cut_upstreams(is_accepting=kind == "accepted_silent")
+        elif kind == "silent_conns":
+            await self.silence_connections()
+        elif kind == "herd_kill":
+            await self.kill_all()
+        elif kind == "odd_entries":
+            await self.leave_odd_entries()
+        elif kind == "refusal_again":
+            worker.repeats_refusals = True
+            await asyncio.sleep(duration_s)
+            worker.repeats_refusals = False
         elif kind == "worker_crash":
             await worker.restart()
         elif kind == "worker_leaves":
@@ -825,25 +897,42 @@
         else:
             await self.configure()
 
-    async def cut_upstreams(self):
-        """Cuts some instances off from all upstreams for a while: their new connections are reset."""
-        workers = self.services + self.engines + self.broadcasters + self.stock
-        if any(worker.cut_addresses for worker in workers):
+    async def cut_upstreams(self, is_accepting):
+        """Cuts some instances off from all upstreams for a while.
+
+        Their new connections are reset, or all are open and nothing comes back if is_accepting.
+        """
+        if self.cut_addresses:
             return
         count = self.random.randint(1, max(1, len(self.instances) - 1))
         cut = self.random.sample(self.instances, count)
         begun_at = time.monotonic()
-        for worker in workers:
-            worker.cut_addresses = [instance.address for instance in cut]
-        await asyncio.sleep(UPSTREAM_CUT_S)
-        for worker in workers:
-            worker.cut_addresses = ()
-        self.upstream_cuts.append((begun_at, time.monotonic(), {instance.number for instance in cut}))
+        self.cut_addresses = [instance.address for instance in cut]
+        until, number = begun_at + UPSTREAM_CUT_S, 0
+        while time.monotonic() < until:
+            # Upstreams may have begun meanwhile.
+            for worker in self.workers():
+                if not is_accepting:
+                    worker.cut_addresses = self.cut_addresses
+                elif not worker.unanswered_addresses:
+                    worker.unanswered_addresses = self.cut_addresses
+                    worker.silence_connections(lambda address: address in self.cut_addresses, is_acknowledging=True)
+            if is_accepting:
+                # The callers wait for answers, so that few of them would ask during the cut.
+                number += 1
+                asyncio.get_running_loop().create_task(
+                    self.ask_once(f"cut-{begun_at:.3f}-{number}", "any", ("/any/cut", "one"), "127.0.0.1"))
+            await asyncio.sleep(0.05)
+        self.cut_addresses = ()
+        for worker in self.workers():
+            worker.cut_addresses = worker.unanswered_addresses = ()
+        self.upstream_cuts.append((begun_at, time.monotonic(), {instance.number for instance in cut},
+                                   is_accepting))
 
     def check_upstream_cuts(self):
         """Checks how often requests were served at instances that were cut off; returns both shares."""
         shares = []
-        for begun_at, ended_at, cut in self.upstream_cuts:
+        for begun_at, ended_at, cut, is_accepting in self.upstream_cuts:
             outside = [instance for instance in self.instances if instance.number not in cut]
             # Long enough before the end that the answer is not owed to it, and only while there is an
             # instance to compare with.
@@ -862,11 +951,295 @@
             failures = len(served[True]) - sum(served[True])
             if share[True] < CUT_SERVED_RATIO * share[False] \
                     and failures > MAX_CUT_FAILURES + CUT_FAILURE_SHARE * len(counted):
-                self.record.rule(f"instances that were cut off from all upstreams served {sum(served[True])} of "
+                name = "to which upstreams answered nothing" if is_accepting else \
+                    "that were cut off from all upstreams"
+                self.record.rule(f"instances {name} served {sum(served[True])} of "
                                  f"{len(served[True])} requests, the others {sum(served[False])} of "
                                  f"{len(served[False])}")
         return shares
 
+    # Silent connections
+
+    async def silence_connections(self):
+        """Lets open connections to the store, to upstreams and from callers fall silent for good, or some of these.
+
+        A while later, one of the things happens that instances learn over such connections.
+        """
+        now = time.monotonic()
+        if now < self.silenced_at + SILENT_CONNECTIONS_PAUSE_S:
+            return
+        self.silenced_at = now
+        share = self.random.choice((0.3, 0.7, 1.0))
+        chosen = self.random.sample(("store", "upstreams", "callers"), self.random.randint(1, 3))
+
+        def is_chosen(*_):
+            return self.random.random() < share
+
+        for instance in self.instances:
+            instance.disturbed.append(now)
+            if "store" in chosen:
+                instance.proxy.silence_connections(is_chosen)
+        for worker in self.workers() if "upstreams" in chosen else ():
+            worker.silence_connections(is_chosen)
+        for _, _, reader, writer in list(self.connections) if "callers" in chosen else ():
+            if is_chosen():
+                stand_ins.fall_silent(writer)
+                reader.set_exception(asyncio.TimeoutError())
+        await asyncio.sleep(self.random.uniform(0, SILENT_CHANGE_S))
+        change = self.random.choice(("configure", "configure", "leave", "terminate"))
+        if change == "configure":
+            await self.add_route()
+        elif change == "leave":
+            await self.leave_for_good(self.random.choice(self.services + self.engines))
+        else:
+            await self.fault("terminate")
+
+    # Kills of all instances beside a release
+
+    async def kill_all(self):
+        """Kills all instances at once, perhaps beside a release, while callers have streams open.
+
+        The engines of the next version have just begun, serve beside the former ones, or replace them.
+        """
+        if time.monotonic() < self.herd_killed_at + HERD_PAUSE_S or self.is_over:
+            return
+        self.herd_killed_at = time.monotonic()
+        release = self.random.choice(("none", "begun", "both", "left"))
+        former = self.random.choice((self.engines, self.broadcasters))
+        leaving, begun_at = [], None
+        loop = asyncio.get_running_loop()
+        if release in ("both", "left"):
+            leaving = await self.begin_release(former)
+            await asyncio.sleep(self.random.uniform(1.0, 2.0))
+        kind = "talk" if former is self.engines else "listen"
+        streams = [loop.create_task(self.hold_stream(f"herd-{self.releases}-{len(self.take_ups)}-{n}", kind))
+                   for n in range(HERD_STREAMS)]
+        if release == "begun":
+            await asyncio.sleep(self.random.uniform(0.2, 1.0))
+            leaving = await self.begin_release(former)
+            await asyncio.sleep(self.random.uniform(0.0, 0.8))
+        else:
+            await asyncio.sleep(self.random.uniform(1.0, 1.5))
+        if release == "left":
+            for worker in leaving:
+                await worker.leave()
+            await asyncio.sleep(self.random.uniform(0.0, 0.5))
+            await self.end_workers(leaving, former)
+        await self.restart_all()
+        await asyncio.wait(streams, timeout=TAKE_UP_S + 2 * DEADLINE_S)
+        if release in ("begun", "both") and not self.is_over:
+            for worker in leaving:
+                await worker.leave()
+            await asyncio.sleep(DRAIN_S)
+            await self.end_workers(leaving, former)
+
+    async def restart_all(self):
+        self.herd_killed_at = time.monotonic()
+        for instance in self.instances:
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL)
+        await asyncio.sleep(HERD_DOWN_S)
+        for instance in self.instances:
+            self.check_own_end(instance)
+            if not self.is_over and instance.child.poll() is not None:
+                instance.start()
+
+    async def begin_release(self, workers):
+        """Starts upstreams of the next version beside all of a service, and returns these."""
+        former = list(workers)
+        self.releases += 1
+        for worker in former:
+            name = f"{worker.name.partition('-r')[0]}-r{self.releases}"
+            begun = stand_ins.Engine(name, worker.service, self.store, self.record, self.random,
+                                     models=worker.models, sizes=worker.sizes, capacity=worker.capacity)
+            begun.version, begun.breaks = f"r{self.releases}", worker.breaks
+            begun.disk |= worker.disk
+            await begun.start()
+            await begun.register()
+            workers.append(begun)
+        return former
+
+    async def end_workers(self, leaving, workers):
+        for worker in leaving:
+            if worker in workers:
+                workers.remove(worker)
+            worker.crash()
+            await self.store.remove(f"servers/{worker.name}")
+
+    async def hold_stream(self, begun_by, kind):
+        """Begins a stream, takes it up after a kill of all instances, and records how it went on."""
+        await asyncio.sleep(self.random.uniform(0, 1.0))
+        stream = Stream(begun_by, kind, self.random.choice(MODELS), self.prompt(begun_by))
+        stream.pause_ms = HERD_EVENT_PAUSE_MS
+        begun_at, killed_at = time.monotonic(), self.herd_killed_at
+        if await self.try_stream(stream, begun_by) is not None or not stream.events():
+            return
+        # A stream may have broken just before.
+        while self.herd_killed_at == killed_at and time.monotonic() < begun_at + 2 * TAKE_UP_S:
+            await asyncio.sleep(0.05)
+        if self.herd_killed_at == killed_at:
+            return
+        killed_at, events = self.herd_killed_at, len(stream.events())
+        version, refusals, is_reachable = stream.events()[0].split(" ")[3], 0, self.serves(stream)
+        is_routed = True
+        while refusals < MAX_REFUSED_TAKE_UPS and time.monotonic() < killed_at + TAKE_UP_S:
+            stream.requests += 1
+            status = await self.try_stream(stream, f"{begun_by}-{stream.requests}")
+            is_reachable = is_reachable and self.serves(stream)
+            versions = {event.split(" ")[3] for event in stream.events()}
+            if len(versions) > 1:
+                self.record.rule(f"{begun_by} was taken up after a kill of all and joined from {sorted(versions)}")
+            if status == 200 or len(stream.events()) > events:
+                break
+            refusals += status is not None
+            is_routed = is_routed and status != 404
+            await asyncio.sleep(TAKE_UP_PAUSE_S if status else 0.05)
+        is_sole = len(self.record.versions[self.worker_of(kind).service]) == 1
+        self.count(f"take-up, {'sole version' if is_sole else 'several versions'}, "
+                   f"{'reachable' if is_reachable else 'not reachable'}, "
+                   f"{'went on' if len(stream.events()) > events else 'refused'}")
+        is_last = begun_at > killed_at - LAST_MOMENTS_S
+        is_store_sound = not any(begin <= time.monotonic() and (end is None or end >= begun_at - STABLE_S)
+                                 for spans in (self.store_faults, *(i.cuts for i in self.instances))
+                                 for begin, end in spans)
+        is_due = is_reachable and is_routed and is_store_sound and not self.cut_addresses and (is_sole or not is_last) \
+            and (refusals or len(stream.events()) > events)
+        if is_due:
+            self.take_ups.append((len(stream.events()) > events, f"{begun_by} {kind} {stream.model} of {version}"))
+
+    async def try_stream(self, stream, attempt):
+        """Sends one request for a stream; returns the status of a whole answer, or None."""
+        instance = self.random.choice(self.instances)
+        writer = None
+        try:
+            connection = (instance, instance.generation,
+                          *await asyncio.open_connection("127.0.0.1", instance.port))
+            writer = connection[3]
+            await asyncio.wait_for(self.ask(connection, attempt, stream.kind, stream), DEADLINE_S + 4)
+            exchange = next(e for e in reversed(self.exchanges) if e.attempt == attempt)
+            return exchange.status
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            return None
+        finally:
+            if writer:
+                writer.close()
+
+    def worker_of(self, kind):
+        return (self.engines if kind == "talk" else self.broadcasters)[0]
+
+    def serves(self, stream):
+        """Whether an upstream of the version of a stream serves now, with the stream's model."""
+        now, version = time.monotonic(), stream.events()[0].split(" ")[3]
+        workers = self.engines if stream.kind == "talk" else self.broadcasters
+        return any(worker.version == version and worker.server.is_serving() and worker.state == "ready"
+                   and not worker.is_leaving and worker.paused_until < now and worker.silent_until < now
+                   and (stream.kind != "talk" or stream.model in worker.models) for worker in workers)
+
+    def check_take_ups(self):
+        """Checks how many streams went on after kills of all instances; returns that number and all."""
+        lost = [text for went_on, text in self.take_ups if not went_on]
+        count = len(self.take_ups)
+        if count >= MIN_TAKE_UPS and len(lost) > (1 - TAKEN_UP_SHARE) * count:
+            self.record.rule(f"of {count} streams that were taken up after a kill of all, {count - len(lost)} "
+                             f"went on, though upstreams of their version served: {lost[:5]}")
+        return [count - len(lost), count]
+
+    # Odd registrations
+
+    def odd_values(self):
+        """Returns names and values of registrations that another writer left, each odd in one way.
+
+        Those that would name an upstream all the same lead to the trap.
+        """
+        says = {**self.services[0].says(), "address": f"127.0.0.1:{self.trap.port}"}
+
+        def text(**fields):
+            return json.dumps({**says, **fields})
+
+        numbers = {"infinite": "1e999", "below": "-1e999", "large": "1e308", "negative": "-1", "long": "9" * 23,
+                   "digits": "1" * 400, "nan": "NaN", "text": '"7"', "list": "[]", "2^64": str(2 ** 64)}
+        values = {f"{field}-{name}": text(**{field: "@"}).replace('"@"', number)
+                  for field in ("slots", "cold_remaining_ms", "sequence", "born") for name, number in numbers.items()}
+        ports = ("0", "-1", "65536", "4294967297", "9" * 20, "1e3", "", "x")
+        addresses = [f"127.0.0.1:{port}" for port in ports] + ["", ":", "[::1]:80", "x" * 1000, "127.0.0.1", 7, None]
+        values.update({f"address-{n}": text(address=address) for n, address in enumerate(addresses)})
+        others = (text(state="asleep"), text(service=["rooms"]), "", "{", "null", "[]", "7", "\x00")
+        values.update({f"other-{n}": other for n, other in enumerate(others)})
+        for name, begin, end in (("list", "[", "]"), ("table", '{"a":', "}"), ("open", "[", "")):
+            nested = begin * ODD_DEPTH + ("1" if end else "") + end * ODD_DEPTH
+            values.update({f"nested-{name}": nested, f"nested-models-{name}": text(models="@").replace('"@"', nested),
+                           f"nested-field-{name}": text(other="@").replace('"@"', nested)})
+        # These are well-formed, and so not to be used only because they leave.
+        models = [{"name": f"odd{n}", "version": n, "adapters": []} for n in range(ODD_BYTES // 50)]
+        values["models-many"] = text(models=models, state="draining")
+        values["models-long"] = text(models=[{"name": "x" * (ODD_BYTES // 2)}], state="draining")
+        values = {name: value.encode() for name, value in values.items()}
+        no_text = {"bytes": bytes(range(256)), "bytes-long": b"\xff\xfe" * 1000,
+                   "bytes-service": text().encode().replace(b"rooms", b"ro\xc3ms")}
+        return list({**values, **no_text}.items())
+
+    async def leave_odd_entries(self):
+        """Leaves odd registrations beside a new upstream, another change, or an instance that starts then."""
+        keys, values, loop = [], self.odd_values(), asyncio.get_running_loop()
+        # A list of many has several pages; most names come before those of the upstreams.
+        light = [entry for entry in values if len(entry[1]) < ODD_DEPTH]
+        for number in range(self.random.choice((1, 8, 60))):
+            name, value = self.random.choice(values if number < MAX_HEAVY_ENTRIES else light)
+            keys.append(f"servers/{self.random.choice('00z')}-{self.random.randrange(10 ** 6)}-odd-{name}")
+            await self.store.put(keys[-1], value)
+        change = self.random.choice(("configure", "kill", "terminate", "none"))
+        changes = {"configure": self.add_route, "none": lambda: asyncio.sleep(0)}
+        tasks = [loop.create_task(changes.get(change, lambda: self.fault(change))()),
+                 loop.create_task(self.follow_new_upstream())]
+        await asyncio.wait(tasks)
+        for key in keys:
+            await self.store.remove(key)
+
+    async def follow_new_upstream(self):
+        """Registers an upstream, and checks that each instance uses it and stops when it leaves."""
+        worker = stand_ins.Service(f"room-late-{self.random.randrange(10 ** 6)}", "rooms", self.store, self.record,
+                                   self.random)
+        await worker.start()
+        await worker.register()
+        self.late_services.append(worker)
+        begun_at = time.monotonic()
+        await asyncio.sleep(FOLLOW_S)
+        if not self.is_over:
+            for instance in self.instances:
+                self.check_following(instance, worker, begun_at)
+        await worker.leave()
+        since = worker.drains_since
+        await asyncio.sleep(STABLE_S + DRAIN_S)
+        self.check_drained(worker, since)
+        self.late_services.remove(worker)
+        await self.end_workers([worker], [])
+
+    def check_following(self, instance, worker, begun_at):
+        """Checks that an instance that was in touch all the while has used an upstream since a moment."""
+        sends = [send for sends in self.record.sends.values() for send in sends
+                 if send.sender == instance.address and send.began_at > begun_at
+                 and send.worker in {one.name for one in self.services + [worker]}]
+        in_touch = [moment / 10 + begun_at for moment in range(int(FOLLOW_S * 10))]
+        if all(self.is_in_touch(instance, moment) for moment in in_touch) and not self.cut_addresses \
+                and len(sends) >= MIN_FOLLOWING_SENDS and not any(send.worker == worker.name for send in sends):
+            self.record.rule(f"{worker.name} registered behind odd entries and got none of {len(sends)} requests "
+                             f"of instance {instance.number}")
+
+    async def watch_processes(self):
+        """Checks that processes end only when they are told to; starts those again that end by themselves."""
+        while not self.is_over:
+            await asyncio.sleep(0.05)
+            for instance in self.instances:
+                self.check_own_end(instance)
+                if not self.is_over and instance.child.poll() is not None \
+                        and instance.generation not in instance.told_to_end:
+                    instance.start()
+
+    def check_own_end(self, instance):
+        code = instance.own_end()
+        if code is not None:
+            self.record.rule(f"process {instance.number}.{instance.generation} ended by itself with {code}")
+
     async def leave_by_answers(self, worker):
         """Lets a worker say in its answers alone that it leaves, and start again later."""
         started_at_ms = worker.started_at_ms
@@ -1016,7 +1389,7 @@
             callers.append(loop.create_task(self.crashing_caller()))
         if "fatal" in self.kinds:
             callers.append(loop.create_task(self.fatal_caller()))
-        fault_tasks = [loop.create_task(self.disturb())]
+        fault_tasks = [loop.create_task(self.disturb()), loop.create_task(self.watch_processes())]
         if "brittle" in self.kinds:
             fault_tasks.append(loop.create_task(self.be_brittle()))
         if "limits" in self.kinds:
@@ -1033,9 +1406,14 @@
         self.check_runs()
         self.check_crashing_sends()
         self.ends, self.fatal = self.check_ends(), self.check_fatal_sends()
+        self.went_on = self.check_take_ups()
+        for instance in self.instances:
+            self.check_own_end(instance)
         self.falls, self.cut_shares = self.check_brittle(), self.check_upstream_cuts()
         for worker in self.services + self.engines:
             self.check_limit(worker)
+        for writer in stand_ins.silent_writers:
+            writer.transport.abort()
         # Connections that are opened later would be cancelled before they are handled, which asyncio reports.
         self.close()
         remaining_tasks = asyncio.all_tasks() - {asyncio.current_task()}
@@ -1078,7 +1456,7 @@
                           "requests": len(soak.outcomes), "answers": soak.counts,
                           "faults": len(soak.faults), "crashing_sends": len(soak.record.crashing_sends),
                           "ends": soak.ends, "fatal": soak.fatal, "falls": soak.falls,
-                          "cut_shares": soak.cut_shares,
+                          "cut_shares": soak.cut_shares, "went_on": soak.went_on,
                           "given_up": soak.given_up, "broken": violations, "known_red": known}))
     sys.exit(1 if violations else 0)
 
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import pathlib
 import random
@@ -13,10 +14,16 @@
 import struct
 import time
 import urllib.parse
+import weakref
 
 LOWEST_PORT = 10000
 SIGNATURE = "X-Server-Signature"
 MAX_STORED_EVENTS = 2000
+# Bytes of values in one page of a list.
+PAGE_BYTES = 1_000_000
+# A socket filter of one instruction that drops all segments; the constant is missing in the module socket.
+SO_ATTACH_FILTER = 26
+DROP_ALL = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
 # Ports that free_port() has returned; some are bound only later.
 given_ports = set()
 
@@ -86,6 +93,30 @@
     writer.transport.abort()
 
 
+def fall_silent(writer, is_acknowledging=False):
+    """Lets a connection deliver nothing any more, in either direction, without a reset or an end.
+
+    What is written later is dropped. The kernel drops what comes, unless it is to acknowledge that.
+    """
+    connection = writer.transport.get_extra_info("socket")
+    if connection is None or connection.fileno() < 0 or is_silent(writer):
+        return
+    if not is_acknowledging:
+        connection.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER,
+                              struct.pack("HL", 1, ctypes.addressof(DROP_ALL)))
+    writer.write = writer.write_eof = lambda *_: None
+    writer.close = lambda: None
+    silent_writers.add(writer)
+
+
+# The connections that have fallen silent; they are kept open.
+silent_writers = set()
+
+
+def is_silent(writer):
+    return writer in silent_writers
+
+
 class Server:
     """Accepts HTTP connections and passes each request to handle(), which subclasses define."""
 
@@ -98,20 +129,26 @@
         self.server = await asyncio.start_server(self.connected, "127.0.0.1", self.port)
         return self.port
 
-    # Addresses of processes that are cut off from this server: their new connections are reset.
+    # Addresses of processes that are cut off from this server: their new connections are reset, or accepted
+    # and never answered.
     cut_addresses = ()
+    unanswered_addresses = ()
 
     async def connected(self, reader, writer):
-        if (writer.get_extra_info("peername") or ("",))[0] in self.cut_addresses:
+        peer = (writer.get_extra_info("peername") or ("",))[0]
+        if peer in self.cut_addresses:
             reset(writer)
             return
+        if peer in self.unanswered_addresses:
+            fall_silent(writer, is_acknowledging=True)
+            return
         self.connections.add(writer)
         try:
             while True:
                 request = await read_request(reader)
                 request.sender = (writer.get_extra_info("peername") or ("",))[0]
                 # The process that the connection belonged to has ended.
-                if writer.is_closing():
+                if writer.is_closing() or is_silent(writer):
                     break
                 await self.handle(request, reader, writer)
                 await writer.drain()
@@ -126,7 +163,14 @@
         if self.server:
             self.server.close()
         for writer in list(self.connections):
-            reset(writer)
+            if not is_silent(writer):
+                reset(writer)
+
+    def silence_connections(self, is_chosen, is_acknowledging=False):
+        """Lets open connections fall silent for good; is_chosen is called with the address of each peer."""
+        for writer in list(self.connections):
+            if is_chosen((writer.get_extra_info("peername") or ("",))[0]):
+                fall_silent(writer, is_acknowledging)
 
 
 class Store(Server):
@@ -227,8 +271,11 @@
             return (200, {**item, "current_rev": self.revision}) if item else (404, {})
         if request.path == "/kv-range":
             keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-            return 200, {"items": [self.items[k] for k in keys[:50]],
-                         "more_pages": len(keys) > 50, "current_rev": self.revision}
+            items, size = [], 0
+            while len(items) < min(len(keys), 50) and size < PAGE_BYTES:
+                items.append(self.items[keys[len(items)]])
+                size += len(items[-1]["value"])
+            return 200, {"items": items, "more_pages": len(keys) > len(items), "current_rev": self.revision}
         if request.path == "/kv-watch":
             return await self.watch(prefix, int(after), int(request.query["wait_ms"]) / 1000)
         if request.path == "/kv-txn":
@@ -282,7 +329,8 @@
     """One request as an upstream got it: where the upstream was silent, and how its answer ended.
 
     end is "finished" also when the instance has closed the connection before; the upstream then goes on to
-    the end without a connection. It is "lost", "cut short" or "crashed" when the upstream itself broke it.
+    the end without a connection. It is "lost", "cut short" or "crashed" when the upstream itself broke it, and
+    "silent for good" when its connection delivers nothing any more.
     """
 
     def __init__(self, worker, silent_place, sender):
@@ -290,10 +338,11 @@
         # Address of the instance that sent it.
         self.sender = sender
         self.began_at, self.ended_at, self.end = time.monotonic(), None, None
-        self.silences, self.left_at = [], None
+        self.silences, self.left_at, self.has_fallen_silent = [], None, False
 
     def finish(self, end):
-        self.end, self.ended_at = end, time.monotonic()
+        self.end = "silent for good" if self.has_fallen_silent else end
+        self.ended_at = time.monotonic()
 
     def is_broken(self):
         return self.end not in (None, "finished")
@@ -319,6 +368,8 @@
         self.fatal_sends, self.ends = [], []
         self.broken = []
         self.loads = []
+        # The software versions of each service that have been registered.
+        self.versions = {}
 
     def ran(self, attempt, worker):
         """Records that a worker ran a request; attempt is its X-Attempt-Id."""
@@ -344,6 +395,8 @@
 
     SILENCE_S = (0.8, 1.8)
     PLACES = ("before the first byte", "between head and body")
+    # Share of the requests that a worker refuses while it repeats refusals.
+    REPEATED_REFUSALS = 0.3
     # How long a brittle worker is down after it fell over.
     FALL_S = (1.0, 3.0)
 
@@ -367,6 +420,8 @@
         # requests that it takes at a time then, and its rejections, and those before each fall.
         self.brittle, self.max_running, self.running = None, None, 0
         self.rejections, self.falls = [], []
+        # Whether the worker refuses some requests, and writes these refusals once more before later answers.
+        self.repeats_refusals, self.refused, self.repeated_refusals = False, weakref.WeakKeyDictionary(), 0
         # Until when the worker turns requests away and asks for a pause, and those that it gets meanwhile.
         self.paused_until, self.paused_sends = 0.0, []
 
@@ -409,7 +464,8 @@
         """Writes a part of an answer; nothing once the connection is closed."""
         self.check_process(send)
         self.check_connection(send, reader)
-        if send.left_at:
+        send.has_fallen_silent = send.has_fallen_silent or is_silent(writer)
+        if send.left_at or is_silent(writer):
             return
         try:
             writer.write(data)
@@ -429,6 +485,7 @@
 
     async def register(self):
         self.report_sequence += 1
+        self.record.versions.setdefault(self.service, set()).add(self.version)
         await self.store.put(f"servers/{self.name}", json.dumps(self.says()).encode())
 
     async def leave(self):
@@ -473,6 +530,32 @@
         pass
 
     async def handle(self, request, reader, writer):
+        is_refused = False
+        if self.repeats_refusals and self.paused_until < time.monotonic():
+            attempt = request.header("X-Attempt-Id")
+            if writer in self.refused:
+                # The one of this request, none, or that of the request that was refused.
+                self.refuse_again(writer, self.random.choice((attempt, "", self.refused[writer])))
+            is_refused = self.random.random() < self.REPEATED_REFUSALS
+        if not is_refused:
+            await self.answer(request, reader, writer)
+            return
+        if request.path not in ("/report", "/order"):
+            self.received(request)
+        self.refused[writer] = attempt
+        self.refuse_again(writer, attempt)
+        if self.random.random() < 0.5:
+            await writer.drain()
+            asyncio.get_running_loop().call_later(self.random.uniform(0.0, 0.3), self.refuse_again, writer, attempt)
+
+    def refuse_again(self, writer, attempt):
+        """Writes a refusal that names an attempt, or none."""
+        if not writer.is_closing():
+            self.repeated_refusals += 1
+            name = [("X-Attempt-Id", attempt)] if attempt else []
+            writer.write(answer_bytes(503, headers=[("X-Not-Executed", "1"), *name, *self.note_headers()]))
+
+    async def answer(self, request, reader, writer):
         is_report = request.path in ("/report", "/order")
         if is_report and not self.answers_reports:
             await asyncio.sleep(max(0, self.silent_until - time.monotonic()))
@@ -539,6 +622,19 @@
                 *self.note_headers()]
 
 
+class Trap(Server):
+    """A server at the address of odd registrations, to which no request may be sent."""
+
+    def __init__(self, record):
+        super().__init__()
+        self.record = record
+
+    async def handle(self, request, reader, writer):
+        name = request.header("X-Expect-Instance")
+        self.record.rule(f"an odd registration was used as an upstream: {name.partition('odd-')[2]}")
+        writer.write(answer_bytes(421, headers=[("X-Instance-Id", "")]))
+
+
 class Service(Worker):
     """A service that runs each request for 5 to 30 ms and may lose the response."""
 
@@ -691,8 +787,9 @@
         lines += [f"{name}: {value}" for name, value in self.headers(request)]
         await self.put(send, reader, writer, "\r\n".join(lines).encode() + b"\r\n\r\n")
         await self.silent(send, "between head and body", reader)
+        pause_s = float(request.header("X-Pause-Ms") or 10) / 1000
         for number in range(first, self.EVENTS + 1):
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(pause_s)
             event = f"id: {number}\ndata: {begun_by} {self.version} {number}\n\n".encode()
             chunk_head, chunk_end = (b"", b"") if is_unframed else (f"{len(event):x}\r\n".encode(), b"\r\n")
             if self.random.random() < max(self.lose, self.breaks) / self.EVENTS:
@@ -725,6 +822,8 @@
 
     def __init__(self, target):
         self.target, self.mode, self.writers = target, "pass", set()
+        # Those of the connections to the instance.
+        self.accepted = set()
 
     async def start(self):
         self.port = free_port()
@@ -740,12 +839,14 @@
             reset(writer)
             return
         self.writers |= {writer, target_writer}
+        self.accepted.add(writer)
         try:
             await asyncio.gather(self.pump(reader, target_writer, False),
                                  self.pump(target_reader, writer, True))
         except asyncio.CancelledError:
             pass
         self.writers -= {writer, target_writer}
+        self.accepted.discard(writer)
 
     async def pump(self, reader, writer, is_response):
         try:
@@ -763,4 +864,11 @@
 
     def reset_all(self):
         for writer in list(self.writers):
-            reset(writer)
+            if not is_silent(writer):
+                reset(writer)
+
+    def silence_connections(self, is_chosen):
+        """Lets open connections of the instance fall silent for good; is_chosen is called for each."""
+        for writer in list(self.accepted):
+            if is_chosen():
+                fall_silent(writer)
