--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -111,9 +111,9 @@
 # their streams up, how often, and how long they wait after a refusal.
 HERD_DOWN_S, HERD_PAUSE_S = 0.3, 9.0
 TAKE_UP_S, MAX_REFUSED_TAKE_UPS, TAKE_UP_PAUSE_S = 6.0, 4, 0.3
-# Share of the streams that have to go on after such kills, how many are needed to tell, and how long before the
+# Of how many streams one need not go on after such kills, how many are needed to tell, and how long before the
 # kill a stream of a service with several versions has to have begun.
-TAKEN_UP_SHARE, MIN_TAKE_UPS, LAST_MOMENTS_S = 0.9, 10, 0.5
+TAKE_UPS_PER_LOSS, MIN_TAKE_UPS, LAST_MOMENTS_S = 10, 10, 0.5
 # Time after which an instance uses an upstream that registered behind odd entries, and requests of its service
 # within that time that are enough to tell.
 FOLLOW_S, MIN_FOLLOWING_SENDS = 5.0, 40
@@ -1153,7 +1153,7 @@
         """Checks how many streams went on after kills of all instances; returns that number and all."""
         lost = [text for went_on, text in self.take_ups if not went_on]
         count = len(self.take_ups)
-        if count >= MIN_TAKE_UPS and len(lost) > (1 - TAKEN_UP_SHARE) * count:
+        if count >= MIN_TAKE_UPS and len(lost) * TAKE_UPS_PER_LOSS > count:
             self.record.rule(f"of {count} streams that were taken up after a kill of all, {count - len(lost)} "
                              f"went on, though upstreams of their version served: {lost[:5]}")
         return [count - len(lost), count]
