--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -24,8 +24,10 @@
 # A socket filter of one instruction that drops all segments; the constant is missing in the module socket.
 SO_ATTACH_FILTER = 26
 DROP_ALL = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
-# Ports that free_port() has returned; some are bound only later.
-given_ports = set()
+# Sockets that hold the ports that free_port() has returned, some of which are bound only later: at an address that
+# nothing else uses, so that another run of the soak sees them.
+RESERVATION_ADDRESS = "127.255.255.254"
+reservations = []
 
 
 def free_port():
@@ -36,16 +38,16 @@
     ephemeral = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()
     while True:
         port = random.SystemRandom().randrange(LOWEST_PORT, int(ephemeral[0]))
-        if port in given_ports:
-            continue
+        reservation = socket.socket()
         try:
+            reservation.bind((RESERVATION_ADDRESS, port))
             with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
                 tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
-            given_ports.add(port)
+            reservations.append(reservation)
             return port
         except OSError:
-            continue
+            reservation.close()
 
 
 class Request:
