Follow the registrations past odd ones, and past changes longer than an answer

Two faults were found by reading:

- An odd registration counted as a change that all instances need with each heartbeat of its writer: the owner forwarded it, a megabyte included, and all others asked the store or dropped what they knew, and each wrote two log lines.
Now only the first odd value after a sound one, or after a start, is such a change and is logged.
- An entry of a megabyte that is written about once a second gives a watch more than the 8 MiB that an answer may have, if the instance wasn't connected for some seconds.
The watch was repeated from the same revision with the same result, so that changes behind it weren't followed as long as the store kept that history.
Now the keys are listed instead: a list comes in pages and has each key once.

The handling of registrations moves from Instance to Registrations, so that tests can run it with a mirror.

--- a/tests/platform/adapter/unit-store_mirror.cpp
+++ b/tests/platform/adapter/unit-store_mirror.cpp
@@ -1,4 +1,6 @@
+#include "call_headers.hpp"
 #include "platform/base64.hpp"
+#include "registrations.hpp"
 #include "store_mirror.hpp"
 
 #include <doctest/doctest.h>
@@ -552,3 +554,124 @@
         CHECK(fixture.items["servers/a"] == "2");
     }
 }
+
+namespace {
+
+std::string registration(int heartbeat)
+{
+    return fmt::format(
+            R"({{"service":"chat","address":"10.0.0.9:8080","zone":"norte","version":"v1","slots":4,)"
+            R"("state":"ready","sequence":{},"born":1700000000000}})",
+            heartbeat);
+}
+
+/// Entries of another writer, none of which names an upstream.
+std::vector<std::string> oddRegistrations()
+{
+    const auto with = [](const std::string &from, const std::string &to) {
+        std::string text = registration(1);
+        return text.replace(text.find(from), from.size(), to);
+    };
+    std::string models = R"("models":[)";
+    while (models.size() < 900'000)
+        models += R"({"name":"m1","adapters":["a1"]},)";
+    models.back() = ']';
+    return {"",
+            "\xff\xfe\x01",
+            std::string(100'000, '[') + std::string(100'000, ']'),
+            with("\"slots\":4", "\"slots\":1e400"),
+            with("\"slots\":4", "\"slots\":18446744073709551616"),
+            with("\"slots\":4", "\"slots\":-1"),
+            with("8080", "99999999999"),
+            with("\"v1\"", "\"\xc3\x28\""),
+            with("\"slots\":4", "\"slots\":4," + models)};
+}
+
+/// A gateway whose upstreams are those of the mirror.
+struct RegistrationFixture : MirrorFixture
+{
+    explicit RegistrationFixture(ScriptedStore &scriptedStore)
+        : MirrorFixture(scriptedStore)
+    {
+        mirror.onPut = [this](const StoreItem &put, bool isRestored) {
+            isRelevant.push_back(registrations.put(put, isRestored));
+            isUsed.push_back(this->has("a"));
+            return isRelevant.back();
+        };
+        mirror.onRemoved = [this](const std::string &key, bool isDoubtful) {
+            registrations.remove(key, isDoubtful);
+        };
+    }
+
+    bool has(const char *id) const { return gateway.table.find(UpstreamId(id)) != nullptr; }
+
+    gateway::Gateway gateway{loop, {}, makeCallCodec(), metrics};
+    Registrations registrations{gateway};
+    /// For each value: whether other instances need it, and whether the upstream "a" is used then.
+    std::vector<bool> isRelevant;
+    std::vector<bool> isUsed;
+};
+
+} // namespace
+
+// Guards against an odd entry of another writer that ends an instance, keeps it from following the
+// others, or is used.
+TEST_CASE("one odd registration names no upstream, and the others hold and are followed")
+{
+    SUBCASE("in the first list of an instance, and in a later page")
+    {
+        for (const std::string &odd : oddRegistrations()) {
+            CAPTURE(odd.substr(0, 200));
+            ScriptedStore scriptedStore(
+                    {page(item("servers/a", registration(1), 5) + "," + item("servers/b", odd, 6),
+                          true, 10),
+                     page(item("servers/c", odd, 7) + "," + item("servers/d", registration(1), 8),
+                          false, 10),
+                     changes(item("servers/b", odd, 11) + "," + removal("servers/a", 12) + ","
+                                     + item("servers/e", registration(1), 13),
+                             13)});
+            RegistrationFixture fixture(scriptedStore);
+            fixture.runUntil(scriptedStore, 4);
+            CHECK(fixture.isUsed == std::vector<bool>{true, true, true, true, true, false});
+            CHECK_FALSE(fixture.has("b"));
+            CHECK_FALSE(fixture.has("c"));
+            CHECK(fixture.has("d"));
+            CHECK_FALSE(fixture.has("a"));
+            CHECK(fixture.has("e"));
+        }
+    }
+    SUBCASE("one that becomes odd is removed, and is back when it is sound again")
+    {
+        for (const std::string &odd : oddRegistrations()) {
+            CAPTURE(odd.substr(0, 200));
+            ScriptedStore scriptedStore({page(item("servers/a", registration(1), 5), false, 10),
+                                         changes(item("servers/a", odd, 11), 11),
+                                         changes(item("servers/a", odd, 12), 12),
+                                         changes(item("servers/a", registration(2), 13), 13)});
+            RegistrationFixture fixture(scriptedStore);
+            fixture.runUntil(scriptedStore, 5);
+            CHECK(fixture.isUsed == std::vector<bool>{true, false, false, true});
+            // Other instances need a change to an odd value once, not with each heartbeat.
+            CHECK(fixture.isRelevant == std::vector<bool>{true, true, false, true});
+        }
+    }
+}
+
+// Guards against a mirror that asks again and again for changes that are longer than an answer may
+// be, as many versions of an entry of a megabyte are.
+TEST_CASE("changes that don't fit an answer are read as a list")
+{
+    const std::string large(9 << 20, ' ');
+    ScriptedStore scriptedStore({page(item("servers/a", "1", 5), false, 10),
+                                 {.body = large},
+                                 page(item("servers/a", "2", 12), false, 12),
+                                 changes("", 12)});
+    MirrorFixture fixture(scriptedStore);
+    const TimePoint latest = SteadyClock().now() + 5s;
+    while (fixture.items["servers/a"] != "2" && SteadyClock().now() < latest)
+        fixture.loop.run_one_for(10ms);
+    fixture.mirror.stop();
+    fixture.loop.run_for(20ms);
+    CHECK(fixture.items["servers/a"] == "2");
+    CHECK(scriptedStore.targets().at(2).starts_with("/kv-range"));
+}
