Test that no refusal of an earlier request is taken for the next answer

An upstream that writes an earlier refusal once more on a kept connection can't reach the next request today, for two reasons: a call to an upstream never gives its connection back to the pool (UpstreamCall::finish isn't called), and each send asks for a fresh one.

The test has an upstream that keeps its connection, refuses the first request, and answers the next one on the same connection with that refusal again: with the id that is due, with none, and with the earlier one; for plain, non-idempotent and stream requests.

--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -1,8 +1,11 @@
 #include "relay_fixture.hpp"
 
+#include <array>
 #include <future>
 #include <sstream>
 
+#include <poll.h>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -251,10 +254,7 @@
         if (error || this->scripts.empty())
             return;
         const std::string text = readMessage(socket);
-        {
-            const std::lock_guard lock(this->mutex);
-            this->received.push_back(text);
-        }
+        this->record(text);
         if (!script.crashText.empty() && text.find(script.crashText) != std::string::npos) {
             std::this_thread::sleep_for(script.delay);
             this->sockets->acceptor.close(error);
@@ -288,6 +288,10 @@
             char byte = 0;
             asio::read(socket, asio::buffer(&byte, 1), error);
         }
+        if (!script.nextAnswer.empty()) {
+            this->answerNext(std::make_unique<Tcp::socket>(std::move(socket)), script);
+            continue;
+        }
         if (script.isReset)
             socket.set_option(asio::socket_base::linger(true, 0), error);
         else
@@ -296,6 +300,28 @@
     }
 }
 
+/// Answers a request that comes on a connection before there is another connection.
+void ScriptedUpstream::answerNext(std::unique_ptr<Tcp::socket> socket, const Script &script)
+{
+    std::array<pollfd, 2> ready{pollfd{socket->native_handle(), POLLIN, 0},
+                                pollfd{this->sockets->acceptor.native_handle(), POLLIN, 0}};
+    ::poll(ready.data(), ready.size(), -1);
+    const std::string text = ready[0].revents != 0 ? readMessage(*socket) : std::string();
+    if (!text.empty()) {
+        this->record(text);
+        ++this->usedAgainCount;
+        boost::system::error_code error;
+        asio::write(*socket, asio::buffer(insertRequestId(script.nextAnswer, text)), error);
+    }
+    this->sockets->silent.push_back(std::move(socket));
+}
+
+void ScriptedUpstream::record(const std::string &request)
+{
+    const std::lock_guard lock(this->mutex);
+    this->received.push_back(request);
+}
+
 RelayFixture::RelayFixture(std::vector<ScriptedUpstream *> upstreams,
                            std::vector<std::string> versions)
 {
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -12,6 +12,8 @@
 #include <thread>
 #include <vector>
 
+#include <boost/asio/ip/tcp.hpp>
+
 namespace bamboochute::test {
 
 /// @brief How an upstream handles one connection after it has read a request.
@@ -40,6 +42,8 @@
     Duration pieceDelay{};
     /// Pause between the answer and its rest, in place of `delay`.
     std::optional<Duration> delayBeforeRest{};
+    /// Keeps the connection open after the answer, and answers a further request on it with this.
+    std::string nextAnswer = {};
 };
 
 /// @brief A TCP server on a free port that handles each connection by the next script.
@@ -60,6 +64,9 @@
     /// @brief Number of connections that the peer closed before it got an answer.
     int abandonedConnections() const { return this->abandonedCount; }
 
+    /// @brief Number of requests that came on a connection after another one.
+    int requestsOnUsedConnections() const { return this->usedAgainCount; }
+
     /// @brief Waits until the peer has closed a number of connections before it got an answer.
     /// @return their number, also when it has not been reached within two seconds
     int waitForAbandoned(int count) const;
@@ -70,6 +77,8 @@
 
 private:
     void serve();
+    void answerNext(std::unique_ptr<boost::asio::ip::tcp::socket> socket, const Script &script);
+    void record(const std::string &request);
 
     struct Sockets;
     std::unique_ptr<Sockets> sockets;
@@ -77,6 +86,7 @@
     mutable std::mutex mutex;
     std::vector<std::string> received;
     std::atomic<int> abandonedCount{0};
+    std::atomic<int> usedAgainCount{0};
     std::atomic<std::size_t> endlessCount{0};
     std::thread thread;
 };
