Don't reuse a connection on which bytes arrived that were not read yet

Reports of upstreams, reads of the store and renewals of leases use kept connections. Bytes that came while a connection was idle close it once the event loop has read them; those that came after the loop read last were taken for the answer to the next call, for example an earlier answer that an upstream writes once more.

Change: ConnectionPool::takeIdle also asks the kernel for unread bytes. What arrives between the send and the answer can't be told from it; sends that must not be mistaken use a fresh connection.

--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -25,8 +25,10 @@
         HttpStreamPointer stream = std::move(found->second.back());
         found->second.pop_back();
         stream->setPeerClosedHandler(nullptr);
-        // Bytes received while idle belong to no request; such a connection is not reused.
-        if (stream->isOpen() && !stream->isPeerClosed() && stream->unread().empty())
+        // Bytes received while idle belong to no request; such a connection is not reused. They may
+        // have arrived since the event loop read last.
+        if (stream->isOpen() && !stream->isPeerClosed() && stream->unread().empty()
+            && !stream->hasArrivedBytes())
             return stream;
         stream->close();
     }
--- a/tests/upstream/unit-upstream_call.cpp
+++ b/tests/upstream/unit-upstream_call.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace bamboochute;
@@ -94,3 +96,49 @@
         CHECK(answer.error().failure == CallFailure::ConnectionLost);
     }
 }
+
+// Guards against an answer that comes once more on an idle connection, and that is taken for the
+// answer to the next call.
+TEST_CASE("a connection on which bytes arrived while it was idle is not used again")
+{
+    using namespace std::chrono_literals;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    const Endpoint endpoint{"127.0.0.1", acceptor.local_endpoint().port()};
+    DeadlineWatch watch(context);
+    ConnectionPool pool(context, watch, PoolLimits());
+    const std::string answer = "HTTP/1.1 503 Full\r\nX: 1\r\nContent-Length: 4\r\n\r\nfull";
+    std::optional<CallResult<WholeAnswer>> result;
+    asio::co_spawn(
+            context,
+            [&]() -> Awaitable<void> {
+                result = co_await sendAndReadAnswer(pool, endpoint, "GET / HTTP/1.1\r\n\r\n", {},
+                                                    SteadyClock().now() + 5s, 1 << 20,
+                                                    ConnectionUse::Any);
+            },
+            asio::detached);
+    context.run_for(20ms);
+    asio::ip::tcp::socket peer = acceptor.accept();
+    asio::write(peer, asio::buffer(answer));
+    context.run_for(50ms);
+    REQUIRE(result);
+    REQUIRE(result->has_value());
+    SUBCASE("and were read")
+    {
+        asio::write(peer, asio::buffer(answer));
+        context.run_for(20ms);
+        CHECK(pool.takeIdle(endpoint) == nullptr);
+    }
+    SUBCASE("and were not read yet")
+    {
+        asio::write(peer, asio::buffer(answer));
+        CHECK(pool.takeIdle(endpoint) == nullptr);
+    }
+    SUBCASE("one that was quiet is used")
+    {
+        const HttpStreamPointer taken = pool.takeIdle(endpoint);
+        REQUIRE(taken);
+        taken->close();
+    }
+    context.run_for(20ms);
+}
