--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -28,8 +28,10 @@
         stream.setPeerClosedHandler(nullptr);
         const bool isRecent
                 = SteadyClock().now() - connection.idleSince <= this->limits.maxIdleTime;
-        // Bytes received while idle belong to no request; such a connection is not reused.
-        if (isRecent && stream.isOpen() && !stream.isPeerClosed() && stream.unread().empty())
+        // Bytes received while idle belong to no request; such a connection is not reused. They may
+        // have arrived since the event loop read last.
+        if (isRecent && stream.isOpen() && !stream.isPeerClosed() && stream.unread().empty()
+            && !stream.hasArrivedBytes())
             return connection;
         stream.close();
     }
