--- a/tests/platform/adapter/unit-origin_store.cpp
+++ b/tests/platform/adapter/unit-origin_store.cpp
@@ -249,6 +249,31 @@
     CHECK(fresh.read.size() == 5);
 }
 
+// Guards against an instance that answers nobody while it takes over the stored origins of a
+// release.
+TEST_CASE("thousands of stored origins are taken over in several turns of the event loop")
+{
+    FakeStore fakeStore;
+    std::vector<StreamOrigin> many;
+    for (int i = 0; i < 5000; ++i)
+        many.push_back(makeOrigin("request-" + std::to_string(i), "v1"));
+    fakeStore.values = {{"bamboochute-origins/a", encodeOrigins(many)}};
+    OriginFixture fresh(fakeStore);
+    std::size_t mostInOneTurn = 0;
+    std::size_t inThisTurn = 0;
+    fresh.origins.onOrigin = [&](const StreamOrigin &) { ++inThisTurn; };
+    fresh.origins.start();
+    const TimePoint giveUpAt = SteadyClock().now() + 5s;
+    while (!fresh.isRead && SteadyClock().now() < giveUpAt) {
+        inThisTurn = 0;
+        fresh.loop.run_one_for(10ms);
+        mostInOneTurn = std::max(mostInOneTurn, inThisTurn);
+    }
+    CHECK(fresh.isRead);
+    CHECK(mostInOneTurn > 0);
+    CHECK(mostInOneTurn <= 250);
+}
+
 TEST_CASE("the owner acknowledges origins only when the store holds them")
 {
     FakeStore fakeStore;
