--- a/tests/platform/adapter/unit-odd_entries.cpp
+++ b/tests/platform/adapter/unit-odd_entries.cpp
@@ -34,6 +34,7 @@
                  {"state", R"("ready")"},
                  {"sequence", "4"},
                  {"born", "1700000000000"},
+                 {"cold_remaining_ms", "0"},
                  {"models", "[]"},
                  {"available", R"({"in_memory":[]})"}}) {
         text += fmt::format("{}\"{}\":{}", text.size() > 1 ? "," : "", name,
@@ -92,8 +93,12 @@
                               "-0.5", "true", "null", R"("4")", "[]", "{}"}) {
         for (const char *field : {"slots", "sequence"})
             entries.push_back(registrationWith(field, count));
-        if (count != std::string_view("null"))
-            entries.push_back(registrationWith("born", count));
+        if (count == std::string_view("null"))
+            continue;
+        entries.push_back(registrationWith("born", count));
+        // A time may have a fraction.
+        if (count != std::string_view("1.5"))
+            entries.push_back(registrationWith("cold_remaining_ms", count));
     }
     for (const char *slots : {"4294967296", "4294967297", "1e10"})
         entries.push_back(registrationWith("slots", slots));
--- a/tests/residency/unit-origin_reporter.cpp
+++ b/tests/residency/unit-origin_reporter.cpp
@@ -77,3 +77,21 @@
     CHECK(fixture.loop.run_for(200ms) < 50);
     CHECK(fixture.sent.empty());
 }
+
+// Guards against streams that are lost because they began shortly before a second version was
+// known, and all instances ended shortly after.
+TEST_CASE("origins are handed over as soon as they have to be stored")
+{
+    ReporterFixture fixture;
+    bool isStored = false;
+    fixture.reporter.isStored = [&isStored](const gateway::ServiceId &) { return isStored; };
+    fixture.setOwner("10.0.0.2", 1);
+    fixture.reporter.add(origin);
+    fixture.loop.run_for(100ms);
+    REQUIRE(fixture.sent.empty());
+
+    isStored = true;
+    fixture.reporter.checkStored();
+    fixture.loop.run_for(100ms);
+    CHECK(fixture.sent.size() == 1);
+}
