Read the record of versions before a stream goes on at the only one

Callers could get a stream joined of two versions from an instance whose view was old: cut off from the store, or relying on the owner's progress, which doesn't cover the record, it had missed a version that another instance had recorded and begun streams at, and concluded 'only ever one' from its old view.

Change: before the only known version is believed, the record is read, once for all take-ups that wait; without an answer within 0.3 s the request is refused.

Evidence: unit-relay, the record of versions is read first; unit-version_history, two subcases of the removal and the bounds.

--- a/src/gateway/exchange_limits.hpp
+++ b/src/gateway/exchange_limits.hpp
@@ -27,6 +27,9 @@
 /// origins in the store.
 constexpr Duration storedOriginsTimeout = std::chrono::milliseconds(1000);
 
+/// Time to wait for the record of versions; the store answers within milliseconds.
+constexpr Duration versionsReadTimeout = std::chrono::milliseconds(300);
+
 /// Why a request ends while the process stops.
 constexpr std::string_view stoppingReason = "this instance is shutting down";
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -158,9 +158,16 @@
         this->notifyChange();
 }
 
+void Gateway::recordVersionsRead(TimePoint begin)
+{
+    this->versionsReadAt = begin;
+    this->notifyChange();
+}
+
 void Gateway::observeVersions()
 {
     const TimePoint now = SteadyClock().now();
+    this->versions.forgetOutdated(now);
     for (const auto &[id, entry] : this->table.entries())
         this->versions.observe(entry.registered.service, entry.registered.softwareVersion, now);
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -100,6 +100,10 @@
     /// @brief Aborts the open requests and closes all connections.
     void stop();
 
+    /// @brief Notes that the record of versions has been read.
+    /// @param begin when the read began
+    void recordVersionsRead(TimePoint begin);
+
     /// @brief Remembers the origin of a stream that another instance began.
     void learnOrigin(const StreamOrigin &origin);
 
@@ -161,6 +165,9 @@
     /// Called when a caller takes up a stream of unknown origin; again, with isRepeated, until it
     /// is known or the request gives up.
     std::function<void(const RequestId &, bool isRepeated)> onOriginWanted;
+    /// Called when a stream of unknown origin is taken up, so that the record of versions is read
+    /// now: this instance may have missed a version. Unset where there is no record.
+    std::function<void()> onVersionsWanted;
     /// Called when an answer to this instance is the first to say that its upstream shuts down.
     std::function<void(const UpstreamProcess &)> onUpstreamLeaving;
 
@@ -210,6 +217,8 @@
     bool endingRequests = false;
     /// Processes whose invalid headers were logged, by the header.
     std::map<std::string, std::set<UpstreamProcess>, std::less<>> invalidSources;
+    /// Begin of the last complete read of the record of versions that was asked for.
+    TimePoint versionsReadAt{};
     /// Number of requests that wait for the origin of a stream.
     std::size_t originWaits = 0;
 };
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -124,6 +124,8 @@
     void countRequest();
     const Service *pickService();
     upstream::Awaitable<void> findStreamOrigin();
+    upstream::Awaitable<void> askForOrigin();
+    upstream::Awaitable<void> confirmVersions();
     bool applyStreamOrigin();
     std::optional<SoftwareVersion> findSoleVersion() const;
     bool bindStreamVersion();
@@ -275,6 +277,8 @@
     std::vector<UpstreamId> askedReplacements;
     /// Version that began the stream, once it has begun; the stream goes on at no other one.
     std::optional<SoftwareVersion> requiredVersion;
+    /// False if the record of versions was to be read and could not be.
+    bool areVersionsConfirmed = true;
     /// Attempt that brought the first event, counted from one; zero while there is none.
     std::uint32_t beginSend = 0;
     /// Times that the announced version of the stream was corrected.
--- a/src/gateway/request_stream_origin.cpp
+++ b/src/gateway/request_stream_origin.cpp
@@ -10,16 +10,25 @@
 
 using upstream::Awaitable;
 
-/// Asks the other instances for the origin of the stream that the caller takes up, unless it is
-/// known, and waits for it.
+/// Finds out the origin of the stream that the caller takes up, or which versions may have begun
+/// it.
 Awaitable<void> RequestExchange::findStreamOrigin()
 {
     const RequestId &begun = this->attributes.resumedRequest;
     const auto isKnown = [&] { return this->gateway.origins.find(begun).has_value(); };
     // Nobody remembers a longer id, and it could exceed a datagram.
     const bool isTooLong = begun.value().size() > StreamOriginLimits().maxRequestIdBytes;
-    if (begun.isEmpty() || isTooLong || isKnown() || !this->gateway.onOriginWanted)
-        co_return;
+    if (!begun.isEmpty() && !isTooLong && !isKnown() && this->gateway.onOriginWanted)
+        co_await this->askForOrigin();
+    if (!isKnown())
+        co_await this->confirmVersions();
+}
+
+/// Asks the other instances for the origin of the stream, and waits for it.
+Awaitable<void> RequestExchange::askForOrigin()
+{
+    const RequestId &begun = this->attributes.resumedRequest;
+    const auto isKnown = [&] { return this->gateway.origins.find(begun).has_value(); };
     const TimePoint begin = this->now();
     const TimePoint giveUpAt = std::min(this->deadline, begin + originQueryTimeout);
     bool isRepeated = false;
@@ -40,6 +49,20 @@
               {"waited_ms", formatMilliseconds(this->now() - begin)});
 }
 
+/// Has the record of versions read, and waits for it.
+Awaitable<void> RequestExchange::confirmVersions()
+{
+    if (!this->gateway.onVersionsWanted)
+        co_return;
+    const TimePoint begin = this->now();
+    const TimePoint readBy = std::min(this->deadline, begin + versionsReadTimeout);
+    const auto isRead = [&] { return this->gateway.versionsReadAt >= begin; };
+    this->gateway.onVersionsWanted();
+    while (!isRead() && !this->isCallerGone && this->now() < readBy)
+        co_await this->gateway.change.wait(readBy);
+    this->areVersionsConfirmed = isRead();
+}
+
 /// Binds a resumed stream to the version that began it; returns false when that is not known.
 bool RequestExchange::applyStreamOrigin()
 {
@@ -59,7 +82,9 @@
 /// the stream.
 std::optional<SoftwareVersion> RequestExchange::findSoleVersion() const
 {
-    const SoleVersion sole = this->gateway.versions.soleVersion(this->service->id, this->now());
+    SoleVersion sole = this->gateway.versions.soleVersion(this->service->id, this->now());
+    if (!this->areVersionsConfirmed && sole.kind == SoleVersion::Kind::Known)
+        sole = {SoleVersion::Kind::NotConfirmed, std::nullopt};
     const std::string reason(kindName(sole.kind));
     this->gateway.metrics
             .counter("bamboochute_streams_of_unknown_origin_total",
--- a/src/gateway/version_history.cpp
+++ b/src/gateway/version_history.cpp
@@ -13,6 +13,8 @@
         return "history_unknown";
     case SoleVersion::Kind::Several:
         return "several";
+    case SoleVersion::Kind::NotConfirmed:
+        return "not_confirmed";
     case SoleVersion::Kind::None:
         break;
     }
@@ -29,13 +31,21 @@
     found->second.last = std::max(found->second.last, now);
 }
 
+void VersionHistory::forgetOutdated(TimePoint now)
+{
+    for (auto &[service, versions] : this->sightings)
+        std::erase_if(versions,
+                      [&](const auto &seen) { return !this->isRetained(seen.second, now); });
+    std::erase_if(this->sightings, [](const auto &ofService) { return ofService.second.empty(); });
+}
+
 void VersionHistory::beginFollowing(TimePoint now)
 {
     if (!this->followingSince)
         this->followingSince = now;
 }
 
-void VersionHistory::apply(const StoredVersions &read)
+void VersionHistory::apply(const StoredVersions &read, TimePoint now)
 {
     const bool isOlder = this->stored
                          && (read.storeEra < this->stored->storeEra
@@ -55,6 +65,17 @@
         for (const auto &[service, versions] : read.record->versions)
             this->knownVersions[service].insert(versions.begin(), versions.end());
     }
+    std::map<ServiceId, std::map<SoftwareVersion, TimePoint>> formerlyRecordedAt;
+    formerlyRecordedAt.swap(this->recordedAt);
+    if (read.record) {
+        for (const auto &[service, versions] : read.record->versions) {
+            for (const SoftwareVersion &version : versions) {
+                const auto &former = formerlyRecordedAt[service];
+                const auto known = former.find(version);
+                this->recordedAt[service][version] = known == former.end() ? now : known->second;
+            }
+        }
+    }
     const bool isFirstRecord = isFirst && !read.record && this->isFirstStart;
     const bool isRecordComplete
             = read.record && read.record->isComplete && read.record->storeEra == read.storeEra;
@@ -122,6 +143,19 @@
     return sighting == nullptr || now < sighting->first + this->times.recordingTime;
 }
 
+/// Adds the versions that were seen last within a time.
+void VersionHistory::addSightings(VersionRecord &due, Duration maxAge, TimePoint now) const
+{
+    for (const auto &[service, versions] : this->sightings) {
+        for (const auto &[version, sighting] : versions) {
+            std::set<SoftwareVersion> &recorded = due.versions[service];
+            if (now < sighting.last + maxAge && recorded.size() < this->times.maxVersions)
+                recorded.insert(version);
+        }
+    }
+    std::erase_if(due.versions, [](const auto &ofService) { return ofService.second.empty(); });
+}
+
 std::optional<VersionRecord> VersionHistory::findDueRecord(TimePoint now,
                                                            std::optional<TimePoint> ownerSince,
                                                            std::uint64_t storeEra) const
@@ -135,13 +169,16 @@
     if (isSettledOwner) {
         due.isComplete = true;
         due.versions.clear();
-    }
-    for (const auto &[service, versions] : this->sightings) {
-        for (const auto &[version, sighting] : versions) {
-            if (this->isRetained(sighting, now))
-                due.versions[service].insert(version);
+        // Another instance may have seen one that this one has not.
+        for (const auto &[service, versions] : this->recordedAt) {
+            for (const auto &[version, firstReadAt] : versions) {
+                if (now < firstReadAt + this->times.retention)
+                    due.versions[service].insert(version);
+            }
         }
     }
+    // Others add only what is registered, or they would add again what the owner has removed.
+    this->addSightings(due, ownerSince ? this->times.retention : this->times.registeredTime, now);
     const bool isNeedless = due.versions.empty() && !due.isComplete;
     const std::optional<VersionRecord> &present = this->stored->record;
     if (!present)
--- a/src/gateway/version_history.hpp
+++ b/src/gateway/version_history.hpp
@@ -7,6 +7,7 @@
 #include "gateway/routing_configuration.hpp"
 #include "gateway/stream_origins.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -48,6 +49,10 @@
     Duration retention = StreamOriginLimits().lifetime + std::chrono::seconds(5);
     /// How long upstreams of a version that the store lacks are passed over for new streams.
     Duration recordingTime = std::chrono::seconds(2);
+    /// Age up to which a sighting shows that the version is registered now.
+    Duration registeredTime = std::chrono::seconds(5);
+    /// Largest number of versions of a service in the record; more tell nothing else than several.
+    std::size_t maxVersions = 16;
     auto operator<=>(const VersionHistoryTimes &) const = default;
 };
 
@@ -60,6 +65,8 @@
         HistoryUnknown,
         /// Several versions may have begun it.
         Several,
+        /// One is known, but the record could not be read just now, and may have another one.
+        NotConfirmed,
         /// No upstream of the service has been seen.
         None,
     };
@@ -87,6 +94,9 @@
     /// @brief Notes that an upstream of a version is registered.
     void observe(const ServiceId &service, const SoftwareVersion &version, TimePoint now);
 
+    /// @brief Forgets versions whose last stream has ended.
+    void forgetOutdated(TimePoint now);
+
     /// @brief Notes that all registrations have been read and are followed from now on.
     void beginFollowing(TimePoint now);
 
@@ -98,7 +108,7 @@
     ///
     /// In a later era of the store, which has come back from a copy, nothing that is known is
     /// forgotten.
-    void apply(const StoredVersions &read);
+    void apply(const StoredVersions &read, TimePoint now);
 
     /// @brief The version that began a stream whose origin nobody remembers.
     SoleVersion soleVersion(const ServiceId &service, TimePoint now) const;
@@ -140,6 +150,7 @@
     bool isHistoryKnown(TimePoint now) const;
     std::set<SoftwareVersion> findPossible(const ServiceId &service, TimePoint now) const;
     const Sighting *findSighting(const ServiceId &service, const SoftwareVersion &version) const;
+    void addSightings(VersionRecord &due, Duration maxAge, TimePoint now) const;
 
     VersionHistoryTimes times;
     std::map<ServiceId, std::map<SoftwareVersion, Sighting>> sightings;
@@ -147,6 +158,8 @@
     bool isFirstStart = false;
     /// What the store holds.
     std::optional<StoredVersions> stored;
+    /// When each version of the record was first read in it.
+    std::map<ServiceId, std::map<SoftwareVersion, TimePoint>> recordedAt;
     /// Versions of the record; more than the store holds after it has come back from a copy.
     ServiceVersions knownVersions;
     bool isComplete = false;
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -348,7 +348,7 @@
         this->gateway->table.applyRegistration(upstream, SteadyClock().now());
         record.versions[service].insert(upstream.softwareVersion);
     }
-    this->gateway->versions.apply({0, 1, record});
+    this->gateway->versions.apply({0, 1, record}, SteadyClock().now());
     this->listen = this->gateway->start().value();
     this->thread = std::thread([this] { this->loop.run(); });
 }
@@ -388,7 +388,7 @@
 {
     this->runOnLoop([&record](gateway::Gateway &gateway) {
         gateway.versions = gateway::VersionHistory();
-        gateway.versions.apply({0, record ? 1U : 0U, record});
+        gateway.versions.apply({0, record ? 1U : 0U, record}, SteadyClock().now());
         gateway.observeVersions();
     });
 }
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -443,6 +443,37 @@
             CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with("HTTP/1.1 503 "));
             CHECK(first.requests().empty());
         }
+        // Guards against an instance that missed a version, as it was cut off from the store, joining
+        // a stream of it with the only one that it has seen.
+        SUBCASE("the record of versions is read first")
+        {
+            RelayFixture fixture({&first});
+            bool isRead = true;
+            bool hasOther = false;
+            SUBCASE("it goes on if the record has no other version") {}
+            SUBCASE("it is refused if it has one")
+            {
+                hasOther = true;
+            }
+            SUBCASE("it is refused if it can't be read")
+            {
+                isRead = false;
+            }
+            fixture.runOnLoop([&](gateway::Gateway &gateway) {
+                gateway.onVersionsWanted = [&] {
+                    const TimePoint now = SteadyClock().now();
+                    if (hasOther)
+                        gateway.versions.observe(gateway::ServiceId("rooms"), SoftwareVersion("v2"),
+                                                 now);
+                    if (isRead)
+                        gateway.recordVersionsRead(now);
+                };
+            });
+            const bool goesOn = isRead && !hasOther;
+            CHECK(fixture.call(resumeRequest("/stream/", "1"))
+                          .starts_with(goesOn ? "HTTP/1.1 200 " : "HTTP/1.1 503 "));
+            CHECK(first.requests().size() == (goesOn ? 1 : 0));
+        }
         SUBCASE("it is refused if several versions serve")
         {
             ScriptedUpstream second({{rest}});
@@ -552,7 +583,7 @@
     {
         record.versions[gateway::ServiceId("rooms")].insert(SoftwareVersion("v2"));
         fixture.runOnLoop([&](gateway::Gateway &gateway) {
-            gateway.versions.apply({0, 2, record});
+            gateway.versions.apply({0, 2, record}, SteadyClock().now());
         });
         CHECK(fixture.call(request("/stream/")).ends_with("0\r\n\r\n"));
         CHECK(unrecorded.requests().size() == 1);
--- a/tests/gateway/unit-version_history.cpp
+++ b/tests/gateway/unit-version_history.cpp
@@ -1,5 +1,7 @@
 #include "gateway/version_history.hpp"
 
+#include <string>
+
 #include <doctest/doctest.h>
 
 using namespace bamboochute;
@@ -34,7 +36,7 @@
     history.observe(drafting, v2, start);
     SUBCASE("without a record it doesn't know who began a stream")
     {
-        history.apply({1, 0, std::nullopt});
+        history.apply({1, 0, std::nullopt}, start);
         CHECK(history.soleVersion(drafting, start).kind == Kind::HistoryUnknown);
         SUBCASE("until it has followed the registrations for the life of a stream")
         {
@@ -45,25 +47,25 @@
     }
     SUBCASE("a record with another version says that there were several")
     {
-        history.apply(makeStored({v1}, true));
+        history.apply(makeStored({v1}, true), start);
         CHECK(history.soleVersion(drafting, start).kind == Kind::Several);
         CHECK(history.hasSeveral(drafting, start));
     }
     SUBCASE("a complete record with the same version says who began all streams")
     {
-        history.apply(makeStored({v2}, true));
+        history.apply(makeStored({v2}, true), start);
         CHECK(history.soleVersion(drafting, start).version == v2);
         CHECK_FALSE(history.hasSeveral(drafting, start));
         CHECK(history.soleVersion(ServiceId("other"), start).kind == Kind::None);
     }
     SUBCASE("a record that is not complete does not")
     {
-        history.apply(makeStored({v2}, false));
+        history.apply(makeStored({v2}, false), start);
         CHECK(history.soleVersion(drafting, start).kind == Kind::HistoryUnknown);
     }
     SUBCASE("nor does one of an earlier era of the store, which lacks what was written since")
     {
-        history.apply(makeStored({v2}, true, 7, 1, 2));
+        history.apply(makeStored({v2}, true, 7, 1, 2), start);
         CHECK(history.soleVersion(drafting, start).kind == Kind::HistoryUnknown);
     }
     SUBCASE("where no instance has run before, there are no streams")
@@ -71,14 +73,14 @@
         history.assumeFirstStart();
         SUBCASE("if there is no record")
         {
-            history.apply({1, 0, std::nullopt});
+            history.apply({1, 0, std::nullopt}, start);
             CHECK(history.soleVersion(drafting, start).version == v2);
             CHECK(history.findDueRecord(start, std::nullopt, 1)
                   == VersionRecord{{{drafting, {v2}}}, true, 1});
         }
         SUBCASE("but not if there is one")
         {
-            history.apply(makeStored({v2}, false));
+            history.apply(makeStored({v2}, false), start);
             CHECK(history.soleVersion(drafting, start).kind == Kind::HistoryUnknown);
         }
     }
@@ -90,7 +92,7 @@
     history.beginFollowing(start);
     history.observe(drafting, v1, start);
     CHECK_FALSE(history.findDueRecord(start, std::nullopt, 1));
-    history.apply(makeStored({v1}, true));
+    history.apply(makeStored({v1}, true), start);
     CHECK_FALSE(history.isUnrecorded(drafting, v1, start));
     CHECK_FALSE(history.findDueRecord(start, std::nullopt, 1));
     history.observe(drafting, v2, start + 10s);
@@ -100,13 +102,13 @@
 
     SUBCASE("once it is recorded, they do")
     {
-        history.apply({1, 8, both});
+        history.apply({1, 8, both}, start);
         CHECK_FALSE(history.isUnrecorded(drafting, v2, start + 10s));
         CHECK_FALSE(history.findDueRecord(start + 10s, std::nullopt, 1));
         CHECK(history.revision() == 8);
         SUBCASE("an older answer of the store has no effect")
         {
-            history.apply(makeStored({v1}, true));
+            history.apply(makeStored({v1}, true), start);
             CHECK_FALSE(history.isUnrecorded(drafting, v2, start + 10s));
         }
     }
@@ -126,7 +128,7 @@
 {
     VersionHistory history;
     history.beginFollowing(start);
-    history.apply(makeStored({v1, v2}, true));
+    history.apply(makeStored({v1, v2}, true), start);
     const TimePoint gone = start + 20s;
     history.observe(drafting, v1, gone);
     const auto due = [&](TimePoint now, std::optional<TimePoint> ownerSince) {
@@ -140,10 +142,30 @@
     {
         CHECK_FALSE(due(gone + 65s, std::nullopt));
         CHECK(due(gone + 65s, start) == one);
-        history.apply({1, 9, one});
+        history.apply({1, 9, one}, start);
         CHECK_FALSE(history.hasSeveral(drafting, gone + 65s));
         CHECK(history.soleVersion(drafting, gone + 65s).version == v2);
     }
+    SUBCASE("which other instances, whose last sight of it is later, don't write again")
+    {
+        VersionHistory other;
+        other.beginFollowing(start);
+        other.observe(drafting, v1, gone + 2s);
+        other.observe(drafting, v2, gone + 65s);
+        other.apply({1, 9, one}, gone + 65s);
+        CHECK_FALSE(other.findDueRecord(gone + 65s, std::nullopt, 1));
+        CHECK(other.hasSeveral(drafting, gone + 65s));
+    }
+    SUBCASE("but not one that another instance has recorded meanwhile")
+    {
+        const VersionRecord three{{{drafting, {v1, v2, SoftwareVersion("v3")}}}, true, 1};
+        history.apply({1, 9, three}, gone + 64s);
+        const VersionRecord rest{{{drafting, {v2, SoftwareVersion("v3")}}}, true, 1};
+        REQUIRE(due(gone + 65s, start) == rest);
+        history.apply({1, 10, rest}, gone + 65s);
+        CHECK_FALSE(due(gone + 128s, start));
+        CHECK(due(gone + 130s, start) == one);
+    }
     SUBCASE("a new owner counts from its own start")
     {
         CHECK_FALSE(due(gone + 65s, gone + 10s));
@@ -155,12 +177,12 @@
 {
     VersionHistory history;
     history.beginFollowing(start);
-    history.apply({1, 0, std::nullopt});
+    history.apply({1, 0, std::nullopt}, start);
     CHECK_FALSE(history.findDueRecord(start, start, 1));
     history.observe(drafting, v1, start);
     const VersionRecord first{{{drafting, {v1}}}, false, 1};
     REQUIRE(history.findDueRecord(start, start, 1) == first);
-    history.apply({1, 3, first});
+    history.apply({1, 3, first}, start);
     history.observe(drafting, v1, start + 65s);
     CHECK_FALSE(history.findDueRecord(start + 64s, start, 1));
     CHECK_FALSE(history.findDueRecord(start + 65s, std::nullopt, 1));
@@ -172,44 +194,59 @@
 {
     VersionHistory history;
     history.beginFollowing(start);
-    history.apply(makeStored({v1, v2}, true, 20));
+    history.apply(makeStored({v1, v2}, true, 20), start);
     const VersionRecord whole{{{drafting, {v1, v2}}}, true, 2};
     SUBCASE("its record is older")
     {
-        history.apply(makeStored({v1}, true, 12, 1, 2));
+        history.apply(makeStored({v1}, true, 12, 1, 2), start);
         CHECK(history.revision() == 12);
         CHECK(history.findDueRecord(start, std::nullopt, 2) == whole);
         CHECK(history.soleVersion(drafting, start).kind == Kind::Several);
         SUBCASE("also when it is read again, or was written meanwhile by one that knows less")
         {
-            history.apply(makeStored({v1}, true, 12, 1, 2));
-            history.apply(makeStored({v1}, false, 13, 2, 2));
+            history.apply(makeStored({v1}, true, 12, 1, 2), start);
+            history.apply(makeStored({v1}, false, 13, 2, 2), start);
             CHECK(history.findDueRecord(start, std::nullopt, 2) == whole);
         }
         SUBCASE("until the owner removes it in the new era")
         {
-            history.apply({2, 13, whole});
-            history.apply(makeStored({v1}, true, 14, 2, 2));
+            history.apply({2, 13, whole}, start);
+            history.apply(makeStored({v1}, true, 14, 2, 2), start);
             CHECK_FALSE(history.findDueRecord(start, std::nullopt, 2));
             CHECK(history.soleVersion(drafting, start).version == v1);
         }
     }
     SUBCASE("it has no record")
     {
-        history.apply({2, 0, std::nullopt});
+        history.apply({2, 0, std::nullopt}, start);
         CHECK(history.revision() == 0);
         CHECK(history.findDueRecord(start, std::nullopt, 2) == whole);
     }
     SUBCASE("an instance that started since has written what it sees")
     {
-        history.apply(makeStored({v2}, false, 15, 2, 2));
+        history.apply(makeStored({v2}, false, 15, 2, 2), start);
         CHECK(history.findDueRecord(start, std::nullopt, 2) == whole);
     }
     SUBCASE("a late answer of the former era has no effect")
     {
-        history.apply({2, 13, whole});
-        history.apply(makeStored({v1}, false, 30));
+        history.apply({2, 13, whole}, start);
+        history.apply(makeStored({v1}, false, 30), start);
         CHECK(history.revision() == 13);
         CHECK_FALSE(history.findDueRecord(start, std::nullopt, 2));
     }
 }
+
+// Guards against a memory and a record that grow with each odd version that somebody registers.
+TEST_CASE("the versions that are remembered are bounded")
+{
+    VersionHistory history;
+    history.beginFollowing(start);
+    history.apply({1, 0, std::nullopt}, start);
+    for (int i = 0; i < 100; ++i)
+        history.observe(drafting, SoftwareVersion(std::to_string(i)), start);
+    const auto due = history.findDueRecord(start, std::nullopt, 1);
+    REQUIRE(due);
+    CHECK(due->versions.at(drafting).size() == VersionHistoryTimes().maxVersions);
+    history.forgetOutdated(start + 65s);
+    CHECK(history.soleVersion(drafting, start).kind == Kind::None);
+}
