--- a/tests/platform/adapter/unit-origin_store.cpp
+++ b/tests/platform/adapter/unit-origin_store.cpp
@@ -255,6 +255,7 @@
 {
     FakeStore fakeStore;
     std::vector<StreamOrigin> many;
+    many.reserve(5000);
     for (int i = 0; i < 5000; ++i)
         many.push_back(makeOrigin("request-" + std::to_string(i), "v1"));
     fakeStore.values = {{"bamboochute-origins/a", encodeOrigins(many)}};
