--- a/src/gateway/version_history.cpp
+++ b/src/gateway/version_history.cpp
@@ -76,7 +76,7 @@
             }
         }
     }
-    const bool isFirstRecord = isFirst && !read.record && this->isFirstStart;
+    const bool isFirstRecord = isFirst && read.revision == 0 && this->isFirstStart;
     const bool isRecordComplete
             = read.record && read.record->isComplete && read.record->storeEra == read.storeEra;
     this->isComplete = this->isComplete || isFirstRecord || isRecordComplete;
@@ -118,9 +118,10 @@
     return {SoleVersion::Kind::Known, *possible.begin()};
 }
 
-bool VersionHistory::hasSeveral(const ServiceId &service, TimePoint now) const
+bool VersionHistory::needsOrigins(const ServiceId &service, TimePoint now) const
 {
-    return this->findPossible(service, now).size() > 1;
+    const SoleVersion::Kind kind = this->soleVersion(service, now).kind;
+    return kind == SoleVersion::Kind::Several || kind == SoleVersion::Kind::HistoryUnknown;
 }
 
 const VersionHistory::Sighting *VersionHistory::findSighting(const ServiceId &service,
--- a/src/gateway/version_history.hpp
+++ b/src/gateway/version_history.hpp
@@ -36,7 +36,7 @@
     /// Era of the store, and revision of the record; the revision is zero if there is none.
     std::uint64_t storeEra = 0;
     std::uint64_t revision = 0;
-    /// Unset if the store has no record.
+    /// Unset if the store has no valid record.
     std::optional<VersionRecord> record;
     auto operator<=>(const StoredVersions &) const = default;
 };
@@ -113,9 +113,9 @@
     /// @brief The version that began a stream whose origin nobody remembers.
     SoleVersion soleVersion(const ServiceId &service, TimePoint now) const;
 
-    /// @brief Whether several versions of a service may have begun streams, so that the origins of
-    /// its streams have to outlast the instances.
-    bool hasSeveral(const ServiceId &service, TimePoint now) const;
+    /// @brief Whether the origins of a service's streams have to outlast the instances, as the
+    /// version of a stream could not be told without.
+    bool needsOrigins(const ServiceId &service, TimePoint now) const;
 
     /// @brief Whether upstreams of a version are to be passed over for streams that begin, as long
     /// as there are others, because the store does not hold the version yet.
--- a/src/residency/origin_reporter.hpp
+++ b/src/residency/origin_reporter.hpp
@@ -33,8 +33,9 @@
     /// @brief Tells an instance that its batch is stored.
     void acknowledge(const gateway::OriginReceipt &receipt);
 
-    /// @brief Looks at once whether origins have to be stored now that were not before.
-    void checkStored() { this->wake.notifyAll(); }
+    /// @brief Looks at once whether there are origins to send: the owner, or the services whose
+    /// origins have to be stored, may have changed.
+    void recheck() { this->wake.notifyAll(); }
 
     /// @brief Hands all origins over again, because the store has come back from a copy.
     void handleStoreLoss();
--- a/tests/gateway/unit-version_history.cpp
+++ b/tests/gateway/unit-version_history.cpp
@@ -49,13 +49,13 @@
     {
         history.apply(makeStored({v1}, true), start);
         CHECK(history.soleVersion(drafting, start).kind == Kind::Several);
-        CHECK(history.hasSeveral(drafting, start));
+        CHECK(history.needsOrigins(drafting, start));
     }
     SUBCASE("a complete record with the same version says who began all streams")
     {
         history.apply(makeStored({v2}, true), start);
         CHECK(history.soleVersion(drafting, start).version == v2);
-        CHECK_FALSE(history.hasSeveral(drafting, start));
+        CHECK_FALSE(history.needsOrigins(drafting, start));
         CHECK(history.soleVersion(ServiceId("other"), start).kind == Kind::None);
     }
     SUBCASE("a record that is not complete does not")
@@ -78,6 +78,11 @@
             CHECK(history.findDueRecord(start, std::nullopt, 1)
                   == VersionRecord{{{drafting, {v2}}}, true, 1});
         }
+        SUBCASE("but not if there is one that can't be read")
+        {
+            history.apply({1, 7, std::nullopt}, start);
+            CHECK(history.soleVersion(drafting, start).kind == Kind::HistoryUnknown);
+        }
         SUBCASE("but not if there is one")
         {
             history.apply(makeStored({v2}, false), start);
@@ -136,14 +141,14 @@
         return history.findDueRecord(now, ownerSince, 1);
     };
     CHECK_FALSE(due(gone + 64s, start));
-    CHECK(history.hasSeveral(drafting, gone + 64s));
+    CHECK(history.needsOrigins(drafting, gone + 64s));
     const VersionRecord one{{{drafting, {v2}}}, true, 1};
     SUBCASE("by its own watch")
     {
         CHECK_FALSE(due(gone + 65s, std::nullopt));
         CHECK(due(gone + 65s, start) == one);
         history.apply({1, 9, one}, start);
-        CHECK_FALSE(history.hasSeveral(drafting, gone + 65s));
+        CHECK_FALSE(history.needsOrigins(drafting, gone + 65s));
         CHECK(history.soleVersion(drafting, gone + 65s).version == v2);
     }
     SUBCASE("which other instances, whose last sight of it is later, don't write again")
@@ -154,7 +159,7 @@
         other.observe(drafting, v2, gone + 65s);
         other.apply({1, 9, one}, gone + 65s);
         CHECK_FALSE(other.findDueRecord(gone + 65s, std::nullopt, 1));
-        CHECK(other.hasSeveral(drafting, gone + 65s));
+        CHECK(other.needsOrigins(drafting, gone + 65s));
     }
     SUBCASE("but not one that another instance has recorded meanwhile")
     {
--- a/tests/residency/unit-origin_reporter.cpp
+++ b/tests/residency/unit-origin_reporter.cpp
@@ -91,7 +91,7 @@
     REQUIRE(fixture.sent.empty());
 
     isStored = true;
-    fixture.reporter.checkStored();
+    fixture.reporter.recheck();
     fixture.loop.run_for(100ms);
     CHECK(fixture.sent.size() == 1);
 }
