Send SIGHUP in the soak only to programs that run

In the time of exec and of the dynamic linker, up to 10 ms beside a load of 20, no program can, and no operator sends it to a program that has not begun.

Change: the soak waits until the process handles or ignores SIGHUP (SigCgt and SigIgn in /proc/PID/status), for at most one second in which it runs, and sends it then in any case, so that a program without a handler still fails.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -63,6 +63,8 @@
 STREAM_KINDS = ("talk", "listen")
 # Settings of the retry budget, of which SIGHUP brings one into force.
 BUDGET_SLACKS = (10, 40, 104)
+# Time after which a process that runs has to handle or ignore SIGHUP.
+HANGUP_WAIT_S = 1.0
 # Timeouts of the routes, of which each configuration has one.
 TIMEOUTS_MS = (3500, 5000, 6000)
 # A connection that ends so soon after a request may have crossed it, if no upstream has got it.
@@ -206,6 +208,25 @@
         if self.child.poll() is None:
             self.child.send_signal(signal_number)
 
+    async def hang_up(self):
+        """Sends SIGHUP once the process handles or ignores it, which no program does before it runs.
+
+        It is sent in any case when the process has run for HANGUP_WAIT_S.
+        """
+        until = time.monotonic() + HANGUP_WAIT_S
+        while self.child.poll() is None and not self.takes_hangup() and time.monotonic() < until:
+            await asyncio.sleep(0.005)
+            if self.is_stopped:
+                until = time.monotonic() + HANGUP_WAIT_S
+        self.send(signal.SIGHUP)
+
+    def takes_hangup(self):
+        """Whether the process handles or ignores SIGHUP."""
+        status = pathlib.Path(f"/proc/{self.child.pid}/status").read_text(encoding="ascii", errors="replace")
+        masks = [int(line.split()[1], 16) for line in status.splitlines()
+                 if line.startswith(("SigIgn:", "SigCgt:"))]
+        return any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
     def was_undisturbed(self, moment):
         """Whether the process ran undisturbed for STABLE_S before a moment."""
         return not any(moment - STABLE_S <= disturbed <= moment for disturbed in self.disturbed)
@@ -899,7 +920,7 @@
             worker.refuse = 0.0
         elif kind == "hangup":
             instance.write_settings(self.random.choice(BUDGET_SLACKS))
-            instance.send(signal.SIGHUP)
+            await instance.hang_up()
         elif kind == "silence":
             await self.silence(duration_s)
         else:
