Check the numbers, lists and depth of the ledger's records

Seen: nothing by callers; found by reading the decoders. A record in the store with "f" of 1e308, 1.5, -1 or 2^64 was read with another number, an order kind or placement state of 255 became a value that doesn't exist, and a record whose list of placements or orders was null or an object was read as one without any: its memory counted as free, its orders as none.

Cause: get<std::uint64_t>() converts whatever number there is, undefined for those that don't fit; a loop over null runs zero times.

Change: each number goes through readInteger(), kinds and states through readEnumeration(), lists through readList(), all in core/bounded_json.hpp; a placement has at most 2^46 bytes, so that sums don't wrap.

--- a/src/core/bounded_json.cpp
+++ b/src/core/bounded_json.cpp
@@ -124,6 +124,23 @@
     return parsed;
 }
 
+std::optional<Json> tryParseBoundedJson(std::string_view text, const JsonBounds &bounds,
+                                        Json::input_format_t format)
+{
+    try {
+        return parseBoundedJson(text, bounds, format);
+    } catch (const JsonBoundsError &) {
+        return std::nullopt;
+    }
+}
+
+const Json &readList(const Json &value)
+{
+    if (!value.is_array())
+        throw JsonBoundsError("value is not a list");
+    return value;
+}
+
 double readFinite(const Json &value)
 {
     if (!value.is_number() || !std::isfinite(value.get<double>()))
--- a/src/core/bounded_json.hpp
+++ b/src/core/bounded_json.hpp
@@ -42,6 +42,12 @@
                                 nlohmann::json::input_format_t format
                                 = nlohmann::json::input_format_t::json);
 
+/// @brief Like parseBoundedJson(), for callers that need no message.
+/// @return the value, or nothing when the text is malformed, too long or nested too deeply
+std::optional<nlohmann::json>
+tryParseBoundedJson(std::string_view text, const JsonBounds &bounds = {},
+                    nlohmann::json::input_format_t format = nlohmann::json::input_format_t::json);
+
 /// @brief Converts a whole number.
 /// @return the number, or nothing when it has a fraction, is not finite or does not fit T
 template<typename T>
@@ -82,6 +88,23 @@
     return *number;
 }
 
+/// @brief Reads a value of an enumeration whose values are counted from zero.
+/// @param last largest value
+/// @throws JsonBoundsError when the number is none of them
+template<typename Enum>
+requires std::is_enum_v<Enum> Enum readEnumeration(const nlohmann::json &value, Enum last)
+{
+    using Underlying = std::underlying_type_t<Enum>;
+    const auto number = readInteger<Underlying>(value);
+    if (std::cmp_less(number, 0) || std::cmp_greater(number, static_cast<Underlying>(last)))
+        throw JsonBoundsError("value is not one of the enumeration");
+    return static_cast<Enum>(number);
+}
+
+/// @brief Checks that a value is a list: others, null too, would be read as an empty one.
+/// @throws JsonBoundsError when it is none
+const nlohmann::json &readList(const nlohmann::json &value);
+
 /// @brief Reads a finite number.
 /// @throws JsonBoundsError when the value is none
 double readFinite(const nlohmann::json &value);
--- a/src/decision/records.cpp
+++ b/src/decision/records.cpp
@@ -1,5 +1,7 @@
 #include "decision/records.hpp"
 
+#include "core/bounded_json.hpp"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -9,6 +11,11 @@
 
 using Json = nlohmann::json;
 
+/// Most bytes of a record.
+constexpr JsonBounds recordBounds{.maxBytes = 2 << 20};
+/// Most memory of a placement, in bytes: sums over a record's placements don't wrap.
+constexpr std::uint64_t maxPlacementBytes = std::uint64_t{1} << 46;
+
 Json toJson(const Target &target)
 {
     return Json::array({target.model.value(), target.adapter.value()});
@@ -34,10 +41,10 @@
 {
     OutstandingOrder order;
     order.id.sender.instance = InstanceId(json.at("i").get<std::string>());
-    order.id.sender.incarnation = Incarnation(json.at("c").get<std::uint64_t>());
-    order.id.fence = Fence(json.at("f").get<std::uint64_t>());
-    order.id.number = json.at("n").get<std::uint64_t>();
-    order.kind = static_cast<OrderKind>(json.at("k").get<int>());
+    order.id.sender.incarnation = Incarnation(readInteger<std::uint64_t>(json.at("c")));
+    order.id.fence = Fence(readInteger<std::uint64_t>(json.at("f")));
+    order.id.number = readInteger<std::uint64_t>(json.at("n"));
+    order.kind = readEnumeration(json.at("k"), OrderKind::ChangeRole);
     order.target = targetFrom(json.at("t"));
     order.isInitialLoad = json.at("d").get<bool>();
     return order;
@@ -54,16 +61,57 @@
 {
     Placement placement;
     placement.target = targetFrom(json.at("t"));
-    placement.memory = Bytes{json.at("b").get<std::uint64_t>()};
-    placement.state = static_cast<PlacementState>(json.at("s").get<int>());
+    placement.memory = Bytes{readInteger<std::uint64_t>(json.at("b"))};
+    if (placement.memory.count > maxPlacementBytes)
+        throw JsonBoundsError("a placement's memory is too large");
+    placement.state = readEnumeration(json.at("s"), PlacementState::Unloading);
     return placement;
 }
 
-Error makeRecordError(std::string_view what, const Json::exception &exception)
+Error makeRecordError(std::string_view what, std::string_view message)
 {
     return Error(ErrorKind::ReportDistrusted,
                  fmt::format("{} record in the key-value service can't be parsed: {}", what,
-                             exception.what()));
+                             JsonBoundsError(message).what()));
+}
+
+/// Parses the text of a record and runs a decoder on it.
+template<typename Decode>
+auto parseRecord(std::string_view what, std::string_view text, const Decode &decode)
+        -> Result<decltype(decode(Json()))>
+{
+    try {
+        return decode(parseBoundedJson(text, recordBounds));
+    } catch (const Json::exception &exception) {
+        return makeRecordError(what, exception.what());
+    } catch (const JsonBoundsError &exception) {
+        return makeRecordError(what, exception.what());
+    }
+}
+
+OwnerRecord ownerRecordFrom(const Json &json)
+{
+    OwnerRecord record;
+    record.holder.instance = InstanceId(json.at("instance").get<std::string>());
+    record.holder.incarnation = Incarnation(readInteger<std::uint64_t>(json.at("incarnation")));
+    record.fence = Fence(readInteger<std::uint64_t>(json.at("fence")));
+    record.attempt = readInteger<std::uint64_t>(json.at("attempt"));
+    record.isReleased = json.at("released").get<bool>();
+    return record;
+}
+
+UpstreamRecord upstreamRecordFrom(const Json &json)
+{
+    UpstreamRecord record;
+    record.upstream = UpstreamId(json.at("u").get<std::string>());
+    record.fence = Fence(readInteger<std::uint64_t>(json.at("f")));
+    record.token = json.at("w").get<std::string>();
+    record.mayHoldUnrecordedTargets = json.at("x").get<bool>();
+    for (const Json &each : readList(json.at("p")))
+        record.placements.push_back(placementFrom(each));
+    for (const Json &each : readList(json.at("o")))
+        record.orders.push_back(orderFrom(each));
+    return record;
 }
 
 } // namespace
@@ -117,37 +165,12 @@
 
 Result<OwnerRecord> parseOwnerRecord(std::string_view text)
 {
-    try {
-        const Json json = Json::parse(text);
-        OwnerRecord record;
-        record.holder.instance = InstanceId(json.at("instance").get<std::string>());
-        record.holder.incarnation = Incarnation(json.at("incarnation").get<std::uint64_t>());
-        record.fence = Fence(json.at("fence").get<std::uint64_t>());
-        record.attempt = json.at("attempt").get<std::uint64_t>();
-        record.isReleased = json.at("released").get<bool>();
-        return record;
-    } catch (const Json::exception &exception) {
-        return makeRecordError("owner", exception);
-    }
+    return parseRecord("owner", text, ownerRecordFrom);
 }
 
 Result<UpstreamRecord> parseUpstreamRecord(std::string_view text)
 {
-    try {
-        const Json json = Json::parse(text);
-        UpstreamRecord record;
-        record.upstream = UpstreamId(json.at("u").get<std::string>());
-        record.fence = Fence(json.at("f").get<std::uint64_t>());
-        record.token = json.at("w").get<std::string>();
-        record.mayHoldUnrecordedTargets = json.at("x").get<bool>();
-        for (const Json &each : json.at("p"))
-            record.placements.push_back(placementFrom(each));
-        for (const Json &each : json.at("o"))
-            record.orders.push_back(orderFrom(each));
-        return record;
-    } catch (const Json::exception &exception) {
-        return makeRecordError("upstream", exception);
-    }
+    return parseRecord("upstream", text, upstreamRecordFrom);
 }
 
 } // namespace bamboochute::decision
