Sum waiting requests of several instances without wrapping

Cause: 2^31 requests that two instances report each were summed to zero in 32 bits, so that nobody seemed to wait. Only other instances report them; found by reading, not seen.

Change: the sum stops at the largest number.

Evidence: tests/decision/unit-demand.cpp failed before (waiting was 0), and passes now.

--- a/src/decision/demand.cpp
+++ b/src/decision/demand.cpp
@@ -1,6 +1,7 @@
 #include "decision/demand.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace bamboochute::decision {
 
@@ -82,7 +83,8 @@
 {
     WaitingDemand all{target, 0, TimePoint::max(), 1, TimePoint::max(), {}};
     for (const auto &[instance, entry] : instances) {
-        all.waiting += entry.demand.waiting;
+        const std::uint32_t countable = std::numeric_limits<std::uint32_t>::max() - all.waiting;
+        all.waiting += std::min(countable, entry.demand.waiting);
         all.earliestDeadline = std::min(all.earliestDeadline, entry.demand.earliestDeadline);
         all.weight = std::max(all.weight, entry.demand.weight);
         all.since = std::min(all.since, entry.since);
