Check the numbers and the depth of an operation's record

Seen: nothing by callers; found by reading. A record in the store with a status of 1e308, 2^32 + 200 or "true" was read with another status, which a repeated request would have been answered with; 100,000 arrays within each other ended the process.

Cause: get<int>() converts without a check, and Json::from_cbor() calls itself for each array.

--- a/src/admission/operation_record.cpp
+++ b/src/admission/operation_record.cpp
@@ -1,5 +1,6 @@
 #include "admission/operation_record.hpp"
 
+#include "core/bounded_json.hpp"
 #include "core/digest.hpp"
 #include "core/overloaded.hpp"
 
@@ -17,6 +18,9 @@
 using Json = nlohmann::json;
 
 constexpr int recordVersion = 1;
+/// A status of an answer has three digits.
+constexpr int minStatus = 100;
+constexpr int maxStatus = 999;
 
 Json toBinary(const std::string &text)
 {
@@ -59,11 +63,19 @@
                       state);
 }
 
+int statusFrom(const Json &json)
+{
+    const int status = readInteger<int>(json);
+    if (status < minStatus || status > maxStatus)
+        throw JsonBoundsError("value is not the status of an answer");
+    return status;
+}
+
 OperationOutcome outcomeFrom(const Json &json)
 {
     OperationOutcome outcome;
-    outcome.status = json.at("status").get<int>();
-    for (const Json &header : json.at("headers"))
+    outcome.status = statusFrom(json.at("status"));
+    for (const Json &header : readList(json.at("headers")))
         outcome.headers.push_back({fromBinary(header.at(0)), fromBinary(header.at(1))});
     outcome.body = fromBinary(json.at("body"));
     return outcome;
@@ -79,7 +91,7 @@
     if (kind == "outcome")
         return outcomeFrom(json.at("answer"));
     if (kind == "too_large")
-        return OutcomeTooLarge{json.at("status").get<int>()};
+        return OutcomeTooLarge{statusFrom(json.at("status"))};
     return OutcomeUnknown{};
 }
 
@@ -87,8 +99,8 @@
 {
     OperationRecord record;
     record.claimant.instance = InstanceId(json.at("instance").get<std::string>());
-    record.claimant.incarnation = Incarnation(json.at("incarnation").get<std::uint64_t>());
-    record.claimant.number = ClaimNumber(json.at("number").get<std::uint64_t>());
+    record.claimant.incarnation = Incarnation(readInteger<std::uint64_t>(json.at("incarnation")));
+    record.claimant.number = ClaimNumber(readInteger<std::uint64_t>(json.at("number")));
     record.fingerprint = json.at("fingerprint").get<std::string>();
     record.state = stateFrom(json.at("state"));
     return record;
@@ -120,12 +132,17 @@
 
 Result<OperationRecord> decodeOperationRecord(std::string_view text)
 {
-    try {
-        return recordFrom(Json::from_cbor(text));
-    } catch (const Json::exception &exception) {
+    const auto makeError = [&text](std::string_view message) {
         return Error(ErrorKind::Internal,
                      fmt::format("record of {} bytes is not an operation record: {}", text.size(),
-                                 exception.what()));
+                                 JsonBoundsError(message).what()));
+    };
+    try {
+        return recordFrom(parseBoundedJson(text, {}, Json::input_format_t::cbor));
+    } catch (const Json::exception &exception) {
+        return makeError(exception.what());
+    } catch (const JsonBoundsError &exception) {
+        return makeError(exception.what());
     }
 }
 
