Limit the depth and the times of messages between instances

Seen: nothing by callers; found by reading. A call with 100,000 arrays within each other ended the process that received it, and a time of 2^53 ms overflowed when it was added to the present time. Only instances that know the key can send one.

Cause: Json::from_cbor() calls itself for each array; times were limited to 2^53 of their unit, not to what a sum can hold.

Change: tryParseBoundedJson() for calls and datagrams; times are as long as maxReadDuration at most.

--- a/src/peer/call_messages.cpp
+++ b/src/peer/call_messages.cpp
@@ -1,6 +1,10 @@
 #include "peer/call_messages.hpp"
 
+#include "core/bounded_duration.hpp"
+#include "core/bounded_json.hpp"
+
 #include <algorithm>
+#include <optional>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -30,13 +34,13 @@
 std::uint64_t readNumber(const Json &object, const char *name, std::uint64_t limit)
 {
     const Json &value = requireMember(object, name);
-    if (!value.is_number_unsigned()
-        && !(value.is_number_integer() && value.get<std::int64_t>() >= 0))
+    const std::optional<std::uint64_t> number
+            = value.is_number_float() ? std::nullopt : toInteger<std::uint64_t>(value);
+    if (!number)
         throw FieldError{name, "must be a non-negative integer"};
-    const auto number = value.get<std::uint64_t>();
-    if (number > limit)
+    if (*number > limit)
         throw FieldError{name, fmt::format("must be at most {}", limit)};
-    return number;
+    return *number;
 }
 
 // One read() and one write() for each type of a message's member.
@@ -84,8 +88,11 @@
 template<typename Period>
 void read(const Json &object, const char *name, std::chrono::duration<std::int64_t, Period> &value)
 {
+    using Amount = std::chrono::duration<std::int64_t, Period>;
     constexpr std::uint64_t limit = std::uint64_t{1} << 53;
-    value = std::chrono::duration<std::int64_t, Period>(readNumber(object, name, limit));
+    const Amount amount(static_cast<std::int64_t>(readNumber(object, name, limit)));
+    // Sums with the present time must not overflow.
+    value = std::min(amount, std::chrono::duration_cast<Amount>(maxReadDuration));
 }
 
 void read(const Json &object, const char *name, ReportOutcome &value)
@@ -403,9 +410,9 @@
     return bytes;
 }
 
-Json fromBytes(std::string_view bytes)
+std::optional<Json> fromBytes(std::string_view bytes)
 {
-    return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    return tryParseBoundedJson(bytes, {}, Json::input_format_t::cbor);
 }
 
 } // namespace
@@ -419,12 +426,12 @@
 template<typename Message>
 Result<Message> decodeMessage(std::string_view bytes)
 {
-    const Json json = fromBytes(bytes);
-    if (json.is_discarded())
+    const std::optional<Json> json = fromBytes(bytes);
+    if (!json)
         return Error(ErrorKind::MalformedJson, "a message between instances is not CBOR");
     try {
         Message message;
-        readMessage(json, message);
+        readMessage(*json, message);
         return message;
     } catch (const FieldError &failure) {
         return invalidField(failure);
@@ -445,14 +452,14 @@
 template<typename Message>
 Result<Message> decodeResult(std::string_view bytes)
 {
-    const Json json = fromBytes(bytes);
-    if (json.is_discarded())
+    const std::optional<Json> json = fromBytes(bytes);
+    if (!json)
         return Error(ErrorKind::MalformedJson, "an answer between instances is not CBOR");
     try {
-        if (json.is_object() && json.contains("error"))
-            return readError(json["error"]);
+        if (json->is_object() && json->contains("error"))
+            return readError((*json)["error"]);
         Message message;
-        readMessage(requireMember(json, "value"), message);
+        readMessage(requireMember(*json, "value"), message);
         return message;
     } catch (const FieldError &failure) {
         return invalidField(failure);
--- a/src/peer/datagram_fields.cpp
+++ b/src/peer/datagram_fields.cpp
@@ -1,5 +1,6 @@
 #include "peer/datagram_fields.hpp"
 
+#include "core/bounded_json.hpp"
 #include "peer/dissemination.hpp"
 
 #include <nlohmann/json.hpp>
@@ -293,12 +294,12 @@
 
 std::optional<Datagram> readFields(std::string_view bytes)
 {
-    // The nesting depth is limited by the datagram's size, which was checked before.
-    const Json fields = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-    if (fields.is_discarded())
+    const std::optional<Json> fields
+            = tryParseBoundedJson(bytes, {}, Json::input_format_t::msgpack);
+    if (!fields)
         return std::nullopt;
     try {
-        return readDatagram(fields);
+        return readDatagram(*fields);
     } catch (const FieldError &) {
         return std::nullopt;
     }
