Reject answers of the key-value service that lack responses

Seen: nothing by callers; found by reading. An answer to a transaction with fewer responses than operations ended the process by an exception: readers index them by operation. A comparison whose target is a number did the same in the codec (type_error.302); a time to live of 2^64 - 1 s was negative; a range that is no object was read as one of an empty key; the generation of a listed instance was ignored when it was odd.

Change: the number of responses is checked against the transaction, each member against its type; depth is limited. The outcome of a write with such an answer is unknown, as with any malformed one.

--- a/src/platform/etcd_codec.cpp
+++ b/src/platform/etcd_codec.cpp
@@ -1,9 +1,13 @@
 #include "platform/etcd_codec.hpp"
 
+#include "core/bounded_duration.hpp"
+#include "core/bounded_json.hpp"
 #include "core/overloaded.hpp"
 #include "platform/base64.hpp"
 
 #include <charconv>
+#include <limits>
+#include <optional>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -14,6 +18,9 @@
 
 using Json = nlohmann::json;
 
+/// Bounds of a message; the body's size is limited where it is received.
+constexpr JsonBounds messageBounds{.maxBytes = std::numeric_limits<std::size_t>::max()};
+
 /// Returns the exclusive end of the range of all keys with a prefix: the prefix with its last byte
 /// incremented, after dropping trailing 0xff bytes.
 std::string prefixEnd(std::string prefix)
@@ -31,12 +38,12 @@
 
 Result<Json> parseObject(std::string_view body)
 {
-    Json parsed = Json::parse(body, nullptr, false);
-    if (!parsed.is_object())
+    std::optional<Json> parsed = tryParseBoundedJson(body, messageBounds);
+    if (!parsed || !parsed->is_object())
         return Error(
                 ErrorKind::MalformedJson,
                 fmt::format("key-value message of {} bytes is not a JSON object", body.size()));
-    return parsed;
+    return std::move(*parsed);
 }
 
 Result<std::uint64_t> readNumber(const Json &object, const char *name)
@@ -130,7 +137,10 @@
         return Error(ErrorKind::InvalidField, "an entry of \"compare\" is not a JSON object",
                      "compare");
     BOOST_OUTCOME_TRY(key, readBytes(object, "key"));
-    const std::string target = object.value("target", "");
+    const auto member = object.find("target");
+    const std::string target = member != object.end() && member->is_string()
+                                       ? member->get<std::string>()
+                                       : std::string();
     if (target == "VALUE") {
         BOOST_OUTCOME_TRY(value, readBytes(object, "value"));
         return Compare(CompareValue{std::move(key), std::move(value)});
@@ -144,6 +154,12 @@
 
 Result<Operation> operationFromJson(const Json &object)
 {
+    for (const char *name : {"requestPut", "requestRange", "requestDeleteRange"}) {
+        const auto found = object.find(name);
+        if (found != object.end() && !found->is_object())
+            return Error(ErrorKind::InvalidField,
+                         fmt::format("member \"{}\" is not a JSON object", name), name);
+    }
     if (object.contains("requestPut")) {
         const Json &body = object["requestPut"];
         BOOST_OUTCOME_TRY(key, readBytes(body, "key"));
@@ -270,6 +286,19 @@
     return response;
 }
 
+Result<TransactionResponse> parseTransactionResponse(std::string_view body,
+                                                     const Transaction &transaction)
+{
+    BOOST_OUTCOME_TRY(response, parseTransactionResponse(body));
+    const auto &operations = response.succeeded ? transaction.success : transaction.failure;
+    if (response.found.size() != operations.size())
+        return Error(ErrorKind::InvalidField,
+                     fmt::format("transaction response has {} responses to {} operations",
+                                 response.found.size(), operations.size()),
+                     "responses");
+    return response;
+}
+
 std::string printLeaseGrantRequest(std::chrono::seconds timeToLive)
 {
     return Json{{"TTL", std::to_string(timeToLive.count())}, {"ID", "0"}}.dump();
@@ -279,7 +308,11 @@
 {
     BOOST_OUTCOME_TRY(object, parseObject(body));
     BOOST_OUTCOME_TRY(seconds, readNumber(object, "TTL"));
-    return std::chrono::seconds(seconds);
+    constexpr auto longest = std::chrono::duration_cast<std::chrono::seconds>(maxReadDuration);
+    if (std::cmp_greater(seconds, longest.count()))
+        return Error(ErrorKind::InvalidField,
+                     fmt::format("the time to live is above {} s", longest.count()), "TTL");
+    return std::chrono::seconds(static_cast<std::int64_t>(seconds));
 }
 
 std::string printLeaseGrantResponse(LeaseId lease, std::chrono::seconds timeToLive)
--- a/src/platform/etcd_codec.hpp
+++ b/src/platform/etcd_codec.hpp
@@ -33,6 +33,12 @@
 /// @return the response; MalformedJson or InvalidField when the body is not a valid one
 Result<TransactionResponse> parseTransactionResponse(std::string_view body);
 
+/// @brief Parses the body of the response to a transaction.
+/// @return the response, which has one entry for each operation; MalformedJson or InvalidField when
+/// the body is not a valid response to this transaction
+Result<TransactionResponse> parseTransactionResponse(std::string_view body,
+                                                     const Transaction &transaction);
+
 /// @brief Writes the body of a request for a lease.
 std::string printLeaseGrantRequest(std::chrono::seconds timeToLive);
 
--- a/src/platform/instance_list.cpp
+++ b/src/platform/instance_list.cpp
@@ -1,6 +1,9 @@
 #include "platform/instance_list.hpp"
 
+#include "core/bounded_json.hpp"
+
 #include <array>
+#include <optional>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -53,8 +56,14 @@
     row.endpoint = {object["address"].get<std::string>(), object["port"].get<std::uint16_t>()};
     if (object.contains("dataCentre") && object["dataCentre"].is_string())
         row.dataCentre = DataCentreId(object["dataCentre"].get<std::string>());
-    if (object.contains("generation") && object["generation"].is_number_unsigned())
-        row.generation = object["generation"].get<std::uint64_t>();
+    if (object.contains("generation")) {
+        const auto generation = toInteger<std::uint64_t>(object["generation"]);
+        if (!generation)
+            return Error(ErrorKind::InvalidField,
+                         "the generation of an entry of the instance list is not a whole number",
+                         "generation");
+        row.generation = *generation;
+    }
     if (object.contains("state") && object["state"].is_string()) {
         BOOST_OUTCOME_TRY(state, parseState(object["state"].get_ref<const std::string &>()));
         row.state = state;
@@ -87,11 +96,11 @@
 
 Result<InstanceList> parseInstanceList(std::string_view body)
 {
-    const Json object = Json::parse(body, nullptr, false);
-    if (!object.is_object())
+    const std::optional<Json> object = tryParseBoundedJson(body);
+    if (!object || !object->is_object())
         return Error(ErrorKind::MalformedJson, "instance list is not a JSON object");
-    BOOST_OUTCOME_TRY(entryInstances, parseRows(object, "entryInstances"));
-    BOOST_OUTCOME_TRY(upstreams, parseRows(object, "upstreams"));
+    BOOST_OUTCOME_TRY(entryInstances, parseRows(*object, "entryInstances"));
+    BOOST_OUTCOME_TRY(upstreams, parseRows(*object, "upstreams"));
     return InstanceList{std::move(entryInstances), std::move(upstreams)};
 }
 
--- a/src/platform/key_value_client.cpp
+++ b/src/platform/key_value_client.cpp
@@ -77,11 +77,14 @@
     this->metrics.counter(name, purposeLabel(purpose)).add();
     HttpRequest request{"POST", std::string(etcdTransactionPath), printTransaction(transaction),
                         std::string(purposeName(purpose))};
-    this->client.call(std::move(request), [this, isWrite, done](Result<HttpAnswer> answer) {
-        this->complete<TransactionResponse>(
-                done, readAnswer<TransactionResponse>(std::move(answer), isWrite,
-                                                      parseTransactionResponse));
-    });
+    this->client.call(
+            std::move(request), [this, isWrite, transaction, done](Result<HttpAnswer> answer) {
+                const auto parse = [&transaction](std::string_view body) {
+                    return parseTransactionResponse(body, transaction);
+                };
+                this->complete<TransactionResponse>(
+                        done, readAnswer<TransactionResponse>(std::move(answer), isWrite, parse));
+            });
 }
 
 void KeyValueClient::grantLease(Purpose purpose, std::chrono::seconds timeToLive, LeaseDone done)
