Plan for as many requests as instances can report

Seen: nothing by callers; found by reading. The number of wanted replicas is a sum of what instances report, divided by a constant and cast without a check: 4.30202e+09 is outside the range of unsigned int, undefined behaviour. 2^32 - 1 running and one waiting request counted as none, and 2^31 waiting ones of two instances each as none.

Change: the cast is checked, the sums have 64 bits or are floating-point.

Evidence: tests/residency/unit-demand_tally.cpp, on the code before: 4 checks failed. unit-planner.cpp with planner_survey.cpp and demand_tally.cpp compiled with -fsanitize=undefined,float-cast-overflow named planner_survey.cpp:108 before, and nothing now (2,128 checks).

--- a/src/residency/demand_tally.cpp
+++ b/src/residency/demand_tally.cpp
@@ -56,7 +56,7 @@
     for (const auto &[id, instance] : this->byInstance) {
         for (const gateway::TargetDemand &entry : instance.demand) {
             const Target &target = entry.target.target;
-            const double count = entry.running + entry.waiting;
+            const double count = static_cast<double>(entry.running) + entry.waiting;
             currentConcurrency[target] += count;
             if (!target.adapter.isEmpty())
                 currentConcurrency[baseModelTarget(target)] += count;
--- a/src/residency/demand_tally.hpp
+++ b/src/residency/demand_tally.hpp
@@ -27,7 +27,7 @@
     /// Smoothed number of requests that run or wait.
     double concurrency = 0;
     /// Requests that wait now because no upstream holds the target.
-    std::uint32_t waiting = 0;
+    std::uint64_t waiting = 0;
     /// Remaining time of the waiting request that is closest to its deadline.
     Duration shortestWait{};
     auto operator<=>(const SmoothedDemand &) const = default;
@@ -78,7 +78,7 @@
 
     /// @brief Targets for which requests of any instance wait that only one version serves, with
     /// the number of these requests.
-    const std::map<VersionedTarget, std::uint32_t> &boundWaits() const noexcept
+    const std::map<VersionedTarget, std::uint64_t> &boundWaits() const noexcept
     {
         return this->boundWaitCounts;
     }
@@ -104,7 +104,7 @@
     DemandSmoothing smoothing;
     std::map<InstanceId, InstanceReport> byInstance;
     std::map<Target, SmoothedDemand> byTarget;
-    std::map<VersionedTarget, std::uint32_t> boundWaitCounts;
+    std::map<VersionedTarget, std::uint64_t> boundWaitCounts;
     TimePoint advancedAt{};
     std::uint64_t arrivalCount = 0;
 };
--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -170,7 +170,7 @@
 
 /// Returns when an engine of the version is expected to hold the target.
 TimePoint ResidencyPlanner::planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
-                                            std::uint32_t waitingRequests)
+                                            std::uint64_t waitingRequests)
 {
     const ModelId &id = wanted.target.model;
     const std::size_t index = state.modelIndexes[id];
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -183,7 +183,7 @@
         /// Smoothed number of requests that run or wait.
         double concurrency = 0;
         /// Requests that wait for it or for one of its adapters.
-        std::uint32_t waitingRequests = 0;
+        std::uint64_t waitingRequests = 0;
         /// Number of goals to load it.
         std::uint32_t goalCount = 0;
         /// Whether some usable engine has the weights on its disk or in its host memory.
@@ -229,7 +229,7 @@
     void addGoalsForWaitingRequests(PlanningState &state);
     void addGoalsForBoundRequests(PlanningState &state);
     TimePoint planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
-                              std::uint32_t waitingRequests);
+                              std::uint64_t waitingRequests);
     void addGoalsForReplicas(PlanningState &state);
     void addGoalsForUnloadedModels(PlanningState &state);
     void addOrdersForGoals(PlanningState &state, std::vector<PlannedOrder> &orders);
--- a/src/residency/planner_survey.cpp
+++ b/src/residency/planner_survey.cpp
@@ -1,6 +1,10 @@
 #include "residency/planner.hpp"
 
+#include "core/bounded_json.hpp"
+
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace bamboochute::residency {
 
@@ -104,8 +108,11 @@
 std::uint32_t ResidencyPlanner::computeWantedReplicas(const PlanningState &state,
                                                       const ModelState &modelState) const
 {
-    const auto byLoad = static_cast<std::uint32_t>(
-            1 + modelState.concurrency / this->settings.concurrencyPerReplica);
+    // The concurrency is a sum of what instances reported.
+    const auto byLoad
+            = toInteger<std::uint32_t>(
+                      std::floor(1 + modelState.concurrency / this->settings.concurrencyPerReplica))
+                      .value_or(std::numeric_limits<std::uint32_t>::max());
     if (!state.isDemandKnown) {
         const auto share = static_cast<std::uint32_t>(modelState.replicas
                                                       * this->settings.initialReplicaShare);
--- a/tests/residency/unit-demand_tally.cpp
+++ b/tests/residency/unit-demand_tally.cpp
@@ -1,5 +1,7 @@
 #include "residency/demand_tally.hpp"
 
+#include <limits>
+
 #include <doctest/doctest.h>
 
 using namespace bamboochute;
@@ -62,3 +64,36 @@
         CHECK(tally.demandFor(model).concurrency == doctest::Approx(10).epsilon(0.05));
     }
 }
+
+// Guards against sums of what instances report that wrap: nobody seemed to wait or run.
+TEST_CASE("the largest numbers that instances can report are summed without wrapping")
+{
+    const std::uint32_t most = std::numeric_limits<std::uint32_t>::max();
+    const Target model{ModelId("lease"), {}};
+    const TimePoint now{10s};
+    DemandTally tally;
+    SUBCASE("running and waiting requests of one instance")
+    {
+        tally.addReport(InstanceId("a"), {makeDemand("", 0, 1, 1s, most)}, false, now);
+        tally.advanceTo(now + 2s);
+        CHECK(tally.demandFor(model).concurrency > 1e9);
+    }
+
+    SUBCASE("waiting requests of two instances")
+    {
+        for (const char *instance : {"a", "b"})
+            tally.addReport(InstanceId(instance), {makeDemand("", 0, 1U << 31, 1s, 0)}, false, now);
+        CHECK(tally.demandFor(model).waiting >= 1U << 31);
+        CHECK(tally.waitingTargets().size() == 1);
+    }
+
+    SUBCASE("waiting requests that only one version serves")
+    {
+        for (const char *instance : {"a", "b"}) {
+            gateway::TargetDemand demand = makeDemand("", 0, 1U << 31, 1s, 0);
+            demand.target.version = SoftwareVersion("v1");
+            tally.addReport(InstanceId(instance), {demand}, false, now);
+        }
+        CHECK(tally.boundWaits().at({model, SoftwareVersion("v1")}) >= 1U << 31);
+    }
+}
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 using namespace bamboochute;
 using namespace bamboochute::residency;
@@ -456,3 +457,21 @@
     CHECK(loads <= 6);
     CHECK(loads >= 3);
 }
+
+// Guards against a number of replicas computed from instances' reports that fits no type, which is
+// undefined.
+TEST_CASE("as many requests as instances can report lead to a plan")
+{
+    Fleet fleet(3, 1);
+    fleet.addModel(0, "m0");
+    const std::uint32_t most = std::numeric_limits<std::uint32_t>::max();
+    const std::vector<gateway::TargetDemand> demand{
+            {{service, {ModelId("m0"), {}}}, most, most, Duration(2s), most}};
+    for (int step = 0; step < 200; ++step) {
+        for (int i = 0; i < 12; ++i)
+            fleet.tally.addReport(InstanceId("edge-" + std::to_string(i)), demand, false,
+                                  fleet.now);
+        fleet.run(50ms);
+    }
+    CHECK(fleet.replicaCount("m0") == 3);
+}
