Ignore loads of other instances that fit no type

Seen: nothing by callers; found by reading. A load of 2^32 + 1 that an instance announces counted as 1.

Change: loads are checked numbers; their payload has a header of its own to be tested. The announcements of owners and configurations are parsed with limits, too.

--- a/src/node/configuration_driver.cpp
+++ b/src/node/configuration_driver.cpp
@@ -1,6 +1,7 @@
 #include "node/configuration_driver.hpp"
 
 #include "admin/configuration_store.hpp"
+#include "core/bounded_json.hpp"
 #include "core/log.hpp"
 #include "core/random.hpp"
 #include "node/members.hpp"
@@ -55,14 +56,14 @@
 
 std::optional<RootAnnouncement> parseRootAnnouncement(std::string_view payload)
 {
-    const auto object = nlohmann::json::from_cbor(payload, true, false);
-    if (!object.is_array() || object.size() != 2 || !object[0].is_string()
-        || !object[1].is_string())
+    const auto read = tryParseBoundedJson(payload, {}, nlohmann::json::input_format_t::cbor);
+    if (!read || !read->is_array() || read->size() != 2 || !(*read)[0].is_string()
+        || !(*read)[1].is_string())
         return std::nullopt;
-    const auto root = admin::readRoot(object[0].get_ref<const std::string &>());
+    const auto root = admin::readRoot((*read)[0].get_ref<const std::string &>());
     if (!root)
         return std::nullopt;
-    return RootAnnouncement{root.value(), InstanceId(object[1].get<std::string>())};
+    return RootAnnouncement{root.value(), InstanceId((*read)[1].get<std::string>())};
 }
 
 std::optional<Revision> parseRevision(std::string_view payload)
--- a/src/node/placement_stream.cpp
+++ b/src/node/placement_stream.cpp
@@ -1,5 +1,7 @@
 #include "node/placement_stream.hpp"
 
+#include "core/bounded_json.hpp"
+
 #include <array>
 
 #include <nlohmann/json.hpp>
@@ -51,15 +53,13 @@
 
 std::optional<OwnerAnnouncement> parseOwnerAnnouncement(std::string_view payload)
 {
-    const auto object = nlohmann::json::from_cbor(payload, true, false);
-    const bool isAnnouncement = object.is_array() && object.size() == 2 && object[0].is_string()
-                                && object[1].is_number_unsigned();
-    if (!isAnnouncement)
+    const auto read = tryParseBoundedJson(payload, {}, nlohmann::json::input_format_t::cbor);
+    if (!read || !read->is_array() || read->size() != 2 || !(*read)[0].is_string())
         return std::nullopt;
-    return OwnerAnnouncement{
-            InstanceId(object[0].get<std::string>()),
-            Incarnation(object[1].get<std::uint64_t>()),
-    };
+    const auto incarnation = toInteger<std::uint64_t>((*read)[1]);
+    if (!incarnation)
+        return std::nullopt;
+    return OwnerAnnouncement{InstanceId((*read)[0].get<std::string>()), Incarnation(*incarnation)};
 }
 
 } // namespace bamboochute::node
--- a/src/node/upstream_monitor.cpp
+++ b/src/node/upstream_monitor.cpp
@@ -1,12 +1,11 @@
 #include "node/upstream_monitor.hpp"
 
 #include "core/log.hpp"
+#include "node/load_summary.hpp"
 #include "node/members.hpp"
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
-
 namespace bamboochute::node {
 
 namespace {
@@ -18,8 +17,6 @@
 /// Time between two load summaries is this times the number of instances, which keeps gossip within
 /// its byte budget.
 constexpr Duration summaryPeriodPerInstance = std::chrono::milliseconds(15);
-/// Upstreams in one item of the load summary, so that the item fits into a datagram.
-constexpr std::size_t upstreamsPerSummary = 24;
 constexpr std::uint32_t refusedReportsUntilGone = 2;
 constexpr const char *drainScopeSuffix = "/drain";
 
@@ -35,38 +32,6 @@
     return listed;
 }
 
-/// Payloads of the topic LoadSummary, each with at most upstreamsPerSummary upstreams.
-std::vector<std::string> serializeLoads(const std::map<UpstreamId, std::uint32_t> &loads)
-{
-    std::vector<std::string> payloads;
-    nlohmann::json object = nlohmann::json::object();
-    const auto finish = [&] {
-        nlohmann::json::to_cbor(object, payloads.emplace_back());
-        object = nlohmann::json::object();
-    };
-    for (const auto &[upstream, load] : loads) {
-        object[upstream.value()] = load;
-        if (object.size() == upstreamsPerSummary)
-            finish();
-    }
-    if (!object.empty())
-        finish();
-    return payloads;
-}
-
-std::map<UpstreamId, std::uint32_t> parseLoads(std::string_view payload)
-{
-    std::map<UpstreamId, std::uint32_t> loads;
-    const auto object = nlohmann::json::from_cbor(payload, true, false);
-    if (!object.is_object())
-        return loads;
-    for (const auto &[name, load] : object.items()) {
-        if (load.is_number_unsigned())
-            loads[UpstreamId(name)] = load.get<std::uint32_t>();
-    }
-    return loads;
-}
-
 } // namespace
 
 struct UpstreamMonitor::State : std::enable_shared_from_this<UpstreamMonitor::State>
