--- a/src/upstream/json_fields.cpp
+++ b/src/upstream/json_fields.cpp
@@ -1,5 +1,6 @@
 #include "upstream/json_fields.hpp"
 
+#include "core/bounded_json.hpp"
 #include "upstream/engine_report.hpp"
 
 #include <fmt/format.h>
@@ -12,7 +13,7 @@
 using nlohmann::json;
 
 constexpr std::size_t maxTextBytes = 256;
-constexpr int maxDepth = 8;
+constexpr std::size_t maxDepth = 8;
 
 Error makeReportError(const char *name, std::string_view expectedForm)
 {
@@ -24,16 +25,11 @@
 
 Result<json> parseObject(std::string_view body)
 {
-    bool isTooDeep = false;
-    const auto checkDepth = [&isTooDeep](int depth, json::parse_event_t, json &) {
-        isTooDeep = isTooDeep || depth > maxDepth;
-        return !isTooDeep;
-    };
-    json parsed = json::parse(body.begin(), body.end(), checkDepth, false);
-    if (isTooDeep || !parsed.is_object())
+    std::optional<json> parsed = tryParseBoundedJson(body, {.maxDepth = maxDepth});
+    if (!parsed || !parsed->is_object())
         return Error(ErrorKind::ReportDistrusted,
                      "the body is not a JSON object or is nested too deeply");
-    return parsed;
+    return std::move(*parsed);
 }
 
 Result<std::uint64_t> readNumber(const json &object, const char *name, std::uint64_t maxValue)
