Let a stream go back to its silent upstream if the other one does not serve it

What callers saw: a stream whose upstream was sound and only said nothing for a second was cut with seconds left.

Cause: a silent upstream of a begun stream was given up when the other one had sent a head, or had neither answered nor refused for 300 ms. If that one then refused (503 from its queue), broke or failed, the two upstreams of the route were used up, or no retry or no third upstream was left, and the stream was cut.

Where no retry is left and the other one has not answered after 300 ms, the other one is given up instead. A stream still runs at two upstreams for 300 ms at most, and at no more upstreams than its route allows.

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -280,6 +280,10 @@
         this->hasTimedOut = true;
         return false;
     }
+    if (this->hasWayBack) {
+        this->takeWayBack();
+        return true;
+    }
     if (outcome == AttemptOutcome::NotRun) {
         // If no connection was made, no upstream got the request: sending it again is not a retry.
         const bool hasReachedUpstream = this->notRunAnswers > 0 || this->possibleRuns > 0;
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -195,6 +195,9 @@
     upstream::Awaitable<std::optional<UpstreamId>> selectReplacement();
     upstream::Awaitable<bool> sendToReplacement(const HeadText &head);
     bool isAnswerUsable();
+    bool takeRetryForWayBack();
+    void dropWayBack();
+    void takeWayBack();
     void recordReplacedAttempt();
     void recordReplacementFailure(const upstream::CallError &error);
     SilenceWatch makeSilenceWatch() const;
@@ -275,6 +278,12 @@
     upstream::UpstreamCall *silentCall = nullptr;
     /// Upstreams that were asked to take the request from a silent one; each is asked once.
     std::vector<UpstreamId> askedReplacements;
+    /// The last silent upstream that was given up.
+    UpstreamId givenUp;
+    /// A retry is taken with which the stream can go back there.
+    bool hasWayBack = false;
+    /// No other upstream may run the request any more.
+    bool mustGoBack = false;
     /// Version that began the stream, once it has begun; the stream goes on at no other one.
     std::optional<SoftwareVersion> requiredVersion;
     /// False if the record of versions was to be read and could not be.
--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -96,6 +96,7 @@
     // It may go on with the request until it notices that its connection is closed.
     ++this->possibleRuns;
     this->triedUpstreams.push_back(this->attempt.upstream);
+    this->givenUp = this->attempt.upstream;
     if (this->attempt.call->activity() != PeerActivity::Lost) {
         this->recordFault(UpstreamFault::Slow, "silent; another upstream has taken the request");
         return;
@@ -153,18 +154,57 @@
                 this->log(LogLevel::Info, "silent upstream goes on", "kept", this->durationField());
             co_return false;
         }
-        if (read)
-            co_return this->isAnswerUsable();
+        if (read) {
+            const bool isUsable = this->isAnswerUsable();
+            if (isUsable && this->isAnswerBegun)
+                this->takeRetryForWayBack();
+            co_return isUsable;
+        }
         if (read.error().failure != CallFailure::TimedOut) {
             this->recordReplacementFailure(read.error());
             co_return false;
         }
         const bool mustDecide = this->isAnswerBegun && this->now() >= acceptedAt;
-        if (silentActivity == PeerActivity::Lost || mustDecide)
+        if (silentActivity == PeerActivity::Lost)
+            co_return true;
+        if (mustDecide && !this->takeRetryForWayBack()) {
+            ++this->possibleRuns;
+            this->log(LogLevel::Info, "silent upstream kept", "no_retry_left",
+                      this->durationField());
+            co_return false;
+        }
+        if (mustDecide)
             co_return true;
     }
 }
 
+/// Takes the retry with which a stream can go back to its silent upstream if the other one ends
+/// before its first event.
+/// @return false if no retry is left
+bool RequestExchange::takeRetryForWayBack()
+{
+    this->hasWayBack = this->gateway.budget.takeRetry(this->service->id, this->now());
+    return this->hasWayBack;
+}
+
+/// Gives that retry back, once the other upstream has sent an event.
+void RequestExchange::dropWayBack()
+{
+    if (std::exchange(this->hasWayBack, false))
+        this->gateway.budget.returnRetry(this->service->id, this->now());
+}
+
+/// Makes the silent upstream that was given up selectable again; the only one if no other may run
+/// the request.
+void RequestExchange::takeWayBack()
+{
+    this->hasWayBack = false;
+    std::erase(this->triedUpstreams, this->givenUp);
+    this->mustGoBack = this->possibleRuns >= this->route->maxUpstreams;
+    this->log(LogLevel::Info, "stream may go back to its silent upstream", "way_back",
+              {"silent_upstream", this->givenUp.value()});
+}
+
 /// Whether the head of the current attempt's answer begins an answer to the request; records the
 /// fault of the upstream if it does not.
 bool RequestExchange::isAnswerUsable()
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -60,9 +60,14 @@
     return serving;
 }
 
-/// Removes the upstreams at which the stream can't go on because of their software version.
+/// Removes the upstreams at which the stream can't go on because of their software version, or
+/// because no further one may run the request.
 void RequestExchange::removeOtherVersions(std::vector<const UpstreamTable::Entry *> &entries) const
 {
+    if (this->mustGoBack)
+        std::erase_if(entries, [this](const UpstreamTable::Entry *entry) {
+            return entry->registered.id != this->givenUp;
+        });
     if (!this->requiredVersion)
         return;
     std::erase_if(entries, [this](const UpstreamTable::Entry *entry) {
--- a/tests/gateway/unit-silent_upstreams.cpp
+++ b/tests/gateway/unit-silent_upstreams.cpp
@@ -1,5 +1,6 @@
 #include "relay_fixture.hpp"
 
+#include <algorithm>
 #include <memory>
 
 #include <doctest/doctest.h>
@@ -261,3 +262,75 @@
     CHECK(wholeBody(fixture.call(request("/once/", "pay"))) == "booked");
     CHECK(other.requests().empty());
 }
+
+namespace {
+
+/// A stream that falls silent after its first event and goes on 900 ms later.
+Script pausesInStream()
+{
+    Script script = fallsSilent(streamHead() + chunk(firstEvent), chunk(secondEvent) + lastChunk);
+    script.delayBeforeRest = 900ms;
+    return script;
+}
+
+/// Upstreams that say nothing for so long that they count as having taken a stream, and then don't
+/// serve it: one is full, one breaks the connection, and one fails.
+std::vector<Script> lateUnwillingUpstreams()
+{
+    Script full{answer(503, "full", "test-not-run: 1\r\n")};
+    Script breaks{"", true};
+    Script fails{answer(500, "failed")};
+    for (Script *script : {&full, &breaks, &fails})
+        script->delay = 600ms;
+    return {full, breaks, fails};
+}
+
+/// An upstream that breaks the connection before it has sent a whole event.
+Script breaksWithoutEvent()
+{
+    Script script{streamHead() + chunk("id: 2\nda"), true};
+    return script;
+}
+
+} // namespace
+
+// Guards against a stream that is cut because its silent upstream was given up for one that refuses
+// it later.
+TEST_CASE(
+        "a stream goes back to its silent upstream if the one that has taken it does not serve it")
+{
+    std::vector<Script> others = lateUnwillingUpstreams();
+    others.push_back(breaksWithoutEvent());
+    for (const Script &script : others) {
+        CAPTURE(script.answer);
+        ScriptedUpstream silent({pausesInStream(), {streamAnswer(secondEvent, true)}});
+        ScriptedUpstream other(std::vector<Script>(8, script));
+        RelayFixture fixture({&silent, &other});
+        CHECK(wholeBody(fixture.call(request("/talk/"))) == firstEvent + secondEvent);
+        CHECK(fixture.requestEnds("answered") == 1);
+        CHECK(fixture.requestEnds("cut") == 0);
+        const std::vector<std::string> asked = other.requests();
+        CHECK(std::count_if(asked.begin(), asked.end(),
+                            [](const std::string &text) { return containsText(text, "/talk/"); })
+              == 1);
+    }
+}
+
+// Guards against a stream that is cut because no retry is left after its silent upstream was given
+// up.
+TEST_CASE("a stream stays at its silent upstream if it may not be sent again after another one")
+{
+    for (const Script &script : lateUnwillingUpstreams()) {
+        CAPTURE(script.answer);
+        ScriptedUpstream silent({pausesInStream()});
+        ScriptedUpstream other({script});
+        RelayFixture fixture({&silent, &other});
+        fixture.runOnLoop([](gateway::Gateway &gateway) {
+            const TimePoint now = SteadyClock().now();
+            while (gateway.budget.remaining(gateway::ServiceId("rooms"), now) >= 2)
+                gateway.budget.takeRetry(gateway::ServiceId("rooms"), now);
+        });
+        CHECK(wholeBody(fixture.call(request("/talk/"))) == firstEvent + secondEvent);
+        CHECK(fixture.requestEnds("answered") == 1);
+    }
+}
