Keep a read that ended by a time limit which was replaced meanwhile

What callers saw: nothing was reported of it by itself; it is one way in which a whole request gets neither an answer nor a refusal beside a change of the configuration. The idle time of a kept connection passes, and before the event loop has ended the read, a configuration with a longer idle time is applied (which keeps the loop busy on a small instance, so that a request can arrive meanwhile). The new limit hid that the former one had passed: the read returned "closed", and the connection was closed with the request on it unread. It is the same where a stop sets the limit of idle connections.

Cause: HttpStream::expireAt() clears the mark that a limit has passed, while the cancelled read still waits for its completion; readMore() then took the cancelled read for the end of the connection.

Change: readMore() goes on reading under the new limit.

--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -78,19 +78,22 @@
 
 Awaitable<StreamStatus> HttpStream::readMore()
 {
-    if (this->hasExpired || this->isReadClosed || !this->socket.is_open())
-        co_return this->failureStatus();
-    if (!this->isReading && !this->reserveReadSpace())
-        co_return StreamStatus::BufferFull;
-    this->readAhead();
-    BC_INVARIANT(!this->pendingResumption, "two reads wait on one connection");
-    UseAwaitable token;
-    const bool isOk = co_await asio::async_initiate<UseAwaitable, void(bool)>(
-            [this](Resumption<bool> &&resumption) {
-                this->pendingResumption.emplace(std::move(resumption));
-            },
-            token);
-    co_return isOk ? StreamStatus::Ok : this->failureStatus();
+    // A read that ended by a time limit goes on if another limit has been set meanwhile.
+    while (!this->hasExpired && !this->isReadClosed && this->socket.is_open()) {
+        if (!this->isReading && !this->reserveReadSpace())
+            co_return StreamStatus::BufferFull;
+        this->readAhead();
+        BC_INVARIANT(!this->pendingResumption, "two reads wait on one connection");
+        UseAwaitable token;
+        const bool isOk = co_await asio::async_initiate<UseAwaitable, void(bool)>(
+                [this](Resumption<bool> &&resumption) {
+                    this->pendingResumption.emplace(std::move(resumption));
+                },
+                token);
+        if (isOk)
+            co_return StreamStatus::Ok;
+    }
+    co_return this->failureStatus();
 }
 
 void HttpStream::readAhead()
