Take a stream up only if all services of its route run one version

Callers saw: a stream that was begun at one service of a split route went on at another service, whose upstreams run another software version, after all instances had ended.

Cause: for a stream whose origin nobody remembers, the service was drawn by weight as for a new request, and the only version of the drawn service was taken for the one that began the stream. As each of the services had one version, the origins of their streams weren't stored either.

Change: the versions of all services of the route together have to be a single one; else the origins of the streams of these services go to the store, and a stream that is not found there is refused.

The calls of unit-version_history name sets of services now; their checks are the same.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -164,6 +164,13 @@
     this->notifyChange();
 }
 
+bool Gateway::needsOrigins(const ServiceId &service) const
+{
+    const std::set<ServiceId> services
+            = this->index ? this->index->findStreamServices(service) : std::set{service};
+    return this->versions.needsOrigins(services, SteadyClock().now());
+}
+
 void Gateway::observeVersions()
 {
     const TimePoint now = SteadyClock().now();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -107,6 +107,9 @@
     /// @brief Remembers the origin of a stream that another instance began.
     void learnOrigin(const StreamOrigin &origin);
 
+    /// @brief Whether the origins of a service's streams have to outlast the instances.
+    bool needsOrigins(const ServiceId &service) const;
+
     /// @brief Notes the software versions of all registered upstreams in the version history.
     void observeVersions();
 
--- a/src/gateway/request_stream_origin.cpp
+++ b/src/gateway/request_stream_origin.cpp
@@ -82,7 +82,7 @@
 /// the stream.
 std::optional<SoftwareVersion> RequestExchange::findSoleVersion() const
 {
-    SoleVersion sole = this->gateway.versions.soleVersion(this->service->id, this->now());
+    SoleVersion sole = this->gateway.versions.soleVersion(this->route->serviceIds(), this->now());
     if (!this->areVersionsConfirmed && sole.kind == SoleVersion::Kind::Known)
         sole = {SoleVersion::Kind::NotConfirmed, std::nullopt};
     const std::string reason(kindName(sole.kind));
--- a/src/gateway/routing_configuration.cpp
+++ b/src/gateway/routing_configuration.cpp
@@ -44,6 +44,14 @@
     return static_cast<RequestKind>(found - requestKindNames.begin());
 }
 
+std::set<ServiceId> Route::serviceIds() const
+{
+    std::set<ServiceId> ids;
+    for (const WeightedService &weighted : this->services)
+        ids.insert(weighted.service);
+    return ids;
+}
+
 const ModelWeights *EngineSpec::find(const ModelId &model) const noexcept
 {
     const auto found = std::find_if(this->models.begin(), this->models.end(),
@@ -59,9 +67,20 @@
     for (const Route &route : this->indexedConfiguration.routes) {
         for (const WeightedService &weighted : route.services)
             this->prioritiesByService[weighted.service].insert(route.priority);
+        if (!route.isResumable || route.services.size() < 2)
+            continue;
+        const std::set<ServiceId> ids = route.serviceIds();
+        for (const ServiceId &id : ids)
+            this->streamServices[id].insert(ids.begin(), ids.end());
     }
 }
 
+std::set<ServiceId> RouteIndex::findStreamServices(const ServiceId &service) const
+{
+    const auto found = this->streamServices.find(service);
+    return found == this->streamServices.end() ? std::set{service} : found->second;
+}
+
 std::uint32_t RouteIndex::countLessUrgentPriorities(const ServiceId &service,
                                                     std::uint32_t priority) const
 {
--- a/src/gateway/routing_configuration.hpp
+++ b/src/gateway/routing_configuration.hpp
@@ -71,6 +71,9 @@
     std::vector<WeightedService> services;
     auto operator<=>(const Route &) const = default;
 
+    /// @brief The ids of the services that requests for the route may go to.
+    std::set<ServiceId> serviceIds() const;
+
     /// @brief Whether a request that an upstream may have run can be sent to another one.
     bool mayRetry() const noexcept
     {
@@ -167,6 +170,10 @@
     /// @param priority compared with the routes' priorities; zero is the most urgent
     std::uint32_t countLessUrgentPriorities(const ServiceId &service, std::uint32_t priority) const;
 
+    /// @brief The services that may have begun a stream which a service is to go on with: itself,
+    /// and the others of its resumable routes.
+    std::set<ServiceId> findStreamServices(const ServiceId &service) const;
+
     const RoutingConfiguration &configuration() const noexcept
     {
         return this->indexedConfiguration;
@@ -178,6 +185,8 @@
     std::unordered_map<std::string, const Route *> byPrefix;
     /// Distinct priorities of the routes to each service.
     std::map<ServiceId, std::set<std::uint32_t>> prioritiesByService;
+    /// Services of the resumable routes to each service that have several.
+    std::map<ServiceId, std::set<ServiceId>> streamServices;
 };
 
 using RouteIndexPointer = std::shared_ptr<const RouteIndex>;
--- a/src/gateway/version_history.cpp
+++ b/src/gateway/version_history.cpp
@@ -89,26 +89,27 @@
            || (this->followingSince && now >= *this->followingSince + this->times.retention);
 }
 
-std::set<SoftwareVersion> VersionHistory::findPossible(const ServiceId &service,
-                                                       TimePoint now) const
+/// Adds the versions that may have begun streams of a service.
+void VersionHistory::addPossible(std::set<SoftwareVersion> &possible, const ServiceId &service,
+                                 TimePoint now) const
 {
-    std::set<SoftwareVersion> possible;
     const auto known = this->knownVersions.find(service);
     if (known != this->knownVersions.end())
-        possible = known->second;
+        possible.insert(known->second.begin(), known->second.end());
     const auto seen = this->sightings.find(service);
     if (seen == this->sightings.end())
-        return possible;
+        return;
     for (const auto &[version, sighting] : seen->second) {
         if (this->isRetained(sighting, now))
             possible.insert(version);
     }
-    return possible;
 }
 
-SoleVersion VersionHistory::soleVersion(const ServiceId &service, TimePoint now) const
+SoleVersion VersionHistory::soleVersion(const std::set<ServiceId> &services, TimePoint now) const
 {
-    const std::set<SoftwareVersion> possible = this->findPossible(service, now);
+    std::set<SoftwareVersion> possible;
+    for (const ServiceId &service : services)
+        this->addPossible(possible, service, now);
     if (possible.empty())
         return {SoleVersion::Kind::None, std::nullopt};
     if (possible.size() > 1)
@@ -118,9 +119,9 @@
     return {SoleVersion::Kind::Known, *possible.begin()};
 }
 
-bool VersionHistory::needsOrigins(const ServiceId &service, TimePoint now) const
+bool VersionHistory::needsOrigins(const std::set<ServiceId> &services, TimePoint now) const
 {
-    const SoleVersion::Kind kind = this->soleVersion(service, now).kind;
+    const SoleVersion::Kind kind = this->soleVersion(services, now).kind;
     return kind == SoleVersion::Kind::Several || kind == SoleVersion::Kind::HistoryUnknown;
 }
 
--- a/src/gateway/version_history.hpp
+++ b/src/gateway/version_history.hpp
@@ -111,11 +111,13 @@
     void apply(const StoredVersions &read, TimePoint now);
 
     /// @brief The version that began a stream whose origin nobody remembers.
-    SoleVersion soleVersion(const ServiceId &service, TimePoint now) const;
+    /// @param services those that may have begun it
+    SoleVersion soleVersion(const std::set<ServiceId> &services, TimePoint now) const;
 
-    /// @brief Whether the origins of a service's streams have to outlast the instances, as the
-    /// version of a stream could not be told without.
-    bool needsOrigins(const ServiceId &service, TimePoint now) const;
+    /// @brief Whether the origins of streams have to outlast the instances, as the version of a
+    /// stream could not be told without.
+    /// @param services those that may begin the streams
+    bool needsOrigins(const std::set<ServiceId> &services, TimePoint now) const;
 
     /// @brief Whether upstreams of a version are to be passed over for streams that begin, as long
     /// as there are others, because the store does not hold the version yet.
@@ -148,7 +150,8 @@
         return now < sighting.last + this->times.retention;
     }
     bool isHistoryKnown(TimePoint now) const;
-    std::set<SoftwareVersion> findPossible(const ServiceId &service, TimePoint now) const;
+    void addPossible(std::set<SoftwareVersion> &possible, const ServiceId &service,
+                     TimePoint now) const;
     const Sighting *findSighting(const ServiceId &service, const SoftwareVersion &version) const;
     void addSightings(VersionRecord &due, Duration maxAge, TimePoint now) const;
 
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -552,6 +552,51 @@
     }
 }
 
+// Guards against a stream that goes on at another service of its route, whose upstreams run another
+// software version.
+TEST_CASE("a stream of a route with several services goes on at the version that began it")
+{
+    const gateway::ServiceId rooms("rooms");
+    const gateway::ServiceId halls("halls");
+    const std::string rest = streamAnswer("id: 2\ndata: b\n\n", true);
+    ScriptedUpstream ofRooms({{rest}});
+    ScriptedUpstream ofHalls({{rest}});
+    RelayFixture fixture({&ofRooms});
+    std::string versionOfHalls = "v2";
+    std::vector<gateway::WeightedService> services{{rooms, 1}, {halls, 1}};
+    std::optional<gateway::StreamOrigin> origin;
+    std::string expected = "HTTP/1.1 503 ";
+    std::size_t sent = 0;
+    SUBCASE("nobody remembers it: it is refused if the services run different versions") {}
+    SUBCASE("nobody remembers it: it goes on if they run the same one")
+    {
+        versionOfHalls = "v1";
+        expected = "HTTP/1.1 200 ";
+        sent = 1;
+    }
+    fixture.publishChange([&](gateway::RoutingConfiguration &configuration) {
+        configuration.services.push_back({halls, 100, std::nullopt});
+        for (gateway::Route &route : configuration.routes)
+            route.services = services;
+    });
+    fixture.runOnLoop([&](gateway::Gateway &gateway) {
+        const TimePoint now = SteadyClock().now();
+        gateway::RegisteredUpstream upstream = gateway.table.find(UpstreamId("u0"))->registered;
+        upstream.id = UpstreamId("h0");
+        upstream.service = halls;
+        upstream.endpoint = ofHalls.endpoint();
+        upstream.softwareVersion = SoftwareVersion(versionOfHalls);
+        gateway.table.applyRegistration(upstream, now);
+        const gateway::VersionRecord record{
+                {{rooms, {SoftwareVersion("v1")}}, {halls, {upstream.softwareVersion}}}, true, 0};
+        gateway.versions.apply({0, 2, record}, now);
+        if (origin)
+            gateway.learnOrigin(*origin);
+    });
+    CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with(expected));
+    CHECK(ofRooms.requests().size() + ofHalls.requests().size() == sent);
+}
+
 // Guards against streams of a version that an instance which starts does not know of.
 TEST_CASE("streams begin at recorded versions as long as there are any")
 {
--- a/tests/gateway/unit-routing_configuration.cpp
+++ b/tests/gateway/unit-routing_configuration.cpp
@@ -77,3 +77,20 @@
     route.isResumable = true;
     CHECK(route.mayRetry());
 }
+
+TEST_CASE("the services that may have begun a stream are those of a service's resumable routes")
+{
+    const ServiceId rooms("rooms");
+    const ServiceId halls("halls");
+    const ServiceId desks("desks");
+    RoutingConfiguration configuration;
+    configuration.routes = {makeRoute("split", "desk.example", "/split/"),
+                            makeRoute("whole", "desk.example", "/whole/")};
+    configuration.routes[0].services = {{rooms, 1}, {halls, 3}};
+    configuration.routes[0].isResumable = true;
+    configuration.routes[1].services = {{halls, 1}, {desks, 1}};
+    const RouteIndex index(configuration);
+    CHECK(index.findStreamServices(rooms) == std::set{rooms, halls});
+    CHECK(index.findStreamServices(halls) == std::set{rooms, halls});
+    CHECK(index.findStreamServices(desks) == std::set{desks});
+}
--- a/tests/gateway/unit-version_history.cpp
+++ b/tests/gateway/unit-version_history.cpp
@@ -37,36 +37,48 @@
     SUBCASE("without a record it doesn't know who began a stream")
     {
         history.apply({1, 0, std::nullopt}, start);
-        CHECK(history.soleVersion(drafting, start).kind == Kind::HistoryUnknown);
+        CHECK(history.soleVersion({drafting}, start).kind == Kind::HistoryUnknown);
         SUBCASE("until it has followed the registrations for the life of a stream")
         {
             history.observe(drafting, v2, start + 64s);
-            CHECK(history.soleVersion(drafting, start + 64s).kind == Kind::HistoryUnknown);
-            CHECK(history.soleVersion(drafting, start + 65s).version == v2);
+            CHECK(history.soleVersion({drafting}, start + 64s).kind == Kind::HistoryUnknown);
+            CHECK(history.soleVersion({drafting}, start + 65s).version == v2);
         }
     }
     SUBCASE("a record with another version says that there were several")
     {
         history.apply(makeStored({v1}, true), start);
-        CHECK(history.soleVersion(drafting, start).kind == Kind::Several);
-        CHECK(history.needsOrigins(drafting, start));
+        CHECK(history.soleVersion({drafting}, start).kind == Kind::Several);
+        CHECK(history.needsOrigins({drafting}, start));
     }
     SUBCASE("a complete record with the same version says who began all streams")
     {
         history.apply(makeStored({v2}, true), start);
-        CHECK(history.soleVersion(drafting, start).version == v2);
-        CHECK_FALSE(history.needsOrigins(drafting, start));
-        CHECK(history.soleVersion(ServiceId("other"), start).kind == Kind::None);
+        CHECK(history.soleVersion({drafting}, start).version == v2);
+        CHECK_FALSE(history.needsOrigins({drafting}, start));
+        CHECK(history.soleVersion({ServiceId("other")}, start).kind == Kind::None);
+    }
+    SUBCASE("of several services that may have begun a stream, all have to have the same one")
+    {
+        const ServiceId other("other");
+        history.apply(makeStored({v2}, true), start);
+        history.observe(other, v2, start);
+        CHECK(history.soleVersion({drafting, other}, start).version == v2);
+        CHECK_FALSE(history.needsOrigins({drafting, other}, start));
+        history.observe(other, v1, start);
+        CHECK(history.soleVersion({drafting, other}, start).kind == Kind::Several);
+        CHECK(history.needsOrigins({drafting, other}, start));
+        CHECK_FALSE(history.needsOrigins({drafting}, start));
     }
     SUBCASE("a record that is not complete does not")
     {
         history.apply(makeStored({v2}, false), start);
-        CHECK(history.soleVersion(drafting, start).kind == Kind::HistoryUnknown);
+        CHECK(history.soleVersion({drafting}, start).kind == Kind::HistoryUnknown);
     }
     SUBCASE("nor does one of an earlier era of the store, which lacks what was written since")
     {
         history.apply(makeStored({v2}, true, 7, 1, 2), start);
-        CHECK(history.soleVersion(drafting, start).kind == Kind::HistoryUnknown);
+        CHECK(history.soleVersion({drafting}, start).kind == Kind::HistoryUnknown);
     }
     SUBCASE("where no instance has run before, there are no streams")
     {
@@ -74,19 +86,19 @@
         SUBCASE("if there is no record")
         {
             history.apply({1, 0, std::nullopt}, start);
-            CHECK(history.soleVersion(drafting, start).version == v2);
+            CHECK(history.soleVersion({drafting}, start).version == v2);
             CHECK(history.findDueRecord(start, std::nullopt, 1)
                   == VersionRecord{{{drafting, {v2}}}, true, 1});
         }
         SUBCASE("but not if there is one that can't be read")
         {
             history.apply({1, 7, std::nullopt}, start);
-            CHECK(history.soleVersion(drafting, start).kind == Kind::HistoryUnknown);
+            CHECK(history.soleVersion({drafting}, start).kind == Kind::HistoryUnknown);
         }
         SUBCASE("but not if there is one")
         {
             history.apply(makeStored({v2}, false), start);
-            CHECK(history.soleVersion(drafting, start).kind == Kind::HistoryUnknown);
+            CHECK(history.soleVersion({drafting}, start).kind == Kind::HistoryUnknown);
         }
     }
 }
@@ -141,15 +153,15 @@
         return history.findDueRecord(now, ownerSince, 1);
     };
     CHECK_FALSE(due(gone + 64s, start));
-    CHECK(history.needsOrigins(drafting, gone + 64s));
+    CHECK(history.needsOrigins({drafting}, gone + 64s));
     const VersionRecord one{{{drafting, {v2}}}, true, 1};
     SUBCASE("by its own watch")
     {
         CHECK_FALSE(due(gone + 65s, std::nullopt));
         CHECK(due(gone + 65s, start) == one);
         history.apply({1, 9, one}, start);
-        CHECK_FALSE(history.needsOrigins(drafting, gone + 65s));
-        CHECK(history.soleVersion(drafting, gone + 65s).version == v2);
+        CHECK_FALSE(history.needsOrigins({drafting}, gone + 65s));
+        CHECK(history.soleVersion({drafting}, gone + 65s).version == v2);
     }
     SUBCASE("which other instances, whose last sight of it is later, don't write again")
     {
@@ -159,7 +171,7 @@
         other.observe(drafting, v2, gone + 65s);
         other.apply({1, 9, one}, gone + 65s);
         CHECK_FALSE(other.findDueRecord(gone + 65s, std::nullopt, 1));
-        CHECK(other.needsOrigins(drafting, gone + 65s));
+        CHECK(other.needsOrigins({drafting}, gone + 65s));
     }
     SUBCASE("but not one that another instance has recorded meanwhile")
     {
@@ -206,7 +218,7 @@
         history.apply(makeStored({v1}, true, 12, 1, 2), start);
         CHECK(history.revision() == 12);
         CHECK(history.findDueRecord(start, std::nullopt, 2) == whole);
-        CHECK(history.soleVersion(drafting, start).kind == Kind::Several);
+        CHECK(history.soleVersion({drafting}, start).kind == Kind::Several);
         SUBCASE("also when it is read again, or was written meanwhile by one that knows less")
         {
             history.apply(makeStored({v1}, true, 12, 1, 2), start);
@@ -218,7 +230,7 @@
             history.apply({2, 13, whole}, start);
             history.apply(makeStored({v1}, true, 14, 2, 2), start);
             CHECK_FALSE(history.findDueRecord(start, std::nullopt, 2));
-            CHECK(history.soleVersion(drafting, start).version == v1);
+            CHECK(history.soleVersion({drafting}, start).version == v1);
         }
     }
     SUBCASE("it has no record")
@@ -253,5 +265,5 @@
     REQUIRE(due);
     CHECK(due->versions.at(drafting).size() == VersionHistoryTimes().maxVersions);
     history.forgetOutdated(start + 65s);
-    CHECK(history.soleVersion(drafting, start).kind == Kind::None);
+    CHECK(history.soleVersion({drafting}, start).kind == Kind::None);
 }
