Let connections be destroyed after the watch of their time limits

What was seen: beside load test-gateway ended with a segmentation fault in 2 of 30 runs, in "a stream goes on only at the software version that began it".

Cause: coroutines that wait when the event loop stops are destroyed with it, which is after the gateway and its DeadlineWatch. A connection with a time limit then took itself out of the list of the destroyed watch (trace: ~RelayFixture, ~execution_context, CrashDetector::isRefused, ~HttpStream, DeadlineWatch::remove). An instance of the program is destroyed in the same order, before its event loop, so a process that stops can end by this as well; that was not seen.

Change: a watch that is destroyed leaves its streams without a time limit.

--- a/src/upstream/deadline_watch.cpp
+++ b/src/upstream/deadline_watch.cpp
@@ -12,6 +12,12 @@
     , timer(context)
 {}
 
+DeadlineWatch::~DeadlineWatch()
+{
+    for (HttpStream *stream : this->watched)
+        stream->watchIndex = HttpStream::notWatched;
+}
+
 void DeadlineWatch::watchDeadline(HttpStream &stream)
 {
     if (stream.watchIndex == HttpStream::notWatched) {
--- a/src/upstream/deadline_watch.hpp
+++ b/src/upstream/deadline_watch.hpp
@@ -21,6 +21,13 @@
     static constexpr Duration tickInterval = std::chrono::milliseconds(10);
 
     explicit DeadlineWatch(asio::io_context &context);
+    /// @brief Leaves the streams that are still watched without a time limit.
+    ///
+    /// Coroutines that wait when the event loop ends hold their streams until the loop is
+    /// destroyed.
+    ~DeadlineWatch();
+    DeadlineWatch(const DeadlineWatch &) = delete;
+    DeadlineWatch &operator=(const DeadlineWatch &) = delete;
 
     /// @brief Watches a stream's new time limit until remove().
     ///
--- a/tests/upstream/unit-upstream_call.cpp
+++ b/tests/upstream/unit-upstream_call.cpp
@@ -142,3 +142,28 @@
     }
     context.run_for(20ms);
 }
+
+// Guards against a crash when a process, or a test, ends while connections with a time limit wait.
+TEST_CASE("a connection may be destroyed after what watched its time limit")
+{
+    asio::io_context context;
+    std::optional<DeadlineWatch> watch(std::in_place, context);
+    std::optional<HttpStream> first(std::in_place, Socket(context), *watch, 1 << 10);
+    std::optional<HttpStream> second(std::in_place, Socket(context), *watch, 1 << 10);
+    first->expireAt(SteadyClock().now() + std::chrono::seconds(5));
+    second->expireAt(SteadyClock().now() + std::chrono::seconds(5));
+    SUBCASE("and of two at once, either first")
+    {
+        watch.reset();
+        first.reset();
+        second.reset();
+    }
+    SUBCASE("or before")
+    {
+        first.reset();
+        watch.reset();
+        second.reset();
+    }
+    CHECK_FALSE(first);
+    CHECK_FALSE(second);
+}
