Ask other instances for a stream's origin at least twice

Cause: the questions end 200 ms after the first one. A process that was held up for so long right after its first question asked no more, and refused the stream although an answer may have come meanwhile; datagrams get lost.

Change: it asks at least twice, and waits for 50 ms after the second question, as long as there is time left.

Evidence: the new case "other instances are asked again by a process that was held up" of test-gateway fails before (503 instead of 200; no request, 1 expected) and passes; all 114 cases pass.

--- a/src/gateway/exchange_limits.hpp
+++ b/src/gateway/exchange_limits.hpp
@@ -21,7 +21,9 @@
 /// Time after which other instances are asked again for the origin of a stream; several times the
 /// round trip between instances, as datagrams get lost.
 constexpr Duration originQueryInterval = std::chrono::milliseconds(50);
-/// Time after which the origin of a stream counts as unknown.
+/// Number of times that they are asked at least.
+constexpr int minOriginQueries = 2;
+/// Time after which they are not asked again and the origin of a stream counts as unknown.
 constexpr Duration originQueryTimeout = std::chrono::milliseconds(200);
 /// How long such a request waits beyond that for an instance that has just started to read the
 /// origins in the store.
--- a/src/gateway/request_stream_origin.cpp
+++ b/src/gateway/request_stream_origin.cpp
@@ -31,12 +31,17 @@
     const auto isKnown = [&] { return this->gateway.origins.find(begun).has_value(); };
     const TimePoint begin = this->now();
     const TimePoint giveUpAt = std::min(this->deadline, begin + originQueryTimeout);
-    bool isRepeated = false;
+    int questions = 0;
+    // A process that was held up asks again all the same, and reads what has come meanwhile.
+    const auto mayAsk = [&] {
+        return this->now() < giveUpAt
+               || (questions < minOriginQueries && this->now() < this->deadline);
+    };
     ++this->gateway.originWaits;
-    while (!isKnown() && !this->isCallerGone && this->now() < giveUpAt) {
-        this->gateway.onOriginWanted(begun, isRepeated);
-        isRepeated = true;
-        const TimePoint askAgainAt = std::min(giveUpAt, this->now() + originQueryInterval);
+    while (!isKnown() && !this->isCallerGone && mayAsk()) {
+        this->gateway.onOriginWanted(begun, questions > 0);
+        ++questions;
+        const TimePoint askAgainAt = std::min(this->deadline, this->now() + originQueryInterval);
         while (!isKnown() && !this->isCallerGone && this->now() < askAgainAt)
             co_await this->gateway.change.wait(askAgainAt);
     }
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -492,6 +492,23 @@
             CHECK(first.requests().empty());
             CHECK(second.requests().size() == 1);
         }
+        // Guards against streams that are refused because the process was held up after it asked.
+        SUBCASE("other instances are asked again by a process that was held up")
+        {
+            ScriptedUpstream second({{rest}});
+            RelayFixture fixture({&first, &second}, {"v1", "v2"});
+            fixture.runOnLoop([](gateway::Gateway &gateway) {
+                gateway.onOriginWanted = [&gateway](const RequestId &request, bool isRepeated) {
+                    if (!isRepeated)
+                        std::this_thread::sleep_for(250ms);
+                    else
+                        gateway.learnOrigin(
+                                {request, gateway::ServiceId("rooms"), SoftwareVersion("v2")});
+                };
+            });
+            CHECK(fixture.call(resumeRequest("/stream/", "1")).starts_with("HTTP/1.1 200 "));
+            CHECK(second.requests().size() == 1);
+        }
         SUBCASE("it waits until an instance that has just started has read the stored origins")
         {
             ScriptedUpstream second({{rest}});
