Find a cut whose connections are accepted and never answered

Probes only connected, so a round always held and no cut was found. A call of which nothing was heard raises a suspicion of its own now, unless a later call or, for half a second, any call of the service has been answered. Its probes need an answer: an engine's report or a plain service's health path, two upstreams a round. A cut ends with answered rounds. Upstreams that can't even be connected to are the other kind of cut, as before.

The soak's services have a health path, which the stand-ins answer, count as any request, and keep silent as their other answers.

--- a/src/forwarding/reachability.cpp
+++ b/src/forwarding/reachability.cpp
@@ -6,18 +6,22 @@
 
 void Reachability::recordAnswer(TimePoint begunAt, TimePoint now)
 {
+    this->lastReachedBegin = std::max(this->lastReachedBegin, begunAt);
     this->lastAnsweredBegin = std::max(this->lastAnsweredBegin, begunAt);
     // A connection that was open before a cut may live on.
     if (this->decided == ReachabilityState::CutOff)
         return;
     this->lastEvidenceAt = now;
-    if (this->decided == ReachabilityState::Suspected && begunAt > this->suspectedSince)
-        this->endSuspicion();
+    this->lastHeardAt = now;
+    // Where upstreams are slow for everybody, answers come late, but they come.
+    const bool isRefuted = this->isSilent || begunAt > this->suspectedSince;
+    if (this->decided == ReachabilityState::Suspected && isRefuted)
+        this->refuteSuspicion(now);
 }
 
 void Reachability::recordFailure(TimePoint begunAt, TimePoint now)
 {
-    if (this->decided != ReachabilityState::Reachable || begunAt < this->lastAnsweredBegin)
+    if (this->decided != ReachabilityState::Reachable || begunAt < this->lastReachedBegin)
         return;
     this->decided = ReachabilityState::Suspected;
     this->suspectedSince = begunAt;
@@ -25,29 +29,57 @@
     this->nextRoundAt = std::max(now, this->lastRoundAt + this->limits.minRoundInterval);
 }
 
+void Reachability::recordSilence(TimePoint begunAt, TimePoint now)
+{
+    const bool isQuiet
+            = this->lastHeardAt == TimePoint() || now - this->lastHeardAt >= this->limits.quietTime;
+    const bool isUnreachable = this->decided == ReachabilityState::CutOff || this->failedRounds > 0;
+    if (this->isSilent || isUnreachable || !isQuiet || begunAt < this->lastAnsweredBegin
+        || now < this->nextSilenceAt)
+        return;
+    this->decided = ReachabilityState::Suspected;
+    this->isSilent = true;
+    this->suspectedSince = begunAt;
+    this->failedRounds = 0;
+    this->nextRoundAt = now;
+}
+
 void Reachability::expectChange(TimePoint now)
 {
-    if (this->decided != ReachabilityState::Reachable)
-        this->nextRoundAt = std::min(this->nextRoundAt, now);
+    if (this->decided == ReachabilityState::Reachable)
+        return;
+    const TimePoint earliest = this->isSilent ? this->earliestRound() : now;
+    this->nextRoundAt = std::min(this->nextRoundAt, std::max(now, earliest));
 }
 
 void Reachability::recordRound(TimePoint begunAt, std::size_t probes, std::size_t held,
-                               bool isHelped, TimePoint now)
+                               bool isHelped, TimePoint now, ProbeKind kind)
 {
     this->lastRoundAt = begunAt;
+    if (kind == ProbeKind::Answer)
+        this->lastAnswerRoundAt = begunAt;
     if (held > 0) {
         this->lastEvidenceAt = now;
+        this->lastReachedBegin = std::max(this->lastReachedBegin, begunAt);
+    }
+    if (held > 0 && kind == ProbeKind::Answer) {
+        this->lastHeardAt = now;
         this->lastAnsweredBegin = std::max(this->lastAnsweredBegin, begunAt);
     }
+    if (this->decided != ReachabilityState::Reachable && kind != this->probeKind()) {
+        // A connection that holds says nothing about silence, but what can't be reached can't
+        // answer.
+        const bool isUnreachable = kind == ProbeKind::Connection && held == 0 && probes > 0;
+        if (!isUnreachable) {
+            this->nextRoundAt = now;
+            return;
+        }
+        this->isSilent = false;
+        this->failedRounds = 0;
+    }
     switch (this->decided) {
     case ReachabilityState::Suspected:
-        if (held > 0 || probes == 0) {
-            this->endSuspicion();
-        } else if (++this->failedRounds >= this->limits.roundsToCutOff) {
-            this->beginCut(now);
-        } else {
-            this->nextRoundAt = now + this->limits.suspicionInterval;
-        }
+        this->recordSuspectedRound(held > 0 || probes == 0, isHelped, now);
         break;
     case ReachabilityState::CutOff: {
         const double needed = this->limits.goodShare * static_cast<double>(probes);
@@ -66,6 +98,48 @@
     }
 }
 
+void Reachability::recordSuspectedRound(bool isGood, bool isHelped, TimePoint now)
+{
+    if (isGood) {
+        this->refuteSuspicion(now);
+        return;
+    }
+    ++this->failedRounds;
+    // Upstreams may be silent to everybody.
+    const bool isDecidable = !this->isSilent || isHelped;
+    if (isDecidable && this->failedRounds >= this->limits.roundsToCutOff)
+        this->beginCut(now);
+    else
+        this->nextRoundAt = now + this->nextSuspicionInterval();
+}
+
+/// Pause until the next round of a suspicion after one that failed.
+Duration Reachability::nextSuspicionInterval() const
+{
+    Duration interval = this->limits.suspicionInterval;
+    if (!this->isSilent)
+        return interval;
+    for (std::uint32_t i = 1;
+         i < this->failedRounds && interval < this->limits.maxSuspicionInterval; ++i)
+        interval *= 2;
+    return std::min(interval,
+                    std::max(this->limits.maxSuspicionInterval, this->limits.suspicionInterval));
+}
+
+void Reachability::refuteSuspicion(TimePoint now)
+{
+    if (this->isSilent) {
+        const bool isRepeated = this->refutedAt != TimePoint()
+                                && now - this->refutedAt <= 2 * this->limits.maxRefutedPause;
+        this->silencePause
+                = isRepeated ? std::min(2 * this->silencePause, this->limits.maxRefutedPause)
+                             : this->limits.refutedPause;
+        this->refutedAt = now;
+        this->nextSilenceAt = now + this->silencePause;
+    }
+    this->endSuspicion();
+}
+
 void Reachability::beginCut(TimePoint now)
 {
     const bool isFlapping
@@ -96,6 +170,7 @@
 void Reachability::endSuspicion()
 {
     this->decided = ReachabilityState::Reachable;
+    this->isSilent = false;
     this->failedRounds = 0;
     this->nextRoundAt = TimePoint::max();
 }
--- a/src/forwarding/reachability.hpp
+++ b/src/forwarding/reachability.hpp
@@ -22,6 +22,14 @@
     Returning
 };
 
+/// @brief What an upstream has to do for a probe to count.
+enum class ProbeKind {
+    /// Hold a connection.
+    Connection,
+    /// Answer a request.
+    Answer
+};
+
 /// @brief When an instance counts as cut off, and how it returns.
 struct ReachabilityLimits
 {
@@ -42,6 +50,19 @@
     double goodShare = 0.5;
     /// Time in which the share of requests on the instance's own links rises from nothing to all.
     Duration returnTime = std::chrono::seconds(2);
+    /// Time without an answer of any upstream of the service before a silent one raises a
+    /// suspicion.
+    Duration quietTime = std::chrono::milliseconds(500);
+    /// Longest pause between two rounds of a suspicion of silence that is neither refuted nor
+    /// confirmed; the first is suspicionInterval, and each further one twice the one before.
+    Duration maxSuspicionInterval = std::chrono::seconds(2);
+    /// Time after a refuted suspicion of silence until the next one; doubled, up to the larger one,
+    /// if that is refuted as well.
+    Duration refutedPause = std::chrono::seconds(1);
+    Duration maxRefutedPause = std::chrono::seconds(16);
+    /// Least time between two rounds that need an answer and that another instance's question calls
+    /// for.
+    Duration minAnswerRoundInterval = std::chrono::seconds(1);
     auto operator<=>(const ReachabilityLimits &) const = default;
 };
 
@@ -63,14 +84,22 @@
     /// @param begunAt when the call was begun
     void recordFailure(TimePoint begunAt, TimePoint now);
 
+    /// @brief Records a call on which nothing was heard for as long as its upstream may be silent.
+    /// It raises a suspicion of silence unless an upstream has answered a call that began later, or
+    /// any call of late.
+    /// @param begunAt when the call was begun
+    void recordSilence(TimePoint begunAt, TimePoint now);
+
     /// @brief Records the outcome of a round of probes.
     /// @param begunAt when the round was begun
     /// @param probes number of upstreams that were tried
-    /// @param held number of those whose connection held
+    /// @param held number of those whose connection held, or that answered
     /// @param isHelped whether another instance reaches the service: then a cut ends slowly, and
     /// otherwise with the first good round
+    /// @param kind what the probes needed. While silence is suspected, or the reason of a cut, only
+    /// answers count, and a cut begins only if another instance reaches the service.
     void recordRound(TimePoint begunAt, std::size_t probes, std::size_t held, bool isHelped,
-                     TimePoint now);
+                     TimePoint now, ProbeKind kind = ProbeKind::Connection);
 
     /// @brief Asks for a round soon: an upstream has started.
     void expectChange(TimePoint now);
@@ -79,7 +108,22 @@
     TimePoint nextRound() const;
 
     /// @brief Earliest time of a round that nothing but another instance's question calls for.
-    TimePoint earliestRound() const { return this->lastRoundAt + this->limits.minRoundInterval; }
+    TimePoint earliestRound(ProbeKind kind = ProbeKind::Connection) const
+    {
+        return kind == ProbeKind::Answer
+                       ? this->lastAnswerRoundAt + this->limits.minAnswerRoundInterval
+                       : this->lastRoundAt + this->limits.minRoundInterval;
+    }
+
+    /// @brief What the probes of the next round need.
+    ProbeKind probeKind() const
+    {
+        return this->isSilent ? ProbeKind::Answer : ProbeKind::Connection;
+    }
+
+    /// @brief Whether the instance may be, or is, cut off because its calls are accepted and not
+    /// answered.
+    bool isUnanswered() const { return this->isSilent; }
 
     ReachabilityState state(TimePoint now) const;
 
@@ -101,27 +145,42 @@
     /// @brief Share of the requests for the instance's own links, from 0 to 1.
     double ownShare(TimePoint now) const;
 
-    /// @brief Whether an upstream has answered, or a probe held, within a time.
-    bool hasEvidence(Duration maxAge, TimePoint now) const
+    /// @brief Whether an upstream has answered, or a probe of that kind was good, within a time.
+    bool hasEvidence(Duration maxAge, TimePoint now, ProbeKind kind = ProbeKind::Connection) const
     {
-        return this->lastEvidenceAt != TimePoint() && now - this->lastEvidenceAt <= maxAge;
+        const TimePoint at = kind == ProbeKind::Answer ? this->lastHeardAt : this->lastEvidenceAt;
+        return at != TimePoint() && now - at <= maxAge;
     }
 
 private:
     void beginCut(TimePoint now);
     void endCut(TimePoint now);
     void endSuspicion();
+    void refuteSuspicion(TimePoint now);
+    Duration nextSuspicionInterval() const;
+    void recordSuspectedRound(bool isGood, bool isHelped, TimePoint now);
 
     ReachabilityLimits limits;
     /// Suspected, CutOff or Reachable; Returning follows from returnedAt.
     ReachabilityState decided = ReachabilityState::Reachable;
-    /// Begin of the latest call or round that has shown an upstream.
+    /// Begin of the latest call or round that has shown an upstream, and of the latest that was
+    /// answered.
+    TimePoint lastReachedBegin{};
     TimePoint lastAnsweredBegin{};
+    /// When an upstream was last shown, and when it last answered.
     TimePoint lastEvidenceAt{};
+    TimePoint lastHeardAt{};
+    /// Whether the suspicion or the cut is one of calls that are accepted and not answered.
+    bool isSilent = false;
+    /// When a silence may raise a suspicion again, the pause until then, and its begin.
+    TimePoint nextSilenceAt{};
+    Duration silencePause{};
+    TimePoint refutedAt{};
     /// Begin of the call that raised the suspicion.
     TimePoint suspectedSince{};
     TimePoint nextRoundAt = TimePoint::max();
     TimePoint lastRoundAt{};
+    TimePoint lastAnswerRoundAt{};
     std::uint32_t failedRounds = 0;
     std::uint32_t goodRounds = 0;
     std::uint32_t neededRounds = 0;
--- a/src/gateway/forwarding_driver.cpp
+++ b/src/gateway/forwarding_driver.cpp
@@ -7,12 +7,14 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <fmt/format.h>
 
 namespace bamboochute::gateway {
 
 namespace {
 
 using forwarding::HelpOffer;
+using forwarding::ProbeKind;
 using forwarding::ReachabilityState;
 using upstream::Awaitable;
 
@@ -65,11 +67,28 @@
     this->noteState(service);
 }
 
+void ForwardingDriver::recordSilence(const ServiceId &service, TimePoint begunAt)
+{
+    if (this->probeTarget(service).empty())
+        return;
+    Links &own = this->linksTo(service);
+    const bool wasUnanswered = own.reachability.isUnanswered();
+    own.reachability.recordSilence(begunAt, now());
+    if (own.reachability.isUnanswered() && !wasUnanswered)
+        this->stateChange.notifyAll();
+    this->noteState(service);
+}
+
+std::string ForwardingDriver::probeTarget(const ServiceId &service) const
+{
+    return this->findProbeTarget ? this->findProbeTarget(service) : std::string();
+}
+
 void ForwardingDriver::recordAvoided(const ServiceId &service, const UpstreamId &id,
                                      UpstreamFault fault)
 {
     if (this->isInDoubt(service))
-        this->linksTo(service).heldBack.emplace_back(id, fault);
+        this->linksTo(service).heldBack.insert_or_assign(id, fault);
     else if (this->onUpstreamAvoided)
         this->onUpstreamAvoided(id, fault);
 }
@@ -99,6 +118,12 @@
     return found != this->links.end() && found->second.reachability.isInDoubt(now());
 }
 
+bool ForwardingDriver::isUnanswered(const ServiceId &service) const
+{
+    const auto found = this->links.find(service);
+    return found != this->links.end() && found->second.reachability.isUnanswered();
+}
+
 bool ForwardingDriver::isUndecided(const ServiceId &service) const
 {
     return this->isInDoubt(service) && this->helpers.hasOffer(service.value(), now());
@@ -153,19 +178,21 @@
     return true;
 }
 
-Awaitable<HelpOffer> ForwardingDriver::makeOffer(ServiceId service)
+Awaitable<HelpOffer> ForwardingDriver::makeOffer(ServiceId service, bool isAnswerNeeded)
 {
+    const ProbeKind kind = isAnswerNeeded ? ProbeKind::Answer : ProbeKind::Connection;
     // Nothing is kept for what other instances name and this one doesn't know.
     if (this->table.findServing(service).empty())
         co_return HelpOffer{service.value(), this->dataCentre, 0};
     Links &own = this->linksTo(service);
     const auto hasEvidence = [&] {
-        return own.reachability.hasEvidence(this->settings.helpers.evidenceMaxAge, now());
+        return own.reachability.hasEvidence(this->settings.helpers.evidenceMaxAge, now(), kind);
     };
+    const bool isPossible = !isAnswerNeeded || !this->probeTarget(service).empty();
     const bool isWorthProbing = !this->isStopping && !this->isInDoubt(service) && !own.isRoundOpen
-                                && now() >= own.reachability.earliestRound();
-    if (isWorthProbing && !hasEvidence())
-        co_await this->runRound(service);
+                                && now() >= own.reachability.earliestRound(kind);
+    if (isPossible && isWorthProbing && !hasEvidence())
+        co_await this->runRound(service, kind);
     HelpOffer offer{service.value(), this->dataCentre, 0};
     const bool isAble = !this->isStopping && !this->isInDoubt(service) && hasEvidence();
     if (isAble && this->helped < this->settings.helpers.maxHelped)
@@ -196,7 +223,7 @@
             continue;
         }
         if (now() >= own.reachability.nextRound() && !own.isRoundOpen) {
-            co_await this->runRound(service);
+            co_await this->runRound(service, own.reachability.probeKind());
             continue;
         }
         // A round may be open for another instance's question.
@@ -208,34 +235,76 @@
     this->noteState(service);
 }
 
-/// Connects to some upstreams of a service at a time and records how many connections held.
-Awaitable<void> ForwardingDriver::runRound(ServiceId service)
+/// Connects to some upstreams of a service at a time, or sends them a request, and records how many
+/// connections held, or were answered on.
+Awaitable<void> ForwardingDriver::runRound(ServiceId service, ProbeKind kind)
 {
     Links &own = this->linksTo(service);
     own.isRoundOpen = true;
     const TimePoint begunAt = now();
-    const std::vector<Endpoint> probed = this->pickProbed(service);
+    const std::vector<Endpoint> probed = this->pickProbed(service, kind);
     const auto round = std::make_shared<Round>();
     round->open = probed.size();
     for (const Endpoint &endpoint : probed)
-        boost::asio::co_spawn(this->loop, this->probe(endpoint, round), boost::asio::detached);
+        boost::asio::co_spawn(this->loop,
+                              kind == ProbeKind::Answer
+                                      ? this->ask(endpoint, this->probeTarget(service), round)
+                                      : this->probe(endpoint, round),
+                              boost::asio::detached);
     while (round->open > 0)
         co_await this->probeEnd.wait(now() + this->settings.probeTimeout);
     own.isRoundOpen = false;
+    const bool isUnreached = !probed.empty() && round->reached == 0;
+    this->recordRound(service, begunAt, probed.size(), round->held,
+                      isUnreached ? ProbeKind::Connection : kind);
+}
+
+void ForwardingDriver::recordRound(const ServiceId &service, TimePoint begunAt, std::size_t probes,
+                                   std::size_t held, ProbeKind kind)
+{
+    Links &own = this->linksTo(service);
     const bool isHelped = this->helpers.hasOffer(service.value(), now());
-    own.reachability.recordRound(begunAt, probed.size(), round->held, isHelped, now());
-    this->metrics.counter("bamboochute_reachability_probes_total", "result=\"held\"")
-            .add(round->held);
-    this->metrics.counter("bamboochute_reachability_probes_total", "result=\"failed\"")
-            .add(probed.size() - round->held);
+    own.reachability.recordRound(begunAt, probes, held, isHelped, now(), kind);
+    const bool isAnswer = kind == ProbeKind::Answer;
+    const auto count = [this](std::string_view result, std::size_t number) {
+        this->metrics
+                .counter("bamboochute_reachability_probes_total",
+                         fmt::format("result=\"{}\"", result))
+                .add(number);
+    };
+    count(isAnswer ? "answered" : "held", held);
+    count(isAnswer ? "unanswered" : "failed", probes - held);
     if (own.noted != ReachabilityState::Reachable)
         logEvent(LogLevel::Info, "upstreams probed",
                  {{"service", service.value()},
-                  {"probes", std::to_string(probed.size())},
-                  {"held", std::to_string(round->held)}});
+                  {"probes", std::to_string(probes)},
+                  {isAnswer ? "answered" : "held", std::to_string(held)}});
     this->noteState(service);
 }
 
+/// Sends a request of this instance's own; any head of an answer shows that the upstream is
+/// reached.
+Awaitable<void> ForwardingDriver::ask(Endpoint endpoint, std::string target,
+                                      std::shared_ptr<Round> round)
+{
+    const auto position = this->probeCalls.emplace(this->probeCalls.end(), this->pool, endpoint);
+    const std::string head
+            = fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\nConnection: close\r\n\r\n", target,
+                          endpoint.address, endpoint.port);
+    const TimePoint deadline = now() + this->settings.answerTime;
+    const upstream::CallResult<void> sent
+            = co_await position->send(head, {}, deadline, upstream::ConnectionUse::Fresh);
+    if (sent) {
+        ++round->reached;
+        const upstream::CallResult<void> read = co_await position->readHead();
+        if (read)
+            ++round->held;
+    }
+    this->probeCalls.erase(position);
+    --round->open;
+    this->probeEnd.notifyAll();
+}
+
 Awaitable<void> ForwardingDriver::probe(Endpoint endpoint, std::shared_ptr<Round> round)
 {
     const auto position
@@ -257,13 +326,18 @@
 }
 
 /// Picks upstreams of a service that are not leaving.
-std::vector<Endpoint> ForwardingDriver::pickProbed(const ServiceId &service)
+std::vector<Endpoint> ForwardingDriver::pickProbed(const ServiceId &service, ProbeKind kind)
 {
+    const bool isAnswer = kind == ProbeKind::Answer;
     std::vector<Endpoint> candidates;
-    for (const UpstreamTable::Entry *entry : this->table.findServing(service))
-        candidates.push_back(entry->registered.endpoint);
+    for (const UpstreamTable::Entry *entry : this->table.findServing(service)) {
+        if (!isAnswer || !this->mayAsk || this->mayAsk(entry->process()))
+            candidates.push_back(entry->registered.endpoint);
+    }
+    const std::uint32_t count
+            = isAnswer ? this->settings.askedUpstreams : this->settings.probedUpstreams;
     std::vector<Endpoint> picked;
-    while (picked.size() < this->settings.probedUpstreams && !candidates.empty()) {
+    while (picked.size() < count && !candidates.empty()) {
         const std::size_t index = this->random.below(candidates.size());
         picked.push_back(candidates[index]);
         candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(index));
@@ -312,17 +386,27 @@
         if (entry.registered.service != lost)
             others.insert(entry.registered.service);
     }
-    for (const ServiceId &service : others)
-        this->recordFailure(service, now());
+    const bool isSilent = this->isUnanswered(lost);
+    for (const ServiceId &service : others) {
+        if (isSilent)
+            this->recordSilence(service, now());
+        else
+            this->recordFailure(service, now());
+    }
 }
 
 void ForwardingDriver::logState(const ServiceId &service, ReachabilityState former)
 {
     if (this->isCutOff(service)) {
+        const bool isSilent = this->isUnanswered(service);
         this->metrics.counter("bamboochute_cuts_total").add();
+        if (isSilent)
+            this->metrics.counter("bamboochute_unanswered_cuts_total").add();
         const bool isHelped = this->helpers.hasOffer(service.value(), now());
         logEvent(LogLevel::Warning, "cut off from the upstreams of a service",
-                 {{"service", service.value()}, {"helped", isHelped ? "yes" : "no"}});
+                 {{"service", service.value()},
+                  {"cause", isSilent ? "unanswered" : "unreachable"},
+                  {"helped", isHelped ? "yes" : "no"}});
     } else if (former == ReachabilityState::CutOff) {
         logEvent(LogLevel::Info, "upstreams of a service reached again",
                  {{"service", service.value()}});
--- a/src/gateway/forwarding_driver.hpp
+++ b/src/gateway/forwarding_driver.hpp
@@ -8,13 +8,14 @@
 #include "gateway/change_signal.hpp"
 #include "gateway/upstream_health.hpp"
 #include "gateway/upstream_table.hpp"
-#include "upstream/connection_pool.hpp"
+#include "upstream/upstream_call.hpp"
 
 #include <functional>
 #include <list>
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -31,6 +32,12 @@
     Duration probeTimeout = std::chrono::milliseconds(300);
     /// Time for which a probe's connection has to hold.
     Duration holdTime = std::chrono::milliseconds(30);
+    /// Upstreams of a round whose probes need an answer, and the time for it.
+    std::uint32_t askedUpstreams = 2;
+    Duration answerTime = std::chrono::milliseconds(400);
+    /// Time without a byte of an answer after which a call raises doubt about this instance's
+    /// links, unless its upstream is to be replaced earlier.
+    Duration silenceTime = std::chrono::seconds(1);
     auto operator<=>(const ForwardingSettings &) const = default;
 };
 
@@ -51,6 +58,10 @@
     /// @brief Records a call to a service that failed before an upstream answered.
     void recordFailure(const ServiceId &service, TimePoint begunAt);
 
+    /// @brief Records a call to a service of which nothing was heard for as long as its upstream
+    /// may be silent.
+    void recordSilence(const ServiceId &service, TimePoint begunAt);
+
     /// @brief Records that this instance begins to avoid an upstream; other instances are told
     /// unless its own links may be the reason.
     void recordAvoided(const ServiceId &service, const UpstreamId &id, UpstreamFault fault);
@@ -67,6 +78,10 @@
     /// @brief Whether this instance may be cut off from a service.
     bool isInDoubt(const ServiceId &service) const;
 
+    /// @brief Whether this instance may be cut off from a service because its calls are accepted
+    /// and not answered, or is.
+    bool isUnanswered(const ServiceId &service) const;
+
     /// @brief Whether it is open if this instance is cut off from a service or the service has
     /// ended: what failed connections show is to be judged later.
     bool isUndecided(const ServiceId &service) const;
@@ -94,7 +109,9 @@
     void releasePlace() { --this->helped; }
 
     /// @brief Answers another instance that asks for help with a service.
-    upstream::Awaitable<forwarding::HelpOffer> makeOffer(ServiceId service);
+    /// @param isAnswerNeeded whether only an answer of an upstream shows that this instance can
+    /// help
+    upstream::Awaitable<forwarding::HelpOffer> makeOffer(ServiceId service, bool isAnswerNeeded);
 
     /// @brief Handles an instance's answer.
     void receiveOffer(const Endpoint &helper, const forwarding::HelpOffer &offer);
@@ -114,11 +131,18 @@
     std::function<void(const ServiceId &service)> onReturn;
     /// Called with an upstream that other instances are to be told of.
     std::function<void(const UpstreamId &, UpstreamFault)> onUpstreamAvoided;
+    /// Returns the target of a GET that any sound upstream of a service answers; empty if there is
+    /// none. Without one, the service's upstreams are never suspected for their silence.
+    std::function<std::string(const ServiceId &service)> findProbeTarget;
+    /// Returns whether an upstream may be sent a request that needs an answer; unset: any may.
+    std::function<bool(const UpstreamProcess &)> mayAsk;
 
 private:
     struct Round
     {
         std::size_t open = 0;
+        /// Upstreams that a request was written to.
+        std::size_t reached = 0;
         std::size_t held = 0;
     };
     /// This instance's links to one service.
@@ -132,7 +156,7 @@
         /// State that was logged last.
         forwarding::ReachabilityState noted = forwarding::ReachabilityState::Reachable;
         /// Upstreams that other instances are told of if the suspicion ends.
-        std::vector<std::pair<UpstreamId, UpstreamFault>> heldBack;
+        std::map<UpstreamId, UpstreamFault> heldBack;
         TimePoint askedAt{};
         bool isWatching = false;
         bool isRoundOpen = false;
@@ -141,9 +165,14 @@
     Links &linksTo(const ServiceId &service);
     forwarding::ReachabilityState stateOf(const ServiceId &service) const;
     upstream::Awaitable<void> watch(ServiceId service);
-    upstream::Awaitable<void> runRound(ServiceId service);
+    upstream::Awaitable<void> runRound(ServiceId service, forwarding::ProbeKind kind);
+    void recordRound(const ServiceId &service, TimePoint begunAt, std::size_t probes,
+                     std::size_t held, forwarding::ProbeKind kind);
     upstream::Awaitable<void> probe(Endpoint endpoint, std::shared_ptr<Round> round);
-    std::vector<Endpoint> pickProbed(const ServiceId &service);
+    upstream::Awaitable<void> ask(Endpoint endpoint, std::string target,
+                                  std::shared_ptr<Round> round);
+    std::vector<Endpoint> pickProbed(const ServiceId &service, forwarding::ProbeKind kind);
+    std::string probeTarget(const ServiceId &service) const;
     void noteState(const ServiceId &service);
     void doubtOtherLinks(const ServiceId &lost);
     void logState(const ServiceId &service, forwarding::ReachabilityState former);
@@ -160,6 +189,7 @@
     std::map<ServiceId, Links> links;
     /// Connections of open probes; owned here, as coroutines that wait outlive this object.
     std::list<upstream::HttpStreamPointer> probeStreams;
+    std::list<upstream::UpstreamCall> probeCalls;
     /// Notified when a probe ends.
     ChangeSignal probeEnd;
     /// Notified when the state of a service changes.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -71,6 +71,14 @@
             [this](const ServiceId &service, TimePoint at) {
                 return this->forwarding.wasCutOff(service, at);
             });
+    this->forwarding.findProbeTarget = [this](const ServiceId &id) {
+        const Service *service = this->index ? this->index->service(id) : nullptr;
+        return service != nullptr ? service->probeTarget : std::string();
+    };
+    this->forwarding.mayAsk = [this](const UpstreamProcess &process) {
+        return !this->pauses.isPaused(process, SteadyClock().now())
+               && !this->upstreamLimits.isScarce(process);
+    };
     // What failed behind the cut says nothing about the upstreams.
     this->forwarding.onReturn = [this](const ServiceId &service) {
         for (const UpstreamTable::Entry *entry : this->table.findServing(service))
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -26,9 +26,9 @@
         const CallResult<void> read = co_await this->attempt.call->readHead();
         if (read)
             break;
-        if (!this->isSilence(read.error()))
+        if (!this->isSilence(read.error()) || this->turnFromSilentLink())
             co_return this->handleCallFailure(read.error());
-        const bool isReplaced = co_await this->replaceSilentUpstream();
+        const bool isReplaced = this->isReplacementDue() && co_await this->replaceSilentUpstream();
         if (isReplaced)
             co_return AttemptOutcome::Replaced;
     }
@@ -51,9 +51,9 @@
             this->attempt.heardAt = this->now();
             this->silence.recordBytes(this->now());
         }
-        if (more || !this->isSilence(more.error()))
+        if (more || !this->isSilence(more.error()) || this->turnFromSilentLink())
             co_return more;
-        const bool isReplaced = co_await this->replaceSilentUpstream();
+        const bool isReplaced = this->isReplacementDue() && co_await this->replaceSilentUpstream();
         if (isReplaced)
             co_return std::nullopt;
     }
@@ -153,7 +153,13 @@
     }
     if (error.failure == CallFailure::TimedOut && this->timeLeft() < minSendTime) {
         this->hasTimedOut = true;
+        this->attempt.linkCheckAt = std::min(this->attempt.linkCheckAt, this->now());
+        this->recordSilentLink();
         this->recordFault(UpstreamFault::Slow, "no complete answer by the deadline of the request");
+    } else if (error.failure == CallFailure::TimedOut) {
+        this->unreachedUpstreams.push_back(this->attempt.upstream);
+        this->recordFault(UpstreamFault::Slow,
+                          "silent; this instance is cut off from the upstreams");
     } else {
         this->recordFault(error.failure == CallFailure::Malformed
                                           || error.failure == CallFailure::Oversized
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -317,6 +317,9 @@
     this->attempt.endpoint = entry.registered.endpoint;
     this->attempt.number = ++this->sends;
     this->attempt.sentAt = this->now();
+    this->attempt.linkCheckAt
+            = std::min(this->makeSilenceWatch().nextCheck(),
+                       this->attempt.sentAt + this->gateway.settings.forwarding.silenceTime);
     this->attempt.waitingAhead = entry.load.waiting;
     this->attempt.call = std::make_unique<upstream::UpstreamCall>(this->gateway.pool,
                                                                   entry.registered.endpoint);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -100,6 +100,8 @@
         TimePoint sentAt{};
         /// When the last bytes of the answer were read; zero before.
         TimePoint heardAt{};
+        /// When to note that nothing was heard, if that is still so.
+        TimePoint linkCheckAt = TimePoint::max();
         /// Requests that waited at the upstream when this one was sent to it.
         std::uint32_t waitingAhead = 0;
         std::unique_ptr<upstream::UpstreamCall> call;
@@ -119,6 +121,10 @@
     upstream::Awaitable<std::optional<AttemptOutcome>> relayHelperAnswer();
     bool bindHelperVersion();
     void recordLostLink(const upstream::CallError &error);
+    bool isUnheard() const;
+    void recordSilentLink();
+    bool canTurnToHelper() const;
+    bool turnFromSilentLink();
 
     bool selectService();
     void countRequest();
@@ -189,6 +195,7 @@
 
     TimePoint silenceDeadline() const;
     bool mayReplaceUpstream() const;
+    bool isReplacementDue();
     bool isSilence(const upstream::CallError &error) const;
     upstream::Awaitable<bool> replaceSilentUpstream();
     upstream::Awaitable<bool> askReplacement();
@@ -249,9 +256,10 @@
     std::vector<UpstreamId> triedUpstreams;
     /// Instances that the request was forwarded to.
     std::vector<Endpoint> triedHelpers;
-    /// Upstreams to which no connection could be made; another instance may reach them.
+    /// Upstreams to which no connection could be made, or that were silent behind a cut; another
+    /// instance may reach them.
     std::vector<UpstreamId> unreachedUpstreams;
-    /// Number of those, and more when no upstream is left to try.
+    /// Number of connections that could not be made, and more when no upstream is left to try.
     std::uint32_t failedConnects = 0;
     /// Whether it was counted for the retry budget and the demand of models.
     bool isCounted = false;
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -111,11 +111,45 @@
     NextHop next;
     if (this->triedHelpers.size() < driver.limits().helpers.maxHelpersPerRequest)
         next.helper = co_await driver.findHelper(id, this->triedHelpers);
-    // While it is not certain that this instance is cut off, its own links are tried on.
-    next.isUnavailable = !next.helper && driver.isCutOff(id);
+    // While it is not certain that this instance is cut off, its own links are tried on. Silent
+    // upstreams may have gone on.
+    next.isUnavailable = !next.helper && driver.isCutOff(id) && !driver.isUnanswered(id);
     co_return next;
 }
 
+/// Whether the request was sent to an upstream, and nothing has come back.
+bool RequestExchange::isUnheard() const
+{
+    return !this->attempt.helper && this->attempt.heardAt == TimePoint();
+}
+
+/// Records that nothing was heard for as long as the upstream may be silent, if that is so; this
+/// instance's own links may be the reason.
+void RequestExchange::recordSilentLink()
+{
+    if (!this->isUnheard() || this->now() < this->attempt.linkCheckAt)
+        return;
+    this->attempt.linkCheckAt = this->now() + this->gateway.settings.silence.retryInterval;
+    this->gateway.forwarding.recordSilence(this->service->id, this->attempt.sentAt);
+}
+
+/// Whether a request whose upstream is silent would get an answer through another instance.
+bool RequestExchange::canTurnToHelper() const
+{
+    const ForwardingDriver &driver = this->gateway.forwarding;
+    return !this->forwarded && driver.isUnanswered(this->service->id)
+           && driver.isHelped(this->service->id)
+           && this->triedHelpers.size() < driver.limits().helpers.maxHelpersPerRequest;
+}
+
+/// Records a silence, and returns whether the request leaves its upstream, to go through another
+/// instance.
+bool RequestExchange::turnFromSilentLink()
+{
+    this->recordSilentLink();
+    return this->canTurnToHelper() && this->mayReplaceUpstream();
+}
+
 /// Whether the request, for which no upstream is left, may still go to a helper: it failed to
 /// connect while it is not certain whether this instance is cut off.
 bool RequestExchange::turnToHelpers()
--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -24,8 +24,22 @@
 /// deadline if it can't be sent to another one.
 TimePoint RequestExchange::silenceDeadline() const
 {
-    return this->mayReplaceUpstream() ? std::min(this->deadline, this->silence.nextCheck())
-                                      : this->deadline;
+    const TimePoint end = this->mayReplaceUpstream()
+                                  ? std::min(this->deadline, this->silence.nextCheck())
+                                  : this->deadline;
+    return this->isUnheard() ? std::min(end, this->attempt.linkCheckAt) : end;
+}
+
+/// Whether another upstream is to be asked to take the request now. While all upstreams may be
+/// silent to this instance, that run is left for another instance.
+bool RequestExchange::isReplacementDue()
+{
+    if (this->now() < this->silence.nextCheck())
+        return false;
+    if (this->mayReplaceUpstream() && !this->gateway.forwarding.isUnanswered(this->service->id))
+        return true;
+    this->silence.recordNotReplaced(this->now());
+    return false;
 }
 
 /// Whether the request may be sent to another upstream while the current one may still run it.
@@ -159,6 +173,12 @@
             this->recordReplacementFailure(read.error());
             co_return false;
         }
+        this->recordSilentLink();
+        const bool isRunLeft = this->possibleRuns + 2 < this->route->maxUpstreams;
+        if (isRunLeft && !this->isAnswerBegun && this->canTurnToHelper()) {
+            ++this->possibleRuns;
+            co_return false;
+        }
         const bool mustDecide = this->isAnswerBegun && this->now() >= acceptedAt;
         if (silentActivity == PeerActivity::Lost || mustDecide)
             co_return true;
--- a/src/gateway/routing_configuration.hpp
+++ b/src/gateway/routing_configuration.hpp
@@ -124,6 +124,8 @@
     std::uint32_t maxConnections = 0;
     /// Unset for services without an engine.
     std::optional<EngineSpec> engine;
+    /// Target of a GET that shows whether an upstream answers; empty if there is none.
+    std::string probeTarget = {};
     auto operator<=>(const Service &) const = default;
 };
 
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -224,10 +224,12 @@
 
 void PeerLink::connectForwarding()
 {
-    this->gateway.forwardingDriver().onHelpWanted
-            = [this](const gateway::ServiceId &service, std::size_t count) {
-                  this->sendToReceivers(std::to_string(this->random()), count, HelpQuery{service});
-              };
+    this->gateway.forwardingDriver().onHelpWanted = [this](const gateway::ServiceId &service,
+                                                           std::size_t count) {
+        const bool isAnswerNeeded = this->gateway.forwardingDriver().isUnanswered(service);
+        this->sendToReceivers(std::to_string(this->random()), count,
+                              HelpQuery{service, isAnswerNeeded});
+    };
     this->gateway.forwardingDriver().onCutOff
             = [this] { this->election.setEligible(this->canReachEngines()); };
 }
@@ -245,8 +247,8 @@
 
 upstream::Awaitable<void> PeerLink::answerHelpQuery(HelpQuery query, Endpoint from)
 {
-    const forwarding::HelpOffer offer
-            = co_await this->gateway.forwardingDriver().makeOffer(query.service);
+    const forwarding::HelpOffer offer = co_await this->gateway.forwardingDriver().makeOffer(
+            query.service, query.isAnswerNeeded);
     if (!this->isStopped)
         this->socket->send(from, encodePeerMessage(offer));
 }
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -403,7 +403,7 @@
 
 Json toJson(const HelpQuery &message)
 {
-    return Json::array({helpQueryKind, message.service.value()});
+    return Json::array({helpQueryKind, message.service.value(), message.isAnswerNeeded});
 }
 
 Json toJson(const forwarding::HelpOffer &message)
@@ -487,7 +487,9 @@
         return PeerMessage(LeavingMessage{{UpstreamId(value.at(1).get<std::string>()),
                                            readInteger<std::uint64_t>(value.at(2))}});
     case helpQueryKind:
-        return PeerMessage(HelpQuery{gateway::ServiceId(value.at(1).get<std::string>())});
+        // Instances of earlier releases don't send the last element.
+        return PeerMessage(HelpQuery{gateway::ServiceId(value.at(1).get<std::string>()),
+                                     value.size() > 2 && value.at(2).get<bool>()});
     case helpOfferKind:
         return PeerMessage(forwarding::HelpOffer{value.at(1).get<std::string>(),
                                                  DataCentreId(value.at(2).get<std::string>()),
--- a/src/residency/peer_messages.hpp
+++ b/src/residency/peer_messages.hpp
@@ -172,6 +172,9 @@
 struct HelpQuery
 {
     gateway::ServiceId service;
+    /// Only an instance that an upstream has answered can help; instances of earlier releases go by
+    /// connections as well.
+    bool isAnswerNeeded = false;
     auto operator<=>(const HelpQuery &) const = default;
 };
 
--- a/tests/forwarding/unit-reachability.cpp
+++ b/tests/forwarding/unit-reachability.cpp
@@ -155,3 +155,179 @@
         links.recordFailure(now + 1ms, now + 1ms);
     CHECK(links.nextRound() == now + ReachabilityLimits().minRoundInterval);
 }
+
+namespace {
+
+/// Records rounds of two probes that need an answer until the next one is in the future, and
+/// returns their number.
+int askRounds(Reachability &links, std::size_t answered, bool isHelped, TimePoint &now, int count)
+{
+    int rounds = 0;
+    while (rounds < count && links.nextRound() != TimePoint::max()) {
+        now = std::max(now, links.nextRound());
+        const TimePoint begunAt = now;
+        now += answered > 0 ? 5ms : 400ms;
+        links.recordRound(begunAt, 2, answered, isHelped, now, ProbeKind::Answer);
+        ++rounds;
+    }
+    return rounds;
+}
+
+} // namespace
+
+// Guards against an instance whose calls are all accepted and never answered, so that each of its
+// callers waits to the deadline.
+TEST_CASE("an instance whose calls and probes are accepted and not answered is cut off")
+{
+    Reachability links;
+    TimePoint now(100s);
+    links.recordAnswer(now - 20ms, now);
+    const TimePoint begunAt = now + 10ms;
+    now += 1010ms;
+    links.recordSilence(begunAt, now);
+    REQUIRE(links.state(now) == ReachabilityState::Suspected);
+    CHECK(links.isUnanswered());
+    CHECK(links.probeKind() == ProbeKind::Answer);
+    CHECK(links.nextRound() == now);
+    CHECK(links.ownShare(now) == 1);
+
+    SUBCASE("if another one reaches the service")
+    {
+        CHECK(askRounds(links, 0, true, now, 2) == 2);
+        CHECK(links.state(now) == ReachabilityState::CutOff);
+        CHECK(links.isUnanswered());
+        CHECK(now <= begunAt + 2s);
+
+        SUBCASE("connections that hold without an answer don't end it")
+        {
+            for (int i = 0; i < 4; ++i) {
+                now = std::max(now, links.nextRound());
+                links.recordRound(now, 4, 4, true, now);
+                now += 500ms;
+            }
+            CHECK(links.state(now) == ReachabilityState::CutOff);
+        }
+        SUBCASE("two answered rounds end it, with a growing share")
+        {
+            CHECK(askRounds(links, 2, true, now, 1) == 1);
+            CHECK(links.state(now) == ReachabilityState::CutOff);
+            CHECK(askRounds(links, 1, true, now, 1) == 1);
+            CHECK(links.state(now) == ReachabilityState::Returning);
+            CHECK_FALSE(links.isUnanswered());
+            CHECK(links.probeKind() == ProbeKind::Connection);
+            CHECK(links.state(now + 2s) == ReachabilityState::Reachable);
+        }
+    }
+    SUBCASE("not while nobody reaches it, and rounds become rare then")
+    {
+        CHECK(askRounds(links, 0, false, now, 10) == 10);
+        CHECK(links.state(now) == ReachabilityState::Suspected);
+        CHECK(links.nextRound() == now + ReachabilityLimits().maxSuspicionInterval);
+
+        SUBCASE("until another one does")
+        {
+            CHECK(askRounds(links, 0, true, now, 1) == 1);
+            CHECK(links.state(now) == ReachabilityState::CutOff);
+        }
+    }
+    SUBCASE("a round of connections that was begun before the suspicion doesn't end it")
+    {
+        links.recordRound(now - 10ms, 4, 4, true, now);
+        CHECK(links.state(now) == ReachabilityState::Suspected);
+        CHECK(links.isUnanswered());
+    }
+    SUBCASE("upstreams to which no connection can be made are unreachable, whoever helps")
+    {
+        askRounds(links, 0, false, now, 3);
+        links.recordRound(now, 2, 0, false, now);
+        CHECK(links.state(now) == ReachabilityState::Suspected);
+        CHECK(links.probeKind() == ProbeKind::Connection);
+        runRounds(links, 0, false, now, 1);
+        CHECK(links.state(now) == ReachabilityState::CutOff);
+        CHECK_FALSE(links.isUnanswered());
+    }
+    SUBCASE("one that shows that it may help needs an answer")
+    {
+        CHECK(links.hasEvidence(2s, now));
+        links.recordRound(now, 4, 4, true, now);
+        CHECK(links.hasEvidence(100ms, now));
+        CHECK_FALSE(links.hasEvidence(100ms, now, ProbeKind::Answer));
+    }
+}
+
+// Guards against an instance that takes slow upstreams, or a single silent one, for a cut, and
+// against probes of upstreams that answer.
+TEST_CASE("silent calls alone don't make an instance cut off")
+{
+    Reachability links;
+    TimePoint now(100s);
+    SUBCASE("another upstream has answered a call that began later")
+    {
+        links.recordAnswer(now + 10ms, now + 20ms);
+        links.recordSilence(now, now + 1s);
+        CHECK(links.state(now + 1s) == ReachabilityState::Reachable);
+    }
+    SUBCASE("answers come late for all calls, but they come")
+    {
+        for (int i = 0; i < 100; ++i) {
+            now += 400ms;
+            links.recordAnswer(now - 3s, now);
+            links.recordSilence(now - 1s, now + 300ms);
+            CHECK(links.nextRound() == TimePoint::max());
+        }
+    }
+    SUBCASE("a late answer comes while it is in doubt")
+    {
+        links.recordSilence(now, now + 1s);
+        links.recordAnswer(now - 1s, now + 1100ms);
+        CHECK(links.state(now + 1100ms) == ReachabilityState::Reachable);
+        CHECK(links.nextRound() == TimePoint::max());
+    }
+    SUBCASE("no connection can be made either: that is another cut")
+    {
+        links.recordFailure(now, now + 400ms);
+        now += 400ms;
+        runRounds(links, 0, false, now, 1);
+        links.recordSilence(now - 1s, now);
+        CHECK_FALSE(links.isUnanswered());
+        runRounds(links, 0, false, now, 1);
+        CHECK(links.state(now) == ReachabilityState::CutOff);
+    }
+    SUBCASE("a connection that holds says nothing about silence")
+    {
+        links.recordFailure(now, now);
+        runRounds(links, 4, false, now, 1);
+        links.recordSilence(now - 1s, now);
+        CHECK(links.isUnanswered());
+    }
+    SUBCASE("a probe is answered")
+    {
+        links.recordSilence(now, now + 1s);
+        now += 1s;
+        CHECK(askRounds(links, 1, true, now, 1) == 1);
+        CHECK(links.state(now) == ReachabilityState::Reachable);
+        CHECK(links.nextRound() == TimePoint::max());
+
+        SUBCASE("then silence raises none for a second, and for longer each time, up to a bound")
+        {
+            int rounds = 1;
+            const TimePoint begin = now;
+            while (now < begin + 120s) {
+                now += 200ms;
+                links.recordSilence(now - 1s, now);
+                rounds += askRounds(links, 1, true, now, 1);
+                if (now < begin + 1s)
+                    CHECK(rounds == 1);
+            }
+            // Pauses of 1, 2, 4, 8 and then 16 s.
+            CHECK(rounds <= 12);
+            CHECK(rounds >= 9);
+        }
+        SUBCASE("but a cut long after is found as soon as the first one")
+        {
+            now += 60s;
+            links.recordSilence(now - 1s, now);
+            CHECK(links.isUnanswered());
+        }
+    }
+}
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -6,6 +6,8 @@
 
 #include <poll.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -513,6 +515,18 @@
     });
 }
 
+std::uint32_t RelayFixture::askForHelp(bool isAnswerNeeded)
+{
+    std::promise<std::uint32_t> places;
+    const auto ask = [&]() -> upstream::Awaitable<void> {
+        const forwarding::HelpOffer offer
+                = co_await this->gateway->forwardingDriver().makeOffer(service, isAnswerNeeded);
+        places.set_value(offer.freePlaces);
+    };
+    asio::co_spawn(this->loop, ask, asio::detached);
+    return places.get_future().get();
+}
+
 void RelayFixture::waitForIdle() const
 {
     std::size_t open = 1;
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -171,6 +171,11 @@
     /// @param helpers their addresses for forwarded requests
     void offerHelp(const std::vector<Endpoint> &helpers);
 
+    /// @brief Asks the gateway whether it helps with the service.
+    /// @param isAnswerNeeded see gateway::ForwardingDriver::makeOffer()
+    /// @return the requests that it would take
+    std::uint32_t askForHelp(bool isAnswerNeeded);
+
     /// @brief Address for the requests that other gateways forward.
     Endpoint instanceEndpoint() const { return *this->gateway->instanceEndpoint(); }
 
--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -411,9 +411,8 @@
                   "loads_per_s": 4, "models": [{"name": m, "weights_mb": MODEL_MB, "load_s": 0.8,
                                                 "disk_s": 0.15, "warm_s": 0.1} for m in MODELS]}
         value = {"version": self.version, "routes": routes, "limits": limits,
-                 "services": [{"name": "rooms", "max_connections": 100},
-                              {"name": "stock", "max_connections": 100},
-                              {"name": "events", "max_connections": 100},
+                 "services": [*({"name": name, "max_connections": 100, "health_path": stand_ins.HEALTH_PATH}
+                                for name in ("rooms", "stock", "events")),
                               {"name": "chat", "max_connections": 100, "engine": engine}]}
         self.config_value = json.dumps(value).encode()
         await self.store.put("op/config", self.config_value)
@@ -1475,6 +1474,7 @@
                           "ends": soak.ends, "fatal": soak.fatal, "falls": soak.falls,
                           "cut_shares": soak.cut_shares, "went_on": soak.went_on,
                           "repeated_refusals": soak.record.repeated_refusals,
+                          "health_checks": soak.record.health_checks,
                           "given_up": soak.given_up, "broken": violations, "known_red": known}))
     sys.exit(1 if violations else 0)
 
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -19,6 +19,8 @@
 LOWEST_PORT = 10000
 SIGNATURE = "X-Server-Signature"
 MAX_STORED_EVENTS = 2000
+# Path of the services' health checks.
+HEALTH_PATH = "/healthz"
 # Bytes of values in one page of a list.
 PAGE_BYTES = 1_000_000
 # A socket filter of one instruction that drops all segments; the constant is missing in the module socket.
@@ -372,6 +374,8 @@
         self.loads = []
         # Refusals that were written once more, by what came next on their connections.
         self.repeated_refusals = {}
+        # Health checks that were answered.
+        self.health_checks = 0
         # The software versions of each service that have been registered.
         self.versions = {}
 
@@ -587,6 +591,11 @@
         elif self.random.random() < self.refuse:
             self.received(request)
             writer.write(answer_bytes(503, headers=[("X-Not-Executed", "1"), *self.note_headers()]))
+        elif request.path == HEALTH_PATH:
+            self.received(request)
+            await asyncio.sleep(max(0, self.silent_until - time.monotonic()))
+            self.record.health_checks += 1
+            writer.write(answer_bytes(200, headers=[("X-Instance-Id", self.name), *self.note_headers()]))
         else:
             self.received(request)
             self.running += 1
--- a/tests/platform/adapter/unit-decoding.cpp
+++ b/tests/platform/adapter/unit-decoding.cpp
@@ -26,7 +26,7 @@
                                "models":[{"name":"m1","weights_mb":65099.99,"load_s":6.0,
                                           "disk_s":0.36,"warm_s":0.28,"adapters":31,
                                           "adapter_mb":40.0}]}},
-                    {"name":"rooms","max_connections":192}],
+                    {"name":"rooms","max_connections":192,"health_path":"/healthz"}],
         "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
                   "idle_timeout_ms":15000},"later":{"x":1}})");
 }
@@ -84,6 +84,23 @@
     CHECK_FALSE(configuration.services[1].engine);
     CHECK(configuration.limits.idleTimeout == 15s);
 
+    SUBCASE("engines are probed by their report, and plain services at their health path")
+    {
+        CHECK(configuration.services[0].probeTarget == "/report");
+        CHECK(configuration.services[1].probeTarget == "/healthz");
+        const std::vector<json> unusable{nullptr,      7,
+                                         "",           "healthz",
+                                         "/a b",       "/a\r\nX: y",
+                                         "/\x7f",      "/" + std::string(1000, 'x'),
+                                         json::array()};
+        for (const json &path : unusable) {
+            json odd = configurationJson();
+            odd["services"][1]["health_path"] = path;
+            const auto decodedOdd = decodeConfiguration(odd.dump());
+            REQUIRE(decodedOdd);
+            CHECK(decodedOdd.value().services[1].probeTarget.empty());
+        }
+    }
     SUBCASE("a missing field or one of the wrong type is rejected by name")
     {
         const auto decodingError = [](const json &value) {
--- a/tests/residency/unit-peer_messages.cpp
+++ b/tests/residency/unit-peer_messages.cpp
@@ -144,6 +144,8 @@
     const auto decodedQuery = decodePeerMessage(encodePeerMessage(query));
     REQUIRE(decodedQuery);
     CHECK(std::get<HelpQuery>(decodedQuery.value()) == query);
+    const HelpQuery strictQuery{gateway::ServiceId("rooms"), true};
+    CHECK(decodePeerMessage(encodePeerMessage(strictQuery)).value() == PeerMessage(strictQuery));
     const forwarding::HelpOffer offer{"rooms", DataCentreId("north"), 64};
     const auto decodedOffer = decodePeerMessage(encodePeerMessage(offer));
     REQUIRE(decodedOffer);
