Let tests of test-gateway wait for what has to happen, not for a time

Beside 16 busy tasks and a load of 25 to 36 on 8 cores, the cases "requests that are not answered when an instance stops get an answer", "a stream of a process whose registration is not read yet has no known version" and "a stream goes on only at the software version that began it" were run together, four at a time: 4 of 30 runs failed, two by the segmentation fault that the watch of time limits had.

Cause of the other two, by the logs and the output: a registration that was to be read while a stream runs was read 50 ms after its request began, when its first event, 100 ms after its send, had been there; and a scripted upstream that had broken a stream took the connection of a crash detector's probe for its next request, so that the real one, 36 ms later, had no answer until its deadline. "requests that are not answered ..." stopped the gateway 100 ms after the request was written, read or not (seen before, not in these runs).

Change: the upstream answers after the registration was read; scripted upstreams pass over connections that send nothing; the gateway stops when the upstream has the request, has asked for a pause, or the caller has the first event.

--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
@@ -23,6 +24,18 @@
 
 const gateway::ServiceId service("rooms");
 
+/// Waits for a condition, for at most two seconds.
+bool waitUntil(const std::function<bool()> &isTrue)
+{
+    constexpr int maxPolls = 200;
+    for (int i = 0; i < maxPolls; ++i) {
+        if (isTrue())
+            return true;
+        std::this_thread::sleep_for(10ms);
+    }
+    return isTrue();
+}
+
 gateway::CallCodec makeCodec()
 {
     gateway::CallCodec codec;
@@ -238,22 +251,30 @@
 
 int ScriptedUpstream::waitForAbandoned(int count) const
 {
-    constexpr int maxPolls = 200;
-    for (int i = 0; i < maxPolls && this->abandonedCount < count; ++i)
-        std::this_thread::sleep_for(10ms);
+    waitUntil([&] { return this->abandonedCount >= count; });
     return this->abandonedCount;
 }
 
+bool ScriptedUpstream::waitForRequests(std::size_t count) const
+{
+    return waitUntil([&] { return this->requests().size() >= count; });
+}
+
 void ScriptedUpstream::serve()
 {
     const std::vector<Script> planned = this->scripts;
     for (const Script &script : planned) {
         boost::system::error_code error;
         Tcp::socket socket(this->sockets->context);
-        this->sockets->acceptor.accept(socket, error);
-        if (error || this->scripts.empty())
-            return;
-        const std::string text = readMessage(socket);
+        std::string text;
+        // Probes connect and send nothing; they take no script.
+        while (text.empty()) {
+            socket = Tcp::socket(this->sockets->context);
+            this->sockets->acceptor.accept(socket, error);
+            if (error || this->scripts.empty())
+                return;
+            text = readMessage(socket);
+        }
         this->record(text);
         if (!script.crashText.empty() && text.find(script.crashText) != std::string::npos) {
             std::this_thread::sleep_for(script.delay);
@@ -266,6 +287,8 @@
             ++this->abandonedCount;
             continue;
         }
+        if (script.answerAfter.valid())
+            script.answerAfter.wait();
         const std::string bytes = insertRequestId(script.answer, text);
         std::this_thread::sleep_for(script.delay);
         asio::write(socket, asio::buffer(bytes), error);
@@ -453,15 +476,19 @@
     return readToEnd(socket);
 }
 
-std::string RelayFixture::callAndStop(const std::string &text, Duration after) const
+std::string RelayFixture::callAndStop(const std::string &text, const std::function<bool()> &isDue,
+                                      const std::string &received) const
 {
     asio::io_context context;
     Tcp::socket socket(context);
     socket.connect({asio::ip::make_address(this->listen.address), this->listen.port});
     asio::write(socket, asio::buffer(text));
-    std::this_thread::sleep_for(after);
+    waitUntil(isDue);
+    std::string begin;
+    if (!received.empty())
+        asio::read_until(socket, asio::dynamic_buffer(begin), received);
     this->runOnLoop([](gateway::Gateway &gateway) { gateway.endOpenRequests(); });
-    return readToEnd(socket);
+    return begin + readToEnd(socket);
 }
 
 std::string RelayFixture::callAndReadLate(const std::string &text, Duration after) const
@@ -527,6 +554,11 @@
     return this->metrics.counter("bamboochute_requests_read_total").value();
 }
 
+std::uint64_t RelayFixture::upstreamPauses()
+{
+    return this->metrics.counter("bamboochute_upstream_pauses_total").value();
+}
+
 std::uint64_t RelayFixture::requestEnds(const std::string &end)
 {
     // What the gateway does after it has closed a connection is done then.
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,6 +43,8 @@
     Duration pieceDelay{};
     /// Pause between the answer and its rest, in place of `delay`.
     std::optional<Duration> delayBeforeRest{};
+    /// The answer is not sent before this is ready, if it is set.
+    std::shared_future<void> answerAfter = {};
     /// Keeps the connection open after the answer, and answers a further request on it with this.
     std::string nextAnswer = {};
 };
@@ -58,6 +61,10 @@
     /// @brief The requests received so far, each with head and body.
     std::vector<std::string> requests() const;
 
+    /// @brief Waits until a number of requests were received.
+    /// @return whether they were within two seconds
+    bool waitForRequests(std::size_t count) const;
+
     /// @brief Bytes of endless answers that were sent.
     std::size_t endlessBytes() const { return this->endlessCount; }
 
@@ -150,9 +157,12 @@
     /// sends until it closes the connection.
     std::string callAndCloseSending(const std::string &request, Duration after) const;
 
-    /// @brief Sends a request, lets the gateway end its open requests after a delay, and returns
+    /// @brief Sends a request, lets the gateway end its open requests when it is due, and returns
     /// what it sends until it closes the connection.
-    std::string callAndStop(const std::string &request, Duration after) const;
+    /// @param isDue asked again and again, for at most two seconds
+    /// @param received text that the answer has to have brought before
+    std::string callAndStop(const std::string &request, const std::function<bool()> &isDue,
+                            const std::string &received = {}) const;
 
     /// @brief Sends a request and reads the answer after a delay, with a small receive buffer.
     std::string callAndReadLate(const std::string &request, Duration after) const;
@@ -184,6 +194,9 @@
     /// @param end name of a gateway::RequestEnd
     std::uint64_t requestEnds(const std::string &end);
 
+    /// @brief Number of times that an upstream has asked for a pause.
+    std::uint64_t upstreamPauses();
+
     Endpoint endpoint() const { return this->listen; }
 
     Metrics metrics;
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -665,14 +665,17 @@
     }
     SUBCASE("it goes on at the version of the registration that is read while it runs")
     {
+        std::promise<void> registrationRead;
+        begun.answerAfter = registrationRead.get_future().share();
         ScriptedUpstream restarted({begun});
         ScriptedUpstream newVersion({{rest}});
         RelayFixture fixture({&restarted, &formerVersion, &newVersion}, {"v1", "v1", "v2"});
         fixture.reportRestart(0);
         std::future<std::string> answer
                 = std::async(std::launch::async, [&] { return fixture.call(request("/stream/")); });
-        std::this_thread::sleep_for(50ms);
+        CHECK(restarted.waitForRequests(1));
         fixture.restartUpstream(0, "v2");
+        registrationRead.set_value();
         CHECK(answer.get().ends_with("0\r\n\r\n"));
         CHECK(formerVersion.requests().empty());
         CHECK(newVersion.requests().size() == 1);
--- a/tests/gateway/unit-request_ends.cpp
+++ b/tests/gateway/unit-request_ends.cpp
@@ -63,7 +63,8 @@
     {
         ScriptedUpstream upstream({staysSilent()});
         RelayFixture fixture({&upstream});
-        const std::string got = fixture.callAndStop(request("/once/", "pay"), 100ms);
+        const std::string got = fixture.callAndStop(request("/once/", "pay"),
+                                                    [&] { return upstream.waitForRequests(1); });
         CHECK(got.starts_with("HTTP/1.1 502 "));
         CHECK(containsText(got, "Connection: close"));
         CHECK(fixture.requestEnds("refused") == 1);
@@ -73,7 +74,8 @@
         ScriptedUpstream upstream({staysSilent()});
         ScriptedUpstream other({{answer(200, "late")}});
         RelayFixture fixture({&upstream, &other});
-        const std::string got = fixture.callAndStop(request("/plain/"), 100ms);
+        const std::string got = fixture.callAndStop(request("/plain/"),
+                                                    [&] { return upstream.waitForRequests(1); });
         CHECK(got.starts_with("HTTP/1.1 502 "));
         CHECK(other.requests().empty());
     }
@@ -83,7 +85,8 @@
                 {{answer(503, "busy", "test-not-run: 1\r\ntest-pause-ms: 900\r\n")},
                  {answer(200, "late")}});
         RelayFixture fixture({&upstream});
-        const std::string got = fixture.callAndStop(request("/plain/"), 200ms);
+        const std::string got = fixture.callAndStop(request("/plain/"),
+                                                    [&] { return fixture.upstreamPauses() == 1; });
         CHECK(got.starts_with("HTTP/1.1 503 "));
         CHECK(upstream.requests().size() == 1);
         CHECK(fixture.requestEnds("refused") == 1);
@@ -92,7 +95,8 @@
     {
         ScriptedUpstream upstream({beginsStream()});
         RelayFixture fixture({&upstream});
-        const std::string got = fixture.callAndStop(request("/stream/"), 100ms);
+        const std::string got = fixture.callAndStop(
+                request("/stream/"), [&] { return upstream.waitForRequests(1); }, "id: 1");
         CHECK(got.starts_with("HTTP/1.1 200 "));
         CHECK_FALSE(got.ends_with("0\r\n\r\n"));
         CHECK(fixture.requestEnds("cut") == 1);
--- a/tests/gateway/unit-silent_upstreams.cpp
+++ b/tests/gateway/unit-silent_upstreams.cpp
@@ -217,7 +217,9 @@
     }
     SUBCASE("the process stops")
     {
-        CHECK(fixture.callAndStop(request("/quick/"), 300ms).starts_with("HTTP/1.1 502 "));
+        const std::string got
+                = fixture.callAndStop(request("/quick/"), [&] { return other.waitForRequests(1); });
+        CHECK(got.starts_with("HTTP/1.1 502 "));
     }
     const TimePoint ended = SteadyClock().now();
     fixture.waitForIdle();
