Attribute requests to the instance that sent them in the soak's checks

Trace: instance 0 was told at 41.844 and sent nothing to engine-1 since; cut off from its upstreams, it forwarded 3-40 at 43.889 to instance 1. That had started at 43.82 (it read the store's era, origins and registrations then), so it knew no answer of engine-1; it sent the request at 43.890 and was told by its answer.

Cause: the checks of leaving, removed, pausing and limiting upstreams took the instance that the caller had asked for the one that sent the request, and looked only whether that one was undisturbed.

Change: they take the sender, by the address of its connection, both for who was told and for who sent.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -478,6 +478,10 @@
                     raise RuntimeError(f"instance {instance.number} did not start, see its log")
                 await asyncio.sleep(0.05)
 
+    def sender(self, address):
+        """Returns the instance that sent a request, which may have done so for another one."""
+        return next(instance for instance in self.instances if instance.address == address)
+
     def pick_program(self):
         """Returns the program of a process that starts: of two builds, either one."""
         programs = [self.options.program, self.options.other_program or self.options.program]
@@ -826,8 +830,8 @@
 
     def check_drained(self, worker, since):
         """Checks that a worker has got no requests long after the moment at which it wrote that it leaves."""
-        for moment, attempt in worker.drained_sends:
-            instance = self.askers[attempt]
+        for moment, attempt, address in worker.drained_sends:
+            instance = self.sender(address)
             if moment > since + DRAIN_S + APPLY_SLACK_S and self.is_in_touch(instance, moment):
                 self.record.rule(f"{worker.name} wrote that it leaves and got {attempt} "
                                  f"{moment - since:.2f} s later from instance {instance.number}")
@@ -1291,8 +1295,8 @@
     def check_leaving(self, worker):
         """Checks that no instance that a leaving worker told sent it a request long after."""
         told = {}
-        for moment, attempt in worker.leaving_sends:
-            instance = self.askers[attempt]
+        for moment, attempt, address in worker.leaving_sends:
+            instance = self.sender(address)
             first = told.setdefault(instance.number, moment)
             if moment > first + DRAIN_S and instance.was_undisturbed(moment):
                 self.record.rule(f"{worker.name} said that it leaves and got {attempt} "
@@ -1301,8 +1305,8 @@
     def check_pause(self, worker):
         """Checks that instances that a worker asked for a pause have kept to it."""
         told, late = {}, {}
-        for moment, attempt in worker.paused_sends:
-            instance = self.askers[attempt]
+        for moment, address in worker.paused_sends:
+            instance = self.sender(address)
             first = told.setdefault(instance.number, moment)
             if moment > first + PAUSE_GRACE_S and instance.was_undisturbed(moment):
                 late[instance.number] = late.get(instance.number, 0) + 1
@@ -1407,9 +1411,9 @@
         """Checks the requests that a worker has got since it named its limit."""
         if not worker.limit:
             return
-        sends = [moment for moment, attempt in worker.limited_sends
+        sends = [moment for moment, _, address in worker.limited_sends
                  if moment >= worker.limited_since + STABLE_S
-                 and self.askers[attempt].was_undisturbed(moment)]
+                 and self.sender(address).was_undisturbed(moment)]
         self.count_by("limited sends", len(sends))
         allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * worker.limit + LIMIT_SLACK
         for first in sends:
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -577,7 +577,7 @@
         elif request.path == "/order":
             writer.write(answer_bytes(self.order(json.loads(request.body))))
         elif self.paused_until > time.monotonic():
-            self.paused_sends.append((time.monotonic(), request.header("X-Attempt-Id")))
+            self.paused_sends.append((time.monotonic(), request.sender))
             left_s = self.paused_until - time.monotonic()
             writer.write(answer_bytes(503, headers=[("X-Not-Executed", "1"), ("Retry-After", f"{left_s:.2f}")]))
         elif self.max_running is not None and self.running >= self.max_running:
@@ -606,8 +606,8 @@
             self.end_process(self.random.uniform(*self.FALL_S), self.begin_again)
 
     def received(self, request):
-        """Records the time at which a request came."""
-        sends = (time.monotonic(), request.header("X-Attempt-Id"))
+        """Records the time at which a request came, and from which address."""
+        sends = (time.monotonic(), request.header("X-Attempt-Id"), request.sender)
         self.limited_sends.append(sends)
         if self.is_leaving:
             self.leaving_sends.append(sends)
