Don't count requests at cut-off instances that others don't serve either

Cause: the check compared shares over different kinds of requests, of a few requests.

Change: a request counts unless others got requests of its kind within a second before or after it and served none of them. This holds for the requests to the others as well, whose share that has to be kept up with becomes larger. Bounds and other conditions are the same.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -16,7 +16,7 @@
 - a route that was added is served by each instance that was in touch with the store, also when the store came
   back from a copy just before;
 - while some instances are cut off from all upstreams, requests sent to them long after the cut began are served
-  nearly as often as those sent to others;
+  nearly as often as those sent to others, but for kinds that others don't serve either at that time;
 - upstreams that say that they are brittle, and soon take fewer requests, hardly fall over under rejections;
 - an upstream that turns requests away with a pause gets hardly any until its end from an instance that it
   told, unless the instance was just disturbed;
@@ -79,6 +79,9 @@
 # Length of a cut of instances from all upstreams; how much less often they may serve than the others, and the failures
 # that are allowed: some, and one of so many requests.
 UPSTREAM_CUT_S, CUT_SERVED_RATIO = 7.0, 2 / 3
+# A request to such an instance doesn't count if those of its kind that others got so long before or after it were
+# not served either.
+COMPARED_S = 1.0
 MAX_CUT_FAILURES, CUT_FAILURE_SHARE = 10, 1 / 50
 # Rejections in a second that a brittle upstream bears, requests that it takes at a time, and falls allowed: some,
 # and one for this share of the upstreams.
@@ -304,6 +307,9 @@
     def finish(self, failure=None):
         self.failure, self.ended_at = failure, time.monotonic()
 
+    def is_served(self):
+        return self.status == 200 and not self.failure
+
     def took_s(self):
         return self.ended_at - self.sent_at
 
@@ -976,8 +982,11 @@
                            (stand_ins.FragileService.FATAL_PREFIX, "crash-"))
                        and e.instance.was_undisturbed(e.sent_at)
                        and any(i.was_undisturbed(e.sent_at) and not i.was_stopping(e.sent_at) for i in outside)]
-            served = {is_cut: [e.status == 200 and not e.failure for e in counted
-                               if (e.instance.number in cut) == is_cut] for is_cut in (True, False)}
+            # What no other instance serves, such as requests for brittle upstreams that are full, can't be served.
+            elsewhere = [e for e in counted if e.instance.number not in cut]
+            counted = [e for e in counted if self.may_be_served(e, elsewhere)]
+            served = {is_cut: [e.is_served() for e in counted if (e.instance.number in cut) == is_cut]
+                      for is_cut in (True, False)}
             if not served[True] or not served[False]:
                 continue
             share = {is_cut: sum(values) / len(values) for is_cut, values in served.items()}
@@ -992,6 +1001,12 @@
                                  f"{len(served[False])}")
         return shares
 
+    def may_be_served(self, exchange, others):
+        """Whether any of the others of its kind was served at about that time, or there were none."""
+        near = [other.is_served() for other in others
+                if other.kind == exchange.kind and abs(other.sent_at - exchange.sent_at) <= COMPARED_S]
+        return not near or any(near)
+
     # Silent connections
 
     async def silence_connections(self):
