Don't count requests at cut-off instances that never had the store

Trace: instance 3, one of the two, started 1.5 s after the cut began (05:27:24.72) and refused 92 requests with "no routing configuration has been received yet". Its first calls of the store failed at 24.727, the first answer came at 28.98: cut_reset from 24.4 on and store_silent from 25.87 and 26.76 on overlapped. The other one, without disturbances, served nearly what the sound ones did.

Change: a request counts only if its process was connected to a sound store for 2 s at a time since its start, in which a configuration has to be in force. A process that had it once, or started before, counts as before.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -991,6 +991,7 @@
                        and not e.is_half_closed and e.kind != "kept" and not e.attempt.startswith(
                            (stand_ins.FragileService.FATAL_PREFIX, "crash-"))
                        and e.instance.was_undisturbed(e.sent_at)
+                       and self.could_be_configured(e.instance, e.sent_at)
                        and any(i.was_undisturbed(e.sent_at) and not i.was_stopping(e.sent_at) for i in outside)]
             # What no other instance serves, such as requests for brittle upstreams that are full, can't be served.
             elsewhere = [e for e in counted if e.instance.number not in cut]
@@ -1011,6 +1012,15 @@
                                  f"{len(served[False])}")
         return shares
 
+    def could_be_configured(self, instance, moment):
+        """Whether the process of a moment was connected to a sound store for APPLY_S at a time since its start."""
+        since = max(started for started in instance.started if started <= moment)
+        for begin, end in sorted(self.store_faults + instance.cuts, key=lambda span: span[0]):
+            if min(begin, moment) - since >= APPLY_S:
+                return True
+            since = max(since, moment if end is None else end)
+        return moment - since >= APPLY_S
+
     def may_be_served(self, exchange, others):
         """Whether any of the others of its kind was served at about that time, or there were none."""
         near = [other.is_served() for other in others
