--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -16,7 +16,7 @@
 - a route that was added is served by each instance that was in touch with the store, also when the store came
   back from a copy just before;
 - while some instances are cut off from all upstreams, requests sent to them long after the cut began are served
-  nearly as often as those sent to others;
+  nearly as often as those sent to others, but for kinds that others don't serve either at that time;
 - upstreams that say that they are brittle, and soon take fewer requests, hardly fall over under rejections;
 - an upstream that turns requests away with a pause gets hardly any until its end from an instance that it
   told, unless the instance was just disturbed;
@@ -79,6 +79,9 @@
 # Length of a cut of instances from all upstreams; how much less often they may serve than the others, and the failures
 # that are allowed: some, and one of so many requests.
 UPSTREAM_CUT_S, CUT_SERVED_RATIO = 7.0, 2 / 3
+# A request to such an instance doesn't count if those of its kind that others got so long before or after it were
+# not served either.
+COMPARED_S = 1.0
 MAX_CUT_FAILURES, CUT_FAILURE_SHARE = 10, 1 / 50
 # Rejections in a second that a brittle upstream bears, requests that it takes at a time, and falls allowed: some,
 # and one for this share of the upstreams.
@@ -105,8 +108,9 @@
 # Time over which the requests to an upstream that names a limit are counted, and the excess allowed.
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
-# Pause between two rounds of silent connections, and the longest one from it to what is changed then.
-SILENT_CONNECTIONS_PAUSE_S, SILENT_CHANGE_S = 6.0, 5.0
+# Pause between two rounds of silent connections, and the longest ones to what is changed then, of which each round
+# has either; the shorter one is also that from a change before.
+SILENT_CONNECTIONS_PAUSE_S, SOON_S, SILENT_CHANGE_S = 6.0, 0.3, 5.0
 # Streams that are open at a kill of all instances, and the pause between their events.
 HERD_STREAMS, HERD_EVENT_PAUSE_MS = 36, 150
 # Time that a kill of all instances lasts, the pause between two of them, and for how long callers try to take
@@ -158,8 +162,9 @@
         self.port, self.ready_port, self.internal_port = [stand_ins.free_port() for _ in range(3)]
         self.budget_slack = budget_slack
         self.child, self.generation, self.newest = None, 0, 0
-        # Times at which the process was signalled or started, and those of its starts.
-        self.disturbed, self.started = [], []
+        # Times at which the process was signalled or started, those of its starts, and those at which some of its
+        # connections fell silent.
+        self.disturbed, self.started, self.silenced = [], [], []
         # Spans of time in which the store could not be reached.
         self.cuts = []
         # Times at which a process was stopped, continued or killed, and of SIGTERM by generation.
@@ -229,6 +234,11 @@
 
     def was_undisturbed(self, moment):
         """Whether the process ran undisturbed for STABLE_S before a moment."""
+        return self.was_running(moment) and not any(
+            moment - STABLE_S <= silenced <= moment for silenced in self.silenced)
+
+    def was_running(self, moment):
+        """The same, but connections may have fallen silent."""
         return not any(moment - STABLE_S <= disturbed <= moment for disturbed in self.disturbed)
 
     def was_stopping(self, moment):
@@ -304,6 +314,9 @@
     def finish(self, failure=None):
         self.failure, self.ended_at = failure, time.monotonic()
 
+    def is_served(self):
+        return self.status == 200 and not self.failure
+
     def took_s(self):
         return self.ended_at - self.sent_at
 
@@ -477,6 +490,10 @@
                     raise RuntimeError(f"instance {instance.number} did not start, see its log")
                 await asyncio.sleep(0.05)
 
+    def sender(self, address):
+        """Returns the instance that sent a request, which may have done so for another one."""
+        return next(instance for instance in self.instances if instance.address == address)
+
     def pick_program(self):
         """Returns the program of a process that starts: of two builds, either one."""
         programs = [self.options.program, self.options.other_program or self.options.program]
@@ -825,15 +842,18 @@
 
     def check_drained(self, worker, since):
         """Checks that a worker has got no requests long after the moment at which it wrote that it leaves."""
-        for moment, attempt in worker.drained_sends:
-            instance = self.askers[attempt]
+        for moment, attempt, address in worker.drained_sends:
+            instance = self.sender(address)
             if moment > since + DRAIN_S + APPLY_SLACK_S and self.is_in_touch(instance, moment):
                 self.record.rule(f"{worker.name} wrote that it leaves and got {attempt} "
                                  f"{moment - since:.2f} s later from instance {instance.number}")
 
     def is_in_touch(self, instance, moment):
-        """Whether an instance and the store were undisturbed, and connected, for STABLE_S before a moment."""
-        return instance.was_undisturbed(moment) and not any(
+        """Whether an instance and the store were undisturbed, and connected, for STABLE_S before a moment.
+
+        Connections may have fallen silent: as new ones work, that excuses no change that is missed.
+        """
+        return instance.was_running(moment) and not any(
             begin <= moment and (end is None or end >= moment - STABLE_S)
             for begin, end in self.store_faults + instance.cuts)
 
@@ -970,9 +990,13 @@
                        and not e.is_half_closed and e.kind != "kept" and not e.attempt.startswith(
                            (stand_ins.FragileService.FATAL_PREFIX, "crash-"))
                        and e.instance.was_undisturbed(e.sent_at)
+                       and self.could_be_configured(e.instance, e.sent_at)
                        and any(i.was_undisturbed(e.sent_at) and not i.was_stopping(e.sent_at) for i in outside)]
-            served = {is_cut: [e.status == 200 and not e.failure for e in counted
-                               if (e.instance.number in cut) == is_cut] for is_cut in (True, False)}
+            # What no other instance serves, such as requests for brittle upstreams that are full, can't be served.
+            elsewhere = [e for e in counted if e.instance.number not in cut]
+            counted = [e for e in counted if self.may_be_served(e, elsewhere)]
+            served = {is_cut: [e.is_served() for e in counted if (e.instance.number in cut) == is_cut]
+                      for is_cut in (True, False)}
             if not served[True] or not served[False]:
                 continue
             share = {is_cut: sum(values) / len(values) for is_cut, values in served.items()}
@@ -987,17 +1011,37 @@
                                  f"{len(served[False])}")
         return shares
 
+    def could_be_configured(self, instance, moment):
+        """Whether the process of a moment was connected to a sound store for APPLY_S at a time since its start."""
+        since = max(started for started in instance.started if started <= moment)
+        for begin, end in sorted(self.store_faults + instance.cuts, key=lambda span: span[0]):
+            if min(begin, moment) - since >= APPLY_S:
+                return True
+            since = max(since, moment if end is None else end)
+        return moment - since >= APPLY_S
+
+    def may_be_served(self, exchange, others):
+        """Whether any of the others of its kind was served at about that time, or there were none."""
+        near = [other.is_served() for other in others
+                if other.kind == exchange.kind and abs(other.sent_at - exchange.sent_at) <= COMPARED_S]
+        return not near or any(near)
+
     # Silent connections
 
     async def silence_connections(self):
         """Lets open connections to the store, to upstreams and from callers fall silent for good, or some of these.
 
-        A while later, one of the things happens that instances learn over such connections.
+        Routes are added right before and behind, and a while later one of the things happens that instances learn over
+        such connections.
         """
         now = time.monotonic()
         if now < self.silenced_at + SILENT_CONNECTIONS_PAUSE_S:
             return
         self.silenced_at = now
+        # This change may be on its way then, or instances wait for the next one again.
+        asyncio.get_running_loop().create_task(self.add_route())
+        await asyncio.sleep(self.random.uniform(0, SOON_S))
+        now = time.monotonic()
         share = self.random.choice((0.3, 0.7, 1.0))
         chosen = self.random.sample(("store", "upstreams", "callers"), self.random.randint(1, 3))
         self.log_fault(f"silent: {share} of {chosen}")
@@ -1006,7 +1050,7 @@
             return self.random.random() < share
 
         for instance in self.instances:
-            instance.disturbed.append(now)
+            instance.silenced.append(now)
             if "store" in chosen:
                 instance.proxy.silence_connections(is_chosen)
         for worker in self.workers() if "upstreams" in chosen else ():
@@ -1015,7 +1059,8 @@
             if is_chosen():
                 stand_ins.fall_silent(writer)
                 reader.set_exception(asyncio.TimeoutError())
-        await asyncio.sleep(self.random.uniform(0, SILENT_CHANGE_S))
+        asyncio.get_running_loop().create_task(self.add_route())
+        await asyncio.sleep(self.random.uniform(0, self.random.choice((SOON_S, SILENT_CHANGE_S))))
         change = self.random.choice(("configure", "configure", "leave", "terminate"))
         self.log_fault(f"behind silent connections: {change}")
         if change == "configure":
@@ -1290,8 +1335,8 @@
     def check_leaving(self, worker):
         """Checks that no instance that a leaving worker told sent it a request long after."""
         told = {}
-        for moment, attempt in worker.leaving_sends:
-            instance = self.askers[attempt]
+        for moment, attempt, address in worker.leaving_sends:
+            instance = self.sender(address)
             first = told.setdefault(instance.number, moment)
             if moment > first + DRAIN_S and instance.was_undisturbed(moment):
                 self.record.rule(f"{worker.name} said that it leaves and got {attempt} "
@@ -1300,8 +1345,8 @@
     def check_pause(self, worker):
         """Checks that instances that a worker asked for a pause have kept to it."""
         told, late = {}, {}
-        for moment, attempt in worker.paused_sends:
-            instance = self.askers[attempt]
+        for moment, address in worker.paused_sends:
+            instance = self.sender(address)
             first = told.setdefault(instance.number, moment)
             if moment > first + PAUSE_GRACE_S and instance.was_undisturbed(moment):
                 late[instance.number] = late.get(instance.number, 0) + 1
@@ -1406,9 +1451,9 @@
         """Checks the requests that a worker has got since it named its limit."""
         if not worker.limit:
             return
-        sends = [moment for moment, attempt in worker.limited_sends
+        sends = [moment for moment, _, address in worker.limited_sends
                  if moment >= worker.limited_since + STABLE_S
-                 and self.askers[attempt].was_undisturbed(moment)]
+                 and self.sender(address).was_undisturbed(moment)]
         self.count_by("limited sends", len(sends))
         allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * worker.limit + LIMIT_SLACK
         for first in sends:
