Close the idle connections to an upstream when a request times out

Callers of bamboochuted saw: after the connections to an upstream had fallen silent, one request after the other waited to its deadline and got 504, one for each connection that was kept.

Cause: src/caller sends with UpstreamCall itself; only calls through sendAndReadAnswer() closed the other idle connections after a timeout.

Change: so does a request whose call, or whose stream, times out.

--- a/src/caller/attempt.cpp
+++ b/src/caller/attempt.cpp
@@ -145,6 +145,12 @@
 
 } // namespace
 
+void closeIdleAfterTimeout(Exchange &exchange, const UpstreamSpec &upstream, const CallError &error)
+{
+    if (error.failure == CallFailure::TimedOut)
+        exchange.thread.connectionPool.closeIdle(upstream.endpoint);
+}
+
 Awaitable<Attempt> attemptCall(Exchange &exchange, const ClassifiedRequest &request,
                                const AdmissionRequest &admission, UpstreamPointer upstream,
                                std::string_view resumeAfter)
@@ -168,6 +174,7 @@
         recordAnswer(exchange, request, attempt);
         co_return attempt;
     }
+    closeIdleAfterTimeout(exchange, result.slot->upstream(), called.error());
     const bool isCancelled = called.error().failure == CallFailure::Cancelled;
     if (isCancelled && std::holds_alternative<GenerationCall>(request.call))
         cancelUpstream(exchange, result.slot->upstream());
--- a/src/caller/dispatch.hpp
+++ b/src/caller/dispatch.hpp
@@ -56,4 +56,10 @@
                                          const AdmissionRequest &admission,
                                          UpstreamPointer upstream, std::string_view resumeAfter);
 
+/// @brief Closes the idle connections to an upstream after a call to it timed out: they may have
+/// fallen silent together with the call's.
+/// @param error of the call; nothing is done for other failures
+void closeIdleAfterTimeout(Exchange &exchange, const UpstreamSpec &upstream,
+                           const upstream::CallError &error);
+
 } // namespace bamboochute::caller
--- a/src/caller/relay.cpp
+++ b/src/caller/relay.cpp
@@ -96,8 +96,10 @@
     while (true) {
         call.setDeadline(readDeadline(relay));
         const upstream::CallResult<bool> more = co_await call.readBody();
-        if (!more)
+        if (!more) {
+            closeIdleAfterTimeout(relay.exchange, relay.source.slot->upstream(), more.error());
             co_return PartResult{readError(relay, more.error()), true};
+        }
         if (!more.value())
             break;
         const Result<std::span<const std::string_view>> whole
--- a/tests/platform/adapter/silent_server.hpp
+++ b/tests/platform/adapter/silent_server.hpp
@@ -40,6 +40,10 @@
     /// Lets all present connections fall silent: nothing is read from them or written to them.
     void silence() { this->silentBelow = this->connections; }
 
+    /// Lets the next connections be silent from their beginning.
+    /// @param count number of them; zero for all later ones to work
+    void silenceNext(int count) { this->silentBelow = this->connections + count; }
+
     int connections = 0;
 
 private:
