Open a new connection to an instance that fell silent

Seen: nothing by callers; found while the connections were listed. Calls between instances of bamboochuted share one connection to each. When it fell silent for good, each call on it timed out, and each new call kept it from being closed as idle.

Cause: after a timeout the connection was closed only if the call had not been sent.

Change: if nothing arrived on it since the call was sent, later calls open a new one; calls that still wait on the silent one keep it until their own answer or timeout.

Evidence: tests/peer/unit-silent_links.cpp, by a proxy that goes silent: on the code before the call after the timeouts timed out too, on the same connection (1 of 2 answered); now it is answered on a second one.

--- a/src/peer/call_client.cpp
+++ b/src/peer/call_client.cpp
@@ -5,6 +5,7 @@
 #include "peer/json_rpc.hpp"
 
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -38,6 +39,7 @@
     /// Payload of the request until the connection is ready; empty once it was sent.
     std::string unsent;
     bool isSent = false;
+    Steady::time_point sentAt{};
 };
 
 /// Connection to one endpoint, from its setup to its end.
@@ -54,6 +56,10 @@
     bool isReady = false;
     bool isClosed = false;
     Steady::time_point lastUsed{};
+    /// When its last frame arrived.
+    Steady::time_point lastHeard{};
+    /// It fell silent and gets no further calls; it is closed after the last one on it.
+    bool isSilent = false;
 };
 
 using LinkPointer = std::shared_ptr<Link>;
@@ -108,7 +114,7 @@
         const auto known = this->links.find(to);
         if (known != this->links.end())
             return known->second;
-        if (this->links.size() >= maxClientConnections)
+        if (this->links.size() + this->silentLinks.size() >= maxClientConnections)
             return nullptr;
         auto link = std::make_shared<Link>(this->context);
         link->to = to;
@@ -154,6 +160,7 @@
 
     void handleFrame(const LinkPointer &link, std::string_view payload)
     {
+        link->lastHeard = Steady::now();
         if (!link->isReady) {
             // The server's first frame proves that it knows the key.
             link->isReady = true;
@@ -171,6 +178,10 @@
             return;
         const EncodedDone done = std::move(pending->second->done);
         link->pending.erase(pending);
+        if (link->isSilent && link->pending.empty())
+            boost::asio::post(this->context, [state = this->shared_from_this(), link] {
+                state->closeLink(link, ConnectionEnd::Closed);
+            });
         std::string error;
         if (this->protocol.parseAnswer(std::string(answer->envelope), error))
             done(std::string(answer->body));
@@ -186,6 +197,7 @@
             if (pending->isSent || link->isClosed)
                 continue;
             pending->isSent = true;
+            pending->sentAt = Steady::now();
             link->connection->send(pending->unsent);
             pending->unsent.clear();
         }
@@ -198,10 +210,14 @@
             return;
         ++this->totals.timedOut;
         const bool wasSent = pending->second->isSent;
+        const bool isSilent = wasSent && link->lastHeard <= pending->second->sentAt;
         const EncodedDone done = std::move(pending->second->done);
         link->pending.erase(pending);
-        // A host that never answers leaves the connection half open; a later call opens a new one.
-        if (!wasSent && link->pending.empty())
+        // A later call opens a new connection.
+        if (isSilent)
+            this->retire(link);
+        // A host that never answers leaves the connection half open.
+        if ((!wasSent || link->isSilent) && link->pending.empty())
             this->closeLink(link, ConnectionEnd::Closed);
         done(Error(
                 ErrorKind::PeerUnreachable,
@@ -209,6 +225,17 @@
                 wasSent ? "sent" : "not_sent"));
     }
 
+    /// Keeps a link that fell silent only for the calls that wait on it.
+    void retire(const LinkPointer &link)
+    {
+        const auto known = this->links.find(link->to);
+        if (known == this->links.end() || known->second != link)
+            return;
+        link->isSilent = true;
+        this->links.erase(known);
+        this->silentLinks.insert(link);
+    }
+
     void closeLink(const LinkPointer &link, ConnectionEnd reason)
     {
         if (link->isClosed)
@@ -221,6 +248,7 @@
         const auto known = this->links.find(link->to);
         if (known != this->links.end() && known->second == link)
             this->links.erase(known);
+        this->silentLinks.erase(link);
         const auto pending = std::move(link->pending);
         link->pending.clear();
         const bool isUnauthenticated = reason == ConnectionEnd::Unauthenticated;
@@ -258,6 +286,9 @@
         const std::map<Endpoint, LinkPointer> all = this->links;
         for (const auto &[endpoint, link] : all)
             this->closeLink(link, ConnectionEnd::Closed);
+        const std::set<LinkPointer> silent = this->silentLinks;
+        for (const LinkPointer &link : silent)
+            this->closeLink(link, ConnectionEnd::Closed);
     }
 
     boost::asio::io_context &context;
@@ -265,6 +296,7 @@
     CallingInstance self;
     JsonRpcClient protocol;
     std::map<Endpoint, LinkPointer> links;
+    std::set<LinkPointer> silentLinks;
     std::uint64_t nextCallNumber = 1;
     Steady::time_point nextSweep{};
     CallClientCounts totals;
