Use no connection on which more than an answer was read

Seen: nothing by callers; found while the kept connections were listed for answers that nobody asked for. AsyncHttpClient, which bamboochuted's control thread calls the key-value service and the list of instances with, took an answer that came twice in the same bytes for the answer to the next call.

Cause: an idle connection's socket was checked for unread bytes, but those that had been read along with the answer were in its buffer.

Change: a connection with bytes left in the buffer is not kept.

Evidence: unit-silent_connections.cpp "an answer of the key-value service that nobody asked for answers no later call" failed before in the case "in the bytes of the first one" (the other one, bytes that arrive while it is idle, passed), and passes now; test-adapter 58 of 58 cases. The same file has a test for orders to engines that fall silent: of unknown outcome; it passes before and after.

--- a/src/platform/http_call.cpp
+++ b/src/platform/http_call.cpp
@@ -130,7 +130,8 @@
             co_return this->fail(call.request, error);
         HttpAnswer answer{static_cast<int>(parser.get().result_int()),
                           std::move(parser.get().body())};
-        if (parser.get().keep_alive())
+        // Bytes after the answer belong to no call.
+        if (parser.get().keep_alive() && connection->buffer.size() == 0)
             this->idle.push_back(std::move(connection));
         co_return answer;
     }
--- a/tests/platform/adapter/unit-silent_connections.cpp
+++ b/tests/platform/adapter/unit-silent_connections.cpp
@@ -280,3 +280,78 @@
     CHECK(answersTo(1) == 0);
     CHECK(answersTo(1) == 1);
 }
+
+TEST_CASE("orders to engines, silent in the middle of a call: the order is of unknown outcome")
+{
+    asio::io_context loop(1);
+    SilentServer engine(loop, [](const std::string &) { return std::string("{}"); });
+    HttpClient client(loop);
+    const residency::EnginePort port = makeEnginePort(
+            client, [](const gateway::RegisteredUpstream &, const upstream::WholeAnswer &) {});
+    gateway::RegisteredUpstream upstream;
+    upstream.id = UpstreamId("engine");
+    upstream.endpoint = engine.endpoint();
+    const auto order = [&] {
+        std::optional<residency::OrderAnswer> answer;
+        asio::co_spawn(
+                loop,
+                [&]() -> upstream::Awaitable<void> {
+                    residency::EngineOrder load;
+                    load.target.model = ModelId("m");
+                    answer = co_await port.order(upstream, load);
+                },
+                asio::detached);
+        while (!answer)
+            loop.run_one();
+        return *answer;
+    };
+    CHECK(order() != residency::OrderAnswer::Unknown);
+    // Each order has a connection of its own, so only one that is made before the silence finds it.
+    engine.silenceNext(1);
+    const TimePoint begin = SteadyClock().now();
+    CHECK(order() == residency::OrderAnswer::Unknown);
+    CHECK(SteadyClock().now() - begin < 2s);
+    CHECK(order() != residency::OrderAnswer::Unknown);
+}
+
+// Guards against an answer that comes twice in the same bytes, and whose second copy is taken for
+// the answer to the next call.
+TEST_CASE("an answer of the key-value service that nobody asked for answers no later call")
+{
+    asio::io_context loop(1);
+    asio::ip::tcp::acceptor acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0});
+    platform::AsyncHttpClient client(loop, {{"127.0.0.1", acceptor.local_endpoint().port()}}, {});
+    const auto answerWith = [](const std::string &body) {
+        return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+    };
+    std::string read;
+    const auto call = [&] {
+        read.clear();
+        client.call({"GET", "/", {}, {}}, [&](const Result<platform::HttpAnswer> &answer) {
+            read = answer ? answer.value().body : "error";
+        });
+        loop.restart();
+        loop.run_for(50ms);
+    };
+    call();
+    asio::ip::tcp::socket first = acceptor.accept();
+    SUBCASE("in the bytes of the first one")
+    {
+        asio::write(first, asio::buffer(answerWith("one") + answerWith("stale")));
+        loop.run_for(50ms);
+        CHECK(read == "one");
+    }
+    SUBCASE("while the connection was idle")
+    {
+        asio::write(first, asio::buffer(answerWith("one")));
+        loop.run_for(50ms);
+        CHECK(read == "one");
+        asio::write(first, asio::buffer(answerWith("stale")));
+    }
+    call();
+    REQUIRE(read.empty());
+    asio::ip::tcp::socket second = acceptor.accept();
+    asio::write(second, asio::buffer(answerWith("two")));
+    loop.run_for(50ms);
+    CHECK(read == "two");
+}
