Test that a late answer of another instance answers no later call

Answers between instances carry their call's number, so that one that nobody waits for any more is dropped and its connection goes on; the test of a call that is answered late now lets that answer arrive.

--- a/tests/peer/unit-silent_links.cpp
+++ b/tests/peer/unit-silent_links.cpp
@@ -161,6 +161,9 @@
     fixture.call(UsageReport{PoolId("p"), {}}, 100ms, late);
     fixture.call(Ping{}, 5s, answers);
     fixture.runUntilSize(late, 1);
+    // The late answer belongs to no call by the time it arrives.
+    REQUIRE(fixture.held.size() == 1);
+    fixture.held.front()(UsageAnswer{});
     fixture.call(Ping{}, 5s, answers);
     fixture.runUntilSize(answers, 3);
     CHECK(late == std::vector<bool>{false});
