Keep a stream at its version where its route has moved to another service

Callers saw: a stream that was taken up after a change of the configuration went on at the route's new service whatever version ran there, though its origin was known.

Cause: the origin bound a request only if the route's service was still the one that began the stream; else the request went on as if it had no origin.

Change: the version of the origin binds in each case. The new service goes on with the stream where it has upstreams of that version; else the request is refused with 503.

Evidence: unit-relay, "its route was moved to a service that runs another one: it is refused": on the code before, 2 of 4 assertions of its case failed (answered 200, and sent to the upstream of v2).

--- a/src/gateway/request_stream_origin.cpp
+++ b/src/gateway/request_stream_origin.cpp
@@ -71,9 +71,6 @@
         return true;
     const std::optional<StreamOrigin> origin
             = this->gateway.origins.find(this->attributes.resumedRequest);
-    // Another service than the one that began it may follow only where the route has changed.
-    if (origin && origin->service != this->service->id)
-        return true;
     this->requiredVersion = origin ? origin->version : this->findSoleVersion();
     return this->requiredVersion.has_value();
 }
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -574,6 +574,19 @@
         expected = "HTTP/1.1 200 ";
         sent = 1;
     }
+    SUBCASE("its route was moved to a service that runs another one: it is refused")
+    {
+        services = {{halls, 1}};
+        origin = gateway::StreamOrigin{RequestId("r1"), rooms, SoftwareVersion("v1")};
+    }
+    SUBCASE("its route was moved to a service that runs the same one: it goes on")
+    {
+        services = {{halls, 1}};
+        origin = gateway::StreamOrigin{RequestId("r1"), rooms, SoftwareVersion("v1")};
+        versionOfHalls = "v1";
+        expected = "HTTP/1.1 200 ";
+        sent = 1;
+    }
     fixture.publishChange([&](gateway::RoutingConfiguration &configuration) {
         configuration.services.push_back({halls, 100, std::nullopt});
         for (gateway::Route &route : configuration.routes)
