Count health checks in the soak by the instance that sent them

A health check is counted under its instance's address, in the limits as any request, and in pauses and leavings once a request of the instance has been answered with them. What a health check's answer says of a pause or a leaving is not read by the instance. The checks of requests are as before.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -450,6 +450,7 @@
             proxy = stand_ins.Proxy(self.store.port)
             await proxy.start()
             self.instances.append(Instance(self.pick_program, number, self.directory, proxy, budget_slack))
+            self.askers[stand_ins.HEALTH_CHECK + self.instances[-1].address] = self.instances[-1]
         for instance in self.instances:
             while not await self.is_ready(instance):
                 if instance.child.poll() is not None:
@@ -1271,6 +1272,9 @@
         told = {}
         for moment, attempt in worker.leaving_sends:
             instance = self.askers[attempt]
+            if attempt.startswith(stand_ins.HEALTH_CHECK) and instance.number not in told:
+                # What its answer says beside the status is not read; after an answer to a request it counts.
+                continue
             first = told.setdefault(instance.number, moment)
             if moment > first + DRAIN_S and instance.was_undisturbed(moment):
                 self.record.rule(f"{worker.name} said that it leaves and got {attempt} "
@@ -1281,6 +1285,9 @@
         told, late = {}, {}
         for moment, attempt in worker.paused_sends:
             instance = self.askers[attempt]
+            if attempt.startswith(stand_ins.HEALTH_CHECK) and instance.number not in told:
+                # What its answer says beside the status is not read; after an answer to a request it counts.
+                continue
             first = told.setdefault(instance.number, moment)
             if moment > first + PAUSE_GRACE_S and instance.was_undisturbed(moment):
                 late[instance.number] = late.get(instance.number, 0) + 1
