--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -1439,7 +1439,7 @@
         """Checks how often brittle upstreams fell over, most of whose rejections were of requests from
         undisturbed instances; returns that number."""
         def is_counted(rejections):
-            sound = [self.askers[attempt].was_undisturbed(moment) for moment, attempt in rejections]
+            sound = [self.sender(address).was_undisturbed(moment) for moment, address in rejections]
             return 2 * sum(sound) > len(sound)
 
         falls = sum(is_counted(fall) for worker in self.services for fall in worker.falls)
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -587,7 +587,7 @@
         elif self.max_running is not None and self.running >= self.max_running:
             self.received(request)
             writer.write(answer_bytes(503, headers=[("X-Not-Executed", "1"), *self.note_headers()]))
-            self.reject(request.header("X-Attempt-Id"))
+            self.reject(request.sender)
         elif self.random.random() < self.refuse:
             self.received(request)
             writer.write(answer_bytes(503, headers=[("X-Not-Executed", "1"), *self.note_headers()]))
@@ -605,10 +605,10 @@
             finally:
                 self.running -= process == self.process
 
-    def reject(self, attempt):
+    def reject(self, address):
         """Counts a rejection for want of room; a brittle worker falls over at too many in a second."""
         now = time.monotonic()
-        self.rejections = [one for one in self.rejections if one[0] > now - 1] + [(now, attempt)]
+        self.rejections = [one for one in self.rejections if one[0] > now - 1] + [(now, address)]
         if self.brittle and len(self.rejections) > self.brittle and self.server.is_serving():
             self.falls.append(self.rejections)
             self.rejections = []
