Let streams with a time limit outlive their deadline watch

What was seen: test-adapter ended with SIGSEGV in "one odd registration names no upstream" beside a load of 30. An event loop that ends with calls still waiting destroys their streams after the client that owns the deadline watch; each stream then removed itself from a list that was gone. It may happen at the end of a process as well; that was not seen.

Cause: HttpStream::~HttpStream() uses the watch whenever it is watched.

Change: the watch takes its streams out of its list when it ends.

The other packages were not built and run with this change.

--- a/src/upstream/deadline_watch.cpp
+++ b/src/upstream/deadline_watch.cpp
@@ -12,6 +12,13 @@
     , timer(context)
 {}
 
+DeadlineWatch::~DeadlineWatch()
+{
+    // The event loop may hold waiting calls with their streams for longer.
+    for (HttpStream *stream : this->watched)
+        stream->watchIndex = HttpStream::notWatched;
+}
+
 void DeadlineWatch::watchDeadline(HttpStream &stream)
 {
     if (stream.watchIndex == HttpStream::notWatched) {
--- a/src/upstream/deadline_watch.hpp
+++ b/src/upstream/deadline_watch.hpp
@@ -21,6 +21,10 @@
     static constexpr Duration tickInterval = std::chrono::milliseconds(10);
 
     explicit DeadlineWatch(asio::io_context &context);
+    /// @brief Streams that are still watched have no time limit from then on.
+    ~DeadlineWatch();
+    DeadlineWatch(const DeadlineWatch &) = delete;
+    DeadlineWatch &operator=(const DeadlineWatch &) = delete;
 
     /// @brief Watches a stream's new time limit until remove().
     ///
--- a/src/upstream/http_stream.hpp
+++ b/src/upstream/http_stream.hpp
@@ -44,7 +44,7 @@
     static constexpr std::size_t notWatched = std::numeric_limits<std::size_t>::max();
 
     /// @param socket connected, or to be connected by connect()
-    /// @param watch deadline watch of the same thread; must outlive the stream
+    /// @param watch deadline watch of the same thread; must outlive all operations of the stream
     /// @param maxBufferBytes largest size of the read buffer
     HttpStream(Socket socket, DeadlineWatch &watch, std::size_t maxBufferBytes);
     ~HttpStream();
--- a/tests/upstream/unit-http_stream.cpp
+++ b/tests/upstream/unit-http_stream.cpp
@@ -101,3 +101,19 @@
     CHECK(connection.status == StreamStatus::Expired);
     CHECK(connection.stream->isOpen());
 }
+
+// Guards against a crash at the end of a process, or of a test, whose event loop still holds
+// waiting calls.
+TEST_CASE("a stream with a time limit may be destroyed after its deadline watch")
+{
+    asio::io_context loop;
+    auto watch = std::make_unique<DeadlineWatch>(loop);
+    const auto first = std::make_shared<HttpStream>(Socket(loop), *watch, 4096);
+    auto second = std::make_shared<HttpStream>(Socket(loop), *watch, 4096);
+    first->expireAt(SteadyClock().now() + 1s);
+    second->expireAt(SteadyClock().now() + 1s);
+    watch.reset();
+    second.reset();
+    first->neverExpire();
+    CHECK_FALSE(first->isExpired());
+}
