Let what an answer to a probe says hold for requests

What callers saw: nothing yet; found in the review of the probes that need an answer. An upstream that answered such a probe with 503 and Retry-After, or said that it leaves, was sent requests by the same instance right after it.

Cause: only the status of a probe's answer was read.

Change: a pause and a leaving in it are recorded as from any other answer. That it names no limit is not counted, as it need not.

--- a/src/gateway/forwarding_driver.cpp
+++ b/src/gateway/forwarding_driver.cpp
@@ -242,14 +242,14 @@
     Links &own = this->linksTo(service);
     own.isRoundOpen = true;
     const TimePoint begunAt = now();
-    const std::vector<Endpoint> probed = this->pickProbed(service, kind);
+    const std::vector<Probed> probed = this->pickProbed(service, kind);
     const auto round = std::make_shared<Round>();
     round->open = probed.size();
-    for (const Endpoint &endpoint : probed)
+    for (const Probed &each : probed)
         boost::asio::co_spawn(this->loop,
                               kind == ProbeKind::Answer
-                                      ? this->ask(endpoint, this->probeTarget(service), round)
-                                      : this->probe(endpoint, round),
+                                      ? this->ask(each, this->probeTarget(service), round)
+                                      : this->probe(each.endpoint, round),
                               boost::asio::detached);
     while (round->open > 0)
         co_await this->probeEnd.wait(now() + this->settings.probeTimeout);
@@ -284,9 +284,10 @@
 
 /// Sends a request of this instance's own; any head of an answer shows that the upstream is
 /// reached.
-Awaitable<void> ForwardingDriver::ask(Endpoint endpoint, std::string target,
+Awaitable<void> ForwardingDriver::ask(Probed probed, std::string target,
                                       std::shared_ptr<Round> round)
 {
+    const Endpoint &endpoint = probed.endpoint;
     const auto position = this->probeCalls.emplace(this->probeCalls.end(), this->pool, endpoint);
     const std::string head
             = fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\nConnection: close\r\n\r\n", target,
@@ -299,6 +300,8 @@
         const upstream::CallResult<void> read = co_await position->readHead();
         if (read)
             ++round->held;
+        if (read && this->onProbeAnswered)
+            this->onProbeAnswered(probed.process, position->answer());
     }
     this->probeCalls.erase(position);
     --round->open;
@@ -326,17 +329,18 @@
 }
 
 /// Picks upstreams of a service that are not leaving.
-std::vector<Endpoint> ForwardingDriver::pickProbed(const ServiceId &service, ProbeKind kind)
+std::vector<ForwardingDriver::Probed> ForwardingDriver::pickProbed(const ServiceId &service,
+                                                                   ProbeKind kind)
 {
     const bool isAnswer = kind == ProbeKind::Answer;
-    std::vector<Endpoint> candidates;
+    std::vector<Probed> candidates;
     for (const UpstreamTable::Entry *entry : this->table.findServing(service)) {
         if (!isAnswer || !this->mayAsk || this->mayAsk(entry->process()))
-            candidates.push_back(entry->registered.endpoint);
+            candidates.push_back({entry->process(), entry->registered.endpoint});
     }
     const std::uint32_t count
             = isAnswer ? this->settings.askedUpstreams : this->settings.probedUpstreams;
-    std::vector<Endpoint> picked;
+    std::vector<Probed> picked;
     while (picked.size() < count && !candidates.empty()) {
         const std::size_t index = this->random.below(candidates.size());
         picked.push_back(candidates[index]);
--- a/src/gateway/forwarding_driver.hpp
+++ b/src/gateway/forwarding_driver.hpp
@@ -136,8 +136,16 @@
     std::function<std::string(const ServiceId &service)> findProbeTarget;
     /// Returns whether an upstream may be sent a request that needs an answer; unset: any may.
     std::function<bool(const UpstreamProcess &)> mayAsk;
+    /// Called with the answer to a request of this instance's own.
+    std::function<void(const UpstreamProcess &, const upstream::ParsedMessage &)> onProbeAnswered;
 
 private:
+    /// An upstream that a round of probes tries.
+    struct Probed
+    {
+        UpstreamProcess process;
+        Endpoint endpoint;
+    };
     struct Round
     {
         std::size_t open = 0;
@@ -169,9 +177,8 @@
     void recordRound(const ServiceId &service, TimePoint begunAt, std::size_t probes,
                      std::size_t held, forwarding::ProbeKind kind);
     upstream::Awaitable<void> probe(Endpoint endpoint, std::shared_ptr<Round> round);
-    upstream::Awaitable<void> ask(Endpoint endpoint, std::string target,
-                                  std::shared_ptr<Round> round);
-    std::vector<Endpoint> pickProbed(const ServiceId &service, forwarding::ProbeKind kind);
+    upstream::Awaitable<void> ask(Probed probed, std::string target, std::shared_ptr<Round> round);
+    std::vector<Probed> pickProbed(const ServiceId &service, forwarding::ProbeKind kind);
     std::string probeTarget(const ServiceId &service) const;
     void noteState(const ServiceId &service);
     void doubtOtherLinks(const ServiceId &lost);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,6 +79,15 @@
         return !this->pauses.isPaused(process, SteadyClock().now())
                && !this->upstreamLimits.isScarce(process);
     };
+    // A probe's answer need not name the limit, so that its absence says nothing.
+    this->forwarding.onProbeAnswered = [this](const UpstreamProcess &process,
+                                              const upstream::ParsedMessage &answer) {
+        const AnswerAttributes attributes = this->codec.readAnswer(answer.status, answer.headers);
+        const bool isOtherProcess
+                = !attributes.answeredBy.isEmpty() && attributes.answeredBy != process.upstream;
+        if (!isOtherProcess && (attributes.isLeaving || attributes.pause))
+            this->recordAnswer(process, attributes);
+    };
     // What failed behind the cut says nothing about the upstreams.
     this->forwarding.onReturn = [this](const ServiceId &service) {
         for (const UpstreamTable::Entry *entry : this->table.findServing(service))
--- a/tests/gateway/unit-silent_links.cpp
+++ b/tests/gateway/unit-silent_links.cpp
@@ -138,3 +138,24 @@
         CHECK(countRequests(sound, "GET /health ") == 1);
     }
 }
+
+// Guards against requests to an upstream that asked for a pause, or said that it leaves, in its
+// answer to a probe.
+TEST_CASE("what an upstream says in its answer to a probe holds for requests as well")
+{
+    std::string said = "test-not-run: 1\r\n";
+    SUBCASE("it asks for a pause")
+    {
+        said += "test-pause-ms: 5000\r\n";
+    }
+    SUBCASE("it leaves")
+    {
+        said += "test-leaving: 1\r\n";
+    }
+    ScriptedUpstream upstream({Script{answer(503, "full", said)}, Script{answer(200, "sent")}});
+    RelayFixture instance({&upstream});
+    publishProbeTarget(instance);
+    CHECK(instance.askForHelp(true) > 0);
+    CHECK(containsText(instance.call(request("/once/a", "body")), "HTTP/1.1 503"));
+    CHECK(countRequests(upstream, "/once/a") == 0);
+}
