Don't send a stream that goes back to its silent upstream through another instance

A stream whose runs were used up, and which might only go back to the upstream that it had left, went through another instance if this one was just cut off, and could run at one upstream more than its route allows.

Cause: the filter of upstreams that holds such a stream is this instance's own.

Change: such a stream is not forwarded.

--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -106,7 +106,8 @@
 {
     ForwardingDriver &driver = this->gateway.forwarding;
     const ServiceId &id = this->service->id;
-    if (this->forwarded || !driver.wantsHelper(id, this->failedConnects))
+    // A helper would send it to a further upstream.
+    if (this->forwarded || this->mustGoBack || !driver.wantsHelper(id, this->failedConnects))
         co_return NextHop{};
     NextHop next;
     if (this->triedHelpers.size() < driver.limits().helpers.maxHelpersPerRequest)
