Let a stream go back to an upstream that is avoided for its silence

Cause: a request for a model needs a healthy upstream, as another one can be given the model. A stream whose runs are used up has no other.

Change: health is not required of the one upstream that is left.

Evidence: by reading; no test with an engine.

--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -45,8 +45,9 @@
     this->passOverUnrecorded(query.candidates);
     if (this->isEngineTarget()) {
         query.affinityKey = this->attributes.sharedPromptHash;
-        // The placement owner can have the target loaded at another upstream.
-        query.isHealthRequired = true;
+        // The placement owner can have the target loaded at another upstream. One that was given up
+        // for its silence is avoided because of that.
+        query.isHealthRequired = !this->mustGoBack;
     }
     return query;
 }
