Take one retry for the way back when a second upstream is asked

A stream whose second upstream fell silent as well took another retry for a third one, and the first was never given back; with none left it had lost the way back that it had paid for.

Change: a retry in hand is kept.

Evidence: by reading; no test.

--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -203,7 +203,8 @@
 /// @return false if no retry is left
 bool RequestExchange::takeRetryForWayBack()
 {
-    this->hasWayBack = this->gateway.budget.takeRetry(this->service->id, this->now());
+    if (!this->hasWayBack)
+        this->hasWayBack = this->gateway.budget.takeRetry(this->service->id, this->now());
     return this->hasWayBack;
 }
 
