Don't take slow answers of all upstreams for a cut of single instances

Where a service is slow for everybody, probes that wait for a slot are unanswered too, and an instance that had an answer after three seconds offered help. Requests then took a hop for nothing, left upstreams that worked on them, and the cut lasted while the service was slow.

Cause: any answer within a second counted as evidence that others are answered, however long it had taken; and answers to calls that began during such a cut didn't count.

Change: help with silent upstreams is offered on answers that came within 400 ms, or on an answered probe. An answer to a call that began after the one that raised the suspicion ends the cut, with the growing share of any return.

--- a/src/forwarding/reachability.cpp
+++ b/src/forwarding/reachability.cpp
@@ -9,10 +9,18 @@
     this->lastReachedBegin = std::max(this->lastReachedBegin, begunAt);
     this->lastAnsweredBegin = std::max(this->lastAnsweredBegin, begunAt);
     // A connection that was open before a cut may live on.
-    if (this->decided == ReachabilityState::CutOff)
+    const bool endsSilence = this->isSilent && begunAt > this->suspectedSince;
+    if (this->decided == ReachabilityState::CutOff && !endsSilence)
         return;
     this->lastEvidenceAt = now;
     this->lastHeardAt = now;
+    if (now - begunAt <= this->limits.promptTime)
+        this->lastPromptAnswerAt = now;
+    if (this->decided == ReachabilityState::CutOff) {
+        this->returnedAt = now;
+        this->endCut(now);
+        return;
+    }
     // Where upstreams are slow for everybody, answers come late, but they come.
     const bool isRefuted = this->isSilent || begunAt > this->suspectedSince;
     if (this->decided == ReachabilityState::Suspected && isRefuted)
@@ -64,6 +72,7 @@
     }
     if (held > 0 && kind == ProbeKind::Answer) {
         this->lastHeardAt = now;
+        this->lastPromptAnswerAt = now;
         this->lastAnsweredBegin = std::max(this->lastAnsweredBegin, begunAt);
     }
     if (this->decided != ReachabilityState::Reachable && kind != this->probeKind()) {
--- a/src/forwarding/reachability.hpp
+++ b/src/forwarding/reachability.hpp
@@ -46,6 +46,8 @@
     std::uint32_t roundsToReturn = 2;
     std::uint32_t maxRoundsToReturn = 8;
     Duration flapTime = std::chrono::seconds(10);
+    /// Time within which an answer shows other instances that upstreams are not slow for everybody.
+    Duration promptTime = std::chrono::milliseconds(400);
     /// Share of a round's connections that have to hold for the round to be good.
     double goodShare = 0.5;
     /// Time in which the share of requests on the instance's own links rises from nothing to all.
@@ -148,7 +150,8 @@
     /// @brief Whether an upstream has answered, or a probe of that kind was good, within a time.
     bool hasEvidence(Duration maxAge, TimePoint now, ProbeKind kind = ProbeKind::Connection) const
     {
-        const TimePoint at = kind == ProbeKind::Answer ? this->lastHeardAt : this->lastEvidenceAt;
+        const TimePoint at
+                = kind == ProbeKind::Answer ? this->lastPromptAnswerAt : this->lastEvidenceAt;
         return at != TimePoint() && now - at <= maxAge;
     }
 
@@ -170,6 +173,8 @@
     /// When an upstream was last shown, and when it last answered.
     TimePoint lastEvidenceAt{};
     TimePoint lastHeardAt{};
+    /// The same, but only of answers that came within the prompt time.
+    TimePoint lastPromptAnswerAt{};
     /// Whether the suspicion or the cut is one of calls that are accepted and not answered.
     bool isSilent = false;
     /// When a silence may raise a suspicion again, the pause until then, and its begin.
--- a/tests/forwarding/unit-reachability.cpp
+++ b/tests/forwarding/unit-reachability.cpp
@@ -207,6 +207,14 @@
             }
             CHECK(links.state(now) == ReachabilityState::CutOff);
         }
+        SUBCASE("an answer to a call that began since ends it, with a growing share")
+        {
+            links.recordAnswer(begunAt - 1s, now);
+            CHECK(links.state(now) == ReachabilityState::CutOff);
+            links.recordAnswer(begunAt + 1ms, now);
+            CHECK(links.state(now) == ReachabilityState::Returning);
+            CHECK(links.state(now + 2s) == ReachabilityState::Reachable);
+        }
         SUBCASE("two answered rounds end it, with a growing share")
         {
             CHECK(askRounds(links, 2, true, now, 1) == 1);
@@ -253,6 +261,15 @@
         CHECK(links.hasEvidence(100ms, now));
         CHECK_FALSE(links.hasEvidence(100ms, now, ProbeKind::Answer));
     }
+    SUBCASE("one that is answered late itself doesn't show it")
+    {
+        Reachability other;
+        other.recordAnswer(now - 1s, now);
+        CHECK(other.hasEvidence(100ms, now));
+        CHECK_FALSE(other.hasEvidence(100ms, now, ProbeKind::Answer));
+        other.recordAnswer(now - 100ms, now);
+        CHECK(other.hasEvidence(100ms, now, ProbeKind::Answer));
+    }
 }
 
 // Guards against an instance that takes slow upstreams, or a single silent one, for a cut, and
