Name the retry with which a stream returns to its silent upstream

The members and functions of the way back are named after the retry that is reserved and what it allows; the log line's outcome is retry_reserved. No behaviour changed.

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -280,8 +280,8 @@
         this->hasTimedOut = true;
         return false;
     }
-    if (this->hasWayBack) {
-        this->takeWayBack();
+    if (this->hasReturnRetry) {
+        this->allowReturn();
         return true;
     }
     if (outcome == AttemptOutcome::NotRun) {
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -202,9 +202,9 @@
     upstream::Awaitable<std::optional<UpstreamId>> selectReplacement();
     upstream::Awaitable<bool> sendToReplacement(const HeadText &head);
     bool isAnswerUsable();
-    bool takeRetryForWayBack();
-    void dropWayBack();
-    void takeWayBack();
+    bool reserveReturnRetry();
+    void releaseReturnRetry();
+    void allowReturn();
     void recordReplacedAttempt();
     void recordReplacementFailure(const upstream::CallError &error);
     SilenceWatch makeSilenceWatch() const;
@@ -289,9 +289,9 @@
     /// The last silent upstream that was given up.
     UpstreamId givenUp;
     /// A retry is taken with which the stream can go back there.
-    bool hasWayBack = false;
+    bool hasReturnRetry = false;
     /// No other upstream may run the request any more.
-    bool mustGoBack = false;
+    bool mustReturn = false;
     /// Version that began the stream, once it has begun; the stream goes on at no other one.
     std::optional<SoftwareVersion> requiredVersion;
     /// False if the record of versions was to be read and could not be.
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -107,7 +107,7 @@
     ForwardingDriver &driver = this->gateway.forwarding;
     const ServiceId &id = this->service->id;
     // A helper would send it to a further upstream.
-    if (this->forwarded || this->mustGoBack || !driver.wantsHelper(id, this->failedConnects))
+    if (this->forwarded || this->mustReturn || !driver.wantsHelper(id, this->failedConnects))
         co_return NextHop{};
     NextHop next;
     if (this->triedHelpers.size() < driver.limits().helpers.maxHelpersPerRequest)
--- a/src/gateway/request_records.cpp
+++ b/src/gateway/request_records.cpp
@@ -39,7 +39,7 @@
 
 void RequestExchange::recordSuccess()
 {
-    this->dropWayBack();
+    this->releaseReturnRetry();
     if (this->attempt.helper)
         return;
     const Duration latency = this->now() - this->attempt.sentAt;
--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -171,7 +171,7 @@
         if (read) {
             const bool isUsable = this->isAnswerUsable();
             if (isUsable && this->isAnswerBegun)
-                this->takeRetryForWayBack();
+                this->reserveReturnRetry();
             co_return isUsable;
         }
         if (read.error().failure != CallFailure::TimedOut) {
@@ -187,7 +187,7 @@
         const bool mustDecide = this->isAnswerBegun && this->now() >= acceptedAt;
         if (silentActivity == PeerActivity::Lost)
             co_return true;
-        if (mustDecide && !this->takeRetryForWayBack()) {
+        if (mustDecide && !this->reserveReturnRetry()) {
             ++this->possibleRuns;
             this->log(LogLevel::Info, "silent upstream kept", "no_retry_left",
                       this->durationField());
@@ -201,28 +201,28 @@
 /// Takes the retry with which a stream can go back to its silent upstream if the other one ends
 /// before its first event.
 /// @return false if no retry is left
-bool RequestExchange::takeRetryForWayBack()
+bool RequestExchange::reserveReturnRetry()
 {
-    if (!this->hasWayBack)
-        this->hasWayBack = this->gateway.budget.takeRetry(this->service->id, this->now());
-    return this->hasWayBack;
+    if (!this->hasReturnRetry)
+        this->hasReturnRetry = this->gateway.budget.takeRetry(this->service->id, this->now());
+    return this->hasReturnRetry;
 }
 
 /// Gives that retry back, once the other upstream has sent an event.
-void RequestExchange::dropWayBack()
+void RequestExchange::releaseReturnRetry()
 {
-    if (std::exchange(this->hasWayBack, false))
+    if (std::exchange(this->hasReturnRetry, false))
         this->gateway.budget.returnRetry(this->service->id, this->now());
 }
 
 /// Makes the silent upstream that was given up selectable again; the only one if no other may run
 /// the request.
-void RequestExchange::takeWayBack()
+void RequestExchange::allowReturn()
 {
-    this->hasWayBack = false;
+    this->hasReturnRetry = false;
     std::erase(this->triedUpstreams, this->givenUp);
-    this->mustGoBack = this->possibleRuns >= this->route->maxUpstreams;
-    this->log(LogLevel::Info, "stream may go back to its silent upstream", "way_back",
+    this->mustReturn = this->possibleRuns >= this->route->maxUpstreams;
+    this->log(LogLevel::Info, "stream may go back to its silent upstream", "retry_reserved",
               {"silent_upstream", this->givenUp.value()});
 }
 
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -47,7 +47,7 @@
         query.affinityKey = this->attributes.sharedPromptHash;
         // The placement owner can have the target loaded at another upstream. One that was given up
         // for its silence is avoided because of that.
-        query.isHealthRequired = !this->mustGoBack;
+        query.isHealthRequired = !this->mustReturn;
     }
     return query;
 }
@@ -65,7 +65,7 @@
 /// because no further one may run the request.
 void RequestExchange::removeOtherVersions(std::vector<const UpstreamTable::Entry *> &entries) const
 {
-    if (this->mustGoBack)
+    if (this->mustReturn)
         std::erase_if(entries, [this](const UpstreamTable::Entry *entry) {
             return entry->registered.id != this->givenUp;
         });
