Let a stream that is taken up wait when the upstream with its model has ended

Cause: an upstream to which no connection could be made counted as one that holds the model and has failed the request. The model was "held only by upstreams that were tried", so the request was not told to the placement owner and ended. The same where another process answered at the address, and where the connection broke as the process ended.

Change: a process that was not reached does not get the request again, its next one may; what it held counts for nothing, so that the request waits for its model and its demand names the version. A process that broke the request counts as ended once the crash detector has found that out, for which the request waits 250 ms at most; the owner is told then. A wait ends when the instance is found to be cut off, and, within an answer, with the patience of the caller.

--- a/src/gateway/crash_detector.cpp
+++ b/src/gateway/crash_detector.cpp
@@ -63,6 +63,8 @@
     this->ended.emplace_back(process, end);
     if (this->ended.size() > this->limits.maxEndedProcesses)
         this->ended.pop_front();
+    if (this->onEnd)
+        this->onEnd(watched.service, process);
     const TimePoint oldest = SteadyClock().now() - this->limits.confirmationTime;
     for (const auto &[brokeAt, broken] : watched.requests) {
         if (brokeAt >= oldest && this->onCrash && !this->wasBrokenByCut(broken, brokeAt))
@@ -70,6 +72,12 @@
     }
 }
 
+bool CrashDetector::hasEnded(const UpstreamProcess &process) const
+{
+    return std::any_of(this->ended.begin(), this->ended.end(),
+                       [&process](const auto &item) { return item.first == process; });
+}
+
 /// Connects and looks at the registrations until the process is known to have ended or to leave, or
 /// the time for it is over.
 upstream::Awaitable<void> CrashDetector::watch(UpstreamProcess process)
--- a/src/gateway/crash_detector.hpp
+++ b/src/gateway/crash_detector.hpp
@@ -92,6 +92,18 @@
     /// @brief Records that a process has ended; reports the requests that it broke.
     void recordEnd(const UpstreamProcess &process, ProcessEnd end);
 
+    /// @brief Whether a process was found to have ended, here or at another instance.
+    bool hasEnded(const UpstreamProcess &process) const;
+
+    /// @brief Whether a process has broken a request, and may or may not have ended.
+    bool isUndecidedFor(const UpstreamProcess &process) const
+    {
+        return this->watched.contains(process);
+    }
+
+    /// @brief Called once for each process that has broken requests and has ended.
+    std::function<void(const ServiceId &, const UpstreamProcess &)> onEnd;
+
     /// @brief Called for each broken request whose upstream's process has ended.
     std::function<void(const BrokenRequest &, ProcessEnd)> onCrash;
 
--- a/src/gateway/exchange_limits.hpp
+++ b/src/gateway/exchange_limits.hpp
@@ -32,6 +32,10 @@
 /// Time to wait for the record of versions; the store answers within milliseconds.
 constexpr Duration versionsReadTimeout = std::chrono::milliseconds(300);
 
+/// Time to wait until it is known whether the upstream that broke a request has ended; the crash
+/// detector has tried two connections by then.
+constexpr Duration crashVerdictTimeout = std::chrono::milliseconds(250);
+
 /// Why a request ends while the process stops.
 constexpr std::string_view stoppingReason = "this instance is shutting down";
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -71,6 +71,17 @@
             [this](const ServiceId &service, TimePoint at) {
                 return this->forwarding.wasCutOff(service, at);
             });
+    // The placement owner hears of it, and can have the models of the upstream loaded elsewhere.
+    this->quarantine.crashDetector().onEnd = [this](const ServiceId &service,
+                                                    const UpstreamProcess &process) {
+        const UpstreamTable::Entry *entry = this->table.find(process.upstream);
+        const bool isPresent = entry != nullptr && entry->process() == process;
+        if (isPresent
+            && this->health.recordFault(process.upstream, UpstreamFault::Unreachable,
+                                        SteadyClock().now()))
+            this->forwarding.recordAvoided(service, process.upstream, UpstreamFault::Unreachable);
+        this->notifyChange();
+    };
     this->forwarding.findProbeTarget = [this](const ServiceId &id) {
         const Service *service = this->index ? this->index->service(id) : nullptr;
         return service != nullptr ? service->probeTarget : std::string();
--- a/src/gateway/quarantine_driver.hpp
+++ b/src/gateway/quarantine_driver.hpp
@@ -24,6 +24,10 @@
     /// @brief Finds out whether the upstream of a broken request has crashed, and if so reports it.
     void checkForCrash(const BrokenRequest &broken);
 
+    /// @brief Finds out whether the processes of upstreams that broke requests have ended.
+    CrashDetector &crashDetector() noexcept { return this->detector; }
+    const CrashDetector &crashDetector() const noexcept { return this->detector; }
+
     /// @brief Counts a request that was answered in full.
     void recordCompletion(const ServiceId &service, const std::vector<QuarantineSubject> &subjects);
 
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -118,14 +118,16 @@
                   {"status", std::to_string(status)});
         return AttemptOutcome::NotRun;
     }
-    // After a pause the upstream may be tried again.
-    if (isOtherProcess || !attributes.pause)
-        this->triedUpstreams.push_back(this->attempt.upstream);
-    if (isOtherProcess)
+    if (isOtherProcess) {
+        this->unreachedProcesses.push_back(this->attempt.process);
         this->recordFault(UpstreamFault::Unreachable,
                           "another process answers at the address of the upstream");
-    else
-        this->recordFault(UpstreamFault::Full, "the upstream has no capacity left");
+        return AttemptOutcome::NotRun;
+    }
+    // After a pause the upstream may be tried again.
+    if (!attributes.pause)
+        this->triedUpstreams.push_back(this->attempt.upstream);
+    this->recordFault(UpstreamFault::Full, "the upstream has no capacity left");
     return AttemptOutcome::NotRun;
 }
 
@@ -145,12 +147,13 @@
     this->recordAnswerEnd();
     if (this->isAnswerBegun)
         this->bindStreamVersion();
-    this->triedUpstreams.push_back(this->attempt.upstream);
     this->recordLostLink(error);
     if (!error.isAnythingWritten) {
+        this->unreachedProcesses.push_back(this->attempt.process);
         this->recordFault(UpstreamFault::Unreachable, error.message);
         return AttemptOutcome::NotRun;
     }
+    this->triedUpstreams.push_back(this->attempt.upstream);
     if (error.failure == CallFailure::TimedOut && this->timeLeft() < minSendTime) {
         this->hasTimedOut = true;
         this->attempt.linkCheckAt = std::min(this->attempt.linkCheckAt, this->now());
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -76,6 +76,8 @@
         std::optional<Error> refusal;
         /// Retry-After of a refusal.
         Duration retryAfter{};
+        /// This instance was cut off from the upstreams while the request waited.
+        bool isCutOff = false;
     };
 
     /// Where a request goes next: to an upstream of this instance's own choice, to a helper, or
@@ -167,6 +169,11 @@
     }
     void passOverUnrecorded(std::vector<const UpstreamTable::Entry *> &entries) const;
     bool isReplaceable(const UpstreamId &id) const;
+    bool isUnreached(const UpstreamTable::Entry &entry) const;
+    bool isGone(const UpstreamTable::Entry &entry) const;
+    bool wasTried(const UpstreamId &id) const;
+    TimePoint targetWaitDeadline() const;
+    upstream::Awaitable<void> waitForCrashVerdict();
     bool isTargetReported() const;
     bool isTargetHeldOnlyByExcluded() const;
     std::optional<Duration> computeQueueRetryAfter(const UpstreamId &id) const;
@@ -257,6 +264,9 @@
     std::optional<RequestEnd> end;
     /// Upstreams that are not selected again for this request.
     std::vector<UpstreamId> triedUpstreams;
+    /// Processes to which no connection could be made, or whose address another one has: none of
+    /// them has read the request. A later process of the upstream may get it.
+    std::vector<UpstreamProcess> unreachedProcesses;
     /// Instances that the request was forwarded to.
     std::vector<Endpoint> triedHelpers;
     /// Upstreams to which no connection could be made, or that were silent behind a cut; another
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -37,7 +37,7 @@
                                               : table.findServing(this->service->id);
     this->removeOtherVersions(query.candidates);
     std::erase_if(query.candidates, [this](const UpstreamTable::Entry *entry) {
-        return this->pauseOf(*entry).has_value();
+        return this->isUnreached(*entry) || this->pauseOf(*entry).has_value();
     });
     query.excluded = this->triedUpstreams;
     query.excluded.insert(query.excluded.end(), this->exhaustedUpstreams.begin(),
@@ -110,7 +110,7 @@
 {
     std::optional<Duration> earliest;
     for (const UpstreamTable::Entry *entry : this->findServing()) {
-        if (this->isExcluded(entry->registered.id)
+        if (this->isExcluded(entry->registered.id) || this->isUnreached(*entry)
             || (this->isEngineTarget() && !entry->residency.holds(this->target.target)))
             continue;
         const std::optional<Duration> pause = this->pauseOf(*entry);
@@ -124,10 +124,31 @@
 /// Whether the next attempt of the request is not to be made at an upstream.
 bool RequestExchange::isExcluded(const UpstreamId &id) const
 {
-    const auto contains = [&id](const std::vector<UpstreamId> &ids) {
-        return std::find(ids.begin(), ids.end(), id) != ids.end();
-    };
-    return contains(this->triedUpstreams) || contains(this->exhaustedUpstreams);
+    const auto &exhausted = this->exhaustedUpstreams;
+    return this->wasTried(id)
+           || std::find(exhausted.begin(), exhausted.end(), id) != exhausted.end();
+}
+
+/// Whether an upstream has read the request, or has refused it for good.
+bool RequestExchange::wasTried(const UpstreamId &id) const
+{
+    const auto &tried = this->triedUpstreams;
+    return std::find(tried.begin(), tried.end(), id) != tried.end();
+}
+
+/// Whether the request could not be brought to the present process of an upstream.
+bool RequestExchange::isUnreached(const UpstreamTable::Entry &entry) const
+{
+    const auto &unreached = this->unreachedProcesses;
+    return std::find(unreached.begin(), unreached.end(), entry.process()) != unreached.end();
+}
+
+/// Whether an upstream's process has probably ended, and with it what it held.
+bool RequestExchange::isGone(const UpstreamTable::Entry &entry) const
+{
+    return this->isUnreached(entry)
+           || this->gateway.health.isUnreachable(entry.registered.id, this->now())
+           || this->gateway.quarantine.crashDetector().hasEnded(entry.process());
 }
 
 /// Selects an upstream and, if it has named a limit, gets a permit to send the request there; goes
@@ -280,18 +301,20 @@
     });
 }
 
-/// Whether an upstream is reported to hold the target, even if it recently refused it.
+/// Whether an upstream that may get the request is reported to hold the target, even if it recently
+/// refused it.
 bool RequestExchange::isTargetReported() const
 {
     const auto serving = this->findServing();
     return std::any_of(serving.begin(), serving.end(), [this](const auto *entry) {
-        return entry->residency.holds(this->target.target)
-               && !this->isReplaceable(entry->registered.id);
+        const UpstreamId &id = entry->registered.id;
+        return entry->residency.holds(this->target.target) && !this->isReplaceable(id)
+               && !this->isUnreached(*entry) && !this->wasTried(id);
     });
 }
 
 /// Whether the target is held, but only by upstreams where the request has already failed, or that
-/// have no permit for it or pause.
+/// have no permit for it or pause. One whose holder has ended can be loaded elsewhere.
 bool RequestExchange::isTargetHeldOnlyByExcluded() const
 {
     bool isHeld = false;
@@ -299,6 +322,8 @@
         if (!entry->residency.holds(this->target.target)
             || this->isReplaceable(entry->registered.id))
             continue;
+        if (this->isGone(*entry))
+            return false;
         isHeld = true;
         if (!this->isExcluded(entry->registered.id) && !this->pauseOf(*entry))
             return false;
@@ -306,18 +331,37 @@
     return isHeld;
 }
 
+/// Latest time until which the request may wait for its target: its deadline and the patience of
+/// its caller, who leaves a stream without a first or a further event.
+TimePoint RequestExchange::targetWaitDeadline() const
+{
+    const auto reservedForAnswer = std::chrono::duration_cast<Duration>(
+            (this->deadline - this->request.arrival) * reservedAnswerShare);
+    const TimePoint latest = this->deadline - reservedForAnswer;
+    if (this->route->maxFirstEventDelay <= Duration(0))
+        return latest;
+    const auto maxWait = std::chrono::duration_cast<Duration>(this->route->maxFirstEventDelay
+                                                              * (1 - reservedAnswerShare));
+    return std::min(latest, std::max(this->request.arrival, this->lastEventAt) + maxWait);
+}
+
+/// Waits until it is known whether the upstream that broke the last attempt has ended: then another
+/// one can be given its target.
+Awaitable<void> RequestExchange::waitForCrashVerdict()
+{
+    const TimePoint until = std::min(this->deadline, this->now() + crashVerdictTimeout);
+    const CrashDetector &detector = this->gateway.quarantine.crashDetector();
+    while (!this->isEnding() && this->now() < until
+           && detector.isUndecidedFor(this->attempt.process))
+        co_await this->gateway.change.wait(until);
+}
+
 /// Waits until a usable upstream holds the target, as long as there is time left for the answer.
 Awaitable<RequestExchange::UpstreamSelection> RequestExchange::waitForTarget()
 {
     const TimePoint waitStart = this->now();
-    const auto reservedForAnswer = std::chrono::duration_cast<Duration>(
-            (this->deadline - this->request.arrival) * reservedAnswerShare);
-    TimePoint waitDeadline = this->deadline - reservedForAnswer;
-    if (this->route->maxFirstEventDelay > Duration(0) && !this->isAnswerBegun) {
-        const auto maxWait = std::chrono::duration_cast<Duration>(this->route->maxFirstEventDelay
-                                                                  * (1 - reservedAnswerShare));
-        waitDeadline = std::min(waitDeadline, this->request.arrival + maxWait);
-    }
+    const TimePoint waitDeadline = this->targetWaitDeadline();
+    const bool wasCutOff = this->gateway.forwarding.isCutOff(this->service->id);
     UpstreamSelection selection;
     selection.refusal = Error(ErrorKind::ColdStartUnavailable,
                               "no usable upstream holds the model or adapter");
@@ -327,6 +371,8 @@
         selection.refusal = Error(ErrorKind::UpstreamUnavailable,
                                   fmt::format("no upstream of software version \"{}\" serves",
                                               this->requiredVersion->value()));
+    if (!isVersionGone && this->isTargetHeldOnlyByExcluded())
+        co_await this->waitForCrashVerdict();
     if (isVersionGone || this->isTargetHeldOnlyByExcluded())
         co_return selection;
     ServiceTarget wanted = this->target;
@@ -341,6 +387,11 @@
             selection.retryAfter = Duration(0);
             break;
         }
+        if (!this->forwarded && !wasCutOff
+            && this->gateway.forwarding.isCutOff(this->service->id)) {
+            selection.isCutOff = true;
+            break;
+        }
         const std::optional<TargetPromise> promise = demand.promise(wanted);
         const bool isTargetReported = this->isTargetReported();
         if (!isTargetReported && promise && promise->readyAt > waitDeadline) {
--- a/src/gateway/upstream_health.cpp
+++ b/src/gateway/upstream_health.cpp
@@ -18,6 +18,7 @@
     record.consecutiveFaults = 0;
     record.nextPause = this->limits.firstPause;
     record.avoidedUntil = {};
+    record.unreachableUntil = {};
     record.failureRate *= 1 - this->limits.smoothingFactor;
     const bool isKnown
             = record.latencySeconds > 0 && record.latencyAt + this->limits.latencyMaxAge > now;
@@ -48,6 +49,8 @@
     this->extendAvoidance(record, std::max(record.nextPause, this->limits.firstPause), now);
     record.nextPause = std::min(2 * std::max(record.nextPause, this->limits.firstPause),
                                 this->limits.longestPause);
+    if (fault == UpstreamFault::Unreachable)
+        record.unreachableUntil = record.avoidedUntil;
     return !wasAvoided;
 }
 
@@ -66,6 +69,12 @@
     return this->avoidedUntil(upstream) > now;
 }
 
+bool UpstreamHealth::isUnreachable(const UpstreamId &upstream, TimePoint now) const
+{
+    const auto found = this->records.find(upstream);
+    return found != this->records.end() && found->second.unreachableUntil > now;
+}
+
 TimePoint UpstreamHealth::avoidedUntil(const UpstreamId &upstream) const
 {
     const auto found = this->records.find(upstream);
--- a/src/gateway/upstream_health.hpp
+++ b/src/gateway/upstream_health.hpp
@@ -74,6 +74,10 @@
     /// @brief Whether requests should be sent to other upstreams if there are any.
     bool isAvoided(const UpstreamId &upstream, TimePoint now) const;
 
+    /// @brief Whether an upstream is avoided because no connection to it could be made: its process
+    /// has probably ended, and holds nothing any more.
+    bool isUnreachable(const UpstreamId &upstream, TimePoint now) const;
+
     /// @brief When an upstream is no longer avoided; in the past, or zero, if it isn't avoided.
     TimePoint avoidedUntil(const UpstreamId &upstream) const;
 
@@ -92,6 +96,8 @@
         std::uint32_t consecutiveFaults = 0;
         Duration nextPause{};
         TimePoint avoidedUntil{};
+        /// Until when it counts as unreachable.
+        TimePoint unreachableUntil{};
         double failureRate = 0;
         double latencySeconds = 0;
         /// When the latency was last updated.
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -53,6 +53,7 @@
         attributes.lastEventId = headers.find("test-last-event");
         attributes.resumedRequest = RequestId(std::string(headers.find("test-resumes")));
         attributes.caller = headers.find("test-caller");
+        attributes.target.model = ModelId(std::string(headers.find("test-model")));
         return attributes;
     };
     codec.isForwardedHeader = [](std::string_view name) {
@@ -68,6 +69,7 @@
         attributes.request = RequestId(std::string(headers.find("test-id")));
         attributes.isSigned = headers.contains("test-signature");
         attributes.isNotRun = headers.contains("test-not-run");
+        attributes.answeredBy = UpstreamId(std::string(headers.find("test-answered-by")));
         if (headers.contains("test-pause-ms"))
             attributes.pause = std::chrono::milliseconds(
                     std::stoi(std::string(headers.find("test-pause-ms"))));
@@ -456,6 +458,28 @@
     reported.get_future().wait();
 }
 
+void RelayFixture::useEngine(const std::string &model)
+{
+    this->publishChange([&model](gateway::RoutingConfiguration &configuration) {
+        gateway::EngineSpec engine;
+        engine.slots = 8;
+        engine.models = {gateway::ModelWeights{ModelId(model)}};
+        configuration.services.front().engine = engine;
+    });
+}
+
+void RelayFixture::reportModel(std::size_t index, const std::string &model)
+{
+    this->runOnLoop([index, &model](gateway::Gateway &gateway) {
+        const UpstreamId id(fmt::format("u{}", index));
+        gateway::Residency residency = gateway.table.find(id)->registered.residency;
+        ++residency.version.acceptedOrders;
+        residency.models.push_back(gateway::ResidentModel{ModelId(model), {}});
+        gateway.table.updateResidency(id, residency, SteadyClock().now());
+        gateway.notifyChange();
+    });
+}
+
 void RelayFixture::markLeaving(std::size_t index)
 {
     std::promise<void> recorded;
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -146,6 +146,14 @@
     /// @param index position among the constructor's upstreams
     void reportRestart(std::size_t index);
 
+    /// @brief Gives the service an engine with one model; requests name it in the header
+    /// test-model.
+    void useEngine(const std::string &model);
+
+    /// @brief Reports that an upstream holds a model, as the placement owner does.
+    /// @param index position among the constructor's upstreams
+    void reportModel(std::size_t index, const std::string &model);
+
     /// @brief Records that an upstream said that it leaves.
     /// @param index position among the constructor's upstreams
     void markLeaving(std::size_t index);
--- a/tests/gateway/unit-upstream_selection.cpp
+++ b/tests/gateway/unit-upstream_selection.cpp
@@ -94,6 +94,19 @@
     {
         fixture.health.recordSuccess(a, 10ms, fixture.now);
         CHECK_FALSE(fixture.health.isAvoided(a, fixture.now));
+        CHECK_FALSE(fixture.health.isUnreachable(a, fixture.now));
+    }
+
+    SUBCASE("and counts as unreachable, which one that fails or is full does not")
+    {
+        CHECK(fixture.health.isUnreachable(a, fixture.now));
+        CHECK_FALSE(fixture.health.isUnreachable(a, fixture.now + 600ms));
+        const UpstreamId b("b");
+        fixture.health.recordFault(b, UpstreamFault::Broken, fixture.now);
+        CHECK(fixture.health.recordFault(b, UpstreamFault::Broken, fixture.now));
+        CHECK_FALSE(fixture.health.isUnreachable(b, fixture.now));
+        fixture.health.recordFault(b, UpstreamFault::Full, fixture.now);
+        CHECK_FALSE(fixture.health.isUnreachable(b, fixture.now));
     }
 
     SUBCASE("neither one broken call nor four slow ones make an upstream avoided, but five slow "
