Send no orders to the former id of an engine whose address a later process has

Seen by callers: after several engines crashed in a release, streams that were taken up, and other requests, were refused with cold_start_unavailable though engines had copies of the weights.

Cause: an engine that crashed is back at the same address, under another id, within a second, while its former registration stays for 3 s. The owner booked the report of the later process as that of the former id. Being empty, with copies on its disk, that was the cheapest place for every model; the order was refused, the next report came 120 ms later, and so on, with the goal bound to it. What the later process held was also told to the instances as held by the former id.

Change: EngineProcessWatch keeps what reports and answers to orders show of the process that a registration names. A report of a later start, or an order that another process answered, makes the engine unusable for placement until its registration shows a later start; its goals are dropped, and the instances are told that it holds nothing. As an engine that was restarted under its id can't register while the store is away, a report alone counts for 4 s; then an order tells. Without known starts only the answer to an order counts, until the registration is renewed.

--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -198,7 +198,7 @@
     snapshot.pendingAdapters = engine.report.pendingAdapters;
     snapshot.isUsable = !entry.isLeaving() && !entry.missingSince && engine.hasReport
                         && engine.failedReportsInRow < this->settings.maxFailedReports
-                        && !engine.isSuspected
+                        && !engine.isSuspected && !engine.process.isReplaced(entry.registered, now)
                         && !this->gateway.upstreamLimits.isScarce(entry.process());
     snapshot.busyUntil = engine.busyUntil;
     snapshot.loading = engine.loading.target.model;
@@ -216,9 +216,11 @@
     if (engine.isReportRequested || engine.isOrderInFlight
         || this->gateway.pauses.isPaused(entry.process(), now))
         return;
-    const bool isStateUncertain = !engine.hasReport || !engine.isLastOrderConfirmed
-                                  || engine.isReportedBusy || engine.isSuspected
-                                  || engine.failedReportsInRow > 0;
+    // What answers in place of a replaced process says nothing new of it.
+    const bool isStateUncertain
+            = !engine.process.isReplaced(entry.registered, now)
+              && (!engine.hasReport || !engine.isLastOrderConfirmed || engine.isReportedBusy
+                  || engine.isSuspected || engine.failedReportsInRow > 0);
     Duration interval = isStateUncertain ? this->settings.urgentReportInterval
                                          : this->settings.reportInterval;
     if (!isStateUncertain && engine.report.load.waiting > 0)
@@ -250,7 +252,36 @@
     }
     engine.failedReportsInRow = 0;
     engine.isSuspected = false;
-    this->applyReport(upstream.id, engine, std::move(report).value(), steadyNow());
+    const gateway::UpstreamTable::Entry *entry = this->gateway.table.find(upstream.id);
+    const gateway::RegisteredUpstream &registered = entry != nullptr ? entry->registered : upstream;
+    const gateway::ResidencyVersion &reported = report.value().residency.version;
+    const TimePoint now = steadyNow();
+    engine.process.recordReport(registered, reported.startedAt, now);
+    if (engine.process.isReplaced(registered, now)) {
+        // What the later process says before its registration is known may still change.
+        this->discardReplaced(upstream.id, engine, {reported.startedAt, 0, false});
+        co_return;
+    }
+    this->applyReport(upstream.id, engine, std::move(report).value(), now);
+}
+
+/// Drops what was known of an engine whose registered process is gone, and tells the instances that
+/// it holds nothing.
+void PlacementDriver::discardReplaced(const UpstreamId &id, Engine &engine,
+                                      const gateway::ResidencyVersion &version)
+{
+    if (engine.hasReport)
+        logEvent(LogLevel::Warning, "another process answers at the engine's address",
+                 {{"upstream", id.value()}});
+    engine.hasReport = false;
+    engine.report = {};
+    engine.report.residency.version = std::max(version, engine.sentResidency.version);
+    engine.loading = {};
+    engine.busyUntil = {};
+    engine.isLastOrderConfirmed = true;
+    engine.isReportedBusy = false;
+    engine.conflictsInRow = 0;
+    this->publishKnownResidency(id, engine);
 }
 
 void PlacementDriver::applyReport(const UpstreamId &id, Engine &engine, EngineReport report,
@@ -388,13 +419,15 @@
         this->gateway.forwardingDriver().recordFailure(upstream.service, begunAt);
     else if (answer != OrderAnswer::Unknown)
         this->gateway.forwardingDriver().recordAnswer(upstream.service, begunAt);
-    this->handleOrderAnswer(planned, upstream.id, engine, order, answer);
+    this->handleOrderAnswer(planned, upstream, engine, order, answer);
 }
 
-void PlacementDriver::handleOrderAnswer(const PlannedOrder &planned, const UpstreamId &upstream,
+void PlacementDriver::handleOrderAnswer(const PlannedOrder &planned,
+                                        const gateway::RegisteredUpstream &registered,
                                         Engine &engine, const EngineOrder &order,
                                         OrderAnswer answer)
 {
+    const UpstreamId &upstream = registered.id;
     const TimePoint now = steadyNow();
     engine.isOrderInFlight = false;
     engine.orderAnsweredAt = now;
@@ -430,6 +463,10 @@
         this->election.handleFencedOrder();
         break;
     case OrderAnswer::OtherProcess:
+        engine.process.recordOtherProcess(registered);
+        engine.nextOrderAfter = now + this->settings.urgentReportInterval;
+        this->discardReplaced(registered.id, engine, engine.report.residency.version);
+        break;
     case OrderAnswer::Refused:
     case OrderAnswer::Unknown:
     case OrderAnswer::NotSent:
@@ -481,8 +518,12 @@
 
 void PlacementDriver::publishResidency(const UpstreamId &id, Engine &engine)
 {
-    if (!engine.hasReport)
-        return;
+    if (engine.hasReport)
+        this->publishKnownResidency(id, engine);
+}
+
+void PlacementDriver::publishKnownResidency(const UpstreamId &id, Engine &engine)
+{
     this->gateway.table.updateResidency(id, engine.report.residency, steadyNow());
     this->gateway.notifyChange();
     if (engine.sentResidency == engine.report.residency)
--- a/src/residency/placement_driver.hpp
+++ b/src/residency/placement_driver.hpp
@@ -7,6 +7,7 @@
 #include "gateway/gateway.hpp"
 #include "residency/demand_tally.hpp"
 #include "residency/engine_orders.hpp"
+#include "residency/engine_process_watch.hpp"
 #include "residency/owner_election.hpp"
 #include "residency/peer_messages.hpp"
 #include "residency/planner.hpp"
@@ -113,6 +114,8 @@
         std::uint32_t failedReportsInRow = 0;
         /// Whether an instance could not use it and no report has come since.
         bool isSuspected = false;
+        /// Whether the process that is registered was replaced by another one.
+        EngineProcessWatch process;
         bool isOrderInFlight = false;
         /// When the accepted order is expected to be complete.
         TimePoint busyUntil{};
@@ -144,7 +147,8 @@
     upstream::Awaitable<void> run();
     upstream::Awaitable<void> requestReport(gateway::RegisteredUpstream upstream);
     upstream::Awaitable<void> sendOrder(PlannedOrder planned, gateway::RegisteredUpstream upstream);
-    void handleOrderAnswer(const PlannedOrder &planned, const UpstreamId &upstream, Engine &engine,
+    void handleOrderAnswer(const PlannedOrder &planned,
+                           const gateway::RegisteredUpstream &registered, Engine &engine,
                            const EngineOrder &order, OrderAnswer answer);
     void planAllPools();
     void sendPeriodicMessages();
@@ -156,11 +160,14 @@
     UpstreamSnapshot makeSnapshot(const gateway::UpstreamTable::Entry &entry, const Engine &engine,
                                   TimePoint now) const;
     void applyReport(const UpstreamId &id, Engine &engine, EngineReport report, TimePoint now);
+    void discardReplaced(const UpstreamId &id, Engine &engine,
+                         const gateway::ResidencyVersion &version);
     void logReport(const UpstreamId &id, const EngineReport &report) const;
     void applyAcceptedOrder(const PlannedOrder &planned, Engine &engine, TimePoint now);
     void applyToResidency(const PlannedOrder &planned, gateway::Residency &residency) const;
     upstream::Awaitable<void> publishResidencyAt(UpstreamId id, TimePoint time);
     void publishResidency(const UpstreamId &id, Engine &engine);
+    void publishKnownResidency(const UpstreamId &id, Engine &engine);
     void sendResidency(const UpstreamId &id, const Engine &engine);
     void sendPromises(const gateway::ServiceId &service, const Pool &pool, TimePoint now);
     void sendLoads(TimePoint now);
