Plan loads for streams that are bound to a version before others

Seen by callers: during a release, after several engines had crashed, streams that were taken up were refused with cold_start_unavailable, mostly within milliseconds and with seconds left, while new streams for the same models began.

Causes: a stream that is taken up goes on only at the version that began it, so few engines can load its target. Requests that any version serves were planned first and took these engines; a goal with waiting requests was never replaced. A model that such a goal was about to evict counted as gone for the streams that waited for it. And where no engine could begin at once, the wait that was announced was four seconds or a load from the weight store, whichever is longer, so that instances refused, also if an engine of the version was to be free sooner.

Change: bound waits are counted with their shortest wait and planned first, those with the least time left before the others. If no engine of the version can hold the model within that time, a goal for requests of any version that has not begun to load is replaced; these are planned afterwards and may go to another engine. A planned eviction of what bound streams wait for is dropped. The announced time is that of the earliest engine of the version with a copy of the weights: after its load in progress, its goal, and the time for which the models that it has to evict are kept. Engines that can't be used, and loads from the weight store that can't begin, don't count, so that an instance still refuses at once what can't be done in time. Orders of goals go out in the same order of precedence; the bounds on loads from the weight store, fences and one order at a time for each engine are as before.

--- a/src/residency/demand_tally.cpp
+++ b/src/residency/demand_tally.cpp
@@ -15,6 +15,15 @@
     return Target{target.model, {}};
 }
 
+/// Adds an instance's waiting requests to the sum of a target.
+template<typename Sum>
+void addWaits(Sum &sum, const gateway::TargetDemand &entry)
+{
+    sum.shortestWait = sum.waiting == 0 ? entry.shortestWait
+                                        : std::min(sum.shortestWait, entry.shortestWait);
+    sum.waiting += entry.waiting;
+}
+
 } // namespace
 
 void DemandTally::addReport(const InstanceId &instance,
@@ -86,20 +95,16 @@
         demand.waiting = 0;
         demand.shortestWait = Duration(0);
     }
-    this->boundWaitCounts.clear();
+    this->boundWaitsByTarget.clear();
     for (const auto &[id, instance] : this->byInstance) {
         for (const gateway::TargetDemand &entry : instance.demand) {
+            const gateway::ServiceTarget &wanted = entry.target;
             if (entry.waiting == 0)
                 continue;
-            if (!entry.target.version.isEmpty()) {
-                this->boundWaitCounts[{entry.target.target, entry.target.version}] += entry.waiting;
-                continue;
-            }
-            SmoothedDemand &demand = this->byTarget[entry.target.target];
-            demand.shortestWait = demand.waiting == 0
-                                          ? entry.shortestWait
-                                          : std::min(demand.shortestWait, entry.shortestWait);
-            demand.waiting += entry.waiting;
+            if (wanted.version.isEmpty())
+                addWaits(this->byTarget[wanted.target], entry);
+            else
+                addWaits(this->boundWaitsByTarget[{wanted.target, wanted.version}], entry);
         }
     }
 }
--- a/src/residency/demand_tally.hpp
+++ b/src/residency/demand_tally.hpp
@@ -33,6 +33,15 @@
     auto operator<=>(const SmoothedDemand &) const = default;
 };
 
+/// @brief Requests of all instances that wait for a target at one software version.
+struct BoundWaits
+{
+    std::uint64_t waiting = 0;
+    /// Remaining time of the one that is closest to its deadline.
+    Duration shortestWait{};
+    auto operator<=>(const BoundWaits &) const = default;
+};
+
 /// @brief Time constants of the smoothing.
 struct DemandSmoothing
 {
@@ -76,11 +85,10 @@
     /// @brief Targets for which requests of any instance wait that any version serves.
     std::vector<Target> waitingTargets() const;
 
-    /// @brief Targets for which requests of any instance wait that only one version serves, with
-    /// the number of these requests.
-    const std::map<VersionedTarget, std::uint64_t> &boundWaits() const noexcept
+    /// @brief Targets for which requests of any instance wait that only one version serves.
+    const std::map<VersionedTarget, BoundWaits> &boundWaits() const noexcept
     {
-        return this->boundWaitCounts;
+        return this->boundWaitsByTarget;
     }
 
     /// @brief Targets for which requests of one instance wait.
@@ -104,7 +112,7 @@
     DemandSmoothing smoothing;
     std::map<InstanceId, InstanceReport> byInstance;
     std::map<Target, SmoothedDemand> byTarget;
-    std::map<VersionedTarget, std::uint64_t> boundWaitCounts;
+    std::map<VersionedTarget, BoundWaits> boundWaitsByTarget;
     TimePoint advancedAt{};
     std::uint64_t arrivalCount = 0;
 };
--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -13,8 +13,6 @@
 constexpr std::uint32_t maxStoreLoads = 4;
 /// Share of the configured rate of loads from the weight store that is used.
 constexpr double storeRateShare = 0.85;
-/// Expected time of unloading an idle model.
-constexpr Duration unloadTime = std::chrono::milliseconds(30);
 /// Number of goals, as a share of the usable engines, from which a model without waiting requests
 /// is planned only where that takes neither an eviction nor a load from the weight store.
 constexpr double preloadGoalShare = 0.34;
@@ -61,8 +59,10 @@
     PlanningState state = this->buildPlanningState(upstreams, demand, now);
     this->expectedReadyTimes.clear();
     this->removeObsoleteGoals(state);
-    this->addGoalsForWaitingRequests(state);
+    // Few engines can load for the bound requests; the others' goals may go elsewhere.
+    this->markGoalsOfBoundRequests(state);
     this->addGoalsForBoundRequests(state);
+    this->addGoalsForWaitingRequests(state);
     if (this->preloadPlannedAt == TimePoint()
         || now >= this->preloadPlannedAt + this->settings.preloadInterval) {
         this->preloadPlannedAt = now;
@@ -135,7 +135,8 @@
         const std::optional<TimePoint> readyAfterGoals = this->earliestLoadAfterGoals(state, index);
         const std::optional<TimePoint> plannedReady = this->earliestGoalReadyAt(target.model);
         if (!plannedReady || *plannedReady > state.now + this->settings.slowGoalThreshold) {
-            const std::optional<Candidate> candidate = this->findBestCandidate(state, index, true);
+            const std::optional<Candidate> candidate
+                    = this->findBestCandidate(state, index, Precedence::Waiting);
             // A slow load from the weight store in progress does not keep the model from being
             // loaded from a copy on another engine.
             const std::optional<TimePoint> latestUsefulReady
@@ -145,7 +146,8 @@
             const bool isWorthIt
                     = candidate && candidate->disruptionCost < this->computeLoadBenefit(*model);
             if (isWorthIt && (!latestUsefulReady || candidate->readyAt <= *latestUsefulReady))
-                this->addGoal(state, *candidate, target.model, true, "requests wait");
+                this->addGoal(state, *candidate, target.model, Precedence::Waiting,
+                              "requests wait");
         }
         TimePoint ready = readyAfterGoals.value_or(state.now
                                                    + this->estimateUnplannedWait(*model->weights));
@@ -157,50 +159,6 @@
     }
 }
 
-/// Plans for streams that go on only at the version that began them, as other engines than those
-/// that hold their target may have to load it.
-void ResidencyPlanner::addGoalsForBoundRequests(PlanningState &state)
-{
-    for (const auto &[wanted, waitingRequests] : state.demand.boundWaits()) {
-        if (state.find(wanted.target.model) != nullptr)
-            this->expectedReadyTimes[wanted]
-                    = this->planBoundTarget(state, wanted, waitingRequests);
-    }
-}
-
-/// Returns when an engine of the version is expected to hold the target.
-TimePoint ResidencyPlanner::planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
-                                            std::uint64_t waitingRequests)
-{
-    const ModelId &id = wanted.target.model;
-    const std::size_t index = state.modelIndexes[id];
-    std::optional<TimePoint> goalReadyAt;
-    for (const UpstreamState &upstreamState : state.upstreams) {
-        if (!upstreamState.snapshot->isUsable || !upstreamState.isOfVersion(wanted.version))
-            continue;
-        const auto goal = this->goals.find(upstreamState.snapshot->id);
-        const bool hasGoal = goal != this->goals.end();
-        if (upstreamState.snapshot->residency.find(id) != nullptr
-            && !(hasGoal && goal->second.evicts(id)))
-            return this->adapterReadyAt(state, wanted);
-        if (hasGoal && goal->second.model == id) {
-            goal->second.hasWaitingRequests = true;
-            goalReadyAt
-                    = std::min(goalReadyAt.value_or(goal->second.readyAt), goal->second.readyAt);
-        }
-    }
-    if (goalReadyAt)
-        return std::max(*goalReadyAt, state.now + unloadTime);
-    const std::optional<Candidate> candidate
-            = this->findBestCandidate(state, index, true, wanted.version);
-    const gateway::ModelWeights &weights = *state.models[index].weights;
-    const double benefit = waitingRequests * toSeconds(weights.storeLoadTime);
-    if (!candidate || candidate->disruptionCost >= benefit)
-        return state.now + this->estimateUnplannedWait(weights);
-    this->addGoal(state, *candidate, id, true, "streams wait for the software version");
-    return candidate->readyAt;
-}
-
 /// Earliest time at which an engine with a goal for a model is expected to hold it.
 std::optional<TimePoint> ResidencyPlanner::earliestGoalReadyAt(const ModelId &model) const
 {
@@ -251,11 +209,12 @@
         while (model.replicas + model.goalCount < model.wantedReplicas
                && model.goalCount < this->settings.maxReplicaGoals) {
             const std::optional<Candidate> candidate
-                    = this->findBestCandidate(state, shortage.model, false);
+                    = this->findBestCandidate(state, shortage.model, Precedence::Expected);
             const double benefit = this->settings.replicaCost + 2 * model.rate;
             if (!candidate || candidate->disruptionCost >= benefit)
                 break;
-            this->addGoal(state, *candidate, model.weights->id, false, "more replicas wanted");
+            this->addGoal(state, *candidate, model.weights->id, Precedence::Expected,
+                          "more replicas wanted");
         }
     }
 }
@@ -289,35 +248,48 @@
         missingModels.resize(this->settings.maxPreloadModels);
     for (const MissingModel &missingModel : missingModels) {
         const std::optional<Candidate> candidate
-                = this->findBestCandidate(state, missingModel.model, false);
+                = this->findBestCandidate(state, missingModel.model, Precedence::Expected);
         if (!candidate || candidate->disruptionCost >= missingModel.benefit)
             continue;
         const bool isCostFree
                 = candidate->victims.empty() && candidate->source != WeightSource::Store;
         if (isCostFree || this->goals.size() < maxGoals)
-            this->addGoal(state, *candidate, state.models[missingModel.model].weights->id, false,
-                          "not held anywhere");
+            this->addGoal(state, *candidate, state.models[missingModel.model].weights->id,
+                          Precedence::Expected, "not held anywhere");
     }
 }
 
 void ResidencyPlanner::addGoal(PlanningState &state, const Candidate &candidate,
-                               const ModelId &model, bool hasWaitingRequests,
-                               std::string_view reason)
+                               const ModelId &model, Precedence precedence, std::string_view reason)
 {
     const auto replaced = this->goals.find(candidate.upstream->id);
-    if (replaced != this->goals.end()) {
-        ModelState *replacedModel = state.find(replaced->second.model);
-        if (replacedModel != nullptr)
-            --replacedModel->goalCount;
-    }
+    if (replaced != this->goals.end())
+        this->dropGoal(state, replaced);
     for (const ModelId &victim : candidate.victims) {
         ModelState *evicted = state.find(victim);
         if (evicted != nullptr && evicted->replicas > 0)
             --evicted->replicas;
     }
     ++state.find(model)->goalCount;
-    this->goals[candidate.upstream->id] = Goal{
-            model, candidate.victims, state.now, candidate.readyAt, hasWaitingRequests, reason};
+    this->goals[candidate.upstream->id] = Goal{model,
+                                               candidate.victims,
+                                               state.now,
+                                               candidate.readyAt,
+                                               precedence != Precedence::Expected,
+                                               reason,
+                                               precedence == Precedence::Bound};
+}
+
+void ResidencyPlanner::dropGoal(PlanningState &state, Goals::iterator goal)
+{
+    if (ModelState *model = state.find(goal->second.model))
+        --model->goalCount;
+    // What it has not evicted yet stays.
+    for (const std::size_t resident : state.find(goal->first)->resident) {
+        if (goal->second.evicts(state.models[resident].weights->id))
+            ++state.models[resident].replicas;
+    }
+    this->goals.erase(goal);
 }
 
 void ResidencyPlanner::addOrdersForGoals(PlanningState &state, std::vector<PlannedOrder> &orders)
@@ -326,7 +298,7 @@
     for (auto &[id, goal] : this->goals)
         byUrgency.emplace_back(id, &goal);
     std::stable_sort(byUrgency.begin(), byUrgency.end(), [](const auto &left, const auto &right) {
-        return left.second->hasWaitingRequests && !right.second->hasWaitingRequests;
+        return left.second->precedence() > right.second->precedence();
     });
     auto inTransit = static_cast<std::uint32_t>(this->runningStoreLoads.size());
     for (const auto &[id, goal] : byUrgency) {
@@ -368,8 +340,8 @@
 }
 
 std::optional<ResidencyPlanner::Candidate>
-ResidencyPlanner::findBestCandidate(PlanningState &state, std::size_t model,
-                                    bool hasWaitingRequests, const SoftwareVersion &version)
+ResidencyPlanner::findBestCandidate(PlanningState &state, std::size_t model, Precedence precedence,
+                                    const SoftwareVersion &version)
 {
     std::optional<Candidate> best;
     const bool canUseStore = this->canLoadFromStore(state);
@@ -381,10 +353,7 @@
         // No engine is reserved for a load that the weight store can't begin yet.
         if (upstreamState.sources[model] == WeightSource::Store && !canUseStore)
             continue;
-        const auto presentGoal = this->goals.find(upstreamState.snapshot->id);
-        // Waiting requests take precedence: a goal for them may replace one that nobody waits for.
-        if (presentGoal != this->goals.end()
-            && (!hasWaitingRequests || presentGoal->second.hasWaitingRequests))
+        if (this->isReservedFor(upstreamState, precedence))
             continue;
         const std::optional<Candidate> candidate
                 = this->evaluateCandidate(state, upstreamState, model);
@@ -395,6 +364,19 @@
     return best;
 }
 
+/// Whether an engine has a goal that one of this precedence may not replace.
+bool ResidencyPlanner::isReservedFor(const UpstreamState &upstreamState,
+                                     Precedence precedence) const
+{
+    const auto goal = this->goals.find(upstreamState.snapshot->id);
+    if (goal == this->goals.end())
+        return false;
+    const Precedence present = goal->second.precedence();
+    const bool isLoadingForRequests
+            = present != Precedence::Expected && !upstreamState.snapshot->loading.isEmpty();
+    return present >= precedence || isLoadingForRequests;
+}
+
 /// Earliest time at which an engine with a copy of the weights, and with a goal for other waiting
 /// requests, could hold the model after that goal.
 std::optional<TimePoint> ResidencyPlanner::earliestLoadAfterGoals(const PlanningState &state,
@@ -431,7 +413,10 @@
         std::vector<Victim> victims;
         for (const std::size_t resident : upstreamState.resident)
             victims.push_back(
-                    {resident, this->computeEvictionCost(state, upstreamState, resident)});
+                    {resident,
+                     this->evictableAt(state, upstreamState, resident) > state.now
+                             ? forbiddenCost
+                             : this->computeEvictionCost(state, upstreamState, resident)});
         std::sort(victims.begin(), victims.end(), [](const Victim &left, const Victim &right) {
             return left.evictionCost < right.evictionCost;
         });
@@ -457,16 +442,23 @@
     return candidate;
 }
 
-/// Cost to the callers of evicting a model from an engine, in seconds.
+/// Time from which a model may be evicted from an engine; not before the present one.
+TimePoint ResidencyPlanner::evictableAt(const PlanningState &state,
+                                        const UpstreamState &upstreamState, std::size_t model) const
+{
+    const auto loaded
+            = this->loadedAt.find({upstreamState.snapshot->id, state.models[model].weights->id});
+    return loaded == this->loadedAt.end()
+                   ? state.now
+                   : std::max(state.now, loaded->second + this->settings.minResidencyTime);
+}
+
+/// Cost to the callers of evicting a model that may be evicted from an engine, in seconds.
 double ResidencyPlanner::computeEvictionCost(const PlanningState &state,
                                              const UpstreamState &upstreamState,
                                              std::size_t model) const
 {
     const ModelState &modelState = state.models[model];
-    const auto loaded = this->loadedAt.find({upstreamState.snapshot->id, modelState.weights->id});
-    if (loaded != this->loadedAt.end()
-        && loaded->second + this->settings.minResidencyTime > state.now)
-        return forbiddenCost;
     const double runningCost = this->settings.runningRequestCost * upstreamState.snapshot->running;
     if (modelState.replicas > modelState.wantedReplicas)
         return this->settings.surplusReplicaCost + 0.01 * modelState.rate + runningCost;
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -143,6 +143,15 @@
     void recordStoreLoadTime(Duration took, Duration expected);
 
 private:
+    /// What a model is loaded for; a goal may replace one of lower precedence.
+    enum class Precedence {
+        /// Requests that are expected.
+        Expected,
+        /// Requests that wait.
+        Waiting,
+        /// Requests that wait and that only the engines of one software version serve.
+        Bound,
+    };
     /// A model that an engine is to load, after it has unloaded the victims.
     struct Goal
     {
@@ -155,10 +164,21 @@
         /// Whether requests waited for the model in some plan since the goal was set.
         bool hasWaitingRequests = false;
         std::string_view reason;
+        /// Whether requests that only the engine's software version serves wait for the model.
+        bool hasBoundRequests = false;
 
         /// @brief Whether the goal evicts a model.
         bool evicts(const ModelId &modelId) const;
+
+        /// @brief What the model is loaded for.
+        Precedence precedence() const
+        {
+            if (this->hasBoundRequests)
+                return Precedence::Bound;
+            return this->hasWaitingRequests ? Precedence::Waiting : Precedence::Expected;
+        }
     };
+    using Goals = std::map<UpstreamId, Goal>;
     /// An engine that could load a model.
     struct Candidate
     {
@@ -227,9 +247,13 @@
                                         const ModelState &modelState) const;
     void removeObsoleteGoals(PlanningState &state);
     void addGoalsForWaitingRequests(PlanningState &state);
+    void markGoalsOfBoundRequests(PlanningState &state);
     void addGoalsForBoundRequests(PlanningState &state);
     TimePoint planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
-                              std::uint64_t waitingRequests);
+                              Duration shortestWait);
+    std::optional<TimePoint> findBoundReplica(PlanningState &state, const VersionedTarget &wanted);
+    std::optional<Candidate> findBoundCandidate(PlanningState &state, const VersionedTarget &wanted,
+                                                Duration shortestWait, double benefit);
     void addGoalsForReplicas(PlanningState &state);
     void addGoalsForUnloadedModels(PlanningState &state);
     void addOrdersForGoals(PlanningState &state, std::vector<PlannedOrder> &orders);
@@ -237,24 +261,34 @@
     void addAdapterOrder(PlanningState &state, const VersionedTarget &wanted,
                          std::vector<PlannedOrder> &orders);
     void addGoal(PlanningState &state, const Candidate &candidate, const ModelId &model,
-                 bool hasWaitingRequests, std::string_view reason);
+                 Precedence precedence, std::string_view reason);
+    void dropGoal(PlanningState &state, Goals::iterator goal);
 
     /// @param model index in PlanningState::models, here and below
-    /// @param hasWaitingRequests whether requests wait for the model
+    /// @param precedence what the model is loaded for
     /// @param version software version of the engines to consider; empty for all
     std::optional<Candidate> findBestCandidate(PlanningState &state, std::size_t model,
-                                               bool hasWaitingRequests,
+                                               Precedence precedence,
                                                const SoftwareVersion &version = {});
+    bool isReservedFor(const UpstreamState &upstreamState, Precedence precedence) const;
     std::optional<Candidate> evaluateCandidate(const PlanningState &state,
                                                const UpstreamState &upstreamState,
                                                std::size_t model) const;
     std::optional<TimePoint> earliestLoadAfterGoals(const PlanningState &state,
                                                     std::size_t model) const;
     std::optional<TimePoint> earliestGoalReadyAt(const ModelId &model) const;
+    std::optional<TimePoint> earliestBoundLoad(const PlanningState &state, std::size_t model,
+                                               const SoftwareVersion &version,
+                                               double benefit) const;
+    std::optional<TimePoint> earliestLoadAt(const PlanningState &state,
+                                            const UpstreamState &upstreamState, std::size_t model,
+                                            double benefit) const;
     double computeLoadBenefit(const ModelState &model) const;
     double computeAdapterBlockingCost(const PlanningState &state,
                                       const UpstreamState &upstreamState,
                                       Duration loadDuration) const;
+    TimePoint evictableAt(const PlanningState &state, const UpstreamState &upstreamState,
+                          std::size_t model) const;
     double computeEvictionCost(const PlanningState &state, const UpstreamState &upstreamState,
                                std::size_t model) const;
     Duration loadTime(const gateway::ModelWeights &model, WeightSource source) const;
@@ -263,11 +297,14 @@
     TimePoint adapterReadyAt(const PlanningState &state, const VersionedTarget &wanted) const;
     Duration estimateUnplannedWait(const gateway::ModelWeights &model) const;
 
+    /// Expected time of unloading an idle model.
+    static constexpr Duration unloadTime = std::chrono::milliseconds(30);
+
     PlannerSettings settings;
     gateway::EngineSpec engine;
     store::Pacer pacer;
     /// At most one goal for each engine.
-    std::map<UpstreamId, Goal> goals;
+    Goals goals;
     /// When accepted loads of models are expected to be complete.
     std::map<std::pair<UpstreamId, ModelId>, TimePoint> loadedAt;
     std::map<UpstreamId, ModelId> runningStoreLoads;
--- a/src/residency/planner_adapters.cpp
+++ b/src/residency/planner_adapters.cpp
@@ -12,7 +12,7 @@
         if (!target.adapter.isEmpty())
             this->addAdapterOrder(state, {target}, orders);
     }
-    for (const auto &[wanted, waitingRequests] : state.demand.boundWaits()) {
+    for (const auto &[wanted, waits] : state.demand.boundWaits()) {
         if (!wanted.target.adapter.isEmpty())
             this->addAdapterOrder(state, wanted, orders);
     }
--- /dev/null
+++ b/src/residency/planner_bound.cpp
@@ -0,0 +1,204 @@
+#include "residency/planner.hpp"
+
+#include <algorithm>
+
+namespace bamboochute::residency {
+
+namespace {
+
+/// Requests that wait for a model or its adapters at one software version.
+std::uint64_t countBoundWaits(const DemandTally &demand, const VersionedTarget &wanted)
+{
+    std::uint64_t count = 0;
+    for (const auto &[target, waits] : demand.boundWaits()) {
+        if (target.target.model == wanted.target.model && target.version == wanted.version)
+            count += waits.waiting;
+    }
+    return count;
+}
+
+} // namespace
+
+void ResidencyPlanner::markGoalsOfBoundRequests(PlanningState &state)
+{
+    const auto &boundWaits = state.demand.boundWaits();
+    for (auto &[id, goal] : this->goals) {
+        const UpstreamState &upstreamState = *state.find(id);
+        goal.hasBoundRequests
+                = std::any_of(boundWaits.begin(), boundWaits.end(), [&](const auto &item) {
+                      return item.first.target.model == goal.model
+                             && upstreamState.isOfVersion(item.first.version);
+                  });
+        goal.hasWaitingRequests = goal.hasWaitingRequests || goal.hasBoundRequests;
+    }
+}
+
+/// Plans for streams that go on only at the version that began them, as other engines than those
+/// that hold their target may have to load it.
+void ResidencyPlanner::addGoalsForBoundRequests(PlanningState &state)
+{
+    const auto &boundWaits = state.demand.boundWaits();
+    std::vector<std::pair<VersionedTarget, BoundWaits>> byUrgency(boundWaits.begin(),
+                                                                  boundWaits.end());
+    std::stable_sort(byUrgency.begin(), byUrgency.end(), [](const auto &left, const auto &right) {
+        return left.second.shortestWait < right.second.shortestWait;
+    });
+    for (const auto &[wanted, waits] : byUrgency) {
+        if (state.find(wanted.target.model) != nullptr)
+            this->expectedReadyTimes[wanted]
+                    = this->planBoundTarget(state, wanted, waits.shortestWait);
+    }
+}
+
+/// Returns when an engine of the version is expected to hold the target.
+TimePoint ResidencyPlanner::planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
+                                            Duration shortestWait)
+{
+    if (const std::optional<TimePoint> readyAt = this->findBoundReplica(state, wanted))
+        return *readyAt;
+    const ModelId &id = wanted.target.model;
+    const std::size_t index = state.modelIndexes[id];
+    const gateway::ModelWeights &weights = *state.models[index].weights;
+    const double benefit = static_cast<double>(countBoundWaits(state.demand, wanted))
+                           * toSeconds(weights.storeLoadTime);
+    const std::optional<Candidate> candidate
+            = this->findBoundCandidate(state, wanted, shortestWait, benefit);
+    if (!candidate)
+        return this->earliestBoundLoad(state, index, wanted.version, benefit)
+                .value_or(state.now + this->estimateUnplannedWait(weights));
+    this->addGoal(state, *candidate, id, Precedence::Bound,
+                  "streams wait for the software version");
+    return candidate->readyAt;
+}
+
+/// Returns when a target is ready at an engine of the version that holds its model or has a goal
+/// for it. A model that is to be evicted for requests that other engines can serve is kept.
+std::optional<TimePoint> ResidencyPlanner::findBoundReplica(PlanningState &state,
+                                                            const VersionedTarget &wanted)
+{
+    const ModelId &id = wanted.target.model;
+    std::optional<TimePoint> goalReadyAt;
+    auto evicting = this->goals.end();
+    for (const UpstreamState &upstreamState : state.upstreams) {
+        if (!upstreamState.snapshot->isUsable || !upstreamState.isOfVersion(wanted.version))
+            continue;
+        const auto goal = this->goals.find(upstreamState.snapshot->id);
+        const bool hasGoal = goal != this->goals.end();
+        if (upstreamState.snapshot->residency.find(id) != nullptr) {
+            if (!hasGoal || !goal->second.evicts(id))
+                return this->adapterReadyAt(state, wanted);
+            if (!goal->second.hasBoundRequests)
+                evicting = goal;
+        } else if (hasGoal && goal->second.model == id) {
+            goal->second.hasWaitingRequests = true;
+            goal->second.hasBoundRequests = true;
+            goalReadyAt
+                    = std::min(goalReadyAt.value_or(goal->second.readyAt), goal->second.readyAt);
+        }
+    }
+    if (evicting != this->goals.end()) {
+        this->dropGoal(state, evicting);
+        return this->adapterReadyAt(state, wanted);
+    }
+    if (goalReadyAt)
+        return std::max(*goalReadyAt, state.now + unloadTime);
+    return std::nullopt;
+}
+
+/// Returns where to load a model whose load is worth its cost; in place of a goal for requests that
+/// other engines can serve only if no other engine can hold it in time.
+std::optional<ResidencyPlanner::Candidate>
+ResidencyPlanner::findBoundCandidate(PlanningState &state, const VersionedTarget &wanted,
+                                     Duration shortestWait, double benefit)
+{
+    const std::size_t index = state.modelIndexes[wanted.target.model];
+    std::optional<Candidate> best
+            = this->findBestCandidate(state, index, Precedence::Waiting, wanted.version);
+    if (best && best->disruptionCost >= benefit)
+        best.reset();
+    if (best && best->readyAt <= state.now + shortestWait)
+        return best;
+    const std::optional<Candidate> replacing
+            = this->findBestCandidate(state, index, Precedence::Bound, wanted.version);
+    const bool isSooner = replacing && replacing->disruptionCost < benefit
+                          && (!best || replacing->readyAt < best->readyAt);
+    return isSooner ? replacing : best;
+}
+
+/// Earliest time at which an engine of a version, with a copy of the weights, could hold a model
+/// that can't be planned now.
+std::optional<TimePoint> ResidencyPlanner::earliestBoundLoad(const PlanningState &state,
+                                                             std::size_t model,
+                                                             const SoftwareVersion &version,
+                                                             double benefit) const
+{
+    std::optional<TimePoint> earliest;
+    for (const UpstreamState &upstreamState : state.upstreams) {
+        if (!upstreamState.snapshot->isUsable || !upstreamState.isOfVersion(version)
+            || upstreamState.sources[model] == WeightSource::Store)
+            continue;
+        const std::optional<TimePoint> readyAt
+                = this->earliestLoadAt(state, upstreamState, model, benefit);
+        if (readyAt)
+            earliest = std::min(earliest.value_or(*readyAt), *readyAt);
+    }
+    return earliest;
+}
+
+/// Earliest time at which an engine could hold a model: after its goal, and after the time for
+/// which the models that it would have to unload are kept.
+/// @return nothing if the evictions cost more than the benefit, or the model does not fit
+std::optional<TimePoint> ResidencyPlanner::earliestLoadAt(const PlanningState &state,
+                                                          const UpstreamState &upstreamState,
+                                                          std::size_t model, double benefit) const
+{
+    struct Occupant
+    {
+        TimePoint evictableAt;
+        double cost;
+        double megabytes;
+    };
+    const gateway::ModelWeights &weights = *state.models[model].weights;
+    double freeMegabytes = this->engine.weightMegabytes - upstreamState.usedMegabytes;
+    TimePoint start = std::max(state.now, upstreamState.snapshot->busyUntil);
+    std::vector<Occupant> occupants;
+    const auto goal = this->goals.find(upstreamState.snapshot->id);
+    const bool hasGoal = goal != this->goals.end();
+    for (const std::size_t resident : upstreamState.resident) {
+        const gateway::ModelWeights &residentWeights = *state.models[resident].weights;
+        if (hasGoal && goal->second.evicts(residentWeights.id))
+            freeMegabytes += residentWeights.megabytes;
+        else
+            occupants.push_back({this->evictableAt(state, upstreamState, resident),
+                                 this->computeEvictionCost(state, upstreamState, resident),
+                                 residentWeights.megabytes});
+    }
+    if (hasGoal) {
+        start = std::max(start, goal->second.readyAt);
+        const std::size_t loading = state.modelIndexes.at(goal->second.model);
+        freeMegabytes -= state.models[loading].weights->megabytes;
+        occupants.push_back({start + this->settings.minResidencyTime,
+                             this->computeEvictionCost(state, upstreamState, loading),
+                             state.models[loading].weights->megabytes});
+    }
+    std::sort(occupants.begin(), occupants.end(), [](const Occupant &left, const Occupant &right) {
+        return std::pair(left.evictableAt, left.cost) < std::pair(right.evictableAt, right.cost);
+    });
+    double cost = 0;
+    Duration unloads{};
+    for (const Occupant &occupant : occupants) {
+        if (freeMegabytes >= weights.megabytes)
+            break;
+        if (cost + occupant.cost >= benefit)
+            continue;
+        freeMegabytes += occupant.megabytes;
+        start = std::max(start, occupant.evictableAt);
+        cost += occupant.cost;
+        unloads += unloadTime;
+    }
+    if (freeMegabytes < weights.megabytes)
+        return std::nullopt;
+    return start + unloads + this->loadTime(weights, upstreamState.sources[model]);
+}
+
+} // namespace bamboochute::residency
--- a/tests/residency/unit-demand_tally.cpp
+++ b/tests/residency/unit-demand_tally.cpp
@@ -65,6 +65,29 @@
     }
 }
 
+TEST_CASE("requests that only one version serves are counted apart, with their shortest wait")
+{
+    DemandTally tally;
+    const TimePoint now{10s};
+    const Target model{ModelId("lease"), {}};
+    const auto makeBound = [](const char *version, std::uint32_t waiting, Duration timeLeft) {
+        gateway::TargetDemand demand = makeDemand("", 0, waiting, timeLeft, 0);
+        demand.target.version = SoftwareVersion(version);
+        return demand;
+    };
+    tally.addReport(InstanceId("a"),
+                    {makeDemand("", 1, 4, 1s, 0), makeBound("v1", 1, 3s), makeBound("v2", 2, 5s)},
+                    false, now);
+    tally.addReport(InstanceId("b"), {makeBound("v1", 2, 2s)}, false, now);
+    CHECK(tally.demandFor(model).waiting == 4);
+    REQUIRE(tally.boundWaits().size() == 2);
+    CHECK(tally.boundWaits().at({model, SoftwareVersion("v1")}) == BoundWaits{3, 2s});
+    CHECK(tally.boundWaits().at({model, SoftwareVersion("v2")}) == BoundWaits{2, 5s});
+
+    tally.addReport(InstanceId("b"), {}, false, now);
+    CHECK(tally.boundWaits().at({model, SoftwareVersion("v1")}) == BoundWaits{1, 3s});
+}
+
 // Guards against sums of what instances report that wrap: nobody seemed to wait or run.
 TEST_CASE("the largest numbers that instances can report are summed without wrapping")
 {
@@ -94,6 +117,6 @@
             demand.target.version = SoftwareVersion("v1");
             tally.addReport(InstanceId(instance), {demand}, false, now);
         }
-        CHECK(tally.boundWaits().at({model, SoftwareVersion("v1")}) >= 1U << 31);
+        CHECK(tally.boundWaits().at({model, SoftwareVersion("v1")}).waiting >= 1U << 31);
     }
 }
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -387,6 +387,136 @@
     CHECK(fleet.engineAt(0).residency.models[0].adapters.size() == 2);
 }
 
+/// Two engines of one model each, one of version v1 and one of v2; both have copies of all models,
+/// that of v1 in its host memory.
+class TwoVersions : public Fleet
+{
+public:
+    TwoVersions()
+        : Fleet(2, 3)
+    {
+        this->engine.weightMegabytes = 100000;
+        this->planner.configure(this->engine);
+        this->engineAt(0).softwareVersion = v1;
+        this->engineAt(1).softwareVersion = SoftwareVersion("v2");
+        for (const char *model : {"m0", "m1", "m2"}) {
+            this->engineAt(0).copies.inMemory.emplace_back(model);
+            this->addDiskCopy(1, model);
+        }
+    }
+
+    bool holds(std::size_t index, const char *model) const
+    {
+        return this->upstreams[index].residency.find(ModelId(model)) != nullptr;
+    }
+
+    void setReady(std::size_t index, bool isReady) { this->engineAt(index).isReady = isReady; }
+
+    /// Whether a stream that waits for a model at v1 would be held for this time.
+    bool isPromised(const char *model, Duration within) const
+    {
+        const auto ready = this->planner.readyAt({ModelId(model), {}}, v1);
+        REQUIRE(ready);
+        return *ready <= this->now + within;
+    }
+
+    const SoftwareVersion v1{"v1"};
+};
+
+// Guards against streams that can't be taken up because the engines of their version load for
+// requests that engines of other versions could serve.
+TEST_CASE("a load for a stream that is bound to a version goes before loads that others can do")
+{
+    TwoVersions fleet;
+    SUBCASE("when both are asked for at once")
+    {
+        fleet.addDemand("m1", 1, 1);
+        fleet.addBoundStream("m2", "", "v1");
+    }
+    SUBCASE("when the engine of the version has a goal that it has not begun")
+    {
+        fleet.setReady(0, false);
+        fleet.setReady(1, false);
+        fleet.addDemand("m1", 1, 1);
+        fleet.run(100ms);
+        REQUIRE(fleet.orders.empty());
+        fleet.setReady(0, true);
+        fleet.setReady(1, true);
+        fleet.addBoundStream("m2", "", "v1");
+    }
+    fleet.run(50ms);
+    CHECK(fleet.isPromised("m2", 300ms));
+    fleet.run(700ms);
+    CHECK(fleet.holds(0, "m2"));
+    CHECK(fleet.holds(1, "m1"));
+}
+
+// Guards against the eviction of what streams wait for, for requests that other engines can serve.
+TEST_CASE("a model that a bound stream waits for is not evicted for requests of any version")
+{
+    TwoVersions fleet;
+    fleet.addModel(0, "m0");
+    fleet.setReady(0, false);
+    fleet.addDemand("m1", 1, 1);
+    fleet.engineAt(1).isUsable = false;
+    fleet.run(100ms);
+    fleet.engineAt(1).isUsable = true;
+    fleet.addBoundStream("m0", "", "v1");
+    fleet.setReady(0, true);
+    fleet.run(50ms);
+    CHECK(fleet.isPromised("m0", 100ms));
+    fleet.run(700ms);
+    CHECK(fleet.holds(0, "m0"));
+    CHECK(fleet.holds(1, "m1"));
+}
+
+// Guards against streams that are refused although an engine of their version is free soon.
+TEST_CASE("a stream that is bound to a version is told when an engine of it can hold its model")
+{
+    TwoVersions fleet;
+    fleet.addBoundStream("m1", "", "v1");
+    fleet.run(400ms);
+    REQUIRE(fleet.holds(0, "m1"));
+    fleet.clearDemand();
+
+    SUBCASE("after the time for which the model that was just loaded is kept")
+    {
+        fleet.addBoundStream("m2", "", "v1");
+        fleet.run(50ms);
+        REQUIRE_FALSE(fleet.holds(0, "m2"));
+        CHECK(fleet.isPromised("m2", 1900ms));
+        CHECK_FALSE(fleet.isPromised("m2", 1s));
+        const TimePoint promised = *fleet.planner.readyAt({ModelId("m2"), {}}, fleet.v1);
+        fleet.run(promised + 150ms - fleet.now);
+        CHECK(fleet.holds(0, "m2"));
+    }
+    SUBCASE("after another load at the version, and the time for which its model is kept")
+    {
+        fleet.run(2s);
+        fleet.addBoundStream("m0", "", "v1");
+        fleet.run(50ms);
+        fleet.addBoundStream("m2", "", "v1");
+        fleet.run(50ms);
+        CHECK(fleet.isPromised("m0", 300ms));
+        CHECK(fleet.isPromised("m2", 2300ms));
+        CHECK_FALSE(fleet.isPromised("m2", 1500ms));
+    }
+    SUBCASE("not of an engine that would have to load from the weight store")
+    {
+        fleet.engineAt(0).copies.inMemory.clear();
+        fleet.addBoundStream("m2", "", "v1");
+        fleet.run(50ms);
+        CHECK_FALSE(fleet.isPromised("m2", 4s));
+    }
+    SUBCASE("not of an engine that has crashed")
+    {
+        fleet.engineAt(0).isUsable = false;
+        fleet.addBoundStream("m2", "", "v1");
+        fleet.run(50ms);
+        CHECK_FALSE(fleet.isPromised("m2", 3s));
+    }
+}
+
 // Guards against streams that can't be taken up because only engines of other software versions
 // hold their target.
 TEST_CASE("the target of a stream that is bound to a software version is loaded at that version")
