Don't send requests through others because of a crash

Callers saw: where 40% of a service's upstreams crashed at once, requests that met two of them, or the only one that held what they need, were sent through up to three other instances, which saw the same crash, and were refused with cold_start_unavailable or 503 after that, with seconds left.

Cause: a suspicion that this instance may be cut off was enough to forward a request with two failed connections, or with no upstream left. A round ended only with its last probe, 0.3 s if an upstream had gone dark. Behind a real cut, the first request with a single upstream was refused instead of forwarded: it looked for offers before anybody had been asked.

Change: a request whose connections were refused goes on at its own upstreams and then waits for the first round. The first connection that holds ends the suspicion, and the request is handled as one whose upstream is gone. A round that began before the call that raised a suspicion doesn't end it any more. No further probes.

--- a/src/forwarding/reachability.cpp
+++ b/src/forwarding/reachability.cpp
@@ -60,6 +60,15 @@
     this->nextRoundAt = std::min(this->nextRoundAt, std::max(now, earliest));
 }
 
+void Reachability::recordHeldProbe(TimePoint begunAt, TimePoint now)
+{
+    this->lastEvidenceAt = now;
+    this->lastReachedBegin = std::max(this->lastReachedBegin, begunAt);
+    const bool isSuspected = this->decided == ReachabilityState::Suspected && !this->isSilent;
+    if (isSuspected && begunAt >= this->suspectedSince)
+        this->refuteSuspicion(now);
+}
+
 void Reachability::recordRound(TimePoint begunAt, std::size_t probes, std::size_t held,
                                bool isHelped, TimePoint now, ProbeKind kind)
 {
@@ -87,9 +96,15 @@
         this->failedRounds = 0;
     }
     switch (this->decided) {
-    case ReachabilityState::Suspected:
-        this->recordSuspectedRound(held > 0 || probes == 0, isHelped, now);
+    case ReachabilityState::Suspected: {
+        // What held before the call began may not hold any more.
+        const bool isEarlier = begunAt < this->suspectedSince && held > 0;
+        if (isEarlier && !this->isSilent)
+            this->nextRoundAt = std::max(now, begunAt + this->limits.minRoundInterval);
+        else
+            this->recordSuspectedRound(held > 0 || probes == 0, isHelped, now);
         break;
+    }
     case ReachabilityState::CutOff: {
         const double needed = this->limits.goodShare * static_cast<double>(probes);
         const bool isGood = held > 0 && static_cast<double>(held) >= needed;
--- a/src/forwarding/reachability.hpp
+++ b/src/forwarding/reachability.hpp
@@ -92,6 +92,11 @@
     /// @param begunAt when the call was begun
     void recordSilence(TimePoint begunAt, TimePoint now);
 
+    /// @brief Records that a connection of a round that is still open holds. It ends a suspicion of
+    /// failed connections that a call raised which began before the round.
+    /// @param begunAt when the round was begun
+    void recordHeldProbe(TimePoint begunAt, TimePoint now);
+
     /// @brief Records the outcome of a round of probes.
     /// @param begunAt when the round was begun
     /// @param probes number of upstreams that were tried
@@ -127,6 +132,14 @@
     /// answered.
     bool isUnanswered() const { return this->isSilent; }
 
+    /// @brief Whether connections have failed and the first round of probes since has not ended:
+    /// upstreams may have crashed, or the instance may be cut off.
+    bool awaitsFirstRound() const
+    {
+        return this->decided == ReachabilityState::Suspected && !this->isSilent
+               && this->failedRounds == 0;
+    }
+
     ReachabilityState state(TimePoint now) const;
 
     /// @brief Whether the instance may be cut off: what its calls say of an upstream is doubtful.
--- a/src/gateway/forwarding_driver.cpp
+++ b/src/gateway/forwarding_driver.cpp
@@ -118,6 +118,23 @@
     return found != this->links.end() && found->second.reachability.isInDoubt(now());
 }
 
+bool ForwardingDriver::awaitsFirstRound(const ServiceId &service) const
+{
+    const auto found = this->links.find(service);
+    return found != this->links.end() && found->second.reachability.awaitsFirstRound();
+}
+
+Awaitable<void> ForwardingDriver::waitForFirstRound(ServiceId service, TimePoint until,
+                                                    std::function<bool()> isGivenUp)
+{
+    // A round may have to wait for the least time between two of them.
+    const TimePoint latest
+            = std::min(until, now() + this->settings.reachability.minRoundInterval
+                                      + this->settings.probeTimeout + this->settings.holdTime);
+    while (this->awaitsFirstRound(service) && now() < latest && !isGivenUp())
+        co_await this->change.wait(latest);
+}
+
 bool ForwardingDriver::isUnanswered(const ServiceId &service) const
 {
     const auto found = this->links.find(service);
@@ -241,9 +258,11 @@
 {
     Links &own = this->linksTo(service);
     own.isRoundOpen = true;
-    const TimePoint begunAt = now();
     const std::vector<Probed> probed = this->pickProbed(service, kind);
     const auto round = std::make_shared<Round>();
+    round->service = service;
+    round->begunAt = now();
+    round->isInDoubt = own.noted != ReachabilityState::Reachable;
     round->open = probed.size();
     for (const Probed &each : probed)
         boost::asio::co_spawn(this->loop,
@@ -255,16 +274,16 @@
         co_await this->probeEnd.wait(now() + this->settings.probeTimeout);
     own.isRoundOpen = false;
     const bool isUnreached = !probed.empty() && round->reached == 0;
-    this->recordRound(service, begunAt, probed.size(), round->held,
-                      isUnreached ? ProbeKind::Connection : kind);
+    this->recordRound(*round, probed.size(), isUnreached ? ProbeKind::Connection : kind);
 }
 
-void ForwardingDriver::recordRound(const ServiceId &service, TimePoint begunAt, std::size_t probes,
-                                   std::size_t held, ProbeKind kind)
+void ForwardingDriver::recordRound(const Round &round, std::size_t probes, ProbeKind kind)
 {
+    const ServiceId &service = round.service;
     Links &own = this->linksTo(service);
     const bool isHelped = this->helpers.hasOffer(service.value(), now());
-    own.reachability.recordRound(begunAt, probes, held, isHelped, now(), kind);
+    const bool wasAwaited = own.reachability.awaitsFirstRound();
+    own.reachability.recordRound(round.begunAt, probes, round.held, isHelped, now(), kind);
     const bool isAnswer = kind == ProbeKind::Answer;
     const auto count = [this](std::string_view result, std::size_t number) {
         this->metrics
@@ -272,14 +291,24 @@
                          fmt::format("result=\"{}\"", result))
                 .add(number);
     };
-    count(isAnswer ? "answered" : "held", held);
-    count(isAnswer ? "unanswered" : "failed", probes - held);
-    if (own.noted != ReachabilityState::Reachable)
+    count(isAnswer ? "answered" : "held", round.held);
+    count(isAnswer ? "unanswered" : "failed", probes - round.held);
+    if (round.isInDoubt)
         logEvent(LogLevel::Info, "upstreams probed",
                  {{"service", service.value()},
                   {"probes", std::to_string(probes)},
-                  {isAnswer ? "answered" : "held", std::to_string(held)}});
+                  {isAnswer ? "answered" : "held", std::to_string(round.held)}});
     this->noteState(service);
+    if (wasAwaited && !own.reachability.awaitsFirstRound())
+        this->change.notifyAll();
+}
+
+/// Records a connection of an open round that holds: others of the round may take long to fail.
+void ForwardingDriver::recordHeldProbe(Round &round)
+{
+    ++round.held;
+    this->linksTo(round.service).reachability.recordHeldProbe(round.begunAt, now());
+    this->noteState(round.service);
 }
 
 /// Sends a request of this instance's own; any head of an answer shows that the upstream is
@@ -320,7 +349,7 @@
         stream.readAhead();
         co_await this->timer.wait(now() + this->settings.holdTime);
         if (!stream.isPeerClosed())
-            ++round->held;
+            this->recordHeldProbe(*round);
     }
     stream.close();
     this->probeStreams.erase(position);
--- a/src/gateway/forwarding_driver.hpp
+++ b/src/gateway/forwarding_driver.hpp
@@ -78,6 +78,17 @@
     /// @brief Whether this instance may be cut off from a service.
     bool isInDoubt(const ServiceId &service) const;
 
+    /// @brief Whether connections to a service failed of late, and it is not known yet whether that
+    /// is due to this instance's links.
+    bool awaitsFirstRound(const ServiceId &service) const;
+
+    /// @brief Waits until the first round of probes has shown whether failed connections may be due
+    /// to this instance's links, or the wait is ended.
+    /// @param until latest time
+    /// @param isGivenUp asked after each change
+    upstream::Awaitable<void> waitForFirstRound(ServiceId service, TimePoint until,
+                                                std::function<bool()> isGivenUp);
+
     /// @brief Whether this instance may be cut off from a service because its calls are accepted
     /// and not answered, or is.
     bool isUnanswered(const ServiceId &service) const;
@@ -148,6 +159,10 @@
     };
     struct Round
     {
+        ServiceId service;
+        TimePoint begunAt{};
+        /// Whether it may show that this instance is cut off, or is not any more.
+        bool isInDoubt = false;
         std::size_t open = 0;
         /// Upstreams that a request was written to.
         std::size_t reached = 0;
@@ -174,8 +189,8 @@
     forwarding::ReachabilityState stateOf(const ServiceId &service) const;
     upstream::Awaitable<void> watch(ServiceId service);
     upstream::Awaitable<void> runRound(ServiceId service, forwarding::ProbeKind kind);
-    void recordRound(const ServiceId &service, TimePoint begunAt, std::size_t probes,
-                     std::size_t held, forwarding::ProbeKind kind);
+    void recordRound(const Round &round, std::size_t probes, forwarding::ProbeKind kind);
+    void recordHeldProbe(Round &round);
     upstream::Awaitable<void> probe(Endpoint endpoint, std::shared_ptr<Round> round);
     upstream::Awaitable<void> ask(Probed probed, std::string target, std::shared_ptr<Round> round);
     std::vector<Probed> pickProbed(const ServiceId &service, forwarding::ProbeKind kind);
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -246,7 +246,7 @@
         UpstreamSelection selection = co_await this->selectPermittedUpstream();
         if (this->isCallerGone)
             co_return;
-        if (!selection.upstream && this->turnToHelpers())
+        if (!selection.upstream && co_await this->turnToHelpers())
             continue;
         if (!selection.upstream && this->possibleRuns == 0 && !this->isAnswerBegun) {
             co_await this->refuse(*selection.refusal, selection.retryAfter);
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -114,7 +114,9 @@
     upstream::Awaitable<bool> acceptForwarded();
     bool isHelperCutOff() const;
     upstream::Awaitable<NextHop> chooseNextHop();
-    bool turnToHelpers();
+    bool hasOwnUpstream() const;
+    upstream::Awaitable<void> waitForFirstRound();
+    upstream::Awaitable<bool> turnToHelpers();
     upstream::Awaitable<AttemptOutcome> runForwarded(Endpoint helper);
     HeadText buildForwardedHead() const;
     AttemptOutcome handleHelperFailure(const upstream::CallError &error);
@@ -264,6 +266,8 @@
     std::vector<UpstreamId> unreachedUpstreams;
     /// Number of connections that could not be made, and more when no upstream is left to try.
     std::uint32_t failedConnects = 0;
+    /// Number of those that were not refused.
+    std::uint32_t hungConnects = 0;
     /// Whether it was counted for the retry budget and the demand of models.
     bool isCounted = false;
     /// Upstreams that had no permit within their limit for the next attempt.
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -101,16 +101,62 @@
            && this->gateway.forwarding.isInDoubt(this->service->id);
 }
 
+/// Whether an upstream that the request has not failed at may get it now.
+bool RequestExchange::hasOwnUpstream() const
+{
+    const SelectionQuery query = this->buildSelectionQuery();
+    return std::any_of(query.candidates.begin(), query.candidates.end(),
+                       [&](const UpstreamTable::Entry *entry) {
+                           const UpstreamId &id = entry->registered.id;
+                           const bool isAvoided
+                                   = query.isHealthRequired
+                                     && this->gateway.health.isAvoided(id, this->now());
+                           return !isAvoided && !this->isExcluded(id);
+                       });
+}
+
+/// Waits until it is known whether the connections that could not be made were refused by crashed
+/// upstreams or behind a cut. One that hung has taken that time already.
+Awaitable<void> RequestExchange::waitForFirstRound()
+{
+    const ForwardingSettings &settings = this->gateway.forwarding.limits();
+    TimePoint until = this->deadline - minSendTime;
+    if (this->hungConnects > 0 && !this->forwarded)
+        until = this->now();
+    else if (this->hungConnects > 0)
+        until = std::min(until, this->now() + 2 * settings.holdTime);
+    co_await this->gateway.forwarding.waitForFirstRound(this->service->id, until,
+                                                        [this] { return this->isEnding(); });
+}
+
 /// Decides whether the request goes to an upstream, through another instance, or nowhere.
 Awaitable<RequestExchange::NextHop> RequestExchange::chooseNextHop()
 {
     ForwardingDriver &driver = this->gateway.forwarding;
     const ServiceId &id = this->service->id;
-    // A helper would send it to a further upstream.
-    if (this->forwarded || this->mustReturn || !driver.wantsHelper(id, this->failedConnects))
-        co_return NextHop{};
+    const forwarding::HelperLimits &limits = driver.limits().helpers;
     NextHop next;
-    if (this->triedHelpers.size() < driver.limits().helpers.maxHelpersPerRequest)
+    if (this->mustReturn)
+        co_return next;
+    const bool isLinkFailed = this->failedConnects > 0 && driver.isInDoubt(id);
+    const bool isOwnLeft = !isLinkFailed || this->hasOwnUpstream();
+    if (isLinkFailed && driver.awaitsFirstRound(id)) {
+        if (isOwnLeft && this->hungConnects == 0
+            && this->failedConnects < 2 * limits.failuresInDoubt)
+            co_return next;
+        co_await this->waitForFirstRound();
+    }
+    // A helper would send it to a further upstream.
+    if (this->forwarded) {
+        next.isUnavailable = !isOwnLeft && driver.isInDoubt(id) && !driver.isUnanswered(id);
+        co_return next;
+    }
+    const std::uint32_t failures = isOwnLeft
+                                           ? this->failedConnects
+                                           : std::max(this->failedConnects, limits.failuresInDoubt);
+    if (!driver.wantsHelper(id, failures))
+        co_return next;
+    if (this->triedHelpers.size() < limits.maxHelpersPerRequest)
         next.helper = co_await driver.findHelper(id, this->triedHelpers);
     // While it is not certain that this instance is cut off, its own links are tried on. Silent
     // upstreams may have gone on.
@@ -153,15 +199,18 @@
 
 /// Whether the request, for which no upstream is left, may still go to a helper: it failed to
 /// connect while it is not certain whether this instance is cut off.
-bool RequestExchange::turnToHelpers()
+Awaitable<bool> RequestExchange::turnToHelpers()
 {
     const ForwardingDriver &driver = this->gateway.forwarding;
     const std::uint32_t needed = driver.limits().helpers.failuresInDoubt;
     if (this->forwarded || this->failedConnects == 0 || this->failedConnects >= needed
         || !driver.isInDoubt(this->service->id))
-        return false;
+        co_return false;
+    co_await this->waitForFirstRound();
+    if (this->isEnding() || !driver.isInDoubt(this->service->id))
+        co_return false;
     this->failedConnects = needed;
-    return true;
+    co_return true;
 }
 
 /// Sends the request through another instance and relays its answer.
--- a/src/gateway/request_records.cpp
+++ b/src/gateway/request_records.cpp
@@ -33,6 +33,8 @@
     if (!error.isAnythingWritten) {
         this->unreachedUpstreams.push_back(this->attempt.upstream);
         ++this->failedConnects;
+        if (!error.isRefused)
+            ++this->hungConnects;
     }
     this->gateway.forwarding.recordFailure(this->service->id, this->attempt.sentAt);
 }
--- a/tests/forwarding/unit-reachability.cpp
+++ b/tests/forwarding/unit-reachability.cpp
@@ -145,6 +145,75 @@
     }
 }
 
+// Guards against requests that are sent through other instances because of a crashed upstream,
+// before the probes have shown that others are reached.
+TEST_CASE("refused calls are undecided until the first round of probes shows a crash or a cut")
+{
+    Reachability links;
+    const TimePoint now(100s);
+    CHECK_FALSE(links.awaitsFirstRound());
+    links.recordFailure(now, now + 1ms);
+    CHECK(links.awaitsFirstRound());
+    CHECK(links.nextRound() == now + 1ms);
+
+    SUBCASE("the first connection that holds shows a crash, while others of the round hang")
+    {
+        links.recordHeldProbe(now + 1ms, now + 32ms);
+        CHECK(links.state(now + 32ms) == ReachabilityState::Reachable);
+        CHECK(links.hasEvidence(1ms, now + 32ms));
+
+        SUBCASE("what fails in the same moment raises no suspicion again")
+        {
+            links.recordFailure(now, now + 33ms);
+            CHECK(links.state(now + 33ms) == ReachabilityState::Reachable);
+        }
+        SUBCASE("a call that begins later does, and the open round says nothing of it")
+        {
+            links.recordFailure(now + 40ms, now + 41ms);
+            links.recordRound(now + 1ms, 4, 3, false, now + 301ms);
+            CHECK(links.awaitsFirstRound());
+            CHECK(links.nextRound() == now + 301ms);
+            links.recordRound(now + 301ms, 4, 1, false, now + 332ms);
+            CHECK(links.state(now + 332ms) == ReachabilityState::Reachable);
+        }
+        SUBCASE("its rounds are as far apart as others")
+        {
+            links.recordFailure(now + 40ms, now + 41ms);
+            links.recordRound(now + 1ms, 4, 4, false, now + 50ms);
+            CHECK(links.nextRound() == now + 1ms + ReachabilityLimits().minRoundInterval);
+        }
+    }
+    SUBCASE("a connection of a round that began before the call doesn't decide it")
+    {
+        links.recordHeldProbe(now - 1ms, now + 2ms);
+        CHECK(links.awaitsFirstRound());
+    }
+    SUBCASE("an answer to a call that began later decides it without a round")
+    {
+        links.recordAnswer(now + 1ms, now + 5ms);
+        CHECK_FALSE(links.awaitsFirstRound());
+    }
+    SUBCASE("a round without one leaves the suspicion and ends the wait; the next one decides")
+    {
+        links.recordRound(now + 1ms, 4, 0, true, now + 2ms);
+        CHECK_FALSE(links.awaitsFirstRound());
+        CHECK(links.state(now + 2ms) == ReachabilityState::Suspected);
+        CHECK(links.nextRound() == now + 2ms + ReachabilityLimits().suspicionInterval);
+        links.recordRound(now + 102ms, 4, 0, true, now + 103ms);
+        CHECK(links.state(now + 103ms) == ReachabilityState::CutOff);
+        links.recordHeldProbe(now + 603ms, now + 633ms);
+        CHECK(links.state(now + 633ms) == ReachabilityState::CutOff);
+    }
+    SUBCASE("calls that are accepted and not answered are another matter")
+    {
+        Reachability silent;
+        silent.recordSilence(now, now + 1s);
+        CHECK_FALSE(silent.awaitsFirstRound());
+        silent.recordHeldProbe(now + 1s, now + 1030ms);
+        CHECK(silent.state(now + 1030ms) == ReachabilityState::Suspected);
+    }
+}
+
 TEST_CASE("many failures start one round of probes at a time")
 {
     Reachability links;
--- a/tests/gateway/unit-request_forwarding.cpp
+++ b/tests/gateway/unit-request_forwarding.cpp
@@ -1,3 +1,4 @@
+#include "forwarding/forwarded_request.hpp"
 #include "relay_fixture.hpp"
 
 #include <chrono>
@@ -112,6 +113,124 @@
     }
 }
 
+namespace {
+
+/// A request that takes up a stream that request r1 began.
+std::string resumeRequest(const std::string &headers = {})
+{
+    std::string text
+            = request("/stream/a", {}, "test-resumes: r1\r\ntest-last-event: 1\r\n" + headers);
+    return text.replace(text.find("test-id: r1"), 11, "test-id: r2");
+}
+
+/// Lets an instance know that request r1 began a stream at version v1.
+void learnOrigin(const RelayFixture &instance)
+{
+    instance.runOnLoop([](gateway::Gateway &own) {
+        own.learnOrigin({RequestId("r1"), gateway::ServiceId("rooms"), SoftwareVersion("v1"), 0});
+    });
+}
+
+/// Lets an instance suspect a cut, as a failed call does, and waits until another one offers help.
+void raiseSuspicion(const RelayFixture &instance)
+{
+    const gateway::ServiceId rooms("rooms");
+    instance.runOnLoop([&rooms](gateway::Gateway &own) {
+        own.forwardingDriver().recordFailure(rooms, SteadyClock().now());
+    });
+    const auto giveUpAt = std::chrono::steady_clock::now() + 25ms;
+    bool isOffered = false;
+    while (!isOffered && std::chrono::steady_clock::now() < giveUpAt)
+        instance.runOnLoop([&](gateway::Gateway &own) {
+            isOffered = own.forwardingDriver().isUndecided(rooms);
+        });
+}
+
+} // namespace
+
+// Guards against requests that go through other instances, which see the same crash, because the
+// only upstreams that may have them have crashed.
+TEST_CASE("a crash is not taken for a cut: no request goes through another instance")
+{
+    RefusingUpstream alsoCrashed;
+    const std::string rest = "id: 2\ndata: b\n\n";
+
+    SUBCASE("of the only holder of what a stream needs, while others hold their connections")
+    {
+        RefusingUpstream holder;
+        ScriptedUpstream sound({Script{streamAnswer(rest, true)}});
+        RelayFixture instance({&holder, &sound}, {"v1", "v2"});
+        ScriptedUpstream elsewhere({Script{streamAnswer(rest, true)}});
+        RelayFixture helper({&elsewhere}, {"v1"});
+        instance.offerHelp({helper.instanceEndpoint()});
+        learnOrigin(instance);
+        raiseSuspicion(instance);
+        const auto begin = std::chrono::steady_clock::now();
+        CHECK(containsText(instance.call(resumeRequest()), "HTTP/1.1 503"));
+        CHECK(std::chrono::steady_clock::now() - begin < 300ms);
+        CHECK(helper.requestsRead() == 0);
+        CHECK(sound.requests().empty());
+        CHECK(instance.metrics.counter("bamboochute_cuts_total").value() == 0);
+    }
+    SUBCASE("of two of three upstreams: the third one gets the request")
+    {
+        constexpr int instances = 8;
+        for (int i = 0; i < instances; ++i) {
+            RefusingUpstream first;
+            ScriptedUpstream sound({Script{answer(200, "sound")}, Script{}});
+            RelayFixture instance({&first, &sound, &alsoCrashed});
+            ScriptedUpstream unused({Script{answer(200, "helped")}});
+            RelayFixture helper({&unused});
+            instance.offerHelp({helper.instanceEndpoint()});
+            raiseSuspicion(instance);
+            CHECK(containsText(instance.call(request("/once/a")), "sound"));
+            CHECK(helper.requestsRead() == 0);
+        }
+    }
+    SUBCASE("at an instance that helps: it refuses as any other, not as one that is cut off itself")
+    {
+        forwarding::ForwardedRequest state;
+        state.remaining = 2s;
+        state.service = "rooms";
+        state.configuration = 1;
+        state.lastEventId = "1";
+        state.version = SoftwareVersion("v1");
+        const std::string forwarded
+                = resumeRequest(std::string(forwarding::forwardedHeader) + ": "
+                                + forwarding::encodeForwardedRequest(state) + "\r\n");
+        ScriptedUpstream sound({Script{streamAnswer(rest, true)}});
+        RelayFixture helper({&alsoCrashed, &sound}, {"v1", "v2"});
+        const std::string refused = RelayFixture::callAt(helper.instanceEndpoint(), forwarded);
+        CHECK(containsText(refused, "HTTP/1.1 503"));
+        CHECK_FALSE(containsText(refused, forwarding::notTakenHeader.data()));
+
+        SUBCASE("which says so if none of its connections holds")
+        {
+            RefusingUpstream last;
+            RelayFixture cut({&alsoCrashed, &last}, {"v1", "v2"});
+            CHECK(containsText(RelayFixture::callAt(cut.instanceEndpoint(), forwarded),
+                               "Bamboochute-Not-Taken: cut_off"));
+        }
+    }
+}
+
+// Guards against requests that wait behind a cut for what would tell it from a crash.
+TEST_CASE("a cut with refused connections sends the first request through another one at once")
+{
+    RefusingUpstream only;
+    RefusingUpstream other;
+    const std::string rest = "id: 2\ndata: b\n\n";
+    RelayFixture cut({&only, &other}, {"v1", "v2"});
+    ScriptedUpstream upstream({Script{streamAnswer(rest, true)}});
+    RelayFixture helper({&upstream}, {"v1"});
+    cut.offerHelp({helper.instanceEndpoint()});
+    learnOrigin(cut);
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(containsText(cut.call(resumeRequest()), rest));
+    CHECK(std::chrono::steady_clock::now() - begin < 300ms);
+    CHECK(upstream.requests().size() == 1);
+}
+
 // Guards against a request that is forwarded after its instance has ended its open requests, so
 // that its caller gets neither an answer nor a refusal.
 TEST_CASE("a request that waits for a helper when the open requests end is refused as not run")
