--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -246,7 +246,9 @@
         UpstreamSelection selection = co_await this->selectPermittedUpstream();
         if (this->isCallerGone)
             co_return;
-        if (!selection.upstream && (selection.isCutOff || this->turnToHelpers()))
+        const bool isForHelper
+                = !selection.upstream && (selection.isCutOff || co_await this->turnToHelpers());
+        if (isForHelper)
             continue;
         if (!selection.upstream && this->possibleRuns == 0 && !this->isAnswerBegun) {
             co_await this->refuse(*selection.refusal, selection.retryAfter);
