Ask an upstream again that can be reached again, and end hopeless waits at once

Found by a review of the waits for models; no report of a caller.

- A process to which one connection could not be made never got the request again, so that it was held to the end of its caller's patience though the only holder of its model was back.
It is asked again once it is not avoided any more; one in whose place another process answered only as a later process.
- A request was held where one holder had ended and another one lived and had failed it: the placement owner loads the model nowhere else then.
- A stream that may go back to its silent upstream only waited for the model when that one had ended, or went to its next process, beyond the attempts of its route.
- The upstream that was to replace a silent one counted as one that has read the request when no connection to it could be made.
- A connection that could not be made took a retry from the budget once the request had run elsewhere.
- A wait went on when the last upstream of the version had left.
- An upstream that broke the request after it had not been reached was not named as tried to an instance that helps.

The last four points have no test of their own.

--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -119,7 +119,7 @@
         return AttemptOutcome::NotRun;
     }
     if (isOtherProcess) {
-        this->unreachedProcesses.push_back(this->attempt.process);
+        this->replacedProcesses.push_back(this->attempt.process);
         this->recordFault(UpstreamFault::Unreachable,
                           "another process answers at the address of the upstream");
         return AttemptOutcome::NotRun;
@@ -149,11 +149,13 @@
         this->bindStreamVersion();
     this->recordLostLink(error);
     if (!error.isAnythingWritten) {
+        this->attempt.isUnreached = true;
         this->unreachedProcesses.push_back(this->attempt.process);
         this->recordFault(UpstreamFault::Unreachable, error.message);
         return AttemptOutcome::NotRun;
     }
     this->triedUpstreams.push_back(this->attempt.upstream);
+    std::erase(this->unreachedUpstreams, this->attempt.upstream);
     if (error.failure == CallFailure::TimedOut && this->timeLeft() < minSendTime) {
         this->hasTimedOut = true;
         this->attempt.linkCheckAt = std::min(this->attempt.linkCheckAt, this->now());
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -248,6 +248,8 @@
             co_return;
         const bool isForHelper
                 = !selection.upstream && (selection.isCutOff || co_await this->turnToHelpers());
+        if (this->isCallerGone)
+            co_return;
         if (isForHelper)
             continue;
         if (!selection.upstream && this->possibleRuns == 0 && !this->isAnswerBegun) {
@@ -288,7 +290,8 @@
     }
     if (outcome == AttemptOutcome::NotRun) {
         // If no connection was made, no upstream got the request: sending it again is not a retry.
-        const bool hasReachedUpstream = this->notRunAnswers > 0 || this->possibleRuns > 0;
+        const bool hasReachedUpstream
+                = !this->attempt.isUnreached && (this->notRunAnswers > 0 || this->possibleRuns > 0);
         return this->notRunAnswers <= maxNotRunAnswers
                && (!hasReachedUpstream
                    || this->gateway.budget.takeRetry(this->service->id, this->now()));
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -109,6 +109,8 @@
         std::unique_ptr<upstream::UpstreamCall> call;
         /// Where the reading of the answer ended; unset while no head was read.
         std::optional<upstream::AnswerEnd> answerEnd;
+        /// No connection could be made, so that nothing was sent.
+        bool isUnreached = false;
         /// Requests per second that the answer said the upstream takes.
         std::optional<double> upstreamLimit;
     };
@@ -176,6 +178,9 @@
     bool wasTried(const UpstreamId &id) const;
     TimePoint targetWaitDeadline() const;
     upstream::Awaitable<void> waitForCrashVerdict();
+    TimePoint nextHolderTry() const;
+    bool isVersionGone() const;
+    bool isReturnLost() const;
     bool isTargetReported() const;
     bool isTargetHeldOnlyByExcluded() const;
     std::optional<Duration> computeQueueRetryAfter(const UpstreamId &id) const;
@@ -266,9 +271,12 @@
     std::optional<RequestEnd> end;
     /// Upstreams that are not selected again for this request.
     std::vector<UpstreamId> triedUpstreams;
-    /// Processes to which no connection could be made, or whose address another one has: none of
-    /// them has read the request. A later process of the upstream may get it.
+    /// Processes to which no connection could be made. They have not read the request, and may get
+    /// it once they can be reached again.
     std::vector<UpstreamProcess> unreachedProcesses;
+    /// Processes in whose place another one answered; only a later process of the upstream may get
+    /// the request.
+    std::vector<UpstreamProcess> replacedProcesses;
     /// Instances that the request was forwarded to.
     std::vector<Endpoint> triedHelpers;
     /// Upstreams to which no connection could be made, or that were silent behind a cut; another
@@ -300,8 +308,8 @@
     upstream::UpstreamCall *silentCall = nullptr;
     /// Upstreams that were asked to take the request from a silent one; each is asked once.
     std::vector<UpstreamId> askedReplacements;
-    /// The last silent upstream that was given up.
-    UpstreamId givenUp;
+    /// Process of the last silent upstream that was given up.
+    UpstreamProcess givenUp;
     /// A retry is taken with which the stream can go back there.
     bool hasReturnRetry = false;
     /// No other upstream may run the request any more.
--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -110,7 +110,7 @@
     // It may go on with the request until it notices that its connection is closed.
     ++this->possibleRuns;
     this->triedUpstreams.push_back(this->attempt.upstream);
-    this->givenUp = this->attempt.upstream;
+    this->givenUp = this->attempt.process;
     if (this->attempt.call->activity() != PeerActivity::Lost) {
         this->recordFault(UpstreamFault::Slow, "silent; another upstream has taken the request");
         return;
@@ -220,10 +220,10 @@
 void RequestExchange::allowReturn()
 {
     this->hasReturnRetry = false;
-    std::erase(this->triedUpstreams, this->givenUp);
+    std::erase(this->triedUpstreams, this->givenUp.upstream);
     this->mustReturn = this->possibleRuns >= this->route->maxUpstreams;
     this->log(LogLevel::Info, "stream may go back to its silent upstream", "retry_reserved",
-              {"silent_upstream", this->givenUp.value()});
+              {"silent_upstream", this->givenUp.upstream.value()});
 }
 
 /// Whether the head of the current attempt's answer begins an answer to the request; records the
@@ -260,12 +260,13 @@
         this->gateway.budget.returnRetry(this->service->id, this->now());
     if (error.failure == CallFailure::Cancelled)
         return;
-    this->triedUpstreams.push_back(this->attempt.upstream);
     this->recordLostLink(error);
     if (!error.isAnythingWritten) {
+        this->unreachedProcesses.push_back(this->attempt.process);
         this->recordFault(UpstreamFault::Unreachable, error.message);
         return;
     }
+    this->triedUpstreams.push_back(this->attempt.upstream);
     if (error.failure == CallFailure::TimedOut) {
         this->recordFault(UpstreamFault::Slow, error.message);
         return;
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -67,7 +67,7 @@
 {
     if (this->mustReturn)
         std::erase_if(entries, [this](const UpstreamTable::Entry *entry) {
-            return entry->registered.id != this->givenUp;
+            return entry->process() != this->givenUp;
         });
     if (!this->requiredVersion)
         return;
@@ -136,11 +136,21 @@
     return std::find(tried.begin(), tried.end(), id) != tried.end();
 }
 
-/// Whether the request could not be brought to the present process of an upstream.
+/// Whether the request could not be brought to the present process of an upstream, and can't be
+/// yet.
 bool RequestExchange::isUnreached(const UpstreamTable::Entry &entry) const
 {
-    const auto &unreached = this->unreachedProcesses;
-    return std::find(unreached.begin(), unreached.end(), entry.process()) != unreached.end();
+    const UpstreamProcess process = entry.process();
+    const auto contains = [&process](const std::vector<UpstreamProcess> &processes) {
+        return std::find(processes.begin(), processes.end(), process) != processes.end();
+    };
+    if (contains(this->replacedProcesses))
+        return true;
+    // Another upstream can take a request that needs no model.
+    return contains(this->unreachedProcesses)
+           && (!this->isEngineTarget()
+               || this->gateway.health.isUnreachable(entry.registered.id, this->now())
+               || this->gateway.quarantine.crashDetector().hasEnded(process));
 }
 
 /// Whether an upstream's process has probably ended, and with it what it held.
@@ -309,12 +319,12 @@
     return std::any_of(serving.begin(), serving.end(), [this](const auto *entry) {
         const UpstreamId &id = entry->registered.id;
         return entry->residency.holds(this->target.target) && !this->isReplaceable(id)
-               && !this->isUnreached(*entry) && !this->wasTried(id);
+               && !this->isGone(*entry) && !this->wasTried(id);
     });
 }
 
 /// Whether the target is held, but only by upstreams where the request has already failed, or that
-/// have no permit for it or pause. One whose holder has ended can be loaded elsewhere.
+/// have no permit for it or pause. What only ended ones held can be loaded elsewhere.
 bool RequestExchange::isTargetHeldOnlyByExcluded() const
 {
     bool isHeld = false;
@@ -323,7 +333,7 @@
             || this->isReplaceable(entry->registered.id))
             continue;
         if (this->isGone(*entry))
-            return false;
+            continue;
         isHeld = true;
         if (!this->isExcluded(entry->registered.id) && !this->pauseOf(*entry))
             return false;
@@ -345,6 +355,35 @@
     return std::min(latest, std::max(this->request.arrival, this->lastEventAt) + maxWait);
 }
 
+/// When an upstream that holds the target and could not be reached may be tried again; at the
+/// latest time when there is none.
+TimePoint RequestExchange::nextHolderTry() const
+{
+    TimePoint next = TimePoint::max();
+    for (const UpstreamTable::Entry *entry : this->findServing()) {
+        const UpstreamId &id = entry->registered.id;
+        if (entry->residency.holds(this->target.target)
+            && this->gateway.health.isUnreachable(id, this->now()))
+            next = std::min(next, this->gateway.health.avoidedUntil(id));
+    }
+    return next;
+}
+
+/// Whether no upstream of the version that began the stream serves any more.
+bool RequestExchange::isVersionGone() const
+{
+    return this->requiredVersion && this->findServing().empty();
+}
+
+/// Whether the stream may go back to its silent upstream only, and that one has ended.
+bool RequestExchange::isReturnLost() const
+{
+    const auto serving = this->findServing();
+    return this->mustReturn
+           && std::all_of(serving.begin(), serving.end(),
+                          [this](const auto *entry) { return this->isGone(*entry); });
+}
+
 /// Waits until it is known whether the upstream that broke the last attempt has ended: then another
 /// one can be given its target.
 Awaitable<void> RequestExchange::waitForCrashVerdict()
@@ -366,14 +405,9 @@
     selection.refusal = Error(ErrorKind::ColdStartUnavailable,
                               "no usable upstream holds the model or adapter");
     selection.retryAfter = noUpstreamRetryAfter;
-    const bool isVersionGone = this->requiredVersion && this->findServing().empty();
-    if (isVersionGone)
-        selection.refusal = Error(ErrorKind::UpstreamUnavailable,
-                                  fmt::format("no upstream of software version \"{}\" serves",
-                                              this->requiredVersion->value()));
-    if (!isVersionGone && this->isTargetHeldOnlyByExcluded())
+    if (this->isTargetHeldOnlyByExcluded())
         co_await this->waitForCrashVerdict();
-    if (isVersionGone || this->isTargetHeldOnlyByExcluded())
+    if (this->isReturnLost() || this->isTargetHeldOnlyByExcluded())
         co_return selection;
     ServiceTarget wanted = this->target;
     wanted.version = this->requiredVersion.value_or(SoftwareVersion());
@@ -392,6 +426,12 @@
             selection.isCutOff = true;
             break;
         }
+        if (this->isVersionGone()) {
+            selection.refusal = Error(ErrorKind::UpstreamUnavailable,
+                                      fmt::format("no upstream of software version \"{}\" serves",
+                                                  this->requiredVersion->value()));
+            break;
+        }
         const std::optional<TargetPromise> promise = demand.promise(wanted);
         const bool isTargetReported = this->isTargetReported();
         if (!isTargetReported && promise && promise->readyAt > waitDeadline) {
@@ -407,6 +447,8 @@
                 = promise ? waitDeadline : std::min(waitDeadline, waitStart + ownerReplyTimeout);
         if (isTargetReported)
             until = std::min(waitDeadline, this->now() + refusedTargetRetryDelay);
+        else
+            until = std::min(until, this->nextHolderTry());
         co_await this->gateway.change.wait(until);
         selection.upstream = this->gateway.selector.pickUpstream(this->buildSelectionQuery(),
                                                                  this->gateway.health, this->now());
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -458,13 +458,31 @@
     reported.get_future().wait();
 }
 
-void RelayFixture::useEngine(const std::string &model)
+void RelayFixture::moveUpstream(std::size_t index, const Endpoint &endpoint, bool isRestarted)
 {
-    this->publishChange([&model](gateway::RoutingConfiguration &configuration) {
+    this->runOnLoop([&](gateway::Gateway &gateway) {
+        const UpstreamId id(fmt::format("u{}", index));
+        gateway::RegisteredUpstream upstream = gateway.table.find(id)->registered;
+        upstream.endpoint = endpoint;
+        ++upstream.heartbeat;
+        if (isRestarted) {
+            ++upstream.residency.version.startedAt;
+            gateway.health.forget(id);
+        }
+        gateway.table.applyRegistration(upstream, SteadyClock().now());
+        gateway.notifyChange();
+    });
+}
+
+void RelayFixture::useEngine(const std::string &model, Duration patience)
+{
+    this->publishChange([&](gateway::RoutingConfiguration &configuration) {
         gateway::EngineSpec engine;
         engine.slots = 8;
         engine.models = {gateway::ModelWeights{ModelId(model)}};
         configuration.services.front().engine = engine;
+        for (gateway::Route &route : configuration.routes)
+            route.maxFirstEventDelay = patience;
     });
 }
 
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -146,9 +146,15 @@
     /// @param index position among the constructor's upstreams
     void reportRestart(std::size_t index);
 
+    /// @brief Registers an upstream at another address.
+    /// @param index position among the constructor's upstreams
+    /// @param isRestarted whether a later process is registered there, or the same one
+    void moveUpstream(std::size_t index, const Endpoint &endpoint, bool isRestarted);
+
     /// @brief Gives the service an engine with one model; requests name it in the header
     /// test-model.
-    void useEngine(const std::string &model);
+    /// @param patience time after which callers give up on a stream without events; zero: never
+    void useEngine(const std::string &model, Duration patience = {});
 
     /// @brief Reports that an upstream holds a model, as the placement owner does.
     /// @param index position among the constructor's upstreams
--- a/tests/gateway/unit-take_ups.cpp
+++ b/tests/gateway/unit-take_ups.cpp
@@ -1,5 +1,6 @@
 #include "relay_fixture.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <future>
 
@@ -37,6 +38,19 @@
     }
 }
 
+/// Answers as a placement owner that expects an upstream of v1 to hold the model after a time.
+void answerWithPromise(const RelayFixture &fixture, Duration readyIn)
+{
+    const gateway::ServiceTarget wanted{gateway::ServiceId("rooms"), Target{ModelId(model), {}},
+                                        SoftwareVersion("v1")};
+    fixture.runOnLoop([wanted, readyIn](gateway::Gateway &gateway) {
+        gateway.onTargetWait = [&gateway, wanted, readyIn] {
+            const TimePoint now = SteadyClock().now();
+            gateway.demand.recordPromise(wanted, {now + readyIn, now});
+        };
+    });
+}
+
 } // namespace
 
 // Guards against a stream that is taken up and refused although an upstream of its version is
@@ -65,6 +79,11 @@
     fixture.useEngine(model);
     fixture.reportModel(0, model);
     fixture.reportModel(2, model);
+    std::vector<UpstreamId> told;
+    fixture.runOnLoop([&told](gateway::Gateway &gateway) {
+        gateway.forwardingDriver().onUpstreamAvoided
+                = [&told](const UpstreamId &id, gateway::UpstreamFault) { told.push_back(id); };
+    });
     std::future<std::string> called
             = std::async(std::launch::async, [&fixture] { return fixture.call(takeUp()); });
     waitForFault(fixture, fault);
@@ -81,6 +100,55 @@
     CHECK(got.starts_with("HTTP/1.1 200 "));
     CHECK(containsText(got, "data: rest"));
     CHECK(otherVersion.requests().empty());
+    // The placement owner, so that it can have the model loaded elsewhere.
+    fixture.runOnLoop([&told](gateway::Gateway &gateway) {
+        gateway.forwardingDriver().onUpstreamAvoided = nullptr;
+        CHECK(std::find(told.begin(), told.end(), UpstreamId("u0")) != told.end());
+    });
+}
+
+// Guards against a stream that is refused although the upstream with its model, which has not read
+// it, can be reached again.
+TEST_CASE("a stream that is taken up goes to the upstream with its model once that can be reached")
+{
+    RefusingUpstream unreachable;
+    ScriptedUpstream later(continuation());
+    ScriptedUpstream other(continuation());
+    bool isRestarted = false;
+    SUBCASE("as the same process") {}
+    SUBCASE("as a later process")
+    {
+        isRestarted = true;
+    }
+    RelayFixture fixture({&unreachable, &other}, {"v1", "v1"});
+    fixture.versionKnownElsewhere = "v1";
+    fixture.useEngine(model);
+    fixture.reportModel(0, model);
+    answerWithPromise(fixture, 100ms);
+    std::future<std::string> called
+            = std::async(std::launch::async, [&fixture] { return fixture.call(takeUp()); });
+    waitForFault(fixture, "unreachable");
+    fixture.moveUpstream(0, later.endpoint(), isRestarted);
+    if (isRestarted)
+        fixture.reportModel(0, model);
+    const std::string got = called.get();
+    CHECK(got.starts_with("HTTP/1.1 200 "));
+    CHECK(containsText(got, "data: rest"));
+    CHECK(other.requests().empty());
+}
+
+// Guards against a request that is held for a model beyond the time that its caller waits.
+TEST_CASE("a stream that waits for its model is refused before its caller gives up")
+{
+    ScriptedUpstream upstream(continuation());
+    RelayFixture fixture({&upstream}, {"v1"});
+    fixture.versionKnownElsewhere = "v1";
+    fixture.useEngine(model, 500ms);
+    answerWithPromise(fixture, 100ms);
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(fixture.call(takeUp()).starts_with("HTTP/1.1 503 "));
+    CHECK(std::chrono::steady_clock::now() - begin < 1s);
+    CHECK(upstream.requests().empty());
 }
 
 // Guards against a wait for a model that no other upstream will be given.
@@ -99,6 +167,20 @@
         CHECK_FALSE(fixture.call(takeUp()).starts_with("HTTP/1.1 200 "));
         CHECK(std::chrono::steady_clock::now() - begin < 600ms);
     }
+    SUBCASE("and has failed it, while another one that held it has ended")
+    {
+        RefusingUpstream ended;
+        ScriptedUpstream holder({{answer(500, "no")}});
+        RelayFixture fixture({&ended, &holder, &other}, {"v1", "v1", "v1"});
+        fixture.versionKnownElsewhere = "v1";
+        fixture.useEngine(model);
+        fixture.reportModel(0, model);
+        fixture.reportModel(1, model);
+        const auto begin = std::chrono::steady_clock::now();
+        CHECK_FALSE(fixture.call(takeUp()).starts_with("HTTP/1.1 200 "));
+        CHECK(std::chrono::steady_clock::now() - begin < 600ms);
+        CHECK(other.requests().empty());
+    }
     SUBCASE("and the owner expects no other one to hold it in time")
     {
         RefusingUpstream ended;
@@ -106,14 +188,7 @@
         fixture.versionKnownElsewhere = "v1";
         fixture.useEngine(model);
         fixture.reportModel(0, model);
-        const gateway::ServiceTarget wanted{gateway::ServiceId("rooms"), Target{ModelId(model), {}},
-                                            SoftwareVersion("v1")};
-        fixture.runOnLoop([&wanted](gateway::Gateway &gateway) {
-            gateway.onTargetWait = [&gateway, wanted] {
-                const TimePoint now = SteadyClock().now();
-                gateway.demand.recordPromise(wanted, {now + 8s, now});
-            };
-        });
+        answerWithPromise(fixture, 8s);
         const auto begin = std::chrono::steady_clock::now();
         const std::string got = fixture.call(takeUp());
         CHECK(got.starts_with("HTTP/1.1 503 "));
