Keep an adapter that was just loaded and that requests wait for

Cause: the adapter with the lowest demand is replaced when all slots are taken. One that was loaded for waiting requests has the lowest demand, as its requests reach the engine only when the instances know of it. So it was unloaded for the next one within milliseconds, often before its load had ended, and as its requests still waited it took the slot again. The engine did nothing else meanwhile, and the third adapter never got a slot.

Change: an adapter that requests wait for, of any version or of the engine's, isn't replaced for the minimum time of residency after its load. If that holds for all adapters of an engine, another engine that holds the model is used, or none for now.

--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -48,6 +48,7 @@
 {
     this->goals.clear();
     this->loadedAt.clear();
+    this->adapterLoadedAt.clear();
     this->runningStoreLoads.clear();
     this->expectedReadyTimes.clear();
     this->pacer.restart(now);
@@ -85,8 +86,12 @@
 
 void ResidencyPlanner::recordAcceptedOrder(const PlannedOrder &order, TimePoint now)
 {
-    if (!order.target.adapter.isEmpty() || order.operation != OrderOperation::Load)
+    if (order.operation != OrderOperation::Load)
         return;
+    if (!order.target.adapter.isEmpty()) {
+        this->adapterLoadedAt[{order.upstream, order.target}] = now;
+        return;
+    }
     this->loadedAt[{order.upstream, order.target.model}] = now + order.expected;
     if (order.source == WeightSource::Store)
         this->runningStoreLoads[order.upstream] = order.target.model;
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -260,6 +260,11 @@
     void addOrdersForAdapters(PlanningState &state, std::vector<PlannedOrder> &orders);
     void addAdapterOrder(PlanningState &state, const VersionedTarget &wanted,
                          std::vector<PlannedOrder> &orders);
+    std::optional<PlannedOrder> makeAdapterOrder(const PlanningState &state,
+                                                 const UpstreamState &upstreamState,
+                                                 const Target &target, double megabytes) const;
+    bool isAdapterAwaited(const PlanningState &state, const UpstreamState &upstreamState,
+                          const Target &target) const;
     void addGoal(PlanningState &state, const Candidate &candidate, const ModelId &model,
                  Precedence precedence, std::string_view reason);
     void dropGoal(PlanningState &state, Goals::iterator goal);
@@ -307,6 +312,8 @@
     Goals goals;
     /// When accepted loads of models are expected to be complete.
     std::map<std::pair<UpstreamId, ModelId>, TimePoint> loadedAt;
+    /// When loads of adapters were accepted, for the minimum time of residency.
+    std::map<std::pair<UpstreamId, Target>, TimePoint> adapterLoadedAt;
     std::map<UpstreamId, ModelId> runningStoreLoads;
     /// Results of the last plan, for readyAt().
     std::map<VersionedTarget, TimePoint> expectedReadyTimes;
--- a/src/residency/planner_adapters.cpp
+++ b/src/residency/planner_adapters.cpp
@@ -8,6 +8,9 @@
 
 void ResidencyPlanner::addOrdersForAdapters(PlanningState &state, std::vector<PlannedOrder> &orders)
 {
+    std::erase_if(this->adapterLoadedAt, [&](const auto &item) {
+        return item.second + this->settings.minResidencyTime <= state.now;
+    });
     for (const Target &target : state.demand.waitingTargets()) {
         if (!target.adapter.isEmpty())
             this->addAdapterOrder(state, {target}, orders);
@@ -25,7 +28,7 @@
     const ModelState *model = state.find(target.model);
     if (model == nullptr)
         return;
-    const UpstreamState *best = nullptr;
+    std::optional<PlannedOrder> best;
     std::uint64_t bestScore = 0;
     for (const UpstreamState &upstreamState : state.upstreams) {
         const UpstreamSnapshot &upstream = *upstreamState.snapshot;
@@ -46,14 +49,27 @@
             continue;
         const std::uint64_t score
                 = stableHash(target.adapter.value(), stableHash(upstream.id.value()));
-        if (best == nullptr || score > bestScore) {
-            best = &upstreamState;
+        if (best && score <= bestScore)
+            continue;
+        const std::optional<PlannedOrder> order = this->makeAdapterOrder(
+                state, upstreamState, target, model->weights->adapterMegabytes);
+        if (order) {
+            best = order;
             bestScore = score;
         }
     }
-    if (best == nullptr)
-        return;
-    const UpstreamSnapshot &upstream = *best->snapshot;
+    if (best)
+        orders.push_back(*best);
+}
+
+/// Returns the order by which an engine comes to hold an adapter: to load it, or to unload one that
+/// it replaces; nothing if requests wait for all of those.
+std::optional<PlannedOrder> ResidencyPlanner::makeAdapterOrder(const PlanningState &state,
+                                                               const UpstreamState &upstreamState,
+                                                               const Target &target,
+                                                               double megabytes) const
+{
+    const UpstreamSnapshot &upstream = *upstreamState.snapshot;
     std::size_t adapterCount = upstream.pendingAdapters.size();
     std::optional<Target> victim;
     double victimRate = std::numeric_limits<double>::max();
@@ -63,21 +79,40 @@
             const Target residentTarget{resident.model, adapter};
             const SmoothedDemand demand = state.demand.demandFor(residentTarget);
             const double rate = demand.requestsPerSecond + demand.concurrency;
-            if (rate < victimRate) {
+            if (rate < victimRate
+                && !this->isAdapterAwaited(state, upstreamState, residentTarget)) {
                 victim = residentTarget;
                 victimRate = rate;
             }
         }
     }
-    const bool fitsInMemory = best->usedMegabytes + model->weights->adapterMegabytes
-                              <= this->engine.weightMegabytes;
-    if (adapterCount < this->engine.adapterSlots && fitsInMemory) {
-        orders.push_back({upstream.id, OrderOperation::Load, target, WeightSource::Store,
-                          this->settings.adapterLoadTime, "requests wait for the adapter"});
-    } else if (victim) {
-        orders.push_back({upstream.id, OrderOperation::Unload, *victim, WeightSource::Store,
-                          this->settings.adapterLoadTime, "another adapter is wanted"});
-    }
+    const bool fitsInMemory
+            = upstreamState.usedMegabytes + megabytes <= this->engine.weightMegabytes;
+    if (adapterCount < this->engine.adapterSlots && fitsInMemory)
+        return PlannedOrder{upstream.id,
+                            OrderOperation::Load,
+                            target,
+                            WeightSource::Store,
+                            this->settings.adapterLoadTime,
+                            "requests wait for the adapter"};
+    if (!victim)
+        return std::nullopt;
+    return PlannedOrder{
+            upstream.id,         OrderOperation::Unload,         *victim,
+            WeightSource::Store, this->settings.adapterLoadTime, "another adapter is wanted"};
+}
+
+/// Whether an adapter was just loaded and requests wait for it, which reach the engine only once
+/// the instances know of it.
+bool ResidencyPlanner::isAdapterAwaited(const PlanningState &state,
+                                        const UpstreamState &upstreamState,
+                                        const Target &target) const
+{
+    if (this->adapterLoadedAt.count({upstreamState.snapshot->id, target}) == 0)
+        return false;
+    return state.demand.demandFor(target).waiting > 0
+           || state.demand.boundWaits().count({target, upstreamState.snapshot->softwareVersion})
+                      > 0;
 }
 
 /// Earliest time at which an engine that holds the model can have loaded an adapter of it.
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -423,6 +423,37 @@
     const SoftwareVersion v1{"v1"};
 };
 
+// Guards against adapters that unload each other before any request has reached them.
+TEST_CASE("an adapter that was just loaded and that requests wait for is not replaced")
+{
+    Fleet fleet(1, 1);
+    fleet.addModel(0, "m0");
+    SUBCASE("requests of any version wait for more adapters than there are slots")
+    {
+        for (const char *adapter : {"a1", "a2", "a3"})
+            fleet.addDemand("m0", 1, 1, adapter);
+    }
+    SUBCASE("streams that are bound to a version do")
+    {
+        fleet.engineAt(0).softwareVersion = SoftwareVersion("v1");
+        for (const char *adapter : {"a1", "a2", "a3"})
+            fleet.addBoundStream("m0", adapter, "v1");
+    }
+    fleet.run(1s);
+    CHECK(fleet.orders.size() == 2);
+    const std::vector<AdapterId> first = fleet.engineAt(0).residency.models[0].adapters;
+    REQUIRE(first.size() == 2);
+
+    // The requests for one of them have reached the engine.
+    std::erase_if(fleet.reportedDemand, [&](const gateway::TargetDemand &one) {
+        return one.target.target.adapter == first[0];
+    });
+    fleet.run(300ms);
+    CHECK(fleet.orders.size() == 4);
+    CHECK_FALSE(fleet.engineAt(0).residency.holds({ModelId("m0"), first[0]}));
+    CHECK(fleet.engineAt(0).residency.holds({ModelId("m0"), first[1]}));
+}
+
 // Guards against streams that can't be taken up because the engines of their version load for
 // requests that engines of other versions could serve.
 TEST_CASE("a load for a stream that is bound to a version goes before loads that others can do")
