Keep the only replica at a version in a release while streams may be open

Seen by callers: in a release, streams that broke couldn't go on because no engine of the version that began them held their model any more.

Cause: the cost of an eviction went by the replicas at all versions. The last replica at the former version was evicted, as a surplus one, for requests that engines of the new version could have served.

Change: while usable engines run several versions, evicting the only replica of a model at its version costs more if its engine runs requests and there are requests for the model. Engines of other versions are then cheaper for requests that any version serves. For requests that are bound to the version the cost stays as it was. What runs where is known from the engines' reports and the demand that instances send anyway, so no message changes; without a release nothing changes.

Evidence: without the change 2 assertions of the new case in unit-planner.cpp fail.

--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -361,7 +361,7 @@
         if (this->isReservedFor(upstreamState, precedence))
             continue;
         const std::optional<Candidate> candidate
-                = this->evaluateCandidate(state, upstreamState, model);
+                = this->evaluateCandidate(state, upstreamState, model, !version.isEmpty());
         if (candidate && candidate->disruptionCost < forbiddenCost
             && (!best || candidate->cost < best->cost))
             best = candidate;
@@ -403,7 +403,7 @@
 
 std::optional<ResidencyPlanner::Candidate>
 ResidencyPlanner::evaluateCandidate(const PlanningState &state, const UpstreamState &upstreamState,
-                                    std::size_t model) const
+                                    std::size_t model, bool isBound) const
 {
     struct Victim
     {
@@ -416,12 +416,15 @@
     candidate.upstream = upstreamState.snapshot;
     if (freeMegabytes < weights.megabytes) {
         std::vector<Victim> victims;
-        for (const std::size_t resident : upstreamState.resident)
-            victims.push_back(
-                    {resident,
-                     this->evictableAt(state, upstreamState, resident) > state.now
-                             ? forbiddenCost
-                             : this->computeEvictionCost(state, upstreamState, resident)});
+        for (const std::size_t resident : upstreamState.resident) {
+            double cost = this->computeEvictionCost(state, upstreamState, resident);
+            // Engines of other versions can't load what bound requests wait for.
+            if (!isBound && this->mayStreamsNeed(state, upstreamState, resident))
+                cost += this->settings.soleReplicaAtVersionCost;
+            if (this->evictableAt(state, upstreamState, resident) > state.now)
+                cost = forbiddenCost;
+            victims.push_back({resident, cost});
+        }
         std::sort(victims.begin(), victims.end(), [](const Victim &left, const Victim &right) {
             return left.evictionCost < right.evictionCost;
         });
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -86,6 +86,11 @@
     double replicaCost = 0.3;
     /// Base cost of evicting the only replica.
     double soleReplicaCost = 0.25;
+    /// Additional cost of evicting the only replica at a software version while requests run at
+    /// it and engines of other versions serve: streams that break go on only at their version.
+    double soleReplicaAtVersionCost = 10;
+    /// Smoothed number of requests for a model from which streams count as open.
+    double openStreamConcurrency = 0.1;
     /// Cost for each request that runs on an engine when a model is evicted from it.
     double runningRequestCost = 0.05;
     /// Cost of each request that may need an adapter and arrives while its engine loads a model.
@@ -231,9 +236,11 @@
         const DemandTally &demand;
         TimePoint now;
         bool isDemandKnown = false;
-        std::vector<ModelState> models;
-        std::map<ModelId, std::size_t> modelIndexes;
-        std::vector<UpstreamState> upstreams;
+        /// Whether usable engines run several software versions.
+        bool hasSeveralVersions = false;
+        std::vector<ModelState> models = {};
+        std::map<ModelId, std::size_t> modelIndexes = {};
+        std::vector<UpstreamState> upstreams = {};
 
         ModelState *find(const ModelId &model);
         UpstreamState *find(const UpstreamId &upstream);
@@ -278,7 +285,7 @@
     bool isReservedFor(const UpstreamState &upstreamState, Precedence precedence) const;
     std::optional<Candidate> evaluateCandidate(const PlanningState &state,
                                                const UpstreamState &upstreamState,
-                                               std::size_t model) const;
+                                               std::size_t model, bool isBound) const;
     std::optional<TimePoint> earliestLoadAfterGoals(const PlanningState &state,
                                                     std::size_t model) const;
     std::optional<TimePoint> earliestGoalReadyAt(const ModelId &model) const;
@@ -296,6 +303,8 @@
                           std::size_t model) const;
     double computeEvictionCost(const PlanningState &state, const UpstreamState &upstreamState,
                                std::size_t model) const;
+    bool mayStreamsNeed(const PlanningState &state, const UpstreamState &upstreamState,
+                        std::size_t model) const;
     Duration loadTime(const gateway::ModelWeights &model, WeightSource source) const;
     std::uint32_t countStoreLoads(PlanningState &state) const;
     bool canLoadFromStore(PlanningState &state);
--- a/src/residency/planner_bound.cpp
+++ b/src/residency/planner_bound.cpp
@@ -125,6 +125,27 @@
     return isSooner ? replacing : best;
 }
 
+/// Whether an engine has the only replica of a model at its version, streams may be open there, and
+/// new requests can go to engines of another version.
+bool ResidencyPlanner::mayStreamsNeed(const PlanningState &state,
+                                      const UpstreamState &upstreamState, std::size_t model) const
+{
+    const UpstreamSnapshot &upstream = *upstreamState.snapshot;
+    const bool isOpen = upstream.running > 0
+                        && state.models[model].concurrency >= this->settings.openStreamConcurrency;
+    if (!state.hasSeveralVersions || !isOpen)
+        return false;
+    const ModelId &id = state.models[model].weights->id;
+    return std::none_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto &other) {
+        if (&other == &upstreamState || !other.snapshot->isUsable
+            || !other.isOfVersion(upstream.softwareVersion)
+            || other.snapshot->residency.find(id) == nullptr)
+            return false;
+        const auto goal = this->goals.find(other.snapshot->id);
+        return goal == this->goals.end() || !goal->second.evicts(id);
+    });
+}
+
 /// Earliest time at which an engine of a version, with a copy of the weights, could hold a model
 /// that can't be planned now.
 std::optional<TimePoint> ResidencyPlanner::earliestBoundLoad(const PlanningState &state,
--- a/src/residency/planner_survey.cpp
+++ b/src/residency/planner_survey.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
 
 namespace bamboochute::residency {
 
@@ -26,8 +27,9 @@
 ResidencyPlanner::buildPlanningState(const std::vector<UpstreamSnapshot> &upstreams,
                                      const DemandTally &demand, TimePoint now) const
 {
-    PlanningState state{demand, now, demand.arrivals() >= this->settings.demandKnownAfterArrivals,
-                        {},     {},  {}};
+    PlanningState state{demand, now};
+    state.isDemandKnown = demand.arrivals() >= this->settings.demandKnownAfterArrivals;
+    std::set<SoftwareVersion> versions;
     for (const gateway::ModelWeights &model : this->engine.models) {
         state.modelIndexes.emplace(model.id, state.models.size());
         const SmoothedDemand targetDemand = demand.demandFor(Target{model.id, {}});
@@ -45,6 +47,7 @@
         state.upstreams.push_back(this->buildUpstreamState(state, upstream));
         if (!upstream.isUsable)
             continue;
+        versions.insert(upstream.softwareVersion);
         const UpstreamState &upstreamState = state.upstreams.back();
         const auto goal = this->goals.find(upstream.id);
         for (const std::size_t model : upstreamState.resident) {
@@ -57,6 +60,7 @@
                 state.models[i].hasCopy = true;
         }
     }
+    state.hasSeveralVersions = versions.size() > 1;
     for (ModelState &modelState : state.models)
         modelState.wantedReplicas = this->computeWantedReplicas(state, modelState);
     for (const auto &[id, goal] : this->goals) {
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -548,6 +548,47 @@
     }
 }
 
+// Guards against streams that can't be taken up because the last replica at their version was
+// evicted for requests that engines of other versions could serve.
+TEST_CASE("during a release the only replica at a version is kept while streams may be open there")
+{
+    TwoVersions fleet;
+    fleet.addModel(0, "m0");
+    fleet.addModel(1, "m2");
+    fleet.engineAt(0).running = 2;
+    fleet.addDemand("m0", 0, 0, "", 2);
+    fleet.run(1s);
+    // Without streams the engine of v1 would be the cheaper one to load m1 on.
+    fleet.engineAt(1).running = 9;
+    fleet.addDemand("m1", 1, 1);
+
+    SUBCASE("the other version's engine loads what other requests wait for")
+    {
+        fleet.run(1s);
+        CHECK(fleet.holds(0, "m0"));
+        CHECK(fleet.holds(1, "m1"));
+    }
+    SUBCASE("it is evicted once its engine runs no request")
+    {
+        fleet.engineAt(0).running = 0;
+        fleet.run(1s);
+        CHECK(fleet.holds(0, "m1"));
+        CHECK(fleet.holds(1, "m2"));
+    }
+    SUBCASE("it is evicted for a stream that is bound to its version")
+    {
+        fleet.addBoundStream("m2", "", "v1");
+        fleet.run(1s);
+        CHECK(fleet.holds(0, "m2"));
+    }
+    SUBCASE("without a release the engine with the least requests loads")
+    {
+        fleet.engineAt(1).softwareVersion = fleet.v1;
+        fleet.run(1s);
+        CHECK(fleet.holds(0, "m1"));
+    }
+}
+
 // Guards against streams that can't be taken up because only engines of other software versions
 // hold their target.
 TEST_CASE("the target of a stream that is bound to a software version is loaded at that version")
