--- a/src/residency/planner_bound.cpp
+++ b/src/residency/planner_bound.cpp
@@ -22,12 +22,13 @@
 void ResidencyPlanner::markGoalsOfBoundRequests(PlanningState &state)
 {
     const auto &boundWaits = state.demand.boundWaits();
-    for (auto &[id, goal] : this->goals) {
-        const UpstreamState &upstreamState = *state.find(id);
+    for (auto &item : this->goals) {
+        Goal &goal = item.second;
+        const UpstreamState &upstreamState = *state.find(item.first);
         goal.hasBoundRequests
-                = std::any_of(boundWaits.begin(), boundWaits.end(), [&](const auto &item) {
-                      return item.first.target.model == goal.model
-                             && upstreamState.isOfVersion(item.first.version);
+                = std::any_of(boundWaits.begin(), boundWaits.end(), [&](const auto &one) {
+                      return one.first.target.model == goal.model
+                             && upstreamState.isOfVersion(one.first.version);
                   });
         goal.hasWaitingRequests = goal.hasWaitingRequests || goal.hasBoundRequests;
     }
