Load for streams that were refused at their version when an engine is back

Seen by callers: streams that were taken up in a release were refused again when they came back, though an engine of their version with a copy of the weights had returned from its crash meanwhile.

When one of the engines was back, a second later and empty, nobody waited at that moment: it loaded what no engine held, and these models were kept for the minimum time of residency while the streams came back.

Change: the planner remembers for 8 s which models bound streams waited for at which version. If no engine of the version holds such a model or is to load it, it is loaded from a copy before models that nobody waits for; requests that wait still go first, and the weight store isn't used. Such a replica also counts as one that open streams need. No message changes: the waits are in the demand that instances send.

Evidence: without the change 2 assertions of the new case in unit-planner.cpp fail.

--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -49,6 +49,7 @@
     this->goals.clear();
     this->loadedAt.clear();
     this->adapterLoadedAt.clear();
+    this->returningStreams.clear();
     this->runningStoreLoads.clear();
     this->expectedReadyTimes.clear();
     this->pacer.restart(now);
@@ -64,6 +65,7 @@
     this->markGoalsOfBoundRequests(state);
     this->addGoalsForBoundRequests(state);
     this->addGoalsForWaitingRequests(state);
+    this->addGoalsForReturningStreams(state);
     if (this->preloadPlannedAt == TimePoint()
         || now >= this->preloadPlannedAt + this->settings.preloadInterval) {
         this->preloadPlannedAt = now;
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -89,6 +89,10 @@
     /// Additional cost of evicting the only replica at a software version while requests run at
     /// it and engines of other versions serve: streams that break go on only at their version.
     double soleReplicaAtVersionCost = 10;
+    /// Time for which streams that waited at a software version are expected to come back.
+    Duration streamReturnTime = std::chrono::seconds(8);
+    /// Share of these streams that is expected to come back.
+    double streamReturnShare = 0.5;
     /// Smoothed number of requests for a model from which streams count as open.
     double openStreamConcurrency = 0.1;
     /// Cost for each request that runs on an engine when a model is evicted from it.
@@ -258,6 +262,9 @@
     void addGoalsForBoundRequests(PlanningState &state);
     TimePoint planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
                               Duration shortestWait);
+    void addGoalsForReturningStreams(PlanningState &state);
+    bool isPlannedAtVersion(const PlanningState &state, const ModelId &model,
+                            const SoftwareVersion &version) const;
     std::optional<TimePoint> findBoundReplica(PlanningState &state, const VersionedTarget &wanted);
     std::optional<Candidate> findBoundCandidate(PlanningState &state, const VersionedTarget &wanted,
                                                 Duration shortestWait, double benefit);
@@ -324,6 +331,13 @@
     /// When loads of adapters were accepted, for the minimum time of residency.
     std::map<std::pair<UpstreamId, Target>, TimePoint> adapterLoadedAt;
     std::map<UpstreamId, ModelId> runningStoreLoads;
+    /// Streams that waited for a model at a software version.
+    struct ReturningStreams
+    {
+        std::uint64_t count = 0;
+        TimePoint seenAt{};
+    };
+    std::map<std::pair<ModelId, SoftwareVersion>, ReturningStreams> returningStreams;
     /// Results of the last plan, for readyAt().
     std::map<VersionedTarget, TimePoint> expectedReadyTimes;
     TimePoint preloadPlannedAt{};
--- a/src/residency/planner_bound.cpp
+++ b/src/residency/planner_bound.cpp
@@ -45,12 +45,53 @@
         return left.second.shortestWait < right.second.shortestWait;
     });
     for (const auto &[wanted, waits] : byUrgency) {
-        if (state.find(wanted.target.model) != nullptr)
-            this->expectedReadyTimes[wanted]
-                    = this->planBoundTarget(state, wanted, waits.shortestWait);
+        if (state.find(wanted.target.model) == nullptr)
+            continue;
+        this->expectedReadyTimes[wanted] = this->planBoundTarget(state, wanted, waits.shortestWait);
+        ReturningStreams &streams = this->returningStreams[{wanted.target.model, wanted.version}];
+        streams.count = std::max(streams.count, countBoundWaits(state.demand, wanted));
+        streams.seenAt = state.now;
+    }
+}
+
+/// Plans for streams that were refused, as they are likely to come back: an engine of their version
+/// that has a copy of the weights may have registered since.
+void ResidencyPlanner::addGoalsForReturningStreams(PlanningState &state)
+{
+    std::erase_if(this->returningStreams, [&](const auto &item) {
+        return item.second.seenAt + this->settings.streamReturnTime <= state.now
+               || state.find(item.first.first) == nullptr;
+    });
+    for (const auto &[key, streams] : this->returningStreams) {
+        const auto &[id, version] = key;
+        if (this->isPlannedAtVersion(state, id, version))
+            continue;
+        const std::size_t index = state.modelIndexes[id];
+        const std::optional<Candidate> candidate
+                = this->findBestCandidate(state, index, Precedence::Expected, version);
+        const double benefit = static_cast<double>(streams.count) * this->settings.streamReturnShare
+                               * toSeconds(state.models[index].weights->storeLoadTime);
+        if (candidate && candidate->source != WeightSource::Store
+            && candidate->disruptionCost < benefit)
+            this->addGoal(state, *candidate, id, Precedence::Expected, "streams may come back");
     }
 }
 
+/// Whether a usable engine of a version holds a model and is to keep it, or has a goal for it.
+bool ResidencyPlanner::isPlannedAtVersion(const PlanningState &state, const ModelId &model,
+                                          const SoftwareVersion &version) const
+{
+    return std::any_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto &one) {
+        if (!one.snapshot->isUsable || !one.isOfVersion(version))
+            return false;
+        const auto goal = this->goals.find(one.snapshot->id);
+        const bool hasGoal = goal != this->goals.end();
+        const bool isHeld = one.snapshot->residency.find(model) != nullptr;
+        return (isHeld && !(hasGoal && goal->second.evicts(model)))
+               || (hasGoal && goal->second.model == model);
+    });
+}
+
 /// Returns when an engine of the version is expected to hold the target.
 TimePoint ResidencyPlanner::planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
                                             Duration shortestWait)
@@ -132,11 +173,12 @@
                                       const UpstreamState &upstreamState, std::size_t model) const
 {
     const UpstreamSnapshot &upstream = *upstreamState.snapshot;
-    const bool isOpen = upstream.running > 0
-                        && state.models[model].concurrency >= this->settings.openStreamConcurrency;
+    const ModelId &id = state.models[model].weights->id;
+    const bool isOpen = (upstream.running > 0
+                         && state.models[model].concurrency >= this->settings.openStreamConcurrency)
+                        || this->returningStreams.count({id, upstream.softwareVersion}) > 0;
     if (!state.hasSeveralVersions || !isOpen)
         return false;
-    const ModelId &id = state.models[model].weights->id;
     return std::none_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto &other) {
         if (&other == &upstreamState || !other.snapshot->isUsable
             || !other.isOfVersion(upstream.softwareVersion)
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -589,6 +589,51 @@
     }
 }
 
+// Guards against streams that can't be taken up because an engine of their version that came back
+// after a crash loaded other models first.
+TEST_CASE("streams that were refused at a version find their model at an engine that came back")
+{
+    TwoVersions fleet;
+    fleet.addModel(1, "m0");
+    fleet.setReady(0, false);
+    fleet.engineAt(0).isUsable = false;
+    fleet.addBoundStream("m2", "", "v1");
+    fleet.run(100ms);
+    CHECK_FALSE(fleet.isPromised("m2", 3s));
+    fleet.clearDemand();
+    // Without the streams, a model that is not held anywhere would be loaded.
+    fleet.addDemand("m1", 3);
+    fleet.engineAt(1).isUsable = false;
+
+    SUBCASE("soon after the refusal")
+    {
+        fleet.run(2s);
+        fleet.setReady(0, true);
+        fleet.engineAt(0).isUsable = true;
+        fleet.run(600ms);
+        CHECK(fleet.holds(0, "m2"));
+        fleet.addBoundStream("m2", "", "v1");
+        fleet.run(50ms);
+        CHECK(fleet.isPromised("m2", 100ms));
+    }
+    SUBCASE("not for long")
+    {
+        fleet.run(10s);
+        fleet.setReady(0, true);
+        fleet.engineAt(0).isUsable = true;
+        fleet.run(600ms);
+        CHECK_FALSE(fleet.holds(0, "m2"));
+    }
+    SUBCASE("not by a load from the weight store")
+    {
+        fleet.engineAt(0).copies = {};
+        fleet.setReady(0, true);
+        fleet.engineAt(0).isUsable = true;
+        fleet.run(8s);
+        CHECK_FALSE(fleet.holds(0, "m2"));
+    }
+}
+
 // Guards against streams that can't be taken up because only engines of other software versions
 // hold their target.
 TEST_CASE("the target of a stream that is bound to a software version is loaded at that version")
