--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -48,6 +48,8 @@
 {
     this->goals.clear();
     this->loadedAt.clear();
+    this->adapterLoadedAt.clear();
+    this->returningStreams.clear();
     this->runningStoreLoads.clear();
     this->expectedReadyTimes.clear();
     this->pacer.restart(now);
@@ -63,6 +65,7 @@
     this->markGoalsOfBoundRequests(state);
     this->addGoalsForBoundRequests(state);
     this->addGoalsForWaitingRequests(state);
+    this->addGoalsForReturningStreams(state);
     if (this->preloadPlannedAt == TimePoint()
         || now >= this->preloadPlannedAt + this->settings.preloadInterval) {
         this->preloadPlannedAt = now;
@@ -85,8 +88,12 @@
 
 void ResidencyPlanner::recordAcceptedOrder(const PlannedOrder &order, TimePoint now)
 {
-    if (!order.target.adapter.isEmpty() || order.operation != OrderOperation::Load)
+    if (order.operation != OrderOperation::Load)
         return;
+    if (!order.target.adapter.isEmpty()) {
+        this->adapterLoadedAt[{order.upstream, order.target}] = now;
+        return;
+    }
     this->loadedAt[{order.upstream, order.target.model}] = now + order.expected;
     if (order.source == WeightSource::Store)
         this->runningStoreLoads[order.upstream] = order.target.model;
@@ -356,7 +363,7 @@
         if (this->isReservedFor(upstreamState, precedence))
             continue;
         const std::optional<Candidate> candidate
-                = this->evaluateCandidate(state, upstreamState, model);
+                = this->evaluateCandidate(state, upstreamState, model, !version.isEmpty());
         if (candidate && candidate->disruptionCost < forbiddenCost
             && (!best || candidate->cost < best->cost))
             best = candidate;
@@ -398,7 +405,7 @@
 
 std::optional<ResidencyPlanner::Candidate>
 ResidencyPlanner::evaluateCandidate(const PlanningState &state, const UpstreamState &upstreamState,
-                                    std::size_t model) const
+                                    std::size_t model, bool isBound) const
 {
     struct Victim
     {
@@ -411,12 +418,15 @@
     candidate.upstream = upstreamState.snapshot;
     if (freeMegabytes < weights.megabytes) {
         std::vector<Victim> victims;
-        for (const std::size_t resident : upstreamState.resident)
-            victims.push_back(
-                    {resident,
-                     this->evictableAt(state, upstreamState, resident) > state.now
-                             ? forbiddenCost
-                             : this->computeEvictionCost(state, upstreamState, resident)});
+        for (const std::size_t resident : upstreamState.resident) {
+            double cost = this->computeEvictionCost(state, upstreamState, resident);
+            // Engines of other versions can't load what bound requests wait for.
+            if (!isBound && this->mayStreamsNeed(state, upstreamState, resident))
+                cost += this->settings.soleReplicaAtVersionCost;
+            if (this->evictableAt(state, upstreamState, resident) > state.now)
+                cost = forbiddenCost;
+            victims.push_back({resident, cost});
+        }
         std::sort(victims.begin(), victims.end(), [](const Victim &left, const Victim &right) {
             return left.evictionCost < right.evictionCost;
         });
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -86,6 +86,15 @@
     double replicaCost = 0.3;
     /// Base cost of evicting the only replica.
     double soleReplicaCost = 0.25;
+    /// Additional cost of evicting the only replica at a software version while requests run at
+    /// it and engines of other versions serve: streams that break go on only at their version.
+    double soleReplicaAtVersionCost = 10;
+    /// Time for which streams that waited at a software version are expected to come back.
+    Duration streamReturnTime = std::chrono::seconds(8);
+    /// Share of these streams that is expected to come back.
+    double streamReturnShare = 0.5;
+    /// Smoothed number of requests for a model from which streams count as open.
+    double openStreamConcurrency = 0.1;
     /// Cost for each request that runs on an engine when a model is evicted from it.
     double runningRequestCost = 0.05;
     /// Cost of each request that may need an adapter and arrives while its engine loads a model.
@@ -231,9 +240,11 @@
         const DemandTally &demand;
         TimePoint now;
         bool isDemandKnown = false;
-        std::vector<ModelState> models;
-        std::map<ModelId, std::size_t> modelIndexes;
-        std::vector<UpstreamState> upstreams;
+        /// Whether usable engines run several software versions.
+        bool hasSeveralVersions = false;
+        std::vector<ModelState> models = {};
+        std::map<ModelId, std::size_t> modelIndexes = {};
+        std::vector<UpstreamState> upstreams = {};
 
         ModelState *find(const ModelId &model);
         UpstreamState *find(const UpstreamId &upstream);
@@ -251,6 +262,9 @@
     void addGoalsForBoundRequests(PlanningState &state);
     TimePoint planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
                               Duration shortestWait);
+    void addGoalsForReturningStreams(PlanningState &state);
+    bool isPlannedAtVersion(const PlanningState &state, const ModelId &model,
+                            const SoftwareVersion &version) const;
     std::optional<TimePoint> findBoundReplica(PlanningState &state, const VersionedTarget &wanted);
     std::optional<Candidate> findBoundCandidate(PlanningState &state, const VersionedTarget &wanted,
                                                 Duration shortestWait, double benefit);
@@ -260,6 +274,11 @@
     void addOrdersForAdapters(PlanningState &state, std::vector<PlannedOrder> &orders);
     void addAdapterOrder(PlanningState &state, const VersionedTarget &wanted,
                          std::vector<PlannedOrder> &orders);
+    std::optional<PlannedOrder> makeAdapterOrder(const PlanningState &state,
+                                                 const UpstreamState &upstreamState,
+                                                 const Target &target, double megabytes) const;
+    bool isAdapterAwaited(const PlanningState &state, const UpstreamState &upstreamState,
+                          const Target &target) const;
     void addGoal(PlanningState &state, const Candidate &candidate, const ModelId &model,
                  Precedence precedence, std::string_view reason);
     void dropGoal(PlanningState &state, Goals::iterator goal);
@@ -273,7 +292,7 @@
     bool isReservedFor(const UpstreamState &upstreamState, Precedence precedence) const;
     std::optional<Candidate> evaluateCandidate(const PlanningState &state,
                                                const UpstreamState &upstreamState,
-                                               std::size_t model) const;
+                                               std::size_t model, bool isBound) const;
     std::optional<TimePoint> earliestLoadAfterGoals(const PlanningState &state,
                                                     std::size_t model) const;
     std::optional<TimePoint> earliestGoalReadyAt(const ModelId &model) const;
@@ -291,6 +310,8 @@
                           std::size_t model) const;
     double computeEvictionCost(const PlanningState &state, const UpstreamState &upstreamState,
                                std::size_t model) const;
+    bool mayStreamsNeed(const PlanningState &state, const UpstreamState &upstreamState,
+                        std::size_t model) const;
     Duration loadTime(const gateway::ModelWeights &model, WeightSource source) const;
     std::uint32_t countStoreLoads(PlanningState &state) const;
     bool canLoadFromStore(PlanningState &state);
@@ -307,7 +328,16 @@
     Goals goals;
     /// When accepted loads of models are expected to be complete.
     std::map<std::pair<UpstreamId, ModelId>, TimePoint> loadedAt;
+    /// When loads of adapters were accepted, for the minimum time of residency.
+    std::map<std::pair<UpstreamId, Target>, TimePoint> adapterLoadedAt;
     std::map<UpstreamId, ModelId> runningStoreLoads;
+    /// Streams that waited for a model at a software version.
+    struct ReturningStreams
+    {
+        std::uint64_t count = 0;
+        TimePoint seenAt{};
+    };
+    std::map<std::pair<ModelId, SoftwareVersion>, ReturningStreams> returningStreams;
     /// Results of the last plan, for readyAt().
     std::map<VersionedTarget, TimePoint> expectedReadyTimes;
     TimePoint preloadPlannedAt{};
--- a/src/residency/planner_bound.cpp
+++ b/src/residency/planner_bound.cpp
@@ -22,12 +22,13 @@
 void ResidencyPlanner::markGoalsOfBoundRequests(PlanningState &state)
 {
     const auto &boundWaits = state.demand.boundWaits();
-    for (auto &[id, goal] : this->goals) {
-        const UpstreamState &upstreamState = *state.find(id);
+    for (auto &item : this->goals) {
+        Goal &goal = item.second;
+        const UpstreamState &upstreamState = *state.find(item.first);
         goal.hasBoundRequests
-                = std::any_of(boundWaits.begin(), boundWaits.end(), [&](const auto &item) {
-                      return item.first.target.model == goal.model
-                             && upstreamState.isOfVersion(item.first.version);
+                = std::any_of(boundWaits.begin(), boundWaits.end(), [&](const auto &one) {
+                      return one.first.target.model == goal.model
+                             && upstreamState.isOfVersion(one.first.version);
                   });
         goal.hasWaitingRequests = goal.hasWaitingRequests || goal.hasBoundRequests;
     }
@@ -44,12 +45,53 @@
         return left.second.shortestWait < right.second.shortestWait;
     });
     for (const auto &[wanted, waits] : byUrgency) {
-        if (state.find(wanted.target.model) != nullptr)
-            this->expectedReadyTimes[wanted]
-                    = this->planBoundTarget(state, wanted, waits.shortestWait);
+        if (state.find(wanted.target.model) == nullptr)
+            continue;
+        this->expectedReadyTimes[wanted] = this->planBoundTarget(state, wanted, waits.shortestWait);
+        ReturningStreams &streams = this->returningStreams[{wanted.target.model, wanted.version}];
+        streams.count = std::max(streams.count, countBoundWaits(state.demand, wanted));
+        streams.seenAt = state.now;
+    }
+}
+
+/// Plans for streams that were refused, as they are likely to come back: an engine of their version
+/// that has a copy of the weights may have registered since.
+void ResidencyPlanner::addGoalsForReturningStreams(PlanningState &state)
+{
+    std::erase_if(this->returningStreams, [&](const auto &item) {
+        return item.second.seenAt + this->settings.streamReturnTime <= state.now
+               || state.find(item.first.first) == nullptr;
+    });
+    for (const auto &[key, streams] : this->returningStreams) {
+        const auto &[id, version] = key;
+        if (this->isPlannedAtVersion(state, id, version))
+            continue;
+        const std::size_t index = state.modelIndexes[id];
+        const std::optional<Candidate> candidate
+                = this->findBestCandidate(state, index, Precedence::Expected, version);
+        const double benefit = static_cast<double>(streams.count) * this->settings.streamReturnShare
+                               * toSeconds(state.models[index].weights->storeLoadTime);
+        if (candidate && candidate->source != WeightSource::Store
+            && candidate->disruptionCost < benefit)
+            this->addGoal(state, *candidate, id, Precedence::Expected, "streams may come back");
     }
 }
 
+/// Whether a usable engine of a version holds a model and is to keep it, or has a goal for it.
+bool ResidencyPlanner::isPlannedAtVersion(const PlanningState &state, const ModelId &model,
+                                          const SoftwareVersion &version) const
+{
+    return std::any_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto &one) {
+        if (!one.snapshot->isUsable || !one.isOfVersion(version))
+            return false;
+        const auto goal = this->goals.find(one.snapshot->id);
+        const bool hasGoal = goal != this->goals.end();
+        const bool isHeld = one.snapshot->residency.find(model) != nullptr;
+        return (isHeld && !(hasGoal && goal->second.evicts(model)))
+               || (hasGoal && goal->second.model == model);
+    });
+}
+
 /// Returns when an engine of the version is expected to hold the target.
 TimePoint ResidencyPlanner::planBoundTarget(PlanningState &state, const VersionedTarget &wanted,
                                             Duration shortestWait)
@@ -125,6 +167,28 @@
     return isSooner ? replacing : best;
 }
 
+/// Whether an engine has the only replica of a model at its version, streams may be open there, and
+/// new requests can go to engines of another version.
+bool ResidencyPlanner::mayStreamsNeed(const PlanningState &state,
+                                      const UpstreamState &upstreamState, std::size_t model) const
+{
+    const UpstreamSnapshot &upstream = *upstreamState.snapshot;
+    const ModelId &id = state.models[model].weights->id;
+    const bool isOpen = (upstream.running > 0
+                         && state.models[model].concurrency >= this->settings.openStreamConcurrency)
+                        || this->returningStreams.count({id, upstream.softwareVersion}) > 0;
+    if (!state.hasSeveralVersions || !isOpen)
+        return false;
+    return std::none_of(state.upstreams.begin(), state.upstreams.end(), [&](const auto &other) {
+        if (&other == &upstreamState || !other.snapshot->isUsable
+            || !other.isOfVersion(upstream.softwareVersion)
+            || other.snapshot->residency.find(id) == nullptr)
+            return false;
+        const auto goal = this->goals.find(other.snapshot->id);
+        return goal == this->goals.end() || !goal->second.evicts(id);
+    });
+}
+
 /// Earliest time at which an engine of a version, with a copy of the weights, could hold a model
 /// that can't be planned now.
 std::optional<TimePoint> ResidencyPlanner::earliestBoundLoad(const PlanningState &state,
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -423,6 +423,37 @@
     const SoftwareVersion v1{"v1"};
 };
 
+// Guards against adapters that unload each other before any request has reached them.
+TEST_CASE("an adapter that was just loaded and that requests wait for is not replaced")
+{
+    Fleet fleet(1, 1);
+    fleet.addModel(0, "m0");
+    SUBCASE("requests of any version wait for more adapters than there are slots")
+    {
+        for (const char *adapter : {"a1", "a2", "a3"})
+            fleet.addDemand("m0", 1, 1, adapter);
+    }
+    SUBCASE("streams that are bound to a version do")
+    {
+        fleet.engineAt(0).softwareVersion = SoftwareVersion("v1");
+        for (const char *adapter : {"a1", "a2", "a3"})
+            fleet.addBoundStream("m0", adapter, "v1");
+    }
+    fleet.run(1s);
+    CHECK(fleet.orders.size() == 2);
+    const std::vector<AdapterId> first = fleet.engineAt(0).residency.models[0].adapters;
+    REQUIRE(first.size() == 2);
+
+    // The requests for one of them have reached the engine.
+    std::erase_if(fleet.reportedDemand, [&](const gateway::TargetDemand &one) {
+        return one.target.target.adapter == first[0];
+    });
+    fleet.run(300ms);
+    CHECK(fleet.orders.size() == 4);
+    CHECK_FALSE(fleet.engineAt(0).residency.holds({ModelId("m0"), first[0]}));
+    CHECK(fleet.engineAt(0).residency.holds({ModelId("m0"), first[1]}));
+}
+
 // Guards against streams that can't be taken up because the engines of their version load for
 // requests that engines of other versions could serve.
 TEST_CASE("a load for a stream that is bound to a version goes before loads that others can do")
@@ -517,6 +548,92 @@
     }
 }
 
+// Guards against streams that can't be taken up because the last replica at their version was
+// evicted for requests that engines of other versions could serve.
+TEST_CASE("during a release the only replica at a version is kept while streams may be open there")
+{
+    TwoVersions fleet;
+    fleet.addModel(0, "m0");
+    fleet.addModel(1, "m2");
+    fleet.engineAt(0).running = 2;
+    fleet.addDemand("m0", 0, 0, "", 2);
+    fleet.run(1s);
+    // Without streams the engine of v1 would be the cheaper one to load m1 on.
+    fleet.engineAt(1).running = 9;
+    fleet.addDemand("m1", 1, 1);
+
+    SUBCASE("the other version's engine loads what other requests wait for")
+    {
+        fleet.run(1s);
+        CHECK(fleet.holds(0, "m0"));
+        CHECK(fleet.holds(1, "m1"));
+    }
+    SUBCASE("it is evicted once its engine runs no request")
+    {
+        fleet.engineAt(0).running = 0;
+        fleet.run(1s);
+        CHECK(fleet.holds(0, "m1"));
+        CHECK(fleet.holds(1, "m2"));
+    }
+    SUBCASE("it is evicted for a stream that is bound to its version")
+    {
+        fleet.addBoundStream("m2", "", "v1");
+        fleet.run(1s);
+        CHECK(fleet.holds(0, "m2"));
+    }
+    SUBCASE("without a release the engine with the least requests loads")
+    {
+        fleet.engineAt(1).softwareVersion = fleet.v1;
+        fleet.run(1s);
+        CHECK(fleet.holds(0, "m1"));
+    }
+}
+
+// Guards against streams that can't be taken up because an engine of their version that came back
+// after a crash loaded other models first.
+TEST_CASE("streams that were refused at a version find their model at an engine that came back")
+{
+    TwoVersions fleet;
+    fleet.addModel(1, "m0");
+    fleet.setReady(0, false);
+    fleet.engineAt(0).isUsable = false;
+    fleet.addBoundStream("m2", "", "v1");
+    fleet.run(100ms);
+    CHECK_FALSE(fleet.isPromised("m2", 3s));
+    fleet.clearDemand();
+    // Without the streams, a model that is not held anywhere would be loaded.
+    fleet.addDemand("m1", 3);
+    fleet.engineAt(1).isUsable = false;
+
+    SUBCASE("soon after the refusal")
+    {
+        fleet.run(2s);
+        fleet.setReady(0, true);
+        fleet.engineAt(0).isUsable = true;
+        fleet.run(600ms);
+        CHECK(fleet.holds(0, "m2"));
+        fleet.addBoundStream("m2", "", "v1");
+        fleet.run(50ms);
+        CHECK(fleet.isPromised("m2", 100ms));
+    }
+    SUBCASE("not for long")
+    {
+        fleet.run(10s);
+        fleet.setReady(0, true);
+        fleet.engineAt(0).isUsable = true;
+        fleet.run(600ms);
+        CHECK_FALSE(fleet.holds(0, "m2"));
+    }
+    SUBCASE("not by a load from the weight store")
+    {
+        fleet.engineAt(0).copies = {};
+        fleet.setReady(0, true);
+        fleet.engineAt(0).isUsable = true;
+        fleet.run(8s);
+        CHECK_FALSE(fleet.holds(0, "m2"));
+    }
+}
+
 // Guards against streams that can't be taken up because only engines of other software versions
 // hold their target.
 TEST_CASE("the target of a stream that is bound to a software version is loaded at that version")
