Wait for those who are asked for help right after the failure

Callers saw: the first request behind a cut whose connection failed and that had no other upstream was refused, although other instances would have helped.

Cause: a request waits for offers up to 60 ms after others were asked. They are asked on the loop's next turn, so that the time of the last question, seconds or hours ago, counted, and the request didn't wait at all.

Change: where a question is due, the 60 ms count from the moment in which the request begins to look. If nobody helps it waits for these 60 ms, as later requests did.

--- a/src/gateway/forwarding_driver.cpp
+++ b/src/gateway/forwarding_driver.cpp
@@ -175,11 +175,15 @@
 Awaitable<std::optional<Endpoint>> ForwardingDriver::findHelper(ServiceId service,
                                                                 std::vector<Endpoint> tried)
 {
+    const forwarding::HelperLimits &limits = this->settings.helpers;
+    const TimePoint begin = now();
     while (true) {
         std::optional<Endpoint> helper
                 = this->helpers.pick(service.value(), tried, this->dataCentre, this->random, now());
-        const TimePoint answeredUntil
-                = this->linksTo(service).askedAt + this->settings.helpers.offerWait;
+        // Others are asked on the loop's next turn if they were not of late.
+        const TimePoint askedAt = this->linksTo(service).askedAt;
+        const bool isAskDue = begin >= askedAt + limits.askInterval;
+        const TimePoint answeredUntil = (isAskDue ? begin : askedAt) + limits.offerWait;
         const bool isNeeded = this->stateOf(service) != ReachabilityState::Reachable;
         if (helper || !isNeeded || !tried.empty() || now() >= answeredUntil)
             co_return helper;
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -542,6 +542,19 @@
     });
 }
 
+bool RelayFixture::findHelperAfterFailure()
+{
+    std::promise<bool> found;
+    const auto find = [&]() -> upstream::Awaitable<void> {
+        gateway::ForwardingDriver &driver = this->gateway->forwardingDriver();
+        driver.recordFailure(service, SteadyClock().now());
+        const std::optional<Endpoint> helper = co_await driver.findHelper(service, {});
+        found.set_value(helper.has_value());
+    };
+    asio::co_spawn(this->loop, find, asio::detached);
+    return found.get_future().get();
+}
+
 std::uint32_t RelayFixture::askForHelp(bool isAnswerNeeded)
 {
     std::promise<std::uint32_t> places;
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -186,6 +186,10 @@
     /// @return the requests that it would take
     std::uint32_t askForHelp(bool isAnswerNeeded);
 
+    /// @brief Looks for a helper in the moment in which a call to the service fails.
+    /// @return whether there is one
+    bool findHelperAfterFailure();
+
     /// @brief Address for the requests that other gateways forward.
     Endpoint instanceEndpoint() const { return *this->gateway->instanceEndpoint(); }
 
--- a/tests/gateway/unit-request_forwarding.cpp
+++ b/tests/gateway/unit-request_forwarding.cpp
@@ -231,6 +231,25 @@
     CHECK(upstream.requests().size() == 1);
 }
 
+// Guards against the first request behind a cut that is refused because nobody was asked for help
+// before it looked for some.
+TEST_CASE("the request that shows a cut first waits for the answers of those who are asked then")
+{
+    CutInstance behindCut;
+    RelayFixture &cut = behindCut.instance;
+    SUBCASE("one helps")
+    {
+        cut.offerHelp({{"127.0.0.1", 1}});
+        CHECK(cut.findHelperAfterFailure());
+    }
+    SUBCASE("nobody does: it waits a moment")
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        CHECK_FALSE(cut.findHelperAfterFailure());
+        CHECK(std::chrono::steady_clock::now() - begin < 300ms);
+    }
+}
+
 // Guards against a request that is forwarded after its instance has ended its open requests, so
 // that its caller gets neither an answer nor a refusal.
 TEST_CASE("a request that waits for a helper when the open requests end is refused as not run")
