Probe upstreams that have not failed of late first

Cause: a round picked four of all upstreams at random, also those that were known to have failed a moment ago.

Change: a round picks among the upstreams that were not found unreachable or broken in the last 2 s, and takes others only if these are too few. Behind a cut none of them can be reached, so that it is found as quickly. The number of probes is the same.

--- a/src/gateway/forwarding_driver.cpp
+++ b/src/gateway/forwarding_driver.cpp
@@ -87,6 +87,8 @@
 void ForwardingDriver::recordAvoided(const ServiceId &service, const UpstreamId &id,
                                      UpstreamFault fault)
 {
+    if (fault == UpstreamFault::Unreachable || fault == UpstreamFault::Broken)
+        this->linksTo(service).failedAt[id] = now();
     if (this->isInDoubt(service))
         this->linksTo(service).heldBack.insert_or_assign(id, fault);
     else if (this->onUpstreamAvoided)
@@ -361,23 +363,33 @@
     this->probeEnd.notifyAll();
 }
 
-/// Picks upstreams of a service that are not leaving.
+/// Picks upstreams of a service that are not leaving, and first of all those that have not failed
+/// of late: behind a cut none of them can be reached, and in a crash of many these can.
 std::vector<ForwardingDriver::Probed> ForwardingDriver::pickProbed(const ServiceId &service,
                                                                    ProbeKind kind)
 {
     const bool isAnswer = kind == ProbeKind::Answer;
-    std::vector<Probed> candidates;
+    std::map<UpstreamId, TimePoint> &failedAt = this->linksTo(service).failedAt;
+    std::erase_if(failedAt, [&](const auto &failed) {
+        return now() - failed.second >= this->settings.failedTime;
+    });
+    std::vector<Probed> sound;
+    std::vector<Probed> failed;
     for (const UpstreamTable::Entry *entry : this->table.findServing(service)) {
-        if (!isAnswer || !this->mayAsk || this->mayAsk(entry->process()))
-            candidates.push_back({entry->process(), entry->registered.endpoint});
+        if (isAnswer && this->mayAsk && !this->mayAsk(entry->process()))
+            continue;
+        std::vector<Probed> &group = failedAt.contains(entry->registered.id) ? failed : sound;
+        group.push_back({entry->process(), entry->registered.endpoint});
     }
     const std::uint32_t count
             = isAnswer ? this->settings.askedUpstreams : this->settings.probedUpstreams;
     std::vector<Probed> picked;
-    while (picked.size() < count && !candidates.empty()) {
-        const std::size_t index = this->random.below(candidates.size());
-        picked.push_back(candidates[index]);
-        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(index));
+    for (std::vector<Probed> *group : {&sound, &failed}) {
+        while (picked.size() < count && !group->empty()) {
+            const std::size_t index = this->random.below(group->size());
+            picked.push_back((*group)[index]);
+            group->erase(group->begin() + static_cast<std::ptrdiff_t>(index));
+        }
     }
     return picked;
 }
--- a/src/gateway/forwarding_driver.hpp
+++ b/src/gateway/forwarding_driver.hpp
@@ -35,6 +35,8 @@
     /// Upstreams of a round whose probes need an answer, and the time for it.
     std::uint32_t askedUpstreams = 2;
     Duration answerTime = std::chrono::milliseconds(400);
+    /// Time for which upstreams that failed are probed only if there are too few others.
+    Duration failedTime = std::chrono::seconds(2);
     /// Time without a byte of an answer after which a call raises doubt about this instance's
     /// links, unless its upstream is to be replaced earlier.
     Duration silenceTime = std::chrono::seconds(1);
@@ -180,6 +182,8 @@
         forwarding::ReachabilityState noted = forwarding::ReachabilityState::Reachable;
         /// Upstreams that other instances are told of if the suspicion ends.
         std::map<UpstreamId, UpstreamFault> heldBack;
+        /// When upstreams that may have ended were found to have failed.
+        std::map<UpstreamId, TimePoint> failedAt;
         TimePoint askedAt{};
         bool isWatching = false;
         bool isRoundOpen = false;
--- a/tests/gateway/unit-request_forwarding.cpp
+++ b/tests/gateway/unit-request_forwarding.cpp
@@ -214,6 +214,40 @@
     }
 }
 
+// Guards against a cut that is concluded from probes of upstreams that are known to have crashed.
+TEST_CASE("the probes of a round go first to upstreams that have not failed of late")
+{
+    const gateway::ServiceId rooms("rooms");
+    constexpr std::size_t crashedCount = 12;
+    std::vector<RefusingUpstream> crashed(crashedCount);
+    ScriptedUpstream sound({Script{answer(200, "sound")}});
+    std::vector<ScriptedUpstream *> upstreams;
+    upstreams.reserve(crashedCount + 1);
+    for (RefusingUpstream &one : crashed)
+        upstreams.push_back(&one);
+    upstreams.push_back(&sound);
+    constexpr int instances = 4;
+    for (int i = 0; i < instances; ++i) {
+        RelayFixture instance(upstreams);
+        instance.runOnLoop([&rooms](gateway::Gateway &own) {
+            gateway::ForwardingDriver &driver = own.forwardingDriver();
+            for (std::size_t j = 0; j < crashedCount; ++j)
+                driver.recordAvoided(rooms, UpstreamId("u" + std::to_string(j)),
+                                     gateway::UpstreamFault::Unreachable);
+            driver.recordFailure(rooms, SteadyClock().now());
+        });
+        Counter &held = instance.metrics.counter("bamboochute_reachability_probes_total",
+                                                 "result=\"held\"");
+        Counter &failed = instance.metrics.counter("bamboochute_reachability_probes_total",
+                                                   "result=\"failed\"");
+        const auto giveUpAt = std::chrono::steady_clock::now() + 5s;
+        while (failed.value() == 0 && std::chrono::steady_clock::now() < giveUpAt)
+            std::this_thread::sleep_for(5ms);
+        CHECK(held.value() == 1);
+        CHECK(failed.value() == 3);
+    }
+}
+
 // Guards against requests that wait behind a cut for what would tell it from a crash.
 TEST_CASE("a cut with refused connections sends the first request through another one at once")
 {
