--- a/tests/gateway/unit-request_forwarding.cpp
+++ b/tests/gateway/unit-request_forwarding.cpp
@@ -214,6 +214,40 @@
     }
 }
 
+// Guards against a cut that is concluded from probes of upstreams that are known to have crashed.
+TEST_CASE("the probes of a round go first to upstreams that have not failed of late")
+{
+    const gateway::ServiceId rooms("rooms");
+    constexpr std::size_t crashedCount = 12;
+    std::vector<RefusingUpstream> crashed(crashedCount);
+    ScriptedUpstream sound({Script{answer(200, "sound")}});
+    std::vector<ScriptedUpstream *> upstreams;
+    upstreams.reserve(crashedCount + 1);
+    for (RefusingUpstream &one : crashed)
+        upstreams.push_back(&one);
+    upstreams.push_back(&sound);
+    constexpr int instances = 4;
+    for (int i = 0; i < instances; ++i) {
+        RelayFixture instance(upstreams);
+        instance.runOnLoop([&rooms](gateway::Gateway &own) {
+            gateway::ForwardingDriver &driver = own.forwardingDriver();
+            for (std::size_t j = 0; j < crashedCount; ++j)
+                driver.recordAvoided(rooms, UpstreamId("u" + std::to_string(j)),
+                                     gateway::UpstreamFault::Unreachable);
+            driver.recordFailure(rooms, SteadyClock().now());
+        });
+        Counter &held = instance.metrics.counter("bamboochute_reachability_probes_total",
+                                                 "result=\"held\"");
+        Counter &failed = instance.metrics.counter("bamboochute_reachability_probes_total",
+                                                   "result=\"failed\"");
+        const auto giveUpAt = std::chrono::steady_clock::now() + 5s;
+        while (failed.value() == 0 && std::chrono::steady_clock::now() < giveUpAt)
+            std::this_thread::sleep_for(5ms);
+        CHECK(held.value() == 1);
+        CHECK(failed.value() == 3);
+    }
+}
+
 // Guards against requests that wait behind a cut for what would tell it from a crash.
 TEST_CASE("a cut with refused connections sends the first request through another one at once")
 {
@@ -231,6 +265,25 @@
     CHECK(upstream.requests().size() == 1);
 }
 
+// Guards against the first request behind a cut that is refused because nobody was asked for help
+// before it looked for some.
+TEST_CASE("the request that shows a cut first waits for the answers of those who are asked then")
+{
+    CutInstance behindCut;
+    RelayFixture &cut = behindCut.instance;
+    SUBCASE("one helps")
+    {
+        cut.offerHelp({{"127.0.0.1", 1}});
+        CHECK(cut.findHelperAfterFailure());
+    }
+    SUBCASE("nobody does: it waits a moment")
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        CHECK_FALSE(cut.findHelperAfterFailure());
+        CHECK(std::chrono::steady_clock::now() - begin < 300ms);
+    }
+}
+
 // Guards against a request that is forwarded after its instance has ended its open requests, so
 // that its caller gets neither an answer nor a refusal.
 TEST_CASE("a request that waits for a helper when the open requests end is refused as not run")
