Continue a broken stream only with what follows its events

Cause: the status of an answer was all that was checked. The ids of its events only served to name the place for the next attempt.

Change: StreamContinuation decides for all ways (a further attempt, the replacement of a silent upstream, an answer through another instance, an upstream that goes on after its silence) whether a head and each whole event belong to the stream, by what the stream has shown: its content type and encoding, whether its events have ids, and how these rise. Nothing of an answer whose head is none of a continuation is read; events before a defective one are kept, and the next attempt goes on behind them. The upstream is recorded as malformed and not asked again; the next one is asked while attempts, time and retries are left, else the stream is cut. Unsigned answers and those to other requests count as such defects too; before, the same upstream could be asked again.

--- a/src/caller/event_stream.cpp
+++ b/src/caller/event_stream.cpp
@@ -29,8 +29,62 @@
     return std::max(lineFeedEnd, crlfEnd);
 }
 
+std::string_view trimSpaces(std::string_view text)
+{
+    const std::size_t begin = text.find_first_not_of(' ');
+    if (begin == std::string_view::npos)
+        return {};
+    return text.substr(begin, text.find_last_not_of(' ') - begin + 1);
+}
+
+/// Adds a line without its end to an event.
+void addLine(StreamEvent &event, std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    const std::string_view field = line.substr(0, colon);
+    if (field == "id")
+        event.id = colon == std::string_view::npos ? std::string_view()
+                                                   : trimSpaces(line.substr(colon + 1));
+    const bool isContent = colon != 0 && field != "id" && field != "event" && field != "retry";
+    if (!isContent)
+        return;
+    event.isEndMarker = !event.hasContent && (line == endMarker || line == shortEndMarker);
+    event.hasContent = true;
+}
+
 } // namespace
 
+std::vector<StreamEvent> splitEvents(std::string_view wholeEvents)
+{
+    std::vector<StreamEvent> events;
+    StreamEvent event;
+    bool hasLines = false;
+    std::size_t begin = 0;
+    std::size_t position = 0;
+    while (position < wholeEvents.size()) {
+        const std::size_t lineFeed = wholeEvents.find('\n', position);
+        const std::size_t next
+                = lineFeed == std::string_view::npos ? wholeEvents.size() : lineFeed + 1;
+        std::string_view line = wholeEvents.substr(position, std::min(lineFeed, next) - position);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        position = next;
+        if (!line.empty()) {
+            addLine(event, line);
+            hasLines = true;
+        }
+        const bool isEnd = line.empty() && hasLines;
+        if (!isEnd && position < wholeEvents.size())
+            continue;
+        event.text = wholeEvents.substr(begin, position - begin);
+        events.push_back(event);
+        event = StreamEvent();
+        hasLines = false;
+        begin = position;
+    }
+    return events;
+}
+
 EventStream::EventStream(std::size_t maxEventBytes, bool tracksEventIds)
     : maxEventBytes(maxEventBytes)
     , tracksEventIds(tracksEventIds)
--- a/src/caller/event_stream.hpp
+++ b/src/caller/event_stream.hpp
@@ -11,6 +11,24 @@
 
 namespace bamboochute::caller {
 
+/// @brief One event of a stream, or a block of comments between two of them.
+struct StreamEvent
+{
+    /// Its lines, with the empty ones around it.
+    std::string_view text;
+    /// Value of its last "id" field; empty when there is none.
+    std::string_view id;
+    /// Whether it has more than comments and the fields "id", "event" and "retry".
+    bool hasContent = false;
+    /// Whether its only content is the end marker "data: [DONE]".
+    bool isEndMarker = false;
+    auto operator<=>(const StreamEvent &) const = default;
+};
+
+/// @brief Splits the text of whole events.
+/// @return the events in order, valid as long as the text; their texts make up the whole text
+std::vector<StreamEvent> splitEvents(std::string_view wholeEvents);
+
 /// @brief Buffers partial events, and finds the end marker "data: [DONE]" and event identifiers.
 class EventStream
 {
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -65,6 +65,9 @@
     const AnswerAttributes answerAttributes
             = this->gateway.codec.readAnswer(answer.status, answer.headers);
     if (!answerAttributes.request.isEmpty() && answerAttributes.request != this->attributes.id) {
+        if (this->isAnswerBegun)
+            co_return this->handleBrokenStream(UpstreamFault::Malformed,
+                                               "the answer belongs to another request");
         this->recordFault(UpstreamFault::Malformed, "the answer belongs to another request");
         co_return AttemptOutcome::MayHaveRun;
     }
@@ -78,18 +81,50 @@
     this->recordAnswer(answerAttributes);
     if (answerAttributes.isNotRun)
         co_return this->handleUpstreamRefusal(answerAttributes, answer.status);
-    if (!answerAttributes.isSigned) {
+    if (!answerAttributes.isSigned && !this->isAnswerBegun) {
         this->recordFault(UpstreamFault::Malformed, "the answer has no signature");
         co_return AttemptOutcome::MayHaveRun;
     }
     AttemptOutcome outcome = AttemptOutcome::Finished;
-    if (this->route->kind == RequestKind::Stream && answer.status == statusOk)
-        outcome = co_await this->relayEventStream();
-    else
+    if (!this->isStreamAnswer(answer.status)) {
         outcome = co_await this->relayWholeAnswer();
+        co_return outcome;
+    }
+    const std::optional<AttemptOutcome> defective = this->beginStreamAnswer(answerAttributes);
+    if (defective)
+        co_return *defective;
+    outcome = co_await this->relayEventStream();
     co_return outcome;
 }
 
+/// Whether an answer with a status is a stream, or has to be one to continue what the caller has.
+bool RequestExchange::isStreamAnswer(int status) const
+{
+    return this->isAnswerBegun || (this->route->kind == RequestKind::Stream && status == statusOk);
+}
+
+/// Reads the head of the current attempt's answer.
+StreamHead RequestExchange::readHead(const AnswerAttributes &attributes) const
+{
+    const upstream::ParsedMessage &answer = this->attempt.call->answer();
+    return readStreamHead(answer.status, answer.headers, attributes.isSigned);
+}
+
+/// Begins the stream in the current attempt's answer.
+/// @return how the attempt ended if its head shows that it does not continue what the caller has
+std::optional<AttemptOutcome> RequestExchange::beginStreamAnswer(const AnswerAttributes &attributes)
+{
+    const StreamHead head = this->readHead(attributes);
+    const std::optional<std::string> defect = this->continuation.findDefect(head);
+    if (defect)
+        return this->handleBrokenStream(head.isSigned && head.status >= firstServerError
+                                                ? UpstreamFault::ServerError
+                                                : UpstreamFault::Malformed,
+                                        *defect);
+    this->continuation.beginAnswer(head);
+    return std::nullopt;
+}
+
 /// Takes over what the answer says about its upstream, unless another process has sent it.
 void RequestExchange::recordAnswer(const AnswerAttributes &attributes)
 {
@@ -201,15 +236,8 @@
         this->recordFault(UpstreamFault::ServerError, fmt::format("status {}", status));
         this->triedUpstreams.push_back(this->attempt.upstream);
         this->upstreamErrorAnswer.emplace(std::move(head), std::move(body));
-        if (this->isAnswerBegun)
-            co_return AttemptOutcome::StreamBroken;
         co_return AttemptOutcome::MayHaveRun;
     }
-    if (this->isAnswerBegun) {
-        // The stream was to be continued, but the upstream's answer is not a stream.
-        this->triedUpstreams.push_back(this->attempt.upstream);
-        co_return AttemptOutcome::StreamBroken;
-    }
     this->recordSuccess();
     this->recordCompletion();
     if (co_await this->writeToCaller(head, body))
@@ -242,6 +270,10 @@
         std::string text;
         for (const std::string_view piece : completeEvents.value())
             text += piece;
+        const StreamContinuation::Events added = this->continuation.addEvents(text);
+        text.resize(added.length);
+        if (text.empty() && added.defect)
+            co_return this->handleBrokenStream(UpstreamFault::Malformed, *added.defect);
         if (text.empty())
             continue;
         this->bindStreamVersion();
@@ -258,11 +290,13 @@
             co_return AttemptOutcome::Finished;
         this->recordEventTime();
         this->silence.recordEvents(this->now());
+        if (added.defect)
+            co_return this->handleBrokenStream(UpstreamFault::Malformed, *added.defect);
     }
     this->recordAnswerEnd();
-    const std::optional<std::string> defect = this->findStreamDefect(!isFirst);
-    if (defect)
-        co_return this->handleBrokenStream(UpstreamFault::Broken, *defect);
+    const std::optional<AttemptOutcome> defective = this->findEndDefect();
+    if (defective)
+        co_return *defective;
     this->recordCompletion();
     // A stream without events is a valid answer.
     if (!this->isAnswerBegun)
@@ -282,28 +316,36 @@
     return head;
 }
 
-/// Returns why a stream that has ended without an error is incomplete; unset when it is complete.
+/// Returns how the attempt ended if its stream, which ended without an error, is incomplete or not
+/// known to be complete.
 ///
 /// The host of a crashed process closes its connections in order, which is also how an answer
 /// without a length ends.
-std::optional<std::string> RequestExchange::findStreamDefect(bool hasEvents) const
+std::optional<AttemptOutcome> RequestExchange::findEndDefect()
 {
     if (this->events.isInsideEvent())
-        return "the stream ended inside an event";
+        return this->handleBrokenStream(UpstreamFault::Broken, "the stream ended inside an event");
     const bool isUnframed
             = this->attempt.answerEnd
               && this->attempt.answerEnd->framing == upstream::BodyFraming::ConnectionClose;
-    // Only a stream that is resumed after its last event may have no further ones.
-    if (isUnframed && !hasEvents && this->resumePoint().empty())
-        return "the stream without a length ended before its first event";
-    return std::nullopt;
+    if (this->continuation.endAnswer(!isUnframed) == StreamEnd::Complete)
+        return std::nullopt;
+    return this->handleBrokenStream(UpstreamFault::Broken,
+                                    "the stream without a length ended before its first event");
 }
 
 AttemptOutcome RequestExchange::handleBrokenStream(UpstreamFault fault, std::string_view reason)
 {
-    if (this->attempt.helper)
+    if (this->attempt.helper && fault == UpstreamFault::Broken)
         return this->handleHelperFailure(
                 {upstream::CallFailure::ConnectionLost, true, std::string(reason), false});
+    if (this->attempt.helper) {
+        // The fault is that of an upstream behind the helper.
+        this->lastFault = fmt::format("the instance that helped: {}", reason);
+        this->log(LogLevel::Warning, "forwarded request failed", "malformed",
+                  {"detail", std::string(reason)});
+        return this->isAnswerBegun ? AttemptOutcome::StreamBroken : AttemptOutcome::MayHaveRun;
+    }
     if (this->isAnswerBegun)
         this->bindStreamVersion();
     this->triedUpstreams.push_back(this->attempt.upstream);
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -33,7 +33,7 @@
     , request(request)
     , isFromInstance(isFromInstance)
     , index(gateway.index)
-    , events(maxEventBytes, true)
+    , events(maxEventBytes, false)
 {
     this->gateway.exchanges.insert(this);
 }
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -8,6 +8,7 @@
 #include "forwarding/forwarded_request.hpp"
 #include "gateway/gateway.hpp"
 #include "gateway/silence_watch.hpp"
+#include "gateway/stream_continuation.hpp"
 #include "upstream/upstream_call.hpp"
 
 #include <functional>
@@ -181,7 +182,10 @@
     upstream::Awaitable<AttemptOutcome> relayAnswer();
     upstream::Awaitable<AttemptOutcome> relayWholeAnswer();
     upstream::Awaitable<AttemptOutcome> relayEventStream();
-    std::optional<std::string> findStreamDefect(bool hasEvents) const;
+    bool isStreamAnswer(int status) const;
+    StreamHead readHead(const AnswerAttributes &attributes) const;
+    std::optional<AttemptOutcome> beginStreamAnswer(const AnswerAttributes &attributes);
+    std::optional<AttemptOutcome> findEndDefect();
     void checkForCrash();
     AttemptOutcome handleBrokenStream(UpstreamFault fault, std::string_view reason);
     AttemptOutcome handleCallFailure(const upstream::CallError &error);
@@ -301,6 +305,8 @@
     /// Times that the announced version of the stream was corrected.
     std::uint32_t originCorrections = 0;
     caller::EventStream events;
+    /// The events that the caller has, and what may follow them.
+    StreamContinuation continuation;
     /// A part of an answer was sent to the caller.
     bool isAnswerBegun = false;
     /// When the first and the latest event were sent to the caller; zero before.
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -244,7 +244,9 @@
 Awaitable<std::optional<AttemptOutcome>> RequestExchange::relayHelperAnswer()
 {
     const upstream::ParsedMessage &answer = this->attempt.call->answer();
-    const bool isSigned = this->gateway.codec.readAnswer(answer.status, answer.headers).isSigned;
+    const AnswerAttributes answerAttributes
+            = this->gateway.codec.readAnswer(answer.status, answer.headers);
+    const bool isSigned = answerAttributes.isSigned;
     const std::string_view notTaken = answer.headers.find(forwarding::notTakenHeader);
     if (!isSigned && !notTaken.empty()) {
         this->lastFault = fmt::format("the instance asked for help did not take it: {}", notTaken);
@@ -254,17 +256,12 @@
     }
     if (isSigned)
         this->gateway.forwarding.recordHelp(this->service->id);
-    const bool isStream
-            = isSigned && this->route->kind == RequestKind::Stream && answer.status == statusOk;
-    if (isStream)
-        co_return std::nullopt;
+    const bool isOwnAnswer = !isSigned && !this->isAnswerBegun;
+    if (!isOwnAnswer && this->isStreamAnswer(answer.status))
+        co_return this->beginStreamAnswer(answerAttributes);
     CallResult<std::string> body = co_await this->attempt.call->readWholeBody(maxAnswerBytes);
     if (!body)
         co_return this->handleHelperFailure(body.error());
-    if (this->isAnswerBegun) {
-        this->lastFault = "the instance that helped could not go on with the stream";
-        co_return AttemptOutcome::StreamBroken;
-    }
     const int status = this->attempt.call->answer().status;
     std::string head = this->buildAnswerHead(status, this->attempt.call->answer().headers);
     appendHeader(head, "Content-Length", std::to_string(body.value().size()));
--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -240,15 +240,19 @@
         this->handleUpstreamRefusal(answerAttributes, answer.status);
         return false;
     }
-    const bool isContinuable = !this->isAnswerBegun || answer.status == statusOk;
-    if (!isOther && answerAttributes.isSigned && answer.status < firstServerError && isContinuable)
+    const std::optional<std::string> defect
+            = this->isStreamAnswer(answer.status)
+                      ? this->continuation.findDefect(this->readHead(answerAttributes))
+                      : std::nullopt;
+    if (!isOther && answerAttributes.isSigned && answer.status < firstServerError && !defect)
         return true;
     ++this->possibleRuns;
     this->triedUpstreams.push_back(this->attempt.upstream);
     const bool isServerError = answerAttributes.isSigned && answer.status >= firstServerError;
-    this->recordFault(isServerError ? UpstreamFault::ServerError : UpstreamFault::Malformed,
-                      fmt::format("the answer with status {} is not an answer to the request",
-                                  answer.status));
+    this->recordFault(
+            isServerError ? UpstreamFault::ServerError : UpstreamFault::Malformed,
+            defect.value_or(fmt::format("the answer with status {} is not an answer to the request",
+                                        answer.status)));
     return false;
 }
 
--- a/src/gateway/request_stream_origin.cpp
+++ b/src/gateway/request_stream_origin.cpp
@@ -138,8 +138,8 @@
 /// Returns the id of the last event that the caller has; empty when the stream begins.
 const std::string &RequestExchange::resumePoint() const
 {
-    return this->events.lastEventId().empty() ? this->attributes.lastEventId
-                                              : this->events.lastEventId();
+    return this->continuation.lastEventId().empty() ? this->attributes.lastEventId
+                                                    : this->continuation.lastEventId();
 }
 
 } // namespace bamboochute::gateway
--- a/tests/caller/unit-event-stream.cpp
+++ b/tests/caller/unit-event-stream.cpp
@@ -82,3 +82,17 @@
     });
     CHECK(holds);
 }
+
+TEST_CASE("whole events are split into their fields")
+{
+    const std::string text = "\r\nid:  1 \r\ndata: a\r\n\r\n: comment\n\n\nevent: ping\nid\n\n"
+                             "data:[DONE]\n\ndata: [DONE]\ndata: b\n\n";
+    const std::vector<caller::StreamEvent> events = caller::splitEvents(text);
+    REQUIRE(events.size() == 5);
+    CHECK(events[0] == caller::StreamEvent{"\r\nid:  1 \r\ndata: a\r\n\r\n", "1", true, false});
+    CHECK(events[1] == caller::StreamEvent{": comment\n\n", "", false, false});
+    CHECK(events[2] == caller::StreamEvent{"\nevent: ping\nid\n\n", "", false, false});
+    CHECK(events[3] == caller::StreamEvent{"data:[DONE]\n\n", "", true, true});
+    CHECK(events[4] == caller::StreamEvent{"data: [DONE]\ndata: b\n\n", "", true, false});
+    CHECK(caller::splitEvents("").empty());
+}
