Answer a caller that takes up a stream only with what follows

Seen by callers: a take-up with Last-Event-Id was answered with events that the caller had, with events without ids, or with a page, as the upstream sent it; directly and through another instance.

Cause: the answer to a take-up counted as the begin of a stream, of which nothing is known.

Change: on resumable routes the id that the caller names is the place that the answer has to go on behind. The first id has to be behind it; by how much proves nothing, as this instance hasn't seen the begin, so that ids which skip right there are still relayed. From there on the ids have to rise evenly if they did so far. An answer of another content type is none. Another upstream is asked, else the caller gets 502. An instance that relays checks, and the one that it relays for checks again. An answer in order without events stays whole: it is what a sound upstream sends behind the last event.

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -88,6 +88,8 @@
     this->deadline = this->request.arrival
                      + std::min(this->attributes.callerTimeout.value_or(this->route->timeout),
                                 this->route->timeout);
+    if (this->isResumption() && this->route->isResumable)
+        this->continuation = StreamContinuation(this->attributes.lastEventId);
     this->watchCaller();
     if (this->isResumption() && !this->isQuarantined())
         co_await this->findStreamOrigin();
--- a/tests/gateway/unit-continuations.cpp
+++ b/tests/gateway/unit-continuations.cpp
@@ -152,6 +152,11 @@
     return "cut: " + body;
 }
 
+std::string takeUp(const std::string &path = "/stream/")
+{
+    return request(path, {}, "test-last-event: 2\r\n");
+}
+
 /// An upstream of a helper or a helper, which answers once a further helper was offered.
 class AnswersLater
 {
@@ -299,6 +304,78 @@
     }
 }
 
+// Guards against a caller that takes its stream up getting events that it has, or what is no
+// stream.
+TEST_CASE("a caller that takes a stream up gets what continues it, or none")
+{
+    std::vector<Defect> defects = defectiveEvents();
+    std::erase_if(defects, [](const Defect &defect) {
+        // Nothing seen so far tells that the ids rise by one.
+        return defect.name.starts_with("a missing event");
+    });
+    defects.push_back({"a page", withLength(beginHead(200, "text/html"), foreign + "\n\n")});
+    SUBCASE("from another upstream")
+    {
+        for (const Defect &defect : defects) {
+            CAPTURE(defect.name);
+            ScriptedUpstream defective({{defect.answer}});
+            ScriptedUpstream sound({{wholeStream(lastEvents)}});
+            RelayFixture fixture({&defective, &sound});
+            CHECK(decodeBody(fixture.call(takeUp())) == lastEvents);
+        }
+    }
+    SUBCASE("or a failure")
+    {
+        for (const Defect &defect : defects) {
+            CAPTURE(defect.name);
+            ScriptedUpstream defective({{defect.answer}, {defect.answer}});
+            RelayFixture fixture({&defective});
+            const std::string got = fixture.call(takeUp());
+            CHECK(got.starts_with("HTTP/1.1 502 "));
+            CHECK_FALSE(containsText(got, foreign));
+        }
+    }
+    SUBCASE("also through another instance, which checks it")
+    {
+        for (const Defect &defect : defects) {
+            CAPTURE(defect.name);
+            CutInstance behindCut;
+            ScriptedUpstream defective({{defect.answer}});
+            ScriptedUpstream sound({{wholeStream(lastEvents)}});
+            RelayFixture helper({&defective, &sound});
+            behindCut.instance.offerHelp({helper.instanceEndpoint()});
+            CHECK(decodeBody(behindCut.instance.call(takeUp())) == lastEvents);
+            CHECK(defective.requests().size() == 1);
+        }
+    }
+    SUBCASE("also through another instance, which does not")
+    {
+        for (const Defect &defect : defects) {
+            CAPTURE(defect.name);
+            CutInstance behindCut;
+            ScriptedUpstream defective({{defect.answer}});
+            behindCut.instance.offerHelp({defective.endpoint()});
+            const std::string got = behindCut.instance.call(takeUp());
+            CHECK(got.starts_with("HTTP/1.1 502 "));
+            CHECK_FALSE(containsText(got, foreign));
+            CHECK(defective.requests().size() == 1);
+        }
+    }
+    SUBCASE("a route whose streams can't be resumed relays what comes")
+    {
+        ScriptedUpstream upstream({{wholeStream(firstEvents)}});
+        RelayFixture fixture({&upstream});
+        CHECK(decodeBody(fixture.call(takeUp("/fragile/"))) == firstEvents);
+    }
+    SUBCASE("an answer without events is whole")
+    {
+        ScriptedUpstream upstream({{wholeStream("")}});
+        RelayFixture fixture({&upstream});
+        CHECK(decodeBody(fixture.call(takeUp())).empty());
+        CHECK(fixture.requestEnds("answered") == 1);
+    }
+}
+
 TEST_CASE("a stream of which its caller has only comments begins again")
 {
     const std::string comment = ": soon\n\n";
