Cut a broken stream whose last event has no id

Seen by callers: a resumable stream whose events had no ids, or whose last ones had none, went on from its begin, or from the last id, at another upstream: events came twice.

Cause: the place to go on was the last id seen, or none, whatever came behind it.

Change: such a stream, and one whose ids did not rise, is sent to no other upstream, neither after a break nor in place of a silent one. It is cut where it breaks. A stream of which the caller has only comments still begins again.

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -278,6 +278,8 @@
 {
     if (this->gateway.endingRequests)
         return false;
+    if (this->isAnswerBegun && !this->continuation.isContinuable())
+        return false;
     if (this->timeLeft() < minSendTime) {
         this->hasTimedOut = true;
         return false;
--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -45,7 +45,8 @@
 /// Whether the request may be sent to another upstream while the current one may still run it.
 bool RequestExchange::mayReplaceUpstream() const
 {
-    return !this->attempt.helper && this->route->mayRetry()
+    const bool isContinuable = !this->isAnswerBegun || this->continuation.isContinuable();
+    return !this->attempt.helper && this->route->mayRetry() && isContinuable
            && this->possibleRuns + 1 < this->route->maxUpstreams
            && this->gateway.budget.remaining(this->service->id, this->now()) >= 1;
 }
--- a/src/gateway/stream_continuation.hpp
+++ b/src/gateway/stream_continuation.hpp
@@ -50,6 +50,11 @@
     /// @brief Id of the last event that the caller has; empty when there is none.
     const std::string &lastEventId() const noexcept { return this->lastId; }
 
+    /// @brief Whether another answer could go on behind the events so far.
+    ///
+    /// It can't if the last one has no id, or if ids did not rise.
+    bool isContinuable() const noexcept { return !this->hasEventBehindLastId && this->isRising; }
+
     /// @brief Finds out why an answer with this head can't be the next one.
     /// @return the defect; nothing when there is none
     std::optional<std::string> findDefect(const StreamHead &head) const;
--- a/tests/gateway/unit-continuations.cpp
+++ b/tests/gateway/unit-continuations.cpp
@@ -376,6 +376,35 @@
     }
 }
 
+// Guards against a stream whose events have no ids going on from its begin at another upstream.
+TEST_CASE("a stream whose last event has no id is cut where it breaks")
+{
+    const std::string noId = "data: a\n\n";
+    ScriptedUpstream other({{wholeStream(lastEvents)}});
+    SUBCASE("none of its events has one")
+    {
+        ScriptedUpstream breaks({{beginStream(noId), true}});
+        RelayFixture fixture({&breaks, &other});
+        CHECK(decodeBody(fixture.call(request("/stream/"))) == "cut: " + noId);
+    }
+    SUBCASE("its first ones have")
+    {
+        ScriptedUpstream breaks({{beginStream(firstEvents + noId), true}});
+        RelayFixture fixture({&breaks, &other});
+        CHECK(decodeBody(fixture.call(request("/stream/"))) == "cut: " + firstEvents + noId);
+    }
+    SUBCASE("also if it stays silent: no other upstream is asked")
+    {
+        Script silent{beginStream(noId)};
+        silent.isSilentAfterwards = true;
+        ScriptedUpstream falls({silent});
+        RelayFixture fixture({&falls, &other});
+        CHECK(decodeBody(fixture.call(request("/talk/", {}, "test-patience-ms: 700\r\n")))
+              == "cut: " + noId);
+    }
+    CHECK(other.requests().empty());
+}
+
 TEST_CASE("a stream of which its caller has only comments begins again")
 {
     const std::string comment = ": soon\n\n";
--- a/tests/gateway/unit-stream_continuation.cpp
+++ b/tests/gateway/unit-stream_continuation.cpp
@@ -122,6 +122,43 @@
     }
 }
 
+TEST_CASE("a stream can be continued only if its last event names the place")
+{
+    StreamContinuation stream;
+    stream.beginAnswer(soundHead);
+    CHECK(stream.isContinuable());
+    SUBCASE("not without ids")
+    {
+        stream.addEvents("data: a\n\n");
+        CHECK_FALSE(stream.isContinuable());
+    }
+    SUBCASE("not behind an event without an id")
+    {
+        stream.addEvents(event("1") + "data: a\n\n");
+        CHECK_FALSE(stream.isContinuable());
+        stream.addEvents(event("2"));
+        CHECK(stream.isContinuable());
+    }
+    SUBCASE("not if ids came again or fell, which is no defect of a first answer")
+    {
+        CHECK_FALSE(stream.addEvents(events({"2", "1"})).defect);
+        CHECK_FALSE(stream.isContinuable());
+    }
+    SUBCASE("behind comments it begins again")
+    {
+        stream.addEvents(": soon\n\n");
+        CHECK(stream.isContinuable());
+        CHECK(stream.lastEventId().empty());
+        stream.beginAnswer(soundHead);
+        CHECK(goesOn(stream, event("1")));
+    }
+    SUBCASE("behind its end marker")
+    {
+        stream.addEvents(event("1") + "data: [DONE]\n\n");
+        CHECK(stream.isContinuable());
+    }
+}
+
 TEST_CASE("the head of a continuation fits to the first answer")
 {
     const StreamContinuation stream = brokenAfter(event("1"));
