Have a second upstream confirm an end without events

Cause: an answer in order counted as the end of the stream, whatever it held.

Change: behind the end marker such an answer ends the stream. Else nothing shows that the stream is whole: another upstream is asked while attempts, time and retries are left. Its events follow, or its answer without events confirms the end. With none left the stream is cut; its caller takes it up and gets the empty answer itself, whole. An answer without a length and events ends nothing, as a crashed host closes its connections in order. The upstream is recorded as at fault only in that case: it may be right.

Cost: a sound stream that breaks between its last event and its last chunk takes one retry more, or one take-up.

--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -328,10 +328,18 @@
     const bool isUnframed
             = this->attempt.answerEnd
               && this->attempt.answerEnd->framing == upstream::BodyFraming::ConnectionClose;
-    if (this->continuation.endAnswer(!isUnframed) == StreamEnd::Complete)
+    const StreamEnd streamEnd = this->continuation.endAnswer(!isUnframed);
+    if (streamEnd == StreamEnd::Complete)
         return std::nullopt;
-    return this->handleBrokenStream(UpstreamFault::Broken,
-                                    "the stream without a length ended before its first event");
+    if (streamEnd == StreamEnd::Broken)
+        return this->handleBrokenStream(UpstreamFault::Broken,
+                                        "the stream without a length ended before its first event");
+    // The upstream may be right, so that this is no fault of it.
+    if (!this->attempt.helper)
+        this->triedUpstreams.push_back(this->attempt.upstream);
+    this->lastFault = "an answer without events was to continue the stream";
+    this->log(LogLevel::Warning, "end of stream not confirmed", "no_events", this->durationField());
+    return AttemptOutcome::StreamBroken;
 }
 
 AttemptOutcome RequestExchange::handleBrokenStream(UpstreamFault fault, std::string_view reason)
--- a/src/gateway/stream_continuation.cpp
+++ b/src/gateway/stream_continuation.cpp
@@ -136,6 +136,7 @@
     if (!event.hasContent)
         return;
     this->isAnswerEmpty = false;
+    this->emptyAnswers = 0;
     this->hasEndMarker = event.isEndMarker;
     if (event.id.empty() && !event.isEndMarker) {
         this->hasEventsWithoutId = true;
@@ -176,7 +177,13 @@
     if (!this->hasBegun)
         // Only a stream that is taken up after its last event may have no further ones.
         return isFramed || this->isTakenUp ? StreamEnd::Complete : StreamEnd::Broken;
-    return StreamEnd::Complete;
+    if (!this->isContinuation)
+        return StreamEnd::Complete;
+    if (!isFramed)
+        return StreamEnd::Broken;
+    const bool isConfirmed = this->emptyAnswers > 0;
+    ++this->emptyAnswers;
+    return isConfirmed ? StreamEnd::Complete : StreamEnd::Unconfirmed;
 }
 
 } // namespace bamboochute::gateway
--- a/src/gateway/stream_continuation.hpp
+++ b/src/gateway/stream_continuation.hpp
@@ -34,6 +34,9 @@
     Complete,
     /// The answer broke off.
     Broken,
+    /// The upstream says that nothing follows what another one has sent, which no other one has
+    /// confirmed.
+    Unconfirmed,
 };
 
 /// @brief The events that one caller gets, from one upstream or several one after another.
@@ -108,6 +111,8 @@
     /// Whether the current answer goes on with a stream.
     bool isContinuation = false;
     bool isAnswerEmpty = true;
+    /// Answers in a row which said that nothing follows.
+    std::uint32_t emptyAnswers = 0;
 };
 
 } // namespace bamboochute::gateway
--- a/tests/gateway/unit-continuations.cpp
+++ b/tests/gateway/unit-continuations.cpp
@@ -376,6 +376,56 @@
     }
 }
 
+// Guards against a broken stream being called whole because one upstream had nothing to add.
+TEST_CASE("a stream that broke behind its last event ends in order once that is certain")
+{
+    const std::string unframed = beginHead(200, "text/event-stream") + "\r\n";
+    ScriptedUpstream breaks({{beginStream(firstEvents), true}});
+    SUBCASE("not by one answer without events: it is cut")
+    {
+        ScriptedUpstream empty({{wholeStream("")}, {wholeStream("")}});
+        RelayFixture fixture({&breaks, &empty});
+        CHECK(decodeBody(fixture.call(request("/stream/"))) == "cut: " + firstEvents);
+        SUBCASE("and whole for its caller, which takes it up")
+        {
+            CHECK(decodeBody(fixture.call(takeUp())).empty());
+        }
+    }
+    SUBCASE("not by one that goes on: its events follow")
+    {
+        ScriptedUpstream empty({{wholeStream("")}, {wholeStream("")}});
+        ScriptedUpstream sound({{wholeStream(lastEvents)}});
+        RelayFixture fixture({&breaks, &sound, &empty});
+        allowThreeUpstreams(fixture);
+        CHECK(decodeBody(fixture.call(request("/stream/"))) == firstEvents + lastEvents);
+    }
+    SUBCASE("by two answers without events")
+    {
+        ScriptedUpstream empty({{wholeStream("")}});
+        ScriptedUpstream alsoEmpty({{wholeStream("")}});
+        RelayFixture fixture({&breaks, &empty, &alsoEmpty});
+        allowThreeUpstreams(fixture);
+        CHECK(decodeBody(fixture.call(request("/stream/"))) == firstEvents);
+        CHECK(fixture.requestEnds("answered") == 1);
+    }
+    SUBCASE("not by ends of connections")
+    {
+        ScriptedUpstream empty({{unframed}});
+        ScriptedUpstream alsoEmpty({{unframed}});
+        RelayFixture fixture({&breaks, &empty, &alsoEmpty});
+        allowThreeUpstreams(fixture);
+        CHECK(decodeBody(fixture.call(request("/stream/"))) == "cut: " + firstEvents);
+    }
+    SUBCASE("by its end marker")
+    {
+        const std::string marked = firstEvents + "data: [DONE]\n\n";
+        ScriptedUpstream done({{beginStream(marked), true}});
+        ScriptedUpstream empty({{wholeStream("")}});
+        RelayFixture fixture({&done, &empty});
+        CHECK(decodeBody(fixture.call(request("/stream/"))) == marked);
+    }
+}
+
 // Guards against a stream whose events have no ids going on from its begin at another upstream.
 TEST_CASE("a stream whose last event has no id is cut where it breaks")
 {
--- a/tests/gateway/unit-stream_continuation.cpp
+++ b/tests/gateway/unit-stream_continuation.cpp
@@ -240,6 +240,48 @@
     }
 }
 
+TEST_CASE("the end of an answer in order is that of the stream if something shows it")
+{
+    SUBCASE("events came before it")
+    {
+        StreamContinuation stream = brokenAfter(event("1"));
+        stream.addEvents(event("2"));
+        CHECK(stream.endAnswer(true) == StreamEnd::Complete);
+    }
+    SUBCASE("an end marker was seen before the break")
+    {
+        StreamContinuation stream = brokenAfter(event("1") + "data: [DONE]\n\n");
+        CHECK(stream.endAnswer(true) == StreamEnd::Complete);
+    }
+    SUBCASE("without an event of a continuation, a second one has to confirm it")
+    {
+        StreamContinuation stream = brokenAfter(event("1"));
+        CHECK(stream.endAnswer(true) == StreamEnd::Unconfirmed);
+        stream.beginAnswer(soundHead);
+        SUBCASE("which it does without events")
+        {
+            CHECK(stream.endAnswer(true) == StreamEnd::Complete);
+        }
+        SUBCASE("which it does not without a length: its connection may have broken")
+        {
+            CHECK(stream.endAnswer(false) == StreamEnd::Broken);
+        }
+        SUBCASE("and which it refutes with an event")
+        {
+            stream.addEvents(event("2"));
+            stream.beginAnswer(soundHead);
+            CHECK(stream.endAnswer(true) == StreamEnd::Unconfirmed);
+        }
+    }
+    SUBCASE("a stream may have no events, if a length says so")
+    {
+        StreamContinuation stream;
+        stream.beginAnswer(soundHead);
+        CHECK(stream.endAnswer(true) == StreamEnd::Complete);
+        CHECK(stream.endAnswer(false) == StreamEnd::Broken);
+    }
+}
+
 TEST_CASE("a stream that is cut anywhere is continued by its rest and by nothing else")
 {
     const bool isHeld = rc::check([] {
