--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -33,7 +33,7 @@
     , request(request)
     , isFromInstance(isFromInstance)
     , index(gateway.index)
-    , events(maxEventBytes, true)
+    , events(maxEventBytes, false)
 {
     this->gateway.exchanges.insert(this);
 }
@@ -88,6 +88,8 @@
     this->deadline = this->request.arrival
                      + std::min(this->attributes.callerTimeout.value_or(this->route->timeout),
                                 this->route->timeout);
+    if (this->isResumption() && this->route->isResumable)
+        this->continuation = StreamContinuation(this->attributes.lastEventId);
     this->watchCaller();
     if (this->isResumption() && !this->isQuarantined())
         co_await this->findStreamOrigin();
@@ -280,6 +282,8 @@
 {
     if (this->gateway.endingRequests)
         return false;
+    if (this->isAnswerBegun && !this->continuation.isContinuable())
+        return false;
     if (this->timeLeft() < minSendTime) {
         this->hasTimedOut = true;
         return false;
--- a/src/gateway/request_replacement.cpp
+++ b/src/gateway/request_replacement.cpp
@@ -45,7 +45,8 @@
 /// Whether the request may be sent to another upstream while the current one may still run it.
 bool RequestExchange::mayReplaceUpstream() const
 {
-    return !this->attempt.helper && this->route->mayRetry()
+    const bool isContinuable = !this->isAnswerBegun || this->continuation.isContinuable();
+    return !this->attempt.helper && this->route->mayRetry() && isContinuable
            && this->possibleRuns + 1 < this->route->maxUpstreams
            && this->gateway.budget.remaining(this->service->id, this->now()) >= 1;
 }
@@ -240,15 +241,19 @@
         this->handleUpstreamRefusal(answerAttributes, answer.status);
         return false;
     }
-    const bool isContinuable = !this->isAnswerBegun || answer.status == statusOk;
-    if (!isOther && answerAttributes.isSigned && answer.status < firstServerError && isContinuable)
+    const std::optional<std::string> defect
+            = this->isStreamAnswer(answer.status)
+                      ? this->continuation.findDefect(this->readHead(answerAttributes))
+                      : std::nullopt;
+    if (!isOther && answerAttributes.isSigned && answer.status < firstServerError && !defect)
         return true;
     ++this->possibleRuns;
     this->triedUpstreams.push_back(this->attempt.upstream);
     const bool isServerError = answerAttributes.isSigned && answer.status >= firstServerError;
-    this->recordFault(isServerError ? UpstreamFault::ServerError : UpstreamFault::Malformed,
-                      fmt::format("the answer with status {} is not an answer to the request",
-                                  answer.status));
+    this->recordFault(
+            isServerError ? UpstreamFault::ServerError : UpstreamFault::Malformed,
+            defect.value_or(fmt::format("the answer with status {} is not an answer to the request",
+                                        answer.status)));
     return false;
 }
 
