Read on after refusing a request that was not read whole

What callers saw: a request whose body is longer than the limit in force is refused as soon as its header is read, and its connection was closed with the rest of the body unread, which resets it. A caller that has sent the whole body, since it goes by the limit of the configuration before, or is still sending it, gets a reset: the answer 413 may be dropped by its kernel or, when it was lost on the way, is never sent again. The request then has neither an answer nor a refusal.

Cause: Gateway::serve() closed the connection right after the refusal.

Change: the rest is read and dropped until the caller closes its side, for a second at most.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -29,6 +29,9 @@
 constexpr std::size_t maxForwardingBytes = 8 << 10;
 /// Time to receive a body after its header, as a multiple of the header timeout.
 constexpr int bodyTimeoutFactor = 5;
+/// Time for which the rest of a refused request is read and dropped; a round trip to a caller takes
+/// much less.
+constexpr Duration discardTime = std::chrono::seconds(1);
 
 upstream::PoolLimits makePoolLimits(const std::string &sourceAddress)
 {
@@ -39,6 +42,18 @@
     return limits;
 }
 
+/// Reads and drops what the caller still sends of a refused request. A connection that is closed
+/// before that is reset, and the caller may lose the refusal.
+Awaitable<void> discardRest(upstream::HttpStream &stream)
+{
+    stream.expireAt(SteadyClock().now() + discardTime);
+    upstream::StreamStatus status = upstream::StreamStatus::Ok;
+    while (status == upstream::StreamStatus::Ok) {
+        stream.consume(stream.unread().size());
+        status = co_await stream.readMore();
+    }
+}
+
 } // namespace
 
 Gateway::Gateway(boost::asio::io_context &loop, GatewaySettings settings, CallCodec codec,
@@ -385,6 +400,8 @@
     else
         co_await exchange.run();
     this->requestEnds.recordEnd(exchange.requestEnd());
+    if (noRequest)
+        co_await discardRest(stream);
     co_return !noRequest && exchange.isKeepAlive() && !stream.isExpired();
 }
 
--- a/tests/gateway/unit-request_ends.cpp
+++ b/tests/gateway/unit-request_ends.cpp
@@ -2,6 +2,9 @@
 
 #include <thread>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace bamboochute;
@@ -27,6 +30,28 @@
     return script;
 }
 
+/// Sends the parts of a request with pauses between them and reads until the connection ends.
+/// @return the begin of the answer, and how the connection ended
+std::string sendAndReadToEnd(const RelayFixture &fixture, const std::vector<std::string> &parts)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(
+            {boost::asio::ip::make_address(fixture.endpoint().address), fixture.endpoint().port});
+    boost::system::error_code sendError;
+    for (const std::string &part : parts) {
+        if (!sendError)
+            boost::asio::write(socket, boost::asio::buffer(part), sendError);
+        std::this_thread::sleep_for(50ms);
+    }
+    std::string answer;
+    boost::system::error_code readError;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), readError);
+    const bool isInOrder = !sendError && readError == boost::asio::error::eof;
+    return answer.substr(0, answer.find(' ', answer.find(' ') + 1))
+           + (isInOrder ? ", closed in order" : ", reset");
+}
+
 } // namespace
 
 // Guards against a request that was read whole and whose connection closes without an answer or a
@@ -153,6 +178,35 @@
     }
 }
 
+// Guards against a refusal that is lost because its connection is reset by the rest of the request,
+// which is not read; a caller that goes by a longer limit sends such requests.
+TEST_CASE("a refused request whose rest is not read does not reset its connection")
+{
+    ScriptedUpstream upstream({{answer(200, "one")}});
+    RelayFixture fixture({&upstream});
+    fixture.publishLimits({.maxBodyBytes = 1024, .headerTimeout = 1s, .idleTimeout = 2s});
+    const std::string whole = request("/plain/", std::string(200 << 10, 'x'));
+    const std::string longer = request("/plain/", std::string(16 << 20, 'x'));
+
+    SUBCASE("when its body has arrived")
+    {
+        CHECK(sendAndReadToEnd(fixture, {whole}) == "HTTP/1.1 413, closed in order");
+    }
+    SUBCASE("when its rest arrives after the refusal")
+    {
+        CHECK(sendAndReadToEnd(fixture,
+                               {whole.substr(0, whole.size() / 2), whole.substr(whole.size() / 2)})
+              == "HTTP/1.1 413, closed in order");
+    }
+    SUBCASE("when its caller sends all of a long body before it reads")
+    {
+        CHECK(sendAndReadToEnd(fixture, {longer}) == "HTTP/1.1 413, closed in order");
+    }
+    CHECK(upstream.requests().empty());
+    fixture.waitForIdle();
+    CHECK(fixture.requestEnds("refused") == 1);
+}
+
 // Guards against requests that arrive at the moment in which their connection is closed as idle.
 TEST_CASE("a connection with a request on it is not idle")
 {
