Play instances that are out of step while another version begins

What callers would see: a stream of one software version that goes on at another one, from an instance that knows the first only. It is cut off from the other instances, from the store or from both, or stands still, while upstreams of the other version register; the stream began there through other instances. Cut off from the other instances alone had not been tried.

Cause looked for: the origin of such a stream can't be told, and what the instance knew last says that there is one version.

The program is not changed. Checks: no stream has events of two versions; an instance that is cut off from the others refuses within 1.5 s; nine of ten streams go on where their version serves. The checks of all streams now also find text after the last event, and text that doesn't begin the next event.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -32,7 +32,8 @@
   instance;
 - a request without a prompt that ends its upstream hardly reaches any once three ends are some seconds old,
   but from instances that were just disturbed; requests beside it, of the same path, caller or body, are not
-  refused because of it.
+  refused because of it;
+- the faults of stream_faults.py have checks of their own, which it names.
 
 Prints one JSON line; the exit code is 1 when a check failed. The entry "ends" counts the requests without a
 whole answer by cause, and 502 and 504 with time left.
@@ -45,13 +46,16 @@
 import json
 import pathlib
 import random
+import re
 import signal
 import subprocess
 import sys
 import tempfile
 import time
 
+import links
 import stand_ins
+import stream_faults
 
 REFUSAL_STATUSES = {408, 421, 429, 503}
 CAPACITY_MB = 200
@@ -73,6 +77,7 @@
 IDLE_TIMEOUTS_MS, MIN_IDLE_S = (700, 5000, 15000), 0.5
 # Marks requests that were taken from an upstream which went on to the end, and broken by the next one.
 GIVEN_UP = ", another was given up"
+EVENT_VERSION = re.compile(r"^data: \S+ (\S+) \d+$", re.MULTILINE)
 # How much less than its time a request may have had for its time to count as over, and the time that has to
 # be left when a 502 or 504 counts as too early.
 TIMER_SLACK_S, TIME_LEFT_S = 0.1, 0.5
@@ -134,13 +139,13 @@
 # Faults of the instances or the store, beside which fewer of the sound requests may be served.
 OUTAGES = {"pause", "kill", "terminate", "store_busy", "store_silent", "store_reset", "store_loses",
            "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact", "drill", "upstreams_cut",
-           "accepted_silent", "silent_conns", "herd_kill", "odd_entries"}
+           "accepted_silent", "silent_conns", "herd_kill", "odd_entries", "out_of_step"}
 # Kinds of faults. A run injects several of them at random; they may overlap in time.
 FAULTS = ("pause", "kill", "terminate", "store_busy", "store_silent", "store_reset", "store_loses",
           "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact", "worker_crash",
           "worker_leaves", "worker_says_leaving", "worker_pauses",
           "engine_released", "answers_lost", "workers_refuse", "hangup", "configure", "silence", "drill",
-          "upstreams_cut", "accepted_silent", "silent_conns", "herd_kill", "odd_entries", "refusal_again")
+          "upstreams_cut", "accepted_silent", "silent_conns", "herd_kill", "odd_entries", "refusal_again", *stream_faults.FAULTS)
 # Faults that last for the whole run: streams that break, requests that crash an engine or end a service,
 # limits of upstreams, callers that close their side, and in every other run a configuration each second.
 LASTING_FAULTS = ("brittle", "breaks", "crashing", "fatal", "limits", "half_close", "configure_steadily")
@@ -155,7 +160,7 @@
 class Instance:
     """One instance as a process, with a settings file and a proxy to the store of its own."""
 
-    def __init__(self, pick_program, number, directory, proxy, budget_slack):
+    def __init__(self, pick_program, number, directory, proxy, budget_slack, peer_links):
         self.pick_program, self.number, self.proxy = pick_program, number, proxy
         self.path = directory / f"instance-{number}.conf"
         self.log = open(directory / f"instance-{number}.log", "ab")
@@ -171,6 +176,8 @@
         self.harmed, self.terminated, self.is_stopped = [], {}, False
         # Processes that were told to end, by generation.
         self.told_to_end = set()
+        if peer_links is not None:
+            peer_links.add(self.internal_port)
         self.start()
 
     def write_settings(self, budget_slack, is_first=False):
@@ -281,15 +288,26 @@
         """Returns the events that are whole."""
         return self.text.decode().split("\n\n")[:-1]
 
+    def drop_partial_event(self):
+        """Forgets an event that a break has cut."""
+        self.text = self.text[:self.text.rfind(b"\n\n") + 2] if b"\n\n" in self.text else b""
+
+    def versions(self):
+        """Returns the software versions that the events name."""
+        return set(EVENT_VERSION.findall(self.text.decode(errors="replace")))
+
     def violation(self, is_complete):
         """Returns what is wrong with the events, or None."""
-        events = self.events()
-        versions = {event.split(" ")[3] for event in events}
+        events, versions = self.events(), self.versions()
         expected = [f"id: {n}\ndata: {self.begun_by} {version} {n}"
-                    for version in versions for n in range(1, len(events) + 1)]
+                    for version in versions for n in range(1, len(events) + 2)]
         if len(versions) > 1:
             return f"events of the versions {sorted(versions)}"
-        if events != expected or (is_complete and len(events) != stand_ins.Engine.EVENTS):
+        # The beginning of the next event may have come as well.
+        rest, next_event = self.text.decode().split("\n\n")[-1], f"id: 1\ndata: {self.begun_by} "
+        next_event = expected[-1] + "\n" if expected else next_event + rest[len(next_event):]
+        if events != expected[:-1] or not next_event.startswith(rest) \
+                or (is_complete and (rest or len(events) != stand_ins.Engine.EVENTS)):
             return f"unexpected events: {self.text[-200:]}"
         return None
 
@@ -312,6 +330,8 @@
         self.body_bytes = 0
         # Time since the former answer on the connection, or since it was opened.
         self.idle_s, self.is_half_closed, self.has_fallen_silent = 0.0, False, False
+        # Whether the caller has closed the connection before the end of the answer.
+        self.has_left = False
 
     def finish(self, failure=None):
         self.failure, self.ended_at = failure, time.monotonic()
@@ -327,6 +347,8 @@
         terminated_at = self.instance.terminated.get(self.generation, self.ended_at)
         if self.has_fallen_silent:
             return "caller fell silent"
+        if self.has_left:
+            return "caller left"
         if any(self.sent_at - STABLE_S <= moment <= self.ended_at for moment in self.instance.harmed):
             return "instance disturbed"
         helpers = [i for i in self.peers if i is not self.instance
@@ -400,6 +422,9 @@
         # The time of the last kill of all instances, how open streams went on, and the number of releases.
         self.herd_killed_at, self.take_ups, self.releases = 0.0, [], 1
         self.is_over, self.cut_addresses = False, ()
+        # Kills of all instances that are not over yet.
+        self.open_kills = 0
+        self.stream_faults, self.peer_links = stream_faults.StreamFaults(self), None
 
     def workers(self):
         return self.services + self.late_services + self.engines + self.broadcasters + self.stock
@@ -481,11 +506,14 @@
             await worker.register()
         await self.configure()
         self.instances = []
+        if "out_of_step" in self.kinds:
+            self.peer_links = links.Links(self.store.replaced)
         budget_slack = self.random.choice(BUDGET_SLACKS)
         for number in range(self.options.instances):
             proxy = stand_ins.Proxy(self.store.port)
             await proxy.start()
-            self.instances.append(Instance(self.pick_program, number, self.directory, proxy, budget_slack))
+            self.instances.append(Instance(self.pick_program, number, self.directory, proxy, budget_slack,
+                                           self.peer_links))
         for instance in self.instances:
             while not await self.is_ready(instance):
                 if instance.child.poll() is not None:
@@ -549,7 +577,8 @@
                     connection[3].close()
                 connection = None
                 if stream and stream.violation(False):
-                    self.record.rule(f"{stream.begun_by} got a stream with {stream.violation(False)}")
+                    self.record.rule(f"{stream.begun_by} got a stream with "
+                                     f"{stream.violation(False)}")
                 elif stream and stream.events() and stream.requests < 3:
                     broken_stream = stream
             # A few requests come when the shortest idle timeout ends.
@@ -827,7 +856,7 @@
                 connection[3].close()
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             return
-        exchange = next(e for e in reversed(self.exchanges) if e.attempt == attempt)
+        exchange = self.exchange(attempt)
         is_same_process = generation == instance.generation
         if exchange.status == 404 and is_same_process and self.is_in_touch(instance, sent_at):
             self.record.rule(f"a route was acknowledged {sent_at - stored_at:.2f} s before instance "
@@ -911,7 +940,13 @@
         elif kind == "silent_conns":
             await self.silence_connections()
         elif kind == "herd_kill":
-            await self.kill_all()
+            self.open_kills += 1
+            try:
+                await self.kill_all()
+            finally:
+                self.open_kills -= 1
+        elif kind in stream_faults.FAULTS:
+            await self.stream_faults.inject(kind)
         elif kind == "odd_entries":
             await self.leave_odd_entries()
         elif kind == "refusal_again":
@@ -1080,7 +1115,7 @@
 
         The engines of the next version have just begun, serve beside the former ones, or replace them.
         """
-        if time.monotonic() < self.herd_killed_at + HERD_PAUSE_S or self.is_over:
+        if time.monotonic() < self.herd_killed_at + HERD_PAUSE_S or self.is_over or self.stream_faults.is_active:
             return
         self.herd_killed_at = time.monotonic()
         release = self.random.choice(("none", "begun", "both", "left"))
@@ -1167,9 +1202,9 @@
             stream.requests += 1
             status = await self.try_stream(stream, f"{begun_by}-{stream.requests}")
             is_reachable = is_reachable and self.serves(stream)
-            versions = {event.split(" ")[3] for event in stream.events()}
-            if len(versions) > 1:
-                self.record.rule(f"{begun_by} was taken up after a kill of all and joined from {sorted(versions)}")
+            if len(stream.versions()) > 1:
+                self.record.rule(f"{begun_by} was taken up after a kill of all and joined from "
+                                 f"{sorted(stream.versions())}")
             if status == 200 or len(stream.events()) > events:
                 break
             refusals += status is not None
@@ -1181,31 +1216,46 @@
                    f"{'went on' if len(stream.events()) > events else 'refused'}")
         is_last = stream.begun_at > killed_at - LAST_MOMENTS_S
         # A cut instance can't tell what it began; the store may need a moment after a fault.
-        spans = [(begin, end, STABLE_S) for begin, end in self.store_faults]
-        spans += [(begin, end, 0) for instance in self.instances for begin, end in instance.cuts]
-        is_store_sound = not any(end is None or end >= begun_at - slack_s for _, end, slack_s in spans)
+        is_store_sound = self.is_store_sound(begun_at, self.instances)
         went_on = len(stream.events()) > events
         is_due = is_reachable and is_routed and is_store_sound and not self.cut_addresses
         if is_due and (is_sole or not is_last) and (refusals or went_on):
             self.take_ups.append((went_on, f"{begun_by} {kind} {stream.model} of {version}"))
 
-    async def try_stream(self, stream, attempt):
-        """Sends one request for a stream; returns the status of a whole answer, or None."""
-        instance = self.random.choice(self.instances)
+    async def try_stream(self, stream, attempt, instance=None):
+        """Sends one request for a stream, to any instance if none is given; returns the status of a whole answer,
+        or None.
+        """
+        instance = instance or self.random.choice(self.instances)
         writer = None
         try:
             connection = (instance, instance.generation,
                           *await asyncio.open_connection("127.0.0.1", instance.port))
             writer = connection[3]
             await asyncio.wait_for(self.ask(connection, attempt, stream.kind, stream), DEADLINE_S + 4)
-            exchange = next(e for e in reversed(self.exchanges) if e.attempt == attempt)
-            return exchange.status
+            return self.exchange(attempt).status
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             return None
         finally:
             if writer:
                 writer.close()
 
+    def make_stream(self, begun_by, kind):
+        """Returns a stream that lasts for a while."""
+        stream = Stream(begun_by, kind, self.random.choice(MODELS[:6]), self.prompt(begun_by))
+        stream.pause_ms = HERD_EVENT_PAUSE_MS
+        return stream
+
+    def is_store_sound(self, begun_at, instances):
+        """Whether neither the store nor the connections of some instances to it were disturbed since a moment."""
+        spans = [(begin, end, STABLE_S) for begin, end in self.store_faults]
+        spans += [(begin, end, 0) for instance in instances for begin, end in instance.cuts]
+        return not any(end is None or end >= begun_at - slack_s for _, end, slack_s in spans)
+
+    def exchange(self, attempt):
+        """Returns the last exchange of an attempt; None if it got no connection."""
+        return next((e for e in reversed(self.exchanges) if e.attempt == attempt), None)
+
     def worker_of(self, kind):
         return (self.engines if kind == "talk" else self.broadcasters)[0]
 
@@ -1492,6 +1542,7 @@
         self.check_crashing_sends()
         self.ends, self.fatal = self.check_ends(), self.check_fatal_sends()
         self.went_on = self.check_take_ups()
+        self.stream_faults.check()
         for instance in self.instances:
             self.check_own_end(instance)
         self.falls, self.cut_shares = self.check_brittle(), self.check_upstream_cuts()
@@ -1542,6 +1593,7 @@
                           "faults": len(soak.faults), "crashing_sends": len(soak.record.crashing_sends),
                           "ends": soak.ends, "fatal": soak.fatal, "falls": soak.falls,
                           "cut_shares": soak.cut_shares, "went_on": soak.went_on,
+                          "stream_faults": soak.stream_faults.results,
                           "repeated_refusals": soak.record.repeated_refusals,
                           "health_checks": soak.record.health_checks,
                           "given_up": soak.given_up, "broken": violations, "known_red": known}))
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -193,6 +193,8 @@
         self.mode = "serving"
         self.lose_answers = False
         self.era, self.copy = 1, None
+        # Parts of the instances' values that others are to read in another form.
+        self.replaced = {}
 
     def make_copy(self):
         """Keeps a copy of what the store holds, from which it may come back."""
@@ -323,7 +325,10 @@
         if any(p.get("lease", 0) and p["lease"] not in self.leases for p in body.get("puts", [])):
             return 404, {}
         for put in body.get("puts", []):
-            await self.put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
+            value = base64.b64decode(put["value"])
+            for part, other in self.replaced.items():
+                value = value.replace(part, other)
+            await self.put(put["key"], value, put.get("lease", 0))
         for key in body.get("remove", []):
             await self.remove(key)
         return 200, {"revision": self.revision}
@@ -843,8 +848,8 @@
         # Those of the connections to the instance.
         self.accepted = set()
 
-    async def start(self):
-        self.port = free_port()
+    async def start(self, port=None):
+        self.port = port or free_port()
         self.server = await asyncio.start_server(self.connected, "127.0.0.1", self.port)
         return self.port
 
