Play crashes in a release, beside changes, and odd continuations

What callers saw on: of the streams that they took up after crashes in a release, far fewer went on than new ones began; and after a break they got what did not continue their stream: a page of another type, events without ids, from the first one on, repeated or skipped, or an end before the last one.

Cause: the soak crashed single upstreams only, without a release beside it, and its upstreams answered every continuation soundly.

New faults: crashed_release (the engines of a second version begin, half of the first ones leave in steps, 40% of all crash at once, come back a second later at the same address under a new id and without models, while the former registration stays for 3 s, then all connections are reset), crashes_and_changes (engines end silently or for good, beside a configuration each second) and odd_continuations (ten shapes). In the first two 36 callers hold streams and take up those that break, three times at most, with the pauses that refusals name. Checked: of those whose version has an upstream that serves during the last try, half of the new streams' share go on at least, if ten were due and ten began. The last is checked as all streams are; the message names the shape. Requests on connections that a stand-in has reset count as broken by it.

--- a/tests/platform/adapter/odd_answers.py
+++ b/tests/platform/adapter/odd_answers.py
@@ -4,6 +4,8 @@
 
 SHAPES = ("error", "page", "without ids", "ids from 1", "skipped ids", "repeated ids", "empty",
           "head cut in the status line", "head cut in a header", "head cut before its end")
+# Its blank lines would end events.
+PAGE = b"<html>\n\n<p>welcome</p>\n\n</html>\n"
 EVENT_STREAM = ("Content-Type", "text/event-stream")
 
 
@@ -20,7 +22,7 @@
     if shape == "error":
         return stand_ins.answer_bytes(500, b"out of order", headers)
     if shape == "page":
-        return stand_ins.answer_bytes(200, b"<html>welcome</html>", [("Content-Type", "text/html"), *headers])
+        return stand_ins.answer_bytes(200, PAGE, [("Content-Type", "text/html"), *headers])
     numbers = {"ids from 1": range(1, count + 1), "skipped ids": range(last + 2, count + 1),
                "repeated ids": range(last, count + 1), "empty": ()}.get(shape, range(last + 1, count + 1))
     body = b"".join(event(number, begun_by, version, shape != "without ids") for number in numbers)
--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -145,7 +145,8 @@
           "cut_silent", "cut_upward", "cut_delay", "cut_reset", "compact", "worker_crash",
           "worker_leaves", "worker_says_leaving", "worker_pauses",
           "engine_released", "answers_lost", "workers_refuse", "hangup", "configure", "silence", "drill",
-          "upstreams_cut", "accepted_silent", "silent_conns", "herd_kill", "odd_entries", "refusal_again", *stream_faults.FAULTS)
+          "upstreams_cut", "accepted_silent", "silent_conns", "herd_kill", "odd_entries", "refusal_again",
+          *stream_faults.FAULTS)
 # Faults that last for the whole run: streams that break, requests that crash an engine or end a service,
 # limits of upstreams, callers that close their side, and in every other run a configuration each second.
 LASTING_FAULTS = ("brittle", "breaks", "crashing", "fatal", "limits", "half_close", "configure_steadily")
@@ -332,6 +333,8 @@
         self.idle_s, self.is_half_closed, self.has_fallen_silent = 0.0, False, False
         # Whether the caller has closed the connection before the end of the answer.
         self.has_left = False
+        # The pause that a refusal asks for.
+        self.retry_after_s = 0.0
 
     def finish(self, failure=None):
         self.failure, self.ended_at = failure, time.monotonic()
@@ -577,7 +580,7 @@
                     connection[3].close()
                 connection = None
                 if stream and stream.violation(False):
-                    self.record.rule(f"{stream.begun_by} got a stream with "
+                    self.record.rule(f"{stream.begun_by} got a stream {self.odd_text(attempt)}with "
                                      f"{stream.violation(False)}")
                 elif stream and stream.events() and stream.requests < 3:
                     broken_stream = stream
@@ -705,9 +708,10 @@
         status_line, headers = await stand_ins.read_head(reader)
         status = exchange.status = int(status_line.split(" ")[1])
         is_signed = stand_ins.SIGNATURE.lower() in headers
+        exchange.retry_after_s = float(headers.get("retry-after") or 0)
         if headers.get("transfer-encoding") == "chunked":
             self.count(f"stream taken up {stream.requests - 1} times")
-            await self.check_events(stream, reader)
+            await self.check_events(stream, reader, attempt)
         else:
             text = await reader.readexactly(int(headers.get("content-length", "0")))
             if status >= 400 and not is_signed and text:
@@ -725,7 +729,7 @@
         self.count(f"{kind} {status}")
         return headers.get("connection", "") != "close" and not exchange.is_half_closed
 
-    async def check_events(self, stream, reader):
+    async def check_events(self, stream, reader, attempt):
         """Reads a chunked event stream and checks that it has exactly the expected events."""
         while size := int(await reader.readuntil(b"\r\n"), 16):
             stream.begun_at = stream.begun_at or time.monotonic()
@@ -733,7 +737,13 @@
             await reader.readexactly(2)
         await reader.readexactly(2)
         if stream.violation(True):
-            self.record.rule(f"{stream.begun_by} got a complete stream with {stream.violation(True)}")
+            self.record.rule(f"{stream.begun_by} got a complete stream {self.odd_text(attempt)}with "
+                             f"{stream.violation(True)}")
+
+    def odd_text(self, attempt):
+        """Says how the upstreams answered what was to continue an attempt, if that was odd."""
+        shape = self.record.ran_odd.get(attempt)
+        return f"after an odd continuation ({shape}) " if shape else ""
 
     def check_version(self, instance, generation, version, kind, status):
         """Checks that a process that has served the route of a version keeps that version or a newer one."""
@@ -1594,6 +1604,7 @@
                           "ends": soak.ends, "fatal": soak.fatal, "falls": soak.falls,
                           "cut_shares": soak.cut_shares, "went_on": soak.went_on,
                           "stream_faults": soak.stream_faults.results,
+                          "odd_answers": soak.record.odd_answers,
                           "repeated_refusals": soak.record.repeated_refusals,
                           "health_checks": soak.record.health_checks,
                           "given_up": soak.given_up, "broken": violations, "known_red": known}))
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -16,6 +16,8 @@
 import urllib.parse
 import weakref
 
+import odd_answers
+
 LOWEST_PORT = 10000
 SIGNATURE = "X-Server-Signature"
 MAX_STORED_EVENTS = 2000
@@ -95,6 +97,11 @@
     if connection is not None and connection.fileno() >= 0:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
+    reset_writers.add(writer)
+
+
+# The connections that were reset.
+reset_writers = weakref.WeakSet()
 
 
 def fall_silent(writer, is_acknowledging=False):
@@ -137,13 +144,15 @@
     # and never answered.
     cut_addresses = ()
     unanswered_addresses = ()
+    # Whether the host is gone without a reset: nothing that is sent to it is answered.
+    is_dark = False
 
     async def connected(self, reader, writer):
         peer = (writer.get_extra_info("peername") or ("",))[0]
         if peer in self.cut_addresses:
             reset(writer)
             return
-        if peer in self.unanswered_addresses:
+        if self.is_dark or peer in self.unanswered_addresses:
             fall_silent(writer, is_acknowledging=True)
             return
         self.connections.add(writer)
@@ -338,8 +347,8 @@
     """One request as an upstream got it: where the upstream was silent, and how its answer ended.
 
     end is "finished" also when the instance has closed the connection before; the upstream then goes on to
-    the end without a connection. It is "lost", "cut short" or "crashed" when the upstream itself broke it, and
-    "silent for good" when its connection delivers nothing any more.
+    the end without a connection. It is "lost", "cut short", "reset", "odd" or "crashed" when the upstream itself
+    broke it, and "silent for good" when its connection delivers nothing any more.
     """
 
     def __init__(self, worker, silent_place, sender):
@@ -348,6 +357,8 @@
         self.sender = sender
         self.began_at, self.ended_at, self.end = time.monotonic(), None, None
         self.silences, self.left_at, self.has_fallen_silent = [], None, False
+        # Events that were written whole.
+        self.events = 0
 
     def finish(self, end):
         self.end = "silent for good" if self.has_fallen_silent else end
@@ -379,6 +390,8 @@
         self.loads = []
         # Refusals that were written once more, by what came next on their connections.
         self.repeated_refusals = {}
+        # Answers that did not continue a stream, by shape, and the shape that each request got last.
+        self.odd_answers, self.ran_odd = {}, {}
         # Health checks that were answered.
         self.health_checks = 0
         # The software versions of each service that have been registered.
@@ -437,6 +450,8 @@
         self.repeats_refusals, self.refused = False, weakref.WeakKeyDictionary()
         # Until when the worker turns requests away and asks for a pause, and those that it gets meanwhile.
         self.paused_until, self.paused_sends = 0.0, []
+        # The first part of the names of all processes of the worker.
+        self.base_name = name
 
     def crash(self):
         self.process += 1
@@ -476,6 +491,9 @@
     async def put(self, send, reader, writer, data):
         """Writes a part of an answer; nothing once the connection is closed."""
         self.check_process(send)
+        if writer in reset_writers:
+            send.finish("reset")
+            raise ConnectionAbortedError
         self.check_connection(send, reader)
         send.has_fallen_silent = send.has_fallen_silent or is_silent(writer)
         if send.left_at or is_silent(writer):
@@ -511,6 +529,32 @@
         self.crash()
         await self.start_later(0.3, self.begin_again)
 
+    async def go_dark(self, dark_s):
+        """Lets the host be gone without a reset for a while, and then crashes; returns whether nothing came between."""
+        self.is_dark = True
+        self.silence_connections(lambda _: True, is_acknowledging=True)
+        process = self.process
+        await asyncio.sleep(dark_s)
+        self.is_dark = False
+        is_own_end = process == self.process
+        if is_own_end:
+            self.crash()
+        return is_own_end
+
+    async def begin_anew(self, lapse_s, is_at_new_address=False):
+        """Begins again under another name, after a crash; the former registration stays for lapse_s."""
+        former = f"servers/{self.name}"
+        self.name = f"{self.base_name}.{self.process}"
+        if is_at_new_address:
+            self.port = free_port()
+        asyncio.get_running_loop().create_task(self.lapse(former, lapse_s))
+        await self.begin_again()
+
+    async def lapse(self, key, lapse_s):
+        """Removes a registration that nobody renews."""
+        await asyncio.sleep(lapse_s)
+        await self.store.remove(key)
+
     def end_process(self, down_s, begin):
         """Crashes, and calls begin after down_s unless another crash has followed."""
         self.crash()
@@ -735,6 +779,8 @@
         self.models, self.sizes, self.capacity = list(models), sizes, capacity
         self.disk, self.accepted_orders, self.highest_fence, self.busy = set(models), 0, 0, False
         self.breaks = self.BREAKS
+        # Share of the continuations of broken answers that are answered in one of the odd shapes.
+        self.odd = 0.0
 
     def forget(self):
         self.models, self.accepted_orders, self.highest_fence, self.busy = [], 0, 0, False
@@ -799,8 +845,12 @@
             await asyncio.sleep(0.03)
             self.end_for_a_while()
             raise ConnectionAbortedError
+        is_continued = bool(request.header("Last-Event-Id")) and any(
+            send.end == "cut short" and send.events for send in self.record.sends.get(attempt, []))
         send = await self.begin_send(request, reader)
         begun_by = request.header("Resumes") or attempt
+        if is_continued and self.random.random() < self.odd:
+            await odd_answers.answer(self, request, send, reader, writer)
         first = int(request.header("Last-Event-Id") or 0) + 1
         silent_number = self.random.randint(min(first + 1, self.EVENTS), self.EVENTS)
         is_unframed = self.random.random() < self.unframed
@@ -829,6 +879,7 @@
                 await self.silent(send, "inside an event", reader)
                 data = data[silent_at:]
             await self.put(send, reader, writer, data)
+            send.events += 1
         send.finish("finished")
         if is_unframed:
             await self.close_in_order(writer)
