Load bound streams' models from copies during slow loads from the store

Seen by callers: streams that were taken up waited for 1.5 to 1.8 s, as long as their callers did, and were not served, while an idle engine of their version had a copy of the weights on its disk.

Once it was overdue, the model was announced within 30 ms again and again, so instances held the streams; and as an engine of the version had a goal for the model, no other one was looked for, as it is for requests of any version.

Change: an overdue load from the weight store, whose end only a report shows, counts as a slow goal. While the goals for a model at a version are slow, an engine that can hold it sooner loads it from a copy, also for streams that may come back.

Evidence: without the change 4 assertions of the new case in unit-planner.cpp fail.

--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -266,6 +266,10 @@
     bool isPlannedAtVersion(const PlanningState &state, const ModelId &model,
                             const SoftwareVersion &version) const;
     std::optional<TimePoint> findBoundReplica(PlanningState &state, const VersionedTarget &wanted);
+    std::optional<TimePoint> findBoundGoal(const PlanningState &state,
+                                           const VersionedTarget &wanted);
+    TimePoint goalReadyAt(const PlanningState &state, const UpstreamState &upstreamState,
+                          const Goal &goal) const;
     std::optional<Candidate> findBoundCandidate(PlanningState &state, const VersionedTarget &wanted,
                                                 Duration shortestWait, double benefit);
     void addGoalsForReplicas(PlanningState &state);
--- a/src/residency/planner_bound.cpp
+++ b/src/residency/planner_bound.cpp
@@ -77,7 +77,7 @@
     }
 }
 
-/// Whether a usable engine of a version holds a model and is to keep it, or has a goal for it.
+/// Whether a usable engine of a version holds a model and is to keep it, or will soon hold it.
 bool ResidencyPlanner::isPlannedAtVersion(const PlanningState &state, const ModelId &model,
                                           const SoftwareVersion &version) const
 {
@@ -88,7 +88,9 @@
         const bool hasGoal = goal != this->goals.end();
         const bool isHeld = one.snapshot->residency.find(model) != nullptr;
         return (isHeld && !(hasGoal && goal->second.evicts(model)))
-               || (hasGoal && goal->second.model == model);
+               || (hasGoal && goal->second.model == model
+                   && this->goalReadyAt(state, one, goal->second)
+                              < state.now + this->settings.slowGoalThreshold);
     });
 }
 
@@ -98,6 +100,9 @@
 {
     if (const std::optional<TimePoint> readyAt = this->findBoundReplica(state, wanted))
         return *readyAt;
+    const std::optional<TimePoint> goalReady = this->findBoundGoal(state, wanted);
+    if (goalReady && *goalReady < state.now + this->settings.slowGoalThreshold)
+        return *goalReady;
     const ModelId &id = wanted.target.model;
     const std::size_t index = state.modelIndexes[id];
     const gateway::ModelWeights &weights = *state.models[index].weights;
@@ -105,6 +110,9 @@
                            * toSeconds(weights.storeLoadTime);
     const std::optional<Candidate> candidate
             = this->findBoundCandidate(state, wanted, shortestWait, benefit);
+    // A slow load from the weight store does not keep the model from being loaded from a copy.
+    if (goalReady && (!candidate || candidate->readyAt >= *goalReady))
+        return *goalReady;
     if (!candidate)
         return this->earliestBoundLoad(state, index, wanted.version, benefit)
                 .value_or(state.now + this->estimateUnplannedWait(weights));
@@ -113,38 +121,59 @@
     return candidate->readyAt;
 }
 
-/// Returns when a target is ready at an engine of the version that holds its model or has a goal
-/// for it. A model that is to be evicted for requests that other engines can serve is kept.
+/// Returns when a target is ready at an engine of the version that holds its model. One that is to
+/// be evicted for requests that other engines can serve is kept.
 std::optional<TimePoint> ResidencyPlanner::findBoundReplica(PlanningState &state,
                                                             const VersionedTarget &wanted)
 {
     const ModelId &id = wanted.target.model;
-    std::optional<TimePoint> goalReadyAt;
     auto evicting = this->goals.end();
     for (const UpstreamState &upstreamState : state.upstreams) {
-        if (!upstreamState.snapshot->isUsable || !upstreamState.isOfVersion(wanted.version))
+        if (!upstreamState.snapshot->isUsable || !upstreamState.isOfVersion(wanted.version)
+            || upstreamState.snapshot->residency.find(id) == nullptr)
             continue;
         const auto goal = this->goals.find(upstreamState.snapshot->id);
-        const bool hasGoal = goal != this->goals.end();
-        if (upstreamState.snapshot->residency.find(id) != nullptr) {
-            if (!hasGoal || !goal->second.evicts(id))
-                return this->adapterReadyAt(state, wanted);
-            if (!goal->second.hasBoundRequests)
-                evicting = goal;
-        } else if (hasGoal && goal->second.model == id) {
-            goal->second.hasWaitingRequests = true;
-            goal->second.hasBoundRequests = true;
-            goalReadyAt
-                    = std::min(goalReadyAt.value_or(goal->second.readyAt), goal->second.readyAt);
-        }
+        if (goal == this->goals.end() || !goal->second.evicts(id))
+            return this->adapterReadyAt(state, wanted);
+        if (!goal->second.hasBoundRequests)
+            evicting = goal;
     }
-    if (evicting != this->goals.end()) {
-        this->dropGoal(state, evicting);
-        return this->adapterReadyAt(state, wanted);
+    if (evicting == this->goals.end())
+        return std::nullopt;
+    this->dropGoal(state, evicting);
+    return this->adapterReadyAt(state, wanted);
+}
+
+/// Returns when the first engine of the version that has a goal for the model is expected to hold
+/// it.
+std::optional<TimePoint> ResidencyPlanner::findBoundGoal(const PlanningState &state,
+                                                         const VersionedTarget &wanted)
+{
+    std::optional<TimePoint> earliest;
+    for (const UpstreamState &upstreamState : state.upstreams) {
+        const auto goal = this->goals.find(upstreamState.snapshot->id);
+        if (goal == this->goals.end() || goal->second.model != wanted.target.model
+            || !upstreamState.isOfVersion(wanted.version))
+            continue;
+        goal->second.hasWaitingRequests = true;
+        goal->second.hasBoundRequests = true;
+        const TimePoint readyAt = this->goalReadyAt(state, upstreamState, goal->second);
+        earliest = std::min(earliest.value_or(readyAt), readyAt);
     }
-    if (goalReadyAt)
-        return std::max(*goalReadyAt, state.now + unloadTime);
-    return std::nullopt;
+    return earliest;
+}
+
+/// When an engine is expected to reach its goal. Only a report shows the end of a load from the
+/// weight store, which takes longer than expected while many run.
+TimePoint ResidencyPlanner::goalReadyAt(const PlanningState &state,
+                                        const UpstreamState &upstreamState, const Goal &goal) const
+{
+    const bool isStoreLoad
+            = upstreamState.snapshot->loading == goal.model
+              && upstreamState.sources[state.modelIndexes.at(goal.model)] == WeightSource::Store;
+    if (isStoreLoad && goal.readyAt <= state.now)
+        return state.now + this->settings.slowGoalThreshold;
+    return std::max(goal.readyAt, state.now + unloadTime);
 }
 
 /// Returns where to load a model whose load is worth its cost; in place of a goal for requests that
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -589,6 +589,42 @@
     }
 }
 
+// Guards against streams that wait to their deadline for a load from the weight store that takes
+// longer than expected, while another engine of their version has a copy of the weights.
+TEST_CASE(
+        "a slow load from the weight store doesn't keep a bound stream from an engine with a copy")
+{
+    TwoVersions fleet;
+    fleet.engineAt(1).softwareVersion = fleet.v1;
+    fleet.engineAt(1).copies = {};
+    fleet.setReady(0, false);
+    fleet.engineAt(0).isUsable = false;
+    fleet.addBoundStream("m2", "", "v1");
+    fleet.run(200ms);
+    REQUIRE(fleet.engineAt(1).loading == ModelId("m2"));
+    CHECK(fleet.isPromised("m2", 6s));
+    fleet.engineAt(1).busyUntil = fleet.now + 30s;
+    fleet.run(7s);
+    // It is overdue, and nobody knows for how long.
+    CHECK_FALSE(fleet.isPromised("m2", 1s));
+
+    SUBCASE("when the streams wait")
+    {
+        fleet.setReady(0, true);
+        fleet.engineAt(0).isUsable = true;
+        fleet.run(50ms);
+        CHECK(fleet.isPromised("m2", 500ms));
+    }
+    SUBCASE("when they are expected to come back")
+    {
+        fleet.clearDemand();
+        fleet.setReady(0, true);
+        fleet.engineAt(0).isUsable = true;
+    }
+    fleet.run(600ms);
+    CHECK(fleet.holds(0, "m2"));
+}
+
 // Guards against streams that can't be taken up because an engine of their version that came back
 // after a crash loaded other models first.
 TEST_CASE("streams that were refused at a version find their model at an engine that came back")
