Wait for the verdict on each upstream that broke a stream and holds its model

Cause: the wait for the crash detector's verdict looked at the last attempt only. The first upstream, undecided, still counted as a holder that lives and has failed the request.

Change: it waits while any upstream that holds the model, and has read the request, is undecided, 250 ms at most as before.

Evidence: unit-take_ups.cpp, "and a second one that held it can't be reached": 2 of 36 assertions failed without the change.

--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -384,14 +384,21 @@
                           [this](const auto *entry) { return this->isGone(*entry); });
 }
 
-/// Waits until it is known whether the upstream that broke the last attempt has ended: then another
-/// one can be given its target.
+/// Waits until it is known whether the upstreams that hold the target and broke the request have
+/// ended: then another one can be given it.
 Awaitable<void> RequestExchange::waitForCrashVerdict()
 {
     const TimePoint until = std::min(this->deadline, this->now() + crashVerdictTimeout);
     const CrashDetector &detector = this->gateway.quarantine.crashDetector();
-    while (!this->isEnding() && this->now() < until
-           && detector.isUndecidedFor(this->attempt.process))
+    const auto isUndecided = [&] {
+        const auto serving = this->findServing();
+        return std::any_of(serving.begin(), serving.end(), [&](const auto *entry) {
+            return entry->residency.holds(this->target.target)
+                   && this->wasTried(entry->registered.id) && !this->isGone(*entry)
+                   && detector.isUndecidedFor(entry->process());
+        });
+    };
+    while (!this->isEnding() && this->now() < until && isUndecided())
         co_await this->gateway.change.wait(until);
 }
 
--- a/tests/gateway/unit-take_ups.cpp
+++ b/tests/gateway/unit-take_ups.cpp
@@ -60,7 +60,10 @@
     ScriptedUpstream sameVersion(continuation());
     ScriptedUpstream otherVersion(continuation());
     RefusingUpstream ended;
-    ScriptedUpstream holder({{"", true}});
+    // Its host accepts further connections, so that only recordEnd() tells that it has ended.
+    std::vector<Script> broken(8);
+    broken.front().isReset = true;
+    ScriptedUpstream holder(broken);
     ScriptedUpstream replaced({{answer(421, "", "test-not-run: 1\r\ntest-answered-by: u9\r\n")}});
     ScriptedUpstream *first = &ended;
     std::string fault = "unreachable";
@@ -69,16 +72,26 @@
     {
         first = &replaced;
     }
+    bool hasSecond = false;
     SUBCASE("and broke the connection")
     {
         first = &holder;
         fault = "broken";
+
+        SUBCASE("and no other one held it") {}
+        SUBCASE("and a second one that held it can't be reached")
+        {
+            hasSecond = true;
+            fault = "unreachable";
+        }
     }
-    RelayFixture fixture({first, &sameVersion, &otherVersion}, {"v1", "v1", "v2"});
+    RelayFixture fixture({first, &sameVersion, &otherVersion, &ended}, {"v1", "v1", "v2", "v1"});
     fixture.versionKnownElsewhere = "v1";
     fixture.useEngine(model);
     fixture.reportModel(0, model);
     fixture.reportModel(2, model);
+    if (hasSecond)
+        fixture.reportModel(3, model);
     std::vector<UpstreamId> told;
     fixture.runOnLoop([&told](gateway::Gateway &gateway) {
         gateway.forwardingDriver().onUpstreamAvoided
@@ -87,6 +100,8 @@
     std::future<std::string> called
             = std::async(std::launch::async, [&fixture] { return fixture.call(takeUp()); });
     waitForFault(fixture, fault);
+    if (first == &holder)
+        std::this_thread::sleep_for(100ms);
     if (first == &holder)
         fixture.runOnLoop([](gateway::Gateway &gateway) {
             const gateway::UpstreamProcess process
