Load adapters for streams that are bound to a version before others

Found by a review of the planning for bound streams; no report of a caller.

An engine gets one order at a time, and those for adapters that any version's engines could load were planned first, so that a stream that waited for another adapter at its only engine came after them. Bound ones are planned first now.

Evidence: unit-planner.cpp, "an adapter that a bound stream waits for is loaded before others": 1 of its 3 assertions failed with the former order, none with the new one.

--- a/src/residency/planner_adapters.cpp
+++ b/src/residency/planner_adapters.cpp
@@ -11,14 +11,16 @@
     std::erase_if(this->adapterLoadedAt, [&](const auto &item) {
         return item.second + this->settings.minResidencyTime <= state.now;
     });
-    for (const Target &target : state.demand.waitingTargets()) {
-        if (!target.adapter.isEmpty())
-            this->addAdapterOrder(state, {target}, orders);
-    }
+    // An engine gets one order at a time, and engines of other versions can't load for bound
+    // requests.
     for (const auto &[wanted, waits] : state.demand.boundWaits()) {
         if (!wanted.target.adapter.isEmpty())
             this->addAdapterOrder(state, wanted, orders);
     }
+    for (const Target &target : state.demand.waitingTargets()) {
+        if (!target.adapter.isEmpty())
+            this->addAdapterOrder(state, {target}, orders);
+    }
 }
 
 void ResidencyPlanner::addAdapterOrder(PlanningState &state, const VersionedTarget &wanted,
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -482,6 +482,19 @@
     CHECK(fleet.holds(1, "m1"));
 }
 
+// Guards against streams that wait for an adapter behind requests that any version serves.
+TEST_CASE("an adapter that a bound stream waits for is loaded before others")
+{
+    TwoVersions fleet;
+    fleet.addModel(0, "m0");
+    fleet.addDemand("m0", 1, 1, "a1");
+    fleet.addBoundStream("m0", "a2", "v1");
+    fleet.run(50ms);
+    REQUIRE_FALSE(fleet.orders.empty());
+    CHECK(fleet.orders.front().target == Target{ModelId("m0"), AdapterId("a2")});
+    CHECK(fleet.orders.front().upstream == fleet.engineAt(0).id);
+}
+
 // Guards against the eviction of what streams wait for, for requests that other engines can serve.
 TEST_CASE("a model that a bound stream waits for is not evicted for requests of any version")
 {
