Hold streams whose model only crashed upstreams held until one of these is back

Cause: five of the six upstreams of the former version crashed, among them all three that held the busiest model. The placement owner could load it nowhere at that version and said so, so that take-ups were refused at once, some 1 s before the first one was back and 1.8 s before it held the model. Callers wait 2.4 s and more.

Change: a request that is bound to a version waits, as long as its caller does, when an upstream that held its model has ended a moment ago. One whose model no upstream of its version held is refused at once as before.

--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -180,6 +180,7 @@
     TimePoint targetWaitDeadline() const;
     upstream::Awaitable<void> waitForCrashVerdict();
     TimePoint nextHolderTry() const;
+    bool hasHolderEnded() const;
     bool isVersionGone() const;
     bool isReturnLost() const;
     bool isTargetReported() const;
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -369,6 +369,15 @@
     return next;
 }
 
+/// Whether an upstream that held the target has probably ended a moment ago.
+bool RequestExchange::hasHolderEnded() const
+{
+    const auto serving = this->findServing();
+    return std::any_of(serving.begin(), serving.end(), [this](const auto *entry) {
+        return entry->residency.holds(this->target.target) && this->isGone(*entry);
+    });
+}
+
 /// Whether no upstream of the version that began the stream serves any more.
 bool RequestExchange::isVersionGone() const
 {
@@ -408,6 +417,8 @@
     const TimePoint waitStart = this->now();
     const TimePoint waitDeadline = this->targetWaitDeadline();
     const bool wasCutOff = this->gateway.forwarding.isCutOff(this->service->id);
+    // An upstream that has crashed is back within seconds as a rule, with copies of what it held.
+    bool isReturnAwaited = false;
     UpstreamSelection selection;
     selection.refusal = Error(ErrorKind::ColdStartUnavailable,
                               "no usable upstream holds the model or adapter");
@@ -441,7 +452,8 @@
         }
         const std::optional<TargetPromise> promise = demand.promise(wanted);
         const bool isTargetReported = this->isTargetReported();
-        if (!isTargetReported && promise && promise->readyAt > waitDeadline) {
+        isReturnAwaited = isReturnAwaited || (this->requiredVersion && this->hasHolderEnded());
+        if (!isTargetReported && !isReturnAwaited && promise && promise->readyAt > waitDeadline) {
             selection.retryAfter = promise->readyAt - this->now();
             break;
         }
