Take demand averages over the time since the first report

What callers saw: after a change of the placement owner, or an end of all instances, models that are asked for all the time lost replicas; requests queued at the rest or waited for a load.

Cause: a new owner's rates and concurrency were averaged over 8 s and 2 s that began at zero, so after one second of reports a rate was an eighth of the true one. At 195 instances 60 arrivals, from which demand counts as known, come within 0.3 s, so busy models looked idle just when the planner began to rely on it.

Change: the averages are divided by the weight of the time that was observed. For rates 2 s without arrivals, which decay, are assumed before the first report, so that one arrival in the first moments is no high rate.

--- a/src/residency/demand_tally.cpp
+++ b/src/residency/demand_tally.cpp
@@ -30,6 +30,8 @@
                             const std::vector<gateway::TargetDemand> &demand, bool isContinuation,
                             TimePoint now)
 {
+    if (!this->firstReportAt)
+        this->firstReportAt = now;
     this->advanceTo(now);
     const double weight = 1 / toSeconds(this->smoothing.rateTimeConstant);
     for (const gateway::TargetDemand &entry : demand) {
@@ -112,7 +114,35 @@
 SmoothedDemand DemandTally::demandFor(const Target &target) const
 {
     const auto found = this->byTarget.find(target);
-    return found == this->byTarget.end() ? SmoothedDemand() : found->second;
+    if (found == this->byTarget.end())
+        return {};
+    SmoothedDemand demand = found->second;
+    demand.requestsPerSecond /= this->rateWeight();
+    demand.concurrency /= this->concurrencyWeight();
+    return demand;
+}
+
+Duration DemandTally::observedTime() const
+{
+    return this->firstReportAt ? std::max(Duration(0), this->advancedAt - *this->firstReportAt)
+                               : Duration(0);
+}
+
+/// Share of the rate's averaging time that was observed or is assumed to have been idle; near 1
+/// when the first report is long past.
+double DemandTally::rateWeight() const
+{
+    const double timeConstant = toSeconds(this->smoothing.rateTimeConstant);
+    const double unobserved = std::exp(-toSeconds(this->observedTime()) / timeConstant);
+    return 1 - unobserved + toSeconds(this->smoothing.assumedIdleTime) / timeConstant * unobserved;
+}
+
+/// Weight of the samples of the concurrency since the first report; 1 before the second one.
+double DemandTally::concurrencyWeight() const
+{
+    const double unobserved = std::exp(-toSeconds(this->observedTime())
+                                       / toSeconds(this->smoothing.concurrencyTimeConstant));
+    return unobserved < 1 ? 1 - unobserved : 1;
 }
 
 std::vector<Target> DemandTally::waitingTargets() const
--- a/src/residency/demand_tally.hpp
+++ b/src/residency/demand_tally.hpp
@@ -6,6 +6,7 @@
 #include "gateway/demand_tracker.hpp"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bamboochute::residency {
@@ -47,6 +48,9 @@
 {
     /// Time after which an arrival has decayed to 1/e of its weight in the rate.
     Duration rateTimeConstant = std::chrono::seconds(8);
+    /// Time without arrivals that counts before the first report, decayed like an arrival of then:
+    /// a few arrivals in the first moments are no high rate.
+    Duration assumedIdleTime = std::chrono::seconds(2);
     /// Time after which a sample has decayed to 1/e of its weight in the concurrency.
     Duration concurrencyTimeConstant = std::chrono::seconds(2);
     /// The report of an instance is dropped when no other one has followed it for this long.
@@ -55,6 +59,9 @@
 };
 
 /// @brief Demand for the models and adapters of one service; not thread-safe.
+///
+/// The averages are taken over the time since the first report, so that they are not too low while
+/// that time is short, as after a change of the placement owner.
 class DemandTally
 {
 public:
@@ -97,6 +104,9 @@
     /// @brief Requests in all reports since construction.
     std::uint64_t arrivals() const noexcept { return this->arrivalCount; }
 
+    /// @brief Time from the first report to the last advance; zero before the first report.
+    Duration observedTime() const;
+
     /// @brief Number of instances whose last report is not older than the instance timeout.
     std::size_t instanceCount() const noexcept { return this->byInstance.size(); }
 
@@ -108,12 +118,16 @@
     };
 
     void updateWaiting();
+    double rateWeight() const;
+    double concurrencyWeight() const;
 
     DemandSmoothing smoothing;
     std::map<InstanceId, InstanceReport> byInstance;
+    /// Rates and concurrency in it are sums that demandFor() divides by their weights.
     std::map<Target, SmoothedDemand> byTarget;
     std::map<VersionedTarget, BoundWaits> boundWaitsByTarget;
     TimePoint advancedAt{};
+    std::optional<TimePoint> firstReportAt;
     std::uint64_t arrivalCount = 0;
 };
 
