Load adapters of an engine at which requests wait at another replica as well

Cause: an adapter was held by one engine only, chosen by its hash among the replicas of then. Half of the short requests ask for an adapter, so replicas that were added later got none of them.

Change: the owner knows from reports where requests wait.

--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -208,6 +208,7 @@
                        && engine.loading.target.model.isEmpty() && !engine.isReportedBusy;
     snapshot.running = engine.report.load.running;
     return snapshot;
+    snapshot.waiting = engine.report.load.waiting;
 }
 
 void PlacementDriver::requestReportIfDue(const gateway::UpstreamTable::Entry &entry, Engine &engine,
--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -49,6 +49,7 @@
     this->goals.clear();
     this->loadedAt.clear();
     this->adapterLoadedAt.clear();
+    this->adapterSharedAt.clear();
     this->returningStreams.clear();
     this->runningStoreLoads.clear();
     this->expectedReadyTimes.clear();
--- a/tests/residency/unit-planner.cpp
+++ b/tests/residency/unit-planner.cpp
@@ -387,6 +387,73 @@
     CHECK(fleet.engineAt(0).residency.models[0].adapters.size() == 2);
 }
 
+// Guards against requests that wait at one of four replicas because the adapters were loaded there
+// before the others existed.
+TEST_CASE("adapters of an engine at which requests wait are loaded at a replica that runs less")
+{
+    Fleet fleet(4, 1);
+    fleet.engine.adapterSlots = 4;
+    fleet.planner.configure(fleet.engine);
+    for (std::size_t i = 0; i < 4; ++i)
+        fleet.addModel(i, "m0");
+    auto &adapters = fleet.engineAt(0).residency.models[0].adapters;
+    for (const char *adapter : {"a1", "a2", "a3", "a4"}) {
+        adapters.emplace_back(adapter);
+        fleet.addDemand("m0", 5, 0, adapter, 6);
+    }
+    fleet.engineAt(0).running = 24;
+    fleet.engineAt(1).running = 8;
+    fleet.engineAt(2).running = 6;
+    fleet.engineAt(3).running = 20;
+    const auto countHeld = [&fleet](std::size_t index) {
+        return fleet.engineAt(index).residency.models[0].adapters.size();
+    };
+
+    SUBCASE("nothing waits: they stay where they are")
+    {
+        fleet.run(2s);
+        CHECK(fleet.orders.empty());
+    }
+    SUBCASE("requests wait: the engine that runs least gets them, also those that it held")
+    {
+        fleet.engineAt(0).waiting = 5;
+        fleet.run(1s);
+        CHECK(countHeld(0) == 4);
+        CHECK(countHeld(2) == 4);
+        CHECK(countHeld(1) == 0);
+        CHECK(countHeld(3) == 0);
+
+        SUBCASE("once the load is even nothing is loaded any more")
+        {
+            const std::size_t before = fleet.orders.size();
+            fleet.engineAt(0).waiting = 0;
+            fleet.engineAt(0).running = 14;
+            fleet.run(2s);
+            CHECK(fleet.orders.size() == before);
+        }
+    }
+    SUBCASE("a place that is in use is given up only for an adapter with far more demand")
+    {
+        for (std::size_t i : {1U, 2U}) {
+            for (const char *other : {"b1", "b2", "b3", "b4"})
+                fleet.engineAt(i).residency.models[0].adapters.emplace_back(other);
+        }
+        for (const char *other : {"b1", "b2", "b3", "b4"})
+            fleet.addDemand("m0", 5, 0, other, 5);
+        fleet.engineAt(0).waiting = 5;
+        fleet.run(2s);
+        CHECK(fleet.orders.empty());
+    }
+    SUBCASE("no engine runs far less: nothing would be gained")
+    {
+        fleet.engineAt(0).waiting = 5;
+        for (std::size_t i : {1U, 2U, 3U})
+            fleet.engineAt(i).running = 20;
+        fleet.run(2s);
+        CHECK(fleet.orders.empty());
+    }
+}
+
 /// Two engines of one model each, one of version v1 and one of v2; both have copies of all models,
 /// that of v1 in its host memory.
 class TwoVersions : public Fleet
