Release the ownership no sooner than a lapsing lease would end after the last order

Found by reading.

Cause: a successor waits for the handover pause less the time between the last order of an owner that can't renew its lease and the lease's end.

Evidence: "the first order of a successor follows the last one of an owner that stops by the whole handover pause"; without the wait 1 of its 4 assertions fails.

--- a/src/residency/lease.cpp
+++ b/src/residency/lease.cpp
@@ -33,11 +33,14 @@
     return std::chrono::duration_cast<Duration>(this->times.timeToLive * share);
 }
 
+Duration timeInvalidBeforeExpiry(const LeaseTimes &times)
+{
+    return std::chrono::duration_cast<Duration>(times.timeToLive * (1 - times.validShare));
+}
+
 Duration successorPause(const LeaseTimes &times)
 {
-    const auto invalidBeforeExpiry
-            = std::chrono::duration_cast<Duration>(times.timeToLive * (1 - times.validShare));
-    return std::max(Duration(0), times.handoverPause - invalidBeforeExpiry);
+    return std::max(Duration(0), times.handoverPause - timeInvalidBeforeExpiry(times));
 }
 
 TimePoint earliestOrderTime(const LeaseTimes &times, bool areEnginesFenced, TimePoint now,
--- a/src/residency/lease.hpp
+++ b/src/residency/lease.hpp
@@ -73,6 +73,10 @@
     TimePoint earliestOrder{};
 };
 
+/// @brief Time from the last order of a holder that can't renew its lease to the lease's end in the
+/// store. A holder that gives up the ownership releases the lease no sooner than that.
+Duration timeInvalidBeforeExpiry(const LeaseTimes &times);
+
 /// @brief Time from the end of the former holder's lease to the successor's first order.
 ///
 /// The former holder stops sending orders when its lease ceases to be valid, which is before the
--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -280,6 +280,11 @@
 {
     const std::uint64_t id = this->leaseId;
     this->dropOwnership(reason);
+    // A successor counts its pause as if the lease had lapsed, which is so much later than the last
+    // order.
+    if (!this->settings.areEnginesFenced)
+        co_await this->consentTimer.wait(steadyNow()
+                                         + timeInvalidBeforeExpiry(this->settings.times));
     co_await this->port.release(id);
 }
 
--- a/tests/residency/unit-owner_election.cpp
+++ b/tests/residency/unit-owner_election.cpp
@@ -41,7 +41,13 @@
                 co_return Error(ErrorKind::NotOwner, "the lease has ended");
             co_return true;
         };
-        port.release = [](std::uint64_t) -> upstream::Awaitable<void> { co_return; };
+        port.release = [this](std::uint64_t lease) -> upstream::Awaitable<void> {
+            if (isReleasable && state.recordRevision == lease) {
+                state.record.reset();
+                state.recordRevision = 0;
+            }
+            co_return;
+        };
         return port;
     }
 
@@ -80,6 +86,8 @@
     std::uint64_t era = 1;
     State state;
     bool isAway = false;
+    /// Whether the end of a lease removes the record.
+    bool isReleasable = false;
 };
 
 struct Candidate
@@ -120,7 +128,7 @@
         settings.times.handoverPause = 300ms;
         settings.consentInterval = 20ms;
         settings.consentDelay = 40ms;
-        settings.lastOwnerHeadStart = 60ms;
+        settings.lastOwnerHeadStart = this->headStart;
         auto added = std::make_unique<OwnerElection>(this->loop, settings, this->store.makePort());
         OwnerElection &election = *added;
         election.askForConsent = [this, &election](const auto &, const ConsentQuery &query) {
@@ -156,6 +164,8 @@
     std::map<std::string, Duration> storeAges;
     /// Instances that don't answer questions.
     std::set<std::string> silent;
+    /// Head start of the last owner after a restart of all.
+    Duration headStart = 60ms;
 };
 
 } // namespace
@@ -309,6 +319,35 @@
     fleet.stop();
 }
 
+// Guards against the orders of two owners within the handover pause after a planned stop of the
+// first one, at engines that check no fencing numbers: it sends orders until it stops.
+TEST_CASE("the first order of a successor follows the last one of an owner that stops by the whole "
+          "handover pause")
+{
+    RecordStore store;
+    store.isReleasable = true;
+    UnfencedFleet fleet(store);
+    fleet.headStart = 0ms;
+    OwnerElection &owner = fleet.add("owner");
+    OwnerElection &successor = fleet.add("successor");
+    owner.handleOwnerRecord(std::nullopt);
+    fleet.loop.run_for(20ms);
+    REQUIRE(owner.maySendOrders());
+    successor.handleOwnerRecord(store.observed());
+    // The successor has run for longer than what a process before it could have consented to.
+    fleet.loop.run_for(250ms);
+    REQUIRE(owner.maySendOrders());
+    const TimePoint lastOrder = BootClock().now();
+    owner.resign();
+    while (!successor.maySendOrders() && BootClock().now() < lastOrder + 2s) {
+        successor.handleOwnerRecord(store.observed());
+        fleet.loop.run_for(2ms);
+    }
+    CHECK(successor.maySendOrders());
+    CHECK(BootClock().now() >= lastOrder + 300ms);
+    fleet.stop();
+}
+
 // Guards against a pause without orders after a restart of all instances: the first one that takes
 // the ownership has to wait for the orders of the former owner, unless it was that one itself.
 TEST_CASE("after a restart of all instances the last owner takes the ownership again and orders at "
