Report demand to a new owner also while the store turns the instance away

Cause: the store turned some instances away and served the others. Those could not read the record of the new owner, and reported their demand to the former one until the store answered them again.

Change: for 5 s a new owner sends its messages with the load of all engines also to the instances that a former owner listed, and an instance reports to the sender of the highest fencing number that it has heard of. Messages are as before, so that instances of earlier releases understand them.

--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -4,6 +4,7 @@
 #include "peer/datagram.hpp"
 
 #include <algorithm>
+#include <limits>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -74,16 +75,20 @@
     this->connectQuarantine();
     this->connectLimits();
     this->connectForwarding();
-    this->gateway.onUpstreamLeaving = [this](const gateway::UpstreamProcess &process) {
     this->election.askForConsent
             = [this](const std::vector<Endpoint> &to, const ConsentQuery &query) {
                   const std::string bytes = encodePeerMessage(query);
                   for (const Endpoint &receiver : to)
                       this->socket->send(receiver, bytes);
               };
+    this->gateway.onUpstreamLeaving = [this](const gateway::UpstreamProcess &process) {
         this->sendToReceivers(process.upstream.value(), this->settings.changeReceivers,
                               LeavingMessage{process});
     };
+    this->driver.knownInstances = [this] {
+        return this->directory.holdersOf(this->self.value(),
+                                         std::numeric_limits<std::size_t>::max());
+    };
     this->driver.send = [this](const std::vector<Endpoint> &to, const OwnerMessage &message) {
         this->directory.addListed(message.instances, this->socket->localEndpoint(), now());
         for (const OwnerMessage &part : splitMessage(message, maxPartBytes)) {
@@ -129,15 +134,27 @@
     message.suspected.swap(this->pendingSuspicions);
     this->isAnyWaiting = std::any_of(message.demand.begin(), message.demand.end(),
                                      [](const auto &demand) { return demand.waiting > 0; });
-    const auto &owner = this->election.owner();
+    const std::optional<Endpoint> owner = this->ownerEndpoint();
     if (!owner)
         return;
-    if (owner->record.instance == this->self) {
-        this->driver.receiveDemand(message, owner->record.endpoint);
+    if (this->isOwnEndpoint(*owner)) {
+        this->driver.receiveDemand(message, *owner);
         return;
     }
     for (const DemandMessage &part : splitMessage(message, maxPartBytes))
-        this->socket->send(owner->record.endpoint, encodePeerMessage(part));
+        this->socket->send(*owner, encodePeerMessage(part));
+}
+
+std::optional<Endpoint> PeerLink::ownerEndpoint() const
+{
+    return this->ownerContact.endpoint(this->election.owner(), now());
+}
+
+bool PeerLink::isOwnEndpoint(const Endpoint &endpoint) const
+{
+    const auto &owner = this->election.owner();
+    return endpoint == this->socket->localEndpoint()
+           || (owner && owner->record.instance == this->self && endpoint == owner->record.endpoint);
 }
 
 void PeerLink::receiveDatagram(std::string_view bytes, const Endpoint &from)
@@ -175,8 +192,12 @@
         this->receiveOrigins(batch->batch, from);
     else if (const auto *stored = std::get_if<OriginAcknowledgement>(&message.value()))
         this->origins.receive(*stored);
+    else if (const auto *consentQuery = std::get_if<ConsentQuery>(&message.value()))
+        this->answerConsentQuery(*consentQuery, from);
+    else if (const auto *consent = std::get_if<ConsentAnswer>(&message.value()))
+        this->election.handleConsentAnswer(*consent);
     else
-        this->applyOwnerMessage(std::get<OwnerMessage>(message.value()));
+        this->applyOwnerMessage(std::get<OwnerMessage>(message.value()), from);
 }
 
 void PeerLink::answerOriginQuery(const StreamOriginQuery &query, const Endpoint &from)
@@ -186,16 +207,20 @@
         this->socket->send(from, encodePeerMessage(StreamOriginMessage{*origin}));
 }
 
+void PeerLink::answerConsentQuery(const ConsentQuery &query, const Endpoint &from)
+{
+    if (!this->storeAge)
+        return;
+    const ConsentAnswer answer = this->election.answerConsentQuery(query, this->storeAge());
+    this->socket->send(from, encodePeerMessage(answer));
+}
+
 void PeerLink::receiveOrigins(const gateway::OriginBatch &batch, const Endpoint &from)
 {
     if (this->origins.onBatch)
         this->origins.onBatch(from, batch);
 }
 
-    else if (const auto *consentQuery = std::get_if<ConsentQuery>(&message.value()))
-        this->answerConsentQuery(*consentQuery, from);
-    else if (const auto *consent = std::get_if<ConsentAnswer>(&message.value()))
-        this->election.handleConsentAnswer(*consent);
 void PeerLink::connectQuarantine()
 {
     gateway::QuarantineDriver &quarantine = this->gateway.quarantineDriver();
@@ -207,14 +232,6 @@
             this->sendToReceivers(report.service.value(), this->settings.changeReceivers, part);
     };
     quarantine.onChange = [this](const gateway::QuarantineEntry &entry) {
-void PeerLink::answerConsentQuery(const ConsentQuery &query, const Endpoint &from)
-{
-    if (!this->storeAge)
-        return;
-    const ConsentAnswer answer = this->election.answerConsentQuery(query, this->storeAge());
-    this->socket->send(from, encodePeerMessage(answer));
-}
-
         this->sendToReceivers(entry.key.service.value(), this->settings.changeReceivers,
                               QuarantineMessage{{entry}});
     };
@@ -228,10 +245,10 @@
         return this->election.isOwner() ? this->election.fence().value() : 0;
     };
     limits.sendRequest = [this](const gateway::PermitRequest &request) {
-        const auto &owner = this->election.owner();
-        if (!owner || owner->record.instance == this->self)
+        const std::optional<Endpoint> owner = this->ownerEndpoint();
+        if (!owner || this->isOwnEndpoint(*owner))
             return false;
-        this->socket->send(owner->record.endpoint, encodePeerMessage(request));
+        this->socket->send(*owner, encodePeerMessage(request));
         return true;
     };
     limits.onChange = [this](const gateway::LimitReport &report) {
@@ -316,11 +333,12 @@
         this->socket->send(holder, bytes);
 }
 
-void PeerLink::applyOwnerMessage(const OwnerMessage &message)
+void PeerLink::applyOwnerMessage(const OwnerMessage &message, const Endpoint &from)
 {
     if (message.fence < this->newestFence)
         return;
     this->newestFence = message.fence;
+    this->ownerContact.recordMessage(message.fence, from, now());
     this->election.handleOwnerMessage(message.fence);
     this->gateway.upstreamLimits.recordIssuer();
     const TimePoint time = now();
--- a/src/residency/peer_link.hpp
+++ b/src/residency/peer_link.hpp
@@ -6,6 +6,7 @@
 #include "gateway/gateway.hpp"
 #include "peer/datagram_socket.hpp"
 #include "residency/origin_reporter.hpp"
+#include "residency/owner_contact.hpp"
 #include "residency/owner_election.hpp"
 #include "residency/peer_directory.hpp"
 #include "residency/peer_messages.hpp"
@@ -59,10 +60,10 @@
     /// store.
     std::function<void(Fence fence, const StoreWatchProgress &watchProgress)> onWatchProgress;
 
-    /// @brief Called with each registration change that the owner forwards.
     /// @brief Returns the time since the platform's store last answered this instance.
     std::function<Duration()> storeAge;
 
+    /// @brief Called with each registration change that the owner forwards.
     std::function<void(const ForwardedChange &change)> onForwardedChange;
 
     /// @brief Hands the origins of this instance's streams to the owner.
@@ -72,15 +73,17 @@
     upstream::Awaitable<void> run();
     void reportDemand();
     void receiveDatagram(std::string_view bytes, const Endpoint &from);
-    void applyOwnerMessage(const OwnerMessage &message);
+    void applyOwnerMessage(const OwnerMessage &message, const Endpoint &from);
+    std::optional<Endpoint> ownerEndpoint() const;
+    bool isOwnEndpoint(const Endpoint &endpoint) const;
     void sendToHolders(const RequestId &request, std::size_t count, const PeerMessage &message);
     void sendToReceivers(std::string_view key, std::size_t count, const PeerMessage &message);
     void connectQuarantine();
     void connectLimits();
+    void answerConsentQuery(const ConsentQuery &query, const Endpoint &from);
     void connectForwarding();
     bool canReachEngines() const;
     upstream::Awaitable<void> answerHelpQuery(HelpQuery query, Endpoint from);
-    void answerConsentQuery(const ConsentQuery &query, const Endpoint &from);
     void learnLimits(const LimitMessage &message);
     void spreadState();
     void answerOriginQuery(const StreamOriginQuery &query, const Endpoint &from);
@@ -103,6 +106,7 @@
     Random random;
     bool isStopped = false;
     /// Highest fencing number in the owners' messages; messages with a lower one are ignored.
+    OwnerContact ownerContact;
     Fence newestFence;
 };
 
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -208,8 +208,8 @@
                        && !this->gateway.pauses.isPaused(entry.process(), now)
                        && engine.loading.target.model.isEmpty() && !engine.isReportedBusy;
     snapshot.running = engine.report.load.running;
-    return snapshot;
     snapshot.waiting = engine.report.load.waiting;
+    return snapshot;
 }
 
 void PlacementDriver::requestReportIfDue(const gateway::UpstreamTable::Entry &entry, Engine &engine,
@@ -616,6 +616,22 @@
     }
     update.instances = this->listInstances();
     this->broadcast(update);
+    this->announceOwnership(update, now);
+}
+
+/// Sends a message to instances that have not reported to this owner although a former one listed
+/// them.
+void PlacementDriver::announceOwnership(const OwnerMessage &message, TimePoint now)
+{
+    if (!this->knownInstances || now >= this->messagesBegunAt + this->settings.announcementTime)
+        return;
+    std::vector<Endpoint> strangers = this->knownInstances();
+    const std::vector<Endpoint> reporting = this->listInstances();
+    std::erase_if(strangers, [&reporting](const Endpoint &endpoint) {
+        return std::find(reporting.begin(), reporting.end(), endpoint) != reporting.end();
+    });
+    if (!strangers.empty())
+        this->send(strangers, message);
 }
 
 /// Addresses of the instances that report to this one, and its own.
--- a/src/residency/placement_driver.hpp
+++ b/src/residency/placement_driver.hpp
@@ -51,6 +51,9 @@
     /// Time from the acquisition of the ownership until the number of instances is announced; two
     /// demand reports of each.
     Duration instanceCountDelay = std::chrono::milliseconds(1200);
+    /// Time from the acquisition of the ownership for which the load of all engines is also sent to
+    /// instances that have not reported: those that the store turns away can't know of the owner.
+    Duration announcementTime = std::chrono::seconds(5);
     /// Pause between two messages on how far the platform's store has been followed.
     Duration watchProgressInterval = std::chrono::milliseconds(400);
     /// A forwarded change is repeated with these messages for this time, as datagrams get lost.
@@ -98,6 +101,9 @@
     /// @brief Forwards a registration change to all instances if this one is the owner.
     void forwardChange(ForwardedChange change);
 
+    /// @brief Returns the instances that a former owner listed; set before start().
+    std::function<std::vector<Endpoint>()> knownInstances;
+
     /// @brief Sends a message to instances; set before start().
     std::function<void(const std::vector<Endpoint> &to, const OwnerMessage &message)> send;
 
@@ -174,6 +180,7 @@
     std::vector<Endpoint> listInstances() const;
     void sendWatchProgress(TimePoint now);
     void broadcast(const OwnerMessage &message);
+    void announceOwnership(const OwnerMessage &message, TimePoint now);
     OwnerMessage makeMessage() const;
     void removeUnregisteredEngines();
 
--- a/tests/residency/unit-placement_driver.cpp
+++ b/tests/residency/unit-placement_driver.cpp
@@ -1,5 +1,7 @@
 #include "residency/placement_driver.hpp"
 
+#include <map>
+
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
@@ -32,7 +34,10 @@
         drafting.engine->models.push_back(weights);
         instance.publish(std::make_shared<gateway::RouteIndex>(
                 gateway::RoutingConfiguration{1, {}, {drafting}, {}}));
-        driver.send = [this](const std::vector<Endpoint> &, const OwnerMessage &message) {
+        driver.knownInstances = [this] { return known; };
+        driver.send = [this](const std::vector<Endpoint> &to, const OwnerMessage &message) {
+            for (const Endpoint &receiver : to)
+                ++messagesTo[receiver];
             for (const UpstreamResidency &one : message.residencies)
                 sentResidencies.push_back(one.residency);
         };
@@ -122,10 +127,31 @@
     int reportRequests = 0;
     int orders = 0;
     std::vector<gateway::Residency> sentResidencies;
+    /// Instances that a former owner listed.
+    std::vector<Endpoint> known;
+    std::map<Endpoint, int> messagesTo;
 };
 
 } // namespace
 
+// Guards against instances that the store turns away and that never hear of a new owner.
+TEST_CASE("a new owner tells the instances that a former one listed that it is there")
+{
+    OwnerFixture fixture;
+    const Endpoint turnedAway{"10.0.0.7", 7000};
+    fixture.known = {turnedAway};
+    fixture.loop.run_for(150ms);
+    CHECK(fixture.messagesTo[turnedAway] == 1);
+
+    SUBCASE("one that reports gets the messages to all, once each")
+    {
+        fixture.driver.receiveDemand({InstanceId("edge-7"), false, {}, {}}, turnedAway);
+        const int before = fixture.messagesTo[turnedAway];
+        fixture.loop.run_for(1000ms);
+        CHECK(fixture.messagesTo[turnedAway] == before + 1);
+    }
+}
+
 // Guards against loads that are sent, again and again, to the former id of a crashed engine whose
 // address a later process has, while other engines could load the model.
 TEST_CASE("no order is sent to an engine at whose address a later process reports")
