Check right before an order is written that it may still be sent

What callers saw: nothing that was traced to this.

Cause: whether an order may be sent was checked when it was planned. Then its connection is opened, for up to half a second, and a process that is paused meanwhile writes the order when it goes on, also past the call's own deadline, as the write came before the timer.

Change: calls check their deadline after the connection was opened, and orders whether this instance may still send them; nothing is written otherwise, and the order counts as not sent. An order that was held back says nothing of the links to the engine.

--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -417,9 +417,9 @@
     order.fence = this->election.fence();
     const TimePoint begunAt = steadyNow();
     const OrderAnswer answer = co_await this->port.order(upstream, order);
-    if (answer == OrderAnswer::NotSent)
+    if (answer == OrderAnswer::NotSent && this->election.maySendOrders())
         this->gateway.forwardingDriver().recordFailure(upstream.service, begunAt);
-    else if (answer != OrderAnswer::Unknown)
+    else if (answer != OrderAnswer::Unknown && answer != OrderAnswer::NotSent)
         this->gateway.forwardingDriver().recordAnswer(upstream.service, begunAt);
     this->handleOrderAnswer(planned, upstream, engine, order, answer);
 }
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -89,6 +89,10 @@
         if (!opened)
             co_return opened.error();
     }
+    if (SteadyClock().now() >= deadline)
+        co_return this->makeError(CallFailure::TimedOut, "the time to send the request is over");
+    if (this->sendCondition && !this->sendCondition())
+        co_return this->makeError(CallFailure::Cancelled, "the request may not be sent any more");
     this->parser.emplace(this->message);
     this->parser->body_limit(unlimitedBody);
     this->stream->resetWrittenBytes();
@@ -345,10 +349,12 @@
 Awaitable<CallResult<WholeAnswer>> sendAndReadAnswer(ConnectionPool &pool, Endpoint endpoint,
                                                      std::string head, std::string body,
                                                      TimePoint deadline, std::size_t maxAnswerBytes,
-                                                     ConnectionUse use)
+                                                     ConnectionUse use,
+                                                     std::function<bool()> sendCondition)
 {
     UpstreamCall call(pool, endpoint);
     call.allowUnframedAnswer();
+    call.setSendCondition(std::move(sendCondition));
     CallResult<WholeAnswer> answer
             = co_await exchangeMessages(call, head, body, deadline, maxAnswerBytes, use);
     // The other idle connections may have fallen silent together with this one.
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -6,6 +6,7 @@
 #include "upstream/connection_pool.hpp"
 #include "upstream/message_parser.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -132,6 +133,13 @@
     /// a crashed process does as well.
     void allowUnframedAnswer() noexcept { this->isUnframedAllowed = true; }
 
+    /// @brief Sets a condition that is checked right before the request is written: what allowed
+    /// the request may have ended while the connection was opened, or while the process was paused.
+    void setSendCondition(std::function<bool()> condition)
+    {
+        this->sendCondition = std::move(condition);
+    }
+
     /// @brief Reads status and headers into answer().
     Awaitable<CallResult<void>> readHead();
 
@@ -207,11 +215,13 @@
     bool hasAnswerStarted = false;
     bool isCancelled = false;
     bool isUnframedAllowed = false;
+    std::function<bool()> sendCondition;
 };
 
 /// @brief Sends a request and reads its complete answer; the parameters are those of
 /// UpstreamCall::send().
 /// @param maxAnswerBytes largest size of the answer's body
+/// @param sendCondition see UpstreamCall::setSendCondition()
 /// @note When the answer doesn't come in time, the pool's idle connections to the endpoint are
 /// closed as well, so that the next call uses a new one.
 /// @note An answer without a length or chunks is accepted: callers parse the body, which shows
@@ -219,6 +229,7 @@
 Awaitable<CallResult<WholeAnswer>> sendAndReadAnswer(ConnectionPool &pool, Endpoint endpoint,
                                                      std::string head, std::string body,
                                                      TimePoint deadline, std::size_t maxAnswerBytes,
-                                                     ConnectionUse use);
+                                                     ConnectionUse use,
+                                                     std::function<bool()> sendCondition = {});
 
 } // namespace bamboochute::upstream
