--- a/src/residency/lease.hpp
+++ b/src/residency/lease.hpp
@@ -49,10 +49,10 @@
     bool isHeld(TimePoint now) const;
 
     /// @brief Whether orders may be sent to engines.
-    bool maySendOrders(TimePoint now) const
-    {
-        return this->isHeld(now) && now >= this->earliestOrder;
-    }
+    bool maySendOrders(TimePoint now) const { return this->isHeld(now) && this->isPauseOver(now); }
+
+    /// @brief Whether the pause after the former holder's orders is over.
+    bool isPauseOver(TimePoint now) const { return now >= this->earliestOrder; }
 
     /// @brief Whether the lease was granted and its loss not recorded; it may have expired.
     bool isGranted() const noexcept { return this->grantedFence.has_value(); }
@@ -73,6 +73,10 @@
     TimePoint earliestOrder{};
 };
 
+/// @brief Time from the last order of a holder that can't renew its lease to the lease's end in the
+/// store. A holder that gives up the ownership releases the lease no sooner than that.
+Duration timeInvalidBeforeExpiry(const LeaseTimes &times);
+
 /// @brief Time from the end of the former holder's lease to the successor's first order.
 ///
 /// The former holder stops sending orders when its lease ceases to be valid, which is before the
--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -58,6 +58,7 @@
     const TimePoint now = steadyNow();
     const bool isNew = this->reportingInstances.count(message.sender) == 0;
     this->reportingInstances[message.sender] = ReportingInstance{from, now};
+    this->election.recordMember(message.sender, from);
     if (isNew && message.sender != this->self && this->election.isOwner()) {
         // The other instances learn of it with the next list.
         OwnerMessage update = this->makeMessage();
@@ -207,6 +208,7 @@
                        && !this->gateway.pauses.isPaused(entry.process(), now)
                        && engine.loading.target.model.isEmpty() && !engine.isReportedBusy;
     snapshot.running = engine.report.load.running;
+    snapshot.waiting = engine.report.load.waiting;
     return snapshot;
 }
 
@@ -415,9 +417,9 @@
     order.fence = this->election.fence();
     const TimePoint begunAt = steadyNow();
     const OrderAnswer answer = co_await this->port.order(upstream, order);
-    if (answer == OrderAnswer::NotSent)
+    if (answer == OrderAnswer::NotSent && this->election.maySendOrders())
         this->gateway.forwardingDriver().recordFailure(upstream.service, begunAt);
-    else if (answer != OrderAnswer::Unknown)
+    else if (answer != OrderAnswer::Unknown && answer != OrderAnswer::NotSent)
         this->gateway.forwardingDriver().recordAnswer(upstream.service, begunAt);
     this->handleOrderAnswer(planned, upstream, engine, order, answer);
 }
@@ -614,6 +616,22 @@
     }
     update.instances = this->listInstances();
     this->broadcast(update);
+    this->announceOwnership(update, now);
+}
+
+/// Sends a message to instances that have not reported to this owner although a former one listed
+/// them.
+void PlacementDriver::announceOwnership(const OwnerMessage &message, TimePoint now)
+{
+    if (!this->knownInstances || now >= this->messagesBegunAt + this->settings.announcementTime)
+        return;
+    std::vector<Endpoint> strangers = this->knownInstances();
+    const std::vector<Endpoint> reporting = this->listInstances();
+    std::erase_if(strangers, [&reporting](const Endpoint &endpoint) {
+        return std::find(reporting.begin(), reporting.end(), endpoint) != reporting.end();
+    });
+    if (!strangers.empty())
+        this->send(strangers, message);
 }
 
 /// Addresses of the instances that report to this one, and its own.
