Take out the loading of adapters at another replica

What was hoped: fewer late requests where an engine's queue holds those for adapters that only it has.

Callers are not served better, so is taken out, with its test.

--- a/src/residency/placement_driver.cpp
+++ b/src/residency/placement_driver.cpp
@@ -208,7 +208,6 @@
                        && !this->gateway.pauses.isPaused(entry.process(), now)
                        && engine.loading.target.model.isEmpty() && !engine.isReportedBusy;
     snapshot.running = engine.report.load.running;
-    snapshot.waiting = engine.report.load.waiting;
     return snapshot;
 }
 
--- a/src/residency/planner.cpp
+++ b/src/residency/planner.cpp
@@ -49,7 +49,6 @@
     this->goals.clear();
     this->loadedAt.clear();
     this->adapterLoadedAt.clear();
-    this->adapterSharedAt.clear();
     this->returningStreams.clear();
     this->runningStoreLoads.clear();
     this->expectedReadyTimes.clear();
--- a/src/residency/planner.hpp
+++ b/src/residency/planner.hpp
@@ -36,8 +36,6 @@
     ModelId loading;
     /// Requests of all instances that run on it.
     std::uint32_t running = 0;
-    /// Requests of all instances that wait in its queue.
-    std::uint32_t waiting = 0;
     auto operator<=>(const UpstreamSnapshot &) const = default;
 };
 
@@ -114,15 +112,6 @@
     std::size_t maxPreloadModels = 24;
     /// Expected time of loading or unloading an adapter.
     Duration adapterLoadTime = std::chrono::milliseconds(12);
-    /// An engine at which requests wait shares an adapter with one that runs at most this share of
-    /// its number of requests.
-    double adapterSpreadShare = 0.6;
-    /// An adapter that replaces another one for that has at least this many times its demand.
-    double adapterSpreadGain = 2;
-    /// Smoothed number of requests for an adapter from which it is shared.
-    double adapterSpreadConcurrency = 0.2;
-    /// Pause after which an adapter may be shared again; reports show the effect by then.
-    Duration adapterSpreadPause = std::chrono::milliseconds(1000);
     /// Minimum wait that is announced for a target that can't be loaded now.
     Duration minUnplannedWait = std::chrono::seconds(4);
     auto operator<=>(const PlannerSettings &) const = default;
@@ -289,12 +278,6 @@
     void addOrdersForAdapters(PlanningState &state, std::vector<PlannedOrder> &orders);
     void addAdapterOrder(PlanningState &state, const VersionedTarget &wanted,
                          std::vector<PlannedOrder> &orders);
-    void addOrdersForSharedAdapters(const PlanningState &state, std::vector<PlannedOrder> &orders);
-    std::optional<PlannedOrder> shareAdapter(const PlanningState &state,
-                                             const UpstreamState &crowded, const Target &target,
-                                             const std::vector<PlannedOrder> &orders) const;
-    bool canLoadAdapter(const UpstreamState &upstreamState, const Target &target,
-                        const std::vector<PlannedOrder> &orders) const;
     std::optional<PlannedOrder> makeAdapterOrder(const PlanningState &state,
                                                  const UpstreamState &upstreamState,
                                                  const Target &target, double megabytes) const;
@@ -351,8 +334,6 @@
     std::map<std::pair<UpstreamId, ModelId>, TimePoint> loadedAt;
     /// When loads of adapters were accepted, for the minimum time of residency.
     std::map<std::pair<UpstreamId, Target>, TimePoint> adapterLoadedAt;
-    /// When adapters were last loaded at a further engine because requests waited at theirs.
-    std::map<Target, TimePoint> adapterSharedAt;
     std::map<UpstreamId, ModelId> runningStoreLoads;
     /// Streams that waited for a model at a software version.
     struct ReturningStreams
--- a/src/residency/planner_adapters.cpp
+++ b/src/residency/planner_adapters.cpp
@@ -21,96 +21,6 @@
         if (!target.adapter.isEmpty())
             this->addAdapterOrder(state, {target}, orders);
     }
-    this->addOrdersForSharedAdapters(state, orders);
-}
-
-/// Loads adapters of engines at which requests wait at further engines that hold their model: the
-/// requests for an adapter can't go anywhere else, also when the model has other replicas.
-void ResidencyPlanner::addOrdersForSharedAdapters(const PlanningState &state,
-                                                  std::vector<PlannedOrder> &orders)
-{
-    std::erase_if(this->adapterSharedAt, [&](const auto &item) {
-        return item.second + this->settings.adapterSpreadPause <= state.now;
-    });
-    for (const UpstreamState &crowded : state.upstreams) {
-        if (!crowded.snapshot->isUsable || crowded.snapshot->waiting == 0)
-            continue;
-        std::vector<std::pair<double, Target>> byDemand;
-        for (const gateway::ResidentModel &resident : crowded.snapshot->residency.models) {
-            for (const AdapterId &adapter : resident.adapters) {
-                const Target target{resident.model, adapter};
-                const double concurrency = state.demand.demandFor(target).concurrency;
-                if (concurrency >= this->settings.adapterSpreadConcurrency
-                    && this->adapterSharedAt.count(target) == 0)
-                    byDemand.emplace_back(concurrency, target);
-            }
-        }
-        std::sort(byDemand.rbegin(), byDemand.rend());
-        for (const auto &[concurrency, target] : byDemand) {
-            const std::optional<PlannedOrder> order
-                    = this->shareAdapter(state, crowded, target, orders);
-            if (!order)
-                continue;
-            if (order->operation == OrderOperation::Load)
-                this->adapterSharedAt[target] = state.now;
-            orders.push_back(*order);
-            break;
-        }
-    }
-}
-
-/// Returns the order by which the least loaded other engine comes to hold an adapter of a crowded
-/// one; nothing if no engine has room for it, or runs far fewer requests.
-std::optional<PlannedOrder>
-ResidencyPlanner::shareAdapter(const PlanningState &state, const UpstreamState &crowded,
-                               const Target &target, const std::vector<PlannedOrder> &orders) const
-{
-    const double maxRunning = crowded.snapshot->running * this->settings.adapterSpreadShare;
-    const UpstreamState *best = nullptr;
-    for (const UpstreamState &other : state.upstreams) {
-        const UpstreamSnapshot &upstream = *other.snapshot;
-        const auto &pending = upstream.pendingAdapters;
-        if (std::find(pending.begin(), pending.end(), target) != pending.end())
-            return std::nullopt;
-        if (!this->canLoadAdapter(other, target, orders) || upstream.waiting > 0
-            || upstream.running > maxRunning
-            || upstream.softwareVersion != crowded.snapshot->softwareVersion)
-            continue;
-        if (upstream.residency.holds(target))
-            return std::nullopt;
-        if (best == nullptr || upstream.running < best->snapshot->running)
-            best = &other;
-    }
-    if (best == nullptr)
-        return std::nullopt;
-    const auto model = state.modelIndexes.find(target.model);
-    if (model == state.modelIndexes.end())
-        return std::nullopt;
-    std::optional<PlannedOrder> order = this->makeAdapterOrder(
-            state, *best, target, state.models[model->second].weights->adapterMegabytes);
-    if (!order)
-        return std::nullopt;
-    if (order->operation == OrderOperation::Unload) {
-        const double gain = this->settings.adapterSpreadGain;
-        if (state.demand.demandFor(order->target).concurrency * gain
-            > state.demand.demandFor(target).concurrency)
-            return std::nullopt;
-    }
-    order->reason = "requests wait at the engine that holds the adapter";
-    return order;
-}
-
-/// Whether an engine holds the model of an adapter, will keep it, and can take an order now.
-bool ResidencyPlanner::canLoadAdapter(const UpstreamState &upstreamState, const Target &target,
-                                      const std::vector<PlannedOrder> &orders) const
-{
-    const UpstreamSnapshot &upstream = *upstreamState.snapshot;
-    const auto goal = this->goals.find(upstream.id);
-    return upstream.isReady && upstream.residency.find(target.model) != nullptr
-           && !(goal != this->goals.end() && goal->second.evicts(target.model))
-           && std::none_of(orders.begin(), orders.end(), [&upstream](const PlannedOrder &order) {
-                  return order.upstream == upstream.id;
-              });
 }
 
 void ResidencyPlanner::addAdapterOrder(PlanningState &state, const VersionedTarget &wanted,
@@ -121,8 +31,7 @@
     if (model == nullptr)
         return;
     std::optional<PlannedOrder> best;
-    // An engine without a queue first; else all owners choose the same one.
-    std::pair<bool, std::uint64_t> bestScore;
+    std::uint64_t bestScore = 0;
     for (const UpstreamState &upstreamState : state.upstreams) {
         const UpstreamSnapshot &upstream = *upstreamState.snapshot;
         if (!upstream.isUsable || !upstreamState.isOfVersion(wanted.version)
@@ -132,11 +41,16 @@
         const bool isPending = std::find(pending.begin(), pending.end(), target) != pending.end();
         if (isPending || upstream.residency.holds(target))
             return;
-        if (!this->canLoadAdapter(upstreamState, target, orders))
+        const bool hasOrder = std::any_of(orders.begin(), orders.end(), [&](const auto &order) {
+            return order.upstream == upstream.id;
+        });
+        const auto goal = this->goals.find(upstream.id);
+        const bool isEvictionPlanned
+                = goal != this->goals.end() && goal->second.evicts(target.model);
+        if (!upstream.isReady || hasOrder || isEvictionPlanned)
             continue;
-        const std::pair<bool, std::uint64_t> score{
-                upstream.waiting == 0,
-                stableHash(target.adapter.value(), stableHash(upstream.id.value()))};
+        const std::uint64_t score
+                = stableHash(target.adapter.value(), stableHash(upstream.id.value()));
         if (best && score <= bestScore)
             continue;
         const std::optional<PlannedOrder> order = this->makeAdapterOrder(
