Leave the ownership only to an owner without the store if one's own calls to it fail

Cause: the others rely on the owner's word of the store and had not asked it themselves, so that they consented until their own watches told otherwise. For 2 s from that they did not campaign.

Change: an instance consents only if a call of its own to the store has failed and none has succeeded since.

Evidence: a section of unit-owner_election.cpp, "it alone is cut off from the store"; that it fails without the change was not run.

--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -157,11 +157,12 @@
         this->consent.recordMember(instance, endpoint, bootNow());
 }
 
-ConsentAnswer OwnerElection::answerConsentQuery(const ConsentQuery &query, Duration storeAge)
+ConsentAnswer OwnerElection::answerConsentQuery(const ConsentQuery &query,
+                                                std::optional<Duration> storeSilence)
 {
     const TimePoint now = bootNow();
     const bool isReplaced = query.fence < this->highestUsed.fence;
-    const bool hasStore = storeAge < query.storeLostFor;
+    const bool hasStore = !storeSilence || *storeSilence < query.storeLostFor;
     ConsentAnswer answer{this->settings.self.instance, query.fence, query.round};
     answer.isFinal = this->isResigned;
     answer.isGranted
--- a/src/residency/owner_election.hpp
+++ b/src/residency/owner_election.hpp
@@ -165,10 +165,12 @@
 
     /// @brief Answers an owner's question whether this instance leaves it the ownership.
     ///
-    /// If it does, it does not campaign for the time to live of a lease. It does not while the
-    /// store answers it but not the owner, or while it may become the owner itself.
-    /// @param storeAge time since the store last answered this instance
-    ConsentAnswer answerConsentQuery(const ConsentQuery &query, Duration storeAge);
+    /// If it does, it does not campaign for the time to live of a lease. It does not unless the
+    /// store does not answer it either, or while it may become the owner itself.
+    /// @param storeSilence time since the store last answered this instance, if its last call to
+    /// the store failed
+    ConsentAnswer answerConsentQuery(const ConsentQuery &query,
+                                     std::optional<Duration> storeSilence);
 
     /// @brief Handles another instance's answer to a question for its consent.
     void handleConsentAnswer(const ConsentAnswer &answer);
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -209,9 +209,9 @@
 
 void PeerLink::answerConsentQuery(const ConsentQuery &query, const Endpoint &from)
 {
-    if (!this->storeAge)
+    if (!this->storeSilence)
         return;
-    const ConsentAnswer answer = this->election.answerConsentQuery(query, this->storeAge());
+    const ConsentAnswer answer = this->election.answerConsentQuery(query, this->storeSilence());
     this->socket->send(from, encodePeerMessage(answer));
 }
 
--- a/src/residency/peer_link.hpp
+++ b/src/residency/peer_link.hpp
@@ -60,8 +60,9 @@
     /// store.
     std::function<void(Fence fence, const StoreWatchProgress &watchProgress)> onWatchProgress;
 
-    /// @brief Returns the time since the platform's store last answered this instance.
-    std::function<Duration()> storeAge;
+    /// @brief Returns the time since the platform's store last answered this instance; nothing
+    /// while its last calls succeeded.
+    std::function<std::optional<Duration>()> storeSilence;
 
     /// @brief Called with each registration change that the owner forwards.
     std::function<void(const ForwardedChange &change)> onForwardedChange;
--- a/tests/residency/unit-owner_election.cpp
+++ b/tests/residency/unit-owner_election.cpp
@@ -135,10 +135,10 @@
             for (const auto &[other, instance] : this->instances) {
                 if (instance.get() != &election && !this->silent.contains(other))
                     election.handleConsentAnswer(
-                            instance->answerConsentQuery(query, this->storeAges[other]));
+                            instance->answerConsentQuery(query, this->storeSilences[other]));
             }
         };
-        this->storeAges[name] = 10s;
+        this->storeSilences[name] = 10s;
         this->instances[name] = std::move(added);
         election.handleStoreEra(this->store.era);
         election.start();
@@ -160,8 +160,8 @@
     boost::asio::io_context loop{1};
     RecordStore &store;
     std::map<std::string, std::unique_ptr<OwnerElection>> instances;
-    /// Time since the store last answered each instance.
-    std::map<std::string, Duration> storeAges;
+    /// Time since the store last answered each instance; unset while it does.
+    std::map<std::string, std::optional<Duration>> storeSilences;
     /// Instances that don't answer questions.
     std::set<std::string> silent;
     /// Head start of the last owner after a restart of all.
@@ -277,6 +277,23 @@
             CHECK_FALSE(third.isOwner());
         }
     }
+    // Guards against a takeover that waits for the end of a consent: the others rely on the owner's
+    // word of the store, and have not asked it themselves.
+    SUBCASE("it alone is cut off from the store: nobody consents, and another one takes its place")
+    {
+        store.isAway = true;
+        for (auto &[name, silence] : fleet.storeSilences)
+            silence.reset();
+        fleet.loop.run_for(250ms);
+        CHECK_FALSE(owner.maySendOrders());
+        store.isAway = false;
+        store.state.record.reset();
+        store.state.recordRevision = 0;
+        owner.setEligible(false);
+        second.handleOwnerRecord(std::nullopt);
+        fleet.loop.run_for(100ms);
+        CHECK(second.isOwner());
+    }
     SUBCASE("one of the others does not answer: it stops with its lease")
     {
         fleet.silent.insert("second-one");
@@ -289,7 +306,7 @@
         store.isAway = true;
         fleet.loop.run_for(250ms);
         REQUIRE(owner.maySendOrders());
-        fleet.storeAges["second-one"] = 0ms;
+        fleet.storeSilences["second-one"] = 0ms;
         fleet.loop.run_for(50ms);
         CHECK_FALSE(owner.maySendOrders());
 
