State the true rate in the test of a new owner's demand

The test's reports come every half second, so that the busy model has 39 arrivals a second and not 19.5. The bounds are now half of that and that itself; before, half of 19.5 and 1.5 times 19.5.

--- a/tests/residency/unit-demand_tally.cpp
+++ b/tests/residency/unit-demand_tally.cpp
@@ -75,7 +75,7 @@
 // evict the replicas of busy models.
 TEST_CASE("regression: a new owner of 195 instances knows the rates of busy models within a second")
 {
-    // Each instance sends about one request a second; one model in three hundred gets a tenth.
+    // Each instance reports every half second; one model gets a large part of the requests.
     DemandTally tally;
     TimePoint now(100s);
     const Target busy{ModelId("lease"), {}};
@@ -83,7 +83,7 @@
     const auto report = [&](int round) {
         for (int instance = 0; instance < 195; ++instance) {
             std::vector<gateway::TargetDemand> demand;
-            // 19.5 arrivals a second for the busy model, one in all for the rare one.
+            // Some 39 arrivals a second for the busy model, one in all for the rare one.
             if ((instance + round * 39) % 195 < 39 && instance % 2 == 0)
                 demand.push_back(makeDemand("", 1, 0, 0s, 0));
             if (instance == 7 && round == 0) {
@@ -105,8 +105,8 @@
     {
         tally.advanceTo(now);
         CHECK(tally.observedTime() == 1s);
-        CHECK(tally.demandFor(busy).requestsPerSecond > 19.5 / 2);
-        CHECK(tally.demandFor(busy).requestsPerSecond < 19.5 * 1.5);
+        CHECK(tally.demandFor(busy).requestsPerSecond > 39.0 / 2);
+        CHECK(tally.demandFor(busy).requestsPerSecond < 39.0);
         CHECK(tally.demandFor(rare).requestsPerSecond < 0.8);
     }
 
