--- a/review/1/run.py
+++ b/review/1/run.py
@@ -5,7 +5,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER))
 
 import engines as workers  # noqa: E402
 import rig as rigs  # noqa: E402
