--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -12,10 +12,13 @@
     ${PROJECT_SOURCE_DIR}/src
 )
 # g++ detects coroutines by itself; the two coroutine macros enable them in Boost.Asio for clang-based tools.
+# Asio's own allocation of coroutine frames is off: after inlining one half of its operators, g++ 12 takes the pair for
+# mismatched (-Wmismatched-new-delete), in other coroutines on each processor and after each change.
 target_compile_definitions(bamboochute-settings INTERFACE
     BOOST_ASIO_SEPARATE_COMPILATION
     BOOST_BEAST_SEPARATE_COMPILATION
     BOOST_ASIO_NO_DEPRECATED
+    BOOST_ASIO_DISABLE_AWAITABLE_FRAME_RECYCLING
     BOOST_ASIO_HAS_CO_AWAIT=1
     BOOST_ASIO_HAS_STD_COROUTINE=1
     SPDLOG_FMT_EXTERNAL
