--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -6,7 +6,7 @@
 find_package(OpenSSL REQUIRED)
 
 add_library(bamboochute-settings INTERFACE)
-target_compile_options(bamboochute-settings INTERFACE -Wall -Wextra -Wpedantic -Werror)
+target_compile_options(bamboochute-settings INTERFACE -Wall -Wextra -Wpedantic)
 target_include_directories(bamboochute-settings INTERFACE
     ${PROJECT_SOURCE_DIR}/include
     ${PROJECT_SOURCE_DIR}/src
--- a/scripts/deploy_check.py
+++ b/scripts/deploy_check.py
@@ -1,6 +1,7 @@
 """Checks deploy/system.toml as its users run it: in clean checkouts, for each processor that is supported.
 
 - The build command succeeds on the commit that is checked out, and on the one that `production` names.
+- It succeeds with a compiler that warns where ours doesn't; `production` is a release and can't be changed.
 
 For the other processor all objects are compiled, without linking (cmake/toolchains/objects.cmake). Changes that aren't
 committed are part of the checkout. All findings are printed; the exit code is 1 when there is one.
@@ -24,6 +25,8 @@
 BUILD_SECONDS = 15 * 60
 # Exit code of timeout(1).
 TIMED_OUT = 124
+# A warning of g++ that most sources of this project cause and no preset asks for.
+UNEXPECTED_WARNING = "-Wpadded"
 # Lines that are printed of the errors of one build.
 MAX_ERRORS = 20
 
@@ -75,6 +78,8 @@
             environment = {}
             if not is_native:
                 environment["CMAKE_TOOLCHAIN_FILE"] = str(TOOLCHAINS / f"{processor}.cmake")
+            if not is_native and release == "current":
+                environment["CXXFLAGS"] = UNEXPECTED_WARNING
             found = run_build(deploy["build"], folder, environment)
             found = found or [f"makes no {program}" for program in programs if not (folder / program).is_file()]
             print(f"deploy: {release} commit {commit[:7]} for {processor}: {'fails' if found else 'builds'}", flush=True)
