--- a/scripts/deploy_check.py
+++ b/scripts/deploy_check.py
@@ -2,6 +2,7 @@
 
 - The build command succeeds on the commit that is checked out, and on the one that `production` names.
 - It succeeds with a compiler that warns where ours doesn't; `production` is a release and can't be changed.
+- Each package that the build used is declared under `packages`, or needed by one that is.
 
 For the other processor all objects are compiled, without linking (cmake/toolchains/objects.cmake). Changes that aren't
 committed are part of the checkout. All findings are printed; the exit code is 1 when there is one.
@@ -12,6 +13,7 @@
 import pathlib
 import platform
 import re
+import shlex
 import shutil
 import subprocess
 import sys
@@ -27,6 +29,7 @@
 TIMED_OUT = 124
 # A warning of g++ that most sources of this project cause and no preset asks for.
 UNEXPECTED_WARNING = "-Wpadded"
+TOOLS = ("cmake", "make", "c++")
 # Lines that are printed of the errors of one build.
 MAX_ERRORS = 20
 
@@ -60,6 +63,91 @@
     return (errors or lines)[-MAX_ERRORS:]
 
 
+def read_dependencies(status: str) -> tuple[dict[str, set[str]], dict[str, set[str]]]:
+    """Reads the installed packages from the output of dpkg-query.
+
+    Returns the names that each package depends on, and the packages that provide each name."""
+    needs: dict[str, set[str]] = {}
+    providers: dict[str, set[str]] = {}
+    for line in status.splitlines():
+        package, provided, *needed = line.split("\t")
+        names = set(re.findall(r"(?:^|[,|])\s*([a-z0-9][a-z0-9+.-]*)", ",".join(needed)))
+        needs.setdefault(package, set()).update(names)
+        for name in {package, *re.findall(r"(?:^|,)\s*([a-z0-9][a-z0-9+.-]*)", provided)}:
+            providers.setdefault(name, set()).add(package)
+    return needs, providers
+
+
+def find_closure(declared: list[str], needs: dict[str, set[str]], providers: dict[str, set[str]]) -> set[str]:
+    """Returns the installed packages that are declared or that a declared one depends on."""
+    found: set[str] = set()
+    waiting = list(declared)
+    while waiting:
+        for package in providers.get(waiting.pop(), set()) - found:
+            found.add(package)
+            waiting += needs[package]
+    return found
+
+
+def list_used_files(folder: pathlib.Path, programs: list[str]) -> set[str]:
+    """Returns the files outside a checkout that its build read: headers, libraries and tools."""
+    used = {path for tool in TOOLS if (path := shutil.which(tool))}
+    for listing in folder.rglob("*.o.d"):
+        used.update(re.findall(r"(?<!\S)/\S+", listing.read_text(encoding="utf-8")))
+    for link in folder.rglob("link.txt"):
+        for word in shlex.split(link.read_text(encoding="utf-8")):
+            if word.startswith("-l"):
+                word = subprocess.run(["c++", f"-print-file-name=lib{word[2:]}.so"], check=True, text=True,
+                                      stdout=subprocess.PIPE).stdout.strip()
+            if word.startswith("/"):
+                used.add(word)
+    for program in programs:
+        libraries = subprocess.run(["ldd", folder / program], check=True, text=True, stdout=subprocess.PIPE).stdout
+        used.update(re.findall(r"=> (/\S+)", libraries))
+    return {path for path in used if not path.startswith(str(folder))}
+
+
+def list_spellings(path: str) -> set[str]:
+    """Returns the names that packages may have for a file: without links, and below /lib for /usr/lib or the other way."""
+    spellings = {os.path.normpath(path), os.path.realpath(path)}
+    return spellings | {spelling.removeprefix("/usr") for spelling in spellings} | {
+        f"/usr{spelling}" for spelling in spellings if not spelling.startswith("/usr/")}
+
+
+def find_owners(paths: set[str]) -> dict[str, set[str]]:
+    """Returns the packages that each file belongs to; a link and the file that it names may belong to different ones."""
+    spellings = {path: list_spellings(path) for path in paths}
+    answer = subprocess.run(["dpkg", "-S", *set().union(*spellings.values())], check=False, text=True,
+                            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL).stdout
+    packages: dict[str, str] = {}
+    for line in answer.splitlines():
+        names, _, spelling = line.partition(": ")
+        if not names.startswith("diversion"):
+            packages[spelling] = names.split(",")[0].split(":")[0]
+    return {path: {packages[spelling] for spelling in spellings[path] if spelling in packages} for path in paths}
+
+
+def check_packages(folder: pathlib.Path, declared: list[str], programs: list[str]) -> list[str]:
+    """Returns the packages that the build used although they aren't declared."""
+    status = subprocess.run(["dpkg-query", "-W", "-f", "${Package}\t${Provides}\t${Pre-Depends}\t${Depends}\n"], check=True,
+                            text=True, stdout=subprocess.PIPE).stdout
+    needs, providers = read_dependencies(status)
+    allowed = find_closure(declared, needs, providers)
+    used = list_used_files(folder, programs)
+    owners = find_owners(used)
+    findings = [f"packages: no package has {path}, which the build used" for path in sorted(used) if not owners[path]]
+    undeclared: dict[str, list[str]] = {}
+    for path in used:
+        for package in owners[path] - allowed:
+            undeclared.setdefault(package, []).append(path)
+    findings += [f"packages: {package} is not declared, but the build used {min(paths)}"
+                 for package, paths in sorted(undeclared.items())]
+    findings += [f"packages: {package} is declared, but not installed here"
+                 for package in declared if package not in providers]
+    print(f"deploy: the build used {len(used)} files of {len(set().union(*owners.values()))} packages", flush=True)
+    return findings
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--repository", type=pathlib.Path, default=SCRIPTS.parent, help="the repository to check")
@@ -83,6 +171,8 @@
             found = run_build(deploy["build"], folder, environment)
             found = found or [f"makes no {program}" for program in programs if not (folder / program).is_file()]
             print(f"deploy: {release} commit {commit[:7]} for {processor}: {'fails' if found else 'builds'}", flush=True)
+            if not found and is_native and release == "current":
+                found = check_packages(folder, deploy["packages"], programs)
             findings += [f"{release} commit {commit[:7]} for {processor}: {finding}" for finding in found]
     for finding in findings:
         print(finding)
