Check callers' keys, and name their workspace to upstreams

What callers saw: where the configuration lists workspaces with keys, any caller was served, also with a key that no configuration held, and the key itself was passed on to upstreams. Nothing read the keys.

Cause: the routing configuration had no workspaces, and Authorization was one of the headers that are passed on.

The gateway finds the workspace by the digest of the key after it has found the route, refuses others with 401, removes the key, and sets the workspace's name whatever the caller sent. A workspace's priority goes before the route's. Without workspaces in the configuration, requests are handled as before; only a name that the caller sets itself is no longer passed on.

--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -44,6 +44,7 @@
     NotReady,
     PromptQuarantined,
     RequestQuarantined,
+    QuotaExceeded,
     // The request was sent; it failed, or its outcome is unknown.
     UpstreamFailed,
     UpstreamTimedOut,
--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -61,6 +61,8 @@
 using InstanceId = Id<struct InstanceTag>;
 using DataCentreId = Id<struct DataCentreTag>;
 using RegionId = Id<struct RegionTag>;
+/// One team with its own keys and quota.
+using WorkspaceId = Id<struct WorkspaceTag>;
 using CallerClassId = Id<struct CallerClassTag>;
 using OperationKey = Id<struct OperationKeyTag>;
 using RequestId = Id<struct RequestTag>;
--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -83,6 +83,8 @@
         json["last_event"] = request.lastEventId;
     if (request.version)
         json["version"] = request.version->value();
+    if (request.workspace)
+        json["workspace"] = request.workspace->value();
     for (const UpstreamId &id : request.tried)
         json["tried"].push_back(id.value());
     // Ids come from callers and upstreams: anything but ASCII is escaped.
@@ -106,6 +108,8 @@
         request.lastEventId = json.value("last_event", std::string());
         if (json.contains("version"))
             request.version = SoftwareVersion(json.at("version").get<std::string>());
+        if (json.contains("workspace"))
+            request.workspace = WorkspaceId(json.at("workspace").get<std::string>());
         for (const Json &id : json.value("tried", Json::array()))
             request.tried.emplace_back(id.get<std::string>());
         return request;
--- a/src/forwarding/forwarded_request.hpp
+++ b/src/forwarding/forwarded_request.hpp
@@ -64,6 +64,9 @@
     std::optional<SoftwareVersion> version;
     /// Upstreams that it is not sent to again.
     std::vector<UpstreamId> tried;
+    /// Workspace of the caller, whose key was checked; unset if that is left to the helper, as by
+    /// instances of earlier releases, and empty for a caller that needs no key.
+    std::optional<WorkspaceId> workspace = {};
     auto operator<=>(const ForwardedRequest &) const = default;
 };
 
--- a/src/gateway/call_codec.hpp
+++ b/src/gateway/call_codec.hpp
@@ -27,6 +27,8 @@
     Target target;
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0;
+    /// Whether the request states its numbers of tokens.
+    bool hasTokenCounts = false;
     /// Hash of the longest prompt prefix that other requests share; zero when there is none.
     std::uint64_t sharedPromptHash = 0;
     /// Parts of the prompt that other requests may share, in the order of the prompt.
@@ -38,6 +40,8 @@
     RequestId resumedRequest;
     /// Identity of the caller; empty to go by the address of its connection.
     std::string caller;
+    /// Key by which the caller identifies its workspace; empty when the request has none.
+    std::string key;
     /// Hash of the headers that are part of what the request asks for, beside its target and body;
     /// the same in each attempt.
     std::uint64_t contentHash = 0;
@@ -55,6 +59,8 @@
     std::uint32_t priority = 0;
     /// Id of the last stream event that the caller received; empty when the stream begins.
     std::string lastEventId;
+    /// Workspace of the caller; empty when it has none.
+    WorkspaceId workspace = {};
     auto operator<=>(const UpstreamAttributes &) const = default;
 };
 
@@ -102,6 +108,12 @@
     std::function<void(std::string &head, const UpstreamAttributes &)> appendHeaders;
     /// Reads the attributes of an upstream's answer.
     std::function<AnswerAttributes(int status, const upstream::HeaderList &)> readAnswer;
+    /// Whether a header holds the caller's key; unset if no header does.
+    std::function<bool(std::string_view name)> isKeyHeader = {};
+    /// Whether a header names the workspace; unset if no header does.
+    std::function<bool(std::string_view name)> isWorkspaceHeader = {};
+    /// Appends the workspace to the head of a request to another instance; unset if there are none.
+    std::function<void(std::string &head, const WorkspaceId &workspace)> appendWorkspace = {};
 };
 
 } // namespace bamboochute::gateway
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -85,6 +85,12 @@
                               std::nullopt);
         co_return;
     }
+    if (!this->identifyWorkspace()) {
+        co_await this->refuse(
+                Error(ErrorKind::Unauthenticated, "the request has no key of a workspace"),
+                std::nullopt);
+        co_return;
+    }
     this->deadline = this->request.arrival
                      + std::min(this->attributes.callerTimeout.value_or(this->route->timeout),
                                 this->route->timeout);
@@ -116,6 +122,31 @@
     }
 }
 
+/// Finds the workspace of the caller by its key, or by what the instance says that has checked it.
+/// @return false when the route needs a key that the request does not have
+bool RequestExchange::identifyWorkspace()
+{
+    if (this->forwarded && this->forwarded->workspace) {
+        this->workspaceId = *this->forwarded->workspace;
+        this->workspace = this->index->workspace(this->workspaceId);
+        return true;
+    }
+    if (this->route->isPublic || !this->index->hasWorkspaces())
+        return true;
+    this->workspace = this->index->findWorkspace(this->attributes.key);
+    if (this->workspace == nullptr)
+        return false;
+    this->workspaceId = this->workspace->id;
+    return true;
+}
+
+/// Priority of the request; zero is the most urgent.
+std::uint32_t RequestExchange::priority() const
+{
+    return this->workspace != nullptr ? this->workspace->priority.value_or(this->route->priority)
+                                      : this->route->priority;
+}
+
 /// Selects the service of the request; returns false when the configuration lacks the service.
 bool RequestExchange::selectService()
 {
@@ -381,9 +412,11 @@
         const upstream::Header header = headers[i];
         const bool isFraming = sameHeaderName(header.name, "content-length")
                                || sameHeaderName(header.name, "expect");
+        const bool isKey = this->index->hasWorkspaces() && this->gateway.codec.isKeyHeader
+                           && this->gateway.codec.isKeyHeader(header.name);
         const bool isNominated = !nominated.empty() && !sameHeaderName(header.name, "host")
                                  && upstream::listContainsName(nominated, header.name);
-        if (!isFraming && !isNominated && !upstream::isHopByHop(header.name)
+        if (!isFraming && !isKey && !isNominated && !upstream::isHopByHop(header.name)
             && isForwardedHeader(header.name))
             appendHeader(head, header.name, header.value);
     }
@@ -403,8 +436,9 @@
     UpstreamAttributes upstreamAttributes;
     upstreamAttributes.expectedUpstream = entry.registered.id;
     upstreamAttributes.remaining = std::max(this->timeLeft(), minSendTime);
-    upstreamAttributes.priority = this->route->priority;
+    upstreamAttributes.priority = this->priority();
     upstreamAttributes.lastEventId = this->resumePoint();
+    upstreamAttributes.workspace = this->workspaceId;
     this->gateway.codec.appendHeaders(head, upstreamAttributes);
     head += "\r\n";
     return head;
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -133,6 +133,8 @@
     bool canTurnToHelper() const;
     bool turnFromSilentLink();
 
+    bool identifyWorkspace();
+    std::uint32_t priority() const;
     bool selectService();
     void countRequest();
     const Service *pickService();
@@ -266,6 +268,10 @@
     bool hasHelperPlace = false;
     RouteIndexPointer index;
     const Route *route = nullptr;
+    /// Workspace of the caller; null if its requests belong to none, or this instance does not know
+    /// the one that another instance has identified.
+    const Workspace *workspace = nullptr;
+    WorkspaceId workspaceId;
     const Service *service = nullptr;
     ServiceTarget target;
     /// When the answer has to be complete; zero until the request is routed.
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -247,18 +247,27 @@
 
 RequestExchange::HeadText RequestExchange::buildForwardedHead() const
 {
-    HeadText head = this->buildCallerHead(
-            [](std::string_view name) { return !forwarding::isForwardingHeader(name); });
+    const CallCodec &codec = this->gateway.codec;
+    HeadText head = this->buildCallerHead([&codec](std::string_view name) {
+        return !forwarding::isForwardingHeader(name)
+               && !(codec.isWorkspaceHeader && codec.isWorkspaceHeader(name));
+    });
+    // Instances of earlier releases pass it on to the upstream as it is.
+    if (codec.appendWorkspace)
+        codec.appendWorkspace(head, this->workspaceId);
     ForwardedRequest state;
     state.remaining = std::max(this->timeLeft(), minSendTime);
     state.service = this->service->id.value();
     state.caller = this->callerIdentity;
     state.configuration = this->index->configuration().version;
     state.route = describeRoute(*this->route);
+    state.route->priority = this->priority();
     state.possibleRuns = this->possibleRuns;
     state.isCounted = this->isCounted;
     state.lastEventId = this->resumePoint();
     state.version = this->requiredVersion;
+    if (this->index->hasWorkspaces())
+        state.workspace = this->workspaceId;
     for (const UpstreamId &id : this->triedUpstreams) {
         const auto &unreached = this->unreachedUpstreams;
         if (std::find(unreached.begin(), unreached.end(), id) == unreached.end())
--- a/src/gateway/request_records.cpp
+++ b/src/gateway/request_records.cpp
@@ -130,6 +130,7 @@
               {"resumed_after", this->attributes.lastEventId},
               {"prompt_parts", formatPromptParts(this->attributes.promptParts)},
               {"caller", this->callerIdentity},
+              {"workspace", this->workspaceId.value()},
               {"fingerprint", formatSubjects(this->subjects, SubjectKind::Request)},
               {"model", this->attributes.target.model.value()},
               {"adapter", this->attributes.target.adapter.value()},
--- a/src/gateway/request_upstream_selection.cpp
+++ b/src/gateway/request_upstream_selection.cpp
@@ -287,7 +287,7 @@
         || entry->loadReportedAt + queueReportMaxAge < this->now())
         return std::nullopt;
     const EngineQueue queue{entry->load.waiting, this->index->countLessUrgentPriorities(
-                                                         this->service->id, this->route->priority)};
+                                                         this->service->id, this->priority())};
     const std::optional<Duration> lateness = this->gateway.forecast.predictLateness(
             this->service->id, queue, this->route->objective);
     if (!lateness)
--- a/src/gateway/routing_configuration.cpp
+++ b/src/gateway/routing_configuration.cpp
@@ -1,5 +1,7 @@
 #include "gateway/routing_configuration.hpp"
 
+#include "core/digest.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -64,9 +66,20 @@
 {
     for (const Route &route : this->indexedConfiguration.routes)
         this->byPrefix.emplace(makeIndexKey(normalizeHost(route.host), route.pathPrefix), &route);
+    std::set<std::uint32_t> workspacePriorities;
+    for (const Workspace &workspace : this->indexedConfiguration.workspaces) {
+        for (const std::string &digest : workspace.keyDigests)
+            this->byKeyDigest.emplace(digest, &workspace);
+        if (workspace.priority)
+            workspacePriorities.insert(*workspace.priority);
+    }
     for (const Route &route : this->indexedConfiguration.routes) {
-        for (const WeightedService &weighted : route.services)
-            this->prioritiesByService[weighted.service].insert(route.priority);
+        for (const WeightedService &weighted : route.services) {
+            std::set<std::uint32_t> &priorities = this->prioritiesByService[weighted.service];
+            priorities.insert(route.priority);
+            if (!route.isPublic)
+                priorities.insert(workspacePriorities.begin(), workspacePriorities.end());
+        }
         if (!route.isResumable || route.services.size() < 2)
             continue;
         const std::set<ServiceId> ids = route.serviceIds();
@@ -116,4 +129,20 @@
     return found == this->indexedConfiguration.services.end() ? nullptr : &*found;
 }
 
+const Workspace *RouteIndex::findWorkspace(std::string_view key) const
+{
+    if (key.empty())
+        return nullptr;
+    const auto found = this->byKeyDigest.find(sha256Hex(key));
+    return found == this->byKeyDigest.end() ? nullptr : found->second;
+}
+
+const Workspace *RouteIndex::workspace(const WorkspaceId &id) const
+{
+    const auto &workspaces = this->indexedConfiguration.workspaces;
+    const auto found = std::find_if(workspaces.begin(), workspaces.end(),
+                                    [&id](const Workspace &one) { return one.id == id; });
+    return found == workspaces.end() ? nullptr : &*found;
+}
+
 } // namespace bamboochute::gateway
--- a/src/gateway/routing_configuration.hpp
+++ b/src/gateway/routing_configuration.hpp
@@ -69,6 +69,8 @@
     /// Priority of the requests; zero is the most urgent.
     std::uint32_t priority = 0;
     std::vector<WeightedService> services;
+    /// Requests need no key, and belong to no workspace.
+    bool isPublic = false;
     auto operator<=>(const Route &) const = default;
 
     /// @brief The ids of the services that requests for the route may go to.
@@ -132,6 +134,36 @@
     auto operator<=>(const Service &) const = default;
 };
 
+/// @brief What a quota counts.
+enum class QuotaUnit { Requests, Tokens };
+
+/// @brief Limit of the requests of one workspace, over all instances together.
+struct Quota
+{
+    QuotaUnit unit = QuotaUnit::Requests;
+    /// Units per second; zero for no limit.
+    double perSecond = 0;
+    /// Units that may be used in addition at a time.
+    double burst = 0;
+    /// Tokens that a request counts if it does not state its number.
+    double plainTokens = 0;
+    auto operator<=>(const Quota &) const = default;
+
+    bool isLimited() const noexcept { return this->perSecond > 0; }
+};
+
+/// @brief A team whose callers identify themselves by its keys.
+struct Workspace
+{
+    WorkspaceId id;
+    /// SHA-256 digests of its keys, as text.
+    std::vector<std::string> keyDigests;
+    /// Priority of its requests; unset to go by their routes.
+    std::optional<std::uint32_t> priority;
+    Quota quota;
+    auto operator<=>(const Workspace &) const = default;
+};
+
 /// @brief Limits on the size of callers' requests and on the time to send them.
 struct CallerLimits
 {
@@ -149,6 +181,8 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     CallerLimits limits;
+    /// Empty if callers need no keys.
+    std::vector<Workspace> workspaces = {};
     auto operator<=>(const RoutingConfiguration &) const = default;
 };
 
@@ -168,6 +202,18 @@
     /// @return null when there is no such service
     const Service *service(const ServiceId &id) const;
 
+    /// @brief Whether callers have to identify themselves on routes that are not public.
+    bool hasWorkspaces() const noexcept { return !this->indexedConfiguration.workspaces.empty(); }
+
+    /// @brief Finds the workspace that holds a key.
+    /// @param key as the caller sent it
+    /// @return null when no workspace holds it, or it is empty
+    const Workspace *findWorkspace(std::string_view key) const;
+
+    /// @brief Finds a workspace by its id.
+    /// @return null when there is no such workspace
+    const Workspace *workspace(const WorkspaceId &id) const;
+
     /// @brief Counts the distinct priorities of a service's routes that are less urgent than one.
     /// @param priority compared with the routes' priorities; zero is the most urgent
     std::uint32_t countLessUrgentPriorities(const ServiceId &service, std::uint32_t priority) const;
@@ -185,7 +231,10 @@
     RoutingConfiguration indexedConfiguration;
     /// Key: normalized host, a space and the path prefix.
     std::unordered_map<std::string, const Route *> byPrefix;
-    /// Distinct priorities of the routes to each service.
+    /// Key: digest of a workspace's key. Digests are compared in place of keys, so that the time of
+    /// a comparison tells nothing about a key.
+    std::unordered_map<std::string, const Workspace *> byKeyDigest;
+    /// Distinct priorities of the requests for each service, by its routes and the workspaces.
     std::map<ServiceId, std::set<std::uint32_t>> prioritiesByService;
     /// Services of the resumable routes to each service that have several.
     std::map<ServiceId, std::set<ServiceId>> streamServices;
