Keep the quotas of workspaces over all instances together

What callers saw: a workspace that sent several times its usual load took the room of the others; its quota was not read.

Cause: no part had a limit that holds over all instances. A share for each instance would refuse what is owed, as an instance sees a request each 0.6 s; a count of its own lets each instance admit the whole quota.

Change: each instance reports what it admitted and was asked for within the window to the aggregator (the placement owner, or the last one heard of), which sums it and sends back the part of the requests to admit, so that what is left of the limit lasts for 1.5 s. Reports hold the whole window, so that another aggregator needs one report of each. What an instance can't account for after its start counts as its equal part of the quota. A lowered quota comes into force over one window.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,6 +64,7 @@
     , upstreamLimits(loop, metrics, settings.seed, settings.upstreamLimits)
     , pauses(settings.pauses)
     , brittle(settings.brittle)
+    , quotas(settings.quotas, settings.isFirstStart, settings.seed, SteadyClock().now())
     , loop(loop)
     , settings(std::move(settings))
     , codec(std::move(codec))
@@ -144,6 +145,7 @@
 {
     const Duration formerIdleTimeout = this->limits().idleTimeout;
     this->index = std::move(newIndex);
+    this->quotas.configure(this->index->configuration().workspaces, SteadyClock().now());
     const Duration idleTimeout = this->limits().idleTimeout;
     // A shorter time applies from the next request on: callers may still go by the former one.
     if (idleTimeout > formerIdleTimeout) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -22,6 +22,7 @@
 #include "gateway/upstream_pauses.hpp"
 #include "gateway/upstream_selector.hpp"
 #include "gateway/version_history.hpp"
+#include "gateway/workspace_quota.hpp"
 #include "upstream/connection_pool.hpp"
 
 #include <cstdint>
@@ -55,6 +56,9 @@
     BrittleLimits brittle;
     SilenceLimits silence;
     ForwardingSettings forwarding;
+    QuotaLimits quotas;
+    /// No instance has run before, so that nothing of any quota is used.
+    bool isFirstStart = false;
     /// Own address of the connections to upstreams; empty to let the kernel choose.
     std::string sourceAddress = {};
     /// Callers' connections that may be open at a time.
@@ -161,6 +165,7 @@
     LimitDriver upstreamLimits;
     UpstreamPauses pauses;
     BrittleUpstreams brittle;
+    QuotaMeter quotas;
     /// Called when a request begins to wait for a target that no usable upstream holds.
     std::function<void()> onTargetWait;
     /// Called with the origin of a resumable stream before its first event is sent to the caller.
@@ -177,6 +182,9 @@
     /// @brief The links of this instance to the upstreams, and the instances that help.
     ForwardingDriver &forwardingDriver() noexcept { return this->forwarding; }
 
+    /// @brief Times of the measurement of quotas.
+    const QuotaLimits &quotaLimits() const noexcept { return this->settings.quotas; }
+
     /// @brief The quarantine of requests and prompt parts that crash upstreams.
     QuarantineDriver &quarantineDriver() noexcept { return this->quarantine; }
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -49,6 +49,7 @@
 Awaitable<void> RequestExchange::run()
 {
     co_await this->runRouted();
+    this->releaseQuota();
     if (this->requestEnd() == RequestEnd::Unanswered)
         this->log(LogLevel::Error, "request ended without an answer", "unanswered",
                   this->durationField());
@@ -91,6 +92,12 @@
                 std::nullopt);
         co_return;
     }
+    if (const std::optional<Duration> retryAfter = this->takeQuota()) {
+        co_await this->refuse(
+                Error(ErrorKind::QuotaExceeded, "the quota of the workspace is used up"),
+                *retryAfter);
+        co_return;
+    }
     this->deadline = this->request.arrival
                      + std::min(this->attributes.callerTimeout.value_or(this->route->timeout),
                                 this->route->timeout);
@@ -140,6 +147,39 @@
     return true;
 }
 
+/// Takes the request from the quota of its workspace, at the instance that has it from the caller.
+/// @return when to come back if the quota is used up
+std::optional<Duration> RequestExchange::takeQuota()
+{
+    if (this->workspace == nullptr || (this->forwarded && this->forwarded->workspace))
+        return std::nullopt;
+    const std::optional<double> tokens = this->attributes.hasTokenCounts
+                                                 ? std::optional(1.0 * this->attributes.promptTokens
+                                                                 + this->attributes.maxOutputTokens)
+                                                 : std::nullopt;
+    const double units = requestUnits(this->workspace->quota, tokens);
+    const QuotaDecision decision
+            = this->gateway.quotas.admit(this->workspaceId, units, this->now());
+    const std::string_view label = decision.isAdmitted ? "yes" : "no";
+    if (this->workspace->quota.isLimited())
+        this->gateway.metrics
+                .counter("bamboochute_quota_requests_total",
+                         fmt::format("workspace=\"{}\",admitted=\"{}\"", this->workspaceId.value(),
+                                     label))
+                .add();
+    if (!decision.isAdmitted)
+        return decision.retryAfter;
+    this->quotaUnits = units;
+    return std::nullopt;
+}
+
+/// Returns what was taken for a request that was not sent to any upstream.
+void RequestExchange::releaseQuota()
+{
+    if (this->quotaUnits > 0 && this->sends == 0)
+        this->gateway.quotas.release(this->workspaceId, this->quotaUnits, this->now());
+}
+
 /// Priority of the request; zero is the most urgent.
 std::uint32_t RequestExchange::priority() const
 {
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -134,6 +134,8 @@
     bool turnFromSilentLink();
 
     bool identifyWorkspace();
+    std::optional<Duration> takeQuota();
+    void releaseQuota();
     std::uint32_t priority() const;
     bool selectService();
     void countRequest();
@@ -272,6 +274,8 @@
     /// the one that another instance has identified.
     const Workspace *workspace = nullptr;
     WorkspaceId workspaceId;
+    /// Units taken from the quota of the workspace.
+    double quotaUnits = 0;
     const Service *service = nullptr;
     ServiceTarget target;
     /// When the answer has to be complete; zero until the request is routed.
--- /dev/null
+++ b/src/gateway/workspace_quota.cpp
@@ -0,0 +1,274 @@
+#include "gateway/workspace_quota.hpp"
+
+#include "core/bounded_duration.hpp"
+#include "core/random.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bamboochute::gateway {
+
+namespace {
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+double fullUnits(const Quota &quota, const QuotaLimits &limits)
+{
+    return quota.perSecond * toSeconds(limits.window) + quota.burst;
+}
+
+} // namespace
+
+double requestUnits(const Quota &quota, std::optional<double> tokens)
+{
+    return quota.unit == QuotaUnit::Requests ? 1 : tokens.value_or(quota.plainTokens);
+}
+
+void QuotaBound::configure(const Quota &quota, const QuotaLimits &limits, TimePoint now)
+{
+    if (quota == this->present)
+        return;
+    // Units of another kind can't be compared.
+    const bool isComparable = this->present.isLimited() && quota.unit == this->present.unit;
+    const double next = fullUnits(quota, limits);
+    this->formerUnits = isComparable ? std::max(this->units(limits, now), next) : next;
+    this->presentUnits = next;
+    this->changedAt = now;
+    this->present = quota;
+}
+
+double QuotaBound::units(const QuotaLimits &limits, TimePoint now) const
+{
+    const double passed
+            = std::clamp(toSeconds(now - this->changedAt) / toSeconds(limits.window), 0.0, 1.0);
+    return this->formerUnits + (this->presentUnits - this->formerUnits) * passed;
+}
+
+QuotaMeter::QuotaMeter(QuotaLimits limits, bool isFirstStart, std::uint64_t seed, TimePoint now)
+    : limits(limits)
+    , isFirstStart(isFirstStart)
+    , seed(seed)
+    , startedAt(now)
+{}
+
+void QuotaMeter::configure(const std::vector<Workspace> &workspaces, TimePoint now)
+{
+    std::map<WorkspaceId, Meter> configured;
+    for (const Workspace &workspace : workspaces) {
+        if (!workspace.quota.isLimited())
+            continue;
+        const auto former = this->meters.find(workspace.id);
+        Meter meter;
+        if (former != this->meters.end()
+            && former->second.bound.quota().unit == workspace.quota.unit)
+            meter = std::move(former->second);
+        else
+            meter.remainder = Random(stableHash(workspace.id.value(), this->seed)).unit();
+        meter.bound.configure(workspace.quota, this->limits, now);
+        configured.emplace(workspace.id, std::move(meter));
+    }
+    this->meters = std::move(configured);
+}
+
+std::int64_t QuotaMeter::slotNumber(TimePoint now) const
+{
+    return now.time_since_epoch() / this->limits.slot;
+}
+
+QuotaMeter::Slot &QuotaMeter::presentSlot(Meter &meter, TimePoint now) const
+{
+    const std::int64_t number = this->slotNumber(now);
+    const std::int64_t oldest = number - this->limits.window / this->limits.slot;
+    while (!meter.slots.empty() && meter.slots.front().number < oldest)
+        meter.slots.pop_front();
+    if (meter.slots.empty() || meter.slots.back().number < number)
+        meter.slots.push_back(Slot{number});
+    return meter.slots.back();
+}
+
+double QuotaMeter::askedInWindow(const Meter &meter, TimePoint now) const
+{
+    const std::int64_t oldest = this->slotNumber(now) - this->limits.window / this->limits.slot;
+    double asked = 0;
+    for (const Slot &slot : meter.slots)
+        asked += slot.number >= oldest ? slot.asked : 0;
+    return asked;
+}
+
+double QuotaMeter::computeShare(const Meter &meter, TimePoint now) const
+{
+    if (!this->sharesReceivedAt) {
+        const bool isWindowKnown
+                = this->isFirstStart || now >= this->startedAt + this->limits.window;
+        return isWindowKnown ? 1 : this->limits.unknownShare;
+    }
+    const double admitted = meter.share ? meter.share->admitted : 1;
+    if (now < *this->sharesReceivedAt + this->limits.shareMaxAge)
+        return admitted;
+    // What all instances ask for has probably changed as this one's own demand has. One request
+    // is added to both, as a quotient of small numbers says little.
+    const double perSecond = meter.bound.units(this->limits, now) / toSeconds(this->limits.window);
+    const double formerRate
+            = meter.share ? meter.share->askedPerSecond : this->limits.reportedUse * perSecond;
+    const double one = std::max(1.0, meter.requestUnits);
+    const double growth = (this->askedInWindow(meter, now) + one) / (meter.askedAtShare + one);
+    return std::clamp(perSecond / std::max(formerRate * growth, 1e-9), 0.0, 1.0);
+}
+
+double QuotaMeter::admittedShare(const WorkspaceId &workspace, TimePoint now) const
+{
+    const auto found = this->meters.find(workspace);
+    return found == this->meters.end() ? 1 : this->computeShare(found->second, now);
+}
+
+QuotaDecision QuotaMeter::admit(const WorkspaceId &workspace, double units, TimePoint now)
+{
+    const auto found = this->meters.find(workspace);
+    if (found == this->meters.end())
+        return {};
+    Meter &meter = found->second;
+    Slot &slot = this->presentSlot(meter, now);
+    slot.asked += units;
+    constexpr double newestWeight = 0.1;
+    meter.requestUnits
+            += (units - meter.requestUnits) * (meter.requestUnits == 0 ? 1 : newestWeight);
+    const double share = this->computeShare(meter, now);
+    meter.remainder = std::min(meter.remainder + share, 1 + share);
+    if (share >= 1 || meter.remainder >= 1) {
+        meter.remainder = std::max(0.0, meter.remainder - 1);
+        slot.admitted += units;
+        return {};
+    }
+    // The fewer are admitted, the later they are to come back.
+    constexpr double minShare = 0.01;
+    const double wait = 1 / std::max(share, minShare);
+    const Duration retryAfter = toBoundedDuration(
+            std::chrono::duration<double>(wait * toSeconds(this->limits.minRetryAfter)));
+    return {false, std::clamp(retryAfter, this->limits.minRetryAfter, this->limits.maxRetryAfter)};
+}
+
+void QuotaMeter::release(const WorkspaceId &workspace, double units, TimePoint now)
+{
+    const auto found = this->meters.find(workspace);
+    if (found == this->meters.end())
+        return;
+    Slot &slot = this->presentSlot(found->second, now);
+    slot.admitted = std::max(0.0, slot.admitted - units);
+}
+
+void QuotaMeter::receiveShares(const std::vector<QuotaShare> &shares, TimePoint now)
+{
+    this->sharesReceivedAt = now;
+    for (auto &[workspace, meter] : this->meters) {
+        const auto share = std::find_if(
+                shares.begin(), shares.end(),
+                [&id = workspace](const QuotaShare &one) { return one.workspace == id; });
+        meter.share = share == shares.end() ? std::nullopt : std::optional(*share);
+        meter.askedAtShare = this->askedInWindow(meter, now);
+    }
+}
+
+QuotaReport QuotaMeter::report(const InstanceId &reporter, TimePoint now) const
+{
+    QuotaReport report;
+    report.reporter = reporter;
+    report.known = this->isFirstStart ? this->limits.window
+                                      : std::min(this->limits.window, now - this->startedAt);
+    const std::int64_t present = this->slotNumber(now);
+    const std::int64_t slots = this->limits.window / this->limits.slot;
+    for (const auto &[workspace, meter] : this->meters) {
+        QuotaUse use{workspace, {}};
+        for (const Slot &slot : meter.slots) {
+            if (slot.number + slots >= present && slot.asked > 0)
+                use.slots.push_back({static_cast<std::uint32_t>(present - slot.number),
+                                     slot.admitted, slot.asked});
+        }
+        if (!use.slots.empty())
+            report.uses.push_back(std::move(use));
+    }
+    return report;
+}
+
+void QuotaAggregate::configure(const std::vector<Workspace> &workspaces, TimePoint now)
+{
+    std::map<WorkspaceId, QuotaBound> configured;
+    for (const Workspace &workspace : workspaces) {
+        if (!workspace.quota.isLimited())
+            continue;
+        QuotaBound bound = this->bounds[workspace.id];
+        bound.configure(workspace.quota, this->limits, now);
+        configured.emplace(workspace.id, bound);
+    }
+    this->bounds = std::move(configured);
+}
+
+void QuotaAggregate::receive(const QuotaReport &report, TimePoint now)
+{
+    Reporter &reporter = this->reporters[report.reporter];
+    reporter.known = std::min(report.known, this->limits.window);
+    reporter.receivedAt = now;
+    for (const QuotaUse &use : report.uses) {
+        if (this->bounds.contains(use.workspace))
+            reporter.uses[use.workspace] = ReceivedUse{use, now};
+    }
+}
+
+/// Adds what an instance reported some time ago, and what it has probably admitted since.
+void QuotaAggregate::addUse(Sum &sum, const QuotaUse &use, Duration age) const
+{
+    double recent = 0;
+    double recentAsked = 0;
+    for (const QuotaSlot &slot : use.slots) {
+        const Duration slotAge = this->limits.slot * slot.age;
+        if (slotAge + age <= this->limits.window)
+            sum.admitted += slot.admitted;
+        if (slotAge < this->limits.rateWindow) {
+            recent += slot.admitted;
+            recentAsked += slot.asked;
+        }
+    }
+    if (age > this->limits.rateWindow)
+        return;
+    const double seconds = toSeconds(this->limits.rateWindow);
+    sum.admitted += recent * toSeconds(age) / seconds;
+    sum.askedPerSecond += recentAsked / seconds;
+}
+
+std::vector<QuotaShare> QuotaAggregate::computeShares(TimePoint now)
+{
+    std::erase_if(this->reporters, [&](const auto &item) {
+        return item.second.receivedAt + this->limits.window < now;
+    });
+    std::map<WorkspaceId, Sum> sums;
+    double unknownSeconds = 0;
+    for (const auto &[instance, reporter] : this->reporters) {
+        for (const auto &[workspace, received] : reporter.uses)
+            this->addUse(sums[workspace], received.use, now - received.receivedAt);
+        const Duration known = reporter.known + (now - reporter.receivedAt);
+        unknownSeconds += std::max(0.0, toSeconds(this->limits.window - known));
+    }
+    std::vector<QuotaShare> shares;
+    for (const auto &[workspace, bound] : this->bounds) {
+        const Sum &sum = sums[workspace];
+        // What instances admitted before they started is not known; each may have used its equal
+        // part of the quota.
+        const double unknown = this->reporters.empty()
+                                       ? 0
+                                       : bound.quota().perSecond * unknownSeconds
+                                                 / static_cast<double>(this->reporters.size());
+        const double allowed = bound.units(this->limits, now);
+        const double used = sum.admitted + unknown;
+        if (used < this->limits.reportedUse * allowed
+            && sum.askedPerSecond * toSeconds(this->limits.horizon) < allowed - used)
+            continue;
+        const double wanted = sum.askedPerSecond * toSeconds(this->limits.horizon);
+        const double free = std::max(0.0, allowed - used);
+        shares.push_back({workspace, wanted > free ? free / wanted : 1.0, sum.askedPerSecond});
+    }
+    return shares;
+}
+
+} // namespace bamboochute::gateway
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.hpp"
 #include "peer/datagram.hpp"
+#include "residency/message_size.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -15,9 +16,6 @@
 
 /// Delay before a report of new waiting requests, so that those of about the same time share one.
 constexpr Duration coalescingDelay = std::chrono::milliseconds(2);
-/// Bytes reserved for the encoding of a message apart from the elements of its lists.
-constexpr std::size_t envelopeBytes = 64;
-constexpr std::size_t maxPartBytes = peer::maxDatagramBytes - envelopeBytes;
 
 TimePoint now()
 {
@@ -37,6 +35,7 @@
     , settings(settings)
     , wake(loop)
     , origins(loop, election, metrics, gateway::OriginBatchNumber(Random(seed)()))
+    , quotas(gateway.quotas, gateway.quotaLimits(), this->self, metrics)
     , random(stableHash(this->self.value()))
 {}
 
@@ -74,6 +73,9 @@
     };
     this->connectQuarantine();
     this->connectLimits();
+    this->quotas.send = [this](const Endpoint &to, const PeerMessage &message) {
+        this->socket->send(to, encodePeerMessage(message));
+    };
     this->connectForwarding();
     this->election.askForConsent
             = [this](const std::vector<Endpoint> &to, const ConsentQuery &query) {
@@ -113,6 +115,7 @@
 {
     while (!this->isStopped) {
         this->reportDemand();
+        this->exchangeQuotas();
         if (now() >= this->stateSentAt + this->settings.stateInterval) {
             if (this->election.isOwner())
                 this->gateway.growLimits();
@@ -145,6 +148,22 @@
         this->socket->send(*owner, encodePeerMessage(part));
 }
 
+/// The aggregator of the quotas is the owner, or the last one that was heard of.
+void PeerLink::exchangeQuotas()
+{
+    if (!this->gateway.index)
+        return;
+    if (this->quotaIndex != this->gateway.index) {
+        this->quotaIndex = this->gateway.index;
+        this->quotas.configure(this->quotaIndex->configuration().workspaces, now());
+    }
+    const std::optional<Endpoint> owner = this->ownerEndpoint();
+    if (owner)
+        this->aggregator = owner;
+    this->quotas.sendDue(this->aggregator,
+                         this->aggregator && this->isOwnEndpoint(*this->aggregator), now());
+}
+
 std::optional<Endpoint> PeerLink::ownerEndpoint() const
 {
     return this->ownerContact.endpoint(this->election.owner(), now());
@@ -188,6 +207,10 @@
         this->socket->send(from, encodePeerMessage(this->gateway.upstreamLimits.answer(*request)));
     else if (const auto *permit = std::get_if<gateway::PermitAnswer>(&message.value()))
         this->gateway.upstreamLimits.receiveAnswer(*permit);
+    else if (const auto *quotaReport = std::get_if<QuotaReportMessage>(&message.value()))
+        this->quotas.receiveReport(*quotaReport, from, now());
+    else if (const auto *quotaShares = std::get_if<QuotaSharesMessage>(&message.value()))
+        this->quotas.receiveShares(*quotaShares, now());
     else if (const auto *batch = std::get_if<OriginBatchMessage>(&message.value()))
         this->receiveOrigins(batch->batch, from);
     else if (const auto *stored = std::get_if<OriginAcknowledgement>(&message.value()))
--- a/src/residency/peer_link.hpp
+++ b/src/residency/peer_link.hpp
@@ -11,6 +11,7 @@
 #include "residency/peer_directory.hpp"
 #include "residency/peer_messages.hpp"
 #include "residency/placement_driver.hpp"
+#include "residency/quota_exchange.hpp"
 
 #include <memory>
 #include <vector>
@@ -73,6 +74,7 @@
 private:
     upstream::Awaitable<void> run();
     void reportDemand();
+    void exchangeQuotas();
     void receiveDatagram(std::string_view bytes, const Endpoint &from);
     void applyOwnerMessage(const OwnerMessage &message, const Endpoint &from);
     std::optional<Endpoint> ownerEndpoint() const;
@@ -100,6 +102,11 @@
     std::unique_ptr<peer::DatagramSocket> socket;
     PeerDirectory directory;
     OriginReporter origins;
+    QuotaExchange quotas;
+    /// Configuration that the exchange of quotas goes by.
+    gateway::RouteIndexPointer quotaIndex;
+    /// Instance that sums the reports of quotas.
+    std::optional<Endpoint> aggregator;
     /// Upstreams that this instance began to avoid since its last report.
     std::vector<UpstreamId> pendingSuspicions;
     bool isAnyWaiting = false;
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -32,6 +32,12 @@
 constexpr int originAcknowledgementKind = 14;
 constexpr int consentQueryKind = 15;
 constexpr int consentAnswerKind = 16;
+constexpr int quotaReportKind = 17;
+constexpr int quotaSharesKind = 18;
+/// Units are sent as whole numbers, and shares in thousandths.
+constexpr double shareScale = 1000;
+/// Slots of a workspace in a report; several times as many as the default window has.
+constexpr std::size_t maxQuotaSlots = 256;
 /// Elements of an owner's message, a demand, a promise and an origin that instances of earlier
 /// releases neither send nor read.
 constexpr std::size_t instancesIndex = 9;
@@ -59,6 +65,13 @@
     return toBoundedDuration(std::chrono::milliseconds(readInteger<std::int64_t>(value)));
 }
 
+/// Rounds a number that is not negative.
+std::uint64_t toWhole(double number)
+{
+    constexpr double largest = 1e15;
+    return static_cast<std::uint64_t>(std::clamp(number, 0.0, largest) + 0.5);
+}
+
 Json toJson(const Target &target)
 {
     return Json::array({target.model.value(), target.adapter.value()});
@@ -269,6 +282,44 @@
                                  readInteger<std::uint32_t>(value.at(3))};
 }
 
+Json toJson(const gateway::QuotaUse &use)
+{
+    Json slots = Json::array();
+    for (const gateway::QuotaSlot &slot : use.slots) {
+        slots.push_back(slot.age);
+        slots.push_back(toWhole(slot.admitted));
+        slots.push_back(toWhole(slot.asked));
+    }
+    return Json::array({use.workspace.value(), std::move(slots)});
+}
+
+gateway::QuotaUse decodeQuotaUse(const Json &value)
+{
+    constexpr std::size_t numbersPerSlot = 3;
+    gateway::QuotaUse use{WorkspaceId(value.at(0).get<std::string>()), {}};
+    const Json &slots = value.at(1);
+    if (slots.size() / numbersPerSlot > maxQuotaSlots)
+        throw JsonBoundsError("more slots than a window has");
+    for (std::size_t i = 0; i + numbersPerSlot <= slots.size(); i += numbersPerSlot)
+        use.slots.push_back({readInteger<std::uint32_t>(slots.at(i)),
+                             static_cast<double>(readInteger<std::uint64_t>(slots.at(i + 1))),
+                             static_cast<double>(readInteger<std::uint64_t>(slots.at(i + 2)))});
+    return use;
+}
+
+Json toJson(const gateway::QuotaShare &share)
+{
+    return Json::array({share.workspace.value(), toWhole(share.admitted * shareScale),
+                        toWhole(share.askedPerSecond)});
+}
+
+gateway::QuotaShare decodeQuotaShare(const Json &value)
+{
+    const auto admitted = static_cast<double>(readInteger<std::uint64_t>(value.at(1)));
+    return {WorkspaceId(value.at(0).get<std::string>()), std::min(admitted / shareScale, 1.0),
+            static_cast<double>(readInteger<std::uint64_t>(value.at(2)))};
+}
+
 gateway::SubjectKind kindOf(const gateway::ReportedSubject &reported)
 {
     return reported.subject.kind;
@@ -426,6 +477,17 @@
                         answer.round, answer.isGranted, answer.isFinal});
 }
 
+Json toJson(const QuotaReportMessage &message)
+{
+    return Json::array({quotaReportKind, message.report.reporter.value(),
+                        toMillis(message.report.known), toArray(message.report.uses)});
+}
+
+Json toJson(const QuotaSharesMessage &message)
+{
+    return Json::array({quotaSharesKind, toArray(message.shares)});
+}
+
 CrashReportMessage decodeCrashReport(const Json &value)
 {
     return CrashReportMessage{
@@ -524,6 +586,13 @@
                                          Fence(readInteger<std::uint64_t>(value.at(2))),
                                          readInteger<std::uint64_t>(value.at(3)),
                                          value.at(4).get<bool>(), value.at(5).get<bool>()});
+    case quotaReportKind:
+        return PeerMessage(QuotaReportMessage{
+                {InstanceId(value.at(1).get<std::string>()), fromMillis(value.at(2)),
+                 decodeArray<gateway::QuotaUse>(value.at(3), decodeQuotaUse)}});
+    case quotaSharesKind:
+        return PeerMessage(QuotaSharesMessage{
+                decodeArray<gateway::QuotaShare>(value.at(1), decodeQuotaShare)});
     case permitAnswerKind:
         return PeerMessage(
                 gateway::PermitAnswer{readInteger<std::uint64_t>(value.at(1)),
@@ -628,4 +697,15 @@
     return parts;
 }
 
+std::vector<QuotaReportMessage> splitMessage(const QuotaReportMessage &message,
+                                             std::size_t maxBytes)
+{
+    QuotaReportMessage emptyPart{{message.report.reporter, message.report.known, {}}};
+    std::vector<QuotaReportMessage> parts{emptyPart};
+    distribute(
+            parts, emptyPart, message.report.uses,
+            [](QuotaReportMessage & part) -> auto & { return part.report.uses; }, maxBytes);
+    return parts;
+}
+
 } // namespace bamboochute::residency
--- a/src/residency/peer_messages.hpp
+++ b/src/residency/peer_messages.hpp
@@ -10,6 +10,7 @@
 #include "gateway/quarantine.hpp"
 #include "gateway/stream_origins.hpp"
 #include "gateway/upstream_table.hpp"
+#include "gateway/workspace_quota.hpp"
 #include "residency/ownership_consent.hpp"
 
 #include <optional>
@@ -162,6 +163,22 @@
     auto operator<=>(const LimitMessage &) const = default;
 };
 
+/// @brief Tells the aggregator what the sender has admitted of the workspaces' quotas; instances of
+/// earlier releases drop it.
+struct QuotaReportMessage
+{
+    gateway::QuotaReport report;
+    auto operator<=>(const QuotaReportMessage &) const = default;
+};
+
+/// @brief Tells an instance what it may admit of the workspaces' quotas; those that are left out
+/// have used little.
+struct QuotaSharesMessage
+{
+    std::vector<gateway::QuotaShare> shares;
+    auto operator<=>(const QuotaSharesMessage &) const = default;
+};
+
 /// @brief Tells another instance that a process of an upstream is shutting down.
 struct LeavingMessage
 {
@@ -199,7 +216,8 @@
         = std::variant<DemandMessage, OwnerMessage, StreamOriginMessage, StreamOriginQuery,
                        CrashReportMessage, QuarantineMessage, LimitMessage, gateway::PermitRequest,
                        gateway::PermitAnswer, LeavingMessage, HelpQuery, forwarding::HelpOffer,
-                       OriginBatchMessage, OriginAcknowledgement, ConsentQuery, ConsentAnswer>;
+                       OriginBatchMessage, OriginAcknowledgement, ConsentQuery, ConsentAnswer,
+                       QuotaReportMessage, QuotaSharesMessage>;
 
 /// @brief Encodes a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
@@ -231,4 +249,10 @@
 /// @param maxBytes upper bound of an encoded part; only a part with one element may exceed it
 std::vector<LimitMessage> splitMessage(const LimitMessage &message, std::size_t maxBytes);
 
+/// @brief Splits a message into parts that each fit into a datagram.
+/// @param maxBytes upper bound of an encoded part; only a part with one element may exceed it
+/// @return at least one part; each states all that the message says of its workspaces
+std::vector<QuotaReportMessage> splitMessage(const QuotaReportMessage &message,
+                                             std::size_t maxBytes);
+
 } // namespace bamboochute::residency
--- /dev/null
+++ b/src/residency/quota_exchange.cpp
@@ -0,0 +1,110 @@
+#include "residency/quota_exchange.hpp"
+
+#include "core/log.hpp"
+#include "residency/message_size.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace bamboochute::residency {
+
+QuotaExchange::QuotaExchange(gateway::QuotaMeter &meter, gateway::QuotaLimits limits,
+                             InstanceId self, Metrics &metrics, QuotaExchangeSettings settings)
+    : meter(meter)
+    , aggregate(limits)
+    , self(std::move(self))
+    , metrics(metrics)
+    , settings(settings)
+{}
+
+void QuotaExchange::configure(const std::vector<gateway::Workspace> &workspaces, TimePoint now)
+{
+    this->aggregate.configure(workspaces, now);
+}
+
+void QuotaExchange::sendDue(const std::optional<Endpoint> &aggregator, bool isSelf, TimePoint now)
+{
+    if (!this->meter.hasQuotas())
+        return;
+    if (now >= this->reportSentAt + this->settings.interval)
+        this->sendReport(aggregator, isSelf, now);
+    std::erase_if(this->reporters, [&](const auto &item) {
+        return item.second.reportedAt + this->settings.reporterTimeout < now;
+    });
+    if (this->reporters.empty())
+        this->reportsSince.reset();
+    else if (now >= *this->reportsSince + this->settings.firstSharesDelay
+             && now >= this->sharesSentAt + this->sharesInterval())
+        this->sendShares(now);
+}
+
+Duration QuotaExchange::sharesInterval() const
+{
+    const std::chrono::duration<double> bounded(static_cast<double>(this->reporters.size())
+                                                / this->settings.maxMessagesPerSecond);
+    const Duration least = this->settings.interval - std::chrono::milliseconds(100);
+    return std::max(least, std::chrono::duration_cast<Duration>(bounded));
+}
+
+void QuotaExchange::sendReport(const std::optional<Endpoint> &aggregator, bool isSelf,
+                               TimePoint now)
+{
+    this->reportSentAt = now;
+    const QuotaReportMessage message{this->meter.report(this->self, now)};
+    if (isSelf)
+        this->receiveReport(message, Endpoint(), now);
+    else if (aggregator) {
+        for (const QuotaReportMessage &part : splitMessage(message, maxPartBytes))
+            this->send(*aggregator, part);
+    }
+}
+
+void QuotaExchange::receiveReport(const QuotaReportMessage &message, const Endpoint &from,
+                                  TimePoint now)
+{
+    if (!this->reportsSince)
+        this->reportsSince = now;
+    this->reporters[message.report.reporter] = Reporter{from, now};
+    this->aggregate.receive(message.report, now);
+}
+
+void QuotaExchange::sendShares(TimePoint now)
+{
+    const QuotaSharesMessage message{this->aggregate.computeShares(now)};
+    const bool isEmpty = message.shares.empty();
+    if (isEmpty && this->wereSharesEmpty && now < this->sharesSentAt + this->settings.idleInterval)
+        return;
+    this->wereSharesEmpty = isEmpty;
+    this->sharesSentAt = now;
+    for (const auto &[instance, reporter] : this->reporters) {
+        if (instance == this->self)
+            this->receiveShares(message, now);
+        else
+            this->send(reporter.endpoint, message);
+    }
+}
+
+void QuotaExchange::receiveShares(const QuotaSharesMessage &message, TimePoint now)
+{
+    this->meter.receiveShares(message.shares, now);
+    std::map<WorkspaceId, double> present;
+    for (const gateway::QuotaShare &share : message.shares) {
+        if (share.admitted < 1)
+            present.emplace(share.workspace, share.admitted);
+    }
+    for (const auto &[workspace, admitted] : present) {
+        if (!this->limited.contains(workspace))
+            logEvent(LogLevel::Info, "workspace quota reached",
+                     {{"workspace", workspace.value()},
+                      {"admitted_share", fmt::format("{:.3f}", admitted)}});
+    }
+    for (const auto &[workspace, admitted] : this->limited) {
+        if (!present.contains(workspace))
+            logEvent(LogLevel::Info, "workspace quota no longer reached",
+                     {{"workspace", workspace.value()}});
+    }
+    this->limited = std::move(present);
+}
+
+} // namespace bamboochute::residency
--- /dev/null
+++ b/src/residency/quota_exchange.hpp
@@ -0,0 +1,89 @@
+/// @file
+/// @brief Reports what this instance has admitted of quotas, and sums the reports of others.
+#pragma once
+
+#include "core/clock.hpp"
+#include "core/configuration.hpp"
+#include "core/metrics.hpp"
+#include "gateway/workspace_quota.hpp"
+#include "residency/peer_messages.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace bamboochute::residency {
+
+/// @brief Times and bounds of the exchange.
+struct QuotaExchangeSettings
+{
+    /// Pause between two reports, and between two messages with shares.
+    Duration interval = std::chrono::milliseconds(500);
+    /// Messages that the aggregator sends in a second at most, so that control stays within its
+    /// part of a core; with more instances each gets its shares less often.
+    double maxMessagesPerSecond = 600;
+    /// Pause between two messages while no workspace is near its quota.
+    Duration idleInterval = std::chrono::seconds(1);
+    /// Time for which an instance that has reported gets shares.
+    Duration reporterTimeout = std::chrono::seconds(4);
+    /// Time from the first report until shares are computed: every instance has reported by then.
+    Duration firstSharesDelay = std::chrono::milliseconds(1100);
+    auto operator<=>(const QuotaExchangeSettings &) const = default;
+};
+
+/// @brief Exchanges reports and shares with other instances; used on the loop's thread only.
+///
+/// The instance to which the others report is the aggregator. It needs neither the placement's
+/// ownership nor the store for that.
+class QuotaExchange
+{
+public:
+    /// @param meter of this instance
+    QuotaExchange(gateway::QuotaMeter &meter, gateway::QuotaLimits limits, InstanceId self,
+                  Metrics &metrics, QuotaExchangeSettings settings = {});
+
+    /// @brief Takes over the workspaces of a configuration.
+    void configure(const std::vector<gateway::Workspace> &workspaces, TimePoint now);
+
+    /// @brief Sends what is due.
+    /// @param aggregator unset while none is known
+    /// @param isSelf whether this instance is the aggregator
+    void sendDue(const std::optional<Endpoint> &aggregator, bool isSelf, TimePoint now);
+
+    /// @brief Handles the report of an instance.
+    void receiveReport(const QuotaReportMessage &message, const Endpoint &from, TimePoint now);
+
+    /// @brief Handles the shares that the aggregator computed.
+    void receiveShares(const QuotaSharesMessage &message, TimePoint now);
+
+    /// @brief Sends a message to an instance; set before sendDue().
+    std::function<void(const Endpoint &to, const PeerMessage &message)> send;
+
+private:
+    struct Reporter
+    {
+        Endpoint endpoint;
+        TimePoint reportedAt{};
+    };
+
+    void sendReport(const std::optional<Endpoint> &aggregator, bool isSelf, TimePoint now);
+    void sendShares(TimePoint now);
+    Duration sharesInterval() const;
+
+    gateway::QuotaMeter &meter;
+    gateway::QuotaAggregate aggregate;
+    InstanceId self;
+    Metrics &metrics;
+    QuotaExchangeSettings settings;
+    std::map<InstanceId, Reporter> reporters;
+    /// First report of an unbroken series; unset while nobody reports.
+    std::optional<TimePoint> reportsSince;
+    TimePoint reportSentAt{};
+    TimePoint sharesSentAt{};
+    bool wereSharesEmpty = false;
+    /// Workspaces whose requests are refused in part, for the log.
+    std::map<WorkspaceId, double> limited;
+};
+
+} // namespace bamboochute::residency
