--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -54,15 +54,24 @@
         attributes.resumedRequest = RequestId(std::string(headers.find("test-resumes")));
         attributes.caller = headers.find("test-caller");
         attributes.target.model = ModelId(std::string(headers.find("test-model")));
+        attributes.key = headers.find("test-key");
         return attributes;
     };
     codec.isForwardedHeader = [](std::string_view name) {
-        return name != "test-secret" && name != "test-last-event";
+        return name != "test-secret" && name != "test-last-event" && name != "test-workspace";
     };
     codec.appendHeaders = [](std::string &head, const gateway::UpstreamAttributes &attributes) {
         upstream::appendHeader(head, "test-expected", attributes.expectedUpstream.value());
         if (!attributes.lastEventId.empty())
             upstream::appendHeader(head, "test-last-event", attributes.lastEventId);
+        if (!attributes.workspace.isEmpty())
+            upstream::appendHeader(head, "test-workspace", attributes.workspace.value());
+    };
+    codec.isKeyHeader = [](std::string_view name) { return name == "test-key"; };
+    codec.isWorkspaceHeader = [](std::string_view name) { return name == "test-workspace"; };
+    codec.appendWorkspace = [](std::string &head, const WorkspaceId &workspace) {
+        if (!workspace.isEmpty())
+            upstream::appendHeader(head, "test-workspace", workspace.value());
     };
     codec.readAnswer = [](int, const upstream::HeaderList &headers) {
         gateway::AnswerAttributes attributes;
--- a/tests/platform/adapter/unit-decoding.cpp
+++ b/tests/platform/adapter/unit-decoding.cpp
@@ -213,6 +213,81 @@
     CHECK(decodeOrderStatus(500) == residency::OrderAnswer::Unknown);
 }
 
+// Guards against a configuration under which it is not certain whose request it is, or that counts
+// a quota in a unit that this build does not know.
+TEST_CASE("workspaces are decoded with their keys, priorities and quotas")
+{
+    const json red = json::parse(R"({"name":"red","api_keys":["k1","k2","k1"],"priority":1,
+        "unit":"tokens","plain_tokens":200,"rate_per_s":661556,"burst":1000})");
+    const json blue = json::parse(R"({"name":"blue","api_keys":[]})");
+    const auto decode = [](const json &workspaces) {
+        return decodeConfiguration(withField(configurationJson(), "/tenants", workspaces).dump());
+    };
+
+    SUBCASE("what is missing is no limit, and no priority")
+    {
+        const auto decoded = decode({red, blue});
+        REQUIRE(decoded);
+        const auto &workspaces = decoded.value().workspaces;
+        REQUIRE(workspaces.size() == 2);
+        CHECK(workspaces[0].keyDigests.size() == 2);
+        CHECK(workspaces[0].priority == 1);
+        CHECK(workspaces[0].quota == gateway::Quota{gateway::QuotaUnit::Tokens, 661556, 1000, 200});
+        CHECK_FALSE(workspaces[1].priority);
+        CHECK_FALSE(workspaces[1].quota.isLimited());
+        const gateway::RouteIndex index(decoded.value());
+        CHECK(index.findWorkspace("k2") == index.workspace(WorkspaceId("red")));
+        CHECK(index.findWorkspace("k3") == nullptr);
+        CHECK(index.findWorkspace("") == nullptr);
+    }
+    SUBCASE("a quota of zero is no limit")
+    {
+        const auto decoded = decode(json::array({withField(red, "/rate_per_s", 0)}));
+        REQUIRE(decoded);
+        CHECK_FALSE(decoded.value().workspaces[0].quota.isLimited());
+    }
+    SUBCASE("a name or a key of two workspaces is rejected, and an unknown unit or odd value")
+    {
+        CHECK_FALSE(decode({red, withField(blue, "/name", "red")}));
+        CHECK_FALSE(decode({red, withField(blue, "/api_keys", {"k2"})}));
+        CHECK_FALSE(decode(json::array({withField(red, "/unit", "bytes")})));
+        CHECK_FALSE(decode(json::array({withField(red, "/rate_per_s", -1)})));
+        CHECK_FALSE(decode(json::array({withField(red, "/name", "r\r\nd")})));
+        CHECK_FALSE(decode(json::array({withField(red, "/name", "")})));
+    }
+    SUBCASE("without the list there are none, and routes are not public")
+    {
+        const auto decoded = decodeConfiguration(configurationJson().dump());
+        REQUIRE(decoded);
+        CHECK(decoded.value().workspaces.empty());
+        CHECK_FALSE(decoded.value().routes[0].isPublic);
+    }
+}
+
+// Guards against a key in another notation that is taken for one, and a header without numbers that
+// makes a request free of charge.
+TEST_CASE("the key of a request is that of the scheme Token")
+{
+    const gateway::CallCodec codec = makeCallCodec();
+    const auto keyOf = [&codec](const std::string &value) {
+        upstream::HeaderList headers;
+        headers.add("Authorization", value);
+        return codec.readRequest(headers).key;
+    };
+    CHECK(keyOf("Token k1") == "k1");
+    CHECK(keyOf(" token \t k1 ") == "k1");
+    for (const char *value : {"", "k1", "Token", "Token ", "Bearer k1", "Tokenk1"})
+        CHECK(keyOf(value).empty());
+    CHECK(codec.isKeyHeader("authorization"));
+    CHECK(codec.isWorkspaceHeader("x-tenant"));
+    CHECK_FALSE(codec.isForwardedHeader("X-TENANT"));
+    for (const char *value : {"", "12", "a,b", "-1,5", "5,"}) {
+        upstream::HeaderList headers;
+        headers.add("X-Token-Usage", value);
+        CHECK_FALSE(codec.readRequest(headers).hasTokenCounts);
+    }
+}
+
 TEST_CASE("request attributes are read from the platform's headers")
 {
     const gateway::CallCodec codec = makeCallCodec();
