Hear of a rising workspace sooner

Cause: the rate was taken over 2 s, and half a second passed between two reports, so that the share was too large for a second.

Change: the higher of the rates over 0.5 s and 2 s counts, also for what instances have admitted since their reports; reports and shares are exchanged each 0.3 s, by a timer of its own.

Evidence: unit-workspace_quota.cpp passes.

--- a/src/gateway/workspace_quota.cpp
+++ b/src/gateway/workspace_quota.cpp
@@ -216,25 +216,23 @@
     }
 }
 
-/// Adds what an instance reported some time ago, and what it has probably admitted since.
+/// Adds what an instance reported some time ago, and what it has admitted and was asked for of
+/// late.
 void QuotaAggregate::addUse(Sum &sum, const QuotaUse &use, Duration age) const
 {
-    double recent = 0;
-    double recentAsked = 0;
     for (const QuotaSlot &slot : use.slots) {
         const Duration slotAge = this->limits.slot * slot.age;
         if (slotAge + age <= this->limits.window)
             sum.admitted += slot.admitted;
-        if (slotAge < this->limits.rateWindow) {
-            recent += slot.admitted;
-            recentAsked += slot.asked;
+        if (slotAge < this->limits.rateWindow && age < this->limits.rateWindow) {
+            sum.recentAdmitted += slot.admitted;
+            sum.recentAsked += slot.asked;
+        }
+        if (slotAge < this->limits.riseWindow && age < this->limits.rateWindow) {
+            sum.newAdmitted += slot.admitted;
+            sum.newAsked += slot.asked;
         }
     }
-    if (age > this->limits.rateWindow)
-        return;
-    const double seconds = toSeconds(this->limits.rateWindow);
-    sum.admitted += recent * toSeconds(age) / seconds;
-    sum.askedPerSecond += recentAsked / seconds;
 }
 
 std::vector<QuotaShare> QuotaAggregate::computeShares(TimePoint now)
@@ -244,9 +242,11 @@
     });
     std::map<WorkspaceId, Sum> sums;
     double unknownSeconds = 0;
+    double totalAge = 0;
     for (const auto &[instance, reporter] : this->reporters) {
         for (const auto &[workspace, received] : reporter.uses)
             this->addUse(sums[workspace], received.use, now - received.receivedAt);
+        totalAge += toSeconds(now - reporter.receivedAt);
         const Duration known = reporter.known + (now - reporter.receivedAt);
         unknownSeconds += std::max(0.0, toSeconds(this->limits.window - known));
     }
@@ -260,13 +260,21 @@
                                        : bound.quota().perSecond * unknownSeconds
                                                  / static_cast<double>(this->reporters.size());
         const double allowed = bound.units(this->limits, now);
-        const double used = sum.admitted + unknown;
-        if (used < this->limits.reportedUse * allowed
-            && sum.askedPerSecond * toSeconds(this->limits.horizon) < allowed - used)
+        const double longTime = toSeconds(this->limits.rateWindow);
+        const double shortTime = toSeconds(this->limits.riseWindow);
+        const double asked = std::max(sum.recentAsked / longTime, sum.newAsked / shortTime);
+        // Since their reports, the instances have gone on at about the present rate.
+        const double meanAge = this->reporters.empty()
+                                       ? 0
+                                       : totalAge / static_cast<double>(this->reporters.size());
+        const double since
+                = std::max(sum.recentAdmitted / longTime, sum.newAdmitted / shortTime) * meanAge;
+        const double used = sum.admitted + unknown + since;
+        const double wanted = asked * toSeconds(this->limits.horizon);
+        if (used < this->limits.reportedUse * allowed && wanted < allowed - used)
             continue;
-        const double wanted = sum.askedPerSecond * toSeconds(this->limits.horizon);
         const double free = std::max(0.0, allowed - used);
-        shares.push_back({workspace, wanted > free ? free / wanted : 1.0, sum.askedPerSecond});
+        shares.push_back({workspace, wanted > free ? free / wanted : 1.0, asked});
     }
     return shares;
 }
--- a/src/gateway/workspace_quota.hpp
+++ b/src/gateway/workspace_quota.hpp
@@ -27,8 +27,10 @@
     /// Time over which the present rate of a workspace is measured; a small workspace has a few
     /// requests in it.
     Duration rateWindow = std::chrono::seconds(2);
-    /// Time that the admitted share has to last: longer than a report takes to the aggregator
-    /// (0.5 s between reports) and a share back (0.4 s between messages).
+    /// The same for a rate that has risen just now; the higher one counts.
+    Duration riseWindow = std::chrono::milliseconds(500);
+    /// Time that the admitted share has to last: several times as long as a report takes to the
+    /// aggregator and a share back (0.3 s between two of either).
     Duration horizon = std::chrono::milliseconds(1500);
     /// Shares that are older are corrected by this instance's own demand.
     Duration shareMaxAge = std::chrono::seconds(2);
@@ -213,7 +215,11 @@
     struct Sum
     {
         double admitted = 0;
-        double askedPerSecond = 0;
+        /// Within the time over which rates are measured, and the shorter time of a rise.
+        double recentAdmitted = 0;
+        double recentAsked = 0;
+        double newAdmitted = 0;
+        double newAsked = 0;
     };
 
     void addUse(Sum &sum, const QuotaUse &use, Duration age) const;
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -34,6 +34,7 @@
     , self(std::move(self))
     , settings(settings)
     , wake(loop)
+    , quotaTimer(loop)
     , origins(loop, election, metrics, gateway::OriginBatchNumber(Random(seed)()))
     , quotas(gateway.quotas, gateway.quotaLimits(), this->self, metrics)
     , random(stableHash(this->self.value()))
@@ -100,6 +101,7 @@
         }
     };
     boost::asio::co_spawn(this->loop, this->run(), boost::asio::detached);
+    boost::asio::co_spawn(this->loop, this->runQuotas(), boost::asio::detached);
     return this->socket->localEndpoint();
 }
 
@@ -109,13 +111,13 @@
     this->origins.stop();
     this->socket->close();
     this->wake.notifyAll();
+    this->quotaTimer.notifyAll();
 }
 
 upstream::Awaitable<void> PeerLink::run()
 {
     while (!this->isStopped) {
         this->reportDemand();
-        this->exchangeQuotas();
         if (now() >= this->stateSentAt + this->settings.stateInterval) {
             if (this->election.isOwner())
                 this->gateway.growLimits();
@@ -148,11 +150,18 @@
         this->socket->send(*owner, encodePeerMessage(part));
 }
 
+upstream::Awaitable<void> PeerLink::runQuotas()
+{
+    while (!this->isStopped) {
+        if (this->gateway.index)
+            this->exchangeQuotas();
+        co_await this->quotaTimer.wait(now() + this->quotas.nextExchange());
+    }
+}
+
 /// The aggregator of the quotas is the owner, or the last one that was heard of.
 void PeerLink::exchangeQuotas()
 {
-    if (!this->gateway.index)
-        return;
     if (this->quotaIndex != this->gateway.index) {
         this->quotaIndex = this->gateway.index;
         this->quotas.configure(this->quotaIndex->configuration().workspaces, now());
--- a/src/residency/peer_link.hpp
+++ b/src/residency/peer_link.hpp
@@ -74,6 +74,7 @@
 private:
     upstream::Awaitable<void> run();
     void reportDemand();
+    upstream::Awaitable<void> runQuotas();
     void exchangeQuotas();
     void receiveDatagram(std::string_view bytes, const Endpoint &from);
     void applyOwnerMessage(const OwnerMessage &message, const Endpoint &from);
@@ -99,6 +100,7 @@
     InstanceId self;
     PeerLinkSettings settings;
     gateway::ChangeSignal wake;
+    gateway::ChangeSignal quotaTimer;
     std::unique_ptr<peer::DatagramSocket> socket;
     PeerDirectory directory;
     OriginReporter origins;
--- a/src/residency/quota_exchange.cpp
+++ b/src/residency/quota_exchange.cpp
@@ -27,8 +27,7 @@
 {
     if (!this->meter.hasQuotas())
         return;
-    if (now >= this->reportSentAt + this->settings.interval)
-        this->sendReport(aggregator, isSelf, now);
+    this->sendReport(aggregator, isSelf, now);
     std::erase_if(this->reporters, [&](const auto &item) {
         return item.second.reportedAt + this->settings.reporterTimeout < now;
     });
@@ -43,14 +42,13 @@
 {
     const std::chrono::duration<double> bounded(static_cast<double>(this->reporters.size())
                                                 / this->settings.maxMessagesPerSecond);
-    const Duration least = this->settings.interval - std::chrono::milliseconds(100);
-    return std::max(least, std::chrono::duration_cast<Duration>(bounded));
+    // A round begins a moment earlier or later than the one before.
+    return std::max(this->settings.interval / 2, std::chrono::duration_cast<Duration>(bounded));
 }
 
 void QuotaExchange::sendReport(const std::optional<Endpoint> &aggregator, bool isSelf,
                                TimePoint now)
 {
-    this->reportSentAt = now;
     const QuotaReportMessage message{this->meter.report(this->self, now)};
     if (isSelf)
         this->receiveReport(message, Endpoint(), now);
--- a/src/residency/quota_exchange.hpp
+++ b/src/residency/quota_exchange.hpp
@@ -19,7 +19,7 @@
 struct QuotaExchangeSettings
 {
     /// Pause between two reports, and between two messages with shares.
-    Duration interval = std::chrono::milliseconds(500);
+    Duration interval = std::chrono::milliseconds(300);
     /// Messages that the aggregator sends in a second at most, so that control stays within its
     /// part of a core; with more instances each gets its shares less often.
     double maxMessagesPerSecond = 600;
@@ -28,7 +28,7 @@
     /// Time for which an instance that has reported gets shares.
     Duration reporterTimeout = std::chrono::seconds(4);
     /// Time from the first report until shares are computed: every instance has reported by then.
-    Duration firstSharesDelay = std::chrono::milliseconds(1100);
+    Duration firstSharesDelay = std::chrono::milliseconds(700);
     auto operator<=>(const QuotaExchangeSettings &) const = default;
 };
 
@@ -51,6 +51,12 @@
     /// @param isSelf whether this instance is the aggregator
     void sendDue(const std::optional<Endpoint> &aggregator, bool isSelf, TimePoint now);
 
+    /// @brief Time until something may be due.
+    Duration nextExchange() const
+    {
+        return this->meter.hasQuotas() ? this->settings.interval : this->settings.idleInterval;
+    }
+
     /// @brief Handles the report of an instance.
     void receiveReport(const QuotaReportMessage &message, const Endpoint &from, TimePoint now);
 
@@ -79,7 +85,6 @@
     std::map<InstanceId, Reporter> reporters;
     /// First report of an unbroken series; unset while nobody reports.
     std::optional<TimePoint> reportsSince;
-    TimePoint reportSentAt{};
     TimePoint sharesSentAt{};
     bool wereSharesEmpty = false;
     /// Workspaces whose requests are refused in part, for the log.
