Bound the memory of requests and answers over all connections

What callers saw: many large bodies that stopped just short of their end ended a process, which ran out of memory, and with it the requests of all its callers.

Cause: the size of one body and the number of connections were bounded, not their sum. Bodies of refused and of answered requests were kept by their connections, and blocks that were freed stayed in the heap.

When it is used up, the largest arriving request or undelivered answer that has made no progress is given up, first of the address that holds most; a request gets 503, as it has not run. Small requests are always let in.

--- a/src/caller/caller_request.cpp
+++ b/src/caller/caller_request.cpp
@@ -34,12 +34,15 @@
     HttpStream &stream;
     const ServerLimits &limits;
     CallerRequest &request;
+    MemoryBudget::Holding *memory;
     RequestParser parser;
 
-    RequestReader(HttpStream &stream, const ServerLimits &limits, CallerRequest &request)
+    RequestReader(HttpStream &stream, const ServerLimits &limits, CallerRequest &request,
+                  MemoryBudget::Holding *memory)
         : stream(stream)
         , limits(limits)
         , request(request)
+        , memory(memory)
         , parser(request.message)
     {
         this->parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
@@ -73,6 +76,45 @@
                        fmt::format("the request is not valid HTTP/1.1: {}", code.message()));
 }
 
+RequestReadFailure memoryFailure()
+{
+    return makeFailure(ErrorKind::MemoryExhausted,
+                       "there is too little memory for the body at present");
+}
+
+/// Frees a body that is given up, and ends the wait for the rest of it.
+void evictBody(RequestReader &reader)
+{
+    reader.request.body = std::string();
+    reader.stream.expireAt(SteadyClock().now());
+}
+
+/// Makes room for more bytes of the body; returns false if there is too little memory.
+bool reserveBody(RequestReader &reader, std::size_t added)
+{
+    std::string &body = reader.request.body;
+    const std::size_t size = body.size() + added;
+    if (reader.memory == nullptr)
+        return true;
+    if (!reader.memory->isEvictable() && reader.memory->isLarge(size))
+        reader.memory->allowEviction(reader.stream.peerAddress(), [&reader] { evictBody(reader); });
+    const boost::optional<std::uint64_t> length = reader.parser.content_length();
+    // Memory that is reserved and not written to is not resident, so that an announced length takes
+    // nothing. Without one, the string grows in steps, and a step copies it.
+    std::size_t capacity = size;
+    if (length)
+        body.reserve(static_cast<std::size_t>(
+                std::min<std::uint64_t>(*length, reader.limits.maxBodyBytes)));
+    else if (size > body.capacity())
+        capacity = std::min(size + size / 2, std::max(size, reader.limits.maxBodyBytes));
+    else
+        capacity = body.capacity();
+    if (!reader.memory->resize(capacity, SteadyClock().now()))
+        return false;
+    body.reserve(capacity);
+    return true;
+}
+
 /// Passes the unread bytes to the parser and appends the pieces of the body.
 OptionalReadFailure parseUnread(RequestReader &reader)
 {
@@ -80,6 +122,11 @@
     const std::size_t used = reader.parser.feed(reader.stream.unread(), code);
     if (code)
         return parserFailure(reader, code);
+    std::size_t added = 0;
+    for (const std::string_view piece : reader.request.message.pieces)
+        added += piece.size();
+    if (added > 0 && !reserveBody(reader, added))
+        return memoryFailure();
     for (const std::string_view piece : reader.request.message.pieces)
         reader.request.body += piece;
     reader.request.message.pieces.clear();
@@ -175,6 +222,8 @@
         if (reader.parser.is_done() || !needsMoreBytes)
             continue;
         const StreamStatus status = co_await reader.stream.readMore();
+        if (reader.memory != nullptr && reader.memory->isEvicted())
+            co_return memoryFailure();
         if (status != StreamStatus::Ok)
             co_return streamFailure(reader, status, "body");
     }
@@ -204,10 +253,10 @@
 }
 
 Awaitable<OptionalReadFailure> readRequest(HttpStream &stream, const ServerLimits &limits,
-                                           CallerRequest &request)
+                                           CallerRequest &request, MemoryBudget::Holding *memory)
 {
     request.body.clear();
-    RequestReader reader(stream, limits, request);
+    RequestReader reader(stream, limits, request, memory);
     if (stream.unread().empty()) {
         stream.expireAt(SteadyClock().now() + limits.idleTimeout);
         const bool hasRequest = co_await waitForRequest(stream);
@@ -225,8 +274,12 @@
         failure = co_await sendContinue(reader);
     if (!failure && !reader.parser.is_done())
         failure = co_await readBody(reader);
-    if (failure)
+    if (memory != nullptr)
+        memory->setUse(MemoryUse::Admitted);
+    if (failure) {
+        request.body = std::string();
         co_return failure;
+    }
     stream.neverExpire();
     request.isKeepAlive = reader.parser.keep_alive();
     co_return std::nullopt;
--- a/src/caller/caller_request.hpp
+++ b/src/caller/caller_request.hpp
@@ -4,6 +4,7 @@
 
 #include "caller/server_settings.hpp"
 #include "core/error.hpp"
+#include "core/memory_budget.hpp"
 #include "upstream/http_stream.hpp"
 #include "upstream/message_parser.hpp"
 
@@ -46,9 +47,13 @@
 /// @param stream connection to the caller
 /// @param limits sizes and timeouts
 /// @param request output; the memory of its body is reused
+/// @param memory counts the body, and refuses it if there is too little memory; null for no bound
 /// @return nothing when the request is complete, else the failure: MalformedRequest,
-/// HeaderTooLarge, BodyTooLarge, SlowSender, or no error when there is nothing to answer
-upstream::Awaitable<OptionalReadFailure>
-readRequest(upstream::HttpStream &stream, const ServerLimits &limits, CallerRequest &request);
+/// HeaderTooLarge, BodyTooLarge, SlowSender, MemoryExhausted, or no error when there is nothing to
+/// answer
+upstream::Awaitable<OptionalReadFailure> readRequest(upstream::HttpStream &stream,
+                                                     const ServerLimits &limits,
+                                                     CallerRequest &request,
+                                                     MemoryBudget::Holding *memory = nullptr);
 
 } // namespace bamboochute::caller
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -39,6 +39,7 @@
     ErrorRow{ErrorKind::PromptQuarantined, "BC2010", "prompt_quarantined", "server_error", 503, RunState::NotRun, true, 60s},
     ErrorRow{ErrorKind::RequestQuarantined, "BC2011", "request_quarantined", "server_error", 503, RunState::NotRun, true, 60s},
     ErrorRow{ErrorKind::QuotaExceeded, "BC2012", "quota_exceeded", "overloaded_error", 429, RunState::NotRun, true, 1s},
+    ErrorRow{ErrorKind::MemoryExhausted, "BC2013", "memory_exhausted", "overloaded_error", 503, RunState::NotRun, true, 1s},
     ErrorRow{ErrorKind::UpstreamFailed, "BC3001", "upstream_failed", "server_error", 502, RunState::MayHaveRun, false, std::nullopt},
     ErrorRow{ErrorKind::UpstreamTimedOut, "BC3002", "upstream_timed_out", "timeout_error", 504, RunState::MayHaveRun, false, std::nullopt},
     ErrorRow{ErrorKind::UpstreamMalformed, "BC3003", "upstream_malformed", "server_error", 502, RunState::MayHaveRun, false, std::nullopt},
--- a/src/core/error.hpp
+++ b/src/core/error.hpp
@@ -45,6 +45,7 @@
     PromptQuarantined,
     RequestQuarantined,
     QuotaExceeded,
+    MemoryExhausted,
     // The request was sent; it failed, or its outcome is unknown.
     UpstreamFailed,
     UpstreamTimedOut,
--- /dev/null
+++ b/src/core/memory_budget.cpp
@@ -0,0 +1,128 @@
+#include "core/memory_budget.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace bamboochute {
+
+namespace {
+
+/// Added to the time without progress, so that of holdings that make progress the largest costs
+/// most.
+constexpr Duration leastAge = std::chrono::milliseconds(10);
+
+} // namespace
+
+MemoryBudget::Holding::~Holding()
+{
+    this->setUse(MemoryUse::Admitted);
+    this->budget.used -= this->held;
+}
+
+void MemoryBudget::Holding::allowEviction(std::string peer, std::function<void()> free)
+{
+    this->owner = std::move(peer);
+    this->evict = std::move(free);
+    this->budget.byOwner[this->owner].insert(this);
+}
+
+void MemoryBudget::Holding::setUse(MemoryUse newUse)
+{
+    if (this->evict) {
+        const auto found = this->budget.byOwner.find(this->owner);
+        found->second.erase(this);
+        if (found->second.empty())
+            this->budget.byOwner.erase(found);
+        this->evict = nullptr;
+    }
+    if (this->use == MemoryUse::Arriving)
+        this->budget.arriving -= this->held;
+    if (newUse == MemoryUse::Arriving)
+        this->budget.arriving += this->held;
+    this->use = newUse;
+}
+
+bool MemoryBudget::Holding::resize(std::size_t bytes, TimePoint now)
+{
+    if (this->wasEvicted)
+        return false;
+    const std::size_t added = bytes - std::min(bytes, this->held);
+    while (added > 0 && this->budget.isExceeded(this->use, added)) {
+        Holding *costly = this->budget.findMostCostly(now);
+        const bool isSmall = bytes <= this->budget.limits.smallBytes;
+        if (costly == nullptr && isSmall)
+            break;
+        if (costly == nullptr || (costly == this && !isSmall)) {
+            if (this->budget.onShortage)
+                this->budget.onShortage(this->use, bytes);
+            return false;
+        }
+        this->budget.giveUp(*costly);
+    }
+    this->budget.record(*this, bytes);
+    this->progressAt = now;
+    return true;
+}
+
+bool MemoryBudget::isExceeded(MemoryUse use, std::size_t added) const
+{
+    if (this->limits.totalBytes == 0)
+        return false;
+    const auto arrivingBytes = static_cast<std::size_t>(static_cast<double>(this->limits.totalBytes)
+                                                        * this->limits.arrivingShare);
+    return this->used + added > this->limits.totalBytes
+           || (use == MemoryUse::Arriving && this->arriving + added > arrivingBytes);
+}
+
+MemoryBudget::Holding *MemoryBudget::findMostCostly(TimePoint now) const
+{
+    const std::set<Holding *> *largest = nullptr;
+    std::size_t largestBytes = 0;
+    for (const auto &[owner, holdings] : this->byOwner) {
+        std::size_t bytes = 0;
+        for (const Holding *holding : holdings)
+            bytes += holding->held > this->limits.smallBytes ? holding->held : 0;
+        if (bytes > largestBytes) {
+            largest = &holdings;
+            largestBytes = bytes;
+        }
+    }
+    if (largest == nullptr)
+        return nullptr;
+    Holding *costly = nullptr;
+    double highest = 0;
+    for (Holding *holding : *largest) {
+        if (holding->held <= this->limits.smallBytes)
+            continue;
+        const std::chrono::duration<double> age = now - holding->progressAt + leastAge;
+        const double cost = static_cast<double>(holding->held) * age.count();
+        if (costly == nullptr || cost > highest) {
+            costly = holding;
+            highest = cost;
+        }
+    }
+    return costly;
+}
+
+void MemoryBudget::giveUp(Holding &holding)
+{
+    if (this->onShortage)
+        this->onShortage(holding.use, holding.held);
+    const std::function<void()> evict = holding.evict;
+    holding.setUse(holding.use);
+    this->record(holding, 0);
+    holding.wasEvicted = true;
+    evict();
+}
+
+void MemoryBudget::record(Holding &holding, std::size_t bytes)
+{
+    // Unsigned differences wrap around and add up to the right sums.
+    this->used += bytes - holding.held;
+    if (holding.use == MemoryUse::Arriving)
+        this->arriving += bytes - holding.held;
+    holding.held = bytes;
+}
+
+} // namespace bamboochute
--- /dev/null
+++ b/src/core/memory_budget.hpp
@@ -0,0 +1,118 @@
+/// @file
+/// @brief Bounds the bytes that others make this process hold, over all connections.
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace bamboochute {
+
+/// @brief Bounds of the bytes that are held for others.
+struct MemoryLimits
+{
+    /// Bytes of requests and answers together; zero for no bound.
+    std::size_t totalBytes = 0;
+    /// Part of them that requests may take that are still arriving; the rest is kept for requests
+    /// that are complete and for answers.
+    double arrivingShare = 0.6;
+    /// A holding of at most this size is always let in, so that ordinary requests are served while
+    /// large ones are refused.
+    std::size_t smallBytes = 16 << 10;
+    auto operator<=>(const MemoryLimits &) const = default;
+};
+
+/// @brief What bytes are held for.
+enum class MemoryUse {
+    /// A request that is still arriving.
+    Arriving,
+    /// A complete request, or an answer that is still arriving; neither is given up.
+    Admitted,
+    /// An answer that is written to a caller.
+    Delivery,
+};
+
+/// @brief Shares the memory among all connections; not thread-safe.
+///
+/// When there is too little, what costs most is given up: of the peer whose arriving requests and
+/// undelivered answers are largest together, the one that is largest and has made no progress for
+/// longest.
+class MemoryBudget
+{
+public:
+    /// @brief The bytes that one request or answer holds; released when it ends.
+    class Holding
+    {
+    public:
+        Holding(MemoryBudget &budget, MemoryUse use)
+            : budget(budget)
+            , use(use)
+        {}
+        ~Holding();
+        Holding(const Holding &) = delete;
+        Holding &operator=(const Holding &) = delete;
+
+        /// @brief Makes it possible to give up what is held.
+        /// @param owner address of the peer
+        /// @param evict frees the memory; called at most once
+        void allowEviction(std::string owner, std::function<void()> evict);
+
+        /// @brief Changes the number of bytes; if there are too few left, others are given up.
+        /// @return false if this holding may not grow: it is the one to be given up, or nothing is
+        bool resize(std::size_t bytes, TimePoint now);
+
+        /// @brief Changes what the bytes are held for; they can't be given up any more until
+        /// allowEviction().
+        void setUse(MemoryUse use);
+
+        /// @brief Whether a number of bytes is more than is always let in.
+        bool isLarge(std::size_t bytes) const noexcept
+        {
+            return bytes > this->budget.limits.smallBytes;
+        }
+        bool isEvictable() const noexcept { return this->evict != nullptr; }
+        bool isEvicted() const noexcept { return this->wasEvicted; }
+        std::size_t bytes() const noexcept { return this->held; }
+
+    private:
+        friend class MemoryBudget;
+
+        MemoryBudget &budget;
+        MemoryUse use;
+        std::size_t held = 0;
+        std::string owner;
+        std::function<void()> evict;
+        /// When its size last changed.
+        TimePoint progressAt{};
+        bool wasEvicted = false;
+    };
+
+    explicit MemoryBudget(MemoryLimits limits)
+        : limits(limits)
+    {}
+
+    const MemoryLimits &bounds() const noexcept { return this->limits; }
+    std::size_t usedBytes() const noexcept { return this->used; }
+
+    /// @brief Called when a holding is given up, or refused more bytes.
+    std::function<void(MemoryUse use, std::size_t bytes)> onShortage;
+
+private:
+    bool isExceeded(MemoryUse use, std::size_t added) const;
+    Holding *findMostCostly(TimePoint now) const;
+    void giveUp(Holding &holding);
+    void record(Holding &holding, std::size_t bytes);
+
+    MemoryLimits limits;
+    std::size_t used = 0;
+    std::size_t arriving = 0;
+    /// Holdings that can be given up, by owner.
+    std::map<std::string, std::set<Holding *>> byOwner;
+};
+
+} // namespace bamboochute
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,6 +32,10 @@
 /// Time for which the rest of a refused request is read and dropped; a round trip to a caller takes
 /// much less.
 constexpr Duration discardTime = std::chrono::seconds(1);
+/// Time without a shortage of memory after which the next one is logged again.
+constexpr Duration shortageLogInterval = std::chrono::seconds(5);
+/// Memory of a request's body that a connection keeps for the next one.
+constexpr std::size_t maxKeptBodyBytes = 16 << 10;
 
 upstream::PoolLimits makePoolLimits(const std::string &sourceAddress)
 {
@@ -71,6 +75,7 @@
     , metrics(metrics)
     , requestMetrics(metrics)
     , requestEnds(metrics)
+    , memory(this->settings.memory)
     , deadlineWatch(loop)
     , pool(loop, this->deadlineWatch, makePoolLimits(this->settings.sourceAddress))
     , quarantine(loop, this->pool, this->table, metrics)
@@ -81,6 +86,8 @@
                  this->settings.seed, this->settings.forwarding)
     , random(this->settings.seed)
 {
+    this->memory.onShortage
+            = [this](MemoryUse use, std::size_t bytes) { this->recordShortage(use, bytes); };
     this->quarantine.configure(this->settings.quarantine);
     this->quarantine.setLinkState(
             [this](const ServiceId &service) { return this->forwarding.isUndecided(service); },
@@ -291,6 +298,26 @@
     }
 }
 
+/// Counts what was given up or refused for want of memory; logs the first of a series.
+void Gateway::recordShortage(MemoryUse use, std::size_t bytes)
+{
+    const std::string_view name = use == MemoryUse::Arriving   ? "arriving"
+                                  : use == MemoryUse::Admitted ? "admitted"
+                                                               : "delivery";
+    this->metrics.counter("bamboochute_memory_shortages_total", fmt::format("use=\"{}\"", name))
+            .add();
+    const TimePoint now = SteadyClock().now();
+    if (this->shortageLoggedAt == TimePoint()
+        || now >= this->shortageLoggedAt + shortageLogInterval)
+        logEvent(LogLevel::Warning, "memory budget exceeded",
+                 {{"use", std::string(name)},
+                  {"bytes", std::to_string(bytes)},
+                  {"used_bytes", std::to_string(this->memory.usedBytes())},
+                  {"budget_bytes", std::to_string(this->memory.bounds().totalBytes)},
+                  {"open_requests", std::to_string(this->openRequestCount)}});
+    this->shortageLoggedAt = now;
+}
+
 /// Logs a header whose value has no meaning, once for each process.
 void Gateway::recordInvalidHeader(std::string_view header, const UpstreamProcess &process)
 {
@@ -378,6 +405,8 @@
         ++this->openRequestCount;
         const bool isKeepAlive = co_await this->serveRequest(*stream, request, isFromInstance);
         --this->openRequestCount;
+        if (request.body.capacity() > maxKeptBodyBytes)
+            request.body = std::string();
         if (!isKeepAlive)
             break;
     }
@@ -402,8 +431,9 @@
                                       bool isFromInstance)
 {
     const caller::ServerLimits limits = this->limitsFor(isFromInstance);
+    MemoryBudget::Holding memory(this->memory, MemoryUse::Arriving);
     const caller::OptionalReadFailure noRequest
-            = co_await caller::readRequest(stream, limits, request);
+            = co_await caller::readRequest(stream, limits, request, &memory);
     if (noRequest && !noRequest->error)
         co_return false;
     this->requestEnds.recordRead();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include "caller/caller_request.hpp"
 #include "caller/server_settings.hpp"
+#include "core/memory_budget.hpp"
 #include "core/metrics.hpp"
 #include "gateway/brittle_upstreams.hpp"
 #include "gateway/call_codec.hpp"
@@ -57,6 +58,7 @@
     SilenceLimits silence;
     ForwardingSettings forwarding;
     QuotaLimits quotas;
+    MemoryLimits memory;
     /// No instance has run before, so that nothing of any quota is used.
     bool isFirstStart = false;
     /// Own address of the connections to upstreams; empty to let the kernel choose.
@@ -198,6 +200,7 @@
                                            caller::CallerRequest &request, bool isFromInstance);
     caller::ServerLimits limits() const;
     caller::ServerLimits limitsFor(bool isFromInstance) const;
+    void recordShortage(MemoryUse use, std::size_t bytes);
     void recordInvalidHeader(std::string_view header, const UpstreamProcess &process);
 
     boost::asio::io_context &loop;
@@ -206,6 +209,9 @@
     Metrics &metrics;
     RequestMetrics requestMetrics;
     RequestEnds requestEnds;
+    MemoryBudget memory;
+    /// When a shortage of memory was last logged; zero before.
+    TimePoint shortageLoggedAt{};
     upstream::DeadlineWatch deadlineWatch;
     upstream::ConnectionPool pool;
     QuarantineDriver quarantine;
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -97,6 +97,19 @@
     co_return outcome;
 }
 
+/// Makes room for an answer. While there is none, nothing more is read from the upstream.
+/// @return false if there is still none after answerRoomTimeout
+Awaitable<bool> RequestExchange::reserveAnswer(std::size_t bytes)
+{
+    const TimePoint until = this->now() + answerRoomTimeout;
+    while (!this->answerMemory.resize(bytes, this->now())) {
+        if (this->now() >= until || this->isEnding())
+            co_return false;
+        co_await this->gateway.change.wait(std::min(until, this->now() + answerRoomPollInterval));
+    }
+    co_return true;
+}
+
 /// Whether an answer with a status is a stream, or has to be one to continue what the caller has.
 bool RequestExchange::isStreamAnswer(int status) const
 {
@@ -224,6 +237,12 @@
             co_return this->handleCallFailure(more->error());
         if (!more->value())
             break;
+        std::size_t added = 0;
+        for (const std::string_view piece : this->attempt.call->answer().pieces)
+            added += piece.size();
+        if (!co_await this->reserveAnswer(body.size() + added))
+            co_return this->handleCallFailure({upstream::CallFailure::Oversized, true,
+                                               "there is too little memory for the answer", false});
         for (const std::string_view piece : this->attempt.call->answer().pieces)
             body += piece;
         if (body.size() > maxAnswerBytes)
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -200,6 +200,7 @@
     upstream::Awaitable<std::optional<upstream::CallResult<bool>>> readMoreBody();
     upstream::Awaitable<AttemptOutcome> relayAnswer();
     upstream::Awaitable<AttemptOutcome> relayWholeAnswer();
+    upstream::Awaitable<bool> reserveAnswer(std::size_t bytes);
     upstream::Awaitable<AttemptOutcome> relayEventStream();
     bool isStreamAnswer(int status) const;
     StreamHead readHead(const AnswerAttributes &attributes) const;
@@ -255,6 +256,8 @@
     upstream::HttpStream &caller;
     const caller::CallerRequest &request;
     RequestAttributes attributes;
+    /// Memory of an answer that is not a stream.
+    MemoryBudget::Holding answerMemory;
     /// Address of the caller's connection, unless the request names its caller.
     std::string callerIdentity;
     RequestFingerprints fingerprints;
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -320,6 +320,10 @@
     CallResult<std::string> body = co_await this->attempt.call->readWholeBody(maxAnswerBytes);
     if (!body)
         co_return this->handleHelperFailure(body.error());
+    const bool hasRoom = co_await this->reserveAnswer(body.value().size());
+    if (!hasRoom)
+        co_return this->handleHelperFailure({upstream::CallFailure::Oversized, true,
+                                             "there is too little memory for the answer", false});
     const int status = this->attempt.call->answer().status;
     std::string head = this->buildAnswerHead(status, this->attempt.call->answer().headers);
     appendHeader(head, "Content-Length", std::to_string(body.value().size()));
--- a/src/gateway/request_refusal.cpp
+++ b/src/gateway/request_refusal.cpp
@@ -126,10 +126,16 @@
     const std::array<asio::const_buffer, 2> parts{toBuffer(head), toBuffer(body)};
     std::optional<StreamStatus> status = this->caller.tryWrite(parts);
     if (!status) {
+        // A caller that does not read is given up before others when memory gets scarce.
+        this->answerMemory.setUse(MemoryUse::Delivery);
+        if (this->answerMemory.bytes() > 0)
+            this->answerMemory.allowEviction(this->caller.peerAddress(),
+                                             [this] { this->caller.close(); });
         const Duration least = this->deadline == TimePoint() ? refusalWriteTimeout : minWriteTime;
         this->caller.expireAt(std::max(this->deadline, this->now() + least));
         status = co_await this->caller.writeRest(parts);
         this->caller.neverExpire();
+        this->answerMemory.setUse(MemoryUse::Admitted);
     }
     if (*status != StreamStatus::Ok) {
         this->keepAlive = false;
