--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -183,8 +183,7 @@
 /// Priority of the request; zero is the most urgent.
 std::uint32_t RequestExchange::priority() const
 {
-    return this->workspace != nullptr ? this->workspace->priority.value_or(this->route->priority)
-                                      : this->route->priority;
+    return this->index->findUrgency(this->workspace, *this->route);
 }
 
 /// Selects the service of the request; returns false when the configuration lacks the service.
--- a/src/gateway/routing_configuration.cpp
+++ b/src/gateway/routing_configuration.cpp
@@ -66,19 +66,19 @@
 {
     for (const Route &route : this->indexedConfiguration.routes)
         this->byPrefix.emplace(makeIndexKey(normalizeHost(route.host), route.pathPrefix), &route);
-    std::set<std::uint32_t> workspacePriorities;
     for (const Workspace &workspace : this->indexedConfiguration.workspaces) {
         for (const std::string &digest : workspace.keyDigests)
             this->byKeyDigest.emplace(digest, &workspace);
-        if (workspace.priority)
-            workspacePriorities.insert(*workspace.priority);
     }
+    this->rankPriorities();
     for (const Route &route : this->indexedConfiguration.routes) {
         for (const WeightedService &weighted : route.services) {
-            std::set<std::uint32_t> &priorities = this->prioritiesByService[weighted.service];
-            priorities.insert(route.priority);
-            if (!route.isPublic)
-                priorities.insert(workspacePriorities.begin(), workspacePriorities.end());
+            std::set<std::uint32_t> &urgencies = this->prioritiesByService[weighted.service];
+            urgencies.insert(this->findUrgency(nullptr, route));
+            for (const Workspace &workspace : this->indexedConfiguration.workspaces) {
+                if (!route.isPublic)
+                    urgencies.insert(this->findUrgency(&workspace, route));
+            }
         }
         if (!route.isResumable || route.services.size() < 2)
             continue;
@@ -129,6 +129,31 @@
     return found == this->indexedConfiguration.services.end() ? nullptr : &*found;
 }
 
+void RouteIndex::rankPriorities()
+{
+    const auto &workspaces = this->indexedConfiguration.workspaces;
+    const bool hasPriorities
+            = std::any_of(workspaces.begin(), workspaces.end(),
+                          [](const Workspace &one) { return one.priority.has_value(); });
+    if (!hasPriorities)
+        return;
+    for (const Route &route : this->indexedConfiguration.routes) {
+        this->ranks.emplace(route.priority, route.priority);
+        for (const Workspace &workspace : workspaces)
+            this->ranks.emplace(workspace.priority.value_or(route.priority), route.priority);
+    }
+}
+
+std::uint32_t RouteIndex::findUrgency(const Workspace *workspace, const Route &route) const
+{
+    if (this->ranks.empty())
+        return route.priority;
+    const std::uint32_t first
+            = workspace != nullptr ? workspace->priority.value_or(route.priority) : route.priority;
+    const auto found = this->ranks.lower_bound({first, route.priority});
+    return static_cast<std::uint32_t>(std::distance(this->ranks.begin(), found));
+}
+
 const Workspace *RouteIndex::findWorkspace(std::string_view key) const
 {
     if (key.empty())
--- a/src/gateway/routing_configuration.hpp
+++ b/src/gateway/routing_configuration.hpp
@@ -214,6 +214,13 @@
     /// @return null when there is no such workspace
     const Workspace *workspace(const WorkspaceId &id) const;
 
+    /// @brief Urgency of a workspace's requests for a route; zero is the most urgent.
+    ///
+    /// It is the route's priority while no workspace has one. Else requests are ranked by the
+    /// workspace's priority, and those of equal ones by the route's.
+    /// @param workspace null for callers that need no key
+    std::uint32_t findUrgency(const Workspace *workspace, const Route &route) const;
+
     /// @brief Counts the distinct priorities of a service's routes that are less urgent than one.
     /// @param priority compared with the routes' priorities; zero is the most urgent
     std::uint32_t countLessUrgentPriorities(const ServiceId &service, std::uint32_t priority) const;
@@ -228,13 +235,18 @@
     }
 
 private:
+    void rankPriorities();
+
     RoutingConfiguration indexedConfiguration;
     /// Key: normalized host, a space and the path prefix.
     std::unordered_map<std::string, const Route *> byPrefix;
     /// Key: digest of a workspace's key. Digests are compared in place of keys, so that the time of
     /// a comparison tells nothing about a key.
     std::unordered_map<std::string, const Workspace *> byKeyDigest;
-    /// Distinct priorities of the requests for each service, by its routes and the workspaces.
+    /// Priorities by which requests are ranked: the workspace's, or the route's if it has none, and
+    /// the route's; empty while no workspace has one.
+    std::set<std::pair<std::uint32_t, std::uint32_t>> ranks;
+    /// Distinct urgencies of the requests for each service.
     std::map<ServiceId, std::set<std::uint32_t>> prioritiesByService;
     /// Services of the resumable routes to each service that have several.
     std::map<ServiceId, std::set<ServiceId>> streamServices;
