Free the memory of bodies that are given up

Cause: assigning an empty string to a std::string of libstdc++ keeps its memory.

Change: the string is swapped with an empty one.

--- a/src/caller/caller_request.cpp
+++ b/src/caller/caller_request.cpp
@@ -85,7 +85,8 @@
 /// Frees a body that is given up, and ends the wait for the rest of it.
 void evictBody(RequestReader &reader)
 {
-    reader.request.body = std::string();
+    // Assigning an empty string would keep the memory.
+    std::string().swap(reader.request.body);
     reader.stream.expireAt(SteadyClock().now());
 }
 
@@ -277,7 +278,7 @@
     if (memory != nullptr)
         memory->setUse(MemoryUse::Admitted);
     if (failure) {
-        request.body = std::string();
+        std::string().swap(request.body);
         co_return failure;
     }
     stream.neverExpire();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -406,7 +406,7 @@
         const bool isKeepAlive = co_await this->serveRequest(*stream, request, isFromInstance);
         --this->openRequestCount;
         if (request.body.capacity() > maxKeptBodyBytes)
-            request.body = std::string();
+            std::string().swap(request.body);
         if (!isKeepAlive)
             break;
     }
