--- a/tests/gateway/unit-workspace_keys.cpp
+++ b/tests/gateway/unit-workspace_keys.cpp
@@ -114,7 +114,7 @@
     state.service = "rooms";
     state.configuration = 1;
     const auto forward = [&](const std::string &headers) {
-        return RelayFixture::callAt(*helper.instanceEndpoint(),
+        return RelayFixture::callAt(helper.instanceEndpoint(),
                                     request("/once/a", "body",
                                             std::string(forwarding::forwardedHeader) + ": "
                                                     + forwarding::encodeForwardedRequest(state)
