Refuse answers that are none, and unframed ones to uploads that were not taken

What callers saw: on other systems, a 200 without a length to an upload that was still being written, reset on the way, was taken for a complete answer, and an answer with status 000 reached the caller. Here, too: an upstream that answers 1 MB before it reads it, closes its sending side and resets the connection later gave its caller a 200 with the first part; statuses 600 and 999 were passed on, and 100 informational answers before the final one were read.

Cause: an unframed answer was complete once its sending side was closed in order, whether or not the request had been taken. Only statuses below 100 and 101 were refused.

Change: an unframed answer is complete only if the upstream's host has acknowledged the whole request and the connection has not failed. Statuses above 599 and more than 16 informational answers are malformed: a fault of the upstream, 502 for a request that may have run. An upstream that has taken the request and resets the connection only after its orderly end can't be told from a sound one.

Evidence: unit-invalid_answers.cpp fails before in five checks (600, 999, informational answers, the early answer twice) and passes; test-upstream (15 cases), and the cases of answers cut short and of the relay pass.

--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -5,6 +5,10 @@
 #include <algorithm>
 #include <cstring>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 
@@ -168,6 +172,18 @@
     this->begin += count;
 }
 
+bool HttpStream::hasUndeliveredBytes()
+{
+    const auto descriptor = this->socket.native_handle();
+    int bytes = 0;
+    int failure = 0;
+    socklen_t size = sizeof failure;
+    const bool isUnacknowledged = ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    const bool hasFailed
+            = ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &size) == 0 && failure != 0;
+    return isUnacknowledged || hasFailed;
+}
+
 std::optional<StreamStatus> HttpStream::tryWrite(std::span<const asio::const_buffer> buffers)
 {
     error_code error;
--- a/src/upstream/http_stream.hpp
+++ b/src/upstream/http_stream.hpp
@@ -108,6 +108,9 @@
     bool isOpen() const { return this->socket.is_open(); }
     /// @brief Whether the kernel has bytes that were not read yet.
     bool hasArrivedBytes() const;
+    /// @brief Whether the peer's host has not acknowledged all that was written, or the connection
+    /// has failed since; false where the system does not tell.
+    bool hasUndeliveredBytes();
     bool isPeerClosed() const noexcept { return this->isReadClosed; }
     /// @brief Whether the peer closed its side in order, and not by a reset.
     bool isClosedInOrder() const noexcept { return this->isReadClosed && this->wasClosedInOrder; }
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -16,6 +16,10 @@
 constexpr std::uint64_t unlimitedBody = std::numeric_limits<std::uint64_t>::max();
 constexpr int statusContinue = 100;
 constexpr int statusSwitchingProtocols = 101;
+/// No status above it has a class.
+constexpr int lastStatus = 599;
+/// Answers with a status below 200 that may precede the final one.
+constexpr int maxInformationalAnswers = 16;
 constexpr int firstFinalStatus = 200;
 
 Awaitable<CallResult<WholeAnswer>> exchangeMessages(UpstreamCall &call, std::string_view head,
@@ -135,6 +139,7 @@
 
 Awaitable<CallResult<void>> UpstreamCall::readHead()
 {
+    int informationalAnswers = 0;
     while (true) {
         while (!this->parser->is_header_done()) {
             this->consumeParsedBytes();
@@ -146,11 +151,17 @@
                 co_return parsed.error();
         }
         const int status = this->message.status;
-        if (status >= firstFinalStatus)
-            break;
-        if (status < statusContinue || status == statusSwitchingProtocols)
+        const bool isInvalid = status < statusContinue || status > lastStatus
+                               || status == statusSwitchingProtocols;
+        if (isInvalid)
             co_return this->makeError(CallFailure::Malformed,
                                       fmt::format("the answer has the invalid status {}", status));
+        if (status >= firstFinalStatus)
+            break;
+        if (++informationalAnswers > maxInformationalAnswers)
+            co_return this->makeError(
+                    CallFailure::Malformed,
+                    fmt::format("more than {} informational answers", maxInformationalAnswers));
         this->consumeParsedBytes();
         this->parser.emplace(this->message);
         this->parser->body_limit(unlimitedBody);
@@ -193,12 +204,13 @@
     co_return false;
 }
 
-/// Ends an answer without a length when the connection was closed in order.
+/// Ends an answer without a length when the connection was closed in order. An upstream that has
+/// not taken the whole request may reset the connection next, and the answer need not be whole.
 /// @return whether it has ended so
 bool UpstreamCall::finishUnframedAnswer(StreamStatus status)
 {
     if (status != StreamStatus::Closed || !this->parser->need_eof()
-        || !this->stream->isClosedInOrder())
+        || !this->stream->isClosedInOrder() || this->stream->hasUndeliveredBytes())
         return false;
     error_code parseError;
     this->parser->put_eof(parseError);
