--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include "caller/caller_request.hpp"
 #include "caller/server_settings.hpp"
+#include "core/memory_budget.hpp"
 #include "core/metrics.hpp"
 #include "gateway/brittle_upstreams.hpp"
 #include "gateway/call_codec.hpp"
@@ -22,6 +23,7 @@
 #include "gateway/upstream_pauses.hpp"
 #include "gateway/upstream_selector.hpp"
 #include "gateway/version_history.hpp"
+#include "gateway/workspace_quota.hpp"
 #include "upstream/connection_pool.hpp"
 
 #include <cstdint>
@@ -55,6 +57,10 @@
     BrittleLimits brittle;
     SilenceLimits silence;
     ForwardingSettings forwarding;
+    QuotaLimits quotas;
+    MemoryLimits memory;
+    /// No instance has run before, so that nothing of any quota is used.
+    bool isFirstStart = false;
     /// Own address of the connections to upstreams; empty to let the kernel choose.
     std::string sourceAddress = {};
     /// Callers' connections that may be open at a time.
@@ -161,6 +167,7 @@
     LimitDriver upstreamLimits;
     UpstreamPauses pauses;
     BrittleUpstreams brittle;
+    QuotaMeter quotas;
     /// Called when a request begins to wait for a target that no usable upstream holds.
     std::function<void()> onTargetWait;
     /// Called with the origin of a resumable stream before its first event is sent to the caller.
@@ -177,6 +184,9 @@
     /// @brief The links of this instance to the upstreams, and the instances that help.
     ForwardingDriver &forwardingDriver() noexcept { return this->forwarding; }
 
+    /// @brief Times of the measurement of quotas.
+    const QuotaLimits &quotaLimits() const noexcept { return this->settings.quotas; }
+
     /// @brief The quarantine of requests and prompt parts that crash upstreams.
     QuarantineDriver &quarantineDriver() noexcept { return this->quarantine; }
 
@@ -190,6 +200,7 @@
                                            caller::CallerRequest &request, bool isFromInstance);
     caller::ServerLimits limits() const;
     caller::ServerLimits limitsFor(bool isFromInstance) const;
+    void recordShortage(MemoryUse use, std::size_t bytes);
     void recordInvalidHeader(std::string_view header, const UpstreamProcess &process);
 
     boost::asio::io_context &loop;
@@ -198,6 +209,9 @@
     Metrics &metrics;
     RequestMetrics requestMetrics;
     RequestEnds requestEnds;
+    MemoryBudget memory;
+    /// When a shortage of memory was last logged; zero before.
+    TimePoint shortageLoggedAt{};
     upstream::DeadlineWatch deadlineWatch;
     upstream::ConnectionPool pool;
     QuarantineDriver quarantine;
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -134,6 +134,8 @@
     bool turnFromSilentLink();
 
     bool identifyWorkspace();
+    std::optional<Duration> takeQuota();
+    void releaseQuota();
     std::uint32_t priority() const;
     bool selectService();
     void countRequest();
@@ -198,6 +200,7 @@
     upstream::Awaitable<std::optional<upstream::CallResult<bool>>> readMoreBody();
     upstream::Awaitable<AttemptOutcome> relayAnswer();
     upstream::Awaitable<AttemptOutcome> relayWholeAnswer();
+    upstream::Awaitable<bool> reserveAnswer(std::size_t bytes);
     upstream::Awaitable<AttemptOutcome> relayEventStream();
     bool isStreamAnswer(int status) const;
     StreamHead readHead(const AnswerAttributes &attributes) const;
@@ -253,6 +256,8 @@
     upstream::HttpStream &caller;
     const caller::CallerRequest &request;
     RequestAttributes attributes;
+    /// Memory of an answer that is not a stream.
+    MemoryBudget::Holding answerMemory;
     /// Address of the caller's connection, unless the request names its caller.
     std::string callerIdentity;
     RequestFingerprints fingerprints;
@@ -272,6 +277,8 @@
     /// the one that another instance has identified.
     const Workspace *workspace = nullptr;
     WorkspaceId workspaceId;
+    /// Units taken from the quota of the workspace.
+    double quotaUnits = 0;
     const Service *service = nullptr;
     ServiceTarget target;
     /// When the answer has to be complete; zero until the request is routed.
