Give a workspace its rate in each second, not its window at once

Cause: the limit was a sum over the window, and all that was left of it was admitted within 1.5 s.

Change: the aggregator computes the level of a token bucket from the reports, which cover the window. Half of what the contract allows beyond the quota (bounds.quota_overage, bounds.quota_slack) is used, so that short bursts are not refused; the rest is for what is admitted before the instances hear of each other. A lowered quota falls over one window.

Evidence: unit-workspace_quota.cpp, with a case that a workspace whose load rises gets its rate in each second.

--- a/src/gateway/workspace_quota.cpp
+++ b/src/gateway/workspace_quota.cpp
@@ -15,11 +15,6 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-double fullUnits(const Quota &quota, const QuotaLimits &limits)
-{
-    return quota.perSecond * toSeconds(limits.window) + quota.burst;
-}
-
 } // namespace
 
 double requestUnits(const Quota &quota, std::optional<double> tokens)
@@ -33,18 +28,21 @@
         return;
     // Units of another kind can't be compared.
     const bool isComparable = this->present.isLimited() && quota.unit == this->present.unit;
-    const double next = fullUnits(quota, limits);
-    this->formerUnits = isComparable ? std::max(this->units(limits, now), next) : next;
-    this->presentUnits = next;
+    this->former = isComparable ? this->at(limits, now) : quota;
+    this->former.perSecond = std::max(this->former.perSecond, quota.perSecond);
+    this->former.burst = std::max(this->former.burst, quota.burst);
     this->changedAt = now;
     this->present = quota;
 }
 
-double QuotaBound::units(const QuotaLimits &limits, TimePoint now) const
+Quota QuotaBound::at(const QuotaLimits &limits, TimePoint now) const
 {
     const double passed
             = std::clamp(toSeconds(now - this->changedAt) / toSeconds(limits.window), 0.0, 1.0);
-    return this->formerUnits + (this->presentUnits - this->formerUnits) * passed;
+    Quota quota = this->present;
+    quota.perSecond = std::lerp(this->former.perSecond, this->present.perSecond, passed);
+    quota.burst = std::lerp(this->former.burst, this->present.burst, passed);
+    return quota;
 }
 
 QuotaMeter::QuotaMeter(QuotaLimits limits, bool isFirstStart, std::uint64_t seed, TimePoint now)
@@ -110,7 +108,7 @@
         return admitted;
     // What all instances ask for has probably changed as this one's own demand has. One request
     // is added to both, as a quotient of small numbers says little.
-    const double perSecond = meter.bound.units(this->limits, now) / toSeconds(this->limits.window);
+    const double perSecond = meter.bound.at(this->limits, now).perSecond;
     const double formerRate
             = meter.share ? meter.share->askedPerSecond : this->limits.reportedUse * perSecond;
     const double one = std::max(1.0, meter.requestUnits);
@@ -216,14 +214,21 @@
     }
 }
 
+std::size_t QuotaAggregate::slotCount() const
+{
+    return static_cast<std::size_t>(this->limits.window / this->limits.slot) + 1;
+}
+
 /// Adds what an instance reported some time ago, and what it has admitted and was asked for of
 /// late.
 void QuotaAggregate::addUse(Sum &sum, const QuotaUse &use, Duration age) const
 {
+    sum.admitted.resize(this->slotCount());
     for (const QuotaSlot &slot : use.slots) {
+        const std::size_t index = slot.age + static_cast<std::size_t>(age / this->limits.slot);
+        if (index < sum.admitted.size())
+            sum.admitted[index] += slot.admitted;
         const Duration slotAge = this->limits.slot * slot.age;
-        if (slotAge + age <= this->limits.window)
-            sum.admitted += slot.admitted;
         if (slotAge < this->limits.rateWindow && age < this->limits.rateWindow) {
             sum.recentAdmitted += slot.admitted;
             sum.recentAsked += slot.asked;
@@ -235,45 +240,62 @@
     }
 }
 
+/// Units that are left of a token bucket after what was admitted within the window.
+/// @param knownPart part of the instances' time within the window that reports account for; for the
+/// rest, the quota counts as used
+double QuotaAggregate::computeLevel(const Quota &quota, const Sum &sum, double knownPart) const
+{
+    const double perSlot = quota.perSecond * toSeconds(this->limits.slot);
+    double level = quota.burst * knownPart;
+    for (std::size_t i = sum.admitted.size(); i > 0; --i)
+        level = std::min(quota.burst, level + perSlot) - sum.admitted[i - 1];
+    return level;
+}
+
+/// Units beyond the quota that are admitted at a time.
+double QuotaAggregate::allowance(const Quota &quota) const
+{
+    const double full = quota.perSecond * toSeconds(this->limits.window) + quota.burst;
+    const double slack = quota.unit == QuotaUnit::Tokens ? this->limits.slackTokens : 0;
+    return (full * this->limits.overage + slack) / 2;
+}
+
 std::vector<QuotaShare> QuotaAggregate::computeShares(TimePoint now)
 {
     std::erase_if(this->reporters, [&](const auto &item) {
         return item.second.receivedAt + this->limits.window < now;
     });
+    if (this->reporters.empty())
+        return {};
+    const auto count = static_cast<double>(this->reporters.size());
     std::map<WorkspaceId, Sum> sums;
-    double unknownSeconds = 0;
+    double knownSeconds = 0;
     double totalAge = 0;
     for (const auto &[instance, reporter] : this->reporters) {
+        const Duration age = now - reporter.receivedAt;
         for (const auto &[workspace, received] : reporter.uses)
             this->addUse(sums[workspace], received.use, now - received.receivedAt);
-        totalAge += toSeconds(now - reporter.receivedAt);
-        const Duration known = reporter.known + (now - reporter.receivedAt);
-        unknownSeconds += std::max(0.0, toSeconds(this->limits.window - known));
+        totalAge += toSeconds(age);
+        knownSeconds += toSeconds(std::min(this->limits.window, reporter.known + age));
     }
+    const double knownPart = knownSeconds / count / toSeconds(this->limits.window);
+    const double horizon = toSeconds(this->limits.horizon);
     std::vector<QuotaShare> shares;
     for (const auto &[workspace, bound] : this->bounds) {
         const Sum &sum = sums[workspace];
-        // What instances admitted before they started is not known; each may have used its equal
-        // part of the quota.
-        const double unknown = this->reporters.empty()
-                                       ? 0
-                                       : bound.quota().perSecond * unknownSeconds
-                                                 / static_cast<double>(this->reporters.size());
-        const double allowed = bound.units(this->limits, now);
+        const Quota quota = bound.at(this->limits, now);
         const double longTime = toSeconds(this->limits.rateWindow);
         const double shortTime = toSeconds(this->limits.riseWindow);
         const double asked = std::max(sum.recentAsked / longTime, sum.newAsked / shortTime);
         // Since their reports, the instances have gone on at about the present rate.
-        const double meanAge = this->reporters.empty()
-                                       ? 0
-                                       : totalAge / static_cast<double>(this->reporters.size());
-        const double since
-                = std::max(sum.recentAdmitted / longTime, sum.newAdmitted / shortTime) * meanAge;
-        const double used = sum.admitted + unknown + since;
-        const double wanted = asked * toSeconds(this->limits.horizon);
-        if (used < this->limits.reportedUse * allowed && wanted < allowed - used)
+        const double since = std::max(sum.recentAdmitted / longTime, sum.newAdmitted / shortTime)
+                             * totalAge / count;
+        const double level = this->computeLevel(quota, sum, knownPart) - since;
+        const double free
+                = std::max(0.0, level + this->allowance(quota) + quota.perSecond * horizon);
+        const double wanted = asked * horizon;
+        if (wanted < free && asked < this->limits.reportedUse * quota.perSecond)
             continue;
-        const double free = std::max(0.0, allowed - used);
         shares.push_back({workspace, wanted > free ? free / wanted : 1.0, asked});
     }
     return shares;
--- a/src/gateway/workspace_quota.hpp
+++ b/src/gateway/workspace_quota.hpp
@@ -19,8 +19,13 @@
 /// @brief Times of the measurement of quotas.
 struct QuotaLimits
 {
-    /// Time over which the requests of a workspace are summed.
+    /// Time that reports cover, and over which the quota must hold.
     Duration window = std::chrono::seconds(8);
+    /// What may be admitted beyond the quota within the window: a part of it, and units of quotas
+    /// in tokens. Half of it is used, so that short bursts are not refused; the other half is for
+    /// what is admitted before the instances hear of each other.
+    double overage = 0;
+    double slackTokens = 0;
     /// Resolution of the sums; reports have at most as many numbers for each workspace as this fits
     /// into the window.
     Duration slot = std::chrono::milliseconds(250);
@@ -38,7 +43,7 @@
     /// aggregator: callers may ask for several times their quota, and the window before the start
     /// may be used up.
     double unknownShare = 0.25;
-    /// Workspaces that have used less than this part of their limit are left out of messages.
+    /// Workspaces that ask for less than this part of their quota are left out of messages.
     double reportedUse = 0.5;
     /// Lower and upper bound of Retry-After.
     Duration minRetryAfter = std::chrono::milliseconds(500);
@@ -97,25 +102,23 @@
     auto operator<=>(const QuotaDecision &) const = default;
 };
 
-/// @brief Units that a quota allows within a window at a time.
+/// @brief A quota that comes into force.
 ///
-/// After the quota was lowered, the bound falls to the new value within one window, as what was
-/// admitted before was within the former quota.
+/// A lowered quota falls to its new value within one window, as callers could not know of it.
 class QuotaBound
 {
 public:
     /// @brief Takes over a quota that is in force from now on.
     void configure(const Quota &quota, const QuotaLimits &limits, TimePoint now);
 
-    /// @brief Units that may be admitted within the window that ends now.
-    double units(const QuotaLimits &limits, TimePoint now) const;
+    /// @brief The quota at a time, between the former and the new one.
+    Quota at(const QuotaLimits &limits, TimePoint now) const;
 
     const Quota &quota() const noexcept { return this->present; }
 
 private:
     Quota present;
-    double presentUnits = 0;
-    double formerUnits = 0;
+    Quota former;
     TimePoint changedAt{};
 };
 
@@ -214,7 +217,8 @@
     };
     struct Sum
     {
-        double admitted = 0;
+        /// Units admitted in each slot of the window, the present one first.
+        std::vector<double> admitted;
         /// Within the time over which rates are measured, and the shorter time of a rise.
         double recentAdmitted = 0;
         double recentAsked = 0;
@@ -222,7 +226,10 @@
         double newAsked = 0;
     };
 
+    std::size_t slotCount() const;
     void addUse(Sum &sum, const QuotaUse &use, Duration age) const;
+    double computeLevel(const Quota &quota, const Sum &sum, double knownPart) const;
+    double allowance(const Quota &quota) const;
 
     QuotaLimits limits;
     std::map<WorkspaceId, QuotaBound> bounds;
--- a/tests/gateway/unit-workspace_quota.cpp
+++ b/tests/gateway/unit-workspace_quota.cpp
@@ -27,6 +27,14 @@
     return workspace;
 }
 
+QuotaLimits makeLimits()
+{
+    QuotaLimits limits;
+    limits.overage = allowedOverage;
+    limits.slackTokens = allowedSlack;
+    return limits;
+}
+
 /// Instances that admit requests in virtual time, and an aggregator that hears of them late.
 class Fleet
 {
@@ -119,7 +127,7 @@
         this->admitted.clear();
     }
 
-    QuotaLimits limits;
+    QuotaLimits limits = makeLimits();
     TimePoint now{1h};
     /// Part of the messages that get lost.
     double loss = 0;
@@ -130,7 +138,7 @@
 private:
     struct Instance
     {
-        QuotaMeter meter{QuotaLimits(), true, 1, TimePoint()};
+        QuotaMeter meter{makeLimits(), true, 1, TimePoint()};
         TimePoint nextReport{};
     };
     struct Message
@@ -184,7 +192,7 @@
     Workspace workspace;
     bool isFirstStart;
     std::vector<Instance> instances;
-    QuotaAggregate aggregate{QuotaLimits()};
+    QuotaAggregate aggregate{makeLimits()};
     Random random{20261206};
     std::deque<Message> inFlight;
     std::deque<TimePoint> admitted;
@@ -283,6 +291,22 @@
     CHECK(fleet.admittedUnits() >= 0.95 * 16 * 100'000);
 }
 
+// Guards against a workspace that uses up its quota of a whole window in the first seconds of a
+// rise, and is refused what it is owed in the next ones.
+TEST_CASE("a workspace whose load rises gets its rate in each second")
+{
+    constexpr double perSecond = 200'000;
+    Fleet fleet(125, makeWorkspace("w", perSecond));
+    fleet.run(10s, perSecond / 1.8);
+    fleet.run(2s, 6 * perSecond / 1.8);
+    for (int second = 0; second < 8; ++second) {
+        fleet.forgetPast();
+        fleet.run(1s, 6 * perSecond / 1.8);
+        CAPTURE(second);
+        CHECK(fleet.admittedUnits() >= 0.6 * perSecond);
+    }
+}
+
 // Guards against a header that is missing or malformed and makes a request free of charge.
 TEST_CASE("a request counts its tokens, the workspace's number, or one")
 {
