Let the soak's callers identify themselves by keys

Each caller sends the key of a workspace, and each upstream checks that it is told this workspace and never the key, also through instances that help others and when a stream is taken up.

--- a/tests/platform/adapter/soak.py
+++ b/tests/platform/adapter/soak.py
@@ -33,6 +33,7 @@
 - a request without a prompt that ends its upstream hardly reaches any once three ends are some seconds old,
   but from instances that were just disturbed; requests beside it, of the same path, caller or body, are not
   refused because of it;
+- an upstream is told the workspace whose key the caller sent, and never the key;
 - the faults of stream_faults.py have checks of their own, which it names.
 
 Prints one JSON line; the exit code is 1 when a check failed. The entry "ends" counts the requests without a
@@ -151,7 +152,8 @@
           *stream_faults.FAULTS)
 # Faults that last for the whole run: streams that break, requests that crash an engine or end a service,
 # limits of upstreams, callers that close their side, and in every other run a configuration each second.
-LASTING_FAULTS = ("brittle", "breaks", "crashing", "fatal", "limits", "half_close", "configure_steadily")
+LASTING_FAULTS = ("brittle", "breaks", "crashing", "fatal", "limits", "half_close", "configure_steadily",
+                  "workspaces")
 
 
 def known_violations():
@@ -414,6 +416,7 @@
         self.exchanges, self.timeouts_s, self.given_up = [], [], []
         self.random = random.Random(options.seed)
         self.record = stand_ins.Record()
+        self.record.has_workspaces = "workspaces" in self.kinds
         self.counts, self.outcomes, self.version, self.faults = {}, {}, 0, []
         # The instance that each request was sent to.
         self.askers = {}
@@ -480,6 +483,9 @@
                  "services": [*({"name": name, "max_connections": 100, "health_path": stand_ins.HEALTH_PATH}
                                 for name in ("rooms", "stock", "events")),
                               {"name": "chat", "max_connections": 100, "engine": engine}]}
+        if "workspaces" in self.kinds:
+            value["tenants"] = [{"name": name, "api_keys": [f"key-of-{name}"], "unit": "requests",
+                                 "rate_per_s": 1e6, "burst": 1e6} for name in stand_ins.WORKSPACES]
         self.config_value = json.dumps(value).encode()
         await self.store.put("op/config", self.config_value)
 
@@ -689,6 +695,8 @@
         path, body = target or ({"new": f"/v{version}/"}.get(kind, f"/{kind}/") + attempt, body)
         request_lines = [f"{method} {path} HTTP/1.1", "Host: desk.example", f"X-Attempt-Id: {attempt}",
                  f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}"]
+        if "workspaces" in self.kinds:
+            request_lines.append(f"Authorization: Token key-of-{stand_ins.workspace_of(attempt)}")
         if stream and stream.pause_ms:
             request_lines.append(f"X-Pause-Ms: {stream.pause_ms}")
         if kind == "talk":
--- a/tests/platform/adapter/stand_ins.py
+++ b/tests/platform/adapter/stand_ins.py
@@ -15,6 +15,7 @@
 import time
 import urllib.parse
 import weakref
+import zlib
 
 import odd_answers
 
@@ -34,6 +35,15 @@
 reservations = []
 
 
+# Workspaces of callers.
+WORKSPACES = ("red", "blue")
+
+
+def workspace_of(attempt):
+    """Returns the workspace to which the caller of a request belongs."""
+    return WORKSPACES[zlib.crc32(attempt.encode()) % len(WORKSPACES)]
+
+
 def free_port():
     """Returns a free port below the ephemeral range.
 
@@ -382,6 +392,8 @@
     """What the upstreams observed: the runs of each request, load orders, and violations of checks."""
 
     def __init__(self):
+        # Whether the configuration has workspaces.
+        self.has_workspaces = False
         self.runs, self.sends = {}, {}
         self.crashing_sends = []
         # Times and attempts of the sends of the request that ends its upstream, and the times of the ends.
@@ -463,9 +475,18 @@
         place = self.random.choice(self.PLACES) if self.random.random() < self.silence else ""
         send = Send(self, place, request.sender)
         self.record.sends.setdefault(request.header("X-Attempt-Id"), []).append(send)
+        self.check_workspace(request)
         await self.silent(send, "before the first byte", reader)
         return send
 
+    def check_workspace(self, request):
+        """Checks that a request names the workspace whose key its caller sent, and not the key."""
+        attempt, named = request.header("X-Attempt-Id"), request.header("X-Tenant")
+        if request.header("Authorization"):
+            self.record.rule(f"{attempt} reached {self.name} with its caller's key")
+        if named != (workspace_of(attempt) if self.record.has_workspaces else ""):
+            self.record.rule(f"{attempt} reached {self.name} for the workspace \"{named}\"")
+
     async def silent(self, send, place, reader):
         """Says nothing for a while if the worker does so now, or at this place of the answer."""
         silent_s = self.silent_until - time.monotonic()
