Give up nothing in vain, and let a holding outlive the memory budget

A process that stopped with a request half received could crash: the event loop frees suspended requests after the gateway, and the holding of each took itself out of a budget that no longer existed. Holdings now see that the budget has ended.

Callers that read slowly lost their answers when only the part for arriving requests was used up, and arriving requests were given up for one that had no room even then. Only arriving requests count in the first case, and the second is refused at once. A second allowEviction() left the holding in the set of its former owner.

--- a/src/core/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -16,12 +16,16 @@
 
 MemoryBudget::Holding::~Holding()
 {
+    if (this->lifetime.expired())
+        return;
     this->setUse(MemoryUse::Admitted);
     this->budget.used -= this->held;
 }
 
 void MemoryBudget::Holding::allowEviction(std::string peer, std::function<void()> free)
 {
+    // Takes it out of the holdings of a former owner.
+    this->setUse(this->use);
     this->owner = std::move(peer);
     this->evict = std::move(free);
     this->budget.byOwner[this->owner].insert(this);
@@ -48,9 +52,13 @@
     if (this->wasEvicted)
         return false;
     const std::size_t added = bytes - std::min(bytes, this->held);
+    const bool isSmall = bytes <= this->budget.limits.smallBytes;
+    const bool canFit = isSmall || this->budget.canFit(*this, added);
     while (added > 0 && this->budget.isExceeded(this->use, added)) {
-        Holding *costly = this->budget.findMostCostly(now);
-        const bool isSmall = bytes <= this->budget.limits.smallBytes;
+        // Answers make no room for requests that are still arriving unless the total is exceeded.
+        Holding *costly
+                = canFit ? this->budget.findMostCostly(now, !this->budget.isTotalExceeded(added))
+                         : nullptr;
         if (costly == nullptr && isSmall)
             break;
         if (costly == nullptr || (costly == this && !isSmall)) {
@@ -65,24 +73,59 @@
     return true;
 }
 
+std::size_t MemoryBudget::arrivingLimit() const
+{
+    return static_cast<std::size_t>(static_cast<double>(this->limits.totalBytes)
+                                    * this->limits.arrivingShare);
+}
+
+bool MemoryBudget::isTotalExceeded(std::size_t added) const
+{
+    return this->limits.totalBytes > 0 && this->used + added > this->limits.totalBytes;
+}
+
 bool MemoryBudget::isExceeded(MemoryUse use, std::size_t added) const
 {
-    if (this->limits.totalBytes == 0)
-        return false;
-    const auto arrivingBytes = static_cast<std::size_t>(static_cast<double>(this->limits.totalBytes)
-                                                        * this->limits.arrivingShare);
-    return this->used + added > this->limits.totalBytes
-           || (use == MemoryUse::Arriving && this->arriving + added > arrivingBytes);
+    return this->isTotalExceeded(added)
+           || (this->limits.totalBytes > 0 && use == MemoryUse::Arriving
+               && this->arriving + added > this->arrivingLimit());
+}
+
+/// Whether more bytes of a holding fit if all others are given up that can be.
+bool MemoryBudget::canFit(const Holding &holding, std::size_t added) const
+{
+    if (!this->isExceeded(holding.use, added))
+        return true;
+    std::size_t evictable = 0;
+    std::size_t evictableArriving = 0;
+    for (const auto &[owner, holdings] : this->byOwner) {
+        for (const Holding *other : holdings) {
+            if (other == &holding)
+                continue;
+            evictable += this->isCandidate(*other, false) ? other->held : 0;
+            evictableArriving += this->isCandidate(*other, true) ? other->held : 0;
+        }
+    }
+    return this->used - evictable + added <= this->limits.totalBytes
+           && (holding.use != MemoryUse::Arriving
+               || this->arriving - evictableArriving + added <= this->arrivingLimit());
+}
+
+/// Whether a holding is among those to be given up.
+bool MemoryBudget::isCandidate(const Holding &holding, bool isArrivingOnly) const
+{
+    return holding.held > this->limits.smallBytes
+           && (!isArrivingOnly || holding.use == MemoryUse::Arriving);
 }
 
-MemoryBudget::Holding *MemoryBudget::findMostCostly(TimePoint now) const
+MemoryBudget::Holding *MemoryBudget::findMostCostly(TimePoint now, bool isArrivingOnly) const
 {
     const std::set<Holding *> *largest = nullptr;
     std::size_t largestBytes = 0;
     for (const auto &[owner, holdings] : this->byOwner) {
         std::size_t bytes = 0;
         for (const Holding *holding : holdings)
-            bytes += holding->held > this->limits.smallBytes ? holding->held : 0;
+            bytes += this->isCandidate(*holding, isArrivingOnly) ? holding->held : 0;
         if (bytes > largestBytes) {
             largest = &holdings;
             largestBytes = bytes;
@@ -93,7 +136,7 @@
     Holding *costly = nullptr;
     double highest = 0;
     for (Holding *holding : *largest) {
-        if (holding->held <= this->limits.smallBytes)
+        if (!this->isCandidate(*holding, isArrivingOnly))
             continue;
         const std::chrono::duration<double> age = now - holding->progressAt + leastAge;
         const double cost = static_cast<double>(holding->held) * age.count();
--- a/src/core/memory_budget.hpp
+++ b/src/core/memory_budget.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -51,6 +52,7 @@
     public:
         Holding(MemoryBudget &budget, MemoryUse use)
             : budget(budget)
+            , lifetime(budget.lifetime)
             , use(use)
         {}
         ~Holding();
@@ -83,6 +85,9 @@
         friend class MemoryBudget;
 
         MemoryBudget &budget;
+        /// Expired once the budget has ended. Requests that are suspended when the event loop stops
+        /// are freed after the gateway that has the budget.
+        std::weak_ptr<const int> lifetime;
         MemoryUse use;
         std::size_t held = 0;
         std::string owner;
@@ -103,8 +108,12 @@
     std::function<void(MemoryUse use, std::size_t bytes)> onShortage;
 
 private:
+    std::size_t arrivingLimit() const;
+    bool isTotalExceeded(std::size_t added) const;
     bool isExceeded(MemoryUse use, std::size_t added) const;
-    Holding *findMostCostly(TimePoint now) const;
+    bool canFit(const Holding &holding, std::size_t added) const;
+    bool isCandidate(const Holding &holding, bool isArrivingOnly) const;
+    Holding *findMostCostly(TimePoint now, bool isArrivingOnly) const;
     void giveUp(Holding &holding);
     void record(Holding &holding, std::size_t bytes);
 
@@ -113,6 +122,7 @@
     std::size_t arriving = 0;
     /// Holdings that can be given up, by owner.
     std::map<std::string, std::set<Holding *>> byOwner;
+    std::shared_ptr<const int> lifetime = std::make_shared<const int>(0);
 };
 
 } // namespace bamboochute
--- a/tests/core/unit-memory_budget.cpp
+++ b/tests/core/unit-memory_budget.cpp
@@ -105,8 +105,8 @@
     REQUIRE(admitted.resize(1000 * kilobyte, start));
     std::vector<std::unique_ptr<Peer>> small;
     for (int i = 0; i < 20; ++i)
-        small.push_back(std::make_unique<Peer>(budget, MemoryUse::Arriving, "10.0.0.1",
-                                               16 * kilobyte));
+        small.push_back(
+                std::make_unique<Peer>(budget, MemoryUse::Arriving, "10.0.0.1", 16 * kilobyte));
     Peer large(budget, MemoryUse::Arriving, "10.0.0.2", 17 * kilobyte);
     CHECK_FALSE(large.isHeld);
     for (const auto &one : small) {
@@ -232,8 +232,7 @@
     SUBCASE("the callback may change the use of its holding")
     {
         MemoryBudget::Holding holding(budget, MemoryUse::Arriving);
-        holding.allowEviction("10.0.0.1",
-                              [&holding] { holding.setUse(MemoryUse::Admitted); });
+        holding.allowEviction("10.0.0.1", [&holding] { holding.setUse(MemoryUse::Admitted); });
         REQUIRE(holding.resize(500 * kilobyte, start));
         Peer added(budget, MemoryUse::Arriving, "10.0.0.2", 200 * kilobyte);
         CHECK(added.isHeld);
