Quote nothing of a malformed text in errors

An operator who published a configuration with a syntax error within "api_keys" found the key in the log: the JSON library's message has the last token that it read. The message now has only the position.

--- a/src/core/bounded_json.cpp
+++ b/src/core/bounded_json.cpp
@@ -41,9 +41,10 @@
         this->member = &(*this->open.back())[std::move(name)];
         return true;
     }
-    bool parse_error(std::size_t, const std::string &, const Json::exception &failure)
+    bool parse_error(std::size_t position, const std::string &, const Json::exception &)
     {
-        this->error = failure.what();
+        // The library's message quotes the text, which may be a key.
+        this->error = fmt::format("syntax error at byte {}", position);
         return false;
     }
     // NOLINTEND(readability-identifier-naming)
--- a/tests/platform/adapter/unit-decoding.cpp
+++ b/tests/platform/adapter/unit-decoding.cpp
@@ -446,3 +446,16 @@
         CHECK(codec.readAnswer(503, answer).answeredBy == UpstreamId("w2"));
     }
 }
+
+// Guards against a key that the parser quotes in the message that the log shows.
+TEST_CASE("an error in a configuration quotes no key")
+{
+    for (const std::string keys : {R"(["k-1" "secret-key"])", R"(["k-1", "secret-key)",
+                                   "[\"secret-key\n\"]", R"(["secret-key\x"])", R"([secret-key])"}) {
+        CAPTURE(keys);
+        const auto configuration = decodeConfiguration(
+                R"({"version": 1, "tenants": [{"name": "red", "api_keys": )" + keys + "}]}");
+        REQUIRE_FALSE(configuration);
+        CHECK(configuration.error().message().find("ecret") == std::string::npos);
+    }
+}
