Keep quotas with large requests, late releases, odd windows and no aggregator

A workspace could exceed its quota: by one request that states billions of tokens, at an instance that hears of no aggregator (which admitted everything one window after its start), and by requests that waited and were not sent, which were taken out of a later slot than the one in which they were admitted. An old share of an idle workspace admitted everything after the instance was cut off. Windows above 64 s made reports that the aggregator drops or that exceed a datagram, and a window of zero was divided by. One report with a negative time refused the workspace's requests.

An instance now admits at most the whole quota by itself, takes releases out of the slot of the admission, and bounds the times and the numbers of reports.

Measured: the five new cases of test-gateway fail before and pass now; the cases on quotas and keys pass. The rank has no test of its own.

--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -171,6 +171,7 @@
     if (!decision.isAdmitted)
         return decision.retryAfter;
     this->quotaUnits = units;
+    this->quotaTakenAt = this->now();
     return std::nullopt;
 }
 
@@ -178,12 +179,15 @@
 void RequestExchange::releaseQuota()
 {
     if (this->quotaUnits > 0 && this->sends == 0)
-        this->gateway.quotas.release(this->workspaceId, this->quotaUnits, this->now());
+        this->gateway.quotas.release(this->workspaceId, this->quotaUnits, this->quotaTakenAt);
 }
 
 /// Priority of the request; zero is the most urgent.
 std::uint32_t RequestExchange::priority() const
 {
+    // An instance that has identified the workspace states the urgency that it has found.
+    if (this->sentRoute && this->forwarded->workspace)
+        return this->route->priority;
     return this->index->findUrgency(this->workspace, *this->route);
 }
 
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -279,6 +279,8 @@
     WorkspaceId workspaceId;
     /// Units taken from the quota of the workspace.
     double quotaUnits = 0;
+    /// When they were taken.
+    TimePoint quotaTakenAt{};
     const Service *service = nullptr;
     ServiceTarget target;
     /// When the answer has to be complete; zero until the request is routed.
--- a/src/gateway/workspace_quota.cpp
+++ b/src/gateway/workspace_quota.cpp
@@ -20,6 +20,20 @@
     return quota.perSecond * toSeconds(limits.window) + quota.burst;
 }
 
+/// Bounds the times, which come from settings: a window has at least one slot, and no more than fit
+/// into a datagram with a workspace's report.
+QuotaLimits boundTimes(QuotaLimits limits)
+{
+    constexpr Duration minWindow = std::chrono::milliseconds(250);
+    constexpr int maxSlots = 64;
+    limits.window = std::clamp(limits.window, minWindow, maxReadDuration);
+    limits.slot = std::max(limits.slot, limits.window / maxSlots);
+    // A rate needs two slots; reports have nothing from before the window.
+    limits.riseWindow = std::min(std::max(limits.riseWindow, 2 * limits.slot), limits.window);
+    limits.rateWindow = std::min(std::max(limits.rateWindow, 2 * limits.slot), limits.window);
+    return limits;
+}
+
 } // namespace
 
 double requestUnits(const Quota &quota, std::optional<double> tokens)
@@ -48,7 +62,7 @@
 }
 
 QuotaMeter::QuotaMeter(QuotaLimits limits, bool isFirstStart, std::uint64_t seed, TimePoint now)
-    : limits(limits)
+    : limits(boundTimes(limits))
     , isFirstStart(isFirstStart)
     , seed(seed)
     , startedAt(now)
@@ -111,8 +125,9 @@
     // What all instances ask for has probably changed as this one's own demand has. One request
     // is added to both, as a quotient of small numbers says little.
     const double perSecond = meter.bound.units(this->limits, now) / toSeconds(this->limits.window);
-    const double formerRate
-            = meter.share ? meter.share->askedPerSecond : this->limits.reportedUse * perSecond;
+    // A workspace that was idle may ask for as much as one that is not reported.
+    const double formerRate = std::max(meter.share ? meter.share->askedPerSecond : 0.0,
+                                       this->limits.reportedUse * perSecond);
     const double one = std::max(1.0, meter.requestUnits);
     const double growth = (this->askedInWindow(meter, now) + one) / (meter.askedAtShare + one);
     return std::clamp(perSecond / std::max(formerRate * growth, 1e-9), 0.0, 1.0);
@@ -131,7 +146,19 @@
         return {};
     Meter &meter = found->second;
     Slot &slot = this->presentSlot(meter, now);
+    // Whatever other instances admit, more than the whole quota is never within it. One request is
+    // admitted also by a quota of less than one in a window.
+    const double least = meter.bound.quota().unit == QuotaUnit::Requests ? 1 : 0;
+    const double bound = std::max(least, meter.bound.units(this->limits, now));
+    const std::int64_t slots = std::max<std::int64_t>(1, this->limits.window / this->limits.slot);
+    double admitted = 0;
+    for (const Slot &one : meter.slots)
+        admitted += one.number + slots > slot.number ? one.admitted : 0;
+    if (units > bound)
+        return {false, this->limits.maxRetryAfter};
     slot.asked += units;
+    if (admitted + units > bound)
+        return {false, this->limits.minRetryAfter};
     constexpr double newestWeight = 0.1;
     meter.requestUnits
             += (units - meter.requestUnits) * (meter.requestUnits == 0 ? 1 : newestWeight);
@@ -150,13 +177,15 @@
     return {false, std::clamp(retryAfter, this->limits.minRetryAfter, this->limits.maxRetryAfter)};
 }
 
-void QuotaMeter::release(const WorkspaceId &workspace, double units, TimePoint now)
+void QuotaMeter::release(const WorkspaceId &workspace, double units, TimePoint admittedAt)
 {
     const auto found = this->meters.find(workspace);
     if (found == this->meters.end())
         return;
-    Slot &slot = this->presentSlot(found->second, now);
-    slot.admitted = std::max(0.0, slot.admitted - units);
+    for (Slot &slot : found->second.slots) {
+        if (slot.number == this->slotNumber(admittedAt))
+            slot.admitted = std::max(0.0, slot.admitted - units);
+    }
 }
 
 void QuotaMeter::receiveShares(const std::vector<QuotaShare> &shares, TimePoint now)
@@ -194,6 +223,7 @@
 
 void QuotaAggregate::configure(const std::vector<Workspace> &workspaces, TimePoint now)
 {
+    this->limits = boundTimes(this->limits);
     std::map<WorkspaceId, QuotaBound> configured;
     for (const Workspace &workspace : workspaces) {
         if (!workspace.quota.isLimited())
@@ -208,7 +238,7 @@
 void QuotaAggregate::receive(const QuotaReport &report, TimePoint now)
 {
     Reporter &reporter = this->reporters[report.reporter];
-    reporter.known = std::min(report.known, this->limits.window);
+    reporter.known = std::clamp(report.known, Duration(0), this->limits.window);
     reporter.receivedAt = now;
     for (const QuotaUse &use : report.uses) {
         if (this->bounds.contains(use.workspace))
@@ -221,6 +251,8 @@
 void QuotaAggregate::addUse(Sum &sum, const QuotaUse &use, Duration age) const
 {
     for (const QuotaSlot &slot : use.slots) {
+        if (slot.age > this->limits.window / this->limits.slot)
+            continue;
         const Duration slotAge = this->limits.slot * slot.age;
         if (slotAge + age <= this->limits.window)
             sum.admitted += slot.admitted;
--- a/tests/gateway/unit-workspace_quota.cpp
+++ b/tests/gateway/unit-workspace_quota.cpp
@@ -292,3 +292,102 @@
     const Quota requests{QuotaUnit::Requests, 100, 0, 200};
     CHECK(requestUnits(requests, 9240.0) == 1);
 }
+
+// Guards against a request that waited, was not sent, and makes room for others twice: when its
+// slot leaves the window, and when it is taken out of a later one.
+TEST_CASE("a request that was not sent is taken out of the slot in which it was admitted")
+{
+    const TimePoint start{1h};
+    QuotaMeter meter(QuotaLimits(), true, 1, start);
+    meter.configure({makeWorkspace("w", 100'000)}, start);
+    REQUIRE(meter.admit(WorkspaceId("w"), 10, start).isAdmitted);
+    REQUIRE(meter.admit(WorkspaceId("w"), 20, start + 5s).isAdmitted);
+    meter.release(WorkspaceId("w"), 10, start);
+    const QuotaReport report = meter.report(InstanceId("a"), start + 5s);
+    REQUIRE(report.uses.size() == 1);
+    REQUIRE(report.uses[0].slots.size() == 2);
+    CHECK(report.uses[0].slots[0].admitted == 0);
+    CHECK(report.uses[0].slots[1].admitted == 20);
+    meter.release(WorkspaceId("w"), 10, start - 1s);
+    CHECK(meter.report(InstanceId("a"), start + 5s) == report);
+}
+
+// Guards against one request that states billions of tokens, and against an instance that hears of
+// no aggregator and admits everything.
+TEST_CASE("one instance by itself admits no more than the whole quota")
+{
+    const TimePoint start{1h};
+    QuotaMeter meter(QuotaLimits(), false, 1, start);
+    meter.configure({makeWorkspace("w", 29'000)}, start);
+    const TimePoint known = start + 9s;
+    CHECK_FALSE(meter.admit(WorkspaceId("w"), 8e9, known).isAdmitted);
+    CHECK(meter.admit(WorkspaceId("w"), requestTokens, known).isAdmitted);
+    double admitted = requestTokens;
+    for (int i = 0; i < 700; ++i)
+        admitted += meter.admit(WorkspaceId("w"), requestTokens, known + i * 10ms).isAdmitted
+                            ? requestTokens
+                            : 0;
+    CHECK(admitted <= 9 * 29'000);
+    CHECK(admitted >= 0.95 * 8 * 29'000);
+
+    Workspace rare = makeWorkspace("rare", 0.05);
+    rare.quota = {QuotaUnit::Requests, 0.05, 0, 0};
+    meter.configure({rare}, start);
+    CHECK(meter.admit(WorkspaceId("rare"), 1, known).isAdmitted);
+}
+
+// Guards against divisions by zero, and against reports with more slots than the aggregator reads.
+TEST_CASE("odd windows are measured")
+{
+    for (const Duration window :
+         {Duration(0), Duration(100ms), Duration(1s), Duration(2min), Duration(24h * 365 * 10)}) {
+        CAPTURE(window.count());
+        QuotaLimits limits;
+        limits.window = window;
+        const TimePoint start{1h};
+        QuotaMeter meter(limits, true, 1, start);
+        QuotaAggregate aggregate(limits);
+        const Workspace workspace = makeWorkspace("w", 1e6);
+        meter.configure({workspace}, start);
+        aggregate.configure({workspace}, start);
+        TimePoint now = start;
+        for (; now < start + 150s; now += 100ms)
+            CHECK(meter.admit(workspace.id, 10, now).isAdmitted);
+        const QuotaReport report = meter.report(InstanceId("a"), now);
+        REQUIRE(report.uses.size() == 1);
+        CHECK(report.uses[0].slots.size() <= 128);
+        aggregate.receive(report, now);
+        meter.receiveShares({{workspace.id, 0.5, 1e6}}, now);
+        for (const QuotaShare &share : aggregate.computeShares(now))
+            CHECK(share.admitted == 1);
+        const double share = meter.admittedShare(workspace.id, now + 10s);
+        CHECK(share >= 0);
+        CHECK(share <= 1);
+    }
+}
+
+// Guards against an aggregator that refuses everything because of one odd report.
+TEST_CASE("odd numbers in a report are bounded")
+{
+    const TimePoint now{1h};
+    QuotaAggregate aggregate{QuotaLimits()};
+    aggregate.configure({makeWorkspace("w", 1000)}, now);
+    aggregate.receive({InstanceId("a"), 8s, {}}, now);
+    aggregate.receive({InstanceId("b"), -24h * 365, {}}, now);
+    QuotaUse use{WorkspaceId("w"), {{4'000'000'000U, 1e15, 1e15}, {0, 10, 10}}};
+    aggregate.receive({InstanceId("c"), 8s, {use}}, now);
+    for (const QuotaShare &share : aggregate.computeShares(now))
+        CHECK(share.admitted == 1);
+}
+
+// Guards against instances that are cut off when a workspace is idle, and then admit everything.
+TEST_CASE("an old share of an idle workspace is corrected by the demand since")
+{
+    const TimePoint start{1h};
+    QuotaMeter meter(QuotaLimits(), true, 1, start);
+    meter.configure({makeWorkspace("w", 1000)}, start);
+    meter.receiveShares({{WorkspaceId("w"), 1.0, 0.0}}, start);
+    for (int i = 0; i < 40; ++i)
+        meter.admit(WorkspaceId("w"), 10, start + 3s + i * 10ms);
+    CHECK(meter.admittedShare(WorkspaceId("w"), start + 4s) < 0.2);
+}
