Stop sending shares of quotas to instances that report elsewhere

After a change of aggregator, the former one went on for 4 s with reports from which it measured no rate after 2 s, and so told instances to admit everything; they now get no shares 2 s after their last report. Reports were kept for ever at an instance without quotas, and their number had no bound; they are now dropped without quotas, and bounded to 4,096.

Measured: the new checks (two cases, three runs) of test-residency fail before and pass now.

--- a/src/residency/quota_exchange.cpp
+++ b/src/residency/quota_exchange.cpp
@@ -61,6 +61,11 @@
 void QuotaExchange::receiveReport(const QuotaReportMessage &message, const Endpoint &from,
                                   TimePoint now)
 {
+    // Without quotas nothing removes old reporters.
+    if (!this->meter.hasQuotas()
+        || (this->reporters.size() >= this->settings.maxReporters
+            && !this->reporters.contains(message.report.reporter)))
+        return;
     if (!this->reportsSince)
         this->reportsSince = now;
     this->reporters[message.report.reporter] = Reporter{from, now};
--- a/src/residency/quota_exchange.hpp
+++ b/src/residency/quota_exchange.hpp
@@ -25,8 +25,12 @@
     double maxMessagesPerSecond = 600;
     /// Pause between two messages while no workspace is near its quota.
     Duration idleInterval = std::chrono::seconds(1);
-    /// Time for which an instance that has reported gets shares.
-    Duration reporterTimeout = std::chrono::seconds(4);
+    /// Time for which an instance that has reported gets shares. Rates are measured over this time;
+    /// a former aggregator that went on longer would take callers to ask for nothing.
+    Duration reporterTimeout = std::chrono::seconds(2);
+    /// Reporters that are known at a time: several times as many as the largest deployment has
+    /// instances (1,000), as each restart is another one.
+    std::size_t maxReporters = 4096;
     /// Time from the first report until shares are computed: every instance has reported by then.
     Duration firstSharesDelay = std::chrono::milliseconds(700);
     auto operator<=>(const QuotaExchangeSettings &) const = default;
