Blame no upstream for this instance's lack of memory

An answer for which this instance had no memory counted as a malformed one of the upstream, which was then avoided while it was in order. The attempt now fails without a fault of the upstream; the request may have run.

Measured: test-gateway builds, and its cases on invalid answers, keys and quotas were run. This path has no test of its own.

--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -240,9 +240,16 @@
         std::size_t added = 0;
         for (const std::string_view piece : this->attempt.call->answer().pieces)
             added += piece.size();
-        if (!co_await this->reserveAnswer(body.size() + added))
-            co_return this->handleCallFailure({upstream::CallFailure::Oversized, true,
-                                               "there is too little memory for the answer", false});
+        const bool hasRoom = co_await this->reserveAnswer(body.size() + added);
+        if (!hasRoom) {
+            // The upstream is not at fault, and is not avoided.
+            this->lastFault = "there is too little memory for the answer";
+            this->recordAnswerEnd();
+            this->triedUpstreams.push_back(this->attempt.upstream);
+            this->attempt.call->cancel();
+            this->log(LogLevel::Warning, "attempt failed", "memory", {"detail", this->lastFault});
+            co_return AttemptOutcome::MayHaveRun;
+        }
         for (const std::string_view piece : this->attempt.call->answer().pieces)
             body += piece;
         if (body.size() > maxAnswerBytes)
