Need keys where the list of workspaces is empty, and split long messages with shares

What callers saw: nothing yet; found by the review of keys and quotas. A configuration whose list of workspaces had become empty opened all routes. Shares of some sixty workspaces did not fit into a datagram. A workspace's name could break a metric's label, or a header if an instance stated an odd one.

Change: keys are needed wherever the configuration has the list. Messages with shares are split, and later parts add to the first.

--- a/src/forwarding/forwarded_request.cpp
+++ b/src/forwarding/forwarded_request.cpp
@@ -33,6 +33,17 @@
     return toBoundedDuration(milliseconds(readOptional(json, name, std::int64_t(0))));
 }
 
+/// Reads a name that becomes the value of a header.
+WorkspaceId readWorkspace(std::string name)
+{
+    const bool isVisible = std::all_of(name.begin(), name.end(), [](char character) {
+        return character > ' ' && character < '\x7f';
+    });
+    if (!isVisible)
+        throw JsonBoundsError("the workspace has a character that is no visible ASCII character");
+    return WorkspaceId(std::move(name));
+}
+
 Json encodeRoute(const ForwardedRoute &route)
 {
     return {{"id", route.id},
@@ -109,7 +120,7 @@
         if (json.contains("version"))
             request.version = SoftwareVersion(json.at("version").get<std::string>());
         if (json.contains("workspace"))
-            request.workspace = WorkspaceId(json.at("workspace").get<std::string>());
+            request.workspace = readWorkspace(json.at("workspace").get<std::string>());
         for (const Json &id : json.value("tried", Json::array()))
             request.tried.emplace_back(id.get<std::string>());
         return request;
--- a/src/gateway/routing_configuration.hpp
+++ b/src/gateway/routing_configuration.hpp
@@ -181,8 +181,9 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     CallerLimits limits;
-    /// Empty if callers need no keys.
     std::vector<Workspace> workspaces = {};
+    /// Whether callers need a key on routes that are not public, also if no workspace has one.
+    bool areKeysNeeded = false;
     auto operator<=>(const RoutingConfiguration &) const = default;
 };
 
@@ -203,7 +204,7 @@
     const Service *service(const ServiceId &id) const;
 
     /// @brief Whether callers have to identify themselves on routes that are not public.
-    bool hasWorkspaces() const noexcept { return !this->indexedConfiguration.workspaces.empty(); }
+    bool hasWorkspaces() const noexcept { return this->indexedConfiguration.areKeysNeeded; }
 
     /// @brief Finds the workspace that holds a key.
     /// @param key as the caller sent it
--- a/src/gateway/workspace_quota.cpp
+++ b/src/gateway/workspace_quota.cpp
@@ -204,6 +204,17 @@
     }
 }
 
+void QuotaMeter::addShares(const std::vector<QuotaShare> &shares, TimePoint now)
+{
+    for (const QuotaShare &share : shares) {
+        const auto found = this->meters.find(share.workspace);
+        if (found == this->meters.end())
+            continue;
+        found->second.share = share;
+        found->second.askedAtShare = this->askedInWindow(found->second, now);
+    }
+}
+
 QuotaReport QuotaMeter::report(const InstanceId &reporter, TimePoint now) const
 {
     QuotaReport report;
--- a/src/gateway/workspace_quota.hpp
+++ b/src/gateway/workspace_quota.hpp
@@ -138,11 +138,14 @@
     QuotaDecision admit(const WorkspaceId &workspace, double units, TimePoint now);
 
     /// @brief Takes an admitted request back that was not sent to an upstream.
-    void release(const WorkspaceId &workspace, double units, TimePoint now);
+    void release(const WorkspaceId &workspace, double units, TimePoint admittedAt);
 
     /// @brief Takes over the shares of all workspaces; one that is missing has used little.
     void receiveShares(const std::vector<QuotaShare> &shares, TimePoint now);
 
+    /// @brief Takes over further shares, and leaves those of other workspaces as they are.
+    void addShares(const std::vector<QuotaShare> &shares, TimePoint now);
+
     /// @brief Whether a workspace has a quota.
     bool hasQuotas() const noexcept { return !this->meters.empty(); }
 
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -485,7 +485,7 @@
 
 Json toJson(const QuotaSharesMessage &message)
 {
-    return Json::array({quotaSharesKind, toArray(message.shares)});
+    return Json::array({quotaSharesKind, toArray(message.shares), message.isContinuation});
 }
 
 CrashReportMessage decodeCrashReport(const Json &value)
@@ -591,8 +591,9 @@
                 {InstanceId(value.at(1).get<std::string>()), fromMillis(value.at(2)),
                  decodeArray<gateway::QuotaUse>(value.at(3), decodeQuotaUse)}});
     case quotaSharesKind:
-        return PeerMessage(QuotaSharesMessage{
-                decodeArray<gateway::QuotaShare>(value.at(1), decodeQuotaShare)});
+        return PeerMessage(
+                QuotaSharesMessage{decodeArray<gateway::QuotaShare>(value.at(1), decodeQuotaShare),
+                                   value.at(2).get<bool>()});
     case permitAnswerKind:
         return PeerMessage(
                 gateway::PermitAnswer{readInteger<std::uint64_t>(value.at(1)),
@@ -708,4 +709,13 @@
     return parts;
 }
 
+std::vector<QuotaSharesMessage> splitMessage(const QuotaSharesMessage &message,
+                                             std::size_t maxBytes)
+{
+    std::vector<QuotaSharesMessage> parts{{{}, message.isContinuation}};
+    distribute(parts, QuotaSharesMessage{{}, true}, message.shares, &QuotaSharesMessage::shares,
+               maxBytes);
+    return parts;
+}
+
 } // namespace bamboochute::residency
--- a/src/residency/peer_messages.hpp
+++ b/src/residency/peer_messages.hpp
@@ -176,6 +176,8 @@
 struct QuotaSharesMessage
 {
     std::vector<gateway::QuotaShare> shares;
+    /// Whether it adds to the message before it instead of replacing its shares.
+    bool isContinuation = false;
     auto operator<=>(const QuotaSharesMessage &) const = default;
 };
 
@@ -255,4 +257,10 @@
 std::vector<QuotaReportMessage> splitMessage(const QuotaReportMessage &message,
                                              std::size_t maxBytes);
 
+/// @brief Splits a message into parts that each fit into a datagram.
+/// @param maxBytes upper bound of an encoded part; only a part with one element may exceed it
+/// @return at least one part; all but the first are continuations of it
+std::vector<QuotaSharesMessage> splitMessage(const QuotaSharesMessage &message,
+                                             std::size_t maxBytes);
+
 } // namespace bamboochute::residency
--- a/src/residency/quota_exchange.cpp
+++ b/src/residency/quota_exchange.cpp
@@ -80,18 +80,26 @@
         return;
     this->wereSharesEmpty = isEmpty;
     this->sharesSentAt = now;
+    const std::vector<QuotaSharesMessage> parts = splitMessage(message, maxPartBytes);
     for (const auto &[instance, reporter] : this->reporters) {
-        if (instance == this->self)
-            this->receiveShares(message, now);
-        else
-            this->send(reporter.endpoint, message);
+        for (const QuotaSharesMessage &part : parts) {
+            if (instance == this->self)
+                this->receiveShares(part, now);
+            else
+                this->send(reporter.endpoint, part);
+        }
     }
 }
 
 void QuotaExchange::receiveShares(const QuotaSharesMessage &message, TimePoint now)
 {
-    this->meter.receiveShares(message.shares, now);
     std::map<WorkspaceId, double> present;
+    if (message.isContinuation) {
+        this->meter.addShares(message.shares, now);
+        present = this->limited;
+    } else {
+        this->meter.receiveShares(message.shares, now);
+    }
     for (const gateway::QuotaShare &share : message.shares) {
         if (share.admitted < 1)
             present.emplace(share.workspace, share.admitted);
