--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -361,8 +361,8 @@
 gateway::UpstreamPaceState decodePaceState(const Json &value)
 {
     gateway::UpstreamPaceState state;
-    state.process = {UpstreamId(value.at(0).get<std::string>()),
-                     readInteger<std::uint64_t>(value.at(1))};
+    state.process
+            = {UpstreamId(value.at(0).get<std::string>()), readInteger<std::uint64_t>(value.at(1))};
     state.speed = static_cast<double>(readInteger<std::uint64_t>(value.at(2))) / speedScale;
     if (!value.at(3).is_null())
         state.limit = readInteger<std::uint32_t>(value.at(3));
--- a/src/residency/peer_messages.hpp
+++ b/src/residency/peer_messages.hpp
@@ -191,8 +191,8 @@
     auto operator<=>(const PaceReportMessage &) const = default;
 };
 
-/// @brief Tells an instance the speeds of upstreams, and what it may send to those that have started
-/// or recovered; those that are left out are as fast as others and not limited.
+/// @brief Tells an instance the speeds of upstreams, and what it may send to those that have
+/// started or recovered; those that are left out are as fast as others and not limited.
 struct PaceStatesMessage
 {
     std::vector<gateway::UpstreamPaceState> states;
--- a/tests/gateway/unit-upstream_selection.cpp
+++ b/tests/gateway/unit-upstream_selection.cpp
@@ -202,3 +202,20 @@
         CHECK(budget.takeRetry(ServiceId("desk"), now));
     }
 }
+
+// Guards against an upstream that costs the same as its peers until each instance has measured it.
+TEST_CASE("the speed by the evidence of all instances is a factor of the cost")
+{
+    SelectionFixture fixture;
+    PaceLimits limits;
+    limits.isEnabled = true;
+    PaceMeter pace(limits);
+    SelectionQuery query;
+    query.candidates = fixture.table.findServing(fixture.service);
+    CHECK(fixture.selector.pickUpstream(query, fixture.health, fixture.now)->value() == "a");
+    pace.receiveStates({{fixture.table.find(UpstreamId("a"))->process(), 0.55, {}, 0, false}},
+                       fixture.now);
+    CHECK(fixture.selector.pickUpstream(query, fixture.health, fixture.now)->value() == "a");
+    query.pace = &pace;
+    CHECK(fixture.selector.pickUpstream(query, fixture.health, fixture.now)->value() != "a");
+}
--- a/tests/residency/unit-peer_messages.cpp
+++ b/tests/residency/unit-peer_messages.cpp
@@ -141,9 +141,8 @@
 TEST_CASE("evidence and states of the pace are restored from their encoding and split")
 {
     const gateway::UpstreamProcess process{UpstreamId("w1"), 1700000000000};
-    PaceReportMessage report{InstanceId("edge-1"),
-                             false,
-                             {{target.service, process, 7, 2, 1, 4, 3, 0.75, 0.5}}};
+    PaceReportMessage report{
+            InstanceId("edge-1"), false, {{target.service, process, 7, 2, 1, 4, 3, 0.75, 0.5}}};
     CHECK(decodePeerMessage(encodePeerMessage(report)).value() == PeerMessage(report));
     PaceStatesMessage states{{{process, 0.55, 8, 2, true}, {process, 1.2, std::nullopt, 0, false}}};
     CHECK(decodePeerMessage(encodePeerMessage(states)).value() == PeerMessage(states));
