--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -37,7 +37,7 @@
     , quotaTimer(loop)
     , paceTimer(loop)
     , origins(loop, election, metrics, gateway::OriginBatchNumber(Random(seed)()))
-    , quotas(gateway.quotas, gateway.quotaLimits(), this->self, metrics)
+    , quotas(gateway.quotas, gateway.quotaLimits(), this->self)
     , pace(gateway.pace, gateway.paceLimits(), this->self)
     , random(stableHash(this->self.value()))
 {}
--- a/src/residency/quota_exchange.cpp
+++ b/src/residency/quota_exchange.cpp
@@ -10,11 +10,10 @@
 namespace bamboochute::residency {
 
 QuotaExchange::QuotaExchange(gateway::QuotaMeter &meter, gateway::QuotaLimits limits,
-                             InstanceId self, Metrics &metrics, QuotaExchangeSettings settings)
+                             InstanceId self, QuotaExchangeSettings settings)
     : meter(meter)
     , aggregate(limits)
     , self(std::move(self))
-    , metrics(metrics)
     , settings(settings)
 {}
 
--- a/src/residency/quota_exchange.hpp
+++ b/src/residency/quota_exchange.hpp
@@ -4,7 +4,6 @@
 
 #include "core/clock.hpp"
 #include "core/configuration.hpp"
-#include "core/metrics.hpp"
 #include "gateway/workspace_quota.hpp"
 #include "residency/peer_messages.hpp"
 
@@ -47,7 +46,7 @@
 public:
     /// @param meter of this instance
     QuotaExchange(gateway::QuotaMeter &meter, gateway::QuotaLimits limits, InstanceId self,
-                  Metrics &metrics, QuotaExchangeSettings settings = {});
+                  QuotaExchangeSettings settings = {});
 
     /// @brief Takes over the workspaces of a configuration.
     void configure(const std::vector<gateway::Workspace> &workspaces, TimePoint now);
@@ -86,7 +85,6 @@
     gateway::QuotaMeter &meter;
     gateway::QuotaAggregate aggregate;
     InstanceId self;
-    Metrics &metrics;
     QuotaExchangeSettings settings;
     std::map<InstanceId, Reporter> reporters;
     /// First report of an unbroken series; unset while nobody reports.
--- a/tests/residency/unit-quota_exchange.cpp
+++ b/tests/residency/unit-quota_exchange.cpp
@@ -34,8 +34,7 @@
     }
 
     gateway::QuotaMeter meter{gateway::QuotaLimits(), true, 1, start};
-    Metrics metrics;
-    QuotaExchange exchange{meter, gateway::QuotaLimits(), InstanceId("self"), metrics};
+    QuotaExchange exchange{meter, gateway::QuotaLimits(), InstanceId("self")};
     std::vector<Endpoint> receivers;
 };
 
