--- a/review/7/run.py
+++ b/review/7/run.py
@@ -132,7 +132,7 @@
 def main():
     try:
         with tempfile.TemporaryDirectory() as directory:
-            directory = os.environ.get("KEEP_LOGS", directory)
+            directory = os.environ.get("KEEP_LOGS") or directory
             code, text = asyncio.run(asyncio.wait_for(play(pathlib.Path(directory)), 100))
     except Exception as failure:  # pylint: disable=broad-except
         code, text = 2, f"the case could not run: {failure!r}"
