--- a/review/6/run.py
+++ b/review/6/run.py
@@ -60,8 +60,8 @@
             record.add(f"{engine.name}: {holder} until {at - record.start:.3f}, then {next_holder} "
                        f"{next_at - at:.3f} s later")
         if turns or lower:
-            broken.append(f"{engine.name}: holders took turns within lease_ms {turns} times, {lower} orders had a lower "
-                          "token than one before")
+            broken.append(f"{engine.name}: holders took turns within lease_ms {turns} times, "
+                          f"{lower} orders had a lower token than one before")
     return broken
 
 
