Log final consents and the pause before a new owner's first order

On-call engineers saw "placement continues without the store" and the number of instances, but not whether their consent ends with them: an instance that shuts down consents for good. Of two owners that order in turn the log did not tell whose pause was over, and when.

The line names how many of the instances have left the election, and is written again when that number changes. "placement ownership acquired" says after how long the first order may follow.

--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -1,6 +1,7 @@
 #include "residency/owner_election.hpp"
 
 #include "core/log.hpp"
+#include "gateway/log_fields.hpp"
 
 #include <algorithm>
 
@@ -198,17 +199,21 @@
     }
 }
 
-/// Logs when all other instances have consented, and when that is no longer so.
+/// Logs when all other instances have consented, when that is no longer so, and how many of them
+/// have left the election.
 void OwnerElection::logConsent()
 {
     const bool isValid = this->isStoreUnreachable && this->consent.isValid(bootNow());
-    if (std::exchange(this->wasConsentValid, isValid) == isValid)
+    const std::size_t finalCount = isValid ? this->consent.finalCount() : 0;
+    const bool hasChanged = std::exchange(this->wasConsentValid, isValid) != isValid;
+    if (std::exchange(this->loggedFinalCount, finalCount) == finalCount && !hasChanged)
         return;
     logEvent(LogLevel::Info,
              isValid ? "placement continues without the store"
                      : "placement no longer continues without the store",
              {{"fence", std::to_string(this->lease.fence().value())},
-              {"instances", std::to_string(this->consent.members().size())}});
+              {"instances", std::to_string(this->consent.members().size())},
+              {"left_the_election", std::to_string(finalCount)}});
     this->change.notifyAll();
 }
 
@@ -226,6 +231,7 @@
     this->isStoreUnreachable = false;
     this->consent.discardAnswers();
     this->wasConsentValid = false;
+    this->loggedFinalCount = 0;
     if (this->onChange)
         this->onChange();
 }
@@ -375,8 +381,8 @@
     const bool hadNoOtherHolder
             = (formerHolder.isEmpty() || formerHolder == this->settings.self.instance)
               && (!grant.value().isFirstOfEra || this->wasOwnerAtEraBegin);
-    this->lease.recordGrant(grant.value().fence, grant.value().sentAt,
-                            this->computeEarliestOrder(hadNoOtherHolder));
+    const TimePoint earliestOrder = this->computeEarliestOrder(hadNoOtherHolder);
+    this->lease.recordGrant(grant.value().fence, grant.value().sentAt, earliestOrder);
     this->grantedAt = bootNow();
     this->consent.discardAnswers();
     this->leaseId = grant.value().lease;
@@ -387,9 +393,11 @@
     this->recordUsedFence(grant.value().fence);
     this->refusedNonce = 0;
     this->wasOwnerAtEraBegin = false;
+    const Duration pause = std::max(Duration(0), earliestOrder - bootNow());
     logEvent(LogLevel::Info, "placement ownership acquired",
              {{"fence", std::to_string(grant.value().fence.value())},
-              {"former", formerHolder.value()}});
+              {"former", formerHolder.value()},
+              {"orders_in_ms", gateway::formatMilliseconds(pause)}});
     if (this->onChange)
         this->onChange();
 }
--- a/src/residency/owner_election.hpp
+++ b/src/residency/owner_election.hpp
@@ -245,6 +245,8 @@
     OwnershipConsent consent;
     /// Whether the last check found the consent of all instances.
     bool wasConsentValid = false;
+    /// Instances that had consented for good at the last log line.
+    std::size_t loggedFinalCount = 0;
     /// Until when this instance leaves the ownership to another one.
     TimePoint consentedUntil{};
     /// Whether a call for the ownership is under way.
--- a/src/residency/ownership_consent.cpp
+++ b/src/residency/ownership_consent.cpp
@@ -69,6 +69,14 @@
                    });
 }
 
+std::size_t OwnershipConsent::finalCount() const
+{
+    return static_cast<std::size_t>(std::count_if(
+            this->memberStates.begin(), this->memberStates.end(), [](const auto &item) {
+                return item.second.consentedAt && item.second.isFinal;
+            }));
+}
+
 void OwnershipConsent::discardAnswers()
 {
     this->rounds.clear();
--- a/src/residency/ownership_consent.hpp
+++ b/src/residency/ownership_consent.hpp
@@ -86,6 +86,9 @@
     /// @brief Whether no other instance tries to become the owner now. False if none is known.
     bool isValid(TimePoint now) const;
 
+    /// @brief Number of instances whose consent does not end.
+    std::size_t finalCount() const;
+
     /// @brief Discards all answers, as at the begin and at the end of an ownership.
     void discardAnswers();
 
