Tell the last owner of a candidate before it takes the ownership

Cause: an owner that the store does not answer goes on with the consent of the instances that it knows. The consent of one that shuts down did not end, also when another process took its place at another address. That one starts after the owner's record has lapsed, so it reported to nobody and was never asked. Any instance that the owner did not know counted as one that consents.

"placement continues without the store", instances 2, left_the_election 2, and no line that it ends, although both had stopped; a new owner with orders_in_ms 3896. Ruled out by the same lines: consents of the new instances (the number of instances did not grow), late orders (the owner had not stopped).

Change: each process tells the last owner of itself, at the address in its record, which outlives the lease. The owner answers and needs the consent of this process from then on. Without an answer the process does not take the ownership until the owner must have stopped. The record says whether the owner can go on at all; it writes that before it relies on the first consent and takes it back when it gives up, so that nobody waits for one that can't. A takeover is bound to the record by which it was decided. While the store is away the owner forgets nobody. Its successor's messages reach it.

--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -27,6 +27,16 @@
     return BootClock().now();
 }
 
+CandidacySettings makeCandidacySettings(const ElectionSettings &settings, std::uint64_t process)
+{
+    CandidacySettings candidacy;
+    candidacy.self = settings.self.instance;
+    candidacy.process = process;
+    candidacy.retryInterval = settings.consentInterval;
+    candidacy.maxTimeWithoutStore = settings.maxTimeWithoutStore;
+    return candidacy;
+}
+
 } // namespace
 
 OwnershipGrant prepareGrant(const OwnershipRequest &request,
@@ -59,24 +69,32 @@
     , port(std::move(port))
     , change(loop)
     , consentTimer(loop)
+    , noticeTimer(loop)
     , random(this->settings.seed)
+    , candidacy(makeCandidacySettings(this->settings, this->random()))
     , lease(this->settings.times)
     , consent({this->settings.times.timeToLive, this->settings.times.validShare})
     , startedAt(bootNow())
-{}
+{
+    this->settings.self.answersCandidates = !this->settings.areEnginesFenced;
+}
 
 void OwnerElection::start()
 {
     this->lastHeard = bootNow();
     boost::asio::co_spawn(this->loop, this->run(), boost::asio::detached);
-    if (!this->settings.areEnginesFenced)
-        boost::asio::co_spawn(this->loop, this->seekConsent(), boost::asio::detached);
+    if (this->settings.areEnginesFenced)
+        return;
+    boost::asio::co_spawn(this->loop, this->seekConsent(), boost::asio::detached);
+    if (this->sendNotice)
+        boost::asio::co_spawn(this->loop, this->sendNotices(), boost::asio::detached);
 }
 
 void OwnerElection::resign()
 {
     this->isResigned = true;
     this->change.notifyAll();
+    this->noticeTimer.notifyAll();
 }
 
 void OwnerElection::setEligible(bool isAble)
@@ -91,6 +109,7 @@
     const bool hasChanged = this->observedOwner != owner || !this->isRecordKnown;
     this->isRecordKnown = true;
     this->observedOwner = std::move(owner);
+    this->candidacy.recordOwnerPresence(this->observedOwner.has_value(), bootNow());
     if (this->observedOwner)
         this->recordUsedFence(this->observedOwner->fence);
     const bool isOtherOwner
@@ -104,6 +123,13 @@
         this->onChange();
 }
 
+void OwnerElection::handleLastOwner(std::optional<OwnerRecord> record)
+{
+    this->candidacy.recordLastOwner(std::move(record), bootNow());
+    this->noticeTimer.notifyAll();
+    this->change.notifyAll();
+}
+
 void OwnerElection::handleOwnerMessage(Fence fence)
 {
     this->recordUsedFence(fence);
@@ -143,13 +169,16 @@
 }
 
 /// Whether this instance may go on as the owner although its lease may have ended: no other one can
-/// order meanwhile, or its orders would be refused.
+/// order meanwhile, or its orders would be refused. The highest fencing number that it knows of is
+/// its own unless another one has followed it.
 bool OwnerElection::mayActWithoutStore() const
 {
     const TimePoint now = bootNow();
     return this->isStoreUnreachable && this->lease.isGranted() && this->lease.isPauseOver(now)
            && now < this->lastStoreContact + this->settings.maxTimeWithoutStore
-           && (this->settings.areEnginesFenced || this->consent.isValid(now));
+           && (this->settings.areEnginesFenced
+               || (this->mayOutliveLease && this->highestUsed.fence <= this->lease.fence()
+                   && this->consent.isValid(now)));
 }
 
 void OwnerElection::recordMember(const InstanceId &instance, const Endpoint &endpoint)
@@ -175,6 +204,78 @@
     return answer;
 }
 
+std::optional<CandidateAnswer> OwnerElection::answerNotice(const CandidateNotice &notice,
+                                                           const Endpoint &from)
+{
+    const bool isKnown
+            = this->consent.recordCandidate(notice.sender, from, notice.process, bootNow());
+    this->logConsent();
+    if (!isKnown)
+        return std::nullopt;
+    return CandidateAnswer{notice.process, notice.ownership, this->lease.isGranted()};
+}
+
+void OwnerElection::handleNoticeAnswer(const CandidateAnswer &answer)
+{
+    const bool wasCleared = this->isCleared();
+    if (!this->candidacy.recordAnswer(answer, bootNow()))
+        return;
+    this->noticeTimer.notifyAll();
+    if (wasCleared)
+        return;
+    logEvent(LogLevel::Info, "last owner knows of this candidate",
+             {{"last_owner", this->candidacy.lastOwner()->instance.value()},
+              {"was_owner", answer.isOwner ? "yes" : "no"}});
+    this->change.notifyAll();
+}
+
+/// Tells the last owner of this process, which may take the ownership after it.
+upstream::Awaitable<void> OwnerElection::sendNotices()
+{
+    while (!this->isResigned) {
+        const TimePoint now = bootNow();
+        const TimePoint due = this->candidacy.nextNoticeAt();
+        if (due > now) {
+            co_await this->noticeTimer.wait(steadyNow() + std::min(due - now, idleInterval));
+            continue;
+        }
+        const CandidateNotice notice = this->candidacy.makeNotice(now);
+        this->sendNotice(this->candidacy.lastOwner()->endpoint, notice);
+    }
+}
+
+/// Whether no owner goes on beside this instance if it takes the ownership.
+bool OwnerElection::isCleared() const
+{
+    return this->settings.areEnginesFenced || this->candidacy.isCleared(bootNow());
+}
+
+/// Whether the last owner may rely on what an earlier process of this instance has promised.
+bool OwnerElection::mayFormerPromiseHold() const
+{
+    return !this->settings.areEnginesFenced && !this->candidacy.isAnswered();
+}
+
+/// Writes to the store whether this instance goes on after the end of its lease if all others
+/// consent, so that one that starts meanwhile asks it first.
+upstream::Awaitable<void> OwnerElection::recordOutliving(bool mayOutliveLease)
+{
+    const std::uint64_t nonce = this->settings.self.nonce;
+    const Result<bool> isWritten = co_await this->port.setMayOutliveLease(nonce, mayOutliveLease);
+    if (!isWritten)
+        logEvent(LogLevel::Warning, "last owner's record not updated",
+                 {{"may_outlive_lease", mayOutliveLease ? "yes" : "no"},
+                  {"error", isWritten.error().message()}});
+    std::optional<OwnerRecord> last = this->candidacy.lastOwner();
+    const bool isRecorded = isWritten && isWritten.value() && last && last->nonce == nonce;
+    if (isRecorded) {
+        last->mayOutliveLease = mayOutliveLease;
+        this->candidacy.recordLastOwner(std::move(last), bootNow());
+    }
+    this->mayOutliveLease = mayOutliveLease && isRecorded && this->lease.isGranted()
+                            && nonce == this->settings.self.nonce;
+}
+
 void OwnerElection::handleConsentAnswer(const ConsentAnswer &answer)
 {
     if (!this->lease.isGranted())
@@ -189,9 +290,13 @@
     while (!this->isResigned) {
         co_await this->consentTimer.wait(steadyNow() + this->settings.consentInterval);
         const TimePoint now = bootNow();
-        if (!this->isStoreUnreachable || !this->lease.isGranted() || !this->askForConsent
+        if (!this->lease.isGranted() || !this->askForConsent
             || this->lastStoreContact < this->grantedAt + this->settings.consentDelay)
             continue;
+        if (!this->isStoreUnreachable && !this->mayOutliveLease && !this->consent.members().empty())
+            co_await this->recordOutliving(true);
+        if (!this->isStoreUnreachable || !this->mayOutliveLease)
+            continue;
         this->logConsent();
         this->askForConsent(
                 this->consent.members(),
@@ -228,7 +333,8 @@
              {{"reason", std::string(reason)},
               {"fence", std::to_string(this->lease.fence().value())}});
     this->lease.recordLoss();
-    this->isStoreUnreachable = false;
+    this->setStoreUnreachable(false);
+    this->mayOutliveLease = false;
     this->consent.discardAnswers();
     this->wasConsentValid = false;
     this->loggedFinalCount = 0;
@@ -246,15 +352,29 @@
 /// Whether this instance was the last owner, before it was restarted or lost the ownership.
 bool OwnerElection::wasLastOwner() const
 {
-    return this->lastOwner == this->settings.self.instance;
+    const std::optional<OwnerRecord> &last = this->candidacy.lastOwner();
+    return last && last->instance == this->settings.self.instance;
+}
+
+/// Sets whether the store does not answer this owner. Meanwhile no instance is forgotten: one that
+/// has told the owner of itself takes the ownership without a further notice.
+void OwnerElection::setStoreUnreachable(bool isUnreachable)
+{
+    this->isStoreUnreachable = isUnreachable;
+    this->consent.setForgetting(!isUnreachable);
 }
 
 /// Whether there is no owner, or one whose record is of this instance, or one that can't order
 /// because a higher fencing number was used.
 bool OwnerElection::mayCampaign() const
 {
-    if (!this->isRecordKnown || this->lease.isGranted() || !this->isEligible
-        || bootNow() < this->consentedUntil)
+    return this->isVacant() && bootNow() >= this->consentedUntil && this->isCleared();
+}
+
+/// Whether the ownership can be taken from what this instance knows of the store.
+bool OwnerElection::isVacant() const
+{
+    if (!this->isRecordKnown || this->lease.isGranted() || !this->isEligible)
         return false;
     return !this->observedOwner || this->isOwnRecord()
            || this->observedOwner->fence < this->highestUsed.fence;
@@ -269,8 +389,10 @@
             co_await this->renew();
         else if (this->mayCampaign())
             co_await this->campaign();
-        else
+        else {
+            this->logWait();
             co_await this->change.wait(steadyNow() + this->idleTime());
+        }
     }
     if (this->lease.isGranted())
         co_await this->giveUp("this instance is shutting down");
@@ -279,19 +401,38 @@
 /// Time until this instance may campaign although nothing has changed.
 Duration OwnerElection::idleTime() const
 {
-    const Duration consentLeft = this->consentedUntil - bootNow();
-    return consentLeft > Duration(0) ? std::min(consentLeft, idleInterval) : idleInterval;
+    const TimePoint now = bootNow();
+    TimePoint end = now + idleInterval;
+    for (const TimePoint time : {this->consentedUntil, this->candidacy.clearedAt().value_or(end)}) {
+        if (time > now)
+            end = std::min(end, time);
+    }
+    return end - now;
+}
+
+/// Logs once when only the answer of the last owner is missing for a campaign.
+void OwnerElection::logWait()
+{
+    const bool isWaiting = this->isVacant() && !this->isCleared();
+    if (std::exchange(this->isWaitLogged, isWaiting) == isWaiting || !isWaiting)
+        return;
+    logEvent(LogLevel::Info, "candidate waits for the last owner",
+             {{"last_owner", this->candidacy.lastOwner()->instance.value()},
+              {"endpoint", this->candidacy.lastOwner()->endpoint.address}});
 }
 
 upstream::Awaitable<void> OwnerElection::giveUp(std::string_view reason)
 {
     const std::uint64_t id = this->leaseId;
+    const bool wasOutliving = this->mayOutliveLease;
     this->dropOwnership(reason);
     // A successor counts its pause as if the lease had lapsed, which is so much later than the last
     // order.
     if (!this->settings.areEnginesFenced)
         co_await this->consentTimer.wait(steadyNow()
                                          + timeInvalidBeforeExpiry(this->settings.times));
+    if (wasOutliving)
+        co_await this->recordOutliving(false);
     co_await this->port.release(id);
 }
 
@@ -310,14 +451,15 @@
     if (renewed) {
         this->lease.recordRenewal(sentAt);
         this->lastStoreContact = sentAt;
-        this->isStoreUnreachable = false;
+        this->setStoreUnreachable(false);
         co_return;
     }
     if (renewed.error().kind() == ErrorKind::NotOwner) {
         this->dropOwnership("the lease has ended");
         co_return;
     }
-    if (!std::exchange(this->isStoreUnreachable, true)) {
+    if (!this->isStoreUnreachable) {
+        this->setStoreUnreachable(true);
         this->storeLostAt = bootNow();
         logEvent(LogLevel::Warning, "placement lease not renewed; retrying",
                  {{"error", renewed.error().message()}});
@@ -330,7 +472,7 @@
 {
     const auto jitter = static_cast<std::uint64_t>(this->settings.maxCampaignJitter.count());
     Duration delay = this->settings.campaignDelay + Duration(this->random.below(jitter + 1));
-    if (!this->lastOwner.isEmpty() && bootNow() < this->startedAt + this->settings.headStartTime)
+    if (this->candidacy.lastOwner() && bootNow() < this->startedAt + this->settings.headStartTime)
         delay += this->settings.lastOwnerHeadStart;
     return delay;
 }
@@ -342,10 +484,16 @@
     if (hadNoOtherHolder)
         return now;
     const LeaseTimes &times = this->settings.times;
+    if (this->settings.areEnginesFenced)
+        return earliestOrderTime(times, true, now, this->lastHeard);
     // The process that this one replaced may have left the ownership to the former holder.
-    const TimePoint formerConsentEnd = this->startedAt + times.timeToLive;
-    const TimePoint free = this->settings.areEnginesFenced ? now : std::max(now, formerConsentEnd);
-    return earliestOrderTime(times, this->settings.areEnginesFenced, free, this->lastHeard);
+    const TimePoint free = this->mayFormerPromiseHold()
+                                   ? std::max(now, this->startedAt + times.timeToLive)
+                                   : now;
+    // A holder that goes on without the store does so until it learns of this process.
+    const std::optional<TimePoint> &noticedAt = this->candidacy.noticedByOwnerAt();
+    return std::max(earliestOrderTime(times, false, free, this->lastHeard),
+                    noticedAt ? *noticedAt + times.handoverPause : now);
 }
 
 upstream::Awaitable<void> OwnerElection::campaign()
@@ -363,6 +511,8 @@
     request.timeToLive = this->settings.times.timeToLive;
     request.highestUsed = this->highestUsed;
     request.refusedNonce = this->refusedNonce;
+    request.isLastOwnerKnown = !this->settings.areEnginesFenced;
+    request.lastOwner = this->candidacy.lastOwner();
     const std::uint64_t era = this->storeEra;
     this->isAcquiring = true;
     const Result<OwnershipGrant> grant = co_await this->port.acquire(std::move(request));
@@ -384,10 +534,15 @@
     const TimePoint earliestOrder = this->computeEarliestOrder(hadNoOtherHolder);
     this->lease.recordGrant(grant.value().fence, grant.value().sentAt, earliestOrder);
     this->grantedAt = bootNow();
+    this->mayOutliveLease = false;
     this->consent.discardAnswers();
     this->leaseId = grant.value().lease;
     this->lastStoreContact = grant.value().sentAt;
-    this->lastOwner = this->settings.self.instance;
+    this->predecessorEndpoint.reset();
+    if (this->candidacy.lastOwner() && !this->wasLastOwner())
+        this->predecessorEndpoint = this->candidacy.lastOwner()->endpoint;
+    this->candidacy.recordOwnerPresence(true, bootNow());
+    this->candidacy.recordLastOwner(grant.value().record, bootNow());
     this->observedOwner
             = ObservedOwner{grant.value().record, grant.value().fence, grant.value().revision};
     this->recordUsedFence(grant.value().fence);
--- a/src/residency/owner_election.hpp
+++ b/src/residency/owner_election.hpp
@@ -6,8 +6,10 @@
 #include "core/error.hpp"
 #include "core/random.hpp"
 #include "gateway/change_signal.hpp"
+#include "residency/candidacy.hpp"
 #include "residency/fence_succession.hpp"
 #include "residency/lease.hpp"
+#include "residency/owner_record.hpp"
 #include "residency/ownership_consent.hpp"
 #include "upstream/net.hpp"
 
@@ -18,41 +20,6 @@
 
 namespace bamboochute::residency {
 
-/// @brief The owner's record in the store.
-struct OwnerRecord
-{
-    InstanceId instance;
-    /// Address at which it receives datagrams.
-    Endpoint endpoint;
-    /// Random number that distinguishes the attempts to become the owner.
-    std::uint64_t nonce = 0;
-    /// The ownership's fencing number is the revision of its record, or this if it is higher:
-    /// revisions fall when the store comes back from a copy.
-    Fence minFence;
-    /// Era of the store in which it was written; zero in records of earlier releases, and where the
-    /// store names none.
-    std::uint64_t storeEra = 0;
-    auto operator<=>(const OwnerRecord &) const = default;
-
-    /// @brief Fencing number of the ownership.
-    /// @param revision revision of the record in the store
-    Fence fenceAt(std::uint64_t revision) const
-    {
-        return std::max(this->minFence, Fence(revision));
-    }
-};
-
-/// @brief The owner's record as it was read from the store, with the fencing number of its
-/// ownership.
-struct ObservedOwner
-{
-    OwnerRecord record;
-    Fence fence;
-    /// Revision of the record in the store.
-    std::uint64_t revision = 0;
-    auto operator<=>(const ObservedOwner &) const = default;
-};
-
 /// @brief What an instance asks the store for to become the owner.
 struct OwnershipRequest
 {
@@ -65,6 +32,21 @@
     /// Nonce of this instance's last ownership if an engine refused an order of it for its fencing
     /// number; zero otherwise.
     std::uint64_t refusedNonce = 0;
+    /// Whether the store's record of the last owner has to be of the same ownership as this one, by
+    /// which the instance found itself free to take the ownership; another one is a conflict.
+    bool isLastOwnerKnown = false;
+    std::optional<OwnerRecord> lastOwner;
+
+    /// @brief Whether the ownership may be taken after this last owner.
+    bool mayFollow(const std::optional<ObservedOwner> &last) const
+    {
+        if (!this->isLastOwnerKnown)
+            return true;
+        if (!last || !this->lastOwner)
+            return !last && !this->lastOwner;
+        return last->record.nonce == this->lastOwner->nonce
+               && (this->lastOwner->mayOutliveLease || !last->record.mayOutliveLease);
+    }
 };
 
 /// @brief An ownership that was acquired.
@@ -107,6 +89,10 @@
     std::function<Awaitable<Result<bool>>(std::uint64_t lease)> renew;
     /// Ends the lease, so that another instance can become the owner at once.
     std::function<Awaitable<void>(std::uint64_t lease)> release;
+    /// Writes to the last owner's record, if it has this nonce, whether the owner may outlive its
+    /// lease. Succeeds with false when the record has another nonce.
+    std::function<Awaitable<Result<bool>>(std::uint64_t nonce, bool mayOutliveLease)>
+            setMayOutliveLease;
 };
 
 /// @brief Settings of the election.
@@ -158,7 +144,8 @@
     void handleOwnerRecord(std::optional<ObservedOwner> owner);
 
     /// @brief Handles the record of the last owner, which has no lease, as read from the store.
-    void handleLastOwner(const InstanceId &instance) { this->lastOwner = instance; }
+    /// @param record nothing when there is no record
+    void handleLastOwner(std::optional<OwnerRecord> record);
 
     /// @brief Records that an instance reported to this one, so that its consent is needed.
     void recordMember(const InstanceId &instance, const Endpoint &endpoint);
@@ -178,6 +165,24 @@
     /// @brief Asks other instances for their consent; set before start().
     std::function<void(const std::vector<Endpoint> &to, const ConsentQuery &query)> askForConsent;
 
+    /// @brief Sends a notice to the last owner; set before start().
+    std::function<void(const Endpoint &to, const CandidateNotice &notice)> sendNotice;
+
+    /// @brief Handles the notice of an instance that may become the owner: this one needs its
+    /// consent from now on to go on without the store.
+    /// @return the answer; nothing if the instance can't be remembered
+    std::optional<CandidateAnswer> answerNotice(const CandidateNotice &notice,
+                                                const Endpoint &from);
+
+    /// @brief Handles the last owner's answer to a notice.
+    void handleNoticeAnswer(const CandidateAnswer &answer);
+
+    /// @brief Address of the owner before this one; unset if none is known.
+    const std::optional<Endpoint> &predecessor() const noexcept
+    {
+        return this->predecessorEndpoint;
+    }
+
     /// @brief Handles a message of an owner, which may therefore act for a while yet.
     /// @param fence fencing number in the message
     void handleOwnerMessage(Fence fence);
@@ -212,14 +217,21 @@
     upstream::Awaitable<void> campaign();
     upstream::Awaitable<void> giveUp(std::string_view reason);
     upstream::Awaitable<void> seekConsent();
+    upstream::Awaitable<void> sendNotices();
     bool mayActWithoutStore() const;
     bool mayCampaign() const;
+    bool isVacant() const;
+    bool isCleared() const;
+    bool mayFormerPromiseHold() const;
+    upstream::Awaitable<void> recordOutliving(bool mayOutliveLease);
+    void setStoreUnreachable(bool isUnreachable);
     bool isOwnRecord() const;
     bool wasLastOwner() const;
     Duration campaignDelay();
     Duration idleTime() const;
     TimePoint computeEarliestOrder(bool hadNoOtherHolder) const;
     void logConsent();
+    void logWait();
     void recordUsedFence(Fence fence);
     void dropOwnership(std::string_view reason);
 
@@ -229,7 +241,9 @@
     gateway::ChangeSignal change;
     /// Never notified.
     gateway::ChangeSignal consentTimer;
+    gateway::ChangeSignal noticeTimer;
     Random random;
+    Candidacy candidacy;
     Lease lease;
     std::uint64_t leaseId = 0;
     std::optional<ObservedOwner> observedOwner;
@@ -242,6 +256,8 @@
     bool isStoreUnreachable = false;
     /// When the store was noticed not to answer.
     TimePoint storeLostAt{};
+    /// Whether the store knows that this owner may outlive its lease.
+    bool mayOutliveLease = false;
     OwnershipConsent consent;
     /// Whether the last check found the consent of all instances.
     bool wasConsentValid = false;
@@ -251,7 +267,9 @@
     TimePoint consentedUntil{};
     /// Whether a call for the ownership is under way.
     bool isAcquiring = false;
-    InstanceId lastOwner;
+    std::optional<Endpoint> predecessorEndpoint;
+    /// Whether the log says that this instance waits for the last owner's answer.
+    bool isWaitLogged = false;
     TimePoint startedAt{};
     TimePoint grantedAt{};
     bool isResigned = false;
--- a/src/residency/ownership_consent.cpp
+++ b/src/residency/ownership_consent.cpp
@@ -1,6 +1,7 @@
 #include "residency/ownership_consent.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboochute::residency {
 
@@ -14,9 +15,10 @@
 void OwnershipConsent::recordMember(const InstanceId &instance, const Endpoint &endpoint,
                                     TimePoint now)
 {
-    std::erase_if(this->memberStates, [&](const auto &item) {
-        return item.second.heardAt + this->settings.memberMemory < now;
-    });
+    if (this->isForgetting)
+        std::erase_if(this->memberStates, [&](const auto &item) {
+            return item.second.heardAt + this->settings.memberMemory < now;
+        });
     if (this->memberStates.size() >= this->settings.maxMembers
         && this->memberStates.count(instance) == 0)
         return;
@@ -25,6 +27,22 @@
     member.heardAt = now;
 }
 
+bool OwnershipConsent::recordCandidate(const InstanceId &instance, const Endpoint &endpoint,
+                                       std::uint64_t process, TimePoint now)
+{
+    this->recordMember(instance, endpoint, now);
+    const auto member = this->memberStates.find(instance);
+    if (member == this->memberStates.end())
+        return false;
+    if (std::exchange(member->second.process, process) == process)
+        return true;
+    member->second.consentedAt.reset();
+    member->second.isFinal = false;
+    // An answer of the earlier process may still come.
+    member->second.answeredRound = this->lastRound + 1;
+    return true;
+}
+
 ConsentQuery OwnershipConsent::beginRound(Fence fence, Duration storeLostFor, TimePoint now)
 {
     this->rounds.push_back({++this->lastRound, now});
@@ -72,9 +90,8 @@
 std::size_t OwnershipConsent::finalCount() const
 {
     return static_cast<std::size_t>(std::count_if(
-            this->memberStates.begin(), this->memberStates.end(), [](const auto &item) {
-                return item.second.consentedAt && item.second.isFinal;
-            }));
+            this->memberStates.begin(), this->memberStates.end(),
+            [](const auto &item) { return item.second.consentedAt && item.second.isFinal; }));
 }
 
 void OwnershipConsent::discardAnswers()
--- a/src/residency/ownership_consent.hpp
+++ b/src/residency/ownership_consent.hpp
@@ -72,6 +72,16 @@
     /// @brief Records that an instance reported to the owner.
     void recordMember(const InstanceId &instance, const Endpoint &endpoint, TimePoint now);
 
+    /// @brief Records that a process of an instance may become the owner: what an earlier process
+    /// of it has answered no longer counts.
+    /// @param process random number of the process
+    /// @return whether there was room to remember it
+    bool recordCandidate(const InstanceId &instance, const Endpoint &endpoint,
+                         std::uint64_t process, TimePoint now);
+
+    /// @brief Sets whether instances that are not heard of for long are forgotten.
+    void setForgetting(bool isForgetting) { this->isForgetting = isForgetting; }
+
     /// @brief Begins a round of questions.
     /// @param fence fencing number of the owner
     /// @param storeLostFor time since the owner noticed that the store does not answer it
@@ -101,8 +111,10 @@
         std::optional<TimePoint> consentedAt;
         /// Its consent does not end, until another process answers in its place.
         bool isFinal = false;
-        /// Round of its last answer.
+        /// Answers to earlier rounds are ignored.
         std::uint64_t answeredRound = 0;
+        /// Process that told of itself; zero if none has.
+        std::uint64_t process = 0;
     };
     /// A round whose answers may still come.
     struct Round
@@ -117,6 +129,7 @@
     std::map<InstanceId, Member> memberStates;
     std::deque<Round> rounds;
     std::uint64_t lastRound = 0;
+    bool isForgetting = true;
 };
 
 } // namespace bamboochute::residency
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -87,13 +87,20 @@
                   for (const Endpoint &receiver : to)
                       this->socket->send(receiver, bytes);
               };
+    this->election.sendNotice = [this](const Endpoint &to, const CandidateNotice &notice) {
+        this->socket->send(to, encodePeerMessage(notice));
+    };
     this->gateway.onUpstreamLeaving = [this](const gateway::UpstreamProcess &process) {
         this->sendToReceivers(process.upstream.value(), this->settings.changeReceivers,
                               LeavingMessage{process});
     };
     this->driver.knownInstances = [this] {
-        return this->directory.holdersOf(this->self.value(),
-                                         std::numeric_limits<std::size_t>::max());
+        std::vector<Endpoint> known = this->directory.holdersOf(
+                this->self.value(), std::numeric_limits<std::size_t>::max());
+        // An instance that has just started was listed to by nobody.
+        if (this->election.predecessor())
+            known.push_back(*this->election.predecessor());
+        return known;
     };
     this->driver.send = [this](const std::vector<Endpoint> &to, const OwnerMessage &message) {
         this->directory.addListed(message.instances, this->socket->localEndpoint(), now());
@@ -262,6 +269,10 @@
         this->answerConsentQuery(*consentQuery, from);
     else if (const auto *consent = std::get_if<ConsentAnswer>(&message.value()))
         this->election.handleConsentAnswer(*consent);
+    else if (const auto *notice = std::get_if<CandidateNotice>(&message.value()))
+        this->answerNotice(*notice, from);
+    else if (const auto *answer = std::get_if<CandidateAnswer>(&message.value()))
+        this->election.handleNoticeAnswer(*answer);
     else
         this->applyOwnerMessage(std::get<OwnerMessage>(message.value()), from);
 }
@@ -273,6 +284,13 @@
         this->socket->send(from, encodePeerMessage(StreamOriginMessage{*origin}));
 }
 
+void PeerLink::answerNotice(const CandidateNotice &notice, const Endpoint &from)
+{
+    const std::optional<CandidateAnswer> answer = this->election.answerNotice(notice, from);
+    if (answer)
+        this->socket->send(from, encodePeerMessage(*answer));
+}
+
 void PeerLink::answerConsentQuery(const ConsentQuery &query, const Endpoint &from)
 {
     if (!this->storeSilence)
--- a/src/residency/peer_link.hpp
+++ b/src/residency/peer_link.hpp
@@ -88,6 +88,7 @@
     void connectQuarantine();
     void connectLimits();
     void answerConsentQuery(const ConsentQuery &query, const Endpoint &from);
+    void answerNotice(const CandidateNotice &notice, const Endpoint &from);
     void connectForwarding();
     bool canReachEngines() const;
     upstream::Awaitable<void> answerHelpQuery(HelpQuery query, Endpoint from);
--- a/src/residency/peer_messages.cpp
+++ b/src/residency/peer_messages.cpp
@@ -37,6 +37,8 @@
 constexpr int quotaSharesKind = 18;
 constexpr int paceReportKind = 19;
 constexpr int paceStatesKind = 20;
+constexpr int candidateNoticeKind = 21;
+constexpr int candidateAnswerKind = 22;
 /// Times of evidence are sent in microseconds, and speeds in thousandths.
 constexpr double microsPerSecond = 1e6;
 constexpr double speedScale = 1000;
@@ -529,6 +531,17 @@
                         answer.round, answer.isGranted, answer.isFinal});
 }
 
+Json toJson(const CandidateNotice &notice)
+{
+    return Json::array(
+            {candidateNoticeKind, notice.sender.value(), notice.process, notice.ownership});
+}
+
+Json toJson(const CandidateAnswer &answer)
+{
+    return Json::array({candidateAnswerKind, answer.process, answer.ownership, answer.isOwner});
+}
+
 Json toJson(const QuotaReportMessage &message)
 {
     return Json::array({quotaReportKind, message.report.reporter.value(),
@@ -649,6 +662,14 @@
                                          Fence(readInteger<std::uint64_t>(value.at(2))),
                                          readInteger<std::uint64_t>(value.at(3)),
                                          value.at(4).get<bool>(), value.at(5).get<bool>()});
+    case candidateNoticeKind:
+        return PeerMessage(CandidateNotice{InstanceId(value.at(1).get<std::string>()),
+                                           readInteger<std::uint64_t>(value.at(2)),
+                                           readInteger<std::uint64_t>(value.at(3))});
+    case candidateAnswerKind:
+        return PeerMessage(CandidateAnswer{readInteger<std::uint64_t>(value.at(1)),
+                                           readInteger<std::uint64_t>(value.at(2)),
+                                           value.at(3).get<bool>()});
     case quotaReportKind:
         return PeerMessage(QuotaReportMessage{
                 {InstanceId(value.at(1).get<std::string>()), fromMillis(value.at(2)),
--- a/src/residency/peer_messages.hpp
+++ b/src/residency/peer_messages.hpp
@@ -12,6 +12,7 @@
 #include "gateway/upstream_pace.hpp"
 #include "gateway/upstream_table.hpp"
 #include "gateway/workspace_quota.hpp"
+#include "residency/candidacy.hpp"
 #include "residency/ownership_consent.hpp"
 
 #include <optional>
@@ -239,8 +240,8 @@
                        CrashReportMessage, QuarantineMessage, LimitMessage, gateway::PermitRequest,
                        gateway::PermitAnswer, LeavingMessage, HelpQuery, forwarding::HelpOffer,
                        OriginBatchMessage, OriginAcknowledgement, ConsentQuery, ConsentAnswer,
-                       QuotaReportMessage, QuotaSharesMessage, PaceReportMessage,
-                       PaceStatesMessage>;
+                       QuotaReportMessage, QuotaSharesMessage, PaceReportMessage, PaceStatesMessage,
+                       CandidateNotice, CandidateAnswer>;
 
 /// @brief Encodes a message as CBOR.
 std::string encodePeerMessage(const PeerMessage &message);
--- a/tests/residency/unit-owner_election.cpp
+++ b/tests/residency/unit-owner_election.cpp
@@ -42,12 +42,19 @@
             co_return true;
         };
         port.release = [this](std::uint64_t lease) -> upstream::Awaitable<void> {
-            if (isReleasable && state.recordRevision == lease) {
-                state.record.reset();
-                state.recordRevision = 0;
-            }
+            if (isReleasable && state.recordRevision == lease)
+                lapse();
             co_return;
         };
+        port.setMayOutliveLease
+                = [this](std::uint64_t nonce, bool may) -> upstream::Awaitable<Result<bool>> {
+            if (isAway)
+                co_return Error(ErrorKind::KeyValueUnavailable, "the store does not answer");
+            if (!state.last || state.last->nonce != nonce)
+                co_return false;
+            state.last->mayOutliveLease = may;
+            co_return true;
+        };
         return port;
     }
 
@@ -63,6 +70,8 @@
                           {*state.last, state.last->fenceAt(state.lastRevision),
                            state.lastRevision})
                              : std::nullopt;
+        if (!request.mayFollow(last))
+            return Error(ErrorKind::KeyValueConflict, "another instance was the last owner");
         OwnershipGrant grant = prepareGrant(request, last, era);
         grant.sentAt = BootClock().now();
         grant.revision = ++state.revision;
@@ -75,6 +84,13 @@
         return grant;
     }
 
+    /// Removes the owner's record, as when its lease has ended.
+    void lapse()
+    {
+        state.record.reset();
+        state.recordRevision = 0;
+    }
+
     std::optional<ObservedOwner> observed() const
     {
         if (!state.record)
@@ -129,8 +145,19 @@
         settings.consentInterval = 20ms;
         settings.consentDelay = 40ms;
         settings.lastOwnerHeadStart = this->headStart;
-        auto added = std::make_unique<OwnerElection>(this->loop, settings, this->store.makePort());
+        settings.maxTimeWithoutStore = this->maxTimeWithoutStore;
+        settings.self.endpoint = {name, 1};
+        settings.seed += this->added++;
+        auto added = std::make_unique<OwnerElection>(this->loop, settings, this->makePort(name));
         OwnerElection &election = *added;
+        election.sendNotice = [this, name](const Endpoint &to, const CandidateNotice &notice) {
+            const auto receiver = this->instances.find(to.address);
+            if (receiver == this->instances.end() || this->silent.contains(to.address))
+                return;
+            const auto answer = receiver->second->answerNotice(notice, {name, 1});
+            if (answer)
+                this->instances.at(name)->handleNoticeAnswer(*answer);
+        };
         election.askForConsent = [this, &election](const auto &, const ConsentQuery &query) {
             for (const auto &[other, instance] : this->instances) {
                 if (instance.get() != &election && !this->silent.contains(other))
@@ -139,7 +166,8 @@
             }
         };
         this->storeSilences[name] = 10s;
-        this->instances[name] = std::move(added);
+        std::swap(this->instances[name], added);
+        this->ended.push_back(std::move(added));
         election.handleStoreEra(this->store.era);
         election.start();
         return election;
@@ -150,8 +178,29 @@
         owner.recordMember(InstanceId(name), {"127.0.0.1", 1});
     }
 
+    /// Brings an instance what the store has of the present and the last owner.
+    void showRecords(OwnerElection &election)
+    {
+        election.handleLastOwner(this->store.state.last);
+        election.handleOwnerRecord(this->store.observed());
+    }
+
+    /// Returns the calls of an instance to the store, which may turn it away.
+    OwnershipPort makePort(const std::string &name)
+    {
+        OwnershipPort port = this->store.makePort();
+        port.renew = [this, name, renew = port.renew](
+                             std::uint64_t lease) -> upstream::Awaitable<Result<bool>> {
+            if (this->turnedAway.contains(name))
+                co_return Error(ErrorKind::KeyValueUnavailable, "the store turns this one away");
+            co_return co_await renew(lease);
+        };
+        return port;
+    }
+
     void stop()
     {
+        this->store.isAway = false;
         for (auto &[name, election] : this->instances)
             election->resign();
         this->loop.run_for(60ms);
@@ -162,8 +211,14 @@
     std::map<std::string, std::unique_ptr<OwnerElection>> instances;
     /// Time since the store last answered each instance; unset while it does.
     std::map<std::string, std::optional<Duration>> storeSilences;
+    /// Processes that were replaced by later ones of their instances.
+    std::vector<std::unique_ptr<OwnerElection>> ended;
     /// Instances that don't answer questions.
     std::set<std::string> silent;
+    /// Instances whose renewals the store rejects.
+    std::set<std::string> turnedAway;
+    Duration maxTimeWithoutStore = 30s;
+    std::uint64_t added = 0;
     /// Head start of the last owner after a restart of all.
     Duration headStart = 60ms;
 };
@@ -250,7 +305,7 @@
     fleet.loop.run_for(20ms);
     REQUIRE(owner.maySendOrders());
     for (OwnerElection *other : {&second, &third})
-        other->handleOwnerRecord(store.observed());
+        fleet.showRecords(*other);
     fleet.reportTo(owner, "second-one");
     fleet.reportTo(owner, "the-third-one");
     fleet.loop.run_for(150ms);
@@ -267,10 +322,9 @@
                 "once")
         {
             store.isAway = false;
-            store.state.record.reset();
-            store.state.recordRevision = 0;
+            store.lapse();
             for (auto &[name, election] : fleet.instances)
-                election->handleOwnerRecord(std::nullopt);
+                fleet.showRecords(*election);
             fleet.loop.run_for(320ms);
             CHECK(owner.maySendOrders());
             CHECK_FALSE(second.isOwner());
@@ -287,10 +341,9 @@
         fleet.loop.run_for(250ms);
         CHECK_FALSE(owner.maySendOrders());
         store.isAway = false;
-        store.state.record.reset();
-        store.state.recordRevision = 0;
+        store.lapse();
         owner.setEligible(false);
-        second.handleOwnerRecord(std::nullopt);
+        fleet.showRecords(second);
         fleet.loop.run_for(100ms);
         CHECK(second.isOwner());
     }
@@ -313,10 +366,9 @@
         SUBCASE("not before the time for which it left the ownership to the former owner")
         {
             store.isAway = false;
-            store.state.record.reset();
-            store.state.recordRevision = 0;
+            store.lapse();
             const TimePoint before = BootClock().now();
-            second.handleOwnerRecord(std::nullopt);
+            fleet.showRecords(second);
             while (!second.maySendOrders() && BootClock().now() < before + 2s) {
                 fleet.loop.run_for(5ms);
                 CHECK_FALSE((second.isOwner() && owner.maySendOrders()));
@@ -350,14 +402,14 @@
     owner.handleOwnerRecord(std::nullopt);
     fleet.loop.run_for(20ms);
     REQUIRE(owner.maySendOrders());
-    successor.handleOwnerRecord(store.observed());
+    fleet.showRecords(successor);
     // The successor has run for longer than what a process before it could have consented to.
     fleet.loop.run_for(250ms);
     REQUIRE(owner.maySendOrders());
     const TimePoint lastOrder = BootClock().now();
     owner.resign();
     while (!successor.maySendOrders() && BootClock().now() < lastOrder + 2s) {
-        successor.handleOwnerRecord(store.observed());
+        fleet.showRecords(successor);
         fleet.loop.run_for(2ms);
     }
     CHECK(successor.maySendOrders());
@@ -365,6 +417,85 @@
     fleet.stop();
 }
 
+// Guards against two owners that order in turn: the former one goes on by the consent of instances
+// that have ended since, and does not know of one that came in their place.
+TEST_CASE(
+        "an instance that starts while the owner goes on without the store orders only after that "
+        "one has stopped")
+{
+    RecordStore store;
+    UnfencedFleet fleet(store);
+    fleet.maxTimeWithoutStore = 900ms;
+    OwnerElection &owner = fleet.add("owner");
+    OwnerElection &leaver = fleet.add("leaver");
+    owner.handleOwnerRecord(std::nullopt);
+    fleet.loop.run_for(20ms);
+    REQUIRE(owner.maySendOrders());
+    fleet.showRecords(leaver);
+    fleet.reportTo(owner, "leaver");
+    fleet.loop.run_for(150ms);
+
+    fleet.turnedAway.insert("owner");
+    leaver.resign();
+    fleet.loop.run_for(250ms);
+    fleet.silent.insert("leaver");
+    REQUIRE(owner.maySendOrders());
+    store.lapse();
+    std::string name = "newcomer";
+    bool isOwnerReached = true;
+
+    SUBCASE("at another address") {}
+    SUBCASE("in the place of one that had left the ownership to the owner for good")
+    {
+        name = "leaver";
+        fleet.silent.clear();
+    }
+    SUBCASE("it can't reach the owner, and waits until that one gives up")
+    {
+        isOwnerReached = false;
+        fleet.silent.insert("owner");
+    }
+    OwnerElection &newcomer = fleet.add(name);
+    fleet.storeSilences[name].reset();
+    const TimePoint startedAt = BootClock().now();
+    fleet.showRecords(newcomer);
+    TimePoint lastOrder = startedAt;
+    while (!newcomer.maySendOrders() && BootClock().now() < startedAt + 4s) {
+        fleet.loop.run_for(5ms);
+        const TimePoint now = BootClock().now();
+        if (owner.maySendOrders())
+            lastOrder = now;
+        CHECK_FALSE((owner.maySendOrders() && newcomer.maySendOrders()));
+    }
+    CHECK(newcomer.maySendOrders());
+    CHECK(BootClock().now() >= lastOrder + (isOwnerReached ? 300ms : 240ms));
+    CHECK((lastOrder < startedAt + 200ms) == isOwnerReached);
+    fleet.stop();
+}
+
+// Guards against a placement without an owner for as long as one may go on without the store,
+// because the last one is gone.
+TEST_CASE("an instance that starts after the last owner has given up takes the ownership at once")
+{
+    RecordStore store;
+    store.isReleasable = true;
+    {
+        UnfencedFleet before(store);
+        before.add("owner").handleOwnerRecord(std::nullopt);
+        before.loop.run_for(20ms);
+        before.stop();
+        before.loop.run_for(60ms);
+    }
+    REQUIRE_FALSE(store.state.record);
+    UnfencedFleet fleet(store);
+    fleet.headStart = 0ms;
+    OwnerElection &newcomer = fleet.add("newcomer");
+    fleet.showRecords(newcomer);
+    fleet.loop.run_for(100ms);
+    CHECK(newcomer.isOwner());
+    fleet.stop();
+}
+
 // Guards against a pause without orders after a restart of all instances: the first one that takes
 // the ownership has to wait for the orders of the former owner, unless it was that one itself.
 TEST_CASE("after a restart of all instances the last owner takes the ownership again and orders at "
@@ -382,10 +513,8 @@
     UnfencedFleet fleet(store);
     OwnerElection &other = fleet.add("another");
     OwnerElection &owner = fleet.add("owner");
-    for (OwnerElection *one : {&other, &owner}) {
-        one->handleLastOwner(InstanceId("owner"));
-        one->handleOwnerRecord(std::nullopt);
-    }
+    for (OwnerElection *one : {&other, &owner})
+        fleet.showRecords(*one);
     fleet.loop.run_for(40ms);
     CHECK(owner.maySendOrders());
     CHECK_FALSE(other.isOwner());
--- a/tests/residency/unit-ownership_consent.cpp
+++ b/tests/residency/unit-ownership_consent.cpp
@@ -87,6 +87,44 @@
         consent.recordAnswer(makeAnswer("b", consent.beginRound(fence, 1s, now), false), fence);
         CHECK_FALSE(consent.isValid(now + 1s));
     }
+    // Guards against an owner that goes on by what an instance said whose place another process has
+    // taken, which may become the owner.
+    SUBCASE("a process that tells of itself has to consent, whatever the one before it said")
+    {
+        const ConsentQuery second = consent.beginRound(fence, 1s, begin + 300ms);
+        ConsentAnswer last = makeAnswer("b", second, true);
+        last.isFinal = true;
+        consent.recordAnswer(last, fence);
+        CHECK(consent.finalCount() == 1);
+        CHECK(consent.recordCandidate(InstanceId("b"), {"10.0.0.2", 1}, 5, begin + 310ms));
+        CHECK_FALSE(consent.isValid(begin + 310ms));
+        CHECK(consent.finalCount() == 0);
+        SUBCASE("a late answer of the one before it does not count")
+        {
+            consent.recordAnswer(last, fence);
+            CHECK_FALSE(consent.isValid(begin + 320ms));
+        }
+        SUBCASE("its own answer counts, and goes on counting when it tells of itself again")
+        {
+            const ConsentQuery third = consent.beginRound(fence, 1s, begin + 600ms);
+            consent.recordAnswer(makeAnswer("a", third, true), fence);
+            consent.recordAnswer(makeAnswer("b", third, true), fence);
+            CHECK(consent.isValid(begin + 700ms));
+            CHECK(consent.recordCandidate(InstanceId("b"), {"10.0.0.2", 1}, 5, begin + 700ms));
+            CHECK(consent.isValid(begin + 700ms));
+        }
+        SUBCASE("one at another address has to consent as well")
+        {
+            CHECK(consent.recordCandidate(InstanceId("c"), {"10.0.0.9", 1}, 6, begin + 310ms));
+            CHECK(consent.members().size() == 3);
+        }
+    }
+    SUBCASE("an instance that was not heard of for long is remembered while the store is away")
+    {
+        consent.setForgetting(false);
+        consent.recordMember(InstanceId("a"), {"10.0.0.1", 1}, begin + 31s);
+        CHECK(consent.members().size() == 2);
+    }
     SUBCASE("an instance that was not heard of for long is forgotten")
     {
         consent.recordMember(InstanceId("a"), {"10.0.0.1", 1}, begin + 31s);
--- a/tests/residency/unit-peer_messages.cpp
+++ b/tests/residency/unit-peer_messages.cpp
@@ -187,6 +187,14 @@
     CHECK(decodePeerMessage(encodePeerMessage(last)).value() == PeerMessage(last));
 }
 
+TEST_CASE("notices of candidates and their answers are restored from their encoding")
+{
+    const CandidateNotice notice{InstanceId("i7"), 0xfffffffffffffff0, 12};
+    CHECK(decodePeerMessage(encodePeerMessage(notice)).value() == PeerMessage(notice));
+    const CandidateAnswer answer{notice.process, notice.ownership, true};
+    CHECK(decodePeerMessage(encodePeerMessage(answer)).value() == PeerMessage(answer));
+}
+
 TEST_CASE("batches of origins and their acknowledgements are restored from their encoding")
 {
     const gateway::StreamOrigin origin{RequestId("r1"), target.service, SoftwareVersion("v1"), 0};
