--- a/tests/platform/adapter/unit-store_mirror.cpp
+++ b/tests/platform/adapter/unit-store_mirror.cpp
@@ -499,6 +499,54 @@
     }
 }
 
+// Guards against requests to an upstream that has left, for as long as it serves: its entry was
+// removed while the owner's process was being started again, and the others took the new process's
+// word that nothing had changed.
+TEST_CASE(
+        "what was removed before another instance listed the store is not missed by relying on it")
+{
+    const std::string both = item("servers/a", "1", 5) + "," + item("servers/b", "1", 6);
+    ScriptedStore store({page(both, false, 10), changes(removal("servers/a", 12), 17)});
+    MirrorFixture fixture(store);
+    fixture.mirror.acceptPeerProgress(StoreEra(), StoreRevision(10), StoreRevision(10), 0ms, 1h);
+    fixture.runUntil(store, 1);
+    REQUIRE(store.targets().size() == 1);
+    std::deque<Reply> replies{page(item("servers/b", "1", 6), false, 15)};
+    std::optional<StoreRevision> previous;
+    const auto run = [&](std::size_t calls) {
+        ScriptedStore otherStore(replies);
+        MirrorFixture other(otherStore);
+        other.mirror.onRelevantChange = [&previous](const StoreChange &, StoreRevision before,
+                                                    bool) { previous = before; };
+        other.runUntil(otherStore, calls);
+        fixture.mirror.acceptPeerProgress(StoreEra(), other.mirror.lastChange(),
+                                          other.mirror.seenUpTo(), 0ms, 1h);
+    };
+
+    SUBCASE("the other one has just started")
+    {
+        run(1);
+    }
+    SUBCASE("it lists anew after the store has dropped its history")
+    {
+        replies.push_front({410, "{}"});
+        replies.push_front(page(item("servers/b", "1", 6), false, 8));
+        run(3);
+    }
+    SUBCASE("it has just started and forwards the next change")
+    {
+        replies.push_back(changes(item("servers/b", "2", 17), 17));
+        run(2);
+        REQUIRE(previous);
+        const StoreItem next{"servers/b", "2", StoreRevision(17), {}};
+        fixture.mirror.applyForwardedChange({next, false}, StoreEra(), *previous);
+    }
+    fixture.loop.run_for(100ms);
+    CHECK_FALSE(fixture.items.contains("servers/a"));
+    REQUIRE(fixture.removed.size() == 1);
+    CHECK(fixture.removed[0] == std::pair<std::string, bool>("servers/a", false));
+}
+
 // Guards against a mirror that counts as cut off for as long as it relies on the owner: it makes no
 // call that could end this, so that upstreams that have left stay in use.
 TEST_CASE("a failed call counts no more once another instance has followed the store further")
