--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -511,7 +511,7 @@
     request.timeToLive = this->settings.times.timeToLive;
     request.highestUsed = this->highestUsed;
     request.refusedNonce = this->refusedNonce;
-    request.isLastOwnerKnown = !this->settings.areEnginesFenced;
+    request.isBoundToLastOwner = !this->settings.areEnginesFenced;
     request.lastOwner = this->candidacy.lastOwner();
     const std::uint64_t era = this->storeEra;
     this->isAcquiring = true;
--- a/src/residency/owner_election.hpp
+++ b/src/residency/owner_election.hpp
@@ -32,15 +32,16 @@
     /// Nonce of this instance's last ownership if an engine refused an order of it for its fencing
     /// number; zero otherwise.
     std::uint64_t refusedNonce = 0;
-    /// Whether the store's record of the last owner has to be of the same ownership as this one, by
-    /// which the instance found itself free to take the ownership; another one is a conflict.
-    bool isLastOwnerKnown = false;
+    /// Whether the ownership may only follow the last owner that this instance knows of, because it
+    /// has made sure that this one does not go on; another one is a conflict.
+    bool isBoundToLastOwner = false;
+    /// The last owner that this instance knows of.
     std::optional<OwnerRecord> lastOwner;
 
     /// @brief Whether the ownership may be taken after this last owner.
     bool mayFollow(const std::optional<ObservedOwner> &last) const
     {
-        if (!this->isLastOwnerKnown)
+        if (!this->isBoundToLastOwner)
             return true;
         if (!last || !this->lastOwner)
             return !last && !this->lastOwner;
@@ -90,7 +91,7 @@
     /// Ends the lease, so that another instance can become the owner at once.
     std::function<Awaitable<void>(std::uint64_t lease)> release;
     /// Writes to the last owner's record, if it has this nonce, whether the owner may outlive its
-    /// lease. Succeeds with false when the record has another nonce.
+    /// lease. Succeeds with false when another ownership has followed.
     std::function<Awaitable<Result<bool>>(std::uint64_t nonce, bool mayOutliveLease)>
             setMayOutliveLease;
 };
--- a/src/residency/peer_link.cpp
+++ b/src/residency/peer_link.cpp
@@ -97,7 +97,7 @@
     this->driver.knownInstances = [this] {
         std::vector<Endpoint> known = this->directory.holdersOf(
                 this->self.value(), std::numeric_limits<std::size_t>::max());
-        // An instance that has just started was listed to by nobody.
+        // An instance that has just started knows of no others.
         if (this->election.predecessor())
             known.push_back(*this->election.predecessor());
         return known;
