Name the instances whose consent an owner needs in its record

Cause: nobody was left that the last owner had answered. A process that was started again could not tell whether the owner needed the consent of its instance, nor whether an earlier process had consented for good, and waited for the owner's longest time without the store.

Change: the record says whose consent the owner needs. An owner relies on no consent before that is written and forgets no instance that it names. The consent of an instance that is shutting down counts for 7 s after its last answer, so that a process of a named instance waits 10 s from its start at most. One that is not named waits as before.

Test: "it never answers, and needs the consent of this instance", "the consent of a process that is shutting down ends", and "an instance that was not heard of for long is remembered until it is to be forgotten"; a consent for good still passes the checks that it had.

--- a/src/residency/candidacy.cpp
+++ b/src/residency/candidacy.cpp
@@ -1,5 +1,7 @@
 #include "residency/candidacy.hpp"
 
+#include <algorithm>
+
 namespace bamboochute::residency {
 
 void Candidacy::recordLastOwner(std::optional<OwnerRecord> record, TimePoint now)
@@ -51,18 +53,28 @@
 
 bool Candidacy::isCleared(TimePoint now) const
 {
-    if (!this->isNoticeNeeded() || !this->last->mayOutliveLease || this->isAnswerFresh())
+    if (!this->isNoticeNeeded() || !this->last->mayOutliveLease() || this->isAnswerFresh())
         return true;
     const std::optional<TimePoint> end = this->clearedAt();
     return !end || now >= *end;
 }
 
+/// Whether the last owner does not go on without the consent of this instance.
+bool Candidacy::isConsentNeeded() const
+{
+    const std::vector<InstanceId> &consenters = this->last->consenters;
+    return std::find(consenters.begin(), consenters.end(), this->settings.self) != consenters.end();
+}
+
 std::optional<TimePoint> Candidacy::clearedAt() const
 {
+    if (!this->vacantSince)
+        return std::nullopt;
     // The store last answered the former owner before its record lapsed.
-    return this->vacantSince ? std::optional<TimePoint>(*this->vacantSince
-                                                        + this->settings.maxTimeWithoutStore)
-                             : std::nullopt;
+    const TimePoint end = *this->vacantSince + this->settings.maxTimeWithoutStore;
+    if (!this->last || !this->isConsentNeeded())
+        return end;
+    return std::min(end, this->settings.startedAt + this->settings.finalConsentTime);
 }
 
 TimePoint Candidacy::nextNoticeAt() const
--- a/src/residency/candidacy.hpp
+++ b/src/residency/candidacy.hpp
@@ -6,6 +6,7 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "residency/owner_record.hpp"
+#include "residency/ownership_consent.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -43,6 +44,11 @@
     InstanceId self;
     /// Random number of this process.
     std::uint64_t process = 0;
+    /// When this process started.
+    TimePoint startedAt{};
+    /// Time from its start for which the owner may rely on a consent that an earlier process of
+    /// this instance gave while it was shutting down.
+    Duration finalConsentTime = ConsentSettings().finalTime;
     /// Pause between two notices that are not answered.
     Duration retryInterval = std::chrono::milliseconds(300);
     /// Time from an answer to the next notice.
@@ -61,7 +67,7 @@
 ///
 /// An owner that the store does not answer goes on with the consent of the instances that it knows.
 /// It does not know of a process that started after its record had lapsed, and an instance that
-/// was shutting down may have consented for good in the place of that process.
+/// was shutting down may have consented in the place of that process.
 ///
 /// All times are of a clock that keeps running while the machine is suspended.
 class Candidacy
@@ -107,6 +113,7 @@
 private:
     bool isNoticeNeeded() const;
     bool isAnswerFresh() const;
+    bool isConsentNeeded() const;
 
     CandidacySettings settings;
     std::optional<OwnerRecord> last;
--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -32,6 +32,8 @@
     CandidacySettings candidacy;
     candidacy.self = settings.self.instance;
     candidacy.process = process;
+    candidacy.startedAt = bootNow();
+    candidacy.finalConsentTime = settings.finalConsentTime;
     candidacy.retryInterval = settings.consentInterval;
     candidacy.maxTimeWithoutStore = settings.maxTimeWithoutStore;
     return candidacy;
@@ -73,10 +75,12 @@
     , random(this->settings.seed)
     , candidacy(makeCandidacySettings(this->settings, this->random()))
     , lease(this->settings.times)
-    , consent({this->settings.times.timeToLive, this->settings.times.validShare})
+    , consent({this->settings.times.timeToLive, this->settings.times.validShare,
+               this->settings.finalConsentTime})
     , startedAt(bootNow())
 {
     this->settings.self.answersCandidates = !this->settings.areEnginesFenced;
+    this->consent.setForgetting(this->settings.areEnginesFenced);
 }
 
 void OwnerElection::start()
@@ -177,7 +181,7 @@
     return this->isStoreUnreachable && this->lease.isGranted() && this->lease.isPauseOver(now)
            && now < this->lastStoreContact + this->settings.maxTimeWithoutStore
            && (this->settings.areEnginesFenced
-               || (this->mayOutliveLease && this->highestUsed.fence <= this->lease.fence()
+               || (!this->consenters.empty() && this->highestUsed.fence <= this->lease.fence()
                    && this->consent.isValid(now)));
 }
 
@@ -256,24 +260,42 @@
     return !this->settings.areEnginesFenced && !this->candidacy.isAnswered();
 }
 
-/// Writes to the store whether this instance goes on after the end of its lease if all others
-/// consent, so that one that starts meanwhile asks it first.
-upstream::Awaitable<void> OwnerElection::recordOutliving(bool mayOutliveLease)
+/// Keeps the owner's record in line with the instances that it has heard of lately. One that the
+/// record names is not forgotten before the record is changed: a process of it may rely on that.
+upstream::Awaitable<void> OwnerElection::updateConsenters()
+{
+    const TimePoint now = bootNow();
+    std::vector<InstanceId> members = this->consent.recentMembers(now);
+    const bool isDue = this->consenters.empty()
+                       || now >= this->consentersWrittenAt + this->settings.consentersInterval;
+    if (isDue && (members != this->consenters || this->areConsentersUncertain)) {
+        this->consentersWrittenAt = now;
+        co_await this->recordConsenters(members);
+    }
+    if (this->consenters == members && !this->areConsentersUncertain)
+        this->consent.forgetSilent(now);
+}
+
+/// Writes to the store whose consent this instance needs to go on after its lease has ended, so
+/// that a process that starts meanwhile knows whether to ask it first.
+upstream::Awaitable<void> OwnerElection::recordConsenters(std::vector<InstanceId> instances)
 {
     const std::uint64_t nonce = this->settings.self.nonce;
-    const Result<bool> isWritten = co_await this->port.setMayOutliveLease(nonce, mayOutliveLease);
+    this->areConsentersUncertain = true;
+    const Result<bool> isWritten = co_await this->port.recordConsenters(nonce, instances);
     if (!isWritten)
         logEvent(LogLevel::Warning, "last owner's record not updated",
-                 {{"may_outlive_lease", mayOutliveLease ? "yes" : "no"},
+                 {{"may_outlive_lease", instances.empty() ? "no" : "yes"},
                   {"error", isWritten.error().message()}});
     std::optional<OwnerRecord> last = this->candidacy.lastOwner();
-    const bool isRecorded = isWritten && isWritten.value() && last && last->nonce == nonce;
-    if (isRecorded) {
-        last->mayOutliveLease = mayOutliveLease;
-        this->candidacy.recordLastOwner(std::move(last), bootNow());
-    }
-    this->mayOutliveLease = mayOutliveLease && isRecorded && this->lease.isGranted()
-                            && nonce == this->settings.self.nonce;
+    if (!isWritten || !isWritten.value() || !last || last->nonce != nonce)
+        co_return;
+    last->consenters = instances;
+    this->candidacy.recordLastOwner(std::move(last), bootNow());
+    if (!this->lease.isGranted() || nonce != this->settings.self.nonce)
+        co_return;
+    this->consenters = std::move(instances);
+    this->areConsentersUncertain = false;
 }
 
 void OwnerElection::handleConsentAnswer(const ConsentAnswer &answer)
@@ -293,9 +315,9 @@
         if (!this->lease.isGranted() || !this->askForConsent
             || this->lastStoreContact < this->grantedAt + this->settings.consentDelay)
             continue;
-        if (!this->isStoreUnreachable && !this->mayOutliveLease && !this->consent.members().empty())
-            co_await this->recordOutliving(true);
-        if (!this->isStoreUnreachable || !this->mayOutliveLease)
+        if (!this->isStoreUnreachable)
+            co_await this->updateConsenters();
+        if (!this->isStoreUnreachable || this->consenters.empty())
             continue;
         this->logConsent();
         this->askForConsent(
@@ -333,8 +355,8 @@
              {{"reason", std::string(reason)},
               {"fence", std::to_string(this->lease.fence().value())}});
     this->lease.recordLoss();
-    this->setStoreUnreachable(false);
-    this->mayOutliveLease = false;
+    this->isStoreUnreachable = false;
+    this->consenters.clear();
     this->consent.discardAnswers();
     this->wasConsentValid = false;
     this->loggedFinalCount = 0;
@@ -356,14 +378,6 @@
     return last && last->instance == this->settings.self.instance;
 }
 
-/// Sets whether the store does not answer this owner. Meanwhile no instance is forgotten: one that
-/// has told the owner of itself takes the ownership without a further notice.
-void OwnerElection::setStoreUnreachable(bool isUnreachable)
-{
-    this->isStoreUnreachable = isUnreachable;
-    this->consent.setForgetting(!isUnreachable);
-}
-
 /// Whether there is no owner, or one whose record is of this instance, or one that can't order
 /// because a higher fencing number was used.
 bool OwnerElection::mayCampaign() const
@@ -424,15 +438,15 @@
 upstream::Awaitable<void> OwnerElection::giveUp(std::string_view reason)
 {
     const std::uint64_t id = this->leaseId;
-    const bool wasOutliving = this->mayOutliveLease;
+    const bool hasConsenters = !this->consenters.empty() || this->areConsentersUncertain;
     this->dropOwnership(reason);
     // A successor counts its pause as if the lease had lapsed, which is so much later than the last
     // order.
     if (!this->settings.areEnginesFenced)
         co_await this->consentTimer.wait(steadyNow()
                                          + timeInvalidBeforeExpiry(this->settings.times));
-    if (wasOutliving)
-        co_await this->recordOutliving(false);
+    if (hasConsenters)
+        co_await this->recordConsenters({});
     co_await this->port.release(id);
 }
 
@@ -451,15 +465,14 @@
     if (renewed) {
         this->lease.recordRenewal(sentAt);
         this->lastStoreContact = sentAt;
-        this->setStoreUnreachable(false);
+        this->isStoreUnreachable = false;
         co_return;
     }
     if (renewed.error().kind() == ErrorKind::NotOwner) {
         this->dropOwnership("the lease has ended");
         co_return;
     }
-    if (!this->isStoreUnreachable) {
-        this->setStoreUnreachable(true);
+    if (!std::exchange(this->isStoreUnreachable, true)) {
         this->storeLostAt = bootNow();
         logEvent(LogLevel::Warning, "placement lease not renewed; retrying",
                  {{"error", renewed.error().message()}});
@@ -534,7 +547,8 @@
     const TimePoint earliestOrder = this->computeEarliestOrder(hadNoOtherHolder);
     this->lease.recordGrant(grant.value().fence, grant.value().sentAt, earliestOrder);
     this->grantedAt = bootNow();
-    this->mayOutliveLease = false;
+    this->consenters.clear();
+    this->areConsentersUncertain = false;
     this->consent.discardAnswers();
     this->leaseId = grant.value().lease;
     this->lastStoreContact = grant.value().sentAt;
--- a/src/residency/owner_election.hpp
+++ b/src/residency/owner_election.hpp
@@ -46,7 +46,8 @@
         if (!last || !this->lastOwner)
             return !last && !this->lastOwner;
         return last->record.nonce == this->lastOwner->nonce
-               && (this->lastOwner->mayOutliveLease || !last->record.mayOutliveLease);
+               && (last->record.consenters == this->lastOwner->consenters
+                   || !last->record.mayOutliveLease());
     }
 };
 
@@ -90,10 +91,10 @@
     std::function<Awaitable<Result<bool>>(std::uint64_t lease)> renew;
     /// Ends the lease, so that another instance can become the owner at once.
     std::function<Awaitable<void>(std::uint64_t lease)> release;
-    /// Writes to the last owner's record, if it has this nonce, whether the owner may outlive its
-    /// lease. Succeeds with false when another ownership has followed.
-    std::function<Awaitable<Result<bool>>(std::uint64_t nonce, bool mayOutliveLease)>
-            setMayOutliveLease;
+    /// Writes to the last owner's record, if it has this nonce, whose consent the owner needs to
+    /// outlive its lease. Succeeds with false when another ownership has followed.
+    std::function<Awaitable<Result<bool>>(std::uint64_t nonce, std::vector<InstanceId> consenters)>
+            recordConsenters;
 };
 
 /// @brief Settings of the election.
@@ -106,8 +107,12 @@
     bool areEnginesFenced = true;
     /// Pause between two rounds of questions for consent.
     Duration consentInterval = std::chrono::milliseconds(300);
+    /// Minimum time between two updates of the instances in the owner's record.
+    Duration consentersInterval = std::chrono::seconds(5);
     /// Time with the ownership after which all instances have reported, so that all are asked.
     Duration consentDelay = std::chrono::seconds(2);
+    /// See ConsentSettings::finalTime.
+    Duration finalConsentTime = ConsentSettings().finalTime;
     /// How long it does so after the last successful call to the store.
     Duration maxTimeWithoutStore = std::chrono::seconds(30);
     /// Delay before this instance tries to become the owner when there is none; shorter at
@@ -224,8 +229,8 @@
     bool isVacant() const;
     bool isCleared() const;
     bool mayFormerPromiseHold() const;
-    upstream::Awaitable<void> recordOutliving(bool mayOutliveLease);
-    void setStoreUnreachable(bool isUnreachable);
+    upstream::Awaitable<void> updateConsenters();
+    upstream::Awaitable<void> recordConsenters(std::vector<InstanceId> instances);
     bool isOwnRecord() const;
     bool wasLastOwner() const;
     Duration campaignDelay();
@@ -257,8 +262,11 @@
     bool isStoreUnreachable = false;
     /// When the store was noticed not to answer.
     TimePoint storeLostAt{};
-    /// Whether the store knows that this owner may outlive its lease.
-    bool mayOutliveLease = false;
+    /// Whose consent this owner needs by its record in the store, and when that was last written.
+    std::vector<InstanceId> consenters;
+    TimePoint consentersWrittenAt{};
+    /// Whether the record may name others, because the outcome of a call is not known.
+    bool areConsentersUncertain = false;
     OwnershipConsent consent;
     /// Whether the last check found the consent of all instances.
     bool wasConsentValid = false;
--- a/src/residency/owner_record.hpp
+++ b/src/residency/owner_record.hpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <vector>
 
 namespace bamboochute::residency {
 
@@ -26,11 +27,15 @@
     std::uint64_t storeEra = 0;
     /// Whether it answers the notices of candidates; instances of earlier releases don't.
     bool answersCandidates = false;
-    /// Whether the owner may go on without the store after its lease has ended. False until all
-    /// instances that were there at its begin can have reported, and once it has given up.
-    bool mayOutliveLease = false;
+    /// Instances without whose consent the owner does not go on after its lease has ended; it needs
+    /// that of others as well. Empty until all that were there at its begin can have reported, and
+    /// once it has given up: then it stops with its lease.
+    std::vector<InstanceId> consenters = {};
     auto operator<=>(const OwnerRecord &) const = default;
 
+    /// @brief Whether the owner may go on without the store after its lease has ended.
+    bool mayOutliveLease() const noexcept { return !this->consenters.empty(); }
+
     /// @brief Fencing number of the ownership.
     /// @param revision revision of the record in the store
     Fence fenceAt(std::uint64_t revision) const
--- a/src/residency/ownership_consent.cpp
+++ b/src/residency/ownership_consent.cpp
@@ -16,9 +16,7 @@
                                     TimePoint now)
 {
     if (this->isForgetting)
-        std::erase_if(this->memberStates, [&](const auto &item) {
-            return item.second.heardAt + this->settings.memberMemory < now;
-        });
+        this->forgetSilent(now);
     if (this->memberStates.size() >= this->settings.maxMembers
         && this->memberStates.count(instance) == 0)
         return;
@@ -27,6 +25,27 @@
     member.heardAt = now;
 }
 
+bool OwnershipConsent::isSilent(const Member &member, TimePoint now) const
+{
+    return member.heardAt + this->settings.memberMemory < now;
+}
+
+void OwnershipConsent::forgetSilent(TimePoint now)
+{
+    std::erase_if(this->memberStates,
+                  [&](const auto &item) { return this->isSilent(item.second, now); });
+}
+
+std::vector<InstanceId> OwnershipConsent::recentMembers(TimePoint now) const
+{
+    std::vector<InstanceId> instances;
+    for (const auto &[instance, member] : this->memberStates) {
+        if (!this->isSilent(member, now))
+            instances.push_back(instance);
+    }
+    return instances;
+}
+
 bool OwnershipConsent::recordCandidate(const InstanceId &instance, const Endpoint &endpoint,
                                        std::uint64_t process, TimePoint now)
 {
@@ -82,8 +101,7 @@
            && std::all_of(
                    this->memberStates.begin(), this->memberStates.end(), [&](const auto &item) {
                        const auto &consentedAt = item.second.consentedAt;
-                       return consentedAt
-                              && (item.second.isFinal || now < *consentedAt + this->validTime());
+                       return consentedAt && now < *consentedAt + this->validTime(item.second);
                    });
 }
 
@@ -103,10 +121,10 @@
     }
 }
 
-Duration OwnershipConsent::validTime() const
+Duration OwnershipConsent::validTime(const Member &member) const
 {
-    return std::chrono::duration_cast<Duration>(this->settings.grantTime
-                                                * this->settings.validShare);
+    const Duration granted = member.isFinal ? this->settings.finalTime : this->settings.grantTime;
+    return std::chrono::duration_cast<Duration>(granted * this->settings.validShare);
 }
 
 } // namespace bamboochute::residency
--- a/src/residency/ownership_consent.hpp
+++ b/src/residency/ownership_consent.hpp
@@ -49,6 +49,9 @@
     Duration grantTime = std::chrono::seconds(2);
     /// Share of that time, from the question, for which the owner relies on the answer.
     double validShare = 0.7;
+    /// The same for the answer of an instance that is shutting down: a process that is started in
+    /// its place does not try to become the owner for this time unless the owner knows of it.
+    Duration finalTime = std::chrono::seconds(10);
     /// Time after which an instance that the owner has not heard of is no longer asked.
     Duration memberMemory = std::chrono::seconds(30);
     /// Instances that are remembered.
@@ -79,9 +82,15 @@
     bool recordCandidate(const InstanceId &instance, const Endpoint &endpoint,
                          std::uint64_t process, TimePoint now);
 
-    /// @brief Sets whether instances that are not heard of for long are forgotten.
+    /// @brief Sets whether instances that are not heard of for long are forgotten by themselves.
     void setForgetting(bool isForgetting) { this->isForgetting = isForgetting; }
 
+    /// @brief Forgets the instances that were not heard of for long.
+    void forgetSilent(TimePoint now);
+
+    /// @brief Instances that were heard of lately, in a fixed order.
+    std::vector<InstanceId> recentMembers(TimePoint now) const;
+
     /// @brief Begins a round of questions.
     /// @param fence fencing number of the owner
     /// @param storeLostFor time since the owner noticed that the store does not answer it
@@ -96,7 +105,7 @@
     /// @brief Whether no other instance tries to become the owner now. False if none is known.
     bool isValid(TimePoint now) const;
 
-    /// @brief Number of instances whose consent does not end.
+    /// @brief Number of instances that consented while they were shutting down.
     std::size_t finalCount() const;
 
     /// @brief Discards all answers, as at the begin and at the end of an ownership.
@@ -109,7 +118,7 @@
         TimePoint heardAt{};
         /// When the last question that it consented to was sent.
         std::optional<TimePoint> consentedAt;
-        /// Its consent does not end, until another process answers in its place.
+        /// It was shutting down; its consent lasts longer, until another process answers.
         bool isFinal = false;
         /// Answers to earlier rounds are ignored.
         std::uint64_t answeredRound = 0;
@@ -123,7 +132,8 @@
         TimePoint begunAt{};
     };
 
-    Duration validTime() const;
+    bool isSilent(const Member &member, TimePoint now) const;
+    Duration validTime(const Member &member) const;
 
     ConsentSettings settings;
     std::map<InstanceId, Member> memberStates;
--- a/tests/residency/unit-candidacy.cpp
+++ b/tests/residency/unit-candidacy.cpp
@@ -18,7 +18,7 @@
     record.endpoint = {"10.0.0.1", 1};
     record.nonce = nonce;
     record.answersCandidates = true;
-    record.mayOutliveLease = true;
+    record.consenters = {InstanceId("third")};
     return record;
 }
 
@@ -79,11 +79,26 @@
     SUBCASE("it ended before it could go on without the store, or gave up")
     {
         OwnerRecord record = makeRecord("other", ownership);
-        record.mayOutliveLease = false;
+        record.consenters.clear();
         candidacy.recordLastOwner(record, begin);
         CHECK(candidacy.isCleared(begin));
         CHECK(candidacy.nextNoticeAt() == begin + 300ms);
     }
+    // Guards against half a minute without an owner after a restart of all instances but the last
+    // owner, whose machine is gone.
+    SUBCASE("it never answers, and needs the consent of this instance")
+    {
+        CandidacySettings settings{InstanceId("self"), process};
+        settings.startedAt = begin - 1s;
+        Candidacy restarted(settings);
+        OwnerRecord record = makeRecord("other", ownership);
+        record.consenters.push_back(InstanceId("self"));
+        restarted.recordLastOwner(record, begin);
+        restarted.recordOwnerPresence(false, begin);
+        CHECK_FALSE(restarted.isCleared(begin + 8s));
+        CHECK(restarted.isCleared(begin + 9s));
+        CHECK(restarted.clearedAt() == begin + 9s);
+    }
     // Instances of earlier releases don't understand a notice.
     SUBCASE("it is of an earlier release")
     {
--- a/tests/residency/unit-owner_election.cpp
+++ b/tests/residency/unit-owner_election.cpp
@@ -46,13 +46,14 @@
                 lapse();
             co_return;
         };
-        port.setMayOutliveLease
-                = [this](std::uint64_t nonce, bool may) -> upstream::Awaitable<Result<bool>> {
+        port.recordConsenters
+                = [this](std::uint64_t nonce,
+                         std::vector<InstanceId> consenters) -> upstream::Awaitable<Result<bool>> {
             if (isAway)
                 co_return Error(ErrorKind::KeyValueUnavailable, "the store does not answer");
             if (!state.last || state.last->nonce != nonce)
                 co_return false;
-            state.last->mayOutliveLease = may;
+            state.last->consenters = std::move(consenters);
             co_return true;
         };
         return port;
@@ -146,6 +147,7 @@
         settings.consentDelay = 40ms;
         settings.lastOwnerHeadStart = this->headStart;
         settings.maxTimeWithoutStore = this->maxTimeWithoutStore;
+        settings.finalConsentTime = this->finalConsentTime;
         settings.self.endpoint = {name, 1};
         settings.seed += this->added++;
         auto added = std::make_unique<OwnerElection>(this->loop, settings, this->makePort(name));
@@ -218,6 +220,7 @@
     /// Instances whose renewals the store rejects.
     std::set<std::string> turnedAway;
     Duration maxTimeWithoutStore = 30s;
+    Duration finalConsentTime = 10s;
     std::uint64_t added = 0;
     /// Head start of the last owner after a restart of all.
     Duration headStart = 60ms;
--- a/tests/residency/unit-ownership_consent.cpp
+++ b/tests/residency/unit-ownership_consent.cpp
@@ -119,11 +119,28 @@
             CHECK(consent.members().size() == 3);
         }
     }
-    SUBCASE("an instance that was not heard of for long is remembered while the store is away")
+    // Guards against a process that takes the ownership because its instance's consent is needed,
+    // beside an owner that has forgotten the instance.
+    SUBCASE("an instance that was not heard of for long is remembered until it is to be forgotten")
     {
         consent.setForgetting(false);
         consent.recordMember(InstanceId("a"), {"10.0.0.1", 1}, begin + 31s);
         CHECK(consent.members().size() == 2);
+        CHECK(consent.recentMembers(begin + 31s) == std::vector<InstanceId>{InstanceId("a")});
+        consent.forgetSilent(begin + 31s);
+        CHECK(consent.members().size() == 1);
+    }
+    // Guards against the same after the end of an instance that was shutting down: a process in its
+    // place waits for the end of its consent.
+    SUBCASE("the consent of a process that is shutting down ends")
+    {
+        ConsentAnswer last = makeAnswer("b", consent.beginRound(fence, 1s, begin + 300ms), true);
+        last.isFinal = true;
+        consent.recordAnswer(last, fence);
+        const TimePoint end = begin + 300ms + 7s;
+        consent.recordAnswer(makeAnswer("a", consent.beginRound(fence, 1s, end - 1s), true), fence);
+        CHECK(consent.isValid(end - 1ms));
+        CHECK_FALSE(consent.isValid(end));
     }
     SUBCASE("an instance that was not heard of for long is forgotten")
     {
