Keep what a takeover rests on while its call is under way

Cause: the pause after an owner that learned of the candidate while it still ordered was reckoned after the answer to the call that takes the ownership. The mirror may read the new record before that answer comes; then the candidate's state is that of the new ownership, and the time at which the former owner learned of it is gone. Found by reading.

Change: the state is copied before the call.

Test: "it has run for a while before the owner learns of it, and reads its record at once"; it fails in one check with a reference in place of the copy.

--- a/src/residency/owner_election.cpp
+++ b/src/residency/owner_election.cpp
@@ -254,12 +254,6 @@
     return this->settings.areEnginesFenced || this->candidacy.isCleared(bootNow());
 }
 
-/// Whether the last owner may rely on what an earlier process of this instance has promised.
-bool OwnerElection::mayFormerPromiseHold() const
-{
-    return !this->settings.areEnginesFenced && !this->candidacy.isAnswered();
-}
-
 /// Keeps the owner's record in line with the instances that it has heard of lately. One that the
 /// record names is not forgotten before the record is changed: a process of it may rely on that.
 upstream::Awaitable<void> OwnerElection::updateConsenters()
@@ -491,7 +485,7 @@
 }
 
 /// Earliest order of an ownership that was just acquired.
-TimePoint OwnerElection::computeEarliestOrder(bool hadNoOtherHolder) const
+TimePoint OwnerElection::computeEarliestOrder(bool hadNoOtherHolder, const Candidacy &former) const
 {
     const TimePoint now = bootNow();
     if (hadNoOtherHolder)
@@ -500,11 +494,10 @@
     if (this->settings.areEnginesFenced)
         return earliestOrderTime(times, true, now, this->lastHeard);
     // The process that this one replaced may have left the ownership to the former holder.
-    const TimePoint free = this->mayFormerPromiseHold()
-                                   ? std::max(now, this->startedAt + times.timeToLive)
-                                   : now;
+    const TimePoint free
+            = former.isAnswered() ? now : std::max(now, this->startedAt + times.timeToLive);
     // A holder that goes on without the store does so until it learns of this process.
-    const std::optional<TimePoint> &noticedAt = this->candidacy.noticedByOwnerAt();
+    const std::optional<TimePoint> &noticedAt = former.noticedByOwnerAt();
     return std::max(earliestOrderTime(times, false, free, this->lastHeard),
                     noticedAt ? *noticedAt + times.handoverPause : now);
 }
@@ -527,6 +520,8 @@
     request.isBoundToLastOwner = !this->settings.areEnginesFenced;
     request.lastOwner = this->candidacy.lastOwner();
     const std::uint64_t era = this->storeEra;
+    // The new record may be read from the store before the answer to the call.
+    const Candidacy former = this->candidacy;
     this->isAcquiring = true;
     const Result<OwnershipGrant> grant = co_await this->port.acquire(std::move(request));
     this->isAcquiring = false;
@@ -544,7 +539,7 @@
     const bool hadNoOtherHolder
             = (formerHolder.isEmpty() || formerHolder == this->settings.self.instance)
               && (!grant.value().isFirstOfEra || this->wasOwnerAtEraBegin);
-    const TimePoint earliestOrder = this->computeEarliestOrder(hadNoOtherHolder);
+    const TimePoint earliestOrder = this->computeEarliestOrder(hadNoOtherHolder, former);
     this->lease.recordGrant(grant.value().fence, grant.value().sentAt, earliestOrder);
     this->grantedAt = bootNow();
     this->consenters.clear();
@@ -553,8 +548,8 @@
     this->leaseId = grant.value().lease;
     this->lastStoreContact = grant.value().sentAt;
     this->predecessorEndpoint.reset();
-    if (this->candidacy.lastOwner() && !this->wasLastOwner())
-        this->predecessorEndpoint = this->candidacy.lastOwner()->endpoint;
+    if (former.lastOwner() && former.lastOwner()->instance != this->settings.self.instance)
+        this->predecessorEndpoint = former.lastOwner()->endpoint;
     this->candidacy.recordOwnerPresence(true, bootNow());
     this->candidacy.recordLastOwner(grant.value().record, bootNow());
     this->observedOwner
--- a/src/residency/owner_election.hpp
+++ b/src/residency/owner_election.hpp
@@ -228,14 +228,13 @@
     bool mayCampaign() const;
     bool isVacant() const;
     bool isCleared() const;
-    bool mayFormerPromiseHold() const;
     upstream::Awaitable<void> updateConsenters();
     upstream::Awaitable<void> recordConsenters(std::vector<InstanceId> instances);
     bool isOwnRecord() const;
     bool wasLastOwner() const;
     Duration campaignDelay();
     Duration idleTime() const;
-    TimePoint computeEarliestOrder(bool hadNoOtherHolder) const;
+    TimePoint computeEarliestOrder(bool hadNoOtherHolder, const Candidacy &former) const;
     void logConsent();
     void logWait();
     void recordUsedFence(Fence fence);
@@ -270,7 +269,7 @@
     OwnershipConsent consent;
     /// Whether the last check found the consent of all instances.
     bool wasConsentValid = false;
-    /// Instances that had consented for good at the last log line.
+    /// Instances that had consented while they were shutting down, at the last log line.
     std::size_t loggedFinalCount = 0;
     /// Until when this instance leaves the ownership to another one.
     TimePoint consentedUntil{};
--- a/tests/residency/unit-owner_election.cpp
+++ b/tests/residency/unit-owner_election.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -82,6 +83,8 @@
         state.recordRevision = grant.revision;
         state.last = grant.record;
         state.lastRevision = grant.revision;
+        if (onAcquired)
+            onAcquired();
         return grant;
     }
 
@@ -103,6 +106,8 @@
     std::uint64_t era = 1;
     State state;
     bool isAway = false;
+    /// Called when the ownership was acquired, before the answer to the call.
+    std::function<void()> onAcquired;
     /// Whether the end of a lease removes the record.
     bool isReleasable = false;
 };
@@ -446,8 +451,17 @@
     store.lapse();
     std::string name = "newcomer";
     bool isOwnerReached = true;
+    Duration unheardFor{};
 
     SUBCASE("at another address") {}
+    // Guards against a pause that is too short because the new record is read before the answer to
+    // the call that wrote it.
+    SUBCASE("it has run for a while before the owner learns of it, and reads its record at once")
+    {
+        fleet.headStart = 0ms;
+        unheardFor = 250ms;
+        store.onAcquired = [&] { fleet.showRecords(*fleet.instances.at("newcomer")); };
+    }
     SUBCASE("in the place of one that had left the ownership to the owner for good")
     {
         name = "leaver";
@@ -461,8 +475,13 @@
     OwnerElection &newcomer = fleet.add(name);
     fleet.storeSilences[name].reset();
     const TimePoint startedAt = BootClock().now();
+    if (unheardFor > 0ms)
+        fleet.silent.insert("owner");
     fleet.showRecords(newcomer);
-    TimePoint lastOrder = startedAt;
+    fleet.loop.run_for(unheardFor);
+    if (unheardFor > 0ms)
+        fleet.silent.erase("owner");
+    TimePoint lastOrder = BootClock().now();
     while (!newcomer.maySendOrders() && BootClock().now() < startedAt + 4s) {
         fleet.loop.run_for(5ms);
         const TimePoint now = BootClock().now();
@@ -472,7 +491,7 @@
     }
     CHECK(newcomer.maySendOrders());
     CHECK(BootClock().now() >= lastOrder + (isOwnerReached ? 300ms : 240ms));
-    CHECK((lastOrder < startedAt + 200ms) == isOwnerReached);
+    CHECK((lastOrder < startedAt + unheardFor + 200ms) == isOwnerReached);
     fleet.stop();
 }
 
