Bound the connections of an instance, and count heads and buffers

Callers got no answer from an instance that had run out of descriptors: clients that only open connections, or send a small part of a request, took all that the machine has. limits.file_descriptors was not read, the bound on connections was 2,000 whatever the machine, and what a connection costs beside its body was counted nowhere.

Cause: bounds on each of many things, and none on their sum.

Change: core/inbound_budget owns what peers make a process hold, by listener: the bytes of requests and answers, now with heads and read buffers, and the connections. Their number follows from memory and descriptors. A new connection takes the place of one without a complete request, of the address with most of them the one without progress for longest, so that a crowd costs itself. MemoryBudget may be shared by threads; what another thread has to free is not handed on at once while it is much. Small holdings are 32 KB instead of 16 KB, as they include head and buffer now.

--- a/src/caller/caller_request.cpp
+++ b/src/caller/caller_request.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 
 #include <fmt/format.h>
 
@@ -19,6 +20,11 @@
 constexpr int http11 = 11;
 /// Time to read bytes that the kernel already has.
 constexpr Duration arrivedBytesReadTime = std::chrono::seconds(1);
+/// Memory of an answered request that its connection keeps for the next one.
+constexpr std::size_t maxKeptBytes = 4 << 10;
+/// Time for which the rest of a refused request is read and dropped; a round trip to a caller takes
+/// much less.
+constexpr Duration discardTime = std::chrono::seconds(1);
 
 /// Headers that decide what a request means. With a repeated one, a proxy or an upstream could pick
 /// another value than this server does.
@@ -34,20 +40,32 @@
     HttpStream &stream;
     const ServerLimits &limits;
     CallerRequest &request;
-    MemoryBudget::Holding *memory;
+    RequestAccount account;
     RequestParser parser;
+    /// Memory that the body may take, in bytes.
+    std::size_t bodyCapacity = 0;
+    /// False once the request has ended; an eviction that comes later from another thread must not
+    /// touch it.
+    std::shared_ptr<bool> isReading = std::make_shared<bool>(true);
 
     RequestReader(HttpStream &stream, const ServerLimits &limits, CallerRequest &request,
-                  MemoryBudget::Holding *memory)
+                  RequestAccount account)
         : stream(stream)
         , limits(limits)
         , request(request)
-        , memory(memory)
+        , account(account)
         , parser(request.message)
     {
         this->parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         this->parser.body_limit(limits.maxBodyBytes);
     }
+    ~RequestReader()
+    {
+        *this->isReading = false;
+        this->account.memory.setUse(MemoryUse::Admitted);
+    }
+    RequestReader(const RequestReader &) = delete;
+    RequestReader &operator=(const RequestReader &) = delete;
 };
 
 RequestReadFailure makeFailure(ErrorKind kind, std::string message, std::string field = {})
@@ -79,7 +97,7 @@
 RequestReadFailure memoryFailure()
 {
     return makeFailure(ErrorKind::MemoryExhausted,
-                       "there is too little memory for the body at present");
+                       "there is too little memory for the request at present");
 }
 
 /// Frees a body that is given up, and ends the wait for the rest of it.
@@ -87,18 +105,35 @@
 {
     // Assigning an empty string would keep the memory.
     std::string().swap(reader.request.body);
+    reader.account.memory.confirmFreed();
     reader.stream.expireAt(SteadyClock().now());
 }
 
+void allowEviction(RequestReader &reader)
+{
+    reader.account.memory.allowEviction(reader.stream.peerAddress(), [&reader] {
+        reader.stream.dispatch([&reader, isReading = reader.isReading] {
+            if (*isReading)
+                evictBody(reader);
+        });
+    });
+}
+
+/// Counts what the request holds; returns false if there is too little memory.
+bool countHeldBytes(RequestReader &reader)
+{
+    const std::size_t bytes = reader.request.message.heldBytes() + reader.stream.bufferBytes()
+                              + reader.bodyCapacity;
+    if (!reader.account.memory.isEvictable() && reader.account.memory.isLarge(bytes))
+        allowEviction(reader);
+    return reader.account.memory.resize(bytes, SteadyClock().now());
+}
+
 /// Makes room for more bytes of the body; returns false if there is too little memory.
 bool reserveBody(RequestReader &reader, std::size_t added)
 {
     std::string &body = reader.request.body;
     const std::size_t size = body.size() + added;
-    if (reader.memory == nullptr)
-        return true;
-    if (!reader.memory->isEvictable() && reader.memory->isLarge(size))
-        reader.memory->allowEviction(reader.stream.peerAddress(), [&reader] { evictBody(reader); });
     const boost::optional<std::uint64_t> length = reader.parser.content_length();
     // Memory that is reserved and not written to is not resident, so that an announced length takes
     // nothing. Without one, the string grows in steps, and a step copies it.
@@ -110,7 +145,8 @@
         capacity = std::min(size + size / 2, std::max(size, reader.limits.maxBodyBytes));
     else
         capacity = body.capacity();
-    if (!reader.memory->resize(capacity, SteadyClock().now()))
+    reader.bodyCapacity = capacity;
+    if (!countHeldBytes(reader))
         return false;
     body.reserve(capacity);
     return true;
@@ -126,12 +162,14 @@
     std::size_t added = 0;
     for (const std::string_view piece : reader.request.message.pieces)
         added += piece.size();
-    if (added > 0 && !reserveBody(reader, added))
+    const bool hasRoom = added > 0 ? reserveBody(reader, added) : countHeldBytes(reader);
+    if (!hasRoom)
         return memoryFailure();
     for (const std::string_view piece : reader.request.message.pieces)
         reader.request.body += piece;
     reader.request.message.pieces.clear();
     reader.stream.consume(used);
+    reader.account.place.noteProgress(SteadyClock().now());
     return std::nullopt;
 }
 
@@ -223,7 +261,7 @@
         if (reader.parser.is_done() || !needsMoreBytes)
             continue;
         const StreamStatus status = co_await reader.stream.readMore();
-        if (reader.memory != nullptr && reader.memory->isEvicted())
+        if (reader.account.memory.isEvicted())
             co_return memoryFailure();
         if (status != StreamStatus::Ok)
             co_return streamFailure(reader, status, "body");
@@ -239,6 +277,22 @@
     return target.substr(0, target.find('?'));
 }
 
+void CallerRequest::trim()
+{
+    if (this->heldBytes() > maxKeptBytes)
+        *this = CallerRequest();
+}
+
+Awaitable<void> discardRest(HttpStream &stream)
+{
+    stream.expireAt(SteadyClock().now() + discardTime);
+    StreamStatus status = StreamStatus::Ok;
+    while (status == StreamStatus::Ok) {
+        stream.consume(stream.unread().size());
+        status = co_await stream.readMore();
+    }
+}
+
 Awaitable<bool> waitForRequest(HttpStream &stream)
 {
     if (!stream.unread().empty())
@@ -254,10 +308,10 @@
 }
 
 Awaitable<OptionalReadFailure> readRequest(HttpStream &stream, const ServerLimits &limits,
-                                           CallerRequest &request, MemoryBudget::Holding *memory)
+                                           CallerRequest &request, RequestAccount account)
 {
     request.body.clear();
-    RequestReader reader(stream, limits, request, memory);
+    RequestReader reader(stream, limits, request, account);
     if (stream.unread().empty()) {
         stream.expireAt(SteadyClock().now() + limits.idleTimeout);
         const bool hasRequest = co_await waitForRequest(stream);
@@ -275,8 +329,12 @@
         failure = co_await sendContinue(reader);
     if (!failure && !reader.parser.is_done())
         failure = co_await readBody(reader);
-    if (memory != nullptr)
-        memory->setUse(MemoryUse::Admitted);
+    account.memory.setUse(MemoryUse::Admitted);
+    // It may have been given up by another thread while its last bytes were read.
+    if (!failure && account.memory.isEvicted())
+        failure = memoryFailure();
+    if (!failure && !account.place.hold())
+        failure = RequestReadFailure{};
     if (failure) {
         std::string().swap(request.body);
         co_return failure;
@@ -286,4 +344,13 @@
     co_return std::nullopt;
 }
 
+Awaitable<OptionalReadFailure> readRequest(HttpStream &stream, const ServerLimits &limits,
+                                           CallerRequest &request)
+{
+    MemoryBudget unbounded{MemoryLimits()};
+    MemoryBudget::Holding memory(unbounded, MemoryUse::Arriving);
+    ConnectionPlace place(unbounded, std::string(), [] {});
+    co_return co_await readRequest(stream, limits, request, {memory, place});
+}
+
 } // namespace bamboochute::caller
--- a/src/caller/caller_request.hpp
+++ b/src/caller/caller_request.hpp
@@ -4,7 +4,7 @@
 
 #include "caller/server_settings.hpp"
 #include "core/error.hpp"
-#include "core/memory_budget.hpp"
+#include "core/inbound_budget.hpp"
 #include "upstream/http_stream.hpp"
 #include "upstream/message_parser.hpp"
 
@@ -26,6 +26,13 @@
     std::string_view method() const noexcept { return this->message.method; }
     /// @brief Path without the query.
     std::string_view path() const noexcept;
+    /// @brief Memory that the request takes, in bytes.
+    std::size_t heldBytes() const noexcept
+    {
+        return this->message.heldBytes() + this->body.capacity();
+    }
+    /// @brief Frees the memory of a request that was answered, unless it is little.
+    void trim();
     const upstream::HeaderList &headers() const noexcept { return this->message.headers; }
 };
 
@@ -39,6 +46,19 @@
 /// @brief Set when reading failed.
 using OptionalReadFailure = std::optional<RequestReadFailure>;
 
+/// @brief What a request that is read is counted in.
+struct RequestAccount
+{
+    /// Bytes of the request.
+    MemoryBudget::Holding &memory;
+    /// Place of its connection; held from the end of the request on.
+    ConnectionPlace &place;
+};
+
+/// @brief Reads and drops what a peer still sends of a refused request, for at most 1 s.
+/// A connection that is closed before that is reset, and the peer may lose the refusal.
+upstream::Awaitable<void> discardRest(upstream::HttpStream &stream);
+
 /// @brief Waits until a connection has bytes of a request, at most until the stream's time limit.
 /// @return false when there are none: the peer closed the connection, or the time has passed
 upstream::Awaitable<bool> waitForRequest(upstream::HttpStream &stream);
@@ -47,13 +67,17 @@
 /// @param stream connection to the caller
 /// @param limits sizes and timeouts
 /// @param request output; the memory of its body is reused
-/// @param memory counts the body, and refuses it if there is too little memory; null for no bound
+/// @param account counts what is held, and refuses it if there is too little memory
 /// @return nothing when the request is complete, else the failure: MalformedRequest,
 /// HeaderTooLarge, BodyTooLarge, SlowSender, MemoryExhausted, or no error when there is nothing to
 /// answer
 upstream::Awaitable<OptionalReadFailure> readRequest(upstream::HttpStream &stream,
                                                      const ServerLimits &limits,
                                                      CallerRequest &request,
-                                                     MemoryBudget::Holding *memory = nullptr);
+                                                     RequestAccount account);
+
+/// @brief Reads the next request of a connection without a bound over all connections.
+upstream::Awaitable<OptionalReadFailure>
+readRequest(upstream::HttpStream &stream, const ServerLimits &limits, CallerRequest &request);
 
 } // namespace bamboochute::caller
--- a/src/core/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -11,6 +11,8 @@
 /// Added to the time without progress, so that of holdings that make progress the largest costs
 /// most.
 constexpr Duration leastAge = std::chrono::milliseconds(10);
+/// Part of the total that may wait to be freed before large holdings are refused.
+constexpr std::size_t freeingDivisor = 8;
 
 } // namespace
 
@@ -18,12 +20,15 @@
 {
     if (this->lifetime.expired())
         return;
+    const std::lock_guard lock(this->budget.mutex);
     this->setUse(MemoryUse::Admitted);
+    this->confirmFreed();
     this->budget.used -= this->held;
 }
 
 void MemoryBudget::Holding::allowEviction(std::string peer, std::function<void()> free)
 {
+    const std::lock_guard lock(this->budget.mutex);
     // Takes it out of the holdings of a former owner.
     this->setUse(this->use);
     this->owner = std::move(peer);
@@ -33,6 +38,9 @@
 
 void MemoryBudget::Holding::setUse(MemoryUse newUse)
 {
+    if (this->lifetime.expired())
+        return;
+    const std::lock_guard lock(this->budget.mutex);
     if (this->evict) {
         const auto found = this->budget.byOwner.find(this->owner);
         found->second.erase(this);
@@ -47,13 +55,44 @@
     this->use = newUse;
 }
 
+void MemoryBudget::Holding::confirmFreed()
+{
+    const std::lock_guard lock(this->budget.mutex);
+    this->budget.freeing -= std::exchange(this->freeing, 0);
+}
+
+bool MemoryBudget::Holding::isEvictable() const
+{
+    const std::lock_guard lock(this->budget.mutex);
+    return this->evict != nullptr;
+}
+
+bool MemoryBudget::Holding::isEvicted() const
+{
+    const std::lock_guard lock(this->budget.mutex);
+    return this->wasEvicted;
+}
+
+std::size_t MemoryBudget::Holding::bytes() const
+{
+    const std::lock_guard lock(this->budget.mutex);
+    return this->held;
+}
+
 bool MemoryBudget::Holding::resize(std::size_t bytes, TimePoint now)
 {
+    const std::lock_guard lock(this->budget.mutex);
     if (this->wasEvicted)
         return false;
     const std::size_t added = bytes - std::min(bytes, this->held);
     const bool isSmall = bytes <= this->budget.limits.smallBytes;
     const bool canFit = isSmall || this->budget.canFit(*this, added);
+    if (!isSmall && this->budget.isFreeingMuch()
+        && this->budget.isTotalExceeded(added + this->budget.freeing)) {
+        if (this->budget.onShortage)
+            this->budget.onShortage(this->use, bytes);
+        return false;
+    }
     while (added > 0 && this->budget.isExceeded(this->use, added)) {
         // Answers make no room for requests that are still arriving unless the total is exceeded.
         Holding *costly
@@ -73,6 +112,12 @@
     return true;
 }
 
+std::size_t MemoryBudget::usedBytes() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->used;
+}
+
 std::size_t MemoryBudget::arrivingLimit() const
 {
     return static_cast<std::size_t>(static_cast<double>(this->limits.totalBytes)
@@ -91,6 +136,11 @@
                && this->arriving + added > this->arrivingLimit());
 }
 
+bool MemoryBudget::isFreeingMuch() const
+{
+    return this->limits.totalBytes > 0 && this->freeing > this->limits.totalBytes / freeingDivisor;
+}
+
 /// Whether more bytes of a holding fit if all others are given up that can be.
 bool MemoryBudget::canFit(const Holding &holding, std::size_t added) const
 {
@@ -154,6 +204,8 @@
         this->onShortage(holding.use, holding.held);
     const std::function<void()> evict = holding.evict;
     holding.setUse(holding.use);
+    holding.freeing = holding.held;
+    this->freeing += holding.held;
     this->record(holding, 0);
     holding.wasEvicted = true;
     evict();
--- a/src/core/memory_budget.hpp
+++ b/src/core/memory_budget.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 
@@ -24,7 +25,7 @@
     double arrivingShare = 0.6;
     /// A holding of at most this size is always let in, so that ordinary requests are served while
     /// large ones are refused.
-    std::size_t smallBytes = 16 << 10;
+    std::size_t smallBytes = 32 << 10;
     auto operator<=>(const MemoryLimits &) const = default;
 };
 
@@ -38,11 +39,12 @@
     Delivery,
 };
 
-/// @brief Shares the memory among all connections; not thread-safe.
+/// @brief Shares the memory among all connections of all threads; thread-safe.
 ///
 /// When there is too little, what costs most is given up: of the peer whose arriving requests and
 /// undelivered answers are largest together, the one that is largest and has made no progress for
-/// longest.
+/// longest. What belongs to another thread is freed by that thread a little later; while more than
+/// an eighth of the total waits for that, nothing large is let in.
 class MemoryBudget
 {
 public:
@@ -61,7 +63,8 @@
 
         /// @brief Makes it possible to give up what is held.
         /// @param owner address of the peer
-        /// @param evict frees the memory; called at most once
+        /// @param evict frees the memory, or has its thread free it, and calls confirmFreed();
+        /// called at most once, on the thread that needs the memory, which holds the budget's lock
         void allowEviction(std::string owner, std::function<void()> evict);
 
         /// @brief Changes the number of bytes; if there are too few left, others are given up.
@@ -72,14 +75,17 @@
         /// allowEviction().
         void setUse(MemoryUse use);
 
+        /// @brief Notes that what was given up is free; so does the end of the holding.
+        void confirmFreed();
+
         /// @brief Whether a number of bytes is more than is always let in.
         bool isLarge(std::size_t bytes) const noexcept
         {
             return bytes > this->budget.limits.smallBytes;
         }
-        bool isEvictable() const noexcept { return this->evict != nullptr; }
-        bool isEvicted() const noexcept { return this->wasEvicted; }
-        std::size_t bytes() const noexcept { return this->held; }
+        bool isEvictable() const;
+        bool isEvicted() const;
+        std::size_t bytes() const;
 
     private:
         friend class MemoryBudget;
@@ -90,6 +96,8 @@
         std::weak_ptr<const int> lifetime;
         MemoryUse use;
         std::size_t held = 0;
+        /// Bytes that were given up and are not free yet.
+        std::size_t freeing = 0;
         std::string owner;
         std::function<void()> evict;
         /// When its size last changed.
@@ -102,23 +110,29 @@
     {}
 
     const MemoryLimits &bounds() const noexcept { return this->limits; }
-    std::size_t usedBytes() const noexcept { return this->used; }
+    std::size_t usedBytes() const;
 
-    /// @brief Called when a holding is given up, or refused more bytes.
+    /// @brief Called when a holding is given up, or refused more bytes, under the budget's lock. To
+    /// be set before the budget is used.
     std::function<void(MemoryUse use, std::size_t bytes)> onShortage;
 
 private:
     std::size_t arrivingLimit() const;
     bool isTotalExceeded(std::size_t added) const;
     bool isExceeded(MemoryUse use, std::size_t added) const;
+    bool isFreeingMuch() const;
     bool canFit(const Holding &holding, std::size_t added) const;
     bool isCandidate(const Holding &holding, bool isArrivingOnly) const;
     Holding *findMostCostly(TimePoint now, bool isArrivingOnly) const;
     void giveUp(Holding &holding);
     void record(Holding &holding, std::size_t bytes);
 
+    /// Recursive: an evict function may change its holding.
+    mutable std::recursive_mutex mutex;
     MemoryLimits limits;
     std::size_t used = 0;
+    /// Bytes that were given up and are not free yet.
+    std::size_t freeing = 0;
     std::size_t arriving = 0;
     /// Holdings that can be given up, by owner.
     std::map<std::string, std::set<Holding *>> byOwner;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -29,13 +29,6 @@
 constexpr std::size_t maxForwardingBytes = 8 << 10;
 /// Time to receive a body after its header, as a multiple of the header timeout.
 constexpr int bodyTimeoutFactor = 5;
-/// Time for which the rest of a refused request is read and dropped; a round trip to a caller takes
-/// much less.
-constexpr Duration discardTime = std::chrono::seconds(1);
-/// Time without a shortage of memory after which the next one is logged again.
-constexpr Duration shortageLogInterval = std::chrono::seconds(5);
-/// Memory of a request's body that a connection keeps for the next one.
-constexpr std::size_t maxKeptBodyBytes = 16 << 10;
 
 upstream::PoolLimits makePoolLimits(const std::string &sourceAddress)
 {
@@ -46,18 +39,6 @@
     return limits;
 }
 
-/// Reads and drops what the caller still sends of a refused request. A connection that is closed
-/// before that is reset, and the caller may lose the refusal.
-Awaitable<void> discardRest(upstream::HttpStream &stream)
-{
-    stream.expireAt(SteadyClock().now() + discardTime);
-    upstream::StreamStatus status = upstream::StreamStatus::Ok;
-    while (status == upstream::StreamStatus::Ok) {
-        stream.consume(stream.unread().size());
-        status = co_await stream.readMore();
-    }
-}
-
 /// Process age up to which its first registration is that of a start. An instance that starts reads
 /// the registrations of all upstreams; an engine registers within some 13 s of model loading.
 constexpr Duration maxStartAge = std::chrono::seconds(30);
@@ -87,7 +68,7 @@
     , metrics(metrics)
     , requestMetrics(metrics)
     , requestEnds(metrics)
-    , memory(this->settings.memory)
+    , inbound(this->settings.inbound, metrics)
     , deadlineWatch(loop)
     , pool(loop, this->deadlineWatch, makePoolLimits(this->settings.sourceAddress))
     , quarantine(loop, this->pool, this->table, metrics)
@@ -98,8 +79,6 @@
                  this->settings.seed, this->settings.forwarding)
     , random(this->settings.seed)
 {
-    this->memory.onShortage
-            = [this](MemoryUse use, std::size_t bytes) { this->recordShortage(use, bytes); };
     this->quarantine.configure(this->settings.quarantine);
     this->quarantine.setLinkState(
             [this](const ServiceId &service) { return this->forwarding.isUndecided(service); },
@@ -148,7 +127,7 @@
     Result<Endpoint> bound = upstream::listenOn(this->acceptor, this->settings.listen, maxBacklog);
     if (!bound)
         return bound.error();
-    asio::co_spawn(this->loop, this->accept(this->acceptor, false), asio::detached);
+    asio::co_spawn(this->loop, this->accept(this->acceptor, ListenerKind::Callers), asio::detached);
     if (!this->settings.instanceListen)
         return bound;
     const Result<Endpoint> boundForInstances = upstream::listenOn(
@@ -156,7 +135,8 @@
     if (!boundForInstances)
         return boundForInstances.error();
     this->settings.instanceListen = boundForInstances.value();
-    asio::co_spawn(this->loop, this->accept(this->instanceAcceptor, true), asio::detached);
+    asio::co_spawn(this->loop, this->accept(this->instanceAcceptor, ListenerKind::Instances),
+                   asio::detached);
     return bound;
 }
 
@@ -315,26 +295,6 @@
     }
 }
 
-/// Counts what was given up or refused for want of memory; logs the first of a series.
-void Gateway::recordShortage(MemoryUse use, std::size_t bytes)
-{
-    const std::string_view name = use == MemoryUse::Arriving   ? "arriving"
-                                  : use == MemoryUse::Admitted ? "admitted"
-                                                               : "delivery";
-    this->metrics.counter("bamboochute_memory_shortages_total", fmt::format("use=\"{}\"", name))
-            .add();
-    const TimePoint now = SteadyClock().now();
-    if (this->shortageLoggedAt == TimePoint()
-        || now >= this->shortageLoggedAt + shortageLogInterval)
-        logEvent(LogLevel::Warning, "memory budget exceeded",
-                 {{"use", std::string(name)},
-                  {"bytes", std::to_string(bytes)},
-                  {"used_bytes", std::to_string(this->memory.usedBytes())},
-                  {"budget_bytes", std::to_string(this->memory.bounds().totalBytes)},
-                  {"open_requests", std::to_string(this->openRequestCount)}});
-    this->shortageLoggedAt = now;
-}
-
 /// Logs a header whose value has no meaning, once for each process.
 void Gateway::recordInvalidHeader(std::string_view header, const UpstreamProcess &process)
 {
@@ -389,21 +349,16 @@
     return limits;
 }
 
-/// @param isForInstances the connections are of other instances, which forward requests
-Awaitable<void> Gateway::accept(upstream::Acceptor &listener, bool isForInstances)
+Awaitable<void> Gateway::accept(upstream::Acceptor &listener, ListenerKind kind)
 {
     while (!this->closing) {
         std::optional<upstream::Socket> socket = co_await upstream::acceptNext(listener);
         if (!socket)
             co_return;
-        if (this->streams.size() >= this->settings.maxConnections) {
-            this->metrics.counter("bamboochute_connections_refused_total").add();
-            continue;
-        }
         auto stream = std::make_shared<upstream::HttpStream>(std::move(*socket),
                                                              this->deadlineWatch, maxBufferBytes);
         this->streams.insert(stream);
-        asio::co_spawn(this->loop, this->serve(stream, isForInstances),
+        asio::co_spawn(this->loop, this->serve(stream, kind),
                        [this, stream](const std::exception_ptr &failure) {
                            this->streams.erase(stream);
                            if (failure)
@@ -412,18 +367,24 @@
     }
 }
 
-Awaitable<void> Gateway::serve(upstream::HttpStreamPointer stream, bool isFromInstance)
+/// @param kind whether the connection is a caller's, or another instance's that forwards requests
+Awaitable<void> Gateway::serve(upstream::HttpStreamPointer stream, ListenerKind kind)
 {
+    ConnectionPlace place(this->inbound.connections(kind), stream->peerAddress(),
+                          stream->makeCloser());
+    const bool hasPlace = place.take(SteadyClock().now());
+    if (!hasPlace)
+        this->metrics.counter("bamboochute_connections_refused_total").add();
     caller::CallerRequest request;
-    while (!this->closing || !stream->unread().empty()) {
+    while (hasPlace && (!this->closing || !stream->unread().empty())) {
         const bool hasRequest = co_await this->waitForRequest(*stream);
         if (!hasRequest)
             break;
         ++this->openRequestCount;
-        const bool isKeepAlive = co_await this->serveRequest(*stream, request, isFromInstance);
+        const bool isKeepAlive = co_await this->serveRequest(*stream, request, place,
+                                                             kind == ListenerKind::Instances);
         --this->openRequestCount;
-        if (request.body.capacity() > maxKeptBodyBytes)
-            std::string().swap(request.body);
+        request.trim();
         if (!isKeepAlive)
             break;
     }
@@ -445,12 +406,12 @@
 /// Reads a request that has begun to arrive, by the limits in force at that time, and answers it.
 /// @return whether the connection may be used for another request
 Awaitable<bool> Gateway::serveRequest(upstream::HttpStream &stream, caller::CallerRequest &request,
-                                      bool isFromInstance)
+                                      ConnectionPlace &place, bool isFromInstance)
 {
     const caller::ServerLimits limits = this->limitsFor(isFromInstance);
-    MemoryBudget::Holding memory(this->memory, MemoryUse::Arriving);
+    MemoryBudget::Holding memory(this->inbound.requests(), MemoryUse::Arriving);
     const caller::OptionalReadFailure noRequest
-            = co_await caller::readRequest(stream, limits, request, &memory);
+            = co_await caller::readRequest(stream, limits, request, {memory, place});
     if (noRequest && !noRequest->error)
         co_return false;
     this->requestEnds.recordRead();
@@ -461,7 +422,8 @@
         co_await exchange.run();
     this->requestEnds.recordEnd(exchange.requestEnd());
     if (noRequest)
-        co_await discardRest(stream);
+        co_await caller::discardRest(stream);
+    place.release(SteadyClock().now());
     co_return !noRequest && exchange.isKeepAlive() && !stream.isExpired();
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -4,7 +4,7 @@
 
 #include "caller/caller_request.hpp"
 #include "caller/server_settings.hpp"
-#include "core/memory_budget.hpp"
+#include "core/inbound_budget.hpp"
 #include "core/metrics.hpp"
 #include "gateway/brittle_upstreams.hpp"
 #include "gateway/call_codec.hpp"
@@ -60,13 +60,11 @@
     ForwardingSettings forwarding;
     QuotaLimits quotas;
     PaceLimits pace;
-    MemoryLimits memory;
+    InboundLimits inbound;
     /// No instance has run before, so that nothing of any quota is used.
     bool isFirstStart = false;
     /// Own address of the connections to upstreams; empty to let the kernel choose.
     std::string sourceAddress = {};
-    /// Callers' connections that may be open at a time.
-    std::size_t maxConnections = 2000;
 };
 
 /// @brief State that all callers' connections share; used on the event loop's thread only.
@@ -201,14 +199,14 @@
 private:
     friend class RequestExchange;
 
-    upstream::Awaitable<void> accept(upstream::Acceptor &listener, bool isForInstances);
-    upstream::Awaitable<void> serve(upstream::HttpStreamPointer stream, bool isFromInstance);
+    upstream::Awaitable<void> accept(upstream::Acceptor &listener, ListenerKind kind);
+    upstream::Awaitable<void> serve(upstream::HttpStreamPointer stream, ListenerKind kind);
     upstream::Awaitable<bool> waitForRequest(upstream::HttpStream &stream);
     upstream::Awaitable<bool> serveRequest(upstream::HttpStream &stream,
-                                           caller::CallerRequest &request, bool isFromInstance);
+                                           caller::CallerRequest &request, ConnectionPlace &place,
+                                           bool isFromInstance);
     caller::ServerLimits limits() const;
     caller::ServerLimits limitsFor(bool isFromInstance) const;
-    void recordShortage(MemoryUse use, std::size_t bytes);
     void recordInvalidHeader(std::string_view header, const UpstreamProcess &process);
 
     boost::asio::io_context &loop;
@@ -217,9 +215,7 @@
     Metrics &metrics;
     RequestMetrics requestMetrics;
     RequestEnds requestEnds;
-    MemoryBudget memory;
-    /// When a shortage of memory was last logged; zero before.
-    TimePoint shortageLoggedAt{};
+    InboundBudget inbound;
     upstream::DeadlineWatch deadlineWatch;
     upstream::ConnectionPool pool;
     QuarantineDriver quarantine;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -31,7 +31,7 @@
     : gateway(gateway)
     , caller(caller)
     , request(request)
-    , answerMemory(gateway.memory, MemoryUse::Admitted)
+    , answerMemory(gateway.inbound.requests(), MemoryUse::Admitted)
     , isFromInstance(isFromInstance)
     , index(gateway.index)
     , events(maxEventBytes, false)
--- a/src/upstream/header_list.hpp
+++ b/src/upstream/header_list.hpp
@@ -31,6 +31,11 @@
     std::size_t count(std::string_view name) const;
 
     std::size_t size() const noexcept { return this->offsets.size(); }
+    /// @brief Memory that the headers take, in bytes.
+    std::size_t heldBytes() const noexcept
+    {
+        return this->text.capacity() + this->offsets.capacity() * sizeof(HeaderOffsets);
+    }
     /// @brief The header at an index below size(); valid until the list changes.
     Header operator[](std::size_t index) const;
 
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -9,6 +9,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 
@@ -138,6 +139,9 @@
     if (this->begin == this->end) {
         this->begin = 0;
         this->end = 0;
+        // A long header must not keep its buffer while the connection is idle.
+        if (this->buffer.size() > firstBufferBytes)
+            std::vector<char>(firstBufferBytes).swap(this->buffer);
     }
     if (this->buffer.size() - this->end >= minReadBytes)
         return true;
@@ -242,6 +246,22 @@
     this->socket.cancel(ignored);
 }
 
+void HttpStream::dispatch(std::function<void()> function)
+{
+    asio::dispatch(this->socket.get_executor(), std::move(function));
+}
+
+std::function<void()> HttpStream::makeCloser()
+{
+    return [weak = this->weak_from_this(), executor = this->socket.get_executor()] {
+        // The pointer is taken on the thread of the connection, so that none is released elsewhere.
+        asio::dispatch(executor, [weak] {
+            if (const HttpStreamPointer stream = weak.lock())
+                stream->close();
+        });
+    };
+}
+
 void HttpStream::close()
 {
     error_code ignored;
--- a/src/upstream/http_stream.hpp
+++ b/src/upstream/http_stream.hpp
@@ -71,6 +71,9 @@
     /// @brief Bytes read and not yet consumed; valid until the next read starts.
     std::string_view unread() const;
 
+    /// @brief Size of the read buffer in bytes.
+    std::size_t bufferBytes() const noexcept { return this->buffer.size(); }
+
     /// @brief Removes bytes from the front of unread().
     void consume(std::size_t count);
 
@@ -93,6 +96,14 @@
     /// @brief Removes the time limit.
     void neverExpire();
 
+    /// @brief Runs a function on the thread of this connection: at once when that is the calling
+    /// one, else later. May be called on any thread; the connection may have ended when it runs.
+    void dispatch(std::function<void()> function);
+
+    /// @brief Makes a function that closes the connection on its thread; it may be called on any
+    /// thread, and outlive the connection.
+    std::function<void()> makeCloser();
+
     /// @brief Closes the connection; pending operations end with Closed.
     void close();
 
--- a/src/upstream/message_parser.hpp
+++ b/src/upstream/message_parser.hpp
@@ -29,6 +29,13 @@
     std::vector<std::string_view> pieces;
 
     void clear();
+
+    /// @brief Memory that the parts take beside the input, in bytes.
+    std::size_t heldBytes() const noexcept
+    {
+        return this->target.capacity() + this->headers.heldBytes()
+               + this->pieces.capacity() * sizeof(std::string_view);
+    }
 };
 
 /// @brief Parses one message into a ParsedMessage that the parser doesn't own.
--- a/tests/check_log_page.py
+++ b/tests/check_log_page.py
@@ -14,8 +14,8 @@
 def main() -> int:
     page_text = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
     names: set[str] = set()
-    for folder in ("src/gateway", "src/residency", "platform"):
-        for source in sorted((ROOT / folder).glob("*.cpp")):
+    for pattern in ("src/core/inbound_budget.cpp", "src/gateway/*.cpp", "src/residency/*.cpp", "platform/*.cpp"):
+        for source in sorted(ROOT.glob(pattern)):
             source_text = source.read_text(encoding="utf-8")
             names.update(LOG_MESSAGE.findall(source_text))
             names.update(METRIC_NAME.findall(source_text))
