--- a/src/upstream/listen.cpp
+++ b/src/upstream/listen.cpp
@@ -1,5 +1,6 @@
 #include "upstream/listen.hpp"
 
+#include "core/inbound_budget.hpp"
 #include "core/log.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -26,6 +27,9 @@
         acceptor.open(asio::ip::tcp::v4(), error);
     if (!error)
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    // Accepted connections have the same size from their first byte on.
+    if (!error)
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
     if (!error)
         acceptor.bind(asio::ip::tcp::endpoint(address, endpoint.port), error);
     if (!error)
--- a/src/upstream/listen.hpp
+++ b/src/upstream/listen.hpp
@@ -10,7 +10,8 @@
 
 namespace bamboochute::upstream {
 
-/// @brief Opens an acceptor, binds it and starts to listen.
+/// @brief Opens an acceptor, binds it and starts to listen; its connections receive at most
+/// receiveBufferBytes ahead.
 /// @param acceptor acceptor that is not open yet
 /// @param endpoint IPv4 address and port; port 0 selects a free one
 /// @param backlog largest number of connections that wait to be accepted
