Count what the readiness address reads

Requests with bodies of 1 MB to the readiness address, short of their end, took 74 MB of 40; 49 MB in chunks of one byte, 273 MB far over the limit of bodies. 64 connections that send nothing shut out the probe of the platform, which then takes the instance out of its rotation.

Cause: the status server read requests without a budget and with the default limits of callers, and refused connections beyond the 64th.

Change: it uses the same budget, has places of its own, and takes bodies of 1 KB at most; probes and readers of metrics send none.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -193,6 +193,9 @@
     /// @brief Times and bounds of the pace of upstreams.
     const PaceLimits &paceLimits() const noexcept { return this->settings.pace; }
 
+    /// @brief What the peers of this process may make it hold, for its other listeners.
+    InboundBudget &inboundBudget() noexcept { return this->inbound; }
+
     /// @brief The quarantine of requests and prompt parts that crash upstreams.
     QuarantineDriver &quarantineDriver() noexcept { return this->quarantine; }
 
--- a/src/gateway/status_server.cpp
+++ b/src/gateway/status_server.cpp
@@ -20,16 +20,25 @@
 using upstream::error_code;
 
 constexpr int maxBacklog = 64;
-constexpr std::size_t maxConnections = 64;
 constexpr std::size_t maxBufferBytes = 16 << 10;
 constexpr Duration writeTimeout = std::chrono::seconds(2);
+/// Probes and readers of metrics send no body, or a short one.
+constexpr std::size_t maxBodyBytes = 1 << 10;
+
+caller::ServerLimits makeLimits()
+{
+    caller::ServerLimits limits;
+    limits.maxBodyBytes = maxBodyBytes;
+    return limits;
+}
 
 } // namespace
 
-StatusServer::StatusServer(boost::asio::io_context &loop, Metrics &metrics,
+StatusServer::StatusServer(boost::asio::io_context &loop, Metrics &metrics, InboundBudget &inbound,
                            std::function<bool()> isReady)
     : loop(loop)
     , metrics(metrics)
+    , inbound(inbound)
     , isReady(std::move(isReady))
     , deadlineWatch(loop)
     , acceptor(loop)
@@ -59,8 +68,6 @@
         std::optional<upstream::Socket> socket = co_await upstream::acceptNext(this->acceptor);
         if (!socket)
             co_return;
-        if (this->streams.size() >= maxConnections)
-            continue;
         auto stream = std::make_shared<upstream::HttpStream>(std::move(*socket),
                                                              this->deadlineWatch, maxBufferBytes);
         this->streams.insert(stream);
@@ -71,32 +78,42 @@
 
 Awaitable<void> StatusServer::serve(upstream::HttpStreamPointer stream)
 {
-    caller::CallerRequest request;
-    const caller::ServerLimits limits;
-    while (!this->isStopped) {
-        const caller::OptionalReadFailure noRequest
-                = co_await caller::readRequest(*stream, limits, request);
-        if (noRequest)
-            break;
-        const bool isMetrics = request.path() == "/metrics";
-        if (isMetrics)
-            this->metrics.gauge("bamboochute_log_lines_dropped")
-                    .set(static_cast<std::int64_t>(droppedLogLines()));
-        const std::string body = isMetrics ? this->metrics.print() : std::string();
-        const std::string_view status
-                = isMetrics || this->isReady() ? "200 OK" : "503 Service Unavailable";
-        const std::string head = fmt::format(
-                "HTTP/1.1 {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n", status,
-                body.size());
-        const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(body)};
-        stream->expireAt(SteadyClock().now() + writeTimeout);
-        const upstream::StreamStatus written = co_await stream->write(parts);
-        stream->neverExpire();
-        if (written != upstream::StreamStatus::Ok || !request.isKeepAlive)
-            break;
-    }
+    ConnectionPlace place(this->inbound.connections(ListenerKind::Status), stream->peerAddress(),
+                          stream->makeCloser());
+    bool isKeepAlive = place.take(SteadyClock().now());
+    while (isKeepAlive && !this->isStopped)
+        isKeepAlive = co_await this->answerNext(*stream, place);
     stream->neverExpire();
     stream->close();
 }
 
+/// Reads the next request of a connection and answers it.
+/// @return whether the connection may be used for another one
+Awaitable<bool> StatusServer::answerNext(upstream::HttpStream &stream, ConnectionPlace &place)
+{
+    static const caller::ServerLimits limits = makeLimits();
+    caller::CallerRequest request;
+    MemoryBudget::Holding memory(this->inbound.requests(), MemoryUse::Arriving);
+    const caller::OptionalReadFailure noRequest
+            = co_await caller::readRequest(stream, limits, request, {memory, place});
+    if (noRequest)
+        co_return false;
+    const bool isMetrics = request.path() == "/metrics";
+    if (isMetrics)
+        this->metrics.gauge("bamboochute_log_lines_dropped")
+                .set(static_cast<std::int64_t>(droppedLogLines()));
+    const std::string body = isMetrics ? this->metrics.print() : std::string();
+    const std::string_view status
+            = isMetrics || this->isReady() ? "200 OK" : "503 Service Unavailable";
+    const std::string head
+            = fmt::format("HTTP/1.1 {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n",
+                          status, body.size());
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(body)};
+    stream.expireAt(SteadyClock().now() + writeTimeout);
+    const upstream::StreamStatus written = co_await stream.write(parts);
+    stream.neverExpire();
+    place.release(SteadyClock().now());
+    co_return written == upstream::StreamStatus::Ok &&request.isKeepAlive;
+}
+
 } // namespace bamboochute::gateway
--- a/src/gateway/status_server.hpp
+++ b/src/gateway/status_server.hpp
@@ -4,6 +4,7 @@
 
 #include "core/configuration.hpp"
 #include "core/error.hpp"
+#include "core/inbound_budget.hpp"
 #include "core/metrics.hpp"
 #include "upstream/deadline_watch.hpp"
 #include "upstream/http_stream.hpp"
@@ -18,8 +19,10 @@
 class StatusServer
 {
 public:
+    /// @param inbound bounds of what peers make this process hold
     /// @param isReady whether the instance accepts new connections; answered with 200 or 503
-    StatusServer(boost::asio::io_context &loop, Metrics &metrics, std::function<bool()> isReady);
+    StatusServer(boost::asio::io_context &loop, Metrics &metrics, InboundBudget &inbound,
+                 std::function<bool()> isReady);
 
     /// @brief Binds an address and accepts connections.
     /// @return the bound address; an error when the address can't be bound
@@ -30,9 +33,11 @@
 private:
     upstream::Awaitable<void> accept();
     upstream::Awaitable<void> serve(upstream::HttpStreamPointer stream);
+    upstream::Awaitable<bool> answerNext(upstream::HttpStream &stream, ConnectionPlace &place);
 
     boost::asio::io_context &loop;
     Metrics &metrics;
+    InboundBudget &inbound;
     std::function<bool()> isReady;
     upstream::DeadlineWatch deadlineWatch;
     upstream::Acceptor acceptor;
