Give bamboochuted a bound on its memory

60 callers with bodies of 4 MB, short of their end, made bamboochuted hold 283 MB whole, 260 in chunks, 144 in chunks of one byte, 223 far over the limit; 600 of all kinds 1,148 MB. 600 connections that send nothing used up its descriptors, so that neither a caller nor a probe got an answer.

Cause: sessions read requests without a budget, and the bound on connections was one for each traffic thread, above the descriptors of the process.

What belongs to another thread is given up by a function that runs there; a request that was given up while its last bytes were read is refused, not run.

--- a/bench/experiment-overhead.cpp
+++ b/bench/experiment-overhead.cpp
@@ -155,7 +155,7 @@
 public:
     explicit Node(const std::vector<Endpoint> &engines)
         : server(makeServerSettings(), caller::makePorts(this->control, this->control),
-                 this->metrics)
+                 this->metrics, this->inbound)
     {
         this->endpoint = this->server.start().value();
         Deployment deployment;
@@ -196,6 +196,7 @@
 
     NoControl control;
     Metrics metrics;
+    InboundBudget inbound{InboundLimits{}, this->metrics};
     caller::Server server;
 };
 
--- a/src/caller/server.cpp
+++ b/src/caller/server.cpp
@@ -21,8 +21,8 @@
 
 struct Server::State
 {
-    State(ServerSettings settings, Ports ports, Metrics &metrics)
-        : context(std::move(settings), std::move(ports), metrics)
+    State(ServerSettings settings, Ports ports, Metrics &metrics, InboundBudget &inbound)
+        : context(std::move(settings), std::move(ports), metrics, inbound)
         , parallelism(tbb::global_control::max_allowed_parallelism,
                       this->context.settings.trafficThreads + 1)
         , arena(static_cast<int>(this->context.settings.trafficThreads) + 1, 1)
@@ -48,8 +48,8 @@
     std::thread drainThread;
 };
 
-Server::Server(ServerSettings settings, Ports ports, Metrics &metrics)
-    : state(std::make_unique<State>(std::move(settings), std::move(ports), metrics))
+Server::Server(ServerSettings settings, Ports ports, Metrics &metrics, InboundBudget &inbound)
+    : state(std::make_unique<State>(std::move(settings), std::move(ports), metrics, inbound))
 {}
 
 Server::~Server()
--- a/src/caller/server.hpp
+++ b/src/caller/server.hpp
@@ -6,6 +6,7 @@
 #include "caller/server_settings.hpp"
 #include "caller/target_usage.hpp"
 #include "caller/traffic_snapshot.hpp"
+#include "core/inbound_budget.hpp"
 #include "core/metrics.hpp"
 
 #include <functional>
@@ -22,7 +23,8 @@
     /// @param settings of this process
     /// @param ports to the control thread
     /// @param metrics that the server updates; must outlive the server
-    Server(ServerSettings settings, Ports ports, Metrics &metrics);
+    /// @param inbound bounds of what callers make this process hold; must outlive the server
+    Server(ServerSettings settings, Ports ports, Metrics &metrics, InboundBudget &inbound);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
--- a/src/caller/server_settings.hpp
+++ b/src/caller/server_settings.hpp
@@ -13,8 +13,6 @@
 /// @brief Limits of sizes, counts and times.
 struct ServerLimits
 {
-    /// Caller connections of one traffic thread; more are closed at once.
-    std::size_t maxConnections = 4096;
     std::size_t maxHeaderBytes = 16 << 10;
     std::size_t maxBodyBytes = 4 << 20;
     /// Greatest nesting of objects and arrays in a JSON body.
--- a/src/caller/session.cpp
+++ b/src/caller/session.cpp
@@ -81,17 +81,28 @@
 
 Awaitable<void> runSession(ThreadContext &thread, upstream::HttpStreamPointer stream)
 {
+    const ServerLimits &limits = thread.server.settings.limits;
+    InboundBudget &inbound = thread.server.inbound;
+    ConnectionPlace place(inbound.connections(ListenerKind::Callers), stream->peerAddress(),
+                          stream->makeCloser());
+    if (!place.take(SteadyClock().now())) {
+        thread.server.requestMetrics.refusedConnections.add();
+        co_return stream->close();
+    }
     CallerRequest request;
-    AnswerWriter writer(*stream, thread.server.settings.limits);
+    AnswerWriter writer(*stream, limits);
     // Requests that have arrived are refused by a stop, and not left without an answer.
     while (!thread.server.isStopping || !stream->unread().empty()) {
+        MemoryBudget::Holding memory(inbound.requests(), MemoryUse::Arriving);
         const OptionalReadFailure readFailure
-                = co_await readRequest(*stream, thread.server.settings.limits, request);
+                = co_await readRequest(*stream, limits, request, {memory, place});
         if (readFailure) {
             co_await answerReadFailure(thread, *stream, request, writer, *readFailure);
             break;
         }
         co_await answerRequest(thread, *stream, request, writer);
+        request.trim();
+        place.release(SteadyClock().now());
         if (!writer.isKeepAlive() || stream->isExpired())
             break;
     }
--- a/src/caller/thread_context.hpp
+++ b/src/caller/thread_context.hpp
@@ -7,6 +7,7 @@
 #include "caller/request_metrics.hpp"
 #include "caller/server_settings.hpp"
 #include "caller/shared_snapshot.hpp"
+#include "core/inbound_budget.hpp"
 #include "upstream/connection_pool.hpp"
 
 #include <atomic>
@@ -18,10 +19,11 @@
 /// @brief State that all traffic threads share.
 struct ServerContext
 {
-    ServerContext(ServerSettings settings, Ports ports, Metrics &metrics)
+    ServerContext(ServerSettings settings, Ports ports, Metrics &metrics, InboundBudget &inbound)
         : settings(std::move(settings))
         , ports(std::move(ports))
         , metrics(metrics)
+        , inbound(inbound)
         , requestMetrics(metrics)
         , admission(std::make_shared<AdmissionControl>(this->settings.dataCentre,
                                                        this->settings.seed, this->ports, metrics))
@@ -30,6 +32,7 @@
     ServerSettings settings;
     Ports ports;
     Metrics &metrics;
+    InboundBudget &inbound;
     RequestMetrics requestMetrics;
     SharedSnapshot snapshot;
     std::shared_ptr<AdmissionControl> admission;
--- a/src/caller/traffic_thread.cpp
+++ b/src/caller/traffic_thread.cpp
@@ -48,6 +48,9 @@
         this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
     if (!error)
         this->acceptor.set_option(ReusePort(true), error);
+    if (!error)
+        this->acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes),
+                                  error);
     if (!error)
         this->acceptor.bind(asio::ip::tcp::endpoint(address, endpoint.port), error);
     if (!error)
@@ -139,10 +142,6 @@
 void TrafficThread::serveConnection(upstream::Socket socket)
 {
     const ServerLimits &limits = this->server.settings.limits;
-    if (this->openConnections.size() >= limits.maxConnections) {
-        this->server.requestMetrics.refusedConnections.add();
-        return;
-    }
     auto connection = std::make_shared<upstream::HttpStream>(
             std::move(socket), this->thread.deadlineWatch, limits.maxStreamBytes);
     this->openConnections.insert(connection);
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -21,6 +21,8 @@
 #include <map>
 #include <utility>
 
+#include <sys/resource.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
@@ -36,6 +38,8 @@
 constexpr Duration handOverTimeout = std::chrono::seconds(3);
 
 constexpr int maxFreePortAttempts = 8;
+/// Bounds callers' connections on machines with much memory and many descriptors.
+constexpr std::size_t maxCallerConnections = 8192;
 
 /// Microseconds since 1970, so that a later process of the same instance has a higher number.
 Incarnation newIncarnation()
@@ -53,6 +57,24 @@
     return peer::KeyRing::create(std::move(keys));
 }
 
+/// The file descriptors that the process may have; zero if that can't be found out.
+std::size_t descriptorLimit()
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return 0;
+    return limit.rlim_cur;
+}
+
+InboundLimits inboundLimits(const Settings &settings)
+{
+    InboundLimits limits;
+    limits.memoryBytes = static_cast<std::size_t>(settings.memoryMegabytes) << 20;
+    limits.descriptors = descriptorLimit();
+    limits.maxCallerConnections = maxCallerConnections;
+    return limits;
+}
+
 caller::ServerSettings serverSettings(const Settings &settings, Incarnation incarnation)
 {
     caller::ServerSettings server;
@@ -70,6 +92,7 @@
 {
     State(boost::asio::io_context &loop, const Settings &settings, Metrics &metrics)
         : context{loop, settings, metrics, newIncarnation(), {}}
+        , inbound(inboundLimits(settings), metrics)
         , timers(loop)
         , keyValue(loop, settings.keyValue, metrics)
         , orders(context)
@@ -81,10 +104,11 @@
                                                                                incarnation);
                  })
         , server(serverSettings(settings, context.incarnation),
-                 caller::makePorts(coldStarts, claims), metrics)
+                 caller::makePorts(coldStarts, claims), metrics, inbound)
     {}
 
     ControlContext context;
+    InboundBudget inbound;
     Timers timers;
     platform::KeyValueClient keyValue;
     UpstreamOrders orders;
--- a/src/node/run_instance.cpp
+++ b/src/node/run_instance.cpp
@@ -1,5 +1,6 @@
 #include "bamboochute/bamboochute.hpp"
 
+#include "core/inbound_budget.hpp"
 #include "core/log.hpp"
 #include "core/metrics.hpp"
 #include "node/control.hpp"
@@ -58,6 +59,8 @@
 int runWithSettings(const node::Settings &settings)
 {
     configureLog(settings.instance.value(), settings.logLevel);
+    if (settings.memoryMegabytes > 0)
+        returnLargeBlocks();
     Metrics metrics;
     boost::asio::io_context loop(1);
     node::Control control(loop, settings, metrics);
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::size_t maxNameLength = 63;
 constexpr std::uint32_t maxTrafficThreads = 64;
+constexpr std::uint32_t maxMemoryMegabytes = 1 << 20;
+/// With less, a body of 4 MB and a submission of 16 MB would be refused in calm.
+constexpr std::uint32_t minMemoryMegabytes = 64;
 constexpr std::size_t maxPeerKeys = 2;
 constexpr std::size_t minSecretLength = 16;
 constexpr std::size_t hashLength = 64;
@@ -118,6 +121,15 @@
     return std::nullopt;
 }
 
+Rejection readMemory(const std::string &text, Settings &settings)
+{
+    const auto number = readNumber(text, maxMemoryMegabytes);
+    if (!number || (*number > 0 && *number < minMemoryMegabytes))
+        return "a whole number of megabytes from 64 to 1048576, or 0 for no bound";
+    settings.memoryMegabytes = *number;
+    return std::nullopt;
+}
+
 Rejection readDrainTimeout(const std::string &text, Settings &settings)
 {
     const auto number = readNumber(text, maxDrainSeconds);
@@ -180,6 +192,7 @@
     {"--admin-listen", "127.0.0.1:8081", "Address for operators, /metrics and health.", readOneEndpoint<&Settings::adminListen>},
     {"--peer-listen", "127.0.0.1:8082", "Address for other instances, TCP and UDP.", readOneEndpoint<&Settings::peerListen>},
     {"--traffic-threads", "2", "Threads that serve callers, 1 to 64.", readTrafficThreads},
+    {"--memory-mb", "256", "Memory that the process may use, in megabytes, 64 or more; 0 for no bound.", readMemory},
     {"--key-value", "", "Addresses of the key-value service.", readEndpoints<&Settings::keyValue, true>},
     {"--instance-list", "", "Addresses of the platform's list of instances.", readEndpoints<&Settings::instanceList, false>},
     {"--seeds", "", "Peer addresses of instances to join through when the list is not available.", readEndpoints<&Settings::seeds, false>},
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -35,6 +35,8 @@
     Endpoint adminListen{"127.0.0.1", 8081};
     Endpoint peerListen{"127.0.0.1", 8082};
     std::uint32_t trafficThreads = 2;
+    /// Memory that the process may use, in megabytes; zero for no bound.
+    std::uint32_t memoryMegabytes = 256;
     std::vector<Endpoint> keyValue;
     std::vector<Endpoint> instanceList;
     std::vector<Endpoint> seeds;
--- a/tests/caller/test_bed.cpp
+++ b/tests/caller/test_bed.cpp
@@ -248,8 +248,9 @@
     caller::ServerSettings settings;
     settings.trafficThreads = 2;
     settings.limits = limits;
-    this->server = std::make_unique<caller::Server>(
-            settings, caller::makePorts(this->control, this->control), this->metrics);
+    this->server = std::make_unique<caller::Server>(settings,
+                                                    caller::makePorts(this->control, this->control),
+                                                    this->metrics, this->inbound);
     this->endpoint = this->server->start().value();
 }
 
--- a/tests/caller/test_bed.hpp
+++ b/tests/caller/test_bed.hpp
@@ -136,6 +136,7 @@
     Configuration configuration;
     RoutingTable routing;
     Metrics metrics;
+    InboundBudget inbound{InboundLimits{}, this->metrics};
     FakeControl control;
     EventLoopThread loop;
     std::unique_ptr<caller::Server> server;
