Count requests to the administration address before they are read

Anybody could make bamboochuted hold 979 MB: 60 probes (GET /healthz) with bodies of 16 MB, short of their end, as calls without a credential were admitted before their body was read. 60 submissions with a credential took 995 MB. 64 connections that send nothing, or a header without an end, shut out operators and probes with 429.

Cause: limits of each connection, and none on their sum.

Change: the body of a request is counted when its header has arrived, a chunked one with the largest size, and refused with 503 (memory_exhausted) if there is no room. Connections without a complete request give way to new ones; the hard limit is 128, as those that are being closed count.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -1,5 +1,7 @@
 #include "admin/admin_server.hpp"
 
+#include <algorithm>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -7,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -52,9 +55,11 @@
 public:
     class Session;
 
-    Listener(asio::io_context &context, AdminHandler handler, AdminServerLimits limits)
+    Listener(asio::io_context &context, AdminHandler handler, InboundBudget &inbound,
+             AdminServerLimits limits)
         : acceptor(context)
         , handler(std::move(handler))
+        , inbound(inbound)
         , limits(limits)
     {}
 
@@ -64,6 +69,7 @@
 
     tcp::acceptor acceptor;
     AdminHandler handler;
+    InboundBudget &inbound;
     AdminServerLimits limits;
     bool isClosing = false;
 
@@ -88,8 +94,21 @@
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
 
+    /// Takes a place among the connections, unless all are taken by requests in progress.
+    bool takePlace()
+    {
+        beast::error_code ignored;
+        this->peer = this->stream.socket().remote_endpoint(ignored).address().to_string();
+        this->place.emplace(this->listener->inbound.connections(ListenerKind::Status), this->peer,
+                            this->makeCloser());
+        return this->place->take(SteadyClock().now());
+    }
+
     void readHeader()
     {
+        if (this->isBusy)
+            this->place->release(SteadyClock().now());
+        this->memory.emplace(this->listener->inbound.requests(), MemoryUse::Arriving);
         this->isBusy = false;
         this->parser.emplace();
         this->parser->header_limit(static_cast<std::uint32_t>(this->limits().maxHeaderBytes));
@@ -123,6 +142,37 @@
 private:
     const AdminServerLimits &limits() const { return this->listener->limits; }
 
+    /// Makes a function that closes the connection, whose place or memory another one needs.
+    std::function<void()> makeCloser()
+    {
+        return [weak = this->weak_from_this(), executor = this->stream.get_executor()] {
+            asio::post(executor, [weak] {
+                if (const auto self = weak.lock())
+                    self->stream.close();
+            });
+        };
+    }
+
+    /// Makes room for the body; of a chunked one, for the largest.
+    bool reserveBody()
+    {
+        if (this->parser->is_done())
+            return true;
+        const auto length = this->parser->content_length();
+        const std::size_t bytes = std::min<std::uint64_t>(
+                length.value_or(this->limits().maxBodyBytes), this->limits().maxBodyBytes);
+        this->memory->allowEviction(this->peer, this->makeCloser());
+        return this->memory->resize(bytes, SteadyClock().now());
+    }
+
+    /// Keeps what the request holds until it is answered.
+    /// @return false if it was given up, so that the connection is being closed
+    bool holdRequest()
+    {
+        this->memory->setUse(MemoryUse::Admitted);
+        return this->place->hold() && !this->memory->isEvicted();
+    }
+
     /// Uses a timer of its own, because Beast's timeout closes the connection before an error
     /// response can be sent.
     void startReadTimer(std::chrono::milliseconds timeout, const char *what)
@@ -182,6 +232,13 @@
             this->respond(errorResponse(admitted.error()), false);
             return;
         }
+        if (!this->reserveBody()) {
+            this->respond(
+                    errorResponse(Error(ErrorKind::MemoryExhausted,
+                                        "there is too little memory for the body at present")),
+                    false);
+            return;
+        }
         if (beast::iequals(header[http::field::expect], "100-continue"))
             this->sendContinue();
         else
@@ -216,6 +273,8 @@
             this->respond(errorResponse(readError(failure, this->limits())), false);
             return;
         }
+        if (!this->holdRequest())
+            return;
         this->request.body = std::move(this->parser->get().body());
         const bool keepAlive = this->parser->keep_alive();
         this->listener->handler.handle(this->request, [self = this->shared_from_this(),
@@ -277,6 +336,11 @@
     beast::tcp_stream stream;
     asio::steady_timer readTimer;
     std::shared_ptr<Listener> listener;
+    /// Address of the peer.
+    std::string peer;
+    std::optional<ConnectionPlace> place;
+    /// Body of the request.
+    std::optional<MemoryBudget::Holding> memory;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     std::optional<http::response<http::empty_body>> interim;
@@ -303,6 +367,9 @@
     this->acceptor.open(local.protocol(), failure);
     if (!failure)
         this->acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+    if (!failure)
+        this->acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes),
+                                  failure);
     if (!failure)
         this->acceptor.bind(local, failure);
     if (!failure)
@@ -329,7 +396,8 @@
 void AdminServer::Listener::startSession(tcp::socket socket)
 {
     const auto session = std::make_shared<Session>(std::move(socket), this->shared_from_this());
-    const bool isFull = this->sessions.size() >= this->limits.maxConnections;
+    const bool isFull
+            = this->sessions.size() >= this->limits.maxConnections || !session->takePlace();
     this->sessions.insert(session.get());
     if (isFull)
         session->refuseConnection();
@@ -346,8 +414,9 @@
         session->closeIfIdle();
 }
 
-AdminServer::AdminServer(asio::io_context &context, AdminHandler handler, AdminServerLimits limits)
-    : listener(std::make_shared<Listener>(context, std::move(handler), limits))
+AdminServer::AdminServer(asio::io_context &context, AdminHandler handler, InboundBudget &inbound,
+                         AdminServerLimits limits)
+    : listener(std::make_shared<Listener>(context, std::move(handler), inbound, limits))
 {}
 
 AdminServer::~AdminServer()
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -5,6 +5,7 @@
 #include "admin/admin_message.hpp"
 #include "core/configuration.hpp"
 #include "core/error.hpp"
+#include "core/inbound_budget.hpp"
 
 #include <chrono>
 #include <functional>
@@ -19,7 +20,8 @@
 /// @brief Limits of the administration server.
 struct AdminServerLimits
 {
-    std::size_t maxConnections = 64;
+    /// Connections, with those that are being closed to make room.
+    std::size_t maxConnections = 128;
     std::size_t maxHeaderBytes = 16 << 10;
     std::size_t maxBodyBytes = 16 << 20;
     std::chrono::milliseconds headerTimeout{10000};
@@ -58,8 +60,9 @@
 public:
     /// @param context must outlive the server and its connections
     /// @param handler handles the requests
+    /// @param inbound bounds of what peers make this process hold; must outlive the server
     /// @param limits limits of connections, sizes and times
-    AdminServer(boost::asio::io_context &context, AdminHandler handler,
+    AdminServer(boost::asio::io_context &context, AdminHandler handler, InboundBudget &inbound,
                 AdminServerLimits limits = {});
     ~AdminServer();
     AdminServer(const AdminServer &) = delete;
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -218,8 +218,8 @@
 
     Result<Endpoint> openAdmin()
     {
-        this->adminServer = std::make_unique<admin::AdminServer>(this->context.loop,
-                                                                 admin::makeHandler(*this->api));
+        this->adminServer = std::make_unique<admin::AdminServer>(
+                this->context.loop, admin::makeHandler(*this->api), this->inbound);
         return this->adminServer->listen(this->context.settings.adminListen);
     }
 
--- a/tests/admin/unit-admin-server.cpp
+++ b/tests/admin/unit-admin-server.cpp
@@ -29,7 +29,7 @@
 {
 public:
     explicit Fixture(AdminServerLimits limits = {})
-        : server(this->context, makeHandler(this->api), limits)
+        : server(this->context, makeHandler(this->api), this->inbound, limits)
         , endpoint(this->server.listen({"127.0.0.1", 0}).value())
         , thread([this]() { this->context.run(); })
     {}
@@ -60,6 +60,8 @@
 
     FakePorts ports;
     AdminApi<FakePorts> api{ports, sha256Hex("bootstrap credential")};
+    Metrics metrics;
+    InboundBudget inbound{InboundLimits{}, this->metrics};
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> guard{context.get_executor()};
     AdminServer server;
