Bound what instances send before they have identified themselves

Cause: a frame's memory was reserved by its announced length before the first frame was verified. Further, 1,024 connections were taken whatever the descriptors are, and newer ones, also of other instances, closed.

Frames are counted in the budget of the process. A connection that has not identified itself gives its place to a new one.

--- a/bench/experiment-peer-calls.cpp
+++ b/bench/experiment-peer-calls.cpp
@@ -64,7 +64,7 @@
 public:
     CallBench()
         : keys(KeyRing::parse("1:000102030405060708090a0b0c0d0e0f").value())
-        , server(CallServer::open(this->context, anyPort, this->keys).value())
+        , server(CallServer::open(this->context, anyPort, this->keys, this->inbound).value())
         , client(this->context, this->keys, CallingInstance{InstanceId("client"), Incarnation(1)})
     {
         this->server->handle<Ping>([](const CallingInstance &, Ping, const auto &reply) {
@@ -118,6 +118,8 @@
 
     boost::asio::io_context context;
     KeyRing keys;
+    Metrics metrics;
+    InboundBudget inbound{InboundLimits{}, this->metrics};
     std::unique_ptr<CallServer> server;
     CallClient client;
     std::size_t answeredCalls = 0;
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -157,8 +157,8 @@
     Result<void> tryBindPeerEndpoint(const peer::KeyRing &keys)
     {
         const Settings &settings = this->context.settings;
-        BOOST_OUTCOME_TRY(opened,
-                          peer::CallServer::open(this->context.loop, settings.peerListen, keys));
+        BOOST_OUTCOME_TRY(opened, peer::CallServer::open(this->context.loop, settings.peerListen,
+                                                         keys, this->inbound));
         this->callServer = std::move(opened);
         this->callClient = std::make_unique<peer::CallClient>(
                 this->context.loop, keys,
--- a/src/peer/call_server.cpp
+++ b/src/peer/call_server.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
@@ -40,6 +41,7 @@
     {}
 
     std::shared_ptr<FramedConnection> connection;
+    std::unique_ptr<ConnectionPlace> place;
     boost::asio::steady_timer handshakeTimer;
     CallingInstance callingInstance;
     bool isIdentified = false;
@@ -52,8 +54,9 @@
 
 struct CallServer::State : std::enable_shared_from_this<CallServer::State>
 {
-    State(boost::asio::io_context &context, KeyRing keys)
+    State(boost::asio::io_context &context, KeyRing keys, InboundBudget &inbound)
         : context(context)
+        , inbound(inbound)
         , acceptor(context)
         , retryTimer(context)
         , keys(std::move(keys))
@@ -83,14 +86,22 @@
 
     void openSession(Tcp::socket socket)
     {
-        if (this->sessions.size() >= maxServerConnections) {
+        ErrorCode ignored;
+        const std::string peer = socket.remote_endpoint(ignored).address().to_string();
+        auto session = std::make_shared<Session>(this->context);
+        session->place = std::make_unique<ConnectionPlace>(
+                this->inbound.connections(ListenerKind::Instances), peer,
+                [weakSelf = this->weak_from_this(), weakSession = std::weak_ptr(session)] {
+                    endUnidentified(weakSelf, weakSession);
+                });
+        if (!session->place->take(SteadyClock().now())) {
             ++this->totals.rejectedAtLimit;
             return;
         }
         ++this->totals.connections;
-        auto session = std::make_shared<Session>(this->context);
         session->connection = std::make_shared<FramedConnection>(std::move(socket), this->keys,
                                                                  ConnectionSide::Server);
+        session->connection->countFrames(this->inbound.requests());
         this->sessions.insert(session);
         session->handshakeTimer.expires_after(handshakeTimeout);
         session->handshakeTimer.async_wait(
@@ -109,6 +120,20 @@
                 });
     }
 
+    /// Ends a session that has not identified itself, and whose place another one needs.
+    static void endUnidentified(const std::weak_ptr<State> &weakSelf,
+                                const std::weak_ptr<Session> &weakSession)
+    {
+        const std::shared_ptr<State> self = weakSelf.lock();
+        if (!self)
+            return;
+        boost::asio::post(self->context, [self, weakSession] {
+            const SessionPointer session = weakSession.lock();
+            if (session)
+                self->endSession(session, ConnectionEnd::Closed);
+        });
+    }
+
     void endSession(const SessionPointer &session, ConnectionEnd reason)
     {
         if (reason == ConnectionEnd::Unauthenticated)
@@ -131,6 +156,7 @@
             session->callingInstance
                     = CallingInstance{identity.value().instance, identity.value().incarnation};
             session->isIdentified = true;
+            session->place->hold();
             session->handshakeTimer.cancel();
             return;
         }
@@ -187,6 +213,7 @@
     }
 
     boost::asio::io_context &context;
+    InboundBudget &inbound;
     Tcp::acceptor acceptor;
     boost::asio::steady_timer retryTimer;
     KeyRing keys;
@@ -208,18 +235,20 @@
 }
 
 Result<std::unique_ptr<CallServer>> CallServer::open(boost::asio::io_context &context,
-                                                     const Endpoint &listen, KeyRing keys)
+                                                     const Endpoint &listen, KeyRing keys,
+                                                     InboundBudget &inbound)
 {
     ErrorCode code;
     const auto address = boost::asio::ip::make_address(listen.address, code);
     if (code)
         return listenError(listen, code);
     const Tcp::endpoint endpoint(address, listen.port);
-    auto state = std::make_shared<State>(context, std::move(keys));
+    auto state = std::make_shared<State>(context, std::move(keys), inbound);
     Tcp::acceptor &acceptor = state->acceptor;
     if (acceptor.open(endpoint.protocol(), code); code)
         return listenError(listen, code);
     acceptor.set_option(boost::asio::socket_base::reuse_address(true), code);
+    acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), code);
     if (acceptor.bind(endpoint, code); code)
         return listenError(listen, code);
     if (acceptor.listen(boost::asio::socket_base::max_listen_connections, code); code)
--- a/src/peer/call_server.hpp
+++ b/src/peer/call_server.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/error.hpp"
+#include "core/inbound_budget.hpp"
 #include "peer/call_messages.hpp"
 #include "peer/key_ring.hpp"
 
@@ -19,8 +20,6 @@
 
 /// Maximum size of one frame, in bytes.
 constexpr std::size_t maxFrameBytes = std::size_t{256} * 1024;
-/// Maximum number of connections of a server; further ones are closed immediately.
-constexpr std::size_t maxServerConnections = 1024;
 /// Maximum number of unanswered calls on one connection.
 constexpr std::size_t maxCallsInFlight = 256;
 /// Time after which a connection that has not identified itself is closed.
@@ -69,9 +68,12 @@
     /// @param context io_context of the control thread
     /// @param listen address and port; with port 0 the system assigns a free port
     /// @param keys shared keys
+    /// @param inbound bounds of what peers make this process hold; must outlive the server. While
+    /// all places are taken, a new connection takes that of one that has not identified itself
     /// @return the server, or SettingInvalid when the address is invalid or can't be bound
     static Result<std::unique_ptr<CallServer>> open(boost::asio::io_context &context,
-                                                    const Endpoint &listen, KeyRing keys);
+                                                    const Endpoint &listen, KeyRing keys,
+                                                    InboundBudget &inbound);
 
     ~CallServer();
     CallServer(const CallServer &) = delete;
--- a/src/peer/framed_connection.cpp
+++ b/src/peer/framed_connection.cpp
@@ -65,23 +65,31 @@
 
 void FramedConnection::readLength()
 {
-    boost::asio::async_read(this->socket, boost::asio::buffer(this->length),
-                            [self = this->shared_from_this()](const ErrorCode &code, std::size_t) {
-                                if (code || !self->isOpen)
-                                    return self->end(ConnectionEnd::Closed);
-                                std::size_t size = 0;
-                                for (const char byte : self->length)
-                                    size = (size << 8) | static_cast<unsigned char>(byte);
-                                if (size > maxFrameBytes)
-                                    return self->end(ConnectionEnd::Oversized);
-                                if (size < frameOverhead)
-                                    return self->end(ConnectionEnd::Malformed);
-                                self->readBody(size);
-                            });
+    boost::asio::async_read(
+            this->socket, boost::asio::buffer(this->length),
+            [self = this->shared_from_this()](const ErrorCode &code, std::size_t) {
+                if (code || !self->isOpen)
+                    return self->end(ConnectionEnd::Closed);
+                std::size_t size = 0;
+                for (const char byte : self->length)
+                    size = (size << 8) | static_cast<unsigned char>(byte);
+                if (size > (self->receivedFrames == 0 ? maxFirstFrameBytes : maxFrameBytes))
+                    return self->end(ConnectionEnd::Oversized);
+                if (size < frameOverhead)
+                    return self->end(ConnectionEnd::Malformed);
+                self->readBody(size);
+            });
+}
+
+bool FramedConnection::reserveFrame(std::size_t size)
+{
+    return !this->frameMemory || this->frameMemory->resize(size, SteadyClock().now());
 }
 
 void FramedConnection::readBody(std::size_t size)
 {
+    if (!this->reserveFrame(size))
+        return this->end(ConnectionEnd::Closed);
     this->body.resize(size);
     boost::asio::async_read(this->socket, boost::asio::buffer(this->body),
                             [self = this->shared_from_this()](const ErrorCode &code, std::size_t) {
@@ -103,6 +111,10 @@
         return this->end(ConnectionEnd::Unauthenticated);
     ++this->receivedFrames;
     this->onFrame(covered.substr(1));
+    // The memory of a large frame is not kept for the next one.
+    if (this->body.capacity() > maxFirstFrameBytes)
+        std::string().swap(this->body);
+    this->reserveFrame(0);
     if (this->isOpen)
         this->readLength();
 }
--- a/src/peer/framed_connection.hpp
+++ b/src/peer/framed_connection.hpp
@@ -2,6 +2,7 @@
 /// @brief Length-prefixed, authenticated frames over TCP; both ends prove that they know a key.
 #pragma once
 
+#include "core/memory_budget.hpp"
 #include "peer/call_server.hpp"
 #include "peer/key_ring.hpp"
 
@@ -10,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,6 +23,10 @@
 /// Maximum bytes queued for writing on one connection; above it the connection is closed.
 constexpr std::size_t maxQueuedWriteBytes = std::size_t{4} * 1024 * 1024;
 
+/// Maximum size of a frame before the first one was verified, in bytes: until then it may come from
+/// anybody. The first frame holds the name of an instance, or nothing.
+constexpr std::size_t maxFirstFrameBytes = std::size_t{4} * 1024;
+
 /// @brief Why a connection ended.
 enum class ConnectionEnd : std::uint8_t {
     Closed,
@@ -51,6 +57,12 @@
 
     FramedConnection(Socket socket, KeyRing keys, ConnectionSide side);
 
+    /// @brief Counts the frames that arrive; a connection whose frame has no room is closed.
+    void countFrames(MemoryBudget &budget)
+    {
+        this->frameMemory.emplace(budget, MemoryUse::Arriving);
+    }
+
     /// @brief Exchanges the nonces and starts reading.
     /// @param onReady called when frames can be sent
     /// @param onFrame called with the payload of each authenticated frame, valid during the call
@@ -73,6 +85,7 @@
     void readLength();
     void readBody(std::size_t size);
     void verifyFrame();
+    bool reserveFrame(std::size_t size);
     void write(std::string bytes);
     void writeNext();
     void end(ConnectionEnd reason);
@@ -88,6 +101,7 @@
     Hello theirHello{};
     std::array<char, lengthBytes> length{};
     std::string body;
+    std::optional<MemoryBudget::Holding> frameMemory;
     std::deque<std::string> writes;
     std::size_t queuedBytes = 0;
     std::uint64_t sentFrames = 0;
--- a/tests/peer/unit-calls.cpp
+++ b/tests/peer/unit-calls.cpp
@@ -37,7 +37,7 @@
 struct Node
 {
     Node(boost::asio::io_context &context, const std::string &name, const KeyRing &keys)
-        : server(CallServer::open(context, anyPort, keys).value())
+        : server(CallServer::open(context, anyPort, keys, this->inbound).value())
         , client(context, keys, CallingInstance{InstanceId(name), Incarnation(7)})
     {
         this->server->handle<Ping>([name](const CallingInstance &, Ping, const auto &reply) {
@@ -61,6 +61,8 @@
         this->server->start();
     }
 
+    Metrics metrics;
+    InboundBudget inbound{InboundLimits{}, this->metrics};
     std::unique_ptr<CallServer> server;
     CallClient client;
     std::vector<CallingInstance> callingInstances;
@@ -191,7 +193,8 @@
         CHECK_FALSE(pong.has_value());
         runUntil(context, [&] { return pong.has_value(); });
         CHECK(pong->error().field() == "not_sent");
-        const auto again = CallServer::open(context, endpoint, parseKeyRing()).value();
+        const auto again
+                = CallServer::open(context, endpoint, parseKeyRing(), third.inbound).value();
         again->handle<Ping>([](const CallingInstance &, Ping, const auto &reply) {
             reply(Pong{InstanceId("again"), Incarnation(8)});
         });
--- a/tests/peer/unit-silent_links.cpp
+++ b/tests/peer/unit-silent_links.cpp
@@ -121,10 +121,13 @@
             this->context.run_one();
     }
 
+    Metrics metrics;
+    InboundBudget inbound{InboundLimits{}, this->metrics};
     asio::io_context context;
     KeyRing keys = KeyRing::parse("1:00112233445566778899aabbccddeeff").value();
     std::unique_ptr<CallServer> server
-            = CallServer::open(this->context, Endpoint{"127.0.0.1", 0}, this->keys).value();
+            = CallServer::open(this->context, Endpoint{"127.0.0.1", 0}, this->keys, this->inbound)
+                      .value();
     std::vector<CallServer::Reply<UsageAnswer>> held;
     SilencingProxy proxy{this->context, this->server->localEndpoint()};
     CallClient client{this->context, this->keys, CallingInstance{InstanceId("i1"), Incarnation(7)}};
