Bound what is read of a refused request; no reader without a budget

After a refusal, a caller could have the instance read for a second at the speed of the link. Seen by reading, and bounded: at most 32 MB are dropped, several bodies of the usual limit. A smaller bound, the body limit itself, was tried and failed unit-request_ends ("a refused request whose rest is not read does not reset its connection"), whose caller sends 16 MB before it reads the refusal.

readRequest() has no form without an account any more, so that a new listener can't be forgotten; the stand-ins have a budget without bounds.

--- a/fakes/http_server.cpp
+++ b/fakes/http_server.cpp
@@ -15,6 +15,8 @@
 using upstream::Awaitable;
 
 constexpr std::size_t bufferBytes = 64 << 10;
+/// More than any test opens.
+constexpr std::size_t maxConnections = 1 << 20;
 
 } // namespace
 
@@ -50,14 +52,19 @@
     {
         caller::CallerRequest request;
         caller::AnswerWriter writer(*stream, this->limits);
+        ConnectionPlace place(this->inbound.connections(ListenerKind::Callers), std::string(),
+                              stream->makeCloser());
+        place.take(SteadyClock().now());
         while (stream->isOpen()) {
+            MemoryBudget::Holding memory(this->inbound.requests(), MemoryUse::Arriving);
             const caller::OptionalReadFailure failure
-                    = co_await caller::readRequest(*stream, this->limits, request);
+                    = co_await caller::readRequest(*stream, this->limits, request, {memory, place});
             if (failure)
                 break;
             writer.begin(std::string(request.headers().find("x-request-id")), request.isKeepAlive);
             FakeCall call{request, writer, *stream};
             co_await this->handler(call);
+            place.release(SteadyClock().now());
             if (!writer.isKeepAlive())
                 break;
         }
@@ -70,6 +77,8 @@
     upstream::Acceptor acceptor;
     FakeHandler handler;
     caller::ServerLimits limits;
+    Metrics metrics;
+    InboundBudget inbound{InboundLimits{.maxCallerConnections = maxConnections}, this->metrics};
     std::unordered_set<upstream::HttpStreamPointer> streams;
 };
 
--- a/src/caller/caller_request.cpp
+++ b/src/caller/caller_request.cpp
@@ -27,6 +27,8 @@
 /// Time for which the rest of a refused request is read and dropped; a round trip to a caller takes
 /// much less.
 constexpr Duration discardTime = std::chrono::seconds(1);
+/// Most bytes that are dropped of it; several bodies of the usual limit.
+constexpr std::size_t maxDiscardedBytes = 32 << 20;
 
 /// Headers that decide what a request means. With a repeated one, a proxy or an upstream could pick
 /// another value than this server does.
@@ -305,7 +307,9 @@
 {
     stream.expireAt(SteadyClock().now() + discardTime);
     StreamStatus status = StreamStatus::Ok;
-    while (status == StreamStatus::Ok) {
+    std::size_t discarded = 0;
+    while (status == StreamStatus::Ok && discarded <= maxDiscardedBytes) {
+        discarded += stream.unread().size();
         stream.consume(stream.unread().size());
         status = co_await stream.readMore();
     }
@@ -364,13 +368,4 @@
     co_return std::nullopt;
 }
 
-Awaitable<OptionalReadFailure> readRequest(HttpStream &stream, const ServerLimits &limits,
-                                           CallerRequest &request)
-{
-    MemoryBudget unbounded{MemoryLimits()};
-    MemoryBudget::Holding memory(unbounded, MemoryUse::Arriving);
-    ConnectionPlace place(unbounded, std::string(), [] {});
-    co_return co_await readRequest(stream, limits, request, {memory, place});
-}
-
 } // namespace bamboochute::caller
--- a/src/caller/caller_request.hpp
+++ b/src/caller/caller_request.hpp
@@ -55,7 +55,7 @@
     ConnectionPlace &place;
 };
 
-/// @brief Reads and drops what a peer still sends of a refused request, for at most 1 s.
+/// @brief Reads and drops what a peer still sends of a refused request, for at most 1 s and 32 MB.
 /// A connection that is closed before that is reset, and the peer may lose the refusal.
 upstream::Awaitable<void> discardRest(upstream::HttpStream &stream);
 
@@ -76,8 +76,4 @@
                                                      CallerRequest &request,
                                                      RequestAccount account);
 
-/// @brief Reads the next request of a connection without a bound over all connections.
-upstream::Awaitable<OptionalReadFailure>
-readRequest(upstream::HttpStream &stream, const ServerLimits &limits, CallerRequest &request);
-
 } // namespace bamboochute::caller
