Count whole answers before more of them is read

Cause: UpstreamCall::readWholeBody() read up to 8 MB for each request, and nobody owned these bytes.

Change: it asks for room before the body grows. Both programs wait for up to a second and read nothing more meanwhile. In bamboochuted a large answer is given up while its caller doesn't read it; one that finds no room is dropped: 502, "may-have-run", as its request has been sent. The upstream is not blamed, the request is not repeated (it would need the same memory), and a helping instance is not avoided for it.

Not shown by a test: the answers of helping instances.

--- a/fakes/booking_service.cpp
+++ b/fakes/booking_service.cpp
@@ -2,7 +2,9 @@
 
 #include "fakes/pause.hpp"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -17,6 +19,7 @@
 constexpr int statusCreated = 201;
 constexpr int statusNotFound = 404;
 constexpr int statusError = 500;
+constexpr std::size_t maxPadding = 16 << 20;
 
 } // namespace
 
@@ -78,11 +81,20 @@
         call.stream.close();
     }
 
+    /// Answers with the number of bookings; "?padding=N" adds as many spaces to the answer.
     Awaitable<void> answerStatus(FakeCall &call)
     {
         co_await pauseFor(this->context, this->settings.delay);
-        co_await call.writer.write(
-                jsonAnswer(statusOk, fmt::format(R"({{"bookings":{}}})", this->bookingCount)));
+        constexpr std::string_view parameter = "?padding=";
+        std::size_t padding = 0;
+        const std::string_view target = call.request.message.target;
+        if (const std::size_t begin = target.find(parameter); begin != std::string_view::npos) {
+            const std::string_view digits = target.substr(begin + parameter.size());
+            std::from_chars(digits.data(), digits.data() + digits.size(), padding);
+        }
+        std::string body = fmt::format(R"({{"bookings":{}}})", this->bookingCount);
+        body.append(std::min(padding, maxPadding), ' ');
+        co_await call.writer.write(jsonAnswer(statusOk, std::move(body)));
     }
 
     std::string formatStats() const
--- a/src/caller/attempt.cpp
+++ b/src/caller/attempt.cpp
@@ -31,6 +31,7 @@
         return FailureReason::MalformedAnswer;
     case CallFailure::IdleConnectionClosed:
     case CallFailure::ConnectionLost:
+    case CallFailure::NoMemory:
     case CallFailure::Cancelled:
         break;
     }
@@ -47,6 +48,8 @@
         return ErrorKind::UpstreamMalformed;
     case CallFailure::Oversized:
         return ErrorKind::UpstreamOversized;
+    case CallFailure::NoMemory:
+        return ErrorKind::MemoryExhausted;
     case CallFailure::Cancelled:
         return ErrorKind::CallerGone;
     case CallFailure::ConnectFailed:
@@ -69,8 +72,9 @@
                             ? exchange.cancelReason()
                             : Error(errorKindFor(error),
                                     fmt::format("upstream \"{}\": {}", name, error.message));
-    attempt.result.slot->recordOutcome(
-            error.failure == CallFailure::Cancelled ? CallOutcome::Neutral : CallOutcome::Failed);
+    const bool isOwnDoing
+            = error.failure == CallFailure::Cancelled || error.failure == CallFailure::NoMemory;
+    attempt.result.slot->recordOutcome(isOwnDoing ? CallOutcome::Neutral : CallOutcome::Failed);
 }
 
 bool isEventStream(const upstream::ParsedMessage &answer)
@@ -114,9 +118,11 @@
     if (result.isStream)
         co_return boost::outcome_v2::success();
     const std::size_t maxBytes = exchange.thread.server.settings.limits.maxAnswerBytes;
+    // A body that came with the head is no longer than the read buffer.
     std::optional<std::string> body = call.takeBody(maxBytes);
     if (!body) {
-        CallResult<std::string> read = co_await call.readWholeBody(maxBytes);
+        CallResult<std::string> read = co_await call.readWholeBody(
+                maxBytes, [&exchange](std::size_t bytes) { return exchange.reserveAnswer(bytes); });
         if (!read)
             co_return read.error();
         body = std::move(read).value();
--- a/src/caller/dispatch.cpp
+++ b/src/caller/dispatch.cpp
@@ -1,27 +1,11 @@
 #include "caller/dispatch.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <fmt/format.h>
-
 namespace bamboochute::caller {
 
 namespace {
 
 using upstream::Awaitable;
 
-using Timer = upstream::asio::basic_waitable_timer<
-        std::chrono::steady_clock, upstream::asio::wait_traits<std::chrono::steady_clock>,
-        upstream::Executor>;
-
-Awaitable<void> waitFor(Exchange &exchange, Duration delay)
-{
-    Timer timer(*exchange.thread.ioContext);
-    timer.expires_after(delay);
-    upstream::error_code ignored;
-    co_await timer.async_wait(upstream::asio::redirect_error(upstream::UseAwaitable(), ignored));
-}
-
 /// The error for the caller when a failed attempt is not repeated.
 Error finalError(const Attempt &attempt, admission::RetryRefusal refusal)
 {
@@ -62,6 +46,9 @@
         attempt.result.slot->release();
         if (isAbandoned(exchange, request))
             co_return exchange.cancelReason();
+        // Another attempt would need the same memory.
+        if (attempt.error.kind() == ErrorKind::MemoryExhausted)
+            co_return attempt.error;
         admission::FailedAttempt failed;
         failed.reason = *attempt.failure;
         failed.callerClass = admission.callerClass;
@@ -75,7 +62,7 @@
             co_return finalError(attempt, *refusal);
         }
         const auto &grant = std::get<RetryGrant>(decision);
-        co_await waitFor(exchange, grant.delay);
+        co_await waitFor(exchange.thread, grant.delay);
         if (isAbandoned(exchange, request)) {
             const UpstreamSlot unused(control, admission, grant.upstream);
             co_return exchange.cancelReason();
--- a/src/caller/exchange.cpp
+++ b/src/caller/exchange.cpp
@@ -4,6 +4,16 @@
 
 namespace bamboochute::caller {
 
+namespace {
+
+/// Time for which an answer waits for memory; upstreams cut off answers that nobody reads for some
+/// seconds.
+constexpr Duration answerRoomTimeout = std::chrono::seconds(1);
+/// Pause between two tries to get it.
+constexpr Duration answerRoomPollInterval = std::chrono::milliseconds(20);
+
+} // namespace
+
 Exchange::Exchange(ThreadContext &thread, upstream::HttpStream &stream,
                    const CallerRequest &request, AnswerWriter &writer)
     : thread(thread)
@@ -11,6 +21,7 @@
     , request(request)
     , writer(writer)
     , snapshot(thread.snapshot.get())
+    , answerMemory(thread.server.inbound.requests(), MemoryUse::Admitted)
     , isStopped(thread.server.isStopping)
 {
     this->thread.exchanges.insert(this);
@@ -61,6 +72,27 @@
         this->cancel();
 }
 
+upstream::Awaitable<bool> Exchange::reserveAnswer(std::size_t bytes)
+{
+    const TimePoint until = SteadyClock().now() + answerRoomTimeout;
+    while (!this->answerMemory.resize(bytes, SteadyClock().now())) {
+        if (SteadyClock().now() >= until || this->isCancelled())
+            co_return false;
+        co_await waitFor(this->thread, answerRoomPollInterval);
+    }
+    co_return true;
+}
+
+upstream::Awaitable<void> Exchange::deliver(const Answer &answer)
+{
+    if (this->answerMemory.isLarge(this->answerMemory.bytes())) {
+        this->answerMemory.setUse(MemoryUse::Delivery);
+        this->answerMemory.allowEviction(this->stream.peerAddress(), this->stream.makeCloser());
+    }
+    co_await this->writer.write(answer);
+    this->answerMemory.setUse(MemoryUse::Admitted);
+}
+
 upstream::Awaitable<void> Exchange::answerError(const Error &error)
 {
     this->reportError(error);
--- a/src/caller/exchange.hpp
+++ b/src/caller/exchange.hpp
@@ -5,6 +5,7 @@
 #include "caller/answer.hpp"
 #include "caller/caller_request.hpp"
 #include "caller/thread_context.hpp"
+#include "core/memory_budget.hpp"
 
 #include <functional>
 #include <optional>
@@ -57,6 +58,16 @@
     /// @brief Cancels the request and closes its connection after the answer.
     void stop();
 
+    /// @brief Counts the body of the answer. While there is no room, waits for up to a second, and
+    /// meanwhile nothing more is read from the upstream.
+    /// @param bytes of the body
+    /// @return false if there is still no room, or the exchange was cancelled
+    upstream::Awaitable<bool> reserveAnswer(std::size_t bytes);
+
+    /// @brief Writes an answer. One for which much memory was reserved is given up before others
+    /// while its caller does not read it.
+    upstream::Awaitable<void> deliver(const Answer &answer);
+
     /// @brief Counts and logs an error, and writes it as the answer.
     upstream::Awaitable<void> answerError(const Error &error);
 
@@ -66,6 +77,8 @@
 private:
     void handleCallerGone();
 
+    /// What the body of the answer holds.
+    MemoryBudget::Holding answerMemory;
     std::function<void()> cancel;
     bool ignoresCallerGone = false;
     bool hasCallerGone = false;
--- a/src/caller/relay.cpp
+++ b/src/caller/relay.cpp
@@ -62,6 +62,7 @@
     case CallFailure::ConnectFailed:
     case CallFailure::IdleConnectionClosed:
     case CallFailure::ConnectionLost:
+    case CallFailure::NoMemory:
         break;
     }
     return Error(
--- a/src/caller/request_steps.cpp
+++ b/src/caller/request_steps.cpp
@@ -45,7 +45,7 @@
     upstreamAnswer.value().slot->release();
     Answer answer = makeAnswer(upstreamAnswer.value());
     claim.complete(answer);
-    co_await exchange.writer.write(answer);
+    co_await exchange.deliver(answer);
 }
 
 /// The step claim, then the steps that may run the request.
--- a/src/caller/thread_context.hpp
+++ b/src/caller/thread_context.hpp
@@ -68,4 +68,7 @@
     std::unordered_set<Exchange *> exchanges;
 };
 
+/// @brief Suspends a request of a thread for some time.
+upstream::Awaitable<void> waitFor(ThreadContext &thread, Duration delay);
+
 } // namespace bamboochute::caller
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -286,7 +286,10 @@
         if (this->isCallerGone)
             return AttemptOutcome::Finished;
     } else {
-        this->gateway.forwarding.helpers.withdraw(this->service->id.value(), *this->attempt.helper);
+        const bool isOwnDoing = error.failure == upstream::CallFailure::NoMemory;
+        if (!isOwnDoing)
+            this->gateway.forwarding.helpers.withdraw(this->service->id.value(),
+                                                      *this->attempt.helper);
         this->lastFault = fmt::format("the instance that helped: {}", error.message);
         this->hasTimedOut = error.failure == upstream::CallFailure::TimedOut
                             && this->timeLeft() < minSendTime;
@@ -317,13 +320,10 @@
     const bool isOwnAnswer = !isSigned && !this->isAnswerBegun;
     if (!isOwnAnswer && this->isStreamAnswer(answer.status))
         co_return this->beginStreamAnswer(answerAttributes);
-    CallResult<std::string> body = co_await this->attempt.call->readWholeBody(maxAnswerBytes);
+    CallResult<std::string> body = co_await this->attempt.call->readWholeBody(
+            maxAnswerBytes, [this](std::size_t bytes) { return this->reserveAnswer(bytes); });
     if (!body)
         co_return this->handleHelperFailure(body.error());
-    const bool hasRoom = co_await this->reserveAnswer(body.value().size());
-    if (!hasRoom)
-        co_return this->handleHelperFailure({upstream::CallFailure::Oversized, true,
-                                             "there is too little memory for the answer", false});
     const int status = this->attempt.call->answer().status;
     std::string head = this->buildAnswerHead(status, this->attempt.call->answer().headers);
     appendHeader(head, "Content-Length", std::to_string(body.value().size()));
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -217,13 +217,20 @@
     return !parseError;
 }
 
-std::optional<std::string> UpstreamCall::takeBody(std::size_t maxBytes)
+/// Bytes of the body that were read and not taken yet.
+std::size_t UpstreamCall::pieceBytes() const
 {
-    if (!this->isWhole())
-        return std::nullopt;
     std::size_t size = 0;
     for (const std::string_view piece : this->message.pieces)
         size += piece.size();
+    return size;
+}
+
+std::optional<std::string> UpstreamCall::takeBody(std::size_t maxBytes)
+{
+    if (!this->isWhole())
+        return std::nullopt;
+    const std::size_t size = this->pieceBytes();
     if (size > maxBytes)
         return std::nullopt;
     std::string body;
@@ -234,7 +241,8 @@
     return body;
 }
 
-Awaitable<CallResult<std::string>> UpstreamCall::readWholeBody(std::size_t maxBytes)
+Awaitable<CallResult<std::string>> UpstreamCall::readWholeBody(std::size_t maxBytes,
+                                                               BodyReservation reserve)
 {
     if (this->parser->need_eof() && !this->parser->is_done() && !this->isUnframedAllowed)
         co_return this->makeError(CallFailure::Malformed,
@@ -249,13 +257,19 @@
             co_return more.error();
         if (!more.value())
             break;
-        for (const std::string_view piece : this->message.pieces) {
-            if (body.size() + piece.size() > maxBytes)
-                co_return this->makeError(
-                        CallFailure::Oversized,
-                        fmt::format("the answer's body is longer than {} bytes", maxBytes));
-            body += piece;
+        const std::size_t size = body.size() + this->pieceBytes();
+        if (size > maxBytes)
+            co_return this->makeError(
+                    CallFailure::Oversized,
+                    fmt::format("the answer's body is longer than {} bytes", maxBytes));
+        if (reserve) {
+            const bool hasRoom = co_await reserve(size);
+            if (!hasRoom)
+                co_return this->makeError(CallFailure::NoMemory,
+                                          "there is too little memory for the answer");
         }
+        for (const std::string_view piece : this->message.pieces)
+            body += piece;
     }
     co_return body;
 }
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -29,6 +29,8 @@
     Malformed,
     /// The header or the body of the answer exceeds its limit.
     Oversized,
+    /// This process had no memory for the body; the upstream is not at fault.
+    NoMemory,
     /// The call was ended by cancel().
     Cancelled
 };
@@ -110,6 +112,9 @@
     Duration transferTime{};
 };
 
+/// @brief Makes room for a body of a number of bytes; returns false when there is none.
+using BodyReservation = std::function<Awaitable<bool>(std::size_t bytes)>;
+
 /// @brief How long an answer may take once its first bytes have come.
 struct TransferLimits
 {
@@ -174,9 +179,11 @@
 
     /// @brief Reads the rest of the body.
     /// @param maxBytes largest size of the body; a larger one gives Oversized
+    /// @param reserve makes room before the body grows; without room nothing more is read
     /// @return the body; Malformed when it has neither a length nor chunks, unless
-    /// allowUnframedAnswer() was called
-    Awaitable<CallResult<std::string>> readWholeBody(std::size_t maxBytes);
+    /// allowUnframedAnswer() was called; NoMemory when reserve found no room
+    Awaitable<CallResult<std::string>> readWholeBody(std::size_t maxBytes,
+                                                     BodyReservation reserve = {});
 
     const ParsedMessage &answer() const noexcept { return this->message; }
 
@@ -213,6 +220,7 @@
     void extendDeadline(std::size_t newBytes);
     CallResult<void> parse();
     bool finishUnframedAnswer(StreamStatus status);
+    std::size_t pieceBytes() const;
     CallError makeError(CallFailure failure, std::string message) const;
     CallError makeStreamError(StreamStatus status) const;
 
--- a/tests/caller/test_bed.cpp
+++ b/tests/caller/test_bed.cpp
@@ -214,7 +214,8 @@
             isStream);
 }
 
-TestBed::TestBed(caller::ServerLimits limits)
+TestBed::TestBed(caller::ServerLimits limits, const InboundLimits &machine)
+    : inbound(machine, this->metrics)
 {
     Deployment deployment;
     deployment.id = DeploymentId("desk");
--- a/tests/caller/test_bed.hpp
+++ b/tests/caller/test_bed.hpp
@@ -118,7 +118,9 @@
 class TestBed
 {
 public:
-    explicit TestBed(caller::ServerLimits limits = {});
+    /// @param limits of the server
+    /// @param machine what the server may use of it
+    explicit TestBed(caller::ServerLimits limits = {}, const InboundLimits &machine = {});
     ~TestBed();
     TestBed(const TestBed &) = delete;
     TestBed &operator=(const TestBed &) = delete;
@@ -136,7 +138,7 @@
     Configuration configuration;
     RoutingTable routing;
     Metrics metrics;
-    InboundBudget inbound{InboundLimits{}, this->metrics};
+    InboundBudget inbound;
     FakeControl control;
     EventLoopThread loop;
     std::unique_ptr<caller::Server> server;
--- a/tests/node/memory_bounds.py
+++ b/tests/node/memory_bounds.py
@@ -37,6 +37,8 @@
 PROBE = "GET /readyz HTTP/1.1\r\nHost: desk.example\r\n"
 SUBMISSION = ("POST /admin/v1/configuration?expectedRevision=1&submissionId=crowd-{} HTTP/1.1\r\nHost: desk.example\r\n"
               f"Authorization: Bearer {fleet.OPERATOR_CREDENTIAL}\r\n")
+LARGE_REQUEST = (f"GET /reservations/status?padding={4 << 20} HTTP/1.1\r\nHost: desk.example\r\n"
+                 "X-Request-Id: crowd-{}\r\n\r\n")
 LISTENERS = ["listen", "adminListen", "peerListen"]
 
 
@@ -50,6 +52,10 @@
     await crowd.write(writer, [b"BCC1" + bytes(16) + size.to_bytes(4, "big"), bytes(size - crowds.MISSING_BYTES)])
 
 
+def unread(crowd, number):
+    return crowd.unread(number, LARGE_REQUEST)
+
+
 def all_at_once(crowd, number):
     shapes = list(crowds.SHAPES.values())
     return shapes[number % len(shapes)](crowd, number)
@@ -69,6 +75,7 @@
         "far over the limit, sent", "headers without an end"]},
     "many connections without a request": Case(crowds.SHAPES["connections without a request"], MANY_CLIENTS),
     "all at once": Case(all_at_once, MANY_CLIENTS),
+    "answers that nobody reads": Case(unread),
     **{f"administration: {name}": Case(crowds.SHAPES[name], MANY_CLIENTS, "adminListen", "POST /x HTTP/1.1\r\nHost: x\r\n")
        for name in ["connections without a request", "headers without an end"]},
     "administration: bodies of probes": Case(crowds.SHAPES["whole bodies"], CLIENTS, "adminListen",
