Notice callers who reset a connection with unread bytes

Cause, from the log of a unit test: reading ahead is what notices a disconnect, and ends with the first bytes. So for a caller with bytes behind its request nothing was noticed until the deadline, and its answer was still fetched, with memory that others needed.

Change: a connection whose bytes are not read waits for an error of its socket. Whether it is a reset is asked of the kernel, as urgent data ends the wait too, and without taking the error, which the next read or write reports as before. A caller that closes only its sending side still gets its answer.

Evidence: with the wait taken out, the new case of unit-http_stream fails and two of three of the new case of unit-relay ("the call to the upstream is cancelled when the caller resets a connection with unread bytes": 504 at the deadline).

--- a/src/caller/exchange.cpp
+++ b/src/caller/exchange.cpp
@@ -30,6 +30,8 @@
     // would read that request.
     if (this->stream.unread().empty())
         this->stream.readAhead();
+    else
+        this->stream.watchReset();
 }
 
 Exchange::~Exchange()
--- a/src/upstream/http_stream.cpp
+++ b/src/upstream/http_stream.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -103,8 +104,12 @@
 
 void HttpStream::readAhead()
 {
-    if (this->isReading || this->isReadClosed || !this->reserveReadSpace())
+    if (this->isReading || this->isReadClosed)
         return;
+    if (!this->reserveReadSpace()) {
+        this->watchReset();
+        return;
+    }
     this->isReading = true;
     this->socket.async_read_some(
             asio::buffer(this->buffer.data() + this->end, this->buffer.size() - this->end),
@@ -127,13 +132,57 @@
         Resumption<bool> resumption = std::move(*this->pendingResumption);
         this->pendingResumption.reset();
         resumption(!error);
-    } else if (this->isReadClosed && this->peerClosedHandler) {
-        const auto handler = std::move(this->peerClosedHandler);
-        this->peerClosedHandler = nullptr;
+    } else if (this->isReadClosed) {
+        this->notifyPeerClosed();
+    } else if (!error) {
+        this->watchReset();
+    }
+}
+
+void HttpStream::notifyPeerClosed()
+{
+    const auto handler = std::move(this->peerClosedHandler);
+    this->peerClosedHandler = nullptr;
+    if (handler)
         handler();
+}
+
+void HttpStream::watchReset()
+{
+    if (this->isWatchingReset || this->isReadClosed || !this->peerClosedHandler
+        || !this->socket.is_open())
+        return;
+    this->isWatchingReset = true;
+    // The wait must not keep a connection alive that nobody uses any more.
+    this->socket.async_wait(Socket::wait_error,
+                            [weak = this->weak_from_this()](const error_code &error) {
+                                if (const HttpStreamPointer stream = weak.lock())
+                                    stream->handleResetWait(error);
+                            });
+}
+
+void HttpStream::handleResetWait(const error_code &error)
+{
+    this->isWatchingReset = false;
+    if (!error && this->isReset()) {
+        this->isReadClosed = true;
+        this->notifyPeerClosed();
+    } else if (error == asio::error::operation_aborted) {
+        // A time limit has ended the wait, or the connection is closed.
+        this->watchReset();
     }
 }
 
+/// Whether the connection has ended; urgent data completes a wait for an error as well.
+bool HttpStream::isReset()
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    // The pending error of the socket is left to the next read or write.
+    return ::getsockopt(this->socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+           && info.tcpi_state == TCP_CLOSE;
+}
+
 bool HttpStream::reserveReadSpace()
 {
     if (this->begin == this->end) {
--- a/src/upstream/http_stream.hpp
+++ b/src/upstream/http_stream.hpp
@@ -108,11 +108,15 @@
     void close();
 
     /// @brief Sets a handler that is called once, when the peer closes while no readMore() waits.
+    /// While bytes are unread that the peer has sent before, only a reset is noticed.
     void setPeerClosedHandler(std::function<void()> handler)
     {
         this->peerClosedHandler = std::move(handler);
     }
 
+    /// @brief Lets the handler be called for a reset although nothing more is read.
+    void watchReset();
+
     /// @brief Address of the peer without its port; empty when it is not known any more.
     std::string peerAddress() const;
 
@@ -135,6 +139,9 @@
 
     void expire();
     void handleReadCompletion(const error_code &error, std::size_t count);
+    void handleResetWait(const error_code &error);
+    bool isReset();
+    void notifyPeerClosed();
     bool reserveReadSpace();
     StreamStatus failureStatus() const noexcept
     {
@@ -153,6 +160,7 @@
     TimePoint expiry{};
     std::size_t watchIndex = notWatched;
     bool isReading = false;
+    bool isWatchingReset = false;
     bool isReadClosed = false;
     bool wasClosedInOrder = false;
     bool hasExpired = false;
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -206,6 +206,13 @@
     return this->readAnswer();
 }
 
+void KeptConnection::reset()
+{
+    boost::system::error_code ignored;
+    this->socket->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->socket->socket.close(ignored);
+}
+
 std::string keptRequest(const std::string &path, const std::string &body)
 {
     std::string text = request(path, body);
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -254,6 +254,9 @@
     /// @brief Sends a request and reads its answer.
     std::string call(const std::string &request);
 
+    /// @brief Resets the connection instead of closing it cleanly.
+    void reset();
+
 private:
     struct Socket;
     std::unique_ptr<Socket> socket;
--- a/tests/gateway/unit-relay.cpp
+++ b/tests/gateway/unit-relay.cpp
@@ -270,6 +270,42 @@
     CHECK(upstream.abandonedConnections() == 1);
 }
 
+// Guards against work, and memory, for callers that have left a process with more of their bytes
+// than it reads ahead.
+TEST_CASE("the call to the upstream is cancelled when the caller resets a connection with unread "
+          "bytes")
+{
+    ScriptedUpstream upstream({{"", false, true}});
+    RelayFixture fixture({&upstream});
+    KeptConnection connection(fixture);
+    const std::string first = keptRequest("/once/", "pay");
+
+    SUBCASE("which came with its request")
+    {
+        connection.send(first + keptRequest("/once/"));
+        REQUIRE(upstream.waitForRequests(1));
+    }
+    SUBCASE("which came after its request")
+    {
+        connection.send(first);
+        REQUIRE(upstream.waitForRequests(1));
+        connection.send(keptRequest("/once/"));
+        std::this_thread::sleep_for(50ms);
+    }
+    SUBCASE("of which the kernel holds a part")
+    {
+        connection.send(first + std::string(200 << 10, 'x'));
+        REQUIRE(upstream.waitForRequests(1));
+    }
+    connection.reset();
+    CHECK(upstream.waitForAbandoned(1) == 1);
+    fixture.waitForIdle();
+    CHECK(fixture.requestEnds("caller_gone") == 1);
+    // Noticed before the deadline of the request.
+    CHECK(fixture.metrics.counter("bamboochute_errors_total", "kind=\"upstream_timed_out\"").value()
+          == 0);
+}
+
 TEST_CASE("a request without an answer ends with 504 at the caller's timeout")
 {
     ScriptedUpstream upstream({{"", false, true}});
--- a/tests/upstream/unit-http_stream.cpp
+++ b/tests/upstream/unit-http_stream.cpp
@@ -50,6 +50,13 @@
         this->stream->neverExpire();
     }
 
+    /// Runs the loop, also when it had nothing left to do before.
+    void run(Duration duration)
+    {
+        this->loop.restart();
+        this->loop.run_for(duration);
+    }
+
     void send(std::string_view text)
     {
         asio::write(this->peer, asio::buffer(text.data(), text.size()));
@@ -102,6 +109,37 @@
     CHECK(connection.stream->isOpen());
 }
 
+TEST_CASE("a peer that resets its connection is noticed although its bytes are not read")
+{
+    Connection connection;
+    bool hasClosed = false;
+    connection.send("bytes that nobody reads");
+    connection.stream->setPeerClosedHandler([&hasClosed] { hasClosed = true; });
+    connection.stream->readAhead();
+    connection.run(50ms);
+    CHECK_FALSE(hasClosed);
+
+    SUBCASE("also after a time limit")
+    {
+        connection.stream->expireAt(SteadyClock().now());
+        connection.run(4 * DeadlineWatch::tickInterval);
+        CHECK_FALSE(hasClosed);
+    }
+    SUBCASE("and not taken for one that sends urgent data")
+    {
+        connection.peer.send(asio::buffer("!", 1), asio::socket_base::message_out_of_band);
+        connection.run(50ms);
+        CHECK_FALSE(hasClosed);
+        connection.stream->readAhead();
+    }
+    connection.peer.set_option(asio::socket_base::linger(true, 0));
+    connection.peer.close();
+    connection.run(2s);
+    CHECK(hasClosed);
+    CHECK(connection.stream->isPeerClosed());
+    CHECK_FALSE(connection.stream->isClosedInOrder());
+}
+
 // Guards against a crash at the end of a process, or of a test, whose event loop still holds
 // waiting calls.
 TEST_CASE("a stream with a time limit may be destroyed after its deadline watch")
