Let probes in while connections to the administration address close

Cause: the connection whose place a new one takes was closed by a posted function, behind the connections that were accepted meanwhile. While more than an eighth of the places waits for that, no new one is let in, so it was refused; a refused connection stays for up to 2 s to read its 429, and nothing bounded their number.

Change: the connection is closed at once, on the same thread, and says that its place is free. At most 32 refused connections get their response at a time, further ones are closed. A connection that only waits for its client to close gives way as well.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -7,9 +7,9 @@
 #include <string>
 #include <utility>
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -27,6 +27,8 @@
 /// How long input is read and discarded after the last response, before the connection is closed.
 constexpr std::chrono::seconds lingerTimeout{2};
 constexpr std::size_t discardBufferBytes = 64 << 10;
+/// Most refused connections at a time that get a response; further ones are closed at once.
+constexpr std::size_t maxRefusedConnections = 32;
 
 Error readError(const beast::error_code &failure, const AdminServerLimits &limits)
 {
@@ -72,6 +74,8 @@
     InboundBudget &inbound;
     AdminServerLimits limits;
     bool isClosing = false;
+    /// Refused connections that are still open.
+    std::size_t refusedCount = 0;
 
 private:
     void accept();
@@ -90,7 +94,11 @@
         , listener(std::move(listener))
     {}
 
-    ~Session() { this->listener->removeSession(this); }
+    ~Session()
+    {
+        this->listener->refusedCount -= this->isRefused ? 1 : 0;
+        this->listener->removeSession(this);
+    }
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
 
@@ -124,6 +132,8 @@
 
     void refuseConnection()
     {
+        this->isRefused = true;
+        ++this->listener->refusedCount;
         this->parser.emplace();
         this->respond(errorResponse(Error(ErrorKind::QueueFull,
                                           fmt::format("the administration port already has {} "
@@ -143,16 +153,23 @@
     const AdminServerLimits &limits() const { return this->listener->limits; }
 
     /// Makes a function that closes the connection, whose place or memory another one needs.
+    /// Posted, it would run behind the connections that are accepted meanwhile.
     std::function<void()> makeCloser()
     {
         return [weak = this->weak_from_this(), executor = this->stream.get_executor()] {
-            asio::post(executor, [weak] {
+            asio::dispatch(executor, [weak] {
                 if (const auto self = weak.lock())
-                    self->stream.close();
+                    self->closeAtOnce();
             });
         };
     }
 
+    void closeAtOnce()
+    {
+        this->stream.close();
+        this->place->confirmClosed();
+    }
+
     /// Makes room for the body; of a chunked one, for the largest.
     bool reserveBody()
     {
@@ -310,6 +327,8 @@
             this->readHeader();
             return;
         }
+        if (this->isBusy)
+            this->place->release(SteadyClock().now());
         beast::error_code ignored;
         this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         this->stream.expires_after(lingerTimeout);
@@ -347,6 +366,7 @@
     http::response<http::string_body> response;
     AdminRequest request;
     bool isBusy = false;
+    bool isRefused = false;
     bool isReading = false;
     bool isTimedOut = false;
     bool isFinalResponseSent = false;
@@ -398,6 +418,8 @@
     const auto session = std::make_shared<Session>(std::move(socket), this->shared_from_this());
     const bool isFull
             = this->sessions.size() >= this->limits.maxConnections || !session->takePlace();
+    if (isFull && this->refusedCount >= maxRefusedConnections)
+        return;
     this->sessions.insert(session.get());
     if (isFull)
         session->refuseConnection();
--- a/src/core/inbound_budget.hpp
+++ b/src/core/inbound_budget.hpp
@@ -96,7 +96,8 @@
 public:
     /// @param budget of the listener's connections
     /// @param peer address of the peer
-    /// @param close closes the connection, called at most once and on any thread
+    /// @param close closes the connection, or has its thread close it; called at most once and on
+    /// any thread
     ConnectionPlace(MemoryBudget &budget, std::string peer, std::function<void()> close);
 
     /// @brief Takes the place.
@@ -113,6 +114,10 @@
     /// @brief Notes that a part of a request has arrived.
     void noteProgress(TimePoint now);
 
+    /// @brief Notes that the connection is closed whose place was given up; so does the end of the
+    /// place.
+    void confirmClosed() { this->holding.confirmFreed(); }
+
 private:
     std::string peer;
     std::function<void()> close;
