--- a/src/caller/exchange.cpp
+++ b/src/caller/exchange.cpp
@@ -4,16 +4,6 @@
 
 namespace bamboochute::caller {
 
-namespace {
-
-/// Time for which an answer waits for memory; upstreams cut off answers that nobody reads for some
-/// seconds.
-constexpr Duration answerRoomTimeout = std::chrono::seconds(1);
-/// Pause between two tries to get it.
-constexpr Duration answerRoomPollInterval = std::chrono::milliseconds(20);
-
-} // namespace
-
 Exchange::Exchange(ThreadContext &thread, upstream::HttpStream &stream,
                    const CallerRequest &request, AnswerWriter &writer)
     : thread(thread)
--- a/src/core/inbound_budget.hpp
+++ b/src/core/inbound_budget.hpp
@@ -8,6 +8,7 @@
 #include "core/metrics.hpp"
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <mutex>
@@ -50,6 +51,12 @@
 /// receive buffer as the kernel counts it, and the objects of the connection.
 constexpr std::size_t connectionBytes = 2 * receiveBufferBytes + (16 << 10);
 
+/// @brief Time for which an answer waits for memory; upstreams cut off answers that nobody reads
+/// for some seconds.
+constexpr Duration answerRoomTimeout = std::chrono::seconds(1);
+/// @brief Pause between two tries to get it.
+constexpr Duration answerRoomPollInterval = std::chrono::milliseconds(20);
+
 /// @brief The bounds of all listeners of a process; thread-safe.
 class InboundBudget
 {
--- a/src/gateway/exchange_limits.hpp
+++ b/src/gateway/exchange_limits.hpp
@@ -42,12 +42,6 @@
 /// Size limit for the body of an answer that is not a stream.
 constexpr std::size_t maxAnswerBytes = 8 << 20;
 
-/// Time for which an answer waits for memory; upstreams cut off answers that nobody reads for some
-/// seconds.
-constexpr Duration answerRoomTimeout = std::chrono::seconds(1);
-/// Pause between two tries to get it.
-constexpr Duration answerRoomPollInterval = std::chrono::milliseconds(20);
-
 constexpr int statusOk = 200;
 constexpr int firstServerError = 500;
 constexpr int statusUnavailable = 503;
