Leave receive buffers to the system where no memory is set

A body of 4 MB then takes 13 s at a round trip of 100 ms (reckoned) for nothing.

Cause: the option was set on the acceptors without asking the budget.

Change: InboundBudget::isMemoryBounded() decides it, for the listeners of callers, instances and probes of both programs.

--- a/src/core/inbound_budget.hpp
+++ b/src/core/inbound_budget.hpp
@@ -40,9 +40,10 @@
     Status
 };
 
-/// @brief Size of the receive buffer that a listener's connections ask the kernel for, in bytes:
-/// what arrives and can't be read yet is part of the machine's memory. The kernel adds as much for
-/// its bookkeeping. A body of 4 MB takes 13 s with it at a round trip of 100 ms.
+/// @brief Size of the receive buffer that a listener's connections ask the kernel for if the memory
+/// is bounded, in bytes: what arrives and can't be read yet is part of the machine's memory. The
+/// kernel adds as much for its bookkeeping. A body of 4 MB takes 13 s with it at a round trip of
+/// 100 ms.
 /// @note It must not be made smaller while a connection is open: the kernel drops what the peer was
 /// allowed to send before, and the connection stalls.
 constexpr int receiveBufferBytes = 32 << 10;
@@ -65,6 +66,9 @@
     /// @param metrics counts what is given up or refused; must outlive the budget
     InboundBudget(const InboundLimits &limits, Metrics &metrics);
 
+    /// @brief Whether the process has a bound on its memory.
+    bool isMemoryBounded() const noexcept { return this->requestBudget.bounds().totalBytes > 0; }
+
     /// @brief Bytes of requests and answers, of all listeners together.
     MemoryBudget &requests() noexcept { return this->requestBudget; }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -124,14 +124,15 @@
 
 Result<Endpoint> Gateway::start()
 {
-    Result<Endpoint> bound = upstream::listenOn(this->acceptor, this->settings.listen, maxBacklog);
+    Result<Endpoint> bound
+            = upstream::listenOn(this->acceptor, this->settings.listen, maxBacklog, this->inbound);
     if (!bound)
         return bound.error();
     asio::co_spawn(this->loop, this->accept(this->acceptor, ListenerKind::Callers), asio::detached);
     if (!this->settings.instanceListen)
         return bound;
     const Result<Endpoint> boundForInstances = upstream::listenOn(
-            this->instanceAcceptor, *this->settings.instanceListen, maxBacklog);
+            this->instanceAcceptor, *this->settings.instanceListen, maxBacklog, this->inbound);
     if (!boundForInstances)
         return boundForInstances.error();
     this->settings.instanceListen = boundForInstances.value();
--- a/src/gateway/status_server.cpp
+++ b/src/gateway/status_server.cpp
@@ -46,7 +46,7 @@
 
 Result<Endpoint> StatusServer::start(const Endpoint &listen)
 {
-    Result<Endpoint> bound = upstream::listenOn(this->acceptor, listen, maxBacklog);
+    Result<Endpoint> bound = upstream::listenOn(this->acceptor, listen, maxBacklog, this->inbound);
     if (!bound)
         return bound.error();
     asio::co_spawn(this->loop, this->accept(), asio::detached);
--- a/src/peer/call_server.cpp
+++ b/src/peer/call_server.cpp
@@ -248,7 +248,9 @@
     if (acceptor.open(endpoint.protocol(), code); code)
         return listenError(listen, code);
     acceptor.set_option(boost::asio::socket_base::reuse_address(true), code);
-    acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), code);
+    if (inbound.isMemoryBounded())
+        acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes),
+                            code);
     if (acceptor.bind(endpoint, code); code)
         return listenError(listen, code);
     if (acceptor.listen(boost::asio::socket_base::max_listen_connections, code); code)
--- a/src/upstream/listen.cpp
+++ b/src/upstream/listen.cpp
@@ -1,6 +1,5 @@
 #include "upstream/listen.hpp"
 
-#include "core/inbound_budget.hpp"
 #include "core/log.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -19,7 +18,8 @@
 
 } // namespace
 
-Result<Endpoint> listenOn(Acceptor &acceptor, const Endpoint &endpoint, int backlog)
+Result<Endpoint> listenOn(Acceptor &acceptor, const Endpoint &endpoint, int backlog,
+                          const InboundBudget &inbound)
 {
     error_code error;
     const auto address = asio::ip::make_address(endpoint.address, error);
@@ -28,7 +28,7 @@
     if (!error)
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
     // Accepted connections have the same size from their first byte on.
-    if (!error)
+    if (!error && inbound.isMemoryBounded())
         acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
     if (!error)
         acceptor.bind(asio::ip::tcp::endpoint(address, endpoint.port), error);
--- a/src/upstream/listen.hpp
+++ b/src/upstream/listen.hpp
@@ -4,19 +4,21 @@
 
 #include "core/configuration.hpp"
 #include "core/error.hpp"
+#include "core/inbound_budget.hpp"
 #include "upstream/net.hpp"
 
 #include <optional>
 
 namespace bamboochute::upstream {
 
-/// @brief Opens an acceptor, binds it and starts to listen; its connections receive at most
-/// receiveBufferBytes ahead.
+/// @brief Opens an acceptor, binds it and starts to listen.
 /// @param acceptor acceptor that is not open yet
 /// @param endpoint IPv4 address and port; port 0 selects a free one
 /// @param backlog largest number of connections that wait to be accepted
+/// @param inbound if it bounds the memory, connections receive at most receiveBufferBytes ahead
 /// @return the bound address, or SettingInvalid
-Result<Endpoint> listenOn(Acceptor &acceptor, const Endpoint &endpoint, int backlog);
+Result<Endpoint> listenOn(Acceptor &acceptor, const Endpoint &endpoint, int backlog,
+                          const InboundBudget &inbound);
 
 /// @brief Waits for the next connection; a failure is logged and retried after 20 ms.
 /// @return nothing when the acceptor was closed
