Free the memory of answered requests

Seen: clients that send one whole body of the largest size after another, each on a connection of its own, and keep the connections open once they are answered.

Cause: the budget is told that an answered request holds nothing, but its body stays. CallerRequest::trim() assigned an empty request, and assigning an empty string keeps the memory of the longer one; the administration server kept the body of the last request in the same way.

Change: trim() moves the old request out and lets it end; the body of an administration request is swapped out once its response is written. What the budget counts as free is free then.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -323,6 +323,8 @@
 
     void onWritten(beast::error_code failure)
     {
+        // Assigning an empty string would keep the memory of the body.
+        std::string().swap(this->request.body);
         if (!failure && this->response.keep_alive()) {
             this->readHeader();
             return;
--- a/src/caller/caller_request.cpp
+++ b/src/caller/caller_request.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -281,8 +282,10 @@
 
 void CallerRequest::trim()
 {
-    if (this->heldBytes() > maxKeptBytes)
-        *this = CallerRequest();
+    if (this->heldBytes() <= maxKeptBytes)
+        return;
+    // Assigning an empty request would keep the memory of its strings.
+    const CallerRequest freed = std::exchange(*this, CallerRequest());
 }
 
 Awaitable<void> discardRest(HttpStream &stream)
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -83,6 +83,13 @@
         writer.transport.pause_reading()
         await self.write(writer, [request.format(number).encode(), *pieces])
 
+    async def whole_in_turn(self, count):
+        """Sends whole bodies, each on a connection of its own once the one before is answered, and keeps them open."""
+        for number in range(count):
+            await self.send(number, f"Content-Length: {self.max_body_bytes - 64}\r\n",
+                            with_length(self.max_body_bytes - 64, 64 << 10))
+            await asyncio.wait_for(self.readers[-1].read(1), STEP_S)
+
     async def without_request(self, _):
         try:
             await self.connect()
--- a/tests/node/memory_bounds.py
+++ b/tests/node/memory_bounds.py
@@ -56,6 +56,10 @@
     return crowd.unread(number, LARGE_REQUEST)
 
 
+def whole_in_turn(crowd, _):
+    return crowd.whole_in_turn(CLIENTS)
+
+
 def all_at_once(crowd, number):
     shapes = list(crowds.SHAPES.values())
     return shapes[number % len(shapes)](crowd, number)
@@ -82,6 +86,9 @@
                                              "GET /healthz HTTP/1.1\r\nHost: x\r\n", MAX_SUBMISSION_BYTES),
     "administration: submissions": Case(crowds.SHAPES["whole bodies"], CLIENTS, "adminListen", SUBMISSION,
                                         MAX_SUBMISSION_BYTES),
+    "administration: bodies of probes in turn": Case(whole_in_turn, 1, "adminListen",
+                                                     "GET /healthz HTTP/1.1\r\nHost: x\r\n", MAX_SUBMISSION_BYTES),
+    "whole bodies in turn": Case(whole_in_turn, 1),
     "instances: frames": Case(frame, FRAME_CLIENTS, "peerListen"),
     "instances: connections without a request": Case(crowds.SHAPES["connections without a request"], MANY_CLIENTS,
                                                      "peerListen"),
--- a/tests/platform/adapter/memory_bounds.py
+++ b/tests/platform/adapter/memory_bounds.py
@@ -53,6 +53,10 @@
     return crowd.unread(number, LARGE_REQUEST)
 
 
+def whole_in_turn(crowd, _):
+    return crowd.whole_in_turn(CLIENTS)
+
+
 def behind_an_answer(crowd, number):
     """Asks for a long answer, reads nothing of it, and sends a body behind the request."""
     size = MAX_BODY_BYTES - 64
@@ -96,6 +100,7 @@
     "many connections without a request": Case(crowds.SHAPES["connections without a request"], MANY_CLIENTS),
     "all at once": Case(all_at_once, MANY_CLIENTS),
     "one client with long bodies": Case(long_bodies_in_turn, 1),
+    "whole bodies in turn": Case(whole_in_turn, 1),
     **{f"readiness: {name}": Case(crowds.SHAPES[name], listener="readiness") for name in [
         "whole bodies", "chunks of one byte", "far over the limit, sent", "connections without a request"]},
     **{f"instances: {name}": Case(crowds.SHAPES[name], listener="instances") for name in [
