Let others have the place of a connection whose answer is not read

Seen: more clients than there are places, each of which sends many small requests in a row and reads none of the answers.

Cause: a connection holds its place from the end of its request to the end of its answer, and the write of an answer waits until the peer reads. So peers that read nothing kept all places, and new connections were closed without an answer. Small answers are always let in, so that the bound on memory doesn't end them.

Change: others may have the place while a write waits for the peer (ConnectionPlace::Offer); the readiness and the administration address release it before they write. A connection whose request is still being worked on keeps its place. MemoryBudget::Holding::isEvicted() may be asked after its budget has ended, as the end of an offer does in a request that is freed behind its gateway.

--- a/fakes/http_server.cpp
+++ b/fakes/http_server.cpp
@@ -51,9 +51,9 @@
     Awaitable<void> serveConnection(upstream::HttpStreamPointer stream)
     {
         caller::CallerRequest request;
-        caller::AnswerWriter writer(*stream, this->limits);
         ConnectionPlace place(this->inbound.connections(ListenerKind::Callers), std::string(),
                               stream->makeCloser());
+        caller::AnswerWriter writer(*stream, this->limits, place);
         place.take(SteadyClock().now());
         while (stream->isOpen()) {
             MemoryBudget::Holding memory(this->inbound.requests(), MemoryUse::Arriving);
--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -114,8 +114,6 @@
 
     void readHeader()
     {
-        if (this->isBusy)
-            this->place->release(SteadyClock().now());
         this->memory.emplace(this->listener->inbound.requests(), MemoryUse::Arriving);
         this->isBusy = false;
         this->parser.emplace();
@@ -313,6 +311,9 @@
         this->response.keep_alive(keepAlive && !this->listener->isClosing);
         this->response.body() = std::move(answer.body);
         this->response.prepare_payload();
+        // A client that does not read its response must not keep the place.
+        if (this->isBusy)
+            this->place->release(SteadyClock().now());
         this->stream.expires_after(this->limits().writeTimeout);
         http::async_write(
                 this->stream, this->response,
@@ -329,8 +330,6 @@
             this->readHeader();
             return;
         }
-        if (this->isBusy)
-            this->place->release(SteadyClock().now());
         beast::error_code ignored;
         this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         this->stream.expires_after(lingerTimeout);
--- a/src/caller/answer.cpp
+++ b/src/caller/answer.cpp
@@ -75,9 +75,11 @@
     return answer;
 }
 
-AnswerWriter::AnswerWriter(upstream::HttpStream &stream, const ServerLimits &limits)
+AnswerWriter::AnswerWriter(upstream::HttpStream &stream, const ServerLimits &limits,
+                           ConnectionPlace &place)
     : stream(stream)
     , limits(limits)
+    , place(place)
 {}
 
 void AnswerWriter::begin(std::string requestId, bool isKeepAlive)
@@ -103,6 +105,7 @@
 
 Awaitable<StreamStatus> AnswerWriter::sendRest(std::span<const asio::const_buffer> parts)
 {
+    const ConnectionPlace::Offer offer(this->place, SteadyClock().now());
     this->stream.expireAt(SteadyClock().now() + this->limits.writeTimeout);
     const StreamStatus status = co_await this->stream.writeRest(parts);
     this->stream.neverExpire();
--- a/src/caller/answer.hpp
+++ b/src/caller/answer.hpp
@@ -5,6 +5,7 @@
 #include "caller/server_settings.hpp"
 #include "core/error.hpp"
 #include "core/ids.hpp"
+#include "core/inbound_budget.hpp"
 #include "upstream/header_list.hpp"
 #include "upstream/http_stream.hpp"
 
@@ -44,7 +45,10 @@
 class AnswerWriter
 {
 public:
-    AnswerWriter(upstream::HttpStream &stream, const ServerLimits &limits);
+    /// @param stream connection to the caller
+    /// @param limits times
+    /// @param place of the connection; others may have it while an answer is not read
+    AnswerWriter(upstream::HttpStream &stream, const ServerLimits &limits, ConnectionPlace &place);
 
     /// @brief Begins a new request.
     /// @param requestId sent back in x-request-id
@@ -85,6 +89,7 @@
 
     upstream::HttpStream &stream;
     const ServerLimits &limits;
+    ConnectionPlace &place;
     std::string id;
     bool keepAlive = false;
     bool hasBegun = false;
--- a/src/caller/session.cpp
+++ b/src/caller/session.cpp
@@ -90,7 +90,7 @@
         co_return stream->close();
     }
     CallerRequest request;
-    AnswerWriter writer(*stream, limits);
+    AnswerWriter writer(*stream, limits, place);
     // Requests that have arrived are refused by a stop, and not left without an answer.
     while (!thread.server.isStopping || !stream->unread().empty()) {
         MemoryBudget::Holding memory(inbound.requests(), MemoryUse::Arriving);
--- a/src/core/inbound_budget.hpp
+++ b/src/core/inbound_budget.hpp
@@ -100,11 +100,14 @@
 
 /// @brief The place of one connection among those of its listener; used by one thread.
 ///
-/// While all places are taken, a new connection takes that of one without a complete request: of
-/// the peer with most of them, the one that has made no progress for longest.
+/// While all places are taken, a new connection takes that of one without a complete request, or
+/// whose answer is not read: of the peer with most of them, the one that has made no progress for
+/// longest.
 class ConnectionPlace
 {
 public:
+    class Offer;
+
     /// @param budget of the listener's connections
     /// @param peer address of the peer
     /// @param close closes the connection, or has its thread close it; called at most once and on
@@ -119,6 +122,9 @@
     /// @return false if the place was given up before, so that the connection is being closed
     bool hold();
 
+    /// @brief Whether others can't have the place.
+    bool isHeld() const { return !this->holding.isEvictable(); }
+
     /// @brief Lets others have the place again after hold().
     void release(TimePoint now);
 
@@ -135,4 +141,28 @@
     MemoryBudget::Holding holding;
 };
 
+/// @brief Lets others have a place during its lifetime, while the peer does not read what is
+/// written to it.
+class ConnectionPlace::Offer
+{
+public:
+    Offer(ConnectionPlace &place, TimePoint now)
+        : place(place)
+        , wasHeld(place.isHeld())
+    {
+        this->place.release(now);
+    }
+    ~Offer()
+    {
+        if (this->wasHeld)
+            this->place.hold();
+    }
+    Offer(const Offer &) = delete;
+    Offer &operator=(const Offer &) = delete;
+
+private:
+    ConnectionPlace &place;
+    const bool wasHeld;
+};
+
 } // namespace bamboochute
--- a/src/core/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -69,6 +69,8 @@
 
 bool MemoryBudget::Holding::isEvicted() const
 {
+    if (this->lifetime.expired())
+        return this->wasEvicted;
     const std::lock_guard lock(this->budget.mutex);
     return this->wasEvicted;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -416,7 +416,7 @@
     if (noRequest && !noRequest->error)
         co_return false;
     this->requestEnds.recordRead();
-    RequestExchange exchange(*this, stream, request, isFromInstance);
+    RequestExchange exchange(*this, stream, place, request, isFromInstance);
     if (noRequest)
         co_await exchange.refuseUnread(*noRequest->error);
     else
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -27,9 +27,11 @@
 } // namespace
 
 RequestExchange::RequestExchange(Gateway &gateway, upstream::HttpStream &caller,
-                                 const caller::CallerRequest &request, bool isFromInstance)
+                                 ConnectionPlace &place, const caller::CallerRequest &request,
+                                 bool isFromInstance)
     : gateway(gateway)
     , caller(caller)
+    , place(place)
     , request(request)
     , answerMemory(gateway.inbound.requests(), MemoryUse::Admitted)
     , isFromInstance(isFromInstance)
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -40,8 +40,9 @@
 class RequestExchange
 {
 public:
+    /// @param place of the caller's connection; others may have it while the answer is not read
     /// @param isFromInstance the request came from another instance, which forwards it
-    RequestExchange(Gateway &gateway, upstream::HttpStream &caller,
+    RequestExchange(Gateway &gateway, upstream::HttpStream &caller, ConnectionPlace &place,
                     const caller::CallerRequest &request, bool isFromInstance);
     ~RequestExchange();
     RequestExchange(const RequestExchange &) = delete;
@@ -256,6 +257,7 @@
 
     Gateway &gateway;
     upstream::HttpStream &caller;
+    ConnectionPlace &place;
     const caller::CallerRequest &request;
     RequestAttributes attributes;
     /// Memory of an answer that is not a stream.
--- a/src/gateway/request_refusal.cpp
+++ b/src/gateway/request_refusal.cpp
@@ -126,7 +126,9 @@
     const std::array<asio::const_buffer, 2> parts{toBuffer(head), toBuffer(body)};
     std::optional<StreamStatus> status = this->caller.tryWrite(parts);
     if (!status) {
-        // A caller that does not read is given up before others when memory gets scarce.
+        // A caller that does not read is given up before others when memory or connections get
+        // scarce.
+        const ConnectionPlace::Offer offer(this->place, this->now());
         this->answerMemory.setUse(MemoryUse::Delivery);
         if (this->answerMemory.bytes() > 0)
             this->answerMemory.allowEviction(this->caller.peerAddress(),
--- a/src/gateway/status_server.cpp
+++ b/src/gateway/status_server.cpp
@@ -109,10 +109,11 @@
             = fmt::format("HTTP/1.1 {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n",
                           status, body.size());
     const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(body)};
+    // A peer that does not read its answer must not keep the place.
+    place.release(SteadyClock().now());
     stream.expireAt(SteadyClock().now() + writeTimeout);
     const upstream::StreamStatus written = co_await stream.write(parts);
     stream.neverExpire();
-    place.release(SteadyClock().now());
     co_return written == upstream::StreamStatus::Ok &&request.isKeepAlive;
 }
 
--- a/tests/core/unit-inbound_budget.cpp
+++ b/tests/core/unit-inbound_budget.cpp
@@ -148,6 +148,26 @@
         CHECK(other.place.hold());
         const Connection added(budget, "10.0.0.3", start + 1s);
         CHECK_FALSE(added.isOpen);
+
+        SUBCASE("unless an answer is not read")
+        {
+            {
+                const ConnectionPlace::Offer offer(crowd[3]->place, start + 2s);
+                const Connection next(budget, "10.0.0.3", start + 3s);
+                CHECK(next.isOpen);
+                CHECK(crowd[3]->closings == 1);
+            }
+            CHECK(closings() + other.closings == 1);
+        }
+        SUBCASE("also when an answer that was not read at once is")
+        {
+            {
+                const ConnectionPlace::Offer offer(crowd[3]->place, start + 2s);
+            }
+            const Connection next(budget, "10.0.0.3", start + 3s);
+            CHECK_FALSE(next.isOpen);
+            CHECK(closings() + other.closings == 0);
+        }
     }
     SUBCASE("and the one that was closed can't begin a request any more")
     {
--- a/tests/core/unit-memory_budget.cpp
+++ b/tests/core/unit-memory_budget.cpp
@@ -263,3 +263,4 @@
     CHECK(second.isHeld);
     CHECK(first.evictions + second.evictions == 0);
 }
+    CHECK_FALSE(peer->holding.isEvicted());
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -83,6 +83,10 @@
         writer.transport.pause_reading()
         await self.write(writer, [request.format(number).encode(), *pieces])
 
+    async def unread_in_a_row(self, number, request, count):
+        """Sends a request many times without a pause, and reads nothing of the answers."""
+        await self.unread(number, request, [request.format(f"{number}-{each}").encode() for each in range(count)])
+
     async def whole_in_turn(self, count):
         """Sends whole bodies, each on a connection of its own once the one before is answered, and keeps them open."""
         for number in range(count):
--- a/tests/node/memory_bounds.py
+++ b/tests/node/memory_bounds.py
@@ -39,6 +39,11 @@
               f"Authorization: Bearer {fleet.OPERATOR_CREDENTIAL}\r\n")
 LARGE_REQUEST = (f"GET /reservations/status?padding={4 << 20} HTTP/1.1\r\nHost: desk.example\r\n"
                  "X-Request-Id: crowd-{}\r\n\r\n")
+MIDDLE_REQUEST = LARGE_REQUEST.replace(f"{4 << 20}", f"{30 << 10}")
+METRICS = "GET /metrics?{} HTTP/1.1\r\nHost: x\r\n\r\n"
+# Answers to this many requests are more than the kernel takes for a client that doesn't read.
+REQUESTS_IN_A_ROW = 150
+METRICS_IN_A_ROW = 1000
 LISTENERS = ["listen", "adminListen", "peerListen"]
 
 
@@ -56,6 +61,14 @@
     return crowd.unread(number, LARGE_REQUEST)
 
 
+def unread_in_a_row(crowd, number):
+    return crowd.unread_in_a_row(number, MIDDLE_REQUEST, REQUESTS_IN_A_ROW)
+
+
+def unread_metrics(crowd, number):
+    return crowd.unread_in_a_row(number, METRICS, METRICS_IN_A_ROW)
+
+
 def whole_in_turn(crowd, _):
     return crowd.whole_in_turn(CLIENTS)
 
@@ -88,6 +101,8 @@
                                         MAX_SUBMISSION_BYTES),
     "administration: bodies of probes in turn": Case(whole_in_turn, 1, "adminListen",
                                                      "GET /healthz HTTP/1.1\r\nHost: x\r\n", MAX_SUBMISSION_BYTES),
+    "administration: answers that nobody reads": Case(unread_metrics, MANY_CLIENTS, "adminListen"),
+    "small answers that nobody reads": Case(unread_in_a_row, MANY_CLIENTS),
     "whole bodies in turn": Case(whole_in_turn, 1),
     "instances: frames": Case(frame, FRAME_CLIENTS, "peerListen"),
     "instances: connections without a request": Case(crowds.SHAPES["connections without a request"], MANY_CLIENTS,
--- a/tests/platform/adapter/memory_bounds.py
+++ b/tests/platform/adapter/memory_bounds.py
@@ -31,22 +31,40 @@
 # More than the instance has descriptors.
 MANY_CLIENTS = 480
 LARGE_ANSWER_BYTES = 1 << 20
+# Small enough to be let in always; this many are more than the kernel takes for a client that doesn't read.
+MIDDLE_ANSWER_BYTES = 30 << 10
+REQUESTS_IN_A_ROW = 150
+METRICS_IN_A_ROW = 1000
 LISTENERS = ["callers", "readiness", "instances"]
 START_ATTEMPTS = 100
 HEAD = "POST /any/{0} HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: crowd-{0}\r\nX-Deadline-Ms: 8000\r\n"
 LARGE_REQUEST = ("GET /any/large HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: crowd-{}\r\n"
                  "X-Deadline-Ms: 8000\r\n\r\n")
+MIDDLE_REQUEST = LARGE_REQUEST.replace("/any/large", "/any/middle")
 PROBE = "GET /readyz HTTP/1.1\r\nHost: desk.example\r\n"
+METRICS = "GET /metrics?{} HTTP/1.1\r\nHost: desk.example\r\n\r\n"
 
 
 class Service(stand_ins.Service):
-    """A service whose answers to /any/large are long."""
+    """A service whose answers to /any/large and /any/middle are long."""
+
+    ANSWER_BYTES = {"/any/large": LARGE_ANSWER_BYTES, "/any/middle": MIDDLE_ANSWER_BYTES}
+    requests = 0
+
+    async def wait_until_idle(self):
+        """Waits until no further requests come; the requests of the crowd are answered, or wait behind unread answers."""
+        known = None
+        while known != self.requests:
+            known = self.requests
+            await asyncio.sleep(1)
 
     async def work(self, request, reader, writer):
-        if request.path != "/any/large":
+        self.requests += 1
+        size = self.ANSWER_BYTES.get(request.path)
+        if size is None:
             await super().work(request, reader, writer)
             return
-        writer.write(stand_ins.answer_bytes(200, b"x" * LARGE_ANSWER_BYTES, self.headers(request)))
+        writer.write(stand_ins.answer_bytes(200, b"x" * size, self.headers(request)))
 
 
 def unread(crowd, number):
@@ -57,6 +75,14 @@
     return crowd.whole_in_turn(CLIENTS)
 
 
+def unread_in_a_row(crowd, number):
+    return crowd.unread_in_a_row(number, MIDDLE_REQUEST, REQUESTS_IN_A_ROW)
+
+
+def unread_metrics(crowd, number):
+    return crowd.unread_in_a_row(number, METRICS, METRICS_IN_A_ROW)
+
+
 def behind_an_answer(crowd, number):
     """Asks for a long answer, reads nothing of it, and sends a body behind the request."""
     size = MAX_BODY_BYTES - 64
@@ -86,8 +112,9 @@
 class Case:
     """What a crowd of clients sends, and to which of the listeners of the instance."""
 
-    def __init__(self, shape, clients=CLIENTS, listener="callers"):
+    def __init__(self, shape, clients=CLIENTS, listener="callers", waits_until_idle=False):
         self.shape, self.clients, self.listener = shape, clients, listener
+        self.waits_until_idle = waits_until_idle
 
 
 CASES = {
@@ -100,7 +127,9 @@
     "many connections without a request": Case(crowds.SHAPES["connections without a request"], MANY_CLIENTS),
     "all at once": Case(all_at_once, MANY_CLIENTS),
     "one client with long bodies": Case(long_bodies_in_turn, 1),
+    "small answers that nobody reads": Case(unread_in_a_row, MANY_CLIENTS, waits_until_idle=True),
     "whole bodies in turn": Case(whole_in_turn, 1),
+    "readiness: answers that nobody reads": Case(unread_metrics, MANY_CLIENTS, "readiness"),
     **{f"readiness: {name}": Case(crowds.SHAPES[name], listener="readiness") for name in [
         "whole bodies", "chunks of one byte", "far over the limit, sent", "connections without a request"]},
     **{f"instances: {name}": Case(crowds.SHAPES[name], listener="instances") for name in [
@@ -140,6 +169,8 @@
             raise RuntimeError("the instance did not start")
         crowd = crowds.Crowd(ports[LISTENERS.index(case.listener)], HEAD, MAX_BODY_BYTES)
         await crowds.run_crowd(crowd, case.shape, case.clients)
+        if case.waits_until_idle:
+            await asyncio.wait_for(service.wait_until_idle(), crowds.STEP_S)
         after = await crowds.ask(ports[0], HEAD.format("ordinary"))
         probe = await crowds.ask(ports[1], PROBE, b"")
         crowd.close()
