Refuse nothing to a holding that does not grow

Seen: in a unit test, a holding that shrinks or keeps its size is refused while more than an eighth of the memory waits to be freed. In a request, that is a 503 for a body that had its memory, or an answer that is counted with more than it holds.

Cause: the check for memory that is being freed did not ask whether any is added.

Evidence: "when it shrinks or keeps its size, also while much is being freed" in unit-memory_budget.cpp; without the change three of its checks fail.

--- a/src/core/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -89,7 +89,7 @@
     const std::size_t added = bytes - std::min(bytes, this->held);
     const bool isSmall = bytes <= this->budget.limits.smallBytes;
     const bool canFit = isSmall || this->budget.canFit(*this, added);
-    if (!isSmall && this->budget.isFreeingMuch()
+    if (added > 0 && !isSmall && this->budget.isFreeingMuch()
         && this->budget.isTotalExceeded(added + this->budget.freeing)) {
         if (this->budget.onShortage)
             this->budget.onShortage(this->use, bytes);
--- a/tests/core/unit-memory_budget.cpp
+++ b/tests/core/unit-memory_budget.cpp
@@ -188,6 +188,20 @@
         MemoryBudget::Holding next(budget, MemoryUse::Arriving);
         CHECK(next.resize(500 * kilobyte, start));
     }
+    SUBCASE("when it shrinks or keeps its size, also while much is being freed")
+    {
+        Peer peer(budget, MemoryUse::Admitted, "10.0.0.1", 300 * kilobyte);
+        MemoryBudget::Holding large(budget, MemoryUse::Arriving);
+        large.allowEviction("10.0.0.2", [] {});
+        REQUIRE(large.resize(500 * kilobyte, start));
+        MemoryBudget::Holding next(budget, MemoryUse::Admitted);
+        REQUIRE(next.resize(600 * kilobyte, start));
+        REQUIRE(large.isEvicted());
+        CHECK(next.resize(600 * kilobyte, start));
+        CHECK(next.resize(500 * kilobyte, start));
+        CHECK_FALSE(next.resize(600 * kilobyte, start));
+        CHECK(budget.usedBytes() == 800 * kilobyte);
+    }
     SUBCASE("of a holding that was given up before it ended")
     {
         {
@@ -249,6 +263,7 @@
     std::optional<Peer> peer;
     peer.emplace(*budget, MemoryUse::Arriving, "10.0.0.1", 500 * kilobyte);
     budget.reset();
+    CHECK_FALSE(peer->holding.isEvicted());
     peer.reset();
     CHECK_FALSE(peer);
 }
@@ -263,4 +278,3 @@
     CHECK(second.isHeld);
     CHECK(first.evictions + second.evictions == 0);
 }
-    CHECK_FALSE(peer->holding.isEvicted());
