Take room for the whole of an answer

Each took memory as it arrived, so that all held a part and none could get the rest. An answer waits 1 s for room, but each step of its growth waited anew, also behind the deadline; what one gave up, the others took as their next step. Complete requests and arriving answers are never given up, so that a large body found no room until all of them had ended.

Change: an answer with a length takes room for all of its body with its first bytes, or waits and holds nothing. The wait is 1 s in all for an attempt, and ends at the deadline of the request. A failed attempt's memory is released with the attempt, and an error answer that is kept counts beside the next one.

An upstream that announces a long answer and sends none of it holds room for it until the deadline; before, it held what it had sent.

--- a/src/caller/attempt.cpp
+++ b/src/caller/attempt.cpp
@@ -122,7 +122,9 @@
     std::optional<std::string> body = call.takeBody(maxBytes);
     if (!body) {
         CallResult<std::string> read = co_await call.readWholeBody(
-                maxBytes, [&exchange](std::size_t bytes) { return exchange.reserveAnswer(bytes); });
+                maxBytes, [&exchange, &request](std::size_t bytes) {
+                    return exchange.reserveAnswer(bytes, request.deadline);
+                });
         if (!read)
             co_return read.error();
         body = std::move(read).value();
--- a/src/caller/exchange.cpp
+++ b/src/caller/exchange.cpp
@@ -2,6 +2,8 @@
 
 #include "core/log.hpp"
 
+#include <algorithm>
+
 namespace bamboochute::caller {
 
 Exchange::Exchange(ThreadContext &thread, upstream::HttpStream &stream,
@@ -64,15 +66,19 @@
         this->cancel();
 }
 
-upstream::Awaitable<bool> Exchange::reserveAnswer(std::size_t bytes)
+upstream::Awaitable<bool> Exchange::reserveAnswer(std::size_t bytes, TimePoint deadline)
 {
-    const TimePoint until = SteadyClock().now() + answerRoomTimeout;
-    while (!this->answerMemory.resize(bytes, SteadyClock().now())) {
-        if (SteadyClock().now() >= until || this->isCancelled())
-            co_return false;
+    if (bytes <= this->answerMemory.bytes())
+        co_return true;
+    const TimePoint begin = SteadyClock().now();
+    const TimePoint until = std::min(begin + this->roomTimeLeft, deadline);
+    bool hasRoom = this->answerMemory.resize(bytes, begin);
+    while (!hasRoom && SteadyClock().now() < until && !this->isCancelled()) {
         co_await waitFor(this->thread, answerRoomPollInterval);
+        hasRoom = this->answerMemory.resize(bytes, SteadyClock().now());
     }
-    co_return true;
+    this->roomTimeLeft -= SteadyClock().now() - begin;
+    co_return hasRoom;
 }
 
 upstream::Awaitable<void> Exchange::deliver(const Answer &answer)
--- a/src/caller/exchange.hpp
+++ b/src/caller/exchange.hpp
@@ -5,7 +5,7 @@
 #include "caller/answer.hpp"
 #include "caller/caller_request.hpp"
 #include "caller/thread_context.hpp"
-#include "core/memory_budget.hpp"
+#include "core/inbound_budget.hpp"
 
 #include <functional>
 #include <optional>
@@ -58,11 +58,12 @@
     /// @brief Cancels the request and closes its connection after the answer.
     void stop();
 
-    /// @brief Counts the body of the answer. While there is no room, waits for up to a second, and
-    /// meanwhile nothing more is read from the upstream.
+    /// @brief Counts the body of the answer. While there is no room, waits for up to a second over
+    /// all calls, and meanwhile nothing more is read from the upstream.
     /// @param bytes of the body
+    /// @param deadline of the request
     /// @return false if there is still no room, or the exchange was cancelled
-    upstream::Awaitable<bool> reserveAnswer(std::size_t bytes);
+    upstream::Awaitable<bool> reserveAnswer(std::size_t bytes, TimePoint deadline);
 
     /// @brief Writes an answer. One for which much memory was reserved is given up before others
     /// while its caller does not read it.
@@ -79,6 +80,8 @@
 
     /// What the body of the answer holds.
     MemoryBudget::Holding answerMemory;
+    /// Time for which the answer may still wait for memory.
+    Duration roomTimeLeft = answerRoomTimeout;
     std::function<void()> cancel;
     bool ignoresCallerGone = false;
     bool hasCallerGone = false;
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -98,16 +98,34 @@
 }
 
 /// Makes room for an answer. While there is none, nothing more is read from the upstream.
-/// @return false if there is still none after answerRoomTimeout
+/// @return false if there is still none after answerRoomTimeout, over all calls for an attempt, or
+/// at the deadline of the request
 Awaitable<bool> RequestExchange::reserveAnswer(std::size_t bytes)
 {
-    const TimePoint until = this->now() + answerRoomTimeout;
-    while (!this->answerMemory.resize(bytes, this->now())) {
-        if (this->now() >= until || this->isEnding())
-            co_return false;
+    const std::size_t needed = bytes + this->keptAnswerBytes();
+    if (needed <= this->answerMemory.bytes())
+        co_return true;
+    const TimePoint begin = this->now();
+    const TimePoint until = std::min(begin + this->attempt.roomTimeLeft, this->deadline);
+    bool hasRoom = this->answerMemory.resize(needed, begin);
+    while (!hasRoom && this->now() < until && !this->isEnding()) {
         co_await this->gateway.change.wait(std::min(until, this->now() + answerRoomPollInterval));
+        hasRoom = this->answerMemory.resize(needed, this->now());
     }
-    co_return true;
+    this->attempt.roomTimeLeft -= this->now() - begin;
+    co_return hasRoom;
+}
+
+/// Frees the memory of an attempt's answer, but for an error answer that is kept until no upstream
+/// is left to try.
+void RequestExchange::releaseAnswer()
+{
+    this->answerMemory.resize(this->keptAnswerBytes(), this->now());
+}
+
+std::size_t RequestExchange::keptAnswerBytes() const
+{
+    return this->upstreamErrorAnswer ? this->upstreamErrorAnswer->second.size() : 0;
 }
 
 /// Whether an answer with a status is a stream, or has to be one to continue what the caller has.
@@ -240,7 +258,10 @@
         std::size_t added = 0;
         for (const std::string_view piece : this->attempt.call->answer().pieces)
             added += piece.size();
-        const bool hasRoom = co_await this->reserveAnswer(body.size() + added);
+        // Answers that each hold a part, and wait for room for the rest, would block one another.
+        const std::size_t announced = this->attempt.call->announcedBytes(maxAnswerBytes);
+        const bool hasRoom
+                = co_await this->reserveAnswer(std::max(body.size() + added, announced));
         if (!hasRoom) {
             // The upstream is not at fault, and is not avoided.
             this->lastFault = "there is too little memory for the answer";
@@ -250,6 +271,7 @@
             this->log(LogLevel::Warning, "attempt failed", "memory", {"detail", this->lastFault});
             co_return AttemptOutcome::MayHaveRun;
         }
+        body.reserve(announced);
         for (const std::string_view piece : this->attempt.call->answer().pieces)
             body += piece;
         if (body.size() > maxAnswerBytes)
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -391,6 +391,7 @@
     while (outcome == AttemptOutcome::Replaced)
         outcome = co_await this->receiveAnswer();
     this->endAttempt();
+    this->releaseAnswer();
     if (outcome == AttemptOutcome::MayHaveRun || outcome == AttemptOutcome::StreamBroken)
         ++this->possibleRuns;
     co_return outcome;
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -4,6 +4,7 @@
 
 #include "caller/caller_request.hpp"
 #include "caller/event_stream.hpp"
+#include "core/inbound_budget.hpp"
 #include "core/log.hpp"
 #include "forwarding/forwarded_request.hpp"
 #include "gateway/gateway.hpp"
@@ -113,6 +114,8 @@
         std::optional<upstream::AnswerEnd> answerEnd;
         /// No connection could be made, so that nothing was sent.
         bool isUnreached = false;
+        /// Time for which the answer may still wait for memory.
+        Duration roomTimeLeft = answerRoomTimeout;
         /// Requests per second that the answer said the upstream takes.
         std::optional<double> upstreamLimit;
     };
@@ -204,6 +207,8 @@
     upstream::Awaitable<AttemptOutcome> relayAnswer();
     upstream::Awaitable<AttemptOutcome> relayWholeAnswer();
     upstream::Awaitable<bool> reserveAnswer(std::size_t bytes);
+    void releaseAnswer();
+    std::size_t keptAnswerBytes() const;
     upstream::Awaitable<AttemptOutcome> relayEventStream();
     bool isStreamAnswer(int status) const;
     StreamHead readHead(const AnswerAttributes &attributes) const;
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -235,6 +235,7 @@
     else
         outcome = this->handleHelperFailure(sent.error());
     this->attempt.call.reset();
+    this->releaseAnswer();
     this->gateway.forwarding.helpers.recordFinish(helper);
     if (outcome == AttemptOutcome::MayHaveRun || outcome == AttemptOutcome::StreamBroken)
         ++this->possibleRuns;
--- a/src/upstream/upstream_call.cpp
+++ b/src/upstream/upstream_call.cpp
@@ -248,9 +248,8 @@
         co_return this->makeError(CallFailure::Malformed,
                                   "the answer has neither Content-Length nor chunked encoding");
     std::string body;
-    const boost::optional<std::uint64_t> length = this->parser->content_length();
-    if (length && *length <= maxBytes)
-        body.reserve(static_cast<std::size_t>(*length));
+    const std::size_t announced = this->announcedBytes(maxBytes);
+    body.reserve(announced);
     while (this->hasUnreadPieces || !this->parser->is_done()) {
         const CallResult<bool> more = co_await this->readBody();
         if (!more)
@@ -263,7 +262,7 @@
                     CallFailure::Oversized,
                     fmt::format("the answer's body is longer than {} bytes", maxBytes));
         if (reserve) {
-            const bool hasRoom = co_await reserve(size);
+            const bool hasRoom = co_await reserve(std::max(size, announced));
             if (!hasRoom)
                 co_return this->makeError(CallFailure::NoMemory,
                                           "there is too little memory for the answer");
@@ -274,6 +273,12 @@
     co_return body;
 }
 
+std::size_t UpstreamCall::announcedBytes(std::size_t maxBytes) const
+{
+    const std::uint64_t length = this->parser->content_length().value_or(0);
+    return length <= maxBytes ? static_cast<std::size_t>(length) : 0;
+}
+
 bool UpstreamCall::isWhole() const
 {
     return this->parser && this->parser->is_done();
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -179,7 +179,8 @@
 
     /// @brief Reads the rest of the body.
     /// @param maxBytes largest size of the body; a larger one gives Oversized
-    /// @param reserve makes room before the body grows; without room nothing more is read
+    /// @param reserve makes room for an announced body as a whole, else before the body grows;
+    /// without room nothing more is read
     /// @return the body; Malformed when it has neither a length nor chunks, unless
     /// allowUnframedAnswer() was called; NoMemory when reserve found no room
     Awaitable<CallResult<std::string>> readWholeBody(std::size_t maxBytes,
@@ -187,6 +188,10 @@
 
     const ParsedMessage &answer() const noexcept { return this->message; }
 
+    /// @brief Length of the body that the head announces, in bytes.
+    /// @return zero if it announces none, or one that is longer than maxBytes
+    std::size_t announcedBytes(std::size_t maxBytes) const;
+
     /// @brief Whether status, headers and body are complete.
     bool isWhole() const;
 
--- a/tests/gateway/relay_fixture.cpp
+++ b/tests/gateway/relay_fixture.cpp
@@ -366,9 +366,10 @@
 }
 
 RelayFixture::RelayFixture(std::vector<ScriptedUpstream *> upstreams,
-                           std::vector<std::string> versions)
+                           std::vector<std::string> versions, const InboundLimits &inbound)
 {
     gateway::GatewaySettings settings;
+    settings.inbound = inbound;
     settings.listen = {"127.0.0.1", 0};
     settings.instanceListen = Endpoint{"127.0.0.1", 0};
     this->gateway
--- a/tests/gateway/relay_fixture.hpp
+++ b/tests/gateway/relay_fixture.hpp
@@ -119,8 +119,10 @@
     /// healthy
     /// @param versions software versions of the servers; those without one run "v1". The record in
     /// the store holds them and is complete.
+    /// @param inbound what the gateway may use of its machine
     explicit RelayFixture(std::vector<ScriptedUpstream *> upstreams,
-                          std::vector<std::string> versions = {});
+                          std::vector<std::string> versions = {},
+                          const InboundLimits &inbound = {});
     ~RelayFixture();
 
     /// @brief Sends bytes on a new connection and returns what the gateway sends until it closes
