Bound what the kernel takes of answers that are not read

Seen: clients that send many small requests in a row and read none of the answers leave them in the kernel, as do those that ask for large ones.

Cause: the kernel lets a send buffer grow to some MB for each connection. Neither the budget nor the crowd tests saw it, and a peer that reads nothing looked like one that reads, so that its answer counted as delivered and its connection kept its place.

Change: TCP_NOTSENT_LOWAT of 32 KB on all listeners of both programs, where the memory has a bound; connections inherit it. The rest of an answer waits in the process, where the budget counts it and may give it up. Bytes that are under way don't count, so that a peer that reads is not slowed down. One function owns both buffers of the kernel, for all four kinds of listener.

The crowd tests count what peers have not taken as held; the bounds and the crowds are as they were.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -388,9 +388,8 @@
     this->acceptor.open(local.protocol(), failure);
     if (!failure)
         this->acceptor.set_option(asio::socket_base::reuse_address(true), failure);
-    if (!failure && this->inbound.isMemoryBounded())
-        this->acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes),
-                                  failure);
+    if (!failure)
+        this->inbound.boundKernelBuffers(this->acceptor.native_handle());
     if (!failure)
         this->acceptor.bind(local, failure);
     if (!failure)
--- a/src/caller/traffic_thread.cpp
+++ b/src/caller/traffic_thread.cpp
@@ -48,9 +48,8 @@
         this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
     if (!error)
         this->acceptor.set_option(ReusePort(true), error);
-    if (!error && this->server.inbound.isMemoryBounded())
-        this->acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes),
-                                  error);
+    if (!error)
+        this->server.inbound.boundKernelBuffers(this->acceptor.native_handle());
     if (!error)
         this->acceptor.bind(asio::ip::tcp::endpoint(address, endpoint.port), error);
     if (!error)
--- a/src/core/inbound_budget.cpp
+++ b/src/core/inbound_budget.cpp
@@ -3,11 +3,16 @@
 #include "core/log.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
+#include <cstring>
 #include <limits>
 #include <utility>
 
 #include <malloc.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <fmt/format.h>
 
@@ -108,6 +113,19 @@
     }
 }
 
+void InboundBudget::boundKernelBuffers(int listener) const
+{
+    if (!this->isMemoryBounded())
+        return;
+    const auto set = [listener](int level, int option, int value, std::string_view name) {
+        if (::setsockopt(listener, level, option, &value, sizeof value) != 0)
+            logEvent(LogLevel::Warning, "buffers of connections not bounded",
+                     {{"option", std::string(name)}, {"error", std::strerror(errno)}});
+    };
+    set(SOL_SOCKET, SO_RCVBUF, receiveBufferBytes, "SO_RCVBUF");
+    set(IPPROTO_TCP, TCP_NOTSENT_LOWAT, unsentBytes, "TCP_NOTSENT_LOWAT");
+}
+
 /// Counts what was given up or refused; logs the first of a series.
 void InboundBudget::recordShortage(std::string_view subject, MemoryUse use, std::size_t bytes,
                                    const MemoryBudget &budget)
--- a/src/core/inbound_budget.hpp
+++ b/src/core/inbound_budget.hpp
@@ -48,6 +48,11 @@
 /// allowed to send before, and the connection stalls.
 constexpr int receiveBufferBytes = 32 << 10;
 
+/// @brief Bytes that the kernel takes of an answer before it can send them, if the memory is
+/// bounded: what waits for a peer that does not read is part of the machine's memory as well, and
+/// stays where the budget counts it. A peer that reads is not slowed down.
+constexpr int unsentBytes = 32 << 10;
+
 /// @brief Memory that is reckoned for a connection beside its request and answer, in bytes: the
 /// receive buffer as the kernel counts it, and the objects of the connection.
 constexpr std::size_t connectionBytes = 2 * receiveBufferBytes + (16 << 10);
@@ -69,6 +74,11 @@
     /// @brief Whether the process has a bound on its memory.
     bool isMemoryBounded() const noexcept { return this->requestBudget.bounds().totalBytes > 0; }
 
+    /// @brief Bounds what the kernel holds for each connection of a listener, if the memory is
+    /// bounded; a failure is logged.
+    /// @param listener socket that does not listen yet; its connections inherit the bounds
+    void boundKernelBuffers(int listener) const;
+
     /// @brief Bytes of requests and answers, of all listeners together.
     MemoryBudget &requests() noexcept { return this->requestBudget; }
 
--- a/src/peer/call_server.cpp
+++ b/src/peer/call_server.cpp
@@ -248,9 +248,7 @@
     if (acceptor.open(endpoint.protocol(), code); code)
         return listenError(listen, code);
     acceptor.set_option(boost::asio::socket_base::reuse_address(true), code);
-    if (inbound.isMemoryBounded())
-        acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes),
-                            code);
+    inbound.boundKernelBuffers(acceptor.native_handle());
     if (acceptor.bind(endpoint, code); code)
         return listenError(listen, code);
     if (acceptor.listen(boost::asio::socket_base::max_listen_connections, code); code)
--- a/src/upstream/listen.cpp
+++ b/src/upstream/listen.cpp
@@ -27,9 +27,8 @@
         acceptor.open(asio::ip::tcp::v4(), error);
     if (!error)
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    // Accepted connections have the same size from their first byte on.
-    if (!error && inbound.isMemoryBounded())
-        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
+    if (!error)
+        inbound.boundKernelBuffers(acceptor.native_handle());
     if (!error)
         acceptor.bind(asio::ip::tcp::endpoint(address, endpoint.port), error);
     if (!error)
--- a/src/upstream/listen.hpp
+++ b/src/upstream/listen.hpp
@@ -15,7 +15,7 @@
 /// @param acceptor acceptor that is not open yet
 /// @param endpoint IPv4 address and port; port 0 selects a free one
 /// @param backlog largest number of connections that wait to be accepted
-/// @param inbound if it bounds the memory, connections receive at most receiveBufferBytes ahead
+/// @param inbound bounds what the kernel holds for each connection
 /// @return the bound address, or SettingInvalid
 Result<Endpoint> listenOn(Acceptor &acceptor, const Endpoint &endpoint, int backlog,
                           const InboundBudget &inbound);
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -150,12 +150,12 @@
 class Footprint:
     """The memory and the descriptors of a process, sampled until it is closed.
 
-    Bytes that were received and not read count: the machine has them as well.
+    Bytes that were received and not read count, and those that a peer has not taken: the machine has them as well.
     """
 
     def __init__(self, process_id, ports):
         self.process_id, self.ports = process_id, {f"{port:04X}" for port in ports}
-        self.held_mb, self.unread_mb, self.descriptors = 0.0, 0.0, 0
+        self.held_mb, self.unread_mb, self.unsent_mb, self.descriptors = 0.0, 0.0, 0.0, 0
         self.task = asyncio.get_running_loop().create_task(self.sample_always())
 
     def close(self):
@@ -168,9 +168,10 @@
 
     def sample(self):
         try:
-            unread = self.unread_bytes() / (1 << 20)
-            self.held_mb = max(self.held_mb, self.resident_mb("VmRSS:") + unread)
+            unsent, unread = (size / (1 << 20) for size in self.queued_bytes())
+            self.held_mb = max(self.held_mb, self.resident_mb("VmRSS:") + unread + unsent)
             self.unread_mb = max(self.unread_mb, unread)
+            self.unsent_mb = max(self.unsent_mb, unsent)
             self.descriptors = max(self.descriptors, len(os.listdir(f"/proc/{self.process_id}/fd")))
         except (FileNotFoundError, ProcessLookupError):
             pass  # The process has ended, which is checked elsewhere.
@@ -184,8 +185,8 @@
                 return int(line.split()[1]) / 1024
         return 0.0
 
-    def unread_bytes(self):
-        """Bytes in the receive queues of all sockets of the process, and of those it has not accepted yet."""
+    def queued_bytes(self):
+        """Bytes in the send and the receive queues of all sockets of the process, and of those it has not accepted yet."""
         sockets = set()
         for descriptor in os.listdir(f"/proc/{self.process_id}/fd"):
             try:
@@ -194,13 +195,14 @@
                 continue
             if target.startswith("socket:["):
                 sockets.add(target[8:-1])
-        total = 0
+        unsent, unread = 0, 0
         for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
             fields = line.split()
             is_own = fields[9] in sockets or (fields[9] == "0" and fields[1].split(":")[1] in self.ports)
             if is_own and fields[3] != LISTENING:
-                total += int(fields[4].split(":")[1], 16)
-        return total
+                queued = fields[4].split(":")
+                unsent, unread = unsent + int(queued[0], 16), unread + int(queued[1], 16)
+        return unsent, unread
 
 
 async def run_crowd(crowd, shape, clients):
@@ -216,7 +218,8 @@
     failures = []
     peak = max(footprint.peak_mb(), footprint.held_mb)
     if peak > memory_mb:
-        failures.append(f"{peak:.0f} MB held, {footprint.unread_mb:.0f} of them at most not read, of {memory_mb}")
+        failures.append(f"{peak:.0f} MB held, {footprint.unread_mb:.0f} of them at most not read, "
+                        f"{footprint.unsent_mb:.0f} not taken by peers, of {memory_mb}")
     if footprint.descriptors > descriptors:
         failures.append(f"{footprint.descriptors} open descriptors, of {descriptors}")
     return failures
--- a/tests/node/memory_bounds.py
+++ b/tests/node/memory_bounds.py
@@ -132,7 +132,7 @@
                  [("an ordinary request", after), ("a probe", probe), ("a large request in calm", calm)]
                  if status != 200]
     footprint.close()
-    return {"held_mb": round(footprint.held_mb, 1), "unread_mb": round(footprint.unread_mb, 1),
+    return {"held_mb": round(footprint.held_mb, 1), "unread_mb": round(footprint.unread_mb, 1), "unsent_mb": round(footprint.unsent_mb, 1),
             "descriptors": footprint.descriptors, "failures": failures}
 
 
--- a/tests/platform/adapter/memory_bounds.py
+++ b/tests/platform/adapter/memory_bounds.py
@@ -189,7 +189,7 @@
         service.crash()
         store.crash()
     print(json.dumps({"case": options.case, "held_mb": round(footprint.held_mb, 1),
-                      "unread_mb": round(footprint.unread_mb, 1), "descriptors": footprint.descriptors,
+                      "unread_mb": round(footprint.unread_mb, 1), "unsent_mb": round(footprint.unsent_mb, 1), "descriptors": footprint.descriptors,
                       "failures": failures}))
     return 1 if failures else 0
 
--- a/tests/upstream/unit-listen.cpp
+++ b/tests/upstream/unit-listen.cpp
@@ -1,5 +1,9 @@
 #include "upstream/listen.hpp"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <doctest/doctest.h>
 
 using namespace bamboochute;
@@ -26,6 +30,15 @@
 
 } // namespace
 
+/// Bytes that the kernel takes for a connection before it can send them; zero for no bound.
+int unsentBytesOf(upstream::Socket &socket)
+{
+    int bytes = 0;
+    socklen_t size = sizeof bytes;
+    REQUIRE(::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, &size) == 0);
+    return bytes;
+}
+
 // Guards against large bodies that take long from afar where nobody has asked for a bound.
 TEST_CASE("the receive buffer of connections is bounded with the memory of the process")
 {
@@ -40,3 +53,18 @@
         CHECK(receiveBufferOf(InboundLimits{}) == receiveBufferOf(std::nullopt));
     }
 }
+
+// Guards against answers that the kernel keeps for peers who don't read, where no budget sees them.
+TEST_CASE("connections inherit the bound of what the kernel takes of an answer")
+{
+    upstream::asio::io_context loop;
+    upstream::Acceptor acceptor(loop);
+    Metrics metrics;
+    const InboundBudget budget(InboundLimits{112 << 20, 0}, metrics);
+    const Result<Endpoint> at = upstream::listenOn(acceptor, {"127.0.0.1", 0}, 1, budget);
+    REQUIRE(at);
+    upstream::Socket peer(loop);
+    peer.connect({upstream::asio::ip::make_address("127.0.0.1"), at.value().port});
+    upstream::Socket accepted = acceptor.accept();
+    CHECK(unsentBytesOf(accepted) == unsentBytes);
+}
