Count what is held of streams

Seen: more clients than there are places, each of which asks for a stream with events of 200 KB and reads nothing.

Cause: events were counted nowhere. A stream held its last whole event three times (the buffer of partial events, the whole ones, and the text that is sent) and kept the buffers. Streams whose callers don't read could not be given up, as they held nothing in the budget.

Whole events are no longer copied out of the buffer, and long buffers are freed once they are sent. Short events pass as before, without a look at the budget.

A stream without room ends as an answer without room does: 502 if nothing of it was sent, else broken.

--- a/src/caller/event_stream.cpp
+++ b/src/caller/event_stream.cpp
@@ -13,6 +13,16 @@
 constexpr std::string_view idField = "id:";
 /// Bytes kept of the end of the stream; the end marker and its line ends fit into them.
 constexpr std::size_t maxEndMarkerBytes = 32;
+/// Memory of sent events that a buffer keeps for the next ones.
+constexpr std::size_t maxKeptBytes = 4 << 10;
+
+/// Empties a buffer; one that has grown long is freed.
+void emptyBuffer(std::string &buffer)
+{
+    buffer.clear();
+    if (buffer.capacity() > maxKeptBytes)
+        std::string().swap(buffer);
+}
 
 bool endsEvent(std::string_view text)
 {
@@ -100,8 +110,13 @@
         for (const std::string_view piece : pieces)
             this->partialEvent += piece;
         const std::size_t length = wholeLength(this->partialEvent);
-        this->wholeEvents.assign(this->partialEvent, 0, length);
-        this->partialEvent.erase(0, length);
+        if (length == this->partialEvent.size()) {
+            this->wholeEvents.swap(this->partialEvent);
+            this->partialEvent.clear();
+        } else {
+            this->wholeEvents.assign(this->partialEvent, 0, length);
+            this->partialEvent.erase(0, length);
+        }
         if (this->partialEvent.size() > this->maxEventBytes)
             return Error(ErrorKind::UpstreamOversized,
                          fmt::format("an event is longer than {} bytes", this->maxEventBytes));
@@ -113,6 +128,19 @@
     return std::span<const std::string_view>(this->forwarded);
 }
 
+void EventStream::releaseSentEvents()
+{
+    this->forwarded.clear();
+    emptyBuffer(this->wholeEvents);
+    if (this->partialEvent.empty())
+        emptyBuffer(this->partialEvent);
+}
+
+void EventStream::discardPartialEvent()
+{
+    emptyBuffer(this->partialEvent);
+}
+
 void EventStream::scanForwarded(std::string_view text)
 {
     const std::string_view tail
--- a/src/caller/event_stream.hpp
+++ b/src/caller/event_stream.hpp
@@ -61,8 +61,18 @@
         return this->partialEvent.find_first_not_of("\r\n") != std::string::npos;
     }
 
+    /// @brief Memory of the buffers, in bytes.
+    std::size_t heldBytes() const noexcept
+    {
+        return this->partialEvent.capacity() + this->wholeEvents.capacity();
+    }
+
+    /// @brief Frees what long events took, once they have been sent on; what
+    /// extractWholeEvents() has returned is no longer valid.
+    void releaseSentEvents();
+
     /// @brief Discards the partial event that a broken connection left behind.
-    void discardPartialEvent() { this->partialEvent.clear(); }
+    void discardPartialEvent();
 
 private:
     void scanForwarded(std::string_view text);
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -123,9 +123,37 @@
     this->answerMemory.resize(this->keptAnswerBytes(), this->now());
 }
 
+/// Memory of an error answer that is kept, and of the buffers of a stream.
 std::size_t RequestExchange::keptAnswerBytes() const
 {
-    return this->upstreamErrorAnswer ? this->upstreamErrorAnswer->second.size() : 0;
+    const std::size_t errorBytes
+            = this->upstreamErrorAnswer ? this->upstreamErrorAnswer->second.size() : 0;
+    return errorBytes + this->events.heldBytes();
+}
+
+/// Memory that the next part of a stream takes beside the buffers of its events: where it was read
+/// to, what these grow by, and the text that is sent.
+std::size_t RequestExchange::streamBytes() const
+{
+    std::size_t added = 0;
+    for (const std::string_view piece : this->attempt.call->answer().pieces)
+        added += piece.size();
+    return this->attempt.call->bufferBytes() + 2 * added + this->events.partialEventBytes();
+}
+
+/// Ends the current attempt for want of memory for its answer; the upstream is not at fault, and is
+/// not avoided.
+AttemptOutcome RequestExchange::handleMemoryShortage()
+{
+    this->lastFault = "there is too little memory for the answer";
+    this->recordAnswerEnd();
+    if (this->isAnswerBegun)
+        this->bindStreamVersion();
+    if (!this->attempt.helper)
+        this->triedUpstreams.push_back(this->attempt.upstream);
+    this->attempt.call->cancel();
+    this->log(LogLevel::Warning, "attempt failed", "memory", {"detail", this->lastFault});
+    return this->isAnswerBegun ? AttemptOutcome::StreamBroken : AttemptOutcome::MayHaveRun;
 }
 
 /// Whether an answer with a status is a stream, or has to be one to continue what the caller has.
@@ -262,15 +290,8 @@
         const std::size_t announced = this->attempt.call->announcedBytes(maxAnswerBytes);
         const bool hasRoom
                 = co_await this->reserveAnswer(std::max(body.size() + added, announced));
-        if (!hasRoom) {
-            // The upstream is not at fault, and is not avoided.
-            this->lastFault = "there is too little memory for the answer";
-            this->recordAnswerEnd();
-            this->triedUpstreams.push_back(this->attempt.upstream);
-            this->attempt.call->cancel();
-            this->log(LogLevel::Warning, "attempt failed", "memory", {"detail", this->lastFault});
-            co_return AttemptOutcome::MayHaveRun;
-        }
+        if (!hasRoom)
+            co_return this->handleMemoryShortage();
         body.reserve(announced);
         for (const std::string_view piece : this->attempt.call->answer().pieces)
             body += piece;
@@ -315,6 +336,13 @@
             co_return this->handleBrokenStream(
                     UpstreamFault::Broken,
                     "the upstream has started again with another software version");
+        // What is read and not sent yet counts as the body of an answer does. Short events are not
+        // counted, as they would always be let in.
+        const std::size_t bytes = this->streamBytes();
+        const bool isLarge = this->answerMemory.isLarge(bytes + this->keptAnswerBytes());
+        const bool hasRoom = !isLarge || co_await this->reserveAnswer(bytes);
+        if (!hasRoom)
+            co_return this->handleMemoryShortage();
         const auto completeEvents
                 = this->events.extractWholeEvents(this->attempt.call->answer().pieces);
         if (!completeEvents)
@@ -341,6 +369,11 @@
         const bool isSent = co_await this->writeToCaller(chunk, text);
         if (!isSent)
             co_return AttemptOutcome::Finished;
+        if (isLarge) {
+            this->events.releaseSentEvents();
+            this->releaseAnswer();
+            this->attempt.roomTimeLeft = answerRoomTimeout;
+        }
         this->recordEventTime();
         this->silence.recordEvents(this->now());
         if (added.defect)
--- a/src/gateway/request_exchange.hpp
+++ b/src/gateway/request_exchange.hpp
@@ -208,7 +208,9 @@
     upstream::Awaitable<AttemptOutcome> relayWholeAnswer();
     upstream::Awaitable<bool> reserveAnswer(std::size_t bytes);
     void releaseAnswer();
+    AttemptOutcome handleMemoryShortage();
     std::size_t keptAnswerBytes() const;
+    std::size_t streamBytes() const;
     upstream::Awaitable<AttemptOutcome> relayEventStream();
     bool isStreamAnswer(int status) const;
     StreamHead readHead(const AnswerAttributes &attributes) const;
--- a/src/upstream/upstream_call.hpp
+++ b/src/upstream/upstream_call.hpp
@@ -192,6 +192,9 @@
     /// @return zero if it announces none, or one that is longer than maxBytes
     std::size_t announcedBytes(std::size_t maxBytes) const;
 
+    /// @brief Memory of the read buffer of the connection, in bytes.
+    std::size_t bufferBytes() const { return this->stream ? this->stream->bufferBytes() : 0; }
+
     /// @brief Whether status, headers and body are complete.
     bool isWhole() const;
 
--- a/tests/gateway/unit-answer_memory.cpp
+++ b/tests/gateway/unit-answer_memory.cpp
@@ -102,6 +102,29 @@
     CHECK(usedBytes(fixture) < megabyte);
 }
 
+// Guards against events that are held for callers who don't read, and counted nowhere.
+TEST_CASE("a long event of a stream needs memory")
+{
+    const std::string event = "id: 1\ndata: " + std::string(200 << 10, 'x') + "\n\n";
+    ScriptedUpstream upstream({{streamAnswer(event, true)}});
+    RelayFixture fixture({&upstream}, {}, smallMachine);
+
+    SUBCASE("of which there is enough in calm")
+    {
+        const std::string got = fixture.call(request("/fragile/"));
+        CHECK(got.starts_with("HTTP/1.1 200 "));
+        CHECK(containsText(got, std::string(200 << 10, 'x')));
+    }
+    SUBCASE("and without any, the stream is not begun")
+    {
+        const OtherConnections others(fixture, 10 * megabyte - (64 << 10));
+        const std::string got = fixture.call(request("/fragile/"));
+        CHECK(got.starts_with("HTTP/1.1 502 "));
+    }
+    fixture.waitForIdle();
+    CHECK(usedBytes(fixture) < megabyte);
+}
+
 TEST_CASE("an answer that announces more than any may have takes memory as it arrives")
 {
     ScriptedUpstream upstream({halfAnswer(lengthOf(1024 * megabyte))});
--- a/tests/platform/adapter/memory_bounds.py
+++ b/tests/platform/adapter/memory_bounds.py
@@ -35,18 +35,22 @@
 MIDDLE_ANSWER_BYTES = 30 << 10
 REQUESTS_IN_A_ROW = 150
 METRICS_IN_A_ROW = 1000
+# An event of nearly the largest size, and more of them than the kernel takes for a client that doesn't read.
+EVENT = b"id: %d\ndata: " + b"x" * (200 << 10) + b"\n\n"
+EVENTS = 60
 LISTENERS = ["callers", "readiness", "instances"]
 START_ATTEMPTS = 100
 HEAD = "POST /any/{0} HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: crowd-{0}\r\nX-Deadline-Ms: 8000\r\n"
 LARGE_REQUEST = ("GET /any/large HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: crowd-{}\r\n"
                  "X-Deadline-Ms: 8000\r\n\r\n")
+STREAM_REQUEST = LARGE_REQUEST.replace("/any/large", "/talk/large")
 MIDDLE_REQUEST = LARGE_REQUEST.replace("/any/large", "/any/middle")
 PROBE = "GET /readyz HTTP/1.1\r\nHost: desk.example\r\n"
 METRICS = "GET /metrics?{} HTTP/1.1\r\nHost: desk.example\r\n\r\n"
 
 
 class Service(stand_ins.Service):
-    """A service whose answers to /any/large and /any/middle are long."""
+    """A service whose answers to /any/large and /any/middle are long, and whose streams of /talk/ have long events."""
 
     ANSWER_BYTES = {"/any/large": LARGE_ANSWER_BYTES, "/any/middle": MIDDLE_ANSWER_BYTES}
     requests = 0
@@ -60,6 +64,9 @@
 
     async def work(self, request, reader, writer):
         self.requests += 1
+        if request.path.startswith("/talk/"):
+            await self.stream(request, writer)
+            return
         size = self.ANSWER_BYTES.get(request.path)
         if size is None:
             await super().work(request, reader, writer)
@@ -67,10 +74,25 @@
         writer.write(stand_ins.answer_bytes(200, b"x" * size, self.headers(request)))
 
 
+    async def stream(self, request, writer):
+        headers = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *self.headers(request)]
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers)]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        for number in range(1, EVENTS + 1):
+            event = EVENT % number
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
 def unread(crowd, number):
     return crowd.unread(number, LARGE_REQUEST)
 
 
+def unread_stream(crowd, number):
+    return crowd.unread(number, STREAM_REQUEST)
+
+
 def whole_in_turn(crowd, _):
     return crowd.whole_in_turn(CLIENTS)
 
@@ -128,6 +150,7 @@
     "all at once": Case(all_at_once, MANY_CLIENTS),
     "one client with long bodies": Case(long_bodies_in_turn, 1),
     "small answers that nobody reads": Case(unread_in_a_row, MANY_CLIENTS, waits_until_idle=True),
+    "streams that nobody reads": Case(unread_stream, MANY_CLIENTS),
     "whole bodies in turn": Case(whole_in_turn, 1),
     "readiness: answers that nobody reads": Case(unread_metrics, MANY_CLIENTS, "readiness"),
     **{f"readiness: {name}": Case(crowds.SHAPES[name], listener="readiness") for name in [
@@ -149,8 +172,9 @@
     await service.register()
     route = {"hostname": "desk.example", "target_latency_ms": 300, "timeout_ms": 8000, "name": "any",
              "path_prefix": "/any/", "type": "idempotent", "service": "rooms", "max_attempts": 2}
+    streams = {**route, "name": "talk", "path_prefix": "/talk/", "type": "stream"}
     await store.put("op/config", json.dumps({
-        "version": 1, "routes": [route], "limits": {"max_body_bytes": MAX_BODY_BYTES, "header_timeout_ms": 3000},
+        "version": 1, "routes": [route, streams], "limits": {"max_body_bytes": MAX_BODY_BYTES, "header_timeout_ms": 3000},
         "services": [{"name": "rooms", "max_connections": 400}]}).encode())
     ports = port, ready_port, internal_port = [stand_ins.free_port() for _ in LISTENERS]
     settings = directory / "instance.conf"
