--- a/src/caller/attempt.cpp
+++ b/src/caller/attempt.cpp
@@ -121,10 +121,10 @@
     // A body that came with the head is no longer than the read buffer.
     std::optional<std::string> body = call.takeBody(maxBytes);
     if (!body) {
-        CallResult<std::string> read = co_await call.readWholeBody(
-                maxBytes, [&exchange, &request](std::size_t bytes) {
-                    return exchange.reserveAnswer(bytes, request.deadline);
-                });
+        CallResult<std::string> read
+                = co_await call.readWholeBody(maxBytes, [&exchange, &request](std::size_t bytes) {
+                      return exchange.reserveAnswer(bytes, request.deadline);
+                  });
         if (!read)
             co_return read.error();
         body = std::move(read).value();
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -131,8 +131,8 @@
     return errorBytes + this->events.heldBytes();
 }
 
-/// Memory that the next part of a stream takes beside the buffers of its events: where it was read
-/// to, what these grow by, and the text that is sent.
+/// Memory that the next part of a stream takes beside what the buffers of its events hold: the read
+/// buffer of the connection, what those grow by, and the text that is sent.
 std::size_t RequestExchange::streamBytes() const
 {
     std::size_t added = 0;
@@ -288,8 +288,7 @@
             added += piece.size();
         // Answers that each hold a part, and wait for room for the rest, would block one another.
         const std::size_t announced = this->attempt.call->announcedBytes(maxAnswerBytes);
-        const bool hasRoom
-                = co_await this->reserveAnswer(std::max(body.size() + added, announced));
+        const bool hasRoom = co_await this->reserveAnswer(std::max(body.size() + added, announced));
         if (!hasRoom)
             co_return this->handleMemoryShortage();
         body.reserve(announced);
--- a/tests/gateway/unit-answer_memory.cpp
+++ b/tests/gateway/unit-answer_memory.cpp
@@ -24,8 +24,8 @@
 Script halfAnswer(const std::string &framing)
 {
     Script script;
-    script.answer = fmt::format("HTTP/1.1 200 OK\r\ntest-id: {{id}}\r\ntest-signature: s\r\n{}",
-                                framing);
+    script.answer
+            = fmt::format("HTTP/1.1 200 OK\r\ntest-id: {{id}}\r\ntest-signature: s\r\n{}", framing);
     script.answer.append(answerBytes / 2, 'x');
     script.isSilentAfterwards = true;
     return script;
@@ -82,7 +82,8 @@
     SUBCASE("where there is room for a half, the caller is told before its deadline")
     {
         const OtherConnections others(fixture, 6 * megabyte);
-        const std::string got = fixture.call(request("/once/", "pay", "test-patience-ms: 4000\r\n"));
+        const std::string got
+                = fixture.call(request("/once/", "pay", "test-patience-ms: 4000\r\n"));
         CHECK(got.starts_with("HTTP/1.1 502 "));
         CHECK_FALSE(containsText(got, "Retry-After"));
     }
--- a/tests/upstream/unit-listen.cpp
+++ b/tests/upstream/unit-listen.cpp
@@ -35,7 +35,8 @@
 {
     int bytes = 0;
     socklen_t size = sizeof bytes;
-    REQUIRE(::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, &size) == 0);
+    REQUIRE(::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, &size)
+            == 0);
     return bytes;
 }
 
